Lay out folders, targets, schemas, checks and first interfaces

Cause: an empty repository; parts can only be worked on side by side once folders, targets, message schemas and the checks stand.

--- /dev/null
+++ b/Source/Process/Settings.cpp
@@ -0,0 +1,91 @@
+#include "Process/Settings.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace wisteria {
+
+namespace {
+
+using Adapter = valijson::adapters::NlohmannJsonAdapter;
+
+std::string joinContext(const std::vector<std::string> &context)
+{
+    std::string place;
+    for (const std::string &part : context)
+        place += part;
+    return place;
+}
+
+std::string describe(valijson::ValidationResults &results)
+{
+    std::string text;
+    valijson::ValidationResults::Error error;
+    while (results.popError(error)) {
+        if (!text.empty())
+            text += "; ";
+        text += "at " + joinContext(error.context) + ": " + error.description;
+    }
+    return text;
+}
+
+std::string lineAndColumn(const std::string &text, std::size_t offset)
+{
+    std::size_t line = 1;
+    std::size_t column = 1;
+    for (std::size_t i = 0; i < offset && i < text.size(); ++i) {
+        ++column;
+        if (text[i] == '\n') {
+            ++line;
+            column = 1;
+        }
+    }
+    return "line " + std::to_string(line) + ", column " + std::to_string(column);
+}
+
+} // namespace
+
+Result<nlohmann::json> parseSettings(const std::string &text, const std::string &name,
+                                     const nlohmann::json &schema)
+{
+    nlohmann::json document;
+    try {
+        document = nlohmann::json::parse(text, nullptr, true, true);
+    } catch (const nlohmann::json::parse_error &error) {
+        return failure(ErrorKind::BadSettings,
+                       name + ", " + lineAndColumn(text, error.byte)
+                           + ": this is not JSON with comments (" + error.what()
+                           + "); correct the text there");
+    }
+    valijson::Schema parsedSchema;
+    valijson::SchemaParser parser;
+    parser.populateSchema(Adapter(schema), parsedSchema);
+    valijson::Validator validator;
+    valijson::ValidationResults results;
+    if (!validator.validate(parsedSchema, Adapter(document), &results)) {
+        return failure(ErrorKind::BadSettings,
+                       name + ": " + describe(results)
+                           + "; correct these entries, docs/operators/settings.md lists them all");
+    }
+    return document;
+}
+
+Result<nlohmann::json> loadSettings(const std::string &path, const nlohmann::json &schema)
+{
+    const std::ifstream file(path);
+    if (!file) {
+        return failure(ErrorKind::NotFound,
+                       path + ": can't be read; give the path of a settings file");
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseSettings(text.str(), path, schema);
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Tests/Process/SettingsTest.cpp
@@ -0,0 +1,39 @@
+#include "Process/Settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace wisteria;
+
+namespace {
+
+const nlohmann::json portSchema = {
+    {"type", "object"},
+    {"required", {"port"}},
+    {"properties", {{"port", {{"type", "integer"}, {"minimum", 0}}}}},
+    {"additionalProperties", false},
+};
+
+} // namespace
+
+TEST_CASE("Settings may carry comments")
+{
+    const auto settings = parseSettings("// where to listen\n{\"port\": 80}", "a.json", portSchema);
+    REQUIRE(settings.has_value());
+    CHECK(settings.value()["port"] == 80);
+}
+
+TEST_CASE("A syntax error names the file, the line and the remedy")
+{
+    const auto settings = parseSettings("{\n\"port\": }", "a.json", portSchema);
+    REQUIRE(settings.has_error());
+    CHECK(settings.error().kind == ErrorKind::BadSettings);
+    CHECK(settings.error().message.find("a.json, line 2") == 0);
+    CHECK(settings.error().message.find("correct") != std::string::npos);
+}
+
+TEST_CASE("A wrong entry names its place")
+{
+    const auto settings = parseSettings("{\"port\": \"eighty\"}", "a.json", portSchema);
+    REQUIRE(settings.has_error());
+    CHECK(settings.error().message.find("[\"port\"]") != std::string::npos);
+}
--- /dev/null
+++ b/Tests/TestMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
