Name the place of a wrong settings entry as a JSON pointer

The validator gives places as <root>[port], not as the test expected, and repeats each failure for every enclosing object. Ruled out: expecting the validator's own form; people can't use it. Change: places read /port, only the innermost failure is told; the test now expects the whole beginning of the message, which is stricter.

--- a/Source/Process/Settings.cpp
+++ b/Source/Process/Settings.cpp
@@ -15,24 +15,25 @@
 
 using Adapter = valijson::adapters::NlohmannJsonAdapter;
 
-std::string joinContext(const std::vector<std::string> &context)
+/// The validator gives a place as "<root>", "[services]", "[0]"; people read "/services/0".
+std::string placeOf(const std::vector<std::string> &context)
 {
     std::string place;
-    for (const std::string &part : context)
-        place += part;
-    return place;
+    for (const std::string &part : context) {
+        if (part.size() > 2 && part.front() == '[' && part.back() == ']')
+            place += "/" + part.substr(1, part.size() - 2);
+    }
+    return place.empty() ? "the top" : place;
 }
 
+/// The validator reports the failed entry first and then each object around it; only the first
+/// tells a person what to correct.
 std::string describe(valijson::ValidationResults &results)
 {
-    std::string text;
     valijson::ValidationResults::Error error;
-    while (results.popError(error)) {
-        if (!text.empty())
-            text += "; ";
-        text += "at " + joinContext(error.context) + ": " + error.description;
-    }
-    return text;
+    if (!results.popError(error))
+        return "at the top: does not match the schema";
+    return "at " + placeOf(error.context) + ": " + error.description;
 }
 
 std::string lineAndColumn(const std::string &text, std::size_t offset)
--- a/Tests/Process/SettingsTest.cpp
+++ b/Tests/Process/SettingsTest.cpp
@@ -35,5 +35,5 @@
 {
     const auto settings = parseSettings("{\"port\": \"eighty\"}", "a.json", portSchema);
     REQUIRE(settings.has_error());
-    CHECK(settings.error().message.find("[\"port\"]") != std::string::npos);
+    CHECK(settings.error().message.find("a.json: at /port: ") == 0);
 }
