--- a/Source/Version/MapSwitchRank.cpp
+++ b/Source/Version/MapSwitchRank.cpp
@@ -29,10 +29,20 @@
     return now >= *state.effectSentAt + context.timing.orderQuarantine;
 }
 
+/// Failure: two switches follow each other at neighbouring steps, and a rank that is replaced then
+/// repeats a step from before both; the stream's state keeps only the last two maps, so it would
+/// run that step on a map that the others never used. A rank that has begun a step on the present
+/// map proves that every rank has begun all steps before it, and nobody repeats those.
+bool usesPresentMap(const RankState &state, const GroupState &group)
+{
+    return state.engine && state.engine->step >= group.currentFromStep;
+}
+
+/// Whether the rank could arm for this map at once.
 bool hasStaged(const RankState &state, const MapSwitchContext &context, TimePoint now,
                const std::string &digest)
 {
-    return state.engine && state.engine->stagedDigest == digest
+    return usesPresentMap(state, context.group) && state.engine->stagedDigest == digest
         && ordersHaveSettled(state, context, now);
 }
 
@@ -383,18 +393,27 @@
     sendOrder(state, context, now, std::move(*order), actions);
 }
 
-void noteArmAnswer(RankCandidate &candidate, const MapSwitchContext &context,
-                   const EngineStatus &status)
+/// Failure: a VM begins a step on the old map and is replaced before the others begin it; the new
+/// engine would run the same step on the new map. Until it has begun a step of its own, the step
+/// after the one it starts from counts as begun.
+std::uint64_t lastStepBegun(const RankState &state)
 {
+    const bool fresh = state.engine->step == state.engineFirstStep;
+    return state.engine->step + (fresh ? 1 : 0);
+}
+
+void noteArmAnswer(RankState &state, const MapSwitchContext &context)
+{
+    RankCandidate &candidate = *state.candidate;
     // Failure: the order to arm reaches the engine after it has begun the step; a commit would
     // then put the rank on a new map in the midst of it. The engine's own count tells.
-    const bool passed = status.step >= candidate.step;
+    const bool passed = lastStepBegun(state) >= candidate.step;
     if (passed && context.guards.refusePassedStep) {
         candidate.armOrdered = false;
         candidate.refusal = v1::RANK_REFUSAL_STEP_PASSED;
         return;
     }
-    candidate.armed = passed || status.holdAt == candidate.step;
+    candidate.armed = passed || state.engine->holdAt == candidate.step;
     candidate.armOrdered = candidate.armed;
 }
 
@@ -473,13 +492,15 @@
     state.order.reset();
     const bool restarted =
         state.engineIncarnation && *state.engineIncarnation != status.incarnation;
+    if (restarted || !state.engineIncarnation)
+        state.engineFirstStep = status.step;
     state.engine = status;
     state.engineIncarnation = status.incarnation;
     noteHold(state, now);
     if (restarted)
         noteRestart(state, now);
     else if (isBound(state) && !state.candidate->armed)
-        noteArmAnswer(*state.candidate, context, status);
+        noteArmAnswer(state, context);
 }
 
 void advanceRank(RankState &state, const MapSwitchContext &context, TimePoint now,
--- a/Source/Version/MapSwitchRank.h
+++ b/Source/Version/MapSwitchRank.h
@@ -57,6 +57,8 @@
     /// Newest status, unless an order's answer was lost since.
     std::optional<EngineStatus> engine;
     std::optional<std::uint64_t> engineIncarnation;
+    /// Step that this engine stood at when it was first seen.
+    std::uint64_t engineFirstStep = 0;
     TimePoint engineAskedAt;
     std::uint64_t lastSequence = 0;
     std::optional<OrderInFlight> order;
