Add the event loop and the HTTP/2 peer connections

Cause: entry and agent need one loop a thread and streams between them. Ruled out: ACE's default timer heap, since it follows the wall clock, and ACE's own timer ids, which are used again and could cancel a stranger's timer. Conclusion: streams that are cut, frozen or refused are told apart.

--- /dev/null
+++ b/Source/Connection/PeerClient.cpp
@@ -0,0 +1,385 @@
+#include "Connection/PeerClient.h"
+
+#include <cerrno>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Connector.h>
+#include <ace/SOCK_Stream.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <nghttp2/nghttp2.h>
+#include <sys/socket.h>
+
+#include "Connection/FrameCodec.h"
+#include "Connection/Http2Headers.h"
+#include "Connection/Http2Link.h"
+
+namespace wisteria {
+
+namespace {
+
+/// The connection's own window is wide: only the windows of single streams hold a peer back.
+constexpr std::int32_t connectionWindowBytes = 16 * 1024 * 1024;
+
+struct Stream
+{
+    std::shared_ptr<PeerStreamHandler> handler;
+    std::string request;
+    std::size_t requestSent = 0;
+    FrameReader reader;
+    bool reached = false;
+    bool refusedUnprocessed = false;
+    bool broken = false;
+    bool ended = false;
+    bool paused = false;
+    /// Bytes received while paused, for which the peer's window was not reopened.
+    std::size_t unconsumed = 0;
+};
+
+} // namespace
+
+class PeerClient::Private
+{
+public:
+    Private(EventLoop &loop, std::string address, PeerTimeouts timeouts)
+        : loop_(loop), address_(std::move(address)), timeouts_(timeouts)
+    { }
+
+    ~Private()
+    {
+        loop_.cancel(timer_);
+        if (!connecting_)
+            return;
+        loop_.unwatch(socket_.get_handle());
+        socket_.close();
+        nghttp2_session_del(session_);
+    }
+
+    Result<StreamId> open(const std::string &path, std::string frames,
+                          std::shared_ptr<PeerStreamHandler> handler)
+    {
+        const auto ready = ensureSession();
+        if (ready.has_error())
+            return ready.error();
+        auto stream = std::make_unique<Stream>();
+        stream->handler = std::move(handler);
+        stream->request = std::move(frames);
+        const RequestHeaders headers(path, address_);
+        nghttp2_data_provider provider{};
+        provider.source.ptr = stream.get();
+        provider.read_callback = &Private::readRequest;
+        const StreamId id = nghttp2_submit_request(session_, nullptr, headers.data(),
+                                                   headers.size(), &provider, nullptr);
+        if (id < 0)
+            return failure(ErrorKind::Unavailable,
+                           address_ + ": takes no further stream (" + nghttp2_strerror(id)
+                               + "); the request was not sent, try another peer");
+        streams_[id] = std::move(stream);
+        if (link_)
+            link_->flushSoon();
+        return id;
+    }
+
+    void cancel(StreamId id)
+    {
+        const auto found = streams_.find(id);
+        if (found == streams_.end())
+            return;
+        found->second->handler = nullptr;
+        nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+        if (link_)
+            link_->flushSoon();
+    }
+
+    void setPaused(StreamId id, bool paused)
+    {
+        Stream *stream = find(id);
+        if (!stream || stream->paused == paused)
+            return;
+        stream->paused = paused;
+        if (paused)
+            return;
+        nghttp2_session_consume_stream(session_, id, std::exchange(stream->unconsumed, 0));
+        if (link_)
+            link_->flushSoon();
+    }
+
+    std::size_t openStreams() const { return streams_.size(); }
+
+private:
+    Result<void> ensureSession()
+    {
+        if (session_ && nghttp2_session_check_request_allowed(session_))
+            return boost::outcome_v2::success();
+        if (session_)
+            return failure(ErrorKind::Unavailable,
+                           address_ + ": the connection is closing; the request was not sent");
+        if (monotonicNow() < retryAt_)
+            return failure(ErrorKind::Unavailable,
+                           address_
+                               + ": could not be reached a moment ago; "
+                                 "the request was not sent, try another peer");
+        return connect();
+    }
+
+    Result<void> connect()
+    {
+        const ACE_INET_Addr remote(address_.c_str());
+        ACE_SOCK_Connector connector;
+        const ACE_Time_Value noWait = ACE_Time_Value::zero;
+        socket_.set_handle(ACE_INVALID_HANDLE);
+        if (connector.connect(socket_, remote, &noWait) == -1 && errno != EWOULDBLOCK
+            && errno != EINPROGRESS) {
+            socket_.close();
+            retryAt_ = monotonicNow() + timeouts_.backoff;
+            return failure(ErrorKind::Unavailable,
+                           address_ + ": can't be connected to; the request was not sent");
+        }
+        socket_.enable(ACE_NONBLOCK);
+        createSession();
+        connecting_ = true;
+        loop_.watch(socket_.get_handle(), Interest{.write = true},
+                    [this](Interest) { connectionDecided(); });
+        timer_ = loop_.runAfter(timeouts_.connect, [this] { connectionFailed(); });
+        return boost::outcome_v2::success();
+    }
+
+    void createSession()
+    {
+        nghttp2_session_callbacks *callbacks = nullptr;
+        nghttp2_session_callbacks_new(&callbacks);
+        nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, &Private::onData);
+        nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, &Private::onFrame);
+        nghttp2_session_callbacks_set_on_frame_send_callback(callbacks, &Private::onFrameSent);
+        nghttp2_session_callbacks_set_on_frame_not_send_callback(callbacks,
+                                                                 &Private::onFrameNotSent);
+        nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, &Private::onStreamClosed);
+        nghttp2_option *option = nullptr;
+        nghttp2_option_new(&option);
+        nghttp2_option_set_no_auto_window_update(option, 1);
+        nghttp2_session_client_new2(&session_, callbacks, this, option);
+        nghttp2_option_del(option);
+        nghttp2_session_callbacks_del(callbacks);
+        nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, nullptr, 0);
+        nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0,
+                                              connectionWindowBytes);
+    }
+
+    void connectionDecided()
+    {
+        int error = 0;
+        socklen_t length = sizeof(error);
+        ::getsockopt(socket_.get_handle(), SOL_SOCKET, SO_ERROR, &error, &length);
+        if (error != 0)
+            return connectionFailed();
+        loop_.cancel(timer_);
+        loop_.unwatch(socket_.get_handle());
+        connecting_ = false;
+        const int enabled = 1;
+        socket_.set_option(IPPROTO_TCP, TCP_NODELAY, const_cast<int *>(&enabled), sizeof(enabled));
+        link_ = std::make_unique<Http2Link>(loop_, session_, socket_.get_handle(),
+                                            [this] { connectionLost(); });
+        socket_.set_handle(ACE_INVALID_HANDLE);
+        scheduleSilenceCheck();
+    }
+
+    void connectionFailed()
+    {
+        loop_.cancel(timer_);
+        loop_.unwatch(socket_.get_handle());
+        socket_.close();
+        connecting_ = false;
+        nghttp2_session_del(session_);
+        session_ = nullptr;
+        retryAt_ = monotonicNow() + timeouts_.backoff;
+        endAllStreams();
+    }
+
+    void connectionLost()
+    {
+        loop_.cancel(timer_);
+        link_.reset();
+        session_ = nullptr;
+        endAllStreams();
+    }
+
+    /// Streams without an end get one; those whose request never left say so.
+    void endAllStreams()
+    {
+        std::unordered_map<StreamId, std::unique_ptr<Stream>> streams;
+        streams.swap(streams_);
+        for (auto &[id, stream] : streams)
+            report(*stream, false);
+    }
+
+    static void report(Stream &stream, bool complete)
+    {
+        if (!stream.handler)
+            return;
+        const auto handler = std::exchange(stream.handler, nullptr);
+        const bool reached = stream.reached && !stream.refusedUnprocessed;
+        handler->streamClosed({.complete = complete && !stream.broken, .mayHaveReached = reached});
+    }
+
+    /// A frozen peer (stopped process, lost host) keeps the connection open and acknowledges bytes
+    /// in its kernel; only the missing answer to a PING shows it. Without this check a caller would
+    /// wait until its deadline.
+    void scheduleSilenceCheck()
+    {
+        timer_ = loop_.runAfter(timeouts_.ping, [this] {
+            const auto silent = monotonicNow() - link_->lastHeard();
+            if (silent >= timeouts_.silence && !streams_.empty())
+                return connectionLost();
+            if (silent >= timeouts_.ping && !streams_.empty()) {
+                nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
+                link_->flushSoon();
+            }
+            scheduleSilenceCheck();
+        });
+    }
+
+    Stream *find(StreamId id)
+    {
+        const auto found = streams_.find(id);
+        return found == streams_.end() ? nullptr : found->second.get();
+    }
+
+    static ssize_t readRequest(nghttp2_session *, std::int32_t, std::uint8_t *buffer,
+                               std::size_t length, std::uint32_t *flags,
+                               nghttp2_data_source *source, void *)
+    {
+        auto *stream = static_cast<Stream *>(source->ptr);
+        const std::size_t copied =
+            stream->request.copy(reinterpret_cast<char *>(buffer), length, stream->requestSent);
+        stream->requestSent += copied;
+        if (stream->requestSent == stream->request.size()) {
+            *flags |= NGHTTP2_DATA_FLAG_EOF;
+            stream->request = std::string();
+            stream->requestSent = 0;
+        }
+        return static_cast<ssize_t>(copied);
+    }
+
+    static int onData(nghttp2_session *session, std::uint8_t, std::int32_t id,
+                      const std::uint8_t *data, std::size_t length, void *self)
+    {
+        nghttp2_session_consume_connection(session, length);
+        Stream *stream = static_cast<Private *>(self)->find(id);
+        if (!stream || !stream->handler || stream->broken)
+            return 0;
+        if (stream->paused)
+            stream->unconsumed += length;
+        else
+            nghttp2_session_consume_stream(session, id, length);
+        stream->reader.feed({reinterpret_cast<const char *>(data), length});
+        while (stream->handler) {
+            auto frame = stream->reader.next();
+            if (frame.has_error()) {
+                stream->broken = true;
+                nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id, NGHTTP2_PROTOCOL_ERROR);
+                return 0;
+            }
+            if (!frame.value())
+                return 0;
+            const auto handler = stream->handler;
+            handler->frameReceived(*frame.value());
+        }
+        return 0;
+    }
+
+    static int onFrame(nghttp2_session *, const nghttp2_frame *frame, void *self)
+    {
+        if (frame->hd.type == NGHTTP2_GOAWAY)
+            static_cast<Private *>(self)->refuseAbove(frame->goaway.last_stream_id);
+        Stream *stream = static_cast<Private *>(self)->find(frame->hd.stream_id);
+        if (stream && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM))
+            stream->ended = true;
+        if (stream && frame->hd.type == NGHTTP2_RST_STREAM
+            && frame->rst_stream.error_code == NGHTTP2_REFUSED_STREAM)
+            stream->refusedUnprocessed = true;
+        return 0;
+    }
+
+    /// A peer that shuts down names the last stream it has taken up; later ones it never saw.
+    void refuseAbove(StreamId lastProcessed)
+    {
+        for (auto &[id, stream] : streams_) {
+            if (id > lastProcessed)
+                stream->refusedUnprocessed = true;
+        }
+    }
+
+    static int onFrameSent(nghttp2_session *, const nghttp2_frame *frame, void *self)
+    {
+        Stream *stream = static_cast<Private *>(self)->find(frame->hd.stream_id);
+        if (stream && frame->hd.type == NGHTTP2_HEADERS)
+            stream->reached = true;
+        return 0;
+    }
+
+    static int onFrameNotSent(nghttp2_session *, const nghttp2_frame *frame, int, void *self)
+    {
+        if (frame->hd.type == NGHTTP2_HEADERS)
+            static_cast<Private *>(self)->closeStream(frame->hd.stream_id, false);
+        return 0;
+    }
+
+    static int onStreamClosed(nghttp2_session *, std::int32_t id, std::uint32_t error, void *self)
+    {
+        static_cast<Private *>(self)->closeStream(id, error == NGHTTP2_NO_ERROR);
+        return 0;
+    }
+
+    void closeStream(StreamId id, bool clean)
+    {
+        const auto found = streams_.find(id);
+        if (found == streams_.end())
+            return;
+        const std::unique_ptr<Stream> stream = std::move(found->second);
+        streams_.erase(found);
+        report(*stream, clean && stream->ended && !stream->reader.hasPartialFrame());
+    }
+
+    EventLoop &loop_;
+    std::string address_;
+    PeerTimeouts timeouts_;
+    ACE_SOCK_Stream socket_;
+    bool connecting_ = false;
+    nghttp2_session *session_ = nullptr;
+    std::unique_ptr<Http2Link> link_;
+    std::unordered_map<StreamId, std::unique_ptr<Stream>> streams_;
+    EventLoop::TimerId timer_ = 0;
+    TimePoint retryAt_{};
+};
+
+PeerClient::PeerClient(EventLoop &loop, std::string address, PeerTimeouts timeouts)
+    : private_(std::make_unique<Private>(loop, std::move(address), timeouts))
+{ }
+
+PeerClient::~PeerClient() = default;
+
+Result<PeerClient::StreamId> PeerClient::open(const std::string &path, std::string frames,
+                                              std::shared_ptr<PeerStreamHandler> handler)
+{
+    return private_->open(path, std::move(frames), std::move(handler));
+}
+
+void PeerClient::cancel(StreamId stream)
+{
+    private_->cancel(stream);
+}
+
+void PeerClient::setPaused(StreamId stream, bool paused)
+{
+    private_->setPaused(stream, paused);
+}
+
+std::size_t PeerClient::openStreams() const
+{
+    return private_->openStreams();
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Tests/Process/EventLoopTest.cpp
@@ -0,0 +1,58 @@
+#include "Process/EventLoop.h"
+
+#include <thread>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <unistd.h>
+
+using namespace wisteria;
+
+TEST_CASE("Timers run in order of their delays and a cancelled one does not run")
+{
+    EventLoop loop;
+    std::vector<int> ran;
+    loop.runAfter(milliseconds(20), [&] {
+        ran.push_back(2);
+        loop.stop();
+    });
+    loop.runAfter(milliseconds(1), [&] { ran.push_back(1); });
+    const auto cancelled = loop.runAfter(milliseconds(2), [&] { ran.push_back(3); });
+    loop.cancel(cancelled);
+    loop.run();
+    CHECK(ran == std::vector<int>{1, 2});
+}
+
+TEST_CASE("A task posted by another thread wakes the loop, and a full queue refuses")
+{
+    EventLoop loop(1);
+    bool ran = false;
+    CHECK(loop.post([&] { ran = true; }));
+    CHECK_FALSE(loop.post([] {}));
+    std::thread stopper([&] {
+        while (!loop.post([&] { loop.stop(); }))
+            std::this_thread::yield();
+    });
+    loop.run();
+    stopper.join();
+    CHECK(ran);
+}
+
+TEST_CASE("A watcher may remove itself while it runs")
+{
+    EventLoop loop;
+    int ends[2];
+    REQUIRE(pipe(ends) == 0);
+    int calls = 0;
+    loop.watch(ends[0], Interest{.read = true}, [&](Interest ready) {
+        CHECK(ready.read);
+        ++calls;
+        loop.unwatch(ends[0]);
+        loop.defer([&] { loop.stop(); });
+    });
+    REQUIRE(write(ends[1], "x", 1) == 1);
+    loop.run();
+    CHECK(calls == 1);
+    close(ends[0]);
+    close(ends[1]);
+}
