--- a/Source/Process/EventLoop.cpp
+++ b/Source/Process/EventLoop.cpp
@@ -198,6 +198,7 @@
         private_->reactor_.handle_events();
         private_->runDeferred();
     }
+    private_->stopping_ = false;
 }
 
 void EventLoop::stop()
