Decide requests at the entry and at the agent's gate

Cause: the shells need the two state machines of a request to be wired against. Ruled out: one state machine for both ends; they run on different VMs and know different things. Change: free functions over plain structs for the entry (route, limits, retries, three ends) and for the agent (queue, keys, suspects, drain), with the memory of keys, tenure of homes, suspects and organisation limits in parts of their own.

--- /dev/null
+++ b/Source/Request/AgentGate.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Peer.pb.h"
+#include "Process/Time.h"
+#include "Request/KeyMemory.h"
+#include "Request/KeyTenure.h"
+#include "Request/RequestGuards.h"
+#include "Request/SuspectBook.h"
+#include "Version/ConfigState.h"
+
+namespace wisteria {
+
+/// The shell's name of one attempt; never used twice within a process.
+using StreamId = std::uint64_t;
+
+/// One attempt that is queued or runs.
+struct GateRun
+{
+    StreamId stream = 0;
+    v1::RunHead head;
+    TimePoint arrivedAt;
+    TimePoint startedAt;
+    TimePoint deadline;
+    /// Identity of the key; for non-idempotent requests only.
+    std::optional<KeyId> key;
+    bool alone = false;
+    /// The entry is gone; the run goes on so that a repeat finds its answer.
+    bool abandoned = false;
+};
+
+/// The last gate before a backend server: one per agent, used by one thread.
+struct GateState
+{
+    /// Set by the shell before the first configuration. Empty address: not compared.
+    std::string ownName;
+    std::string ownAddress;
+    /// Differs between lives of the process: its start on the wall clock, in milliseconds.
+    std::uint64_t incarnation = 0;
+    RequestGuards guards;
+
+    std::uint64_t configVersion = 0;
+    v1::BackendServer declared;
+    v1::Service service;
+    bool configured = false;
+    bool leaving = false;
+    bool backendUp = true;
+    /// Deaths of the backend server seen by this process.
+    std::uint64_t deaths = 0;
+    microseconds serviceTime{0};
+    std::vector<GateRun> queue;
+    std::vector<GateRun> running;
+    KeyMemory keys;
+    KeyTenure tenure;
+    SuspectBook suspects;
+};
+
+/// Hand the attempt to the backend server.
+struct StartBackend
+{
+    StreamId stream = 0;
+};
+
+/// Answer the attempt with the verdict and end its stream.
+struct RefuseAttempt
+{
+    StreamId stream = 0;
+    v1::Verdict verdict;
+};
+
+/// Answer the attempt with a kept answer.
+struct ReplayAnswer
+{
+    StreamId stream = 0;
+    std::uint32_t httpStatus = 0;
+    std::string contentType;
+    std::string body;
+};
+
+/// Cancel the attempt at the backend server; backendEnded() need not follow.
+struct CancelBackend
+{
+    StreamId stream = 0;
+};
+
+using GateAction = std::variant<StartBackend, RefuseAttempt, ReplayAnswer, CancelBackend>;
+using GateActions = std::vector<GateAction>;
+
+/// How a run at the backend server ended.
+enum class BackendEnd {
+    Answered, ///< Whole answer.
+    Refused, ///< Refused or unreachable before any byte of the request was sent.
+    Cut, ///< The answer or the request was cut; it may have run.
+    Died, ///< The backend server's process died.
+    TimedOut, ///< The deadline passed; it may have run.
+};
+
+/// End of a run at the backend server.
+struct BackendResult
+{
+    BackendEnd kind = BackendEnd::Answered;
+    std::uint32_t httpStatus = 0;
+    std::string contentType;
+    /// The whole body if it has at most maxStoredAnswerBytes; nothing otherwise.
+    std::optional<std::string> body;
+};
+
+/// An attempt arrived whole; the shell holds its body.
+GateActions runArrived(GateState &state, StreamId stream, const v1::RunHead &head, TimePoint now,
+                       WallTime wall);
+
+/// A run at the backend server ended. If the shell has not sent the ACCEPTED verdict yet, a
+/// RefuseAttempt for the same stream says what to send; otherwise the shell ends the answer with
+/// an AnswerEnd frame and ignores that action.
+GateActions backendEnded(GateState &state, StreamId stream, const BackendResult &result,
+                         TimePoint now);
+
+/// The entry cancelled the attempt's stream or its connection broke.
+GateActions streamCancelled(GateState &state, StreamId stream, TimePoint now);
+
+/// To be called every few milliseconds: refuses what is past its deadline, forgets old suspects.
+GateActions tick(GateState &state, TimePoint now, WallTime wall);
+
+/// Takes no new work from now on: queued attempts are refused as not run, running ones go on.
+GateActions beginLeaving(GateState &state, TimePoint now);
+
+/// Whether nothing is queued or running.
+bool idle(const GateState &state);
+
+/// The backend server came up or died. Death makes suspects of what ran, or convicts what ran
+/// alone. The shell then ends each running stream with backendEnded(Died).
+GateActions backendHealth(GateState &state, bool up, TimePoint now);
+
+/// Takes a version of the configuration into force. Versions that are not newer are ignored.
+/// Queued attempts that this backend server may no longer run are refused.
+GateActions setGateConfiguration(GateState &state, const ConfigState &config,
+                                 const std::string &ownName, TimePoint now, WallTime wall);
+
+/// What rides on every frame and heartbeat.
+v1::LoadReport loadReport(const GateState &state);
+
+/// Former homes that must release their keys before this agent runs any key they may have run.
+std::vector<HandoverWanted> handoversWanted(const GateState &state);
+
+/// A former home answered.
+void handoverAnswered(GateState &state, const std::string &formerHome,
+                      const v1::KeyHandoverReply &reply, TimePoint now, WallTime wall);
+
+/// The platform's list says that the VM is gone: it can run no key any more.
+void vmGone(GateState &state, const std::string &vm, TimePoint now, WallTime wall);
+
+/// Answers a new home's question.
+v1::KeyHandoverReply answerHandover(const GateState &state, const v1::KeyHandover &question);
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Request/EntryRequest.cpp
@@ -0,0 +1,437 @@
+#include "Request/EntryRequest.h"
+
+#include <algorithm>
+
+#include "Request/KeyHome.h"
+#include "Request/RoutingView.h"
+
+namespace wisteria {
+
+namespace {
+
+constexpr milliseconds shortRetry{100};
+constexpr milliseconds longRetry{1'000};
+
+using Lock = std::lock_guard<std::mutex>;
+
+Candidate *candidateOf(EntryState &state, const RequestState &request)
+{
+    return findCandidate(state, request.request.service, request.backendServer);
+}
+
+void releaseLimits(EntryShared &shared, RequestState &request)
+{
+    if (!request.admitted)
+        return;
+    request.admitted = false;
+    const Lock lock(shared.mutex);
+    release(shared.limits, request.request.organisation);
+}
+
+void endAttempt(EntryState &state, RequestState &request, bool failed, TimePoint now)
+{
+    if (!request.outstanding)
+        return;
+    request.outstanding = false;
+    if (Candidate *candidate = candidateOf(state, request))
+        attemptOver(*candidate, failed, now);
+}
+
+Refusal refuse(EntryShared &shared, RequestState &request, EndKind end, v1::Reason reason,
+               milliseconds retryAfter)
+{
+    request.ended = true;
+    releaseLimits(shared, request);
+    return {end, reason, retryAfter};
+}
+
+/// The end of a request whose newest attempt surely did not run. An earlier attempt, or an earlier
+/// try of the same key through another entry, may have run all the same.
+EndKind endWithoutRun(const EntryState &state, const RequestState &request)
+{
+    if (request.mayHaveRun && state.guards.rememberMayHaveRun)
+        return EndKind::OutcomeUnknown;
+    const CallerRequest &caller = request.request;
+    const bool repeat = !caller.idempotent && caller.callerAttempt != 1;
+    if (repeat && state.guards.repeatsNeedProof)
+        return EndKind::OutcomeUnknown;
+    return EndKind::NotRun;
+}
+
+Refusal refuseNotRun(const EntryState &state, EntryShared &shared, RequestState &request,
+                     v1::Reason reason, milliseconds retryAfter)
+{
+    return refuse(shared, request, endWithoutRun(state, request), reason, retryAfter);
+}
+
+Suspicion suspicionNow(EntryShared &shared, const RequestState &request, TimePoint now)
+{
+    const Lock lock(shared.mutex);
+    return suspicionOf(shared.suspects, request.request.fingerprint, now);
+}
+
+v1::RunHead headOf(const EntryState &state, const RequestState &request, TimePoint now)
+{
+    const CallerRequest &caller = request.request;
+    v1::RunHead head;
+    head.set_request_id(caller.id);
+    head.set_attempt(request.attempt);
+    head.set_service(caller.service);
+    head.set_organisation(caller.organisation);
+    head.set_priority(request.priority);
+    head.set_remaining_ms(remaining(now, request.deadline).count());
+    head.set_idempotent(caller.idempotent);
+    head.set_key(caller.key);
+    head.set_caller_attempt(caller.callerAttempt);
+    head.set_fingerprint(caller.fingerprint);
+    head.set_prefix(caller.prefix);
+    head.set_config_version(state.configVersion);
+    head.set_body_bytes(caller.bodyBytes);
+    head.set_run_alone(request.runAlone);
+    return head;
+}
+
+EntryAction sendTo(EntryState &state, RequestState &request, const std::string &backendServer,
+                   const std::string &address, TimePoint now)
+{
+    ++request.attempt;
+    request.backendServer = backendServer;
+    request.sentAt = now;
+    request.outstanding = true;
+    request.tried.push_back(backendServer);
+    if (Candidate *candidate = candidateOf(state, request))
+        attemptSent(*candidate, now);
+    return SendAttempt{backendServer, address, headOf(state, request, now)};
+}
+
+/// Sends a non-idempotent request to the home of its key, and to no other backend server.
+EntryAction sendToHome(EntryState &state, EntryShared &shared, RequestState &request,
+                       const ServiceView &service, TimePoint now)
+{
+    const auto home = rendezvousChoice(canonicalKey(request.request.key), service.homeNames);
+    if (!home)
+        return refuseNotRun(state, shared, request, v1::REASON_NO_BACKEND_SERVER, longRetry);
+    const Candidate *candidate = candidateNamed(service, *home);
+    if (candidate && !mayBeAsked(*candidate, now)) {
+        const auto reason = candidate->leaving ? v1::REASON_LEAVING : v1::REASON_BACKEND_DOWN;
+        return refuseNotRun(state, shared, request, reason, longRetry);
+    }
+    return sendTo(state, request, *home, service.homes.at(*home), now);
+}
+
+/// The backend server on which a suspect runs alone: the same one for all entries, as far as their
+/// beliefs agree, so that a killer meets one at a time.
+const Candidate *designatedFor(const ServiceView &service, std::uint64_t fingerprint, TimePoint now)
+{
+    std::vector<std::string> names;
+    for (const Candidate &candidate : service.candidates) {
+        if (mayBeAsked(candidate, now))
+            names.push_back(candidate.name);
+    }
+    const auto chosen = rendezvousChoice(std::to_string(fingerprint), names);
+    return chosen ? candidateNamed(service, *chosen) : nullptr;
+}
+
+EntryAction sendSuspect(EntryState &state, EntryShared &shared, RequestState &request,
+                        const ServiceView &service, TimePoint now)
+{
+    const Candidate *candidate = designatedFor(service, request.request.fingerprint, now);
+    if (!candidate)
+        return refuseNotRun(state, shared, request, v1::REASON_NO_BACKEND_SERVER, longRetry);
+    return sendTo(state, request, candidate->name, candidate->address, now);
+}
+
+EntryAction sendByScore(EntryState &state, EntryShared &shared, RequestState &request,
+                        const ServiceView &service, TimePoint now)
+{
+    const RouteQuery query{request.request.id, request.priority, request.request.prefix,
+                           state.failureDomain, request.tried};
+    const auto chosen = chooseBackendServer(service.candidates, service.policy, query, now);
+    if (!chosen)
+        return refuseNotRun(state, shared, request, v1::REASON_NO_BACKEND_SERVER, longRetry);
+    const Candidate &candidate = service.candidates[*chosen];
+    const microseconds wait = expectedWait(candidate);
+    if (wait.count() > 0 && now + wait + candidate.serviceTime > request.deadline) {
+        const auto retry = std::chrono::duration_cast<milliseconds>(wait) + milliseconds(1);
+        return refuseNotRun(state, shared, request, v1::REASON_DEADLINE, retry);
+    }
+    return sendTo(state, request, candidate.name, candidate.address, now);
+}
+
+EntryAction sendNext(EntryState &state, EntryShared &shared, RequestState &request, TimePoint now)
+{
+    const auto service = state.services.find(request.request.service);
+    if (service == state.services.end())
+        return refuseNotRun(state, shared, request, v1::REASON_WRONG_SERVICE, milliseconds(0));
+    if (now >= request.deadline)
+        return refuseNotRun(state, shared, request, v1::REASON_DEADLINE, milliseconds(0));
+    const Suspicion suspicion = suspicionNow(shared, request, now);
+    if (suspicion == Suspicion::Convicted)
+        return refuseNotRun(state, shared, request, v1::REASON_CONVICTED, convictionTime);
+    request.runAlone = suspicion == Suspicion::Suspect;
+    if (!request.request.idempotent)
+        return sendToHome(state, shared, request, service->second, now);
+    if (request.runAlone)
+        return sendSuspect(state, shared, request, service->second, now);
+    return sendByScore(state, shared, request, service->second, now);
+}
+
+bool mayRetry(const EntryState &state, EntryShared &shared, const RequestState &request)
+{
+    const auto service = state.services.find(request.request.service);
+    if (service == state.services.end())
+        return false;
+    const std::uint32_t most = std::max<std::uint32_t>(service->second.policy.max_attempts(), 1);
+    if (request.attempt >= most)
+        return false;
+    const Lock lock(shared.mutex);
+    return spendRetry(shared.retryBudgets[request.request.service]);
+}
+
+/// Sends again after an attempt that surely did not run, or ends the request.
+EntryAction retryNotRun(EntryState &state, EntryShared &shared, RequestState &request,
+                        v1::Reason reason, milliseconds retryAfter, TimePoint now)
+{
+    if (!mayRetry(state, shared, request))
+        return refuseNotRun(state, shared, request, reason, retryAfter);
+    EntryAction next = sendNext(state, shared, request, now);
+    // What the agent said tells the caller more than that nobody else is left.
+    if (auto *refusal = std::get_if<Refusal>(&next)) {
+        if (refusal->reason == v1::REASON_NO_BACKEND_SERVER) {
+            refusal->reason = reason;
+            refusal->retryAfter = std::max(retryAfter, shortRetry);
+        }
+    }
+    return next;
+}
+
+/// Sends an idempotent request again after an attempt that may have run, or ends the request.
+EntryAction retryMayHaveRun(EntryState &state, EntryShared &shared, RequestState &request,
+                            v1::Reason reason, TimePoint now)
+{
+    request.mayHaveRun = true;
+    // A second run of a non-idempotent request would ship twice or open a second door.
+    const bool resend = request.request.idempotent || !state.guards.noBlindResend;
+    if (!resend || now >= request.deadline || !mayRetry(state, shared, request))
+        return refuse(shared, request, EndKind::OutcomeUnknown, reason, longRetry);
+    return sendNext(state, shared, request, now);
+}
+
+/// Records that the backend server died under the request.
+void witnessDeath(EntryShared &shared, const RequestState &request, TimePoint now)
+{
+    const std::string attempt = request.request.id + std::to_string(request.attempt);
+    const Lock lock(shared.mutex);
+    recordDeath(shared.suspects, request.request.fingerprint,
+                pairHash(request.backendServer, attempt), request.runAlone, now);
+}
+
+/// Learns from an agent that knew of a suspicion before this entry did.
+void learnSuspicion(EntryShared &shared, const RequestState &request, v1::Reason reason,
+                    TimePoint now)
+{
+    if (reason != v1::REASON_SUSPECT && reason != v1::REASON_CONVICTED)
+        return;
+    const std::string evidence = "told by " + request.backendServer;
+    const Lock lock(shared.mutex);
+    recordDeath(shared.suspects, request.request.fingerprint,
+                pairHash(evidence, request.request.id), reason == v1::REASON_CONVICTED, now);
+}
+
+EntryAction notRunVerdict(EntryState &state, EntryShared &shared, RequestState &request,
+                          const v1::Verdict &verdict, TimePoint now)
+{
+    endAttempt(state, request, false, now);
+    learnSuspicion(shared, request, verdict.reason(), now);
+    const milliseconds retryAfter(verdict.retry_after_ms());
+    if (request.request.idempotent)
+        return retryNotRun(state, shared, request, verdict.reason(), retryAfter, now);
+    // The home vouches for the key: it did not run and no try so far will.
+    const EndKind end = request.mayHaveRun && state.guards.rememberMayHaveRun
+        ? EndKind::OutcomeUnknown
+        : EndKind::NotRun;
+    return refuse(shared, request, end, verdict.reason(), retryAfter);
+}
+
+EntryAction takeVerdict(EntryState &state, EntryShared &shared, RequestState &request,
+                        const v1::Verdict &verdict, TimePoint now)
+{
+    switch (verdict.kind()) {
+    case v1::VERDICT_KIND_ACCEPTED:
+        request.answering = true;
+        return StartAnswer{verdict.http_status(), verdict.content_type()};
+    case v1::VERDICT_KIND_NOT_RUN:
+        return notRunVerdict(state, shared, request, verdict, now);
+    case v1::VERDICT_KIND_ALREADY_RUN:
+        endAttempt(state, request, false, now);
+        return refuse(shared, request, EndKind::AlreadyRun, verdict.reason(), milliseconds(0));
+    default:
+        break;
+    }
+    // Unknown kinds of newer releases count as the kind that promises least.
+    const bool died = verdict.reason() == v1::REASON_BACKEND_DIED;
+    endAttempt(state, request, died, now);
+    if (died)
+        witnessDeath(shared, request, now);
+    if (!request.request.idempotent) {
+        return refuse(shared, request, EndKind::OutcomeUnknown, verdict.reason(),
+                      milliseconds(verdict.retry_after_ms()));
+    }
+    return retryMayHaveRun(state, shared, request, verdict.reason(), now);
+}
+
+/// An `end` frame: evidence of a death, or an answer that ended before it began.
+EntryAction takeEnd(EntryState &state, EntryShared &shared, RequestState &request,
+                    const v1::AnswerEnd &end, TimePoint now)
+{
+    if (!end.complete() && end.reason() == v1::REASON_BACKEND_DIED)
+        witnessDeath(shared, request, now);
+    if (request.answering)
+        return Nothing();
+    endAttempt(state, request, true, now);
+    return retryMayHaveRun(state, shared, request, end.reason(), now);
+}
+
+std::optional<Refusal> refusedByOrganisation(EntryState &state, EntryShared &shared,
+                                             RequestState &request, TimePoint now)
+{
+    const auto found = state.organisations.find(request.request.organisation);
+    if (found == state.organisations.end())
+        return refuseNotRun(state, shared, request, v1::REASON_BAD_REQUEST, milliseconds(0));
+    const v1::Organisation &organisation = found->second;
+    const auto &allowed = organisation.services();
+    const bool mayUse = allowed.empty()
+        || std::find(allowed.begin(), allowed.end(), request.request.service) != allowed.end();
+    if (!mayUse)
+        return refuseNotRun(state, shared, request, v1::REASON_BAD_REQUEST, milliseconds(0));
+    request.priority = std::min(request.request.priority, organisation.max_priority());
+    std::optional<LimitRefusal> limit;
+    {
+        const Lock lock(shared.mutex);
+        limit = admit(shared.limits, organisation.name(), now);
+    }
+    if (limit)
+        return refuseNotRun(state, shared, request, limit->reason, limit->retryAfter);
+    request.admitted = true;
+    return std::nullopt;
+}
+
+} // namespace
+
+EntryAction startRequest(EntryState &state, EntryShared &shared, RequestState &request,
+                         const CallerRequest &caller, TimePoint now)
+{
+    request.request = caller;
+    const auto service = state.services.find(caller.service);
+    if (service == state.services.end()) {
+        const bool starting = state.configVersion == 0;
+        const auto reason = starting ? v1::REASON_STARTING : v1::REASON_WRONG_SERVICE;
+        const auto retry = starting ? longRetry : milliseconds(0);
+        return refuseNotRun(state, shared, request, reason, retry);
+    }
+    const v1::Service &declared = service->second.declared;
+    const bool stated = caller.deadline.count() > 0;
+    request.deadline =
+        now + (stated ? caller.deadline : milliseconds(declared.default_deadline_ms()));
+    const bool badKey = !caller.idempotent && !keyTime(caller.key);
+    const bool tooLarge =
+        declared.max_body_bytes() > 0 && caller.bodyBytes > declared.max_body_bytes();
+    if (badKey || tooLarge)
+        return refuseNotRun(state, shared, request, v1::REASON_BAD_REQUEST, milliseconds(0));
+    if (suspicionNow(shared, request, now) == Suspicion::Convicted)
+        return refuseNotRun(state, shared, request, v1::REASON_CONVICTED, convictionTime);
+    if (auto refused = refusedByOrganisation(state, shared, request, now))
+        return *refused;
+    return sendNext(state, shared, request, now);
+}
+
+bool belongsTo(const EntryState &state, const RequestState &request, const v1::AgentFrame &frame)
+{
+    if (!request.outstanding)
+        return false;
+    // A late answer of an abandoned attempt, or one of another request on a mixed-up stream, must
+    // not reach this caller.
+    const bool same =
+        frame.request_id() == request.request.id && frame.attempt() == request.attempt;
+    return same || !state.guards.dropForeignFrames;
+}
+
+EntryAction attemptVerdict(EntryState &state, EntryShared &shared, RequestState &request,
+                           const v1::AgentFrame &frame, TimePoint now)
+{
+    if (!belongsTo(state, request, frame))
+        return Nothing();
+    if (Candidate *candidate = candidateOf(state, request)) {
+        attemptHeard(*candidate, now);
+        if (frame.has_load())
+            takeLoad(*candidate, frame.load());
+    }
+    if (frame.has_end())
+        return takeEnd(state, shared, request, frame.end(), now);
+    // A verdict after the answer began is a duplicate.
+    if (!frame.has_verdict() || request.answering)
+        return Nothing();
+    return takeVerdict(state, shared, request, frame.verdict(), now);
+}
+
+EntryAction attemptLost(EntryState &state, EntryShared &shared, RequestState &request,
+                        bool mayHaveReachedAgent, TimePoint now)
+{
+    if (!request.outstanding || request.answering)
+        return Nothing();
+    endAttempt(state, request, true, now);
+    if (mayHaveReachedAgent)
+        return retryMayHaveRun(state, shared, request, v1::REASON_CONNECTION_LOST, now);
+    return retryNotRun(state, shared, request, v1::REASON_CONNECTION_LOST, shortRetry, now);
+}
+
+EntryAction deadlinePassed(EntryState &state, EntryShared &shared, RequestState &request,
+                           TimePoint now)
+{
+    if (request.ended || request.answering)
+        return Nothing();
+    request.mayHaveRun = request.mayHaveRun || request.outstanding;
+    endAttempt(state, request, true, now);
+    return refuseNotRun(state, shared, request, v1::REASON_DEADLINE, milliseconds(0));
+}
+
+void answerEnded(EntryState &state, EntryShared &shared, RequestState &request, bool complete,
+                 TimePoint now)
+{
+    if (request.ended)
+        return;
+    endAttempt(state, request, !complete, now);
+    request.ended = true;
+    releaseLimits(shared, request);
+    if (!complete)
+        return;
+    const auto service = state.services.find(request.request.service);
+    const double ratio =
+        service == state.services.end() ? 0.0 : service->second.policy.retry_ratio();
+    const Lock lock(shared.mutex);
+    earnRetry(shared.retryBudgets[request.request.service], ratio);
+    if (request.runAlone)
+        recordGoodRun(shared.suspects, request.request.fingerprint);
+}
+
+void callerLeft(EntryState &state, EntryShared &shared, RequestState &request, TimePoint now)
+{
+    endAttempt(state, request, false, now);
+    request.ended = true;
+    releaseLimits(shared, request);
+}
+
+void observeSuspects(EntryShared &shared, const v1::Heartbeat &heartbeat, TimePoint now)
+{
+    const Lock lock(shared.mutex);
+    for (const v1::SuspectReport &report : heartbeat.suspects())
+        mergeSuspectReport(shared.suspects, report, now);
+}
+
+std::vector<v1::SuspectReport> suspectsToReport(EntryShared &shared, TimePoint now)
+{
+    const Lock lock(shared.mutex);
+    return suspectReports(shared.suspects, now);
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Request/EntryState.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Peer.pb.h"
+#include "Process/Time.h"
+#include "Request/OrganisationLimits.h"
+#include "Request/RequestGuards.h"
+#include "Request/RetryBudget.h"
+#include "Request/Route.h"
+#include "Request/SuspectBook.h"
+#include "Version/ConfigState.h"
+
+namespace wisteria {
+
+/// What a caller asked for, as the HTTP side read it.
+struct CallerRequest
+{
+    /// Identity of the request, 16 random bytes chosen by the entry.
+    std::string id;
+    std::string service;
+    std::string organisation;
+    std::uint32_t priority = 0;
+    /// Time the caller gives it; zero for the service's default.
+    milliseconds deadline{0};
+    bool idempotent = true;
+    /// UUID version 7 of a non-idempotent request.
+    std::string key;
+    /// The caller's own count of its tries with this key; 1 says that the key is new, 0 that the
+    /// caller did not say.
+    std::uint32_t callerAttempt = 0;
+    /// Hash of service and body.
+    std::uint64_t fingerprint = 0;
+    /// Hash of the prompt's prefix; 0 for none.
+    std::uint64_t prefix = 0;
+    std::uint64_t bodyBytes = 0;
+};
+
+/// One service as an entry routes to it.
+struct ServiceView
+{
+    v1::Service declared;
+    v1::RoutingPolicy policy;
+    /// Beliefs about the backend servers of this entry's subset.
+    std::vector<Candidate> candidates;
+    /// Every declared backend server that may be home of a key, with its agent's address.
+    std::map<std::string, std::string> homes;
+    /// The names of `homes`, for rendezvous hashing.
+    std::vector<std::string> homeNames;
+};
+
+/// Routing state of one traffic thread.
+struct EntryState
+{
+    /// Name of this entry, and of all entries that share the work; both from settings.
+    std::string ownName;
+    std::vector<std::string> entryNames;
+    /// Failure domain of this entry's VM.
+    std::string failureDomain;
+    RequestGuards guards;
+
+    std::uint64_t configVersion = 0;
+    std::map<std::string, ServiceView> services;
+    std::map<std::string, v1::Organisation> organisations;
+};
+
+/// What the traffic threads of an entry share. The functions of EntryRequest.h lock `mutex`
+/// themselves; other users of the members lock it too.
+struct EntryShared
+{
+    std::mutex mutex;
+    OrganisationLimits limits;
+    SuspectBook suspects;
+    /// Retry budgets by service.
+    std::map<std::string, RetryBudget> retryBudgets;
+};
+
+/// Progress of one request.
+struct RequestState
+{
+    CallerRequest request;
+    TimePoint deadline;
+    std::uint32_t priority = 0;
+    std::uint32_t attempt = 0;
+    /// Backend server of the outstanding attempt.
+    std::string backendServer;
+    TimePoint sentAt;
+    std::vector<std::string> tried;
+    /// Counted against the organisation's concurrency.
+    bool admitted = false;
+    bool outstanding = false;
+    bool answering = false;
+    bool runAlone = false;
+    /// An attempt of this request may have run: no later refusal may say that it did not.
+    bool mayHaveRun = false;
+    bool ended = false;
+};
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Request/KeyMemory.cpp
@@ -0,0 +1,78 @@
+#include "Request/KeyMemory.h"
+
+#include <algorithm>
+
+namespace wisteria {
+
+namespace {
+
+std::size_t sizeOf(const StoredAnswer &answer)
+{
+    return answer.body.size() + answer.contentType.size();
+}
+
+void dropAnswer(KeyMemory &memory, KeyRecord &record)
+{
+    if (!record.answer)
+        return;
+    memory.answerBytes -= sizeOf(*record.answer);
+    record.answer.reset();
+}
+
+/// Forgets the oldest key. Raising the floor to its time keeps a repeat of it from running.
+void forgetOldest(KeyMemory &memory)
+{
+    const auto oldest = memory.records.begin();
+    memory.floor = std::max(memory.floor, oldest->first.first);
+    dropAnswer(memory, oldest->second);
+    memory.records.erase(oldest);
+}
+
+void dropOldestAnswer(KeyMemory &memory)
+{
+    if (KeyRecord *record = findKey(memory, memory.answerOrder.front()))
+        dropAnswer(memory, *record);
+    memory.answerOrder.pop_front();
+}
+
+} // namespace
+
+KeyId keyId(WallTime time, const std::string &organisation, const std::string &key)
+{
+    return {time, organisation + '\0' + key};
+}
+
+KeyRecord &rememberKey(KeyMemory &memory, const KeyId &id)
+{
+    const auto found = memory.records.find(id);
+    if (found != memory.records.end())
+        return found->second;
+    KeyRecord &record = memory.records[id];
+    // The new record itself is never the one forgotten here unless it is the oldest; callers run
+    // only keys above the floor, so forgetting it again would still be safe.
+    if (memory.records.size() > maxKeys && memory.records.begin()->first != id)
+        forgetOldest(memory);
+    return record;
+}
+
+KeyRecord *findKey(KeyMemory &memory, const KeyId &id)
+{
+    const auto found = memory.records.find(id);
+    return found == memory.records.end() ? nullptr : &found->second;
+}
+
+void storeAnswer(KeyMemory &memory, const KeyId &id, StoredAnswer answer)
+{
+    KeyRecord *record = findKey(memory, id);
+    const std::size_t bytes = sizeOf(answer);
+    if (!record || bytes > maxStoredAnswerBytes)
+        return;
+    dropAnswer(memory, *record);
+    record->answer = std::move(answer);
+    memory.answerBytes += bytes;
+    memory.answerOrder.push_back(id);
+    while (memory.answerBytes > maxStoredBytes)
+        dropOldestAnswer(memory);
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Request/OrganisationLimits.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Config.pb.h"
+#include "Peer.pb.h"
+#include "Process/Time.h"
+
+namespace wisteria {
+
+/// How long a grant of an organisation's budget holds.
+constexpr milliseconds grantTime{1000};
+/// How often an entry renews its grants.
+constexpr milliseconds grantInterval{250};
+
+/// Tokens that refill at a rate up to a capacity.
+struct TokenBucket
+{
+    double tokens = 0;
+    double rate = 0;
+    double capacity = 0;
+    TimePoint refilledAt;
+};
+
+/// Refills the bucket up to now.
+void refill(TokenBucket &bucket, TimePoint now);
+
+/// One organisation as one entry limits it.
+struct OrganisationUse
+{
+    v1::Organisation declared;
+    /// This entry's static share, used while no grant holds.
+    TokenBucket share;
+    std::uint32_t concurrencyShare = 0;
+    /// Requests left of the grant, and in flight allowed by it, until `grantUntil`.
+    std::uint32_t granted = 0;
+    std::uint32_t grantedConcurrency = 0;
+    TimePoint grantUntil;
+    std::uint32_t inFlight = 0;
+    /// Admitted and refused since the last call to the owner; their sum is what is wanted next.
+    std::uint32_t admitted = 0;
+    std::uint32_t refused = 0;
+    bool used = false;
+};
+
+/// Limits of all organisations at one entry.
+struct OrganisationLimits
+{
+    std::string ownName;
+    std::vector<std::string> entryNames;
+    std::map<std::string, OrganisationUse> uses;
+    std::uint64_t configVersion = 0;
+};
+
+/// Why an organisation's request is not admitted, and when it may be.
+struct LimitRefusal
+{
+    v1::Reason reason = v1::REASON_UNSPECIFIED;
+    milliseconds retryAfter{0};
+};
+
+/// Takes declared organisations or the set of entries into force; uses in flight stay counted.
+void setLimits(OrganisationLimits &limits,
+               const std::map<std::string, v1::Organisation> &organisations,
+               std::uint64_t configVersion, TimePoint now);
+
+/// Admits one request and counts it, or says why not.
+std::optional<LimitRefusal> admit(OrganisationLimits &limits, const std::string &organisation,
+                                  TimePoint now);
+
+/// An admitted request is over.
+void release(OrganisationLimits &limits, const std::string &organisation);
+
+/// A call to the owner of an organisation's budget.
+struct BudgetCall
+{
+    /// Name of the entry that owns the budget; may be this entry itself.
+    std::string owner;
+    v1::BudgetRequest request;
+};
+
+/// Calls to make now, every grantInterval, for the organisations in use. Counts start anew.
+std::vector<BudgetCall> budgetCalls(OrganisationLimits &limits, TimePoint now);
+
+/// Takes the owner's grant.
+/// @param sentAt When the request for it was sent: the grant holds from then on, never longer than
+/// the owner counts on.
+void grantArrived(OrganisationLimits &limits, const std::string &organisation,
+                  const v1::BudgetGrant &grant, TimePoint sentAt);
+
+} // namespace wisteria
--- a/Source/Request/Route.cpp
+++ b/Source/Request/Route.cpp
@@ -1,33 +1,195 @@
 #include "Request/Route.h"
 
 #include <algorithm>
+#include <map>
+#include <utility>
+
+#include "Request/KeyHome.h"
 
 namespace wisteria {
 
 namespace {
 
+bool wasTried(const RouteQuery &query, const Candidate &candidate)
+{
+    return std::find(query.tried.begin(), query.tried.end(), candidate.name) != query.tried.end();
+}
+
+/// Queued requests of lower priority will stand behind ours; how many they are is not reported, so
+/// a high priority counts the queue for less.
+double perceivedOccupancy(const Candidate &candidate, std::uint32_t priority)
+{
+    const double slots = std::max<std::uint32_t>(candidate.concurrency, 1);
+    const double discount = 1.0 - 1.0 / (1.0 + priority);
+    return occupancy(candidate) - discount * candidate.queued / slots;
+}
+
+std::vector<std::size_t> eligible(const std::vector<Candidate> &candidates, const RouteQuery &query,
+                                  TimePoint now)
+{
+    std::vector<std::size_t> chosen;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (mayBeAsked(candidates[i], now) && !wasTried(query, candidates[i]))
+            chosen.push_back(i);
+    }
+    return chosen;
+}
+
+/// The backend server that most likely holds the prefix: rendezvous hashing, passing over those
+/// that are loaded beyond the bound.
+std::optional<std::size_t> affineCandidate(const std::vector<Candidate> &candidates,
+                                           const std::vector<std::size_t> &among,
+                                           std::uint64_t prefix)
+{
+    double total = 0;
+    for (const std::size_t i : among)
+        total += occupancy(candidates[i]);
+    const double bound = affinityLoadBound * total / static_cast<double>(among.size()) + 1.0;
+    const std::string text = std::to_string(prefix);
+    std::optional<std::size_t> best;
+    std::uint64_t bestHash = 0;
+    for (const std::size_t i : among) {
+        if (occupancy(candidates[i]) > bound)
+            continue;
+        const std::uint64_t hash = pairHash(candidates[i].name, text);
+        if (!best || hash > bestHash) {
+            best = i;
+            bestHash = hash;
+        }
+    }
+    return best;
+}
+
+milliseconds shunTime(std::uint32_t failures)
+{
+    milliseconds time = firstShun;
+    for (std::uint32_t i = shunAfterFailures; i < failures && time < longestShun; ++i)
+        time *= 2;
+    return std::min(time, longestShun);
+}
+
+bool isStalled(const Candidate &candidate, TimePoint now)
+{
+    if (!candidate.silentSince)
+        return false;
+    const microseconds patience = stalledAfter + candidate.serviceTime * stalledServiceTimes;
+    return now - *candidate.silentSince > patience;
+}
+
+} // namespace
+
+bool mayBeAsked(const Candidate &candidate, TimePoint now)
+{
+    if (candidate.leaving || candidate.down || now < candidate.shunnedUntil)
+        return false;
+    // After a shun one attempt probes; others wait for its end.
+    const bool probing = candidate.failures >= shunAfterFailures && candidate.outstanding > 0;
+    return !probing && !isStalled(candidate, now);
+}
+
 double occupancy(const Candidate &candidate)
 {
-    const double busy = std::max(candidate.running + candidate.queued, candidate.outstanding);
+    const std::uint32_t reported = candidate.running + candidate.queued + candidate.sentSinceReport;
+    const double busy = std::max(reported, candidate.outstanding);
     return busy / std::max<std::uint32_t>(candidate.concurrency, 1);
 }
 
-} // namespace
+microseconds expectedWait(const Candidate &candidate)
+{
+    const double ahead = std::max(0.0, occupancy(candidate) - 1.0);
+    return microseconds(static_cast<std::int64_t>(ahead * candidate.serviceTime.count()));
+}
 
 std::optional<std::size_t> chooseBackendServer(const std::vector<Candidate> &candidates,
-                                               const std::vector<std::string> &tried)
+                                               const v1::RoutingPolicy &policy,
+                                               const RouteQuery &query, TimePoint now)
 {
+    const std::vector<std::size_t> among = eligible(candidates, query, now);
+    std::optional<std::size_t> affine;
+    if (query.prefix != 0 && !among.empty())
+        affine = affineCandidate(candidates, among, query.prefix);
     std::optional<std::size_t> best;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
+    double bestCost = 0;
+    std::uint64_t bestTie = 0;
+    for (const std::size_t i : among) {
         const Candidate &candidate = candidates[i];
-        if (candidate.leaving || candidate.down)
-            continue;
-        if (std::find(tried.begin(), tried.end(), candidate.name) != tried.end())
-            continue;
-        if (!best || occupancy(candidate) < occupancy(candidates[*best]))
+        double cost = policy.load_weight() * perceivedOccupancy(candidate, query.priority);
+        if (candidate.failureDomain != query.failureDomain)
+            cost += policy.domain_weight();
+        if (affine == i)
+            cost -= policy.affinity_weight();
+        // Ties fall by request, so that entries with equal beliefs do not all pick the same one.
+        const std::uint64_t tie = pairHash(query.requestId, candidate.name);
+        if (!best || cost < bestCost || (cost == bestCost && tie < bestTie)) {
             best = i;
+            bestCost = cost;
+            bestTie = tie;
+        }
     }
     return best;
 }
 
+void attemptSent(Candidate &candidate, TimePoint now)
+{
+    ++candidate.outstanding;
+    ++candidate.sentSinceReport;
+    if (!candidate.silentSince)
+        candidate.silentSince = now;
+}
+
+void attemptHeard(Candidate &candidate, TimePoint now)
+{
+    candidate.failures = 0;
+    candidate.silentSince.reset();
+    if (candidate.outstanding > 0)
+        candidate.silentSince = now;
+}
+
+void attemptOver(Candidate &candidate, bool failed, TimePoint now)
+{
+    if (candidate.outstanding > 0)
+        --candidate.outstanding;
+    if (candidate.outstanding == 0)
+        candidate.silentSince.reset();
+    if (!failed) {
+        candidate.failures = 0;
+        return;
+    }
+    ++candidate.failures;
+    if (candidate.failures >= shunAfterFailures)
+        candidate.shunnedUntil = now + shunTime(candidate.failures);
+}
+
+std::vector<v1::BackendServer> subsetOf(std::vector<v1::BackendServer> servers,
+                                        std::size_t entryIndex, std::size_t entries,
+                                        std::size_t size)
+{
+    const std::size_t count = servers.size();
+    if (size == 0 || size >= count || entries == 0)
+        return servers;
+    // A ring on which the members of each failure domain stand evenly apart, so that every stretch
+    // of it spans the domains.
+    std::map<std::string, std::vector<v1::BackendServer>> domains;
+    for (v1::BackendServer &server : servers)
+        domains[server.failure_domain()].push_back(std::move(server));
+    std::vector<std::pair<double, v1::BackendServer>> ring;
+    for (auto &[domain, members] : domains) {
+        std::sort(members.begin(), members.end(),
+                  [](const auto &a, const auto &b) { return a.name() < b.name(); });
+        for (std::size_t i = 0; i < members.size(); ++i) {
+            const double place =
+                (static_cast<double>(i) + 0.5) / static_cast<double>(members.size());
+            ring.emplace_back(place, std::move(members[i]));
+        }
+    }
+    std::stable_sort(ring.begin(), ring.end(),
+                     [](const auto &a, const auto &b) { return a.first < b.first; });
+    // Entry i's stretch begins where that of entry i-1 ends, so the stretches wind around the ring
+    // and cover each place equally often, give or take one.
+    std::vector<v1::BackendServer> subset;
+    for (std::size_t i = 0; i < size; ++i)
+        subset.push_back(ring[(entryIndex * size + i) % count].second);
+    return subset;
+}
+
 } // namespace wisteria
--- /dev/null
+++ b/Source/Request/RoutingView.cpp
@@ -0,0 +1,215 @@
+#include "Request/RoutingView.h"
+
+#include <algorithm>
+
+#include "Request/EntryRequest.h"
+
+namespace wisteria {
+
+namespace {
+
+constexpr double defaultWeight = 1.0;
+constexpr double defaultRetryRatio = 0.1;
+constexpr std::uint32_t defaultMaxAttempts = 3;
+
+/// Policy of a service that names none.
+v1::RoutingPolicy defaultPolicy()
+{
+    v1::RoutingPolicy policy;
+    policy.set_load_weight(defaultWeight);
+    policy.set_affinity_weight(defaultWeight / 2);
+    policy.set_domain_weight(defaultWeight / 10);
+    policy.set_retry_ratio(defaultRetryRatio);
+    policy.set_max_attempts(defaultMaxAttempts);
+    return policy;
+}
+
+v1::RoutingPolicy policyOf(const ConfigState &config, const v1::Service &service)
+{
+    const auto found =
+        config.objects.find({v1::OBJECT_KIND_ROUTING_POLICY, service.routing_policy()});
+    if (found == config.objects.end())
+        return defaultPolicy();
+    return found->second.object().routing_policy();
+}
+
+std::size_t entryIndex(const EntryState &state)
+{
+    return std::count_if(state.entryNames.begin(), state.entryNames.end(),
+                         [&](const std::string &name) { return name < state.ownName; });
+}
+
+/// A belief about a declared backend server, carried over when it is still the same process.
+Candidate candidateFor(const v1::BackendServer &server, const ServiceView *before)
+{
+    Candidate candidate;
+    const Candidate *known = before ? candidateNamed(*before, server.name()) : nullptr;
+    if (known && known->address == server.agent_address())
+        candidate = *known;
+    candidate.name = server.name();
+    candidate.address = server.agent_address();
+    candidate.vm = server.vm();
+    candidate.failureDomain = server.failure_domain();
+    candidate.concurrency = std::max<std::uint32_t>(server.concurrency(), 1);
+    return candidate;
+}
+
+ServiceView viewOf(const EntryState &state, const v1::Service &service,
+                   const v1::RoutingPolicy &policy, const std::vector<v1::BackendServer> &servers,
+                   const ServiceView *before)
+{
+    ServiceView view;
+    view.declared = service;
+    view.policy = policy;
+    for (const v1::BackendServer &server : servers) {
+        view.homes[server.name()] = server.agent_address();
+        view.homeNames.push_back(server.name());
+    }
+    const auto subset =
+        subsetOf(servers, entryIndex(state), state.entryNames.size(), policy.subset_size());
+    for (const v1::BackendServer &server : subset)
+        view.candidates.push_back(candidateFor(server, before));
+    return view;
+}
+
+/// Declared backend servers of a service that are not draining.
+std::vector<v1::BackendServer> serversOf(const ConfigState &config, const std::string &service)
+{
+    std::vector<v1::BackendServer> servers;
+    for (const auto &[key, object] : config.objects) {
+        if (key.kind != v1::OBJECT_KIND_BACKEND_SERVER)
+            continue;
+        const v1::BackendServer &server = object.object().backend_server();
+        if (server.service() == service && !server.draining())
+            servers.push_back(server);
+    }
+    return servers;
+}
+
+std::map<std::string, ServiceView> viewsOf(const EntryState &state, const ConfigState &config)
+{
+    std::map<std::string, ServiceView> views;
+    for (const auto &[key, object] : config.objects) {
+        if (key.kind != v1::OBJECT_KIND_SERVICE)
+            continue;
+        const v1::Service &service = object.object().service();
+        const auto before = state.services.find(service.name());
+        const ServiceView *known = before == state.services.end() ? nullptr : &before->second;
+        views[service.name()] = viewOf(state, service, policyOf(config, service),
+                                       serversOf(config, service.name()), known);
+    }
+    return views;
+}
+
+template <typename Action>
+void forCandidates(EntryState &state, const std::string &name, Action action)
+{
+    for (auto &[serviceName, service] : state.services) {
+        for (Candidate &candidate : service.candidates) {
+            if (candidate.name == name)
+                action(candidate);
+        }
+    }
+}
+
+} // namespace
+
+const Candidate *candidateNamed(const ServiceView &service, const std::string &name)
+{
+    for (const Candidate &candidate : service.candidates) {
+        if (candidate.name == name)
+            return &candidate;
+    }
+    return nullptr;
+}
+
+Candidate *findCandidate(EntryState &state, const std::string &service, const std::string &name)
+{
+    const auto found = state.services.find(service);
+    if (found == state.services.end())
+        return nullptr;
+    for (Candidate &candidate : found->second.candidates) {
+        if (candidate.name == name)
+            return &candidate;
+    }
+    return nullptr;
+}
+
+void takeLoad(Candidate &candidate, const v1::LoadReport &load)
+{
+    candidate.running = load.running();
+    candidate.queued = load.queued();
+    candidate.serviceTime = microseconds(load.service_time_us());
+    candidate.leaving = load.leaving();
+    candidate.down = load.backend_down();
+    candidate.sentSinceReport = 0;
+}
+
+void setConfiguration(EntryState &state, EntryShared &shared, const ConfigState &config,
+                      TimePoint now)
+{
+    if (config.version <= state.configVersion)
+        return;
+    state.configVersion = config.version;
+    state.services = viewsOf(state, config);
+    state.organisations.clear();
+    for (const auto &[key, object] : config.objects) {
+        if (key.kind == v1::OBJECT_KIND_ORGANISATION)
+            state.organisations[key.name] = object.object().organisation();
+    }
+    const std::lock_guard<std::mutex> lock(shared.mutex);
+    if (shared.limits.configVersion >= config.version)
+        return;
+    shared.limits.ownName = state.ownName;
+    shared.limits.entryNames = state.entryNames;
+    setLimits(shared.limits, state.organisations, config.version, now);
+}
+
+void setEntries(EntryState &state, EntryShared &shared, const std::vector<std::string> &names,
+                TimePoint now)
+{
+    state.entryNames = names;
+    const std::lock_guard<std::mutex> lock(shared.mutex);
+    shared.limits.ownName = state.ownName;
+    shared.limits.entryNames = names;
+    setLimits(shared.limits, state.organisations, shared.limits.configVersion, now);
+}
+
+void observeLoad(EntryState &state, const std::string &backendServer, const v1::LoadReport &load,
+                 std::uint64_t, TimePoint)
+{
+    forCandidates(state, backendServer,
+                  [&load](Candidate &candidate) { takeLoad(candidate, load); });
+}
+
+void observeUnreachable(EntryState &state, const std::string &backendServer, TimePoint)
+{
+    forCandidates(state, backendServer, [](Candidate &candidate) { candidate.down = true; });
+}
+
+void observeVmLeaving(EntryState &state, const std::string &backendServer, TimePoint)
+{
+    forCandidates(state, backendServer, [](Candidate &candidate) { candidate.leaving = true; });
+}
+
+std::vector<std::string> heartbeatTargets(const EntryState &state)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, service] : state.services) {
+        for (const Candidate &candidate : service.candidates)
+            names.push_back(candidate.name);
+    }
+    return names;
+}
+
+std::string agentAddress(const EntryState &state, const std::string &backendServer)
+{
+    for (const auto &[name, service] : state.services) {
+        const auto home = service.homes.find(backendServer);
+        if (home != service.homes.end())
+            return home->second;
+    }
+    return {};
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Request/RoutingView.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+
+#include "Request/EntryState.h"
+
+namespace wisteria {
+
+/// The candidate of that name, or null.
+const Candidate *candidateNamed(const ServiceView &service, const std::string &name);
+
+/// The candidate of that name within a service, or null when this entry does not keep to it.
+Candidate *findCandidate(EntryState &state, const std::string &service, const std::string &name);
+
+/// Takes a load report into a belief.
+void takeLoad(Candidate &candidate, const v1::LoadReport &load);
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Request/SuspectBook.cpp
@@ -0,0 +1,123 @@
+#include "Request/SuspectBook.h"
+
+#include <algorithm>
+
+namespace wisteria {
+
+namespace {
+
+bool hasOpenDeath(const SuspectRecord &record)
+{
+    return !std::includes(record.cleared.begin(), record.cleared.end(), record.deaths.begin(),
+                          record.deaths.end());
+}
+
+void makeRoom(SuspectBook &book)
+{
+    if (book.records.size() < maxSuspects)
+        return;
+    const auto soonest = std::min_element(
+        book.records.begin(), book.records.end(),
+        [](const auto &a, const auto &b) { return a.second.forgetAt < b.second.forgetAt; });
+    book.records.erase(soonest);
+}
+
+SuspectRecord &recordOf(SuspectBook &book, std::uint64_t fingerprint)
+{
+    if (!book.records.contains(fingerprint))
+        makeRoom(book);
+    return book.records[fingerprint];
+}
+
+ReportedStanding standingOf(const SuspectRecord &record)
+{
+    if (record.convicted)
+        return ReportedStanding::Convicted;
+    return hasOpenDeath(record) ? ReportedStanding::Suspect : ReportedStanding::Cleared;
+}
+
+v1::SuspectReport reportOf(std::uint64_t fingerprint, const SuspectRecord &record, TimePoint now)
+{
+    v1::SuspectReport report;
+    report.set_fingerprint(fingerprint);
+    report.set_remaining_ms(remaining(now, record.forgetAt).count());
+    const ReportedStanding standing = standingOf(record);
+    report.set_deaths(static_cast<std::uint32_t>(standing));
+    const auto &ids = standing == ReportedStanding::Cleared ? record.cleared : record.deaths;
+    for (const std::uint64_t id : ids)
+        report.add_death_ids(id);
+    return report;
+}
+
+} // namespace
+
+Suspicion suspicionOf(const SuspectBook &book, std::uint64_t fingerprint, TimePoint now)
+{
+    const auto found = book.records.find(fingerprint);
+    if (found == book.records.end() || found->second.forgetAt <= now)
+        return Suspicion::None;
+    if (found->second.convicted)
+        return Suspicion::Convicted;
+    return hasOpenDeath(found->second) ? Suspicion::Suspect : Suspicion::None;
+}
+
+void recordDeath(SuspectBook &book, std::uint64_t fingerprint, std::uint64_t death, bool alone,
+                 TimePoint now)
+{
+    forgetSuspects(book, now);
+    SuspectRecord &record = recordOf(book, fingerprint);
+    record.deaths.insert(death);
+    record.convicted = record.convicted || alone;
+    const seconds holds = record.convicted ? convictionTime : suspicionTime;
+    record.forgetAt = std::max(record.forgetAt, now + holds);
+}
+
+void recordGoodRun(SuspectBook &book, std::uint64_t fingerprint)
+{
+    const auto found = book.records.find(fingerprint);
+    if (found == book.records.end())
+        return;
+    found->second.cleared.insert(found->second.deaths.begin(), found->second.deaths.end());
+}
+
+void mergeSuspectReport(SuspectBook &book, const v1::SuspectReport &report, TimePoint now)
+{
+    if (report.remaining_ms() == 0)
+        return;
+    forgetSuspects(book, now);
+    SuspectRecord &record = recordOf(book, report.fingerprint());
+    record.deaths.insert(report.death_ids().begin(), report.death_ids().end());
+    const auto standing = static_cast<ReportedStanding>(report.deaths());
+    if (standing == ReportedStanding::Cleared)
+        record.cleared.insert(report.death_ids().begin(), report.death_ids().end());
+    if (standing == ReportedStanding::Convicted)
+        record.convicted = true;
+    // A peer can't prolong a suspicion beyond what its own evidence would give.
+    const milliseconds holds =
+        std::min<milliseconds>(milliseconds(report.remaining_ms()), convictionTime);
+    record.forgetAt = std::max(record.forgetAt, now + holds);
+}
+
+std::vector<v1::SuspectReport> suspectReports(const SuspectBook &book, TimePoint now)
+{
+    std::vector<v1::SuspectReport> reports;
+    for (const auto &[fingerprint, record] : book.records) {
+        if (record.forgetAt > now)
+            reports.push_back(reportOf(fingerprint, record, now));
+    }
+    std::stable_sort(reports.begin(), reports.end(), [](const auto &a, const auto &b) {
+        if (a.deaths() != b.deaths())
+            return a.deaths() > b.deaths();
+        return a.remaining_ms() > b.remaining_ms();
+    });
+    if (reports.size() > maxSuspectReports)
+        reports.resize(maxSuspectReports);
+    return reports;
+}
+
+void forgetSuspects(SuspectBook &book, TimePoint now)
+{
+    std::erase_if(book.records, [now](const auto &item) { return item.second.forgetAt <= now; });
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Request/SuspectBook.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "Peer.pb.h"
+#include "Process/Time.h"
+
+namespace wisteria {
+
+/// How long a suspicion holds unless a good run clears it.
+constexpr seconds suspicionTime{120};
+/// How long a convicted fingerprint is refused.
+constexpr seconds convictionTime{600};
+/// Fingerprints that one process remembers; the ones soonest forgotten give way.
+constexpr std::size_t maxSuspects = 4096;
+/// Fingerprints that one heartbeat carries, to stay within a daemon's control traffic.
+constexpr std::size_t maxSuspectReports = 64;
+
+/// What is held against a fingerprint.
+enum class Suspicion {
+    None,
+    Suspect, ///< In flight on a backend server that died; runs only alone.
+    Convicted, ///< A backend server died while it ran alone; refused.
+};
+
+/// Values of SuspectReport.deaths.
+enum class ReportedStanding : std::uint32_t { Cleared = 0, Suspect = 1, Convicted = 2 };
+
+/// What is known of one fingerprint. Deaths and clearings are sets that only grow, so reports may
+/// arrive late, twice and in any order.
+struct SuspectRecord
+{
+    std::set<std::uint64_t> deaths;
+    std::set<std::uint64_t> cleared;
+    bool convicted = false;
+    TimePoint forgetAt;
+};
+
+/// Suspected and convicted fingerprints as one process knows them.
+struct SuspectBook
+{
+    std::map<std::uint64_t, SuspectRecord> records;
+};
+
+/// What is held against the fingerprint now.
+Suspicion suspicionOf(const SuspectBook &book, std::uint64_t fingerprint, TimePoint now);
+
+/// Records that a backend server died while the fingerprint ran there.
+/// @param death Identity of the death; the same death recorded twice counts once.
+/// @param alone Whether nothing else ran, which convicts.
+void recordDeath(SuspectBook &book, std::uint64_t fingerprint, std::uint64_t death, bool alone,
+                 TimePoint now);
+
+/// Records a good run alone: every death known so far is cleared.
+void recordGoodRun(SuspectBook &book, std::uint64_t fingerprint);
+
+/// Takes in what another process reported.
+void mergeSuspectReport(SuspectBook &book, const v1::SuspectReport &report, TimePoint now);
+
+/// What to tell other processes: convicted first, then suspects, then cleared ones.
+std::vector<v1::SuspectReport> suspectReports(const SuspectBook &book, TimePoint now);
+
+/// Drops what is past its time.
+void forgetSuspects(SuspectBook &book, TimePoint now);
+
+} // namespace wisteria
