Follow the configuration stream over HTTP

Cause: nothing read the log yet, so no process could take a configuration. Ruled out: a follower that owns its thread; the control thread of each process already exists, so the follower is polled by it. Ruled out too: keeping libcurl's connection for appends, since its silent second try could call a written record unwritten.

--- /dev/null
+++ b/Source/Connection/HttpLogClient.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "Connection/LogClient.h"
+
+namespace wisteria {
+
+/// The log service over HTTP, as docs/design/overview.md describes it. One thread at a time may
+/// call an object; threads that append while another one waits in read() each have their own.
+class HttpLogClient : public LogClient
+{
+public:
+    /// @param url Base of the service, "http://127.0.0.1:9000", without a slash at the end.
+    explicit HttpLogClient(std::string url);
+    ~HttpLogClient() override;
+
+    Result<Offset> append(const std::string &stream, const std::string &data,
+                          milliseconds timeout) override;
+    Result<LogBatch> read(const std::string &stream, Offset from, milliseconds wait) override;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d_;
+};
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Process/ConfigFollower.cpp
@@ -0,0 +1,135 @@
+#include "Process/ConfigFollower.h"
+
+#include <mutex>
+
+#include "Process/Logging.h"
+#include "Version/ConfigReplay.h"
+#include "Version/Snapshot.h"
+
+namespace wisteria {
+
+class ConfigFollower::Private
+{
+public:
+    Private(LogClient &log, std::string stream) : log_(log), stream_(std::move(stream))
+    {
+        publish(true);
+    }
+
+    Result<bool> poll(milliseconds wait)
+    {
+        auto batch = log_.read(stream_, nextOffset(cursor_), wait);
+        if (!batch) {
+            publish(false);
+            return batch.as_failure();
+        }
+        const bool divergedBefore = cursor_.diverged;
+        auto moved = replayBatch(cursor_, batch.value());
+        if (cursor_.diverged && !divergedBefore)
+            logger_->error("a snapshot in the log differs from what replay gave; compare releases");
+        publish(true);
+        return moved;
+    }
+
+    bool adopt(const v1::SnapshotRecord &snapshot)
+    {
+        if (!adoptSnapshot(cursor_.state, snapshot))
+            return false;
+        cursor_.searchFrom.reset();
+        cursor_.blocked.clear();
+        adopted_ = true;
+        publish(status().logReachable);
+        return true;
+    }
+
+    std::shared_ptr<const ConfigState> state() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return published_;
+    }
+
+    FollowerStatus status() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return status_;
+    }
+
+    bool caughtUp() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return caughtUp_;
+    }
+
+    bool usable() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return caughtUp_ || (adoptedPublished_ && !status_.logReachable);
+    }
+
+private:
+    /// Copying the whole state costs milliseconds at thousands of objects, so it is done once a
+    /// poll and only when something was replayed.
+    void publish(bool reachable)
+    {
+        std::shared_ptr<const ConfigState> fresh;
+        if (!published_ || published_->position != cursor_.state.position)
+            fresh = std::make_shared<const ConfigState>(cursor_.state);
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (fresh)
+            published_ = std::move(fresh);
+        caughtUp_ = hasCaughtUp(cursor_);
+        adoptedPublished_ = adopted_;
+        status_ = {cursor_.state.version, cursor_.state.position, cursor_.end,           reachable,
+                   cursor_.blocked,       cursor_.diverged,       cursor_.newestSnapshot};
+    }
+
+    LogClient &log_;
+    const std::string stream_;
+    ReplayCursor cursor_;
+    bool adopted_ = false;
+    std::shared_ptr<spdlog::logger> logger_ = loggerFor("config");
+
+    mutable std::mutex mutex_;
+    std::shared_ptr<const ConfigState> published_;
+    FollowerStatus status_;
+    bool caughtUp_ = false;
+    bool adoptedPublished_ = false;
+};
+
+ConfigFollower::ConfigFollower(LogClient &log, std::string stream)
+    : d_(std::make_unique<Private>(log, std::move(stream)))
+{ }
+
+ConfigFollower::~ConfigFollower() = default;
+
+Result<bool> ConfigFollower::poll(milliseconds wait)
+{
+    return d_->poll(wait);
+}
+
+bool ConfigFollower::adopt(const v1::SnapshotRecord &snapshot)
+{
+    return d_->adopt(snapshot);
+}
+
+std::shared_ptr<const ConfigState> ConfigFollower::state() const
+{
+    return d_->state();
+}
+
+bool ConfigFollower::caughtUp() const
+{
+    return d_->caughtUp();
+}
+
+bool ConfigFollower::usable() const
+{
+    return d_->usable();
+}
+
+FollowerStatus ConfigFollower::status() const
+{
+    return d_->status();
+}
+
+} // namespace wisteria
--- a/Source/Version/ConfigState.h
+++ b/Source/Version/ConfigState.h
@@ -37,6 +37,8 @@
     bool accepted = false;
     /// Why it was rejected and what to do; empty when accepted.
     std::string reason;
+    /// Set when this program can't judge the record; the state did not move past it.
+    bool undecided = false;
 };
 
 /// Replays one record of the configuration stream onto the state. Deterministic: depends on the
