--- /dev/null
+++ b/Tests/StandIns/BackendServer.cpp
@@ -0,0 +1,168 @@
+// Stand-in for a backend server: answers at once by default; options in a request's JSON body make
+// it stream, wait, stall, fail or crash. It counts runs, so that tests can prove at-most-once.
+//
+// Options: "tag" (runs are counted by it), "stream" (chunks), "chunk_ms", "cut_after" (chunks),
+// "hold" (name; waits until POST /release with that name), "stall_ms", "ask_status", "crash".
+
+#include <condition_variable>
+#include <cstdlib>
+#include <mutex>
+#include <set>
+
+#include <nlohmann/json.hpp>
+#include <tclap/CmdLine.h>
+#include <xxhash.h>
+
+#include "StandIns/HttpStandIn.h"
+
+namespace wisteria::standin {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::size_t echoLimit = 1024;
+constexpr int crashExitCode = 70;
+constexpr auto longestHold = std::chrono::seconds(60);
+
+json parseOptions(const std::string &body)
+{
+    if (!body.starts_with('{'))
+        return json::object();
+    json options = json::parse(body, nullptr, false);
+    return options.is_object() ? options : json::object();
+}
+
+class BackendServer
+{
+public:
+    explicit BackendServer(std::string name) : name_(std::move(name)) { }
+
+    Reply handle(const Exchange &exchange)
+    {
+        if (exchange.path() == "/health")
+            return Reply{.body = R"({"state":"live"})"};
+        if (exchange.path() == "/runs")
+            return runs();
+        if (exchange.path() == "/release")
+            return release(exchange.body());
+        const auto service = exchange.pathBetween("/v1/services/", "/requests");
+        if (!service || exchange.method() != "POST")
+            return notFound();
+        return run(*service, exchange);
+    }
+
+private:
+    Reply run(const std::string &service, const Exchange &exchange)
+    {
+        const json options = parseOptions(exchange.body());
+        const std::string key = exchange.header("Wisteria-Key");
+        const unsigned long count = countRun(key, options);
+        if (options.value("crash", false))
+            std::_Exit(crashExitCode);
+        pauseFor(milliseconds(options.value("stall_ms", 0)));
+        const json echo = {
+            {"backend_server", name_},
+            {"service", service},
+            {"request_id", exchange.header("Wisteria-Request-Id")},
+            {"key", key},
+            {"run", count},
+            {"body_hash", XXH3_64bits(exchange.body().data(), exchange.body().size())},
+            {"echo", exchange.body().substr(0, echoLimit)},
+        };
+        if (options.contains("stream"))
+            return streamed(echo, options);
+        waitForRelease(options.value("hold", ""));
+        Reply reply{.body = echo.dump(-1, ' ', false, json::error_handler_t::replace)};
+        reply.status = options.value("ask_status", 200U);
+        return reply;
+    }
+
+    /// Every chunk names the request, so that a test sees a part of another's answer.
+    Reply streamed(const json &echo, const json &options)
+    {
+        Reply reply{.contentType = "application/x-ndjson"};
+        reply.chunks = [this, echo, options, sent = 0]() mutable {
+            if (sent == options.value("cut_after", -1))
+                return Chunk{Chunk::Kind::Cut, {}};
+            if (sent == options["stream"].get<int>())
+                return Chunk{Chunk::Kind::End, {}};
+            if (sent == 1)
+                waitForRelease(options.value("hold", ""));
+            if (sent > 0)
+                pauseFor(milliseconds(options.value("chunk_ms", 0)));
+            ++sent;
+            const json chunk = {{"chunk", sent},
+                                {"request_id", echo["request_id"]},
+                                {"tag", options.value("tag", "")},
+                                {"backend_server", name_}};
+            return Chunk{Chunk::Kind::Data, chunk.dump() + "\n"};
+        };
+        return reply;
+    }
+
+    unsigned long countRun(const std::string &key, const json &options)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        ++total_;
+        if (options.contains("tag"))
+            ++runsByTag_[options.value("tag", "")];
+        return key.empty() ? total_ : ++runsByKey_[key];
+    }
+
+    Reply runs()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const json counts = {{"backend_server", name_},
+                             {"total", total_},
+                             {"keys", runsByKey_},
+                             {"tags", runsByTag_},
+                             {"holding", holding_}};
+        return Reply{.body = counts.dump()};
+    }
+
+    Reply release(const std::string &name)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        released_.insert(name);
+        changed_.notify_all();
+        return Reply{.body = "{}"};
+    }
+
+    void waitForRelease(const std::string &name)
+    {
+        if (name.empty())
+            return;
+        std::unique_lock<std::mutex> lock(mutex_);
+        ++holding_;
+        changed_.wait_for(lock, longestHold, [&] { return released_.count(name) > 0; });
+        --holding_;
+    }
+
+    const std::string name_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    unsigned long total_ = 0;
+    unsigned long holding_ = 0;
+    std::map<std::string, unsigned long> runsByKey_;
+    std::map<std::string, unsigned long> runsByTag_;
+    std::set<std::string> released_;
+};
+
+} // namespace
+
+} // namespace wisteria::standin
+
+int main(int argc, char **argv)
+{
+    TCLAP::CmdLine command("Stand-in for a backend server");
+    TCLAP::ValueArg<unsigned short> port("", "port", "0 for a free port", false, 0, "port");
+    TCLAP::ValueArg<std::string> name("", "name", "Name it answers with", false, "backend", "name");
+    command.add(port);
+    command.add(name);
+    command.parse(argc, argv);
+    wisteria::standin::BackendServer server(name.getValue());
+    return wisteria::standin::serve(port.getValue(),
+                                    [&](const auto &exchange) { return server.handle(exchange); });
+}
--- /dev/null
+++ b/Tests/StandIns/VmList.cpp
@@ -0,0 +1,89 @@
+// Stand-in for the platform's lagging list of live and leaving VMs: a change shows after the lag.
+
+#include <deque>
+#include <mutex>
+
+#include <nlohmann/json.hpp>
+#include <tclap/CmdLine.h>
+
+#include "StandIns/HttpStandIn.h"
+
+namespace wisteria::standin {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using nlohmann::json;
+
+class VmList
+{
+public:
+    explicit VmList(std::chrono::milliseconds lag) : lag_(lag) { }
+
+    /// GET /vms reads the list, PUT /vms replaces it, PUT /vms/NAME sets the state of one VM.
+    Reply handle(const Exchange &exchange)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (exchange.path() == "/vms" && exchange.method() == "GET")
+            return Reply{.body = json({{"vms", shown()}}).dump()};
+        const json body = json::parse(exchange.body(), nullptr, false);
+        if (exchange.method() != "PUT" || !body.is_object())
+            return notFound();
+        if (exchange.path() == "/vms")
+            change(body.value("vms", json::array()));
+        else if (const auto name = exchange.pathBetween("/vms/", ""))
+            change(withState(*name, body.value("state", "live")));
+        return Reply{.body = "{}"};
+    }
+
+private:
+    struct Edition
+    {
+        Clock::time_point since;
+        json vms;
+    };
+
+    void change(json vms) { editions_.push_back({Clock::now(), std::move(vms)}); }
+
+    json withState(const std::string &name, const std::string &state) const
+    {
+        json vms = editions_.back().vms;
+        for (json &vm : vms) {
+            if (vm["name"] == name) {
+                vm["state"] = state;
+                return vms;
+            }
+        }
+        vms.push_back({{"name", name}, {"state", state}});
+        return vms;
+    }
+
+    const json &shown()
+    {
+        const auto visibleSince = Clock::now() - lag_;
+        while (editions_.size() > 1 && editions_[1].since <= visibleSince)
+            editions_.pop_front();
+        return editions_.front().vms;
+    }
+
+    const std::chrono::milliseconds lag_;
+    std::mutex mutex_;
+    std::deque<Edition> editions_ = {{Clock::time_point(), json::array()}};
+};
+
+} // namespace
+
+} // namespace wisteria::standin
+
+int main(int argc, char **argv)
+{
+    TCLAP::CmdLine command("Stand-in for the platform's list of VMs");
+    TCLAP::ValueArg<unsigned short> port("", "port", "0 for a free port", false, 0, "port");
+    TCLAP::ValueArg<unsigned> lag("", "lag-ms", "Time before a change shows", false, 0, "ms");
+    command.add(port);
+    command.add(lag);
+    command.parse(argc, argv);
+    wisteria::standin::VmList list(std::chrono::milliseconds(lag.getValue()));
+    return wisteria::standin::serve(port.getValue(),
+                                    [&](const auto &exchange) { return list.handle(exchange); });
+}
