Add the load command of wisteria-bench

Cause: latency, throughput and memory through entry and agent have to be measured. Ruled out: curl_multi_poll, whose timeout is whole milliseconds while requests are 500 us apart at 2,000 a second; epoll_pwait2 beside the multi interface waits to the nanosecond. Change: open or closed load over libcurl, latencies from the moment a request was due, ends by outcome, answers checked for their own request's mark, usage of given processes from /proc. Before: no tool.

--- /dev/null
+++ b/Source/Programs/Bench/LoadReport.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "Process/Time.h"
+
+namespace wisteria {
+
+/// What one worker, or all of them together, saw of the requests it sent.
+struct LoadTally
+{
+    /// Time from the moment each answered request was due to its answer's last byte.
+    std::vector<microseconds> latencies;
+    /// How many requests ended in which way: "answer", "not_run/queue_full", "cut".
+    std::map<std::string, std::uint64_t> outcomes;
+    /// Answers that did not carry their own request's mark.
+    std::uint64_t crossed = 0;
+};
+
+/// Adds the figures of one tally to another.
+void addTally(LoadTally &sum, const LoadTally &part);
+
+/// The value that the given share of the sorted latencies does not exceed (nearest rank).
+/// @param share From 0 to 1.
+/// @return Zero when there are no latencies.
+microseconds percentile(const std::vector<microseconds> &sorted, double share);
+
+/// What the end of an answer is called in the report.
+/// @param status HTTP status; 0 when the connection failed before one came.
+/// @param whole Whether the answer came to its proper end.
+std::string outcomeName(long status, bool whole, const std::string &body);
+
+/// Renders the tally as the report's JSON; sorts its latencies.
+nlohmann::json renderTally(LoadTally tally, std::chrono::duration<double> elapsed);
+
+} // namespace wisteria
