Judge changes by replay and serve operators over gRPC

Cause: the placeholder replay accepted everything, and nobody could change the configuration. Ruled out: acceptance decided by the admin, since two admins can race; compare-and-set, which the log lacks; a file without a position, since last month's file would then recreate what was removed.

--- /dev/null
+++ b/Source/Process/AdminMetrics.cpp
@@ -0,0 +1,100 @@
+#include "Process/AdminMetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/exposer.h>
+#include <prometheus/gauge.h>
+
+namespace wisteria {
+
+namespace {
+
+prometheus::Gauge &gauge(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace
+
+class AdminMetrics::Private
+{
+public:
+    std::shared_ptr<prometheus::Registry> registry_ = std::make_shared<prometheus::Registry>();
+    prometheus::Family<prometheus::Counter> &changes_ =
+        prometheus::BuildCounter()
+            .Name("wisteria_config_changes_total")
+            .Help("Operators' changes by how they ended at this admin")
+            .Register(*registry_);
+    prometheus::Counter &accepted_ = changes_.Add({{"outcome", "accepted"}});
+    prometheus::Counter &refused_ = changes_.Add({{"outcome", "refused"}});
+    prometheus::Counter &notYetKnown_ = changes_.Add({{"outcome", "not_yet_known"}});
+    prometheus::Counter &snapshots_ = prometheus::BuildCounter()
+                                          .Name("wisteria_config_snapshots_total")
+                                          .Help("Snapshots appended by this admin")
+                                          .Register(*registry_)
+                                          .Add({});
+    prometheus::Gauge &version_ =
+        gauge(*registry_, "wisteria_config_version", "Offset of the newest accepted change");
+    prometheus::Gauge &lag_ =
+        gauge(*registry_, "wisteria_config_lag_records", "Records of the log not yet replayed");
+    prometheus::Gauge &reachable_ =
+        gauge(*registry_, "wisteria_config_log_reachable", "1 while the log answers");
+    prometheus::Gauge &blocked_ =
+        gauge(*registry_, "wisteria_config_blocked", "1 while the log can't be followed");
+    prometheus::Gauge &diverged_ =
+        gauge(*registry_, "wisteria_config_diverged", "1 after a snapshot differed from replay");
+    prometheus::Gauge &objects_ =
+        gauge(*registry_, "wisteria_config_objects", "Declared objects in force");
+    std::unique_ptr<prometheus::Exposer> exposer_;
+};
+
+AdminMetrics::AdminMetrics() : d_(std::make_unique<Private>()) { }
+
+AdminMetrics::~AdminMetrics() = default;
+
+Result<std::string> AdminMetrics::listen(const std::string &address)
+{
+    try {
+        d_->exposer_ = std::make_unique<prometheus::Exposer>(address, 1);
+    } catch (const std::exception &) {
+        return failure(ErrorKind::BadSettings,
+                       "metrics can't be served on " + address
+                           + "; give an IP number of this VM and a free port, or port 0");
+    }
+    d_->exposer_->RegisterCollectable(d_->registry_);
+    const std::string host = address.substr(0, address.rfind(':'));
+    return host + ":" + std::to_string(d_->exposer_->GetListeningPorts().front());
+}
+
+void AdminMetrics::countChange(ChangeEnd end)
+{
+    switch (end) {
+    case ChangeEnd::Accepted:
+        d_->accepted_.Increment();
+        return;
+    case ChangeEnd::Refused:
+        d_->refused_.Increment();
+        return;
+    case ChangeEnd::NotYetKnown:
+        d_->notYetKnown_.Increment();
+        return;
+    }
+}
+
+void AdminMetrics::countSnapshot()
+{
+    d_->snapshots_.Increment();
+}
+
+void AdminMetrics::setFollower(const FollowerStatus &status, std::size_t objects)
+{
+    const Offset replayed = status.position + 1;
+    const Offset lag = status.logEnd > replayed ? status.logEnd - replayed : 0;
+    d_->version_.Set(static_cast<double>(status.version));
+    d_->lag_.Set(static_cast<double>(lag));
+    d_->reachable_.Set(status.logReachable ? 1 : 0);
+    d_->blocked_.Set(status.blocked.empty() ? 0 : 1);
+    d_->diverged_.Set(status.diverged ? 1 : 0);
+    d_->objects_.Set(static_cast<double>(objects));
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Process/AdminService.cpp
@@ -0,0 +1,486 @@
+#include "Process/AdminService.h"
+
+#include <algorithm>
+#include <deque>
+#include <random>
+
+#include "Process/ChangeSubmitter.h"
+#include "Process/FleetProbe.h"
+#include "Process/Logging.h"
+#include "Version/ConfigCheck.h"
+#include "Version/ConfigHistory.h"
+#include "Version/ConfigJudge.h"
+#include "Version/ConfigObject.h"
+
+namespace wisteria {
+
+namespace {
+
+constexpr milliseconds defaultTimeout(10000);
+constexpr milliseconds longestTimeout(120000);
+constexpr milliseconds probeTimeout(1500);
+constexpr milliseconds watchPause(300);
+constexpr std::uint32_t defaultHistory = 50;
+constexpr std::uint32_t longestHistory = 10000;
+/// Reads of the whole stream that a history or a former version may take.
+constexpr int readsOfWholeLog = 100000;
+
+milliseconds timeoutOf(std::uint32_t wanted)
+{
+    if (wanted == 0)
+        return defaultTimeout;
+    return std::min(milliseconds(wanted), longestTimeout);
+}
+
+std::string randomChangeId()
+{
+    std::random_device source;
+    std::string id = "change-";
+    for (int i = 0; i < 4; ++i) {
+        char part[9];
+        std::snprintf(part, sizeof part, "%08x", static_cast<unsigned>(source()));
+        id += part;
+    }
+    return id;
+}
+
+std::string tokenOf(const grpc::ServerContext &context)
+{
+    const std::string prefix = "Bearer ";
+    const auto entry = context.client_metadata().find("authorization");
+    if (entry == context.client_metadata().end())
+        return "";
+    const std::string value(entry->second.data(), entry->second.size());
+    return value.starts_with(prefix) ? value.substr(prefix.size()) : "";
+}
+
+grpc::Status statusOf(const Error &error)
+{
+    switch (error.kind) {
+    case ErrorKind::NotFound:
+        return {grpc::StatusCode::NOT_FOUND, error.message};
+    case ErrorKind::BadInput:
+        return {grpc::StatusCode::INVALID_ARGUMENT, error.message};
+    case ErrorKind::Conflict:
+        return {grpc::StatusCode::FAILED_PRECONDITION, error.message};
+    default:
+        return {grpc::StatusCode::UNAVAILABLE, error.message};
+    }
+}
+
+v1::ApplyOutcome outcomeOf(SubmissionStep step)
+{
+    if (step == SubmissionStep::Accepted)
+        return v1::APPLY_OUTCOME_ACCEPTED;
+    return step == SubmissionStep::Refused ? v1::APPLY_OUTCOME_REFUSED
+                                           : v1::APPLY_OUTCOME_NOT_YET_KNOWN;
+}
+
+ChangeEnd endOf(SubmissionStep step)
+{
+    if (step == SubmissionStep::Accepted)
+        return ChangeEnd::Accepted;
+    return step == SubmissionStep::Refused ? ChangeEnd::Refused : ChangeEnd::NotYetKnown;
+}
+
+void fill(v1::ApplyReply &reply, const SubmissionDecision &decision, const std::string &changeId)
+{
+    reply.set_outcome(outcomeOf(decision.step));
+    reply.set_version(decision.version);
+    reply.set_reason(decision.reason);
+    reply.set_change_id(changeId);
+}
+
+bool touches(const v1::ChangeRecord &change, const v1::HistoryRequest &request)
+{
+    if (request.kind() == v1::OBJECT_KIND_UNSPECIFIED && request.name().empty())
+        return true;
+    return std::any_of(change.changes().begin(), change.changes().end(), [&](const auto &entry) {
+        const bool kindFits =
+            request.kind() == v1::OBJECT_KIND_UNSPECIFIED || request.kind() == entry.kind();
+        return kindFits && (request.name().empty() || request.name() == entry.name());
+    });
+}
+
+v1::HistoryEntry entryOf(HistoryItem item)
+{
+    v1::HistoryEntry entry;
+    entry.set_offset(item.offset);
+    entry.set_accepted(item.verdict.accepted);
+    entry.set_reason(item.verdict.reason);
+    for (std::string &line : item.differences)
+        entry.add_differences(std::move(line));
+    *entry.mutable_change() = std::move(item.change);
+    return entry;
+}
+
+} // namespace
+
+class AdminService::Private
+{
+public:
+    Private(AdminSettings settings, ConfigFollower &follower, AdminMetrics &metrics,
+            LogFactory makeLog)
+        : settings_(std::move(settings)), follower_(follower), metrics_(metrics),
+          makeLog_(std::move(makeLog))
+    { }
+
+    /// Says who calls; an admin without accounts takes everybody's word.
+    grpc::Status identify(const grpc::ServerContext &context, const OperatorAccount *&account) const
+    {
+        account = nullptr;
+        if (settings_.operators.empty())
+            return grpc::Status::OK;
+        account = accountOf(settings_.operators, tokenOf(context));
+        if (account != nullptr)
+            return grpc::Status::OK;
+        return {grpc::StatusCode::UNAUTHENTICATED,
+                "no operator's account fits the token; give yours with --token-file"};
+    }
+
+    grpc::Status requireState() const
+    {
+        if (follower_.usable())
+            return grpc::Status::OK;
+        const std::string blocked = follower_.status().blocked;
+        return {grpc::StatusCode::FAILED_PRECONDITION,
+                blocked.empty() ? "this admin has not caught up with the log yet; try again soon"
+                                : blocked};
+    }
+
+    /// Identity, readiness: what each call but Status begins with.
+    grpc::Status begin(const grpc::ServerContext &context, const OperatorAccount *&account) const
+    {
+        const grpc::Status identified = identify(context, account);
+        return identified.ok() ? requireState() : identified;
+    }
+
+    /// Fills in what an operator need not state and checks what only the admin can check.
+    grpc::Status prepare(const OperatorAccount *account, const ConfigState &state,
+                         v1::ChangeRecord &change) const
+    {
+        if (account != nullptr)
+            change.set_who(account->name);
+        if (change.change_id().empty())
+            change.set_change_id(randomChangeId());
+        if (change.base_position() == 0)
+            change.set_base_position(state.position);
+        change.set_rules_version(std::max(state.rulesVersion, settings_.rulesVersion));
+        change.set_submitted_at_ms(wallNow().time_since_epoch().count());
+        if (const auto shape = checkShape(change); !shape)
+            return statusOf(shape.error());
+        if (account == nullptr)
+            return grpc::Status::OK;
+        const auto permitted = checkPermission(*account, state, change);
+        if (permitted)
+            return grpc::Status::OK;
+        logger_->warn("refused: {}", permitted.error().message);
+        return {grpc::StatusCode::PERMISSION_DENIED, permitted.error().message};
+    }
+
+    void submit(const v1::ChangeRecord &change, std::uint32_t timeout, v1::ApplyReply &reply)
+    {
+        const auto log = makeLog_();
+        const SubmissionDecision decision =
+            submitChange(change, *log, follower_, timeoutOf(timeout));
+        metrics_.countChange(endOf(decision.step));
+        logger_->info("change {} by {}: {} {}", change.change_id(), change.who(),
+                      decision.step == SubmissionStep::Accepted
+                          ? "in force as version " + std::to_string(decision.version)
+                          : "not in force,",
+                      decision.reason);
+        fill(reply, decision, change.change_id());
+    }
+
+    /// Replays the stream from its beginning, telling each change; stops when `enough` says so.
+    Result<ReplayCursor> replayWhole(const std::function<void(HistoryItem)> &tell,
+                                     const std::function<bool(const ReplayCursor &)> &enough,
+                                     Offset *oldest) const
+    {
+        const auto log = makeLog_();
+        ReplayCursor cursor;
+        for (int i = 0; i < readsOfWholeLog; ++i) {
+            BOOST_OUTCOME_TRY(batch, log->read(configStream, nextOffset(cursor), milliseconds(0)));
+            if (oldest != nullptr)
+                *oldest = batch.first;
+            BOOST_OUTCOME_TRY(replayWithHistory(cursor, batch, tell));
+            if (nextOffset(cursor) >= batch.end || !cursor.blocked.empty() || enough(cursor))
+                break;
+        }
+        return cursor;
+    }
+
+    Result<ConfigState> stateAt(Offset version) const
+    {
+        ConfigState found;
+        const auto tell = [](const HistoryItem &) {};
+        const auto enough = [&](const ReplayCursor &cursor) {
+            return cursor.state.version > version;
+        };
+        // Batches hold many versions, so each state is looked at record by record.
+        const auto log = makeLog_();
+        ReplayCursor cursor;
+        for (int i = 0; i < readsOfWholeLog && !enough(cursor); ++i) {
+            BOOST_OUTCOME_TRY(batch, log->read(configStream, nextOffset(cursor), milliseconds(0)));
+            LogBatch single{{}, batch.first, batch.end};
+            for (const LogRecord &record : batch.records) {
+                single.records = {record};
+                const bool wasSearching = cursor.searchFrom.has_value();
+                BOOST_OUTCOME_TRY(replayWithHistory(cursor, single, tell));
+                if (cursor.state.version == version)
+                    found = cursor.state;
+                if (enough(cursor) || wasSearching != cursor.searchFrom.has_value())
+                    break;
+            }
+            if (nextOffset(cursor) >= batch.end || !cursor.blocked.empty())
+                break;
+        }
+        if (found.version == version && version != 0)
+            return found;
+        return failure(ErrorKind::NotFound,
+                       "version " + std::to_string(version)
+                           + " is not among the changes that the log still holds; "
+                             "'wisteriactl history' lists them");
+    }
+
+    std::vector<std::string> fleetAddresses() const
+    {
+        std::vector<std::string> addresses = settings_.peers;
+        for (const auto &[key, object] : follower_.state()->objects) {
+            if (object.object().has_backend_server())
+                addresses.push_back(object.object().backend_server().agent_address());
+        }
+        std::sort(addresses.begin(), addresses.end());
+        addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
+        return addresses;
+    }
+
+    std::vector<ProbeResult> probe() const
+    {
+        v1::Heartbeat own;
+        own.set_process(settings_.name);
+        own.set_role("admin");
+        own.set_config_version(follower_.state()->version);
+        own.set_state("serving");
+        return probeFleet(fleetAddresses(), own, probeTimeout);
+    }
+
+    const AdminSettings settings_;
+    ConfigFollower &follower_;
+    AdminMetrics &metrics_;
+    const LogFactory makeLog_;
+    std::shared_ptr<spdlog::logger> logger_ = loggerFor("admin");
+};
+
+AdminService::AdminService(AdminSettings settings, ConfigFollower &follower, AdminMetrics &metrics,
+                           LogFactory makeLog)
+    : d_(std::make_unique<Private>(std::move(settings), follower, metrics, std::move(makeLog)))
+{ }
+
+AdminService::~AdminService() = default;
+
+grpc::Status AdminService::Get(grpc::ServerContext *context, const v1::GetRequest *request,
+                               v1::GetReply *reply)
+{
+    const OperatorAccount *account = nullptr;
+    if (const auto begun = d_->begin(*context, account); !begun.ok())
+        return begun;
+    const auto state = d_->follower_.state();
+    const ObjectKey key{request->kind(), request->name()};
+    const auto held = state->objects.find(key);
+    if (held == state->objects.end()) {
+        return {grpc::StatusCode::NOT_FOUND,
+                describeKey(key) + " does not exist; 'wisteriactl get' lists all"};
+    }
+    *reply->mutable_object() = held->second;
+    return grpc::Status::OK;
+}
+
+grpc::Status AdminService::List(grpc::ServerContext *context, const v1::ListRequest *request,
+                                v1::ListReply *reply)
+{
+    const OperatorAccount *account = nullptr;
+    if (const auto begun = d_->begin(*context, account); !begun.ok())
+        return begun;
+    auto state = d_->follower_.state();
+    if (request->at_version() != 0) {
+        auto former = d_->stateAt(request->at_version());
+        if (!former)
+            return statusOf(former.error());
+        state = std::make_shared<const ConfigState>(std::move(former).value());
+    }
+    for (const auto &[key, object] : state->objects) {
+        if (request->kind() == v1::OBJECT_KIND_UNSPECIFIED || request->kind() == key.kind)
+            *reply->add_objects() = object;
+    }
+    reply->set_version(state->version);
+    reply->set_position(state->position);
+    return grpc::Status::OK;
+}
+
+grpc::Status AdminService::DryRun(grpc::ServerContext *context, const v1::ApplyRequest *request,
+                                  v1::DryRunReply *reply)
+{
+    const OperatorAccount *account = nullptr;
+    if (const auto begun = d_->begin(*context, account); !begun.ok())
+        return begun;
+    const auto state = d_->follower_.state();
+    v1::ChangeRecord change = request->change();
+    if (const auto prepared = d_->prepare(account, *state, change); !prepared.ok())
+        return prepared;
+    const ChangeJudgement judgement = judgeChange(*state, state->position + 1, change);
+    reply->set_acceptable(judgement.acceptable);
+    reply->set_reason(judgement.reason);
+    reply->set_needs_confirmation(judgement.needsConfirmation);
+    reply->set_digest(judgement.effects.digest);
+    reply->set_version(state->version);
+    for (const std::string &effect : judgement.effects.farReaching)
+        reply->add_effects(effect);
+    for (const std::string &line : differencesOf(*state, change))
+        reply->add_differences(line);
+    return grpc::Status::OK;
+}
+
+grpc::Status AdminService::Apply(grpc::ServerContext *context, const v1::ApplyRequest *request,
+                                 v1::ApplyReply *reply)
+{
+    const OperatorAccount *account = nullptr;
+    if (const auto begun = d_->begin(*context, account); !begun.ok())
+        return begun;
+    v1::ChangeRecord change = request->change();
+    change.set_cancel(false);
+    if (const auto prepared = d_->prepare(account, *d_->follower_.state(), change); !prepared.ok())
+        return prepared;
+    d_->submit(change, request->timeout_ms(), *reply);
+    return grpc::Status::OK;
+}
+
+grpc::Status AdminService::Outcome(grpc::ServerContext *context, const v1::OutcomeRequest *request,
+                                   v1::ApplyReply *reply)
+{
+    const OperatorAccount *account = nullptr;
+    if (const auto begun = d_->begin(*context, account); !begun.ok())
+        return begun;
+    const auto state = d_->follower_.state();
+    const SubmissionDecision decision = wisteria::outcomeOf(request->change_id(), *state);
+    if (decision.step != SubmissionStep::NotYetKnown || !request->cancel()) {
+        fill(*reply, decision, request->change_id());
+        return grpc::Status::OK;
+    }
+    v1::ChangeRecord cancel;
+    cancel.set_change_id(request->change_id());
+    cancel.set_who(request->who());
+    cancel.set_why("cancelled");
+    cancel.set_cancel(true);
+    if (const auto prepared = d_->prepare(account, *state, cancel); !prepared.ok())
+        return prepared;
+    d_->submit(cancel, 0, *reply);
+    return grpc::Status::OK;
+}
+
+grpc::Status AdminService::History(grpc::ServerContext *context, const v1::HistoryRequest *request,
+                                   v1::HistoryReply *reply)
+{
+    const OperatorAccount *account = nullptr;
+    if (const auto begun = d_->begin(*context, account); !begun.ok())
+        return begun;
+    const std::size_t limit =
+        request->limit() == 0 ? defaultHistory : std::min(request->limit(), longestHistory);
+    std::deque<v1::HistoryEntry> newest;
+    const auto tell = [&](HistoryItem item) {
+        if (!touches(item.change, *request))
+            return;
+        newest.push_back(entryOf(std::move(item)));
+        if (newest.size() > limit)
+            newest.pop_front();
+    };
+    Offset oldest = 0;
+    const auto never = [](const ReplayCursor &) { return false; };
+    if (const auto replayed = d_->replayWhole(tell, never, &oldest); !replayed)
+        return statusOf(replayed.error());
+    for (v1::HistoryEntry &entry : newest)
+        *reply->add_entries() = std::move(entry);
+    reply->set_oldest_offset(oldest);
+    return grpc::Status::OK;
+}
+
+grpc::Status AdminService::Watch(grpc::ServerContext *context, const v1::WatchRequest *request,
+                                 grpc::ServerWriter<v1::WatchReply> *writer)
+{
+    const OperatorAccount *account = nullptr;
+    if (const auto begun = d_->begin(*context, account); !begun.ok())
+        return begun;
+    const TimePoint deadline = monotonicNow() + timeoutOf(request->timeout_ms());
+    while (!context->IsCancelled()) {
+        v1::WatchReply reply;
+        for (const ProbeResult &result : d_->probe()) {
+            reply.set_processes(reply.processes() + 1);
+            if (result.heartbeat && result.heartbeat->config_version() >= request->version())
+                reply.set_in_force(reply.in_force() + 1);
+            else
+                reply.add_lagging(result.address + (result.heartbeat ? "" : " (silent)"));
+        }
+        reply.set_done(reply.in_force() == reply.processes());
+        writer->Write(reply);
+        if (reply.done() || monotonicNow() >= deadline)
+            break;
+        d_->follower_.waitBeyond(d_->follower_.status().position, watchPause);
+    }
+    return grpc::Status::OK;
+}
+
+grpc::Status AdminService::Drain(grpc::ServerContext *context, const v1::DrainRequest *request,
+                                 v1::ApplyReply *reply)
+{
+    const OperatorAccount *account = nullptr;
+    if (const auto begun = d_->begin(*context, account); !begun.ok())
+        return begun;
+    const auto state = d_->follower_.state();
+    const ObjectKey key{v1::OBJECT_KIND_BACKEND_SERVER, request->backend_server()};
+    const auto held = state->objects.find(key);
+    if (held == state->objects.end())
+        return {grpc::StatusCode::NOT_FOUND, describeKey(key) + " does not exist; check the name"};
+    v1::ChangeRecord change;
+    change.set_change_id(request->change_id());
+    change.set_who(request->who());
+    change.set_why(request->why());
+    change.set_confirm_digest(request->confirm_digest());
+    v1::ObjectChange &entry = *change.add_changes();
+    entry.set_kind(key.kind);
+    entry.set_name(key.name);
+    entry.set_base_version(held->second.version());
+    *entry.mutable_content() = held->second.object();
+    entry.mutable_content()->mutable_backend_server()->set_draining(request->draining());
+    if (const auto prepared = d_->prepare(account, *state, change); !prepared.ok())
+        return prepared;
+    d_->submit(change, request->timeout_ms(), *reply);
+    return grpc::Status::OK;
+}
+
+grpc::Status AdminService::Status(grpc::ServerContext *context, const v1::StatusRequest *,
+                                  v1::StatusReply *reply)
+{
+    const OperatorAccount *account = nullptr;
+    if (const auto identified = d_->identify(*context, account); !identified.ok())
+        return identified;
+    const FollowerStatus status = d_->follower_.status();
+    reply->set_version(status.version);
+    reply->set_log_end(status.logEnd);
+    reply->set_log_reachable(status.logReachable);
+    reply->set_blocked(status.blocked);
+    for (const ProbeResult &result : d_->probe()) {
+        v1::ProcessStatus &process = *reply->add_processes();
+        process.set_address(result.address);
+        process.set_state(result.heartbeat ? result.heartbeat->state() : "silent");
+        if (!result.heartbeat)
+            continue;
+        process.set_name(result.heartbeat->process());
+        process.set_role(result.heartbeat->role());
+        process.set_config_version(result.heartbeat->config_version());
+        if (status.version > process.config_version())
+            process.set_lag(status.version - process.config_version());
+    }
+    return grpc::Status::OK;
+}
+
+} // namespace wisteria
--- a/Source/Process/ConfigFollower.cpp
+++ b/Source/Process/ConfigFollower.cpp
@@ -1,5 +1,6 @@
 #include "Process/ConfigFollower.h"
 
+#include <condition_variable>
 #include <mutex>
 
 #include "Process/Logging.h"
@@ -18,7 +19,10 @@
 
     Result<bool> poll(milliseconds wait)
     {
-        auto batch = log_.read(stream_, nextOffset(cursor_), wait);
+        // While records are known to stand there, or nothing was read yet, there is no point in a
+        // wait; an empty log would otherwise hold up a start.
+        const bool atEnd = cursor_.endAtStart && nextOffset(cursor_) >= cursor_.end;
+        auto batch = log_.read(stream_, nextOffset(cursor_), atEnd ? wait : milliseconds(0));
         if (!batch) {
             publish(false);
             return batch.as_failure();
@@ -66,6 +70,13 @@
         return caughtUp_ || (adoptedPublished_ && !status_.logReachable);
     }
 
+    std::shared_ptr<const ConfigState> waitBeyond(Offset position, milliseconds limit) const
+    {
+        std::unique_lock<std::mutex> lock(mutex_);
+        publishedChanged_.wait_for(lock, limit, [&] { return published_->position > position; });
+        return published_;
+    }
+
 private:
     /// Copying the whole state costs milliseconds at thousands of objects, so it is done once a
     /// poll and only when something was replayed.
@@ -77,6 +88,7 @@
         const std::lock_guard<std::mutex> lock(mutex_);
         if (fresh)
             published_ = std::move(fresh);
+        publishedChanged_.notify_all();
         caughtUp_ = hasCaughtUp(cursor_);
         adoptedPublished_ = adopted_;
         status_ = {cursor_.state.version, cursor_.state.position, cursor_.end,           reachable,
@@ -90,6 +102,7 @@
     std::shared_ptr<spdlog::logger> logger_ = loggerFor("config");
 
     mutable std::mutex mutex_;
+    mutable std::condition_variable publishedChanged_;
     std::shared_ptr<const ConfigState> published_;
     FollowerStatus status_;
     bool caughtUp_ = false;
@@ -132,4 +145,10 @@
     return d_->status();
 }
 
+std::shared_ptr<const ConfigState> ConfigFollower::waitBeyond(Offset position,
+                                                              milliseconds limit) const
+{
+    return d_->waitBeyond(position, limit);
+}
+
 } // namespace wisteria
--- a/Source/Process/ConfigFollower.h
+++ b/Source/Process/ConfigFollower.h
@@ -57,6 +57,10 @@
 
     FollowerStatus status() const;
 
+    /// Waits until the log was replayed beyond a position, at most for `limit`.
+    /// @return The state as of then, moved or not.
+    std::shared_ptr<const ConfigState> waitBeyond(Offset position, milliseconds limit) const;
+
 private:
     class Private;
     std::unique_ptr<Private> d_;
--- /dev/null
+++ b/Source/Version/ConfigEffect.cpp
@@ -0,0 +1,138 @@
+#include "Version/ConfigEffect.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+#include <xxhash.h>
+
+#include "Version/ConfigObject.h"
+#include "Version/ConfigView.h"
+
+namespace wisteria {
+
+namespace {
+
+/// A change that leaves less than this share of a capacity or quota needs a confirmation.
+constexpr double keptShare = 0.5;
+
+std::map<std::string, std::uint64_t> capacityByService(const ConfigView &view)
+{
+    std::map<std::string, std::uint64_t> capacity;
+    view.forEach(v1::OBJECT_KIND_BACKEND_SERVER, [&](const v1::Object &object) {
+        const v1::BackendServer &server = object.backend_server();
+        if (!server.draining())
+            capacity[server.service()] += server.concurrency();
+    });
+    return capacity;
+}
+
+void capacityEffects(const ConfigState &state, const v1::ChangeRecord &change,
+                     std::vector<std::string> &effects)
+{
+    const auto touches = [](const v1::ObjectChange &entry) {
+        return entry.kind() == v1::OBJECT_KIND_BACKEND_SERVER;
+    };
+    if (std::none_of(change.changes().begin(), change.changes().end(), touches))
+        return;
+    const auto before = capacityByService(ConfigView(state));
+    auto after = capacityByService(ConfigView(state, change));
+    for (const auto &[service, was] : before) {
+        const std::uint64_t is = after[service];
+        const std::string numbers = std::to_string(was) + " to " + std::to_string(is);
+        if (is == 0) {
+            effects.push_back("service '" + service
+                              + "' is left without a backend server in service");
+        } else if (static_cast<double>(is) < keptShare * static_cast<double>(was)) {
+            effects.push_back("service '" + service
+                              + "' loses more than half of its capacity, from " + numbers
+                              + " requests at once");
+        }
+    }
+}
+
+void quotaEffect(const std::string &owner, const char *field, double was, double is,
+                 std::vector<std::string> &effects)
+{
+    if (is < keptShare * was)
+        effects.push_back(owner + " loses more than half of its " + field);
+}
+
+void accessEffect(const v1::Organisation &was, const v1::Organisation &is,
+                  std::vector<std::string> &effects)
+{
+    if (is.services().empty())
+        return;
+    const std::string owner = "organisation '" + is.name() + "'";
+    const std::set<std::string> kept(is.services().begin(), is.services().end());
+    if (was.services().empty())
+        effects.push_back(owner + " is cut off from every service that it does not list");
+    for (const std::string &service : was.services()) {
+        if (!kept.contains(service))
+            effects.push_back(owner + " is cut off from service '" + service + "'");
+    }
+}
+
+void organisationEffects(const v1::Organisation &was, const v1::Organisation &is,
+                         std::vector<std::string> &effects)
+{
+    const std::string owner = "organisation '" + is.name() + "'";
+    quotaEffect(owner, "requests_per_second", was.requests_per_second(), is.requests_per_second(),
+                effects);
+    quotaEffect(owner, "concurrency", was.concurrency(), is.concurrency(), effects);
+    accessEffect(was, is, effects);
+}
+
+void objectEffects(const ConfigState &state, const v1::ObjectChange &entry,
+                   std::vector<std::string> &effects)
+{
+    const ObjectKey key{entry.kind(), entry.name()};
+    const auto removed = state.removed.find(key);
+    if (removed != state.removed.end() && !entry.remove()) {
+        effects.push_back(describeKey(key) + " comes back after version "
+                          + std::to_string(removed->second) + " removed it");
+    }
+    const auto held = state.objects.find(key);
+    if (held == state.objects.end())
+        return;
+    const bool cutsOff =
+        key.kind == v1::OBJECT_KIND_SERVICE || key.kind == v1::OBJECT_KIND_ORGANISATION;
+    if (entry.remove() && cutsOff)
+        effects.push_back(describeKey(key) + " is removed and its callers are cut off");
+    if (!entry.remove() && key.kind == v1::OBJECT_KIND_ORGANISATION) {
+        organisationEffects(held->second.object().organisation(), entry.content().organisation(),
+                            effects);
+    }
+}
+
+std::string hexadecimal(std::uint64_t value)
+{
+    constexpr std::array<char, 17> digits = {"0123456789abcdef"};
+    std::string text;
+    for (int shift = 60; shift >= 0; shift -= 4)
+        text.push_back(digits[(value >> shift) & 0xf]);
+    return text;
+}
+
+std::string digestOf(const v1::ChangeRecord &change, const std::vector<std::string> &effects)
+{
+    std::string text = hexadecimal(contentDigest(change));
+    for (const std::string &effect : effects)
+        text += "\n" + effect;
+    return hexadecimal(XXH3_64bits(text.data(), text.size()));
+}
+
+} // namespace
+
+ChangeEffects effectsOf(const ConfigState &state, const v1::ChangeRecord &change)
+{
+    ChangeEffects effects;
+    capacityEffects(state, change, effects.farReaching);
+    for (const v1::ObjectChange &entry : change.changes())
+        objectEffects(state, entry, effects.farReaching);
+    if (!effects.farReaching.empty())
+        effects.digest = digestOf(change, effects.farReaching);
+    return effects;
+}
+
+} // namespace wisteria
--- a/Source/Version/ConfigState.cpp
+++ b/Source/Version/ConfigState.cpp
@@ -1,27 +1,99 @@
 #include "Version/ConfigState.h"
 
+#include "Version/ConfigCheck.h"
+#include "Version/ConfigJudge.h"
+#include "Version/ConfigObject.h"
+
 namespace wisteria {
 
-ReplayVerdict replayRecord(ConfigState &state, const LogRecord &record)
+namespace {
+
+/// Drops what no acceptable record can refer to any more; see changeWindow.
+void forgetOld(ConfigState &state)
 {
-    if (record.offset <= state.position)
-        return {false, "this record was replayed before"};
-    state.position = record.offset;
-    v1::ConfigRecord parsed;
-    if (!parsed.ParseFromString(record.data) || !parsed.has_change())
-        return {false, "the record is not a change; append changes through wisteria-admin"};
-    for (const v1::ObjectChange &change : parsed.change().changes()) {
-        const ObjectKey key{change.kind(), change.name()};
-        if (change.remove()) {
+    const auto isOld = [&](Offset offset) { return offset + changeWindow < state.position; };
+    std::erase_if(state.seen, [&](const auto &entry) { return isOld(entry.second.offset()); });
+    std::erase_if(state.removed, [&](const auto &entry) { return isOld(entry.second); });
+}
+
+ReplayVerdict repeated(const v1::SeenChange &seen, const v1::ChangeRecord &change)
+{
+    const std::string at = std::to_string(seen.offset());
+    if (seen.content_digest() != contentDigest(change) && !change.cancel()) {
+        return {false,
+                "change id " + change.change_id() + " was used at offset " + at
+                    + " for something else; give a new change id"};
+    }
+    return {false, "a repeat of the change at offset " + at + ", which has its verdict"};
+}
+
+void applyChange(ConfigState &state, Offset offset, const v1::ChangeRecord &change)
+{
+    for (const v1::ObjectChange &entry : change.changes()) {
+        const ObjectKey key{entry.kind(), entry.name()};
+        if (entry.remove()) {
             state.objects.erase(key);
+            state.removed[key] = offset;
             continue;
         }
         v1::VersionedObject &object = state.objects[key];
-        *object.mutable_object() = change.content();
-        object.set_version(record.offset);
+        *object.mutable_object() = entry.content();
+        object.set_version(offset);
+        state.removed.erase(key);
+    }
+    state.version = offset;
+    state.rulesVersion = change.rules_version();
+}
+
+void remember(ConfigState &state, Offset offset, const v1::ChangeRecord &change,
+              const ReplayVerdict &verdict)
+{
+    v1::SeenChange &seen = state.seen[change.change_id()];
+    seen.set_change_id(change.change_id());
+    seen.set_offset(offset);
+    seen.set_accepted(verdict.accepted);
+    seen.set_reason(verdict.reason);
+    seen.set_content_digest(contentDigest(change));
+}
+
+ReplayVerdict replayChange(ConfigState &state, Offset offset, const v1::ChangeRecord &change)
+{
+    if (auto shape = checkShape(change); !shape)
+        return {false, shape.error().message};
+    const auto seen = state.seen.find(change.change_id());
+    if (seen != state.seen.end())
+        return repeated(seen->second, change);
+    const ChangeJudgement judgement = judgeChange(state, offset, change);
+    const ReplayVerdict verdict{judgement.acceptable, judgement.reason};
+    if (verdict.accepted)
+        applyChange(state, offset, change);
+    remember(state, offset, change, verdict);
+    return verdict;
+}
+
+} // namespace
+
+ReplayVerdict replayRecord(ConfigState &state, const LogRecord &record)
+{
+    if (record.offset <= state.position)
+        return {false, "this record was replayed before"};
+    v1::ConfigRecord parsed;
+    const bool readable = parsed.ParseFromString(record.data);
+    // Failure guarded against: an old release that rejects, or half understands, a record of a
+    // newer one and from then on holds another state than the rest. It stops before the record
+    // instead, keeps its last state and says what to do.
+    if (readable && parsed.has_change() && parsed.change().rules_version() > newestRules) {
+        return {false,
+                "the record at offset " + std::to_string(record.offset) + " needs rules "
+                    + std::to_string(parsed.change().rules_version()) + " but this program knows "
+                    + std::to_string(newestRules) + "; upgrade this process",
+                true};
     }
-    state.version = record.offset;
-    return {true, ""};
+    state.position = record.offset;
+    forgetOld(state);
+    if (!readable || !parsed.has_change())
+        return {false, "the record is not a change; append changes through wisteria-admin"};
+    return replayChange(state, record.offset, parsed.change());
 }
 
 } // namespace wisteria
--- a/Source/Version/ConfigState.h
+++ b/Source/Version/ConfigState.h
@@ -27,8 +27,13 @@
     Offset version = 0;
     /// Offset of the newest record that was replayed, accepted or not.
     Offset position = 0;
-    /// Verdicts by change id, so that a repeated record has no second effect.
+    /// Verdicts by change id, so that a repeated record has no second effect; the newest
+    /// changeWindow offsets are kept.
     std::map<std::string, v1::SeenChange> seen;
+    /// Offsets at which objects were removed; the newest changeWindow offsets are kept.
+    std::map<ObjectKey, Offset> removed;
+    /// Highest rules that an accepted change was checked by.
+    std::uint32_t rulesVersion = 0;
 };
 
 /// What replay made of one record.
@@ -42,7 +47,8 @@
 };
 
 /// Replays one record of the configuration stream onto the state. Deterministic: depends on the
-/// state and the record alone. Records at or below `state.position` are ignored.
+/// state and the record alone. Records at or below `state.position` are ignored. A change is taken
+/// as a whole or not at all.
 ReplayVerdict replayRecord(ConfigState &state, const LogRecord &record);
 
 } // namespace wisteria
--- a/Source/Version/Snapshot.cpp
+++ b/Source/Version/Snapshot.cpp
@@ -1,27 +1,9 @@
 #include "Version/Snapshot.h"
 
-namespace wisteria {
-
-namespace {
-
-ObjectKey keyOf(const v1::Object &object)
-{
-    switch (object.content_case()) {
-    case v1::Object::kService:
-        return {v1::OBJECT_KIND_SERVICE, object.service().name()};
-    case v1::Object::kBackendServer:
-        return {v1::OBJECT_KIND_BACKEND_SERVER, object.backend_server().name()};
-    case v1::Object::kOrganisation:
-        return {v1::OBJECT_KIND_ORGANISATION, object.organisation().name()};
-    case v1::Object::kRoutingPolicy:
-        return {v1::OBJECT_KIND_ROUTING_POLICY, object.routing_policy().name()};
-    case v1::Object::CONTENT_NOT_SET:
-        break;
-    }
-    return {};
-}
+#include "Version/ConfigJudge.h"
+#include "Version/ConfigObject.h"
 
-} // namespace
+namespace wisteria {
 
 v1::SnapshotRecord snapshotOf(const ConfigState &state)
 {
@@ -32,6 +14,13 @@
         *snapshot.add_objects() = object;
     for (const auto &[id, seen] : state.seen)
         *snapshot.add_seen() = seen;
+    for (const auto &[key, version] : state.removed) {
+        v1::RemovedObject &removed = *snapshot.add_removed();
+        removed.set_kind(key.kind);
+        removed.set_name(key.name);
+        removed.set_version(version);
+    }
+    snapshot.set_rules_version(state.rulesVersion);
     return snapshot;
 }
 
@@ -39,6 +28,8 @@
 {
     if (snapshot.as_of() <= state.position || snapshot.version() < state.version)
         return false;
+    if (snapshot.rules_version() > newestRules)
+        return false;
     ConfigState adopted;
     adopted.position = snapshot.as_of();
     adopted.version = snapshot.version();
@@ -46,8 +37,30 @@
         adopted.objects[keyOf(object.object())] = object;
     for (const v1::SeenChange &seen : snapshot.seen())
         adopted.seen[seen.change_id()] = seen;
+    for (const v1::RemovedObject &removed : snapshot.removed())
+        adopted.removed[{removed.kind(), removed.name()}] = removed.version();
+    adopted.rulesVersion = snapshot.rules_version();
     state = std::move(adopted);
     return true;
 }
 
+void noteNewestSnapshot(SnapshotSchedule &schedule, Offset newest, bool fresh, TimePoint now)
+{
+    if (newest <= schedule.newest)
+        return;
+    schedule.newest = newest;
+    if (fresh)
+        schedule.seenAt = now;
+}
+
+bool snapshotDue(const SnapshotSchedule &schedule, Offset position, milliseconds period,
+                 TimePoint now)
+{
+    if (position == 0)
+        return false;
+    if (position >= schedule.newest + recordsPerSnapshot)
+        return true;
+    return !schedule.seenAt || now - *schedule.seenAt >= period;
+}
+
 } // namespace wisteria
--- a/Tests/Version/ConfigStateTest.cpp
+++ b/Tests/Version/ConfigStateTest.cpp
@@ -2,22 +2,10 @@
 
 #include <catch2/catch.hpp>
 
-using namespace wisteria;
-
-namespace {
-
-LogRecord serviceRecord(Offset offset, const std::string &name)
-{
-    v1::ConfigRecord record;
-    record.mutable_change()->set_change_id("change-" + std::to_string(offset));
-    v1::ObjectChange &change = *record.mutable_change()->add_changes();
-    change.set_kind(v1::OBJECT_KIND_SERVICE);
-    change.set_name(name);
-    change.mutable_content()->mutable_service()->set_name(name);
-    return {offset, record.SerializeAsString()};
-}
+#include "Version/ConfigRecords.h"
 
-} // namespace
+using namespace wisteria;
+using namespace wisteria::test;
 
 TEST_CASE("An accepted record sets the version of the objects that it names")
 {
