Carry requests from callers through entry and agent as processes

Cause: the decisions of the request path had no sockets around them. Change: CallerSession, EntryWorker and EntryProcess; AgentWorker and AgentProcess; callers' protocol, settings, metrics, graceful shutdown. Ruled out: one daemon of libmicrohttpd with threads of its own, since each request would change threads twice; its epoll descriptor runs on the loop.

--- /dev/null
+++ b/Source/Process/AgentProcess.cpp
@@ -0,0 +1,88 @@
+#include "Process/AgentProcess.h"
+
+#include <iostream>
+#include <utility>
+
+#include "Connection/HttpLogClient.h"
+#include "Process/AgentWorker.h"
+#include "Process/ConfigFollower.h"
+#include "Process/ConfigReader.h"
+#include "Process/EventLoop.h"
+#include "Process/Logging.h"
+#include "Process/Metrics.h"
+#include "Process/ShutdownSignal.h"
+
+namespace wisteria {
+
+namespace {
+
+/// Lives of an agent are told apart by their start on the wall clock.
+std::uint64_t newIncarnation()
+{
+    return static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
+}
+
+} // namespace
+
+class AgentProcess::Private
+{
+public:
+    explicit Private(AgentSettings settings)
+        : settings_(std::move(settings)), signal_(loop_, [this] { beginShutdown(); }),
+          log_(settings_.logUrl), follower_(log_),
+          worker_(settings_, newIncarnation(), metrics_,
+                  {.snapshotOffered = [this](v1::SnapshotRecord snapshot) {
+                      loop_.post([this, snapshot = std::move(snapshot)] {
+                          if (reader_)
+                              reader_->offer(snapshot);
+                      });
+                  }})
+    { }
+
+    Result<void> run()
+    {
+        BOOST_OUTCOME_TRY(metrics, metrics_.listen(settings_.metricsListen));
+        BOOST_OUTCOME_TRY(peer, worker_.listen(settings_.peerListen));
+        worker_.start();
+        ConfigReader reader(follower_, [this](std::shared_ptr<const ConfigState> config) {
+            worker_.configure(std::move(config));
+        });
+        reader_ = &reader;
+        std::cout << "ready peer=" << peer << " metrics=" << metrics << std::endl;
+        loggerFor("agent")->info("Standing before {} on {}.", settings_.backendUrl, peer);
+        loop_.run();
+        reader_ = nullptr;
+        return boost::outcome_v2::success();
+    }
+
+private:
+    void beginShutdown()
+    {
+        if (std::exchange(leaving_, true))
+            return;
+        worker_.leave([this] { loop_.post([this] { loop_.stop(); }); });
+    }
+
+    AgentSettings settings_;
+    Metrics metrics_;
+    EventLoop loop_;
+    ShutdownSignal signal_;
+    HttpLogClient log_;
+    ConfigFollower follower_;
+    ConfigReader *reader_ = nullptr;
+    bool leaving_ = false;
+    AgentWorker worker_;
+};
+
+AgentProcess::AgentProcess(AgentSettings settings)
+    : private_(std::make_unique<Private>(std::move(settings)))
+{ }
+
+AgentProcess::~AgentProcess() = default;
+
+Result<void> AgentProcess::run()
+{
+    return private_->run();
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Process/AgentWorker.cpp
@@ -0,0 +1,565 @@
+#include "Process/AgentWorker.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "Connection/BackendClient.h"
+#include "Connection/FrameCodec.h"
+#include "Connection/PeerCall.h"
+#include "Connection/PeerPool.h"
+#include "Connection/PeerServer.h"
+#include "Peer.pb.h"
+#include "Process/EventLoop.h"
+#include "Process/Logging.h"
+#include "Version/Snapshot.h"
+
+namespace wisteria {
+
+namespace {
+
+constexpr milliseconds tickInterval(20);
+constexpr milliseconds healthInterval(250);
+constexpr milliseconds healthTimeout(1000);
+constexpr milliseconds handoverInterval(200);
+constexpr milliseconds idleCheck(20);
+/// Bytes that may wait for a slow entry before the backend server is held back.
+constexpr std::size_t pauseAboveBytes = 256 * 1024;
+
+/// One attempt as the shell holds it.
+struct Run
+{
+    v1::RunHead head;
+    std::string body;
+    TimePoint deadline;
+    std::optional<BackendClient::CallId> call;
+    bool accepted = false;
+    std::uint32_t httpStatus = 0;
+    std::string contentType;
+    std::uint64_t answerBytes = 0;
+    /// The answer so far, while it is small enough to be kept for a repeat.
+    std::optional<std::string> kept = std::string();
+    /// The backend server's connection broke; whether it died is being found out.
+    bool cut = false;
+};
+
+std::string hexadecimal(const std::string &bytes)
+{
+    constexpr char digits[] = "0123456789abcdef";
+    std::string text;
+    for (const unsigned char byte : bytes) {
+        text.push_back(digits[byte >> 4]);
+        text.push_back(digits[byte & 0x0f]);
+    }
+    return text;
+}
+
+} // namespace
+
+class AgentWorker::Private : public PeerService
+{
+public:
+    Private(const AgentSettings &settings, std::uint64_t incarnation, Metrics &metrics,
+            AgentWorkerEvents events)
+        : name_(settings.name), metrics_(metrics), events_(std::move(events)),
+          server_(loop_, *this), backend_(loop_, settings.backendUrl),
+          peers_(loop_, PeerTimeouts{}), logger_(loggerFor("agent"))
+    {
+        gate_.ownName = settings.name;
+        gate_.incarnation = incarnation;
+        incarnation_ = incarnation;
+    }
+
+    ~Private() override
+    {
+        loop_.stop();
+        if (thread_.joinable())
+            thread_.join();
+    }
+
+    void start()
+    {
+        tickLater();
+        checkHealth();
+        askHandovers();
+        thread_ = std::thread([this] { loop_.run(); });
+    }
+
+    void requestReceived(PeerStreamId stream, const std::string &path,
+                         std::vector<std::string> frames) override
+    {
+        if (path == "/v1/run")
+            return runReceived(stream, frames);
+        if (frames.size() != 1)
+            return server_.abort(stream);
+        if (path == "/v1/heartbeat")
+            return heartbeatReceived(stream, frames.front());
+        if (path == "/v1/config")
+            return configAsked(stream, frames.front());
+        if (path == "/v1/handover")
+            return handoverAsked(stream, frames.front());
+        server_.abort(stream);
+    }
+
+    void streamCancelled(PeerStreamId stream) override
+    {
+        if (!runs_.contains(stream))
+            return;
+        perform(wisteria::streamCancelled(gate_, stream, monotonicNow()));
+        // A run under a key goes on without its entry, so that a repeat finds the answer.
+        const auto run = runs_.find(stream);
+        if (run != runs_.end() && !run->second.call)
+            runs_.erase(run);
+    }
+
+    void streamDrained(PeerStreamId stream) override
+    {
+        const auto run = runs_.find(stream);
+        if (run != runs_.end() && run->second.call)
+            backend_.setPaused(*run->second.call, false);
+    }
+
+    void configure(const std::shared_ptr<const ConfigState> &config)
+    {
+        config_ = config;
+        perform(setGateConfiguration(gate_, *config, name_, monotonicNow(), wallNow()));
+        metrics_.set("wisteria_config_version", "Configuration version in force.",
+                     static_cast<double>(config->version));
+    }
+
+    void noteVmGone(const std::string &vm) { vmGone(gate_, vm, monotonicNow(), wallNow()); }
+
+    void leave(std::function<void()> idleCallback)
+    {
+        logger_->info("Leaving: {} streams are open.", server_.openStreams());
+        perform(beginLeaving(gate_, monotonicNow()));
+        server_.beginShutdown();
+        waitUntilIdle(std::move(idleCallback));
+    }
+
+    EventLoop &loop() { return loop_; }
+    PeerServer &server() { return server_; }
+
+private:
+    void runReceived(PeerStreamId stream, const std::vector<std::string> &frames)
+    {
+        Run run;
+        if (!readRun(frames, run))
+            return refuseUnread(stream);
+        const TimePoint now = monotonicNow();
+        run.deadline = now + milliseconds(run.head.remaining_ms());
+        const v1::RunHead head = run.head;
+        runs_[stream] = std::move(run);
+        perform(runArrived(gate_, stream, head, now, wallNow()));
+    }
+
+    static bool readRun(const std::vector<std::string> &frames, Run &run)
+    {
+        for (const std::string &content : frames) {
+            v1::RunFrame frame;
+            if (!frame.ParseFromString(content))
+                return false;
+            if (frame.has_head())
+                run.head = frame.head();
+            else
+                run.body += frame.body();
+        }
+        return !run.head.request_id().empty() && run.head.body_bytes() == run.body.size();
+    }
+
+    void refuseUnread(PeerStreamId stream)
+    {
+        logger_->warn("A peer sent an attempt that can't be read; check that both run matching "
+                      "releases.");
+        v1::AgentFrame frame;
+        frame.mutable_verdict()->set_kind(v1::VERDICT_KIND_NOT_RUN);
+        frame.mutable_verdict()->set_reason(v1::REASON_BAD_REQUEST);
+        sendFrame(stream, frame, true);
+    }
+
+    void perform(const GateActions &actions)
+    {
+        for (const GateAction &action : actions)
+            std::visit([this](const auto &one) { performOne(one); }, action);
+    }
+
+    void performOne(const StartBackend &action)
+    {
+        const auto found = runs_.find(action.stream);
+        if (found == runs_.end())
+            return;
+        Run &run = found->second;
+        const milliseconds left = remaining(monotonicNow(), run.deadline);
+        BackendCall call{.service = run.head.service(),
+                         .requestId = hexadecimal(run.head.request_id()),
+                         .key = run.head.key(),
+                         .priority = run.head.priority(),
+                         .deadline = left,
+                         .body = std::exchange(run.body, {})};
+        run.call =
+            backend_.start(std::move(call), std::make_shared<AnswerHandler>(*this, action.stream));
+    }
+
+    void performOne(const RefuseAttempt &action)
+    {
+        const auto found = runs_.find(action.stream);
+        if (found == runs_.end() || found->second.accepted)
+            return;
+        v1::AgentFrame frame = frameFor(found->second.head);
+        *frame.mutable_verdict() = action.verdict;
+        sendFrame(action.stream, frame, true);
+        countRun(v1::VerdictKind_Name(action.verdict.kind()));
+        runs_.erase(found);
+    }
+
+    void performOne(const ReplayAnswer &action)
+    {
+        const auto found = runs_.find(action.stream);
+        if (found == runs_.end())
+            return;
+        const v1::RunHead head = found->second.head;
+        sendAccepted(action.stream, head, action.httpStatus, action.contentType);
+        sendChunk(action.stream, head, action.body);
+        sendEnd(action.stream, head, true, action.body.size());
+        countRun("replayed");
+        runs_.erase(found);
+    }
+
+    void performOne(const CancelBackend &action)
+    {
+        const auto found = runs_.find(action.stream);
+        if (found == runs_.end())
+            return;
+        if (found->second.call)
+            backend_.cancel(*found->second.call);
+        runs_.erase(found);
+    }
+
+    /// Feeds one call's answer into the worker.
+    class AnswerHandler : public BackendCallHandler
+    {
+    public:
+        AnswerHandler(Private &worker, PeerStreamId stream) : worker_(worker), stream_(stream) { }
+
+        void answerStarted(std::uint32_t status, const std::string &contentType) override
+        {
+            worker_.answerStarted(stream_, status, contentType);
+        }
+
+        void answerBytes(std::string_view bytes) override { worker_.answerBytes(stream_, bytes); }
+
+        void answerEnded(BackendCallEnd end) override { worker_.answerEnded(stream_, end); }
+
+    private:
+        Private &worker_;
+        PeerStreamId stream_;
+    };
+
+    void answerStarted(PeerStreamId stream, std::uint32_t status, const std::string &contentType)
+    {
+        const auto found = runs_.find(stream);
+        if (found == runs_.end())
+            return;
+        Run &run = found->second;
+        run.accepted = true;
+        run.httpStatus = status;
+        run.contentType = contentType;
+        sendAccepted(stream, run.head, status, contentType);
+    }
+
+    void answerBytes(PeerStreamId stream, std::string_view bytes)
+    {
+        const auto found = runs_.find(stream);
+        if (found == runs_.end())
+            return;
+        Run &run = found->second;
+        run.answerBytes += bytes.size();
+        if (run.kept && run.kept->size() + bytes.size() <= maxStoredAnswerBytes)
+            run.kept->append(bytes);
+        else
+            run.kept.reset();
+        sendChunk(stream, run.head, bytes);
+        if (server_.queuedBytes(stream) > pauseAboveBytes)
+            backend_.setPaused(*run.call, true);
+    }
+
+    void answerEnded(PeerStreamId stream, BackendCallEnd end)
+    {
+        const auto found = runs_.find(stream);
+        if (found == runs_.end())
+            return;
+        found->second.call.reset();
+        if (end == BackendCallEnd::Cut) {
+            // A broken connection may be the death of the backend server: its health decides,
+            // since only a death makes suspects of what ran.
+            found->second.cut = true;
+            return checkHealthNow();
+        }
+        endRun(stream,
+               end == BackendCallEnd::Complete           ? BackendEnd::Answered
+                   : end == BackendCallEnd::NotConnected ? BackendEnd::Refused
+                                                         : BackendEnd::TimedOut);
+    }
+
+    void endRun(PeerStreamId stream, BackendEnd end)
+    {
+        const auto found = runs_.find(stream);
+        if (found == runs_.end())
+            return;
+        Run &run = found->second;
+        BackendResult result{end, run.httpStatus, run.contentType, std::nullopt};
+        if (end == BackendEnd::Answered)
+            result.body = run.kept;
+        const bool accepted = run.accepted;
+        const GateActions actions = backendEnded(gate_, stream, result, monotonicNow());
+        if (accepted) {
+            sendEnd(stream, run.head, end == BackendEnd::Answered, run.answerBytes);
+            countRun(end == BackendEnd::Answered ? "answered" : "cut");
+            runs_.erase(found);
+        }
+        perform(actions);
+    }
+
+    void sendAccepted(PeerStreamId stream, const v1::RunHead &head, std::uint32_t status,
+                      const std::string &contentType)
+    {
+        v1::AgentFrame frame = frameFor(head);
+        frame.mutable_verdict()->set_kind(v1::VERDICT_KIND_ACCEPTED);
+        frame.mutable_verdict()->set_http_status(status);
+        frame.mutable_verdict()->set_content_type(contentType);
+        sendFrame(stream, frame, false);
+    }
+
+    void sendChunk(PeerStreamId stream, const v1::RunHead &head, std::string_view bytes)
+    {
+        v1::AgentFrame frame = frameFor(head);
+        frame.set_chunk(std::string(bytes));
+        sendFrame(stream, frame, false);
+    }
+
+    void sendEnd(PeerStreamId stream, const v1::RunHead &head, bool complete, std::uint64_t bytes)
+    {
+        v1::AgentFrame frame = frameFor(head);
+        frame.mutable_end()->set_complete(complete);
+        frame.mutable_end()->set_bytes(bytes);
+        sendFrame(stream, frame, true);
+    }
+
+    /// Every frame says which request and attempt it answers, so that no hop can mistake it.
+    v1::AgentFrame frameFor(const v1::RunHead &head) const
+    {
+        v1::AgentFrame frame;
+        frame.set_request_id(head.request_id());
+        frame.set_attempt(head.attempt());
+        frame.set_config_version(gate_.configVersion);
+        *frame.mutable_load() = loadReport(gate_);
+        return frame;
+    }
+
+    void sendFrame(PeerStreamId stream, const google::protobuf::MessageLite &frame, bool last)
+    {
+        std::string out;
+        appendFrame(out, frame);
+        server_.reply(stream, out, last);
+    }
+
+    void heartbeatReceived(PeerStreamId stream, const std::string &content)
+    {
+        v1::Heartbeat heartbeat;
+        if (!heartbeat.ParseFromString(content))
+            return server_.abort(stream);
+        const TimePoint now = monotonicNow();
+        for (const v1::SuspectReport &report : heartbeat.suspects())
+            mergeSuspectReport(gate_.suspects, report, now);
+        if (heartbeat.config_version() > gate_.configVersion)
+            fetchConfig(heartbeat.address());
+        v1::Heartbeat reply;
+        reply.set_process(name_);
+        reply.set_role("agent");
+        reply.set_incarnation(incarnation_);
+        reply.set_config_version(gate_.configVersion);
+        reply.set_state(gate_.leaving ? "leaving" : "serving");
+        *reply.mutable_load() = loadReport(gate_);
+        for (const v1::SuspectReport &report : suspectReports(gate_.suspects, now))
+            *reply.add_suspects() = report;
+        sendFrame(stream, reply, true);
+    }
+
+    void fetchConfig(const std::string &address)
+    {
+        if (address.empty() || std::exchange(fetching_, true))
+            return;
+        v1::ConfigFetch fetch;
+        fetch.set_newer_than(gate_.configVersion);
+        callPeer<v1::ConfigFetchReply>(peers_.clientFor(address), "/v1/config", fetch,
+                                       [this](const std::optional<v1::ConfigFetchReply> &reply) {
+                                           fetching_ = false;
+                                           if (reply && reply->has_snapshot())
+                                               events_.snapshotOffered(reply->snapshot());
+                                       });
+    }
+
+    void configAsked(PeerStreamId stream, const std::string &content)
+    {
+        v1::ConfigFetch fetch;
+        if (!fetch.ParseFromString(content))
+            return server_.abort(stream);
+        v1::ConfigFetchReply reply;
+        if (config_ && config_->version > fetch.newer_than())
+            *reply.mutable_snapshot() = snapshotOf(*config_);
+        sendFrame(stream, reply, true);
+    }
+
+    void handoverAsked(PeerStreamId stream, const std::string &content)
+    {
+        v1::KeyHandover question;
+        if (!question.ParseFromString(content))
+            return server_.abort(stream);
+        sendFrame(stream, answerHandover(gate_, question), true);
+    }
+
+    void askHandovers()
+    {
+        for (const HandoverWanted &wanted : handoversWanted(gate_)) {
+            if (!asked_.insert(wanted.formerHome).second)
+                continue;
+            callPeer<v1::KeyHandoverReply>(
+                peers_.clientFor(wanted.address), "/v1/handover", wanted.message,
+                [this, home = wanted.formerHome](const std::optional<v1::KeyHandoverReply> &reply) {
+                    asked_.erase(home);
+                    if (reply)
+                        handoverAnswered(gate_, home, *reply, monotonicNow(), wallNow());
+                });
+        }
+        loop_.runAfter(handoverInterval, [this] { askHandovers(); });
+    }
+
+    void tickLater()
+    {
+        loop_.runAfter(tickInterval, [this] {
+            perform(tick(gate_, monotonicNow(), wallNow()));
+            tickLater();
+        });
+    }
+
+    void checkHealth()
+    {
+        checkHealthNow();
+        loop_.runAfter(healthInterval, [this] { checkHealth(); });
+    }
+
+    /// Hears how a health check ended.
+    class HealthHandler : public BackendCallHandler
+    {
+    public:
+        explicit HealthHandler(Private &worker) : worker_(worker) { }
+        void answerStarted(std::uint32_t, const std::string &) override { }
+        void answerBytes(std::string_view) override { }
+        void answerEnded(BackendCallEnd end) override { worker_.healthChecked(end); }
+
+    private:
+        Private &worker_;
+    };
+
+    void checkHealthNow()
+    {
+        if (std::exchange(checkingHealth_, true))
+            return;
+        backend_.checkHealth(healthTimeout, std::make_shared<HealthHandler>(*this));
+    }
+
+    void healthChecked(BackendCallEnd end)
+    {
+        checkingHealth_ = false;
+        // A late answer is a stall and no death: what runs there may still end well.
+        const bool died = end == BackendCallEnd::NotConnected || end == BackendCallEnd::Cut;
+        const bool wasUp = gate_.backendUp;
+        if (died && wasUp)
+            logger_->warn("The backend server died with {} running.", gate_.running.size());
+        if (end == BackendCallEnd::Complete && !wasUp)
+            logger_->info("The backend server is up.");
+        if (died || end == BackendCallEnd::Complete)
+            perform(backendHealth(gate_, !died, monotonicNow()));
+        endCutRuns(died ? BackendEnd::Died : BackendEnd::Cut);
+    }
+
+    void endCutRuns(BackendEnd end)
+    {
+        std::vector<PeerStreamId> cut;
+        for (const auto &[stream, run] : runs_) {
+            if (run.cut)
+                cut.push_back(stream);
+        }
+        for (const PeerStreamId stream : cut)
+            endRun(stream, end);
+    }
+
+    void waitUntilIdle(std::function<void()> idleCallback)
+    {
+        if (idle(gate_) && server_.openStreams() == 0)
+            return idleCallback();
+        loop_.runAfter(idleCheck, [this, idleCallback = std::move(idleCallback)]() mutable {
+            waitUntilIdle(std::move(idleCallback));
+        });
+    }
+
+    void countRun(const std::string &end)
+    {
+        metrics_.count("wisteria_agent_attempts_total", "Attempts by how they ended.",
+                       {{"end", end}});
+    }
+
+    std::string name_;
+    Metrics &metrics_;
+    AgentWorkerEvents events_;
+    std::uint64_t incarnation_ = 0;
+    EventLoop loop_;
+    GateState gate_;
+    PeerServer server_;
+    BackendClient backend_;
+    PeerPool peers_;
+    std::shared_ptr<spdlog::logger> logger_;
+    std::shared_ptr<const ConfigState> config_;
+    std::map<PeerStreamId, Run> runs_;
+    std::set<std::string> asked_;
+    bool fetching_ = false;
+    bool checkingHealth_ = false;
+    std::thread thread_;
+};
+
+AgentWorker::AgentWorker(const AgentSettings &settings, std::uint64_t incarnation, Metrics &metrics,
+                         AgentWorkerEvents events)
+    : private_(std::make_unique<Private>(settings, incarnation, metrics, std::move(events)))
+{ }
+
+AgentWorker::~AgentWorker() = default;
+
+Result<std::string> AgentWorker::listen(const std::string &address)
+{
+    return private_->server().listen(address);
+}
+
+void AgentWorker::start()
+{
+    private_->start();
+}
+
+void AgentWorker::configure(std::shared_ptr<const ConfigState> config)
+{
+    private_->loop().post([this, config = std::move(config)] { private_->configure(config); });
+}
+
+void AgentWorker::noteVmGone(const std::string &vm)
+{
+    private_->loop().post([this, vm] { private_->noteVmGone(vm); });
+}
+
+void AgentWorker::leave(std::function<void()> idle)
+{
+    private_->loop().post([this, idle = std::move(idle)] { private_->leave(idle); });
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Process/ConfigReader.cpp
@@ -0,0 +1,125 @@
+#include "Process/ConfigReader.h"
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <utility>
+
+#include "Process/Logging.h"
+#include "Process/Time.h"
+
+namespace wisteria {
+
+namespace {
+
+constexpr milliseconds logWait(1000);
+/// Pause after the log gave no answer.
+constexpr milliseconds retryPause(200);
+
+} // namespace
+
+class ConfigReader::Private
+{
+public:
+    Private(ConfigFollower &follower, Changed changed)
+        : follower_(follower), changed_(std::move(changed)), thread_([this] { run(); })
+    { }
+
+    ~Private()
+    {
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            stopping_ = true;
+        }
+        wake_.notify_all();
+        thread_.join();
+    }
+
+    void offer(v1::SnapshotRecord snapshot)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        // Only the newest offer matters, and the queue stays bounded.
+        offered_ = std::move(snapshot);
+        wake_.notify_all();
+    }
+
+private:
+    void run()
+    {
+        while (!stopping()) {
+            const auto moved = follower_.poll(logWait);
+            noteReachable(moved.has_value());
+            if (const auto snapshot = takeOffer())
+                follower_.adopt(*snapshot);
+            handOn();
+            if (moved.has_error())
+                pause();
+        }
+    }
+
+    void handOn()
+    {
+        if (!follower_.usable())
+            return;
+        auto state = follower_.state();
+        if (handedOn_ && *handedOn_ == state->version)
+            return;
+        handedOn_ = state->version;
+        loggerFor("config")->info("Version {} is in force.", state->version);
+        changed_(std::move(state));
+    }
+
+    void noteReachable(bool reachable)
+    {
+        if (reachable == reachable_)
+            return;
+        reachable_ = reachable;
+        if (reachable)
+            loggerFor("config")->info("The log answers.");
+        else
+            loggerFor("config")->warn("The log does not answer; the present version stays.");
+    }
+
+    bool stopping()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return stopping_;
+    }
+
+    std::optional<v1::SnapshotRecord> takeOffer()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return std::exchange(offered_, std::nullopt);
+    }
+
+    void pause()
+    {
+        std::unique_lock<std::mutex> lock(mutex_);
+        wake_.wait_for(lock, retryPause, [this] { return stopping_ || offered_.has_value(); });
+    }
+
+    ConfigFollower &follower_;
+    Changed changed_;
+    bool reachable_ = true;
+    std::optional<Offset> handedOn_;
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    bool stopping_ = false;
+    std::optional<v1::SnapshotRecord> offered_;
+    std::thread thread_;
+};
+
+ConfigReader::ConfigReader(ConfigFollower &follower, Changed changed)
+    : private_(std::make_unique<Private>(follower, std::move(changed)))
+{ }
+
+ConfigReader::~ConfigReader() = default;
+
+void ConfigReader::offer(v1::SnapshotRecord snapshot)
+{
+    private_->offer(std::move(snapshot));
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Process/EntryProcess.cpp
@@ -0,0 +1,253 @@
+#include "Process/EntryProcess.h"
+
+#include <iostream>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "Connection/HttpLogClient.h"
+#include "Connection/PeerCall.h"
+#include "Connection/PeerPool.h"
+#include "Connection/PeerServer.h"
+#include "Peer.pb.h"
+#include "Process/ConfigFollower.h"
+#include "Process/ConfigReader.h"
+#include "Process/EntryWorker.h"
+#include "Process/EventLoop.h"
+#include "Process/Logging.h"
+#include "Process/Metrics.h"
+#include "Process/ShutdownSignal.h"
+// The control loop keeps routing state of its own, to know whom to ask for a sign of life.
+#include "Request/EntryRequest.h"
+#include "Version/Snapshot.h"
+
+namespace wisteria {
+
+namespace {
+
+constexpr milliseconds heartbeatInterval(1000);
+constexpr milliseconds shutdownCheck(20);
+/// Heartbeats fail faster than traffic, so that a frozen agent is noticed within two of them.
+constexpr PeerTimeouts heartbeatTimeouts{.connect = milliseconds(500),
+                                         .ping = milliseconds(500),
+                                         .silence = milliseconds(1500),
+                                         .backoff = milliseconds(200)};
+
+} // namespace
+
+class EntryProcess::Private : public PeerService
+{
+public:
+    explicit Private(EntrySettings settings)
+        : settings_(std::move(settings)), log_(settings_.logUrl), follower_(log_),
+          peers_(loop_, heartbeatTimeouts), peerServer_(loop_, *this),
+          signal_(loop_, [this] { beginShutdown(); }), logger_(loggerFor("entry"))
+    {
+        state_.ownName = settings_.name;
+        state_.failureDomain = settings_.failureDomain;
+        state_.entryNames = {settings_.name};
+    }
+
+    Result<void> run()
+    {
+        BOOST_OUTCOME_TRY(metricsAddress, metrics_.listen(settings_.metricsListen));
+        BOOST_OUTCOME_TRY(peerAddress, peerServer_.listen(settings_.peerListen));
+        metricsAddress_ = metricsAddress;
+        peerAddress_ = peerAddress;
+        ConfigReader reader(follower_, [this](std::shared_ptr<const ConfigState> config) {
+            loop_.post([this, config = std::move(config)] { configure(config); });
+        });
+        reader_ = &reader;
+        loop_.run();
+        if (failed_)
+            return *failed_;
+        return boost::outcome_v2::success();
+    }
+
+    void requestReceived(PeerStreamId stream, const std::string &path,
+                         std::vector<std::string> frames) override
+    {
+        if (path == "/v1/config")
+            return answerConfig(stream, frames);
+        peerServer_.abort(stream);
+    }
+
+    void streamCancelled(PeerStreamId) override { }
+
+private:
+    /// The first usable configuration opens the doors: a process that has not caught up with the
+    /// log would serve by a configuration that may have been replaced long ago.
+    void configure(const std::shared_ptr<const ConfigState> &config)
+    {
+        const TimePoint now = monotonicNow();
+        setConfiguration(state_, shared_, *config, now);
+        for (const auto &worker : workers_) {
+            worker->update([config](EntryState &state, EntryShared &shared, TimePoint at) {
+                setConfiguration(state, shared, *config, at);
+            });
+        }
+        metrics_.set("wisteria_config_version", "Configuration version in force.",
+                     static_cast<double>(config->version));
+        if (workers_.empty())
+            openDoors(config);
+    }
+
+    void openDoors(const std::shared_ptr<const ConfigState> &config)
+    {
+        std::string address = settings_.listen;
+        for (unsigned i = 0; i < settings_.trafficThreads; ++i) {
+            auto worker = std::make_unique<EntryWorker>(settings_.name, settings_.failureDomain,
+                                                        shared_, metrics_);
+            auto bound = worker->listen(address);
+            if (bound.has_error()) {
+                failed_ = bound.error();
+                return loop_.stop();
+            }
+            address = bound.value();
+            workers_.push_back(std::move(worker));
+        }
+        for (const auto &worker : workers_) {
+            worker->start();
+            worker->update([config](EntryState &state, EntryShared &shared, TimePoint at) {
+                setConfiguration(state, shared, *config, at);
+            });
+        }
+        sendHeartbeats();
+        std::cout << "ready caller=" << address << " peer=" << peerAddress_
+                  << " metrics=" << metricsAddress_ << std::endl;
+        logger_->info("Serving callers on {}.", address);
+    }
+
+    void sendHeartbeats()
+    {
+        v1::Heartbeat heartbeat;
+        heartbeat.set_process(settings_.name);
+        heartbeat.set_role("entry");
+        heartbeat.set_config_version(state_.configVersion);
+        heartbeat.set_address(peerAddress_);
+        for (const v1::SuspectReport &report : suspectsToReport(shared_, monotonicNow()))
+            *heartbeat.add_suspects() = report;
+        for (const std::string &name : heartbeatTargets(state_))
+            sendHeartbeat(name, heartbeat);
+        loop_.runAfter(heartbeatInterval, [this] { sendHeartbeats(); });
+    }
+
+    void sendHeartbeat(const std::string &name, const v1::Heartbeat &heartbeat)
+    {
+        // One question at a time: a frozen agent must not gather a queue of them.
+        if (std::exchange(awaited_[name], true))
+            return;
+        PeerClient &client = peers_.clientFor(agentAddress(state_, name));
+        callPeer<v1::Heartbeat>(client, "/v1/heartbeat", heartbeat,
+                                [this, name](const std::optional<v1::Heartbeat> &reply) {
+                                    awaited_[name] = false;
+                                    heartbeatEnded(name, reply);
+                                });
+    }
+
+    void heartbeatEnded(const std::string &name, const std::optional<v1::Heartbeat> &reply)
+    {
+        if (reply)
+            observeSuspects(shared_, *reply, monotonicNow());
+        for (const auto &worker : workers_) {
+            worker->update([name, reply](EntryState &state, EntryShared &, TimePoint now) {
+                if (reply)
+                    observeLoad(state, name, reply->load(), reply->config_version(), now);
+                else
+                    observeUnreachable(state, name, now);
+            });
+        }
+        if (reply && reply->config_version() > state_.configVersion)
+            fetchConfig(agentAddress(state_, name));
+    }
+
+    /// A peer that has a newer version in force gives it when the log does not.
+    void fetchConfig(const std::string &address)
+    {
+        if (std::exchange(fetching_, true))
+            return;
+        v1::ConfigFetch fetch;
+        fetch.set_newer_than(state_.configVersion);
+        callPeer<v1::ConfigFetchReply>(peers_.clientFor(address), "/v1/config", fetch,
+                                       [this](const std::optional<v1::ConfigFetchReply> &reply) {
+                                           fetching_ = false;
+                                           if (reply && reply->has_snapshot())
+                                               reader_->offer(reply->snapshot());
+                                       });
+    }
+
+    void answerConfig(PeerStreamId stream, const std::vector<std::string> &frames)
+    {
+        v1::ConfigFetch fetch;
+        if (frames.empty() || !fetch.ParseFromString(frames.front()))
+            return peerServer_.abort(stream);
+        v1::ConfigFetchReply reply;
+        const auto config = follower_.state();
+        if (config->version > fetch.newer_than())
+            *reply.mutable_snapshot() = snapshotOf(*config);
+        std::string out;
+        appendFrame(out, reply);
+        peerServer_.reply(stream, out, true);
+    }
+
+    /// Callers first learn to go elsewhere, then the doors close, then what is open ends by itself.
+    void beginShutdown()
+    {
+        if (std::exchange(leaving_, true))
+            return;
+        logger_->info("Leaving: {} ms for callers to go elsewhere.", settings_.drainTime.count());
+        for (const auto &worker : workers_)
+            worker->announceLeaving();
+        loop_.runAfter(settings_.drainTime, [this] {
+            for (const auto &worker : workers_)
+                worker->stopListening();
+            waitUntilIdle();
+        });
+    }
+
+    void waitUntilIdle()
+    {
+        std::size_t open = 0;
+        for (const auto &worker : workers_)
+            open += worker->openRequests();
+        if (open > 0) {
+            loop_.runAfter(shutdownCheck, [this] { waitUntilIdle(); });
+            return;
+        }
+        logger_->info("Nothing is open any more.");
+        loop_.stop();
+    }
+
+    EntrySettings settings_;
+    Metrics metrics_;
+    EventLoop loop_;
+    HttpLogClient log_;
+    ConfigFollower follower_;
+    EntryShared shared_;
+    EntryState state_;
+    PeerPool peers_;
+    PeerServer peerServer_;
+    ShutdownSignal signal_;
+    std::shared_ptr<spdlog::logger> logger_;
+    std::vector<std::unique_ptr<EntryWorker>> workers_;
+    ConfigReader *reader_ = nullptr;
+    std::map<std::string, bool> awaited_;
+    std::string peerAddress_;
+    std::string metricsAddress_;
+    std::optional<Error> failed_;
+    bool fetching_ = false;
+    bool leaving_ = false;
+};
+
+EntryProcess::EntryProcess(EntrySettings settings)
+    : private_(std::make_unique<Private>(std::move(settings)))
+{ }
+
+EntryProcess::~EntryProcess() = default;
+
+Result<void> EntryProcess::run()
+{
+    return private_->run();
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Process/EntrySettings.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+
+#include "Process/Error.h"
+#include "Process/Time.h"
+
+namespace wisteria {
+
+/// Settings of wisteria-entry; docs/operators/settings.md describes each.
+struct EntrySettings
+{
+    std::string name;
+    std::string failureDomain;
+    std::string listen;
+    std::string peerListen;
+    std::string metricsListen;
+    unsigned trafficThreads = 4;
+    std::string logUrl;
+    std::string logLevel = "info";
+    bool logJson = false;
+    /// How long callers may still come after SIGTERM, while GET /health already says 503.
+    milliseconds drainTime{2000};
+};
+
+/// Reads the settings file.
+/// @return As loadSettings().
+Result<EntrySettings> loadEntrySettings(const std::string &path);
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Programs/Agent/Main.cpp
@@ -0,0 +1,38 @@
+#include <iostream>
+
+#include <tclap/CmdLine.h>
+
+#include "Process/AgentProcess.h"
+#include "Process/AgentSettings.h"
+#include "Process/Logging.h"
+
+namespace {
+
+constexpr int exitBadSettings = 2;
+
+int fail(const wisteria::Error &error)
+{
+    std::cerr << "wisteria-agent: " << error.message << std::endl;
+    return exitBadSettings;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    TCLAP::CmdLine commandLine("Stands beside a backend server as its last gate.", ' ', "0.1.0");
+    TCLAP::ValueArg<std::string> path("s", "settings", "Settings file, JSON with comments.", true,
+                                      "", "FILE", commandLine);
+    commandLine.parse(argc, argv);
+    auto settings = wisteria::loadAgentSettings(path.getValue());
+    if (settings.has_error())
+        return fail(settings.error());
+    const auto format =
+        settings.value().logJson ? wisteria::LogFormat::Json : wisteria::LogFormat::Text;
+    const auto logging = wisteria::setUpLogging(settings.value().logLevel, format);
+    if (logging.has_error())
+        return fail(logging.error());
+    wisteria::AgentProcess process(std::move(settings.value()));
+    const auto result = process.run();
+    return result.has_error() ? fail(result.error()) : 0;
+}
--- /dev/null
+++ b/Source/Request/CallerSession.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Connection/CallerServer.h"
+#include "Connection/PeerPool.h"
+#include "Process/EventLoop.h"
+#include "Request/EntryRequest.h"
+
+namespace wisteria {
+
+/// What the sessions of one traffic thread share. All of it outlives them.
+struct CallerSessionContext
+{
+    EventLoop &loop;
+    PeerPool &peers;
+    EntryState &state;
+    EntryShared &shared;
+    /// Called once a session, with how it ended, for metrics.
+    std::function<void(const std::string &outcome, const std::string &reason,
+                       std::chrono::microseconds took)>
+        report;
+};
+
+/// Carries one caller's request to its end: turns the actions of EntryRequest.h into streams to
+/// agents, and their frames into events and into the caller's answer.
+class CallerSession : public std::enable_shared_from_this<CallerSession>
+{
+public:
+    /// @param over Called once, when nothing more will be done for the request.
+    CallerSession(CallerSessionContext &context, std::shared_ptr<CallerExchange> exchange,
+                  CallerRequest request, std::function<void()> over);
+
+    /// Begins; may end at once.
+    void start();
+
+    /// The caller hung up.
+    void callerGone();
+
+    /// The caller took what waited for it.
+    void callerDrained();
+
+private:
+    class Attempt;
+
+    void perform(EntryAction action);
+    EntryAction performOne(const EntryAction &action);
+    EntryAction send(const SendAttempt &attempt);
+    void refuse(const Refusal &refusal);
+    void beginAnswer(const StartAnswer &answer);
+    void flushAnswer();
+    void frameReceived(const std::string &content);
+    void streamClosed(const StreamEnd &end);
+    void takeChunk(const std::string &bytes);
+    void finishAnswer(bool complete);
+    void deadline();
+    void cancelStream();
+    void finish(const std::string &outcome, const std::string &reason);
+
+    CallerSessionContext &context_;
+    std::shared_ptr<CallerExchange> exchange_;
+    CallerRequest request_;
+    std::function<void()> over_;
+    RequestState state_;
+    TimePoint startedAt_;
+    EventLoop::TimerId timer_ = 0;
+    std::shared_ptr<Attempt> attempt_;
+    PeerClient *client_ = nullptr;
+    PeerClient::StreamId stream_ = 0;
+    StartAnswer answer_;
+    std::string buffered_;
+    bool answering_ = false;
+    bool streaming_ = false;
+    bool paused_ = false;
+    bool ended_ = false;
+};
+
+} // namespace wisteria
