Decide expert placement, and replay load traces against it

Cause: experts are spread by hand; ranks run in lock-step, so the straggler sets the pace, and popularity drifts by the hour.

--- /dev/null
+++ b/Source/Programs/Bench/PlacementReplay.cpp
@@ -0,0 +1,295 @@
+#include "Programs/Bench/PlacementReplay.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+#include "Programs/Bench/SkewMeter.h"
+#include "Version/PlacementBound.h"
+#include "Version/PlacementGreedy.h"
+#include "Version/PlacementSearch.h"
+
+namespace wisteria {
+
+namespace {
+
+constexpr std::size_t seriesBuckets = 144;
+
+/// A decision whose weights are being staged.
+struct PendingSwitch
+{
+    milliseconds at{0};
+    PlacementDecision decision;
+};
+
+/// The best map found for known loads, whatever it costs: the better of a fresh map and of the last
+/// best one, each improved until nothing gains.
+class FloorSearch
+{
+public:
+    explicit FloorSearch(const RankGroup &group) : maps_(group.layers) { }
+
+    const LayerMap &best(const RankGroup &group, std::uint32_t layer,
+                         const std::vector<double> &loads)
+    {
+        SearchProblem problem;
+        problem.loads = loads;
+        SearchLimits limits;
+        limits.maxMoves = static_cast<std::uint32_t>(group.ranks.size()) * group.experts;
+        limits.minGainPerMove = 1e-6;
+        LayerMap best = improveLayerMap(group, greedyLayerMap(group, loads), problem, limits).map;
+        if (!maps_[layer].ranks.empty()) {
+            LayerMap kept = improveLayerMap(group, maps_[layer], problem, limits).map;
+            if (layerSkew(group, kept, loads) < layerSkew(group, best, loads))
+                best = std::move(kept);
+        }
+        maps_[layer] = std::move(best);
+        return maps_[layer];
+    }
+
+private:
+    std::vector<LayerMap> maps_;
+};
+
+class Replay
+{
+public:
+    Replay(const LoadTrace &trace, const ReplayOptions &options);
+
+    Result<ReplayResult> run();
+
+private:
+    using Reports = std::multimap<milliseconds, const TraceLine *>;
+
+    void scheduleReports();
+    std::optional<milliseconds> nextTime() const;
+    void finishSwitch(milliseconds now);
+    void carry(const TraceLine &line);
+    void measureFloors(const TraceLine &line);
+    Result<void> takeReports(milliseconds now);
+    void decide(milliseconds now);
+    void stage(milliseconds now, PlacementDecision decision);
+    void remeasure(std::uint32_t layer, milliseconds now);
+    void publish(milliseconds now, std::uint32_t layer);
+    ReplayResult result();
+    microseconds decidePercentile(double part);
+
+    const LoadTrace &trace_;
+    const ReplayOptions &options_;
+    /// The group as it is, and as the reports have told so far.
+    RankGroup group_;
+    RankGroup knownGroup_;
+    milliseconds begin_;
+    milliseconds end_;
+    PlacementState state_;
+    std::vector<std::vector<double>> carried_;
+    std::size_t nextLine_ = 0;
+    Reports reports_;
+    std::optional<PendingSwitch> pending_;
+    SkewMeter skew_;
+    SkewMeter bound_;
+    SkewMeter noiseFree_;
+    SkewMeter bestFound_;
+    FloorSearch noiseFreeSearch_;
+    FloorSearch bestFoundSearch_;
+    bool hasExpected_ = true;
+    std::vector<microseconds> decideTimes_;
+    ReplayResult result_;
+};
+
+Replay::Replay(const LoadTrace &trace, const ReplayOptions &options)
+    : trace_(trace), options_(options), group_(trace.group), knownGroup_(trace.group),
+      begin_(trace.lines.front().at), end_(trace.lines.back().at),
+      carried_(trace.group.layers, std::vector<double>(trace.group.experts, 0.0)),
+      skew_(trace.group.layers, begin_, end_, seriesBuckets),
+      bound_(trace.group.layers, begin_, end_, seriesBuckets),
+      noiseFree_(trace.group.layers, begin_, end_, seriesBuckets),
+      bestFound_(trace.group.layers, begin_, end_, seriesBuckets), noiseFreeSearch_(trace.group),
+      bestFoundSearch_(trace.group)
+{ }
+
+void Replay::scheduleReports()
+{
+    std::vector<const TraceLine *> last(group_.layers, nullptr);
+    for (const TraceLine &line : trace_.lines) {
+        if (options_.reportLag) {
+            reports_.emplace(line.at + *options_.reportLag, &line);
+            continue;
+        }
+        if (last[line.layer])
+            reports_.emplace(line.at, last[line.layer]);
+        last[line.layer] = &line;
+    }
+}
+
+std::optional<milliseconds> Replay::nextTime() const
+{
+    std::optional<milliseconds> next;
+    const auto consider = [&](milliseconds at) { next = next ? std::min(*next, at) : at; };
+    if (nextLine_ < trace_.lines.size())
+        consider(trace_.lines[nextLine_].at);
+    if (!reports_.empty())
+        consider(reports_.begin()->first);
+    if (pending_)
+        consider(pending_->at);
+    return next;
+}
+
+void Replay::remeasure(std::uint32_t layer, milliseconds now)
+{
+    skew_.set(layer, now, layerSkew(group_, state_.layers[layer].map, carried_[layer]));
+}
+
+void Replay::publish(milliseconds now, std::uint32_t layer)
+{
+    if (options_.mapInForce)
+        options_.mapInForce(now, layer, state_.layers[layer].map);
+}
+
+void Replay::finishSwitch(milliseconds now)
+{
+    switchDone(state_, pending_->decision, true);
+    ++result_.switches;
+    for (const LayerDecision &layer : pending_->decision.layers) {
+        if (!layer.next)
+            continue;
+        remeasure(layer.layer, now);
+        publish(now, layer.layer);
+    }
+    pending_.reset();
+}
+
+void Replay::measureFloors(const TraceLine &line)
+{
+    bound_.set(line.layer, line.at, lowerBoundSkew(group_, line.loads));
+    if (!options_.floors)
+        return;
+    const LayerMap &found = bestFoundSearch_.best(group_, line.layer, line.loads);
+    bestFound_.set(line.layer, line.at, layerSkew(group_, found, line.loads));
+    if (line.expected.empty()) {
+        hasExpected_ = false;
+        return;
+    }
+    const LayerMap &floor = noiseFreeSearch_.best(group_, line.layer, line.expected);
+    noiseFree_.set(line.layer, line.at, layerSkew(group_, floor, line.loads));
+}
+
+void Replay::carry(const TraceLine &line)
+{
+    carried_[line.layer] = line.loads;
+    for (std::size_t rank = 0; rank < line.rankSpeeds.size(); ++rank)
+        group_.ranks[rank].speed = line.rankSpeeds[rank];
+    if (line.rankSpeeds.empty()) {
+        remeasure(line.layer, line.at);
+    } else {
+        for (std::uint32_t layer = 0; layer < group_.layers; ++layer)
+            remeasure(layer, line.at);
+    }
+    measureFloors(line);
+}
+
+Result<void> Replay::takeReports(milliseconds now)
+{
+    while (!reports_.empty() && reports_.begin()->first == now) {
+        const TraceLine &line = *reports_.begin()->second;
+        reports_.erase(reports_.begin());
+        for (std::size_t rank = 0; rank < line.rankSpeeds.size(); ++rank)
+            knownGroup_.ranks[rank].speed = line.rankSpeeds[rank];
+        const LoadReport report{TimePoint(line.at), line.layer, line.loads};
+        BOOST_OUTCOME_TRYV(takeLoadReport(knownGroup_, state_, report));
+    }
+    return boost::outcome_v2::success();
+}
+
+void Replay::decide(milliseconds now)
+{
+    const TimePoint before = options_.clock ? options_.clock() : TimePoint();
+    PlacementDecision decision =
+        decidePlacement(options_.policy, knownGroup_, state_, TimePoint(now));
+    const TimePoint after = options_.clock ? options_.clock() : TimePoint();
+    decideTimes_.push_back(std::chrono::duration_cast<microseconds>(after - before));
+    if (decision.moves())
+        stage(now, std::move(decision));
+}
+
+void Replay::stage(milliseconds now, PlacementDecision decision)
+{
+    std::uint64_t moves = 0;
+    for (const LayerDecision &layer : decision.layers)
+        moves += layer.moves;
+    const std::uint64_t bytes = moves * group_.expertBytes;
+    result_.moves += moves;
+    result_.movedBytes += bytes;
+    const double loading = static_cast<double>(bytes) / group_.storeBytesPerSecond;
+    const auto needed = std::chrono::ceil<milliseconds>(std::chrono::duration<double>(loading));
+    pending_ = PendingSwitch{now + needed, std::move(decision)};
+}
+
+Result<ReplayResult> Replay::run()
+{
+    if (end_ <= begin_) {
+        return failure(ErrorKind::BadInput,
+                       "the trace has no duration; give it lines of at least two times");
+    }
+    ExpertMap initial;
+    initial.layers.assign(group_.layers, initialLayerMap(group_));
+    BOOST_OUTCOME_TRY(started, startPlacement(group_, initial));
+    state_ = std::move(started);
+    for (std::uint32_t layer = 0; layer < group_.layers; ++layer)
+        publish(begin_, layer);
+    scheduleReports();
+    for (auto now = nextTime(); now && *now <= end_; now = nextTime()) {
+        if (pending_ && pending_->at == *now)
+            finishSwitch(*now);
+        for (; nextLine_ < trace_.lines.size() && trace_.lines[nextLine_].at == *now; ++nextLine_)
+            carry(trace_.lines[nextLine_]);
+        const bool reported = !reports_.empty() && reports_.begin()->first == *now;
+        BOOST_OUTCOME_TRYV(takeReports(*now));
+        if (reported)
+            decide(*now);
+    }
+    return result();
+}
+
+microseconds Replay::decidePercentile(double part)
+{
+    if (decideTimes_.empty())
+        return microseconds(0);
+    std::sort(decideTimes_.begin(), decideTimes_.end());
+    const auto last = static_cast<double>(decideTimes_.size() - 1);
+    return decideTimes_[static_cast<std::size_t>(std::ceil(part * last))];
+}
+
+ReplayResult Replay::result()
+{
+    for (SkewMeter *meter : {&skew_, &bound_, &noiseFree_, &bestFound_})
+        meter->finish();
+    result_.meanSkew = skew_.mean();
+    result_.p99Skew = skew_.p99();
+    result_.series = skew_.series();
+    result_.lowerBoundMeanSkew = bound_.mean();
+    if (options_.floors) {
+        result_.bestFoundMeanSkew = bestFound_.mean();
+        if (hasExpected_)
+            result_.noiseFreeFloorMeanSkew = noiseFree_.mean();
+    }
+    result_.stalled = result_.switches * group_.stepTime;
+    result_.duration = end_ - begin_;
+    result_.decideP50 = decidePercentile(0.5);
+    result_.decideP99 = decidePercentile(0.99);
+    const double duration = std::chrono::duration<double>(result_.duration).count();
+    const double stalled = std::chrono::duration<double>(result_.stalled).count();
+    const double loading = static_cast<double>(result_.movedBytes) / group_.storeBytesPerSecond;
+    result_.cost = group_.skewWeight * (result_.meanSkew - 1.0)
+        + group_.costWeight * (loading + stalled) / duration;
+    return result_;
+}
+
+} // namespace
+
+Result<ReplayResult> replayTrace(const LoadTrace &trace, const ReplayOptions &options)
+{
+    return Replay(trace, options).run();
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Programs/Bench/PlacementReplay.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "Programs/Bench/LoadTrace.h"
+#include "Version/Placement.h"
+
+namespace wisteria {
+
+/// How a trace is replayed.
+struct ReplayOptions
+{
+    PlacementPolicy policy = PlacementPolicy::Wisteria;
+    /// Time from a line's at_ms until the decision sees its loads. Absent: until the layer's next
+    /// line, as loads can't be counted before they were carried.
+    std::optional<milliseconds> reportLag;
+    /// Whether to search the best maps for the noise-free loads as well, which takes longer.
+    bool floors = false;
+    /// Measures the decisions; the replay itself reads no clock.
+    std::function<TimePoint()> clock;
+    /// Called with each layer's map as it comes into force.
+    std::function<void(milliseconds at, std::uint32_t layer, const LayerMap &map)> mapInForce;
+};
+
+/// Mean skew over all layers in one part of the trace.
+struct SkewSample
+{
+    milliseconds at{0};
+    double skew = 1;
+};
+
+/// What a replay measured.
+struct ReplayResult
+{
+    double meanSkew = 1;
+    double p99Skew = 1;
+    double lowerBoundMeanSkew = 1;
+    /// Mean skew of the best maps found for the noise-free loads, in force at once and free of
+    /// charge; absent when not asked for or when the trace does not give those loads.
+    std::optional<double> noiseFreeFloorMeanSkew;
+    /// The same for the loads as carried: the best that could be found knowing the noise.
+    std::optional<double> bestFoundMeanSkew;
+    std::uint64_t moves = 0;
+    std::uint64_t movedBytes = 0;
+    std::uint32_t switches = 0;
+    milliseconds stalled{0};
+    milliseconds duration{0};
+    microseconds decideP50{0};
+    microseconds decideP99{0};
+    double cost = 0;
+    std::vector<SkewSample> series;
+};
+
+/// Replays a trace in virtual time. New weights are staged one after another at the store's rate;
+/// then all layers of a decision switch together, which stalls the group for one step.
+/// @return BadInput for a trace of no duration.
+Result<ReplayResult> replayTrace(const LoadTrace &trace, const ReplayOptions &options);
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Version/Placement.cpp
@@ -0,0 +1,301 @@
+#include "Version/Placement.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+#include "Version/PlacementGreedy.h"
+#include "Version/PlacementSearch.h"
+
+namespace wisteria {
+
+namespace {
+
+constexpr std::chrono::minutes period(10);
+/// Reports that the first move of a layer waits for. A map that fits the noise of fewer reports
+/// would have to be moved again.
+constexpr std::uint32_t reportsBeforeFirstMove = 6;
+/// How many standard deviations of the estimate's own error a gain must exceed.
+constexpr double significantDeviations = 0.5;
+/// A move must gain this multiple of what it costs.
+constexpr double paybackFactor = 2.0;
+/// Replicas of one layer that a decision loads at most, as a share of its slots.
+constexpr double largestShareMoved = 0.5;
+
+constexpr std::array<std::pair<const char *, PlacementPolicy>, 4> policyNames = {{
+    {"static", PlacementPolicy::Static},
+    {"greedy", PlacementPolicy::Greedy},
+    {"periodic", PlacementPolicy::Periodic},
+    {"wisteria", PlacementPolicy::Wisteria},
+}};
+
+LayerDecision stay(std::uint32_t layer, StayReason reason)
+{
+    LayerDecision decision;
+    decision.layer = layer;
+    decision.stay = reason;
+    return decision;
+}
+
+LayerDecision decideGreedy(const RankGroup &group, const LayerPlacement &placement,
+                           std::uint32_t layer)
+{
+    if (placement.newestLoads.empty() || placement.decidedAtReports == placement.estimate.reports)
+        return stay(layer, StayReason::NoNewReport);
+    LayerDecision decision;
+    decision.layer = layer;
+    decision.next = greedyLayerMap(group, placement.newestLoads);
+    decision.moves = countMoves(placement.map, *decision.next);
+    if (decision.moves == 0)
+        return stay(layer, StayReason::GainWithinNoise);
+    return decision;
+}
+
+/// Skew that one loaded replica must gain to be worth its share of the weight store's time, by the
+/// declared weights, before the loads have drifted on.
+double paybackSkew(const RankGroup &group, const LoadForecast &forecast)
+{
+    const double horizon = std::chrono::duration<double>(forecast.horizon).count();
+    const double loading = static_cast<double>(group.expertBytes) / group.storeBytesPerSecond;
+    const double worth = group.skewWeight * horizon / group.layers;
+    if (worth <= 0)
+        return std::numeric_limits<double>::infinity();
+    return paybackFactor * group.costWeight * loading / worth;
+}
+
+/// Skew that the estimate's own error can feign. The error moves a rank's time by about the
+/// deviation of one report's noise, less what smoothing took away.
+double noiseSkew(const RankGroup &group, const LayerPlacement &placement,
+                 const LoadForecast &forecast)
+{
+    const std::vector<std::uint32_t> counts = replicaCounts(placement.map, group.experts);
+    double variance = 0;
+    for (ExpertId expert = 0; expert < group.experts; ++expert) {
+        const double share = forecast.shares[expert] * static_cast<double>(group.ranks.size());
+        variance += share * share / counts[expert];
+    }
+    variance /= static_cast<double>(group.ranks.size());
+    return forecast.noise * std::sqrt(variance * forecast.uncertainty);
+}
+
+std::uint32_t slotsOf(const RankGroup &group)
+{
+    std::uint32_t slots = 0;
+    for (const RankCapacity &rank : group.ranks)
+        slots += rank.slots;
+    return slots;
+}
+
+LayerDecision decideWisteria(const RankGroup &group, const LayerPlacement &placement,
+                             std::uint32_t layer, std::vector<std::uint32_t> stagingRoom)
+{
+    const LoadEstimate &estimate = placement.estimate;
+    if (placement.decidedAtReports == estimate.reports)
+        return stay(layer, StayReason::NoNewReport);
+    if (estimate.reports < reportsBeforeFirstMove)
+        return stay(layer, StayReason::TooFewReports);
+    const LoadForecast forecast = forecastLoads(estimate);
+    SearchProblem problem;
+    problem.loads = forecast.shares;
+    problem.noise = forecast.noise;
+    SearchLimits limits;
+    limits.maxMoves = static_cast<std::uint32_t>(std::ceil(slotsOf(group) * largestShareMoved));
+    limits.minGainPerMove = paybackSkew(group, forecast);
+    limits.stagingRoom = std::move(stagingRoom);
+    SearchResult found = improveLayerMap(group, placement.map, problem, limits);
+    if (found.moves == 0)
+        return stay(layer, StayReason::NoPayback);
+    const double needed = significantDeviations * noiseSkew(group, placement, forecast);
+    if (found.presentSkew - found.foundSkew < needed)
+        return stay(layer, StayReason::GainWithinNoise);
+    LayerDecision decision;
+    decision.layer = layer;
+    decision.next = std::move(found.map);
+    decision.presentSkew = found.presentSkew;
+    decision.nextSkew = found.foundSkew;
+    decision.moves = found.moves;
+    return decision;
+}
+
+/// Replicas that each rank can stage beside all that it holds; empty when no rank's memory is
+/// bounded.
+std::vector<std::uint32_t> stagingRoomOf(const RankGroup &group, const PlacementState &state)
+{
+    const bool bounded = std::any_of(group.ranks.begin(), group.ranks.end(),
+                                     [](const RankCapacity &rank) { return rank.memoryBytes > 0; });
+    if (!bounded || group.expertBytes == 0)
+        return {};
+    std::vector<std::uint32_t> room(group.ranks.size());
+    for (std::size_t rank = 0; rank < room.size(); ++rank) {
+        std::uint64_t held = 0;
+        for (const LayerPlacement &layer : state.layers)
+            held += layer.map.ranks[rank].size();
+        const std::uint64_t fitting = group.ranks[rank].memoryBytes / group.expertBytes;
+        const std::uint64_t free = fitting > held ? fitting - held : 0;
+        const bool unbounded = group.ranks[rank].memoryBytes == 0;
+        constexpr std::uint64_t most = std::numeric_limits<std::uint32_t>::max();
+        room[rank] = static_cast<std::uint32_t>(unbounded ? most : std::min(free, most));
+    }
+    return room;
+}
+
+/// Takes the room that a layer's new replicas need. While they are staged, the old replicas are
+/// still in use: without the room, the rank would run out of memory in the middle of a step.
+bool reserveStagingRoom(std::vector<std::uint32_t> &room, const LayerMap &present,
+                        const LayerMap &next)
+{
+    std::vector<std::uint32_t> left = room;
+    for (std::size_t rank = 0; rank < left.size(); ++rank) {
+        const std::size_t needed = missingExperts(present.ranks[rank], next.ranks[rank]).size();
+        if (needed > left[rank])
+            return false;
+        left[rank] -= static_cast<std::uint32_t>(needed);
+    }
+    room = std::move(left);
+    return true;
+}
+
+LayerDecision decideLayer(PlacementPolicy policy, const RankGroup &group,
+                          const PlacementState &state, std::uint32_t layer, bool periodicDue,
+                          const std::vector<std::uint32_t> &stagingRoom)
+{
+    const LayerPlacement &placement = state.layers[layer];
+    switch (policy) {
+    case PlacementPolicy::Static:
+        return stay(layer, StayReason::PolicyNeverMoves);
+    case PlacementPolicy::Greedy:
+        return decideGreedy(group, placement, layer);
+    case PlacementPolicy::Periodic:
+        return periodicDue ? decideGreedy(group, placement, layer)
+                           : stay(layer, StayReason::NotDue);
+    case PlacementPolicy::Wisteria:
+        return decideWisteria(group, placement, layer, stagingRoom);
+    }
+    return stay(layer, StayReason::PolicyNeverMoves);
+}
+
+bool isPeriodicDue(const PlacementState &state, TimePoint now)
+{
+    const bool reported =
+        std::any_of(state.layers.begin(), state.layers.end(),
+                    [](const LayerPlacement &layer) { return layer.estimate.reports > 0; });
+    return reported && (!state.lastPeriodic || now - *state.lastPeriodic >= period);
+}
+
+} // namespace
+
+Result<PlacementPolicy> placementPolicyFromName(const std::string &name)
+{
+    for (const auto &[known, policy] : policyNames) {
+        if (name == known)
+            return policy;
+    }
+    return failure(ErrorKind::BadInput,
+                   "unknown policy '" + name + "'; use static, greedy, periodic or wisteria");
+}
+
+const char *stayReasonText(StayReason reason)
+{
+    switch (reason) {
+    case StayReason::None:
+        return "moves";
+    case StayReason::PolicyNeverMoves:
+        return "the policy never moves experts";
+    case StayReason::NotDue:
+        return "the next decision is not due yet";
+    case StayReason::NoNewReport:
+        return "no load report came since the last decision";
+    case StayReason::TooFewReports:
+        return "too few load reports came to tell load from noise";
+    case StayReason::GainWithinNoise:
+        return "the gain can't be told from noise";
+    case StayReason::NoPayback:
+        return "no move would pay back before the loads have drifted on";
+    case StayReason::NoStagingRoom:
+        return "a rank lacks the memory to stage new weights beside the old";
+    case StayReason::SwitchPending:
+        return "an earlier switch is still under way";
+    }
+    return "unknown";
+}
+
+bool PlacementDecision::moves() const
+{
+    return std::any_of(layers.begin(), layers.end(),
+                       [](const LayerDecision &layer) { return layer.next.has_value(); });
+}
+
+Result<PlacementState> startPlacement(const RankGroup &group, const ExpertMap &map)
+{
+    BOOST_OUTCOME_TRYV(checkRankGroup(group));
+    if (map.layers.size() != group.layers) {
+        return failure(ErrorKind::BadInput,
+                       "the map has " + std::to_string(map.layers.size())
+                           + " layers, but the group has " + std::to_string(group.layers)
+                           + "; make a map for this group");
+    }
+    PlacementState state;
+    for (const LayerMap &layer : map.layers) {
+        BOOST_OUTCOME_TRYV(checkLayerMap(group, layer));
+        state.layers.emplace_back();
+        state.layers.back().map = layer;
+    }
+    return state;
+}
+
+Result<void> takeLoadReport(const RankGroup &group, PlacementState &state, const LoadReport &report)
+{
+    if (report.layer >= state.layers.size()) {
+        return failure(ErrorKind::BadInput,
+                       "a load report is for layer " + std::to_string(report.layer)
+                           + ", but the group has " + std::to_string(state.layers.size())
+                           + "; number layers from 0");
+    }
+    LayerPlacement &layer = state.layers[report.layer];
+    const std::uint32_t before = layer.estimate.reports;
+    BOOST_OUTCOME_TRYV(observeLoads(layer.estimate, report, group.experts));
+    if (layer.estimate.reports > before)
+        layer.newestLoads = report.loads;
+    return boost::outcome_v2::success();
+}
+
+PlacementDecision decidePlacement(PlacementPolicy policy, const RankGroup &group,
+                                  PlacementState &state, TimePoint now)
+{
+    PlacementDecision decision;
+    const bool periodicDue = isPeriodicDue(state, now);
+    std::vector<std::uint32_t> stagingRoom = stagingRoomOf(group, state);
+    for (std::uint32_t layer = 0; layer < state.layers.size(); ++layer) {
+        if (state.switching) {
+            decision.layers.push_back(stay(layer, StayReason::SwitchPending));
+            continue;
+        }
+        LayerPlacement &placement = state.layers[layer];
+        LayerDecision next = decideLayer(policy, group, state, layer, periodicDue, stagingRoom);
+        if (next.next && !reserveStagingRoom(stagingRoom, placement.map, *next.next))
+            next = stay(layer, StayReason::NoStagingRoom);
+        placement.decidedAtReports = placement.estimate.reports;
+        decision.layers.push_back(std::move(next));
+    }
+    if (!state.switching && periodicDue)
+        state.lastPeriodic = now;
+    state.switching = state.switching || decision.moves();
+    return decision;
+}
+
+void switchDone(PlacementState &state, const PlacementDecision &decision, bool inForce)
+{
+    state.switching = false;
+    if (!inForce)
+        return;
+    for (const LayerDecision &layer : decision.layers) {
+        if (!layer.next)
+            continue;
+        state.layers[layer.layer].map = *layer.next;
+        state.layers[layer.layer].placed = true;
+    }
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Version/PlacementGreedy.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <vector>
+
+#include "Version/ExpertMap.h"
+
+namespace wisteria {
+
+/// A map from scratch: spare slots go to replicas of the experts with the most load a replica, then
+/// the replicas are put, largest first, each on the rank that is least busy. Pays no heed to the
+/// present map. Deterministic: ties go to the lower number.
+LayerMap greedyLayerMap(const RankGroup &group, const std::vector<double> &loads);
+
+} // namespace wisteria
--- /dev/null
+++ b/Tests/Version/PlacementTest.cpp
@@ -0,0 +1,221 @@
+#include "Version/Placement.h"
+
+#include <cmath>
+#include <limits>
+#include <numeric>
+#include <random>
+
+#include <catch2/catch.hpp>
+
+#include "Version/PlacementBound.h"
+#include "Version/PlacementGreedy.h"
+#include "Version/PlacementSearch.h"
+
+using namespace wisteria;
+
+namespace {
+
+constexpr milliseconds interval(60000);
+
+RankGroup makeGroup(std::uint32_t ranks, std::uint32_t slots, std::uint32_t experts)
+{
+    RankGroup group;
+    group.ranks.assign(ranks, RankCapacity{slots, 0, 1.0});
+    group.layers = 2;
+    group.experts = experts;
+    group.expertBytes = 1000;
+    group.storeBytesPerSecond = 1e6;
+    group.stepTime = milliseconds(5);
+    group.skewWeight = 0.8;
+    group.costWeight = 0.2;
+    return group;
+}
+
+PlacementState startedState(const RankGroup &group)
+{
+    ExpertMap map;
+    map.layers.assign(group.layers, initialLayerMap(group));
+    return startPlacement(group, map).value();
+}
+
+/// Loads with a heavy tail, drawn with the engine alone: its numbers are the same everywhere.
+std::vector<double> drawLoads(std::uint32_t experts, std::mt19937_64 &engine)
+{
+    std::vector<double> loads;
+    for (std::uint32_t i = 0; i < experts; ++i)
+        loads.push_back(1.0 / (1.0 + static_cast<double>(engine() % 64)));
+    return loads;
+}
+
+void reportAll(const RankGroup &group, PlacementState &state, const std::vector<double> &loads,
+               TimePoint at)
+{
+    for (std::uint32_t layer = 0; layer < group.layers; ++layer)
+        REQUIRE(takeLoadReport(group, state, {at, layer, loads}));
+}
+
+} // namespace
+
+TEST_CASE("Every policy's maps keep to the slots and give each expert a replica")
+{
+    std::mt19937_64 engine(11);
+    for (int round = 0; round < 40; ++round) {
+        const auto ranks = static_cast<std::uint32_t>(2 + engine() % 15);
+        const auto slots = static_cast<std::uint32_t>(1 + engine() % 6);
+        const auto spare = static_cast<std::uint32_t>(engine() % ranks);
+        RankGroup group = makeGroup(ranks, slots, std::max(slots, ranks * slots - spare));
+        group.ranks.front().speed = 0.6;
+        for (const char *name : {"static", "greedy", "periodic", "wisteria"}) {
+            const PlacementPolicy policy = placementPolicyFromName(name).value();
+            PlacementState state = startedState(group);
+            for (int report = 0; report < 24; ++report) {
+                const TimePoint now = TimePoint() + report * interval;
+                reportAll(group, state, drawLoads(group.experts, engine), now);
+                const PlacementDecision decision = decidePlacement(policy, group, state, now);
+                for (const LayerDecision &layer : decision.layers) {
+                    if (!layer.next)
+                        continue;
+                    REQUIRE(checkLayerMap(group, *layer.next));
+                    REQUIRE(layer.moves == countMoves(state.layers[layer.layer].map, *layer.next));
+                }
+                switchDone(state, decision, true);
+            }
+        }
+    }
+}
+
+TEST_CASE("The same reports give the same decisions")
+{
+    const RankGroup group = makeGroup(8, 5, 32);
+    PlacementState first = startedState(group);
+    PlacementState second = startedState(group);
+    std::mt19937_64 engine(5);
+    for (int report = 0; report < 40; ++report) {
+        const TimePoint now = TimePoint() + report * interval;
+        const std::vector<double> loads = drawLoads(group.experts, engine);
+        for (PlacementState *state : {&first, &second}) {
+            reportAll(group, *state, loads, now);
+            switchDone(*state, decidePlacement(PlacementPolicy::Wisteria, group, *state, now),
+                       true);
+        }
+        for (std::uint32_t layer = 0; layer < group.layers; ++layer)
+            REQUIRE(first.layers[layer].map == second.layers[layer].map);
+    }
+}
+
+// A rank runs out of memory in the middle of a switch, because the new weights are staged beside
+// the old ones and nobody counted the room for both.
+TEST_CASE("Staged weights fit into the memory beside those in use")
+{
+    RankGroup group = makeGroup(8, 5, 32);
+    for (const std::uint64_t room : {0, 2, 5}) {
+        for (RankCapacity &rank : group.ranks)
+            rank.memoryBytes = (group.layers * rank.slots + room) * group.expertBytes;
+        for (const PlacementPolicy policy : {PlacementPolicy::Greedy, PlacementPolicy::Wisteria}) {
+            PlacementState state = startedState(group);
+            std::mt19937_64 engine(21);
+            for (int report = 0; report < 20; ++report) {
+                const TimePoint now = TimePoint() + report * interval;
+                reportAll(group, state, drawLoads(group.experts, engine), now);
+                const PlacementDecision decision = decidePlacement(policy, group, state, now);
+                for (std::size_t rank = 0; rank < group.ranks.size(); ++rank) {
+                    std::size_t staged = 0;
+                    for (const LayerDecision &layer : decision.layers) {
+                        if (layer.next) {
+                            staged += missingExperts(state.layers[layer.layer].map.ranks[rank],
+                                                     layer.next->ranks[rank])
+                                          .size();
+                        }
+                    }
+                    REQUIRE(staged <= room);
+                }
+                switchDone(state, decision, true);
+            }
+        }
+    }
+}
+
+// The group would run on two decisions at once: while one switch is being agreed on, the next
+// report already asks for another.
+TEST_CASE("Nothing is decided while a switch is under way, and an aborted one leaves the map")
+{
+    const RankGroup group = makeGroup(8, 5, 32);
+    PlacementState state = startedState(group);
+    const ExpertMap before{{state.layers[0].map, state.layers[1].map}};
+    std::mt19937_64 engine(2);
+    reportAll(group, state, drawLoads(group.experts, engine), TimePoint());
+    const PlacementDecision decision =
+        decidePlacement(PlacementPolicy::Greedy, group, state, TimePoint());
+    REQUIRE(decision.moves());
+    reportAll(group, state, drawLoads(group.experts, engine), TimePoint() + interval);
+    const PlacementDecision second =
+        decidePlacement(PlacementPolicy::Greedy, group, state, TimePoint() + interval);
+    CHECK_FALSE(second.moves());
+    CHECK(second.layers[0].stay == StayReason::SwitchPending);
+    switchDone(state, decision, false);
+    CHECK(state.layers[0].map == before.layers[0]);
+    const PlacementDecision third =
+        decidePlacement(PlacementPolicy::Greedy, group, state, TimePoint() + 2 * interval);
+    CHECK(third.moves());
+}
+
+TEST_CASE("Reports that make no sense are refused and leave the state alone")
+{
+    const RankGroup group = makeGroup(4, 2, 8);
+    PlacementState state = startedState(group);
+    const double notANumber = std::numeric_limits<double>::quiet_NaN();
+    const std::vector<LoadReport> wrong = {
+        {TimePoint(), 7, std::vector<double>(8, 1.0)},
+        {TimePoint(), 0, std::vector<double>(7, 1.0)},
+        {TimePoint(), 0, std::vector<double>(8, -1.0)},
+        {TimePoint(), 0, std::vector<double>(8, notANumber)},
+    };
+    for (const LoadReport &report : wrong) {
+        const Result<void> taken = takeLoadReport(group, state, report);
+        REQUIRE_FALSE(taken);
+        CHECK(taken.error().kind == ErrorKind::BadInput);
+    }
+    CHECK(state.layers[0].estimate.reports == 0);
+    const TimePoint late = TimePoint() + interval;
+    REQUIRE(takeLoadReport(group, state, {late, 0, std::vector<double>(8, 1.0)}));
+    REQUIRE(takeLoadReport(group, state, {TimePoint(), 0, std::vector<double>(8, 2.0)}));
+    REQUIRE(takeLoadReport(group, state, {late + interval, 0, std::vector<double>(8, 0.0)}));
+    CHECK(state.layers[0].estimate.reports == 1);
+}
+
+TEST_CASE("Groups that can't be are refused")
+{
+    RankGroup tooSmall = makeGroup(4, 2, 9);
+    RankGroup noWeights = makeGroup(4, 2, 8);
+    noWeights.skewWeight = noWeights.costWeight = 0;
+    RankGroup noStore = makeGroup(4, 2, 8);
+    noStore.storeBytesPerSecond = 0;
+    RankGroup stopped = makeGroup(4, 2, 8);
+    stopped.ranks[1].speed = 0;
+    for (const RankGroup &group : {tooSmall, noWeights, noStore, stopped}) {
+        const Result<void> checked = checkRankGroup(group);
+        REQUIRE_FALSE(checked);
+        CHECK(checked.error().message.find(';') != std::string::npos);
+    }
+}
+
+TEST_CASE("No map is better than the lower bound, and the search never makes a map worse")
+{
+    std::mt19937_64 engine(17);
+    for (int round = 0; round < 50; ++round) {
+        RankGroup group = makeGroup(8, 4, 26);
+        group.ranks[engine() % 8].speed = 0.5;
+        SearchProblem problem;
+        problem.loads = drawLoads(group.experts, engine);
+        SearchLimits limits;
+        limits.maxMoves = 64;
+        const LayerMap present = initialLayerMap(group);
+        const SearchResult found = improveLayerMap(group, present, problem, limits);
+        REQUIRE(checkLayerMap(group, found.map));
+        CHECK(found.foundSkew <= found.presentSkew);
+        const double bound = lowerBoundSkew(group, problem.loads);
+        CHECK(layerSkew(group, found.map, problem.loads) >= bound - 1e-9);
+        CHECK(layerSkew(group, greedyLayerMap(group, problem.loads), problem.loads)
+              >= bound - 1e-9);
+    }
+}
