--- a/Source/Process/Settings.cpp
+++ b/Source/Process/Settings.cpp
@@ -63,6 +63,10 @@
                        name + ", " + lineAndColumn(text, error.byte)
                            + ": this is not JSON with comments (" + error.what()
                            + "); correct the text there");
+    } catch (const nlohmann::json::out_of_range &error) {
+        return failure(ErrorKind::BadSettings,
+                       name + ": a number is out of range (" + error.what()
+                           + "); correct that number");
     }
     valijson::Schema parsedSchema;
     valijson::SchemaParser parser;
--- a/Tests/Process/SettingsTest.cpp
+++ b/Tests/Process/SettingsTest.cpp
@@ -37,3 +37,13 @@
     REQUIRE(settings.has_error());
     CHECK(settings.error().message.find("a.json: at /port: ") == 0);
 }
+
+// The operator mistypes a number and the process ends without a message instead of naming the
+// file. The JSON library reports a number out of range by another exception than a syntax error.
+TEST_CASE("A number that is out of range is reported and does not end the process")
+{
+    const auto settings = parseSettings("{\"port\": 1e999}", "a.json", portSchema);
+    REQUIRE(settings.has_error());
+    CHECK(settings.error().kind == ErrorKind::BadSettings);
+    CHECK(settings.error().message.find("a.json: ") == 0);
+}
