Let entries find each other through the log

Cause: subsets of backend servers and shares of organisations' limits need to know which entries share the work; settings can't list VMs that come and go. Ruled out: a list in the settings (VMs are replaced daily), gossip between entries (needs a first address), records of all agents (1,800 more appenders).

--- a/Source/Process/EntryProcess.cpp
+++ b/Source/Process/EntryProcess.cpp
@@ -1,5 +1,6 @@
 #include "Process/EntryProcess.h"
 
+#include <algorithm>
 #include <iostream>
 #include <map>
 #include <utility>
@@ -12,6 +13,7 @@
 #include "Peer.pb.h"
 #include "Process/ConfigFollower.h"
 #include "Process/ConfigReader.h"
+#include "Process/EntryDirectory.h"
 #include "Process/EntryWorker.h"
 #include "Process/EventLoop.h"
 #include "Process/Logging.h"
@@ -59,6 +61,7 @@
         });
         reader_ = &reader;
         loop_.run();
+        directory_.reset();
         if (failed_)
             return *failed_;
         return boost::outcome_v2::success();
@@ -113,11 +116,39 @@
             });
         }
         sendHeartbeats();
+        joinEntries();
         std::cout << "ready caller=" << address << " peer=" << peerAddress_
                   << " metrics=" << metricsAddress_ << std::endl;
         logger_->info("Serving callers on {}.", address);
     }
 
+    void joinEntries()
+    {
+        v1::EntryMemberRecord self;
+        self.set_name(settings_.name);
+        self.set_address(peerAddress_);
+        self.set_incarnation(static_cast<std::uint64_t>(wallNow().time_since_epoch().count()));
+        directory_ = std::make_unique<EntryDirectory>(
+            settings_.logUrl, std::move(self), [this](EntryMembers members) {
+                loop_.post([this, members = std::move(members)] { entriesChanged(members); });
+            });
+    }
+
+    /// Subsets of backend servers and static shares of limits follow from who shares the work.
+    void entriesChanged(const EntryMembers &members)
+    {
+        members_ = members;
+        std::vector<std::string> names = memberNames(members);
+        if (std::find(names.begin(), names.end(), settings_.name) == names.end())
+            names.push_back(settings_.name);
+        setEntries(state_, shared_, names, monotonicNow());
+        for (const auto &worker : workers_) {
+            worker->update([names](EntryState &state, EntryShared &shared, TimePoint now) {
+                setEntries(state, shared, names, now);
+            });
+        }
+    }
+
     void sendHeartbeats()
     {
         v1::Heartbeat heartbeat;
@@ -195,6 +226,7 @@
     {
         if (std::exchange(leaving_, true))
             return;
+        directory_.reset();
         logger_->info("Leaving: {} ms for callers to go elsewhere.", settings_.drainTime.count());
         for (const auto &worker : workers_)
             worker->announceLeaving();
@@ -230,7 +262,9 @@
     ShutdownSignal signal_;
     std::shared_ptr<spdlog::logger> logger_;
     std::vector<std::unique_ptr<EntryWorker>> workers_;
+    EntryMembers members_;
     ConfigReader *reader_ = nullptr;
+    std::unique_ptr<EntryDirectory> directory_;
     std::map<std::string, bool> awaited_;
     std::string peerAddress_;
     std::string metricsAddress_;
