Watch the platform's list of VMs and share its HTTP calls

Cause: a home whose VM is gone keeps its keys until the list proves it; the log's client and the list's need the same careful HTTP calls. Change: PlatformHttp (from HttpLogClient, with an interrupt for shutdown), VmList (pure; gone after no list for twice the lag), VmWatcher. Ruled out: taking one list without the VM as proof; a lagging list may be older than the one before it. Conclusion: reads of the log now wait 5 s, since shutdown interrupts them.

--- a/Source/Connection/HttpLogClient.h
+++ b/Source/Connection/HttpLogClient.h
@@ -7,6 +7,8 @@
 
 namespace wisteria {
 
+class PlatformHttp;
+
 /// The log service over HTTP, as docs/design/overview.md describes it. One thread at a time may
 /// call an object; threads that append while another one waits in read() each have their own.
 class HttpLogClient : public LogClient
@@ -20,9 +22,10 @@
                           milliseconds timeout) override;
     Result<LogBatch> read(const std::string &stream, Offset from, milliseconds wait) override;
 
+    void interrupt() override;
+
 private:
-    class Private;
-    std::unique_ptr<Private> d_;
+    std::unique_ptr<PlatformHttp> http_;
 };
 
 } // namespace wisteria
--- a/Source/Connection/LogClient.h
+++ b/Source/Connection/LogClient.h
@@ -25,6 +25,9 @@
     /// @return Unavailable or Timeout when the log gives no answer. A batch whose `first` is above
     /// `from` says that records between were dropped by retention.
     virtual Result<LogBatch> read(const std::string &stream, Offset from, milliseconds wait) = 0;
+
+    /// Makes the present and every later call end soon, for shutdown. Any thread may call it.
+    virtual void interrupt() { }
 };
 
 } // namespace wisteria
--- /dev/null
+++ b/Source/Connection/PlatformHttp.cpp
@@ -0,0 +1,141 @@
+#include "Connection/PlatformHttp.h"
+
+#include <algorithm>
+#include <atomic>
+#include <utility>
+
+#include <curl/curl.h>
+
+namespace wisteria {
+
+namespace {
+
+/// Largest answer that is taken, so that a faulty service can't fill the process's memory.
+constexpr std::size_t maxAnswerBytes = 32 * 1024 * 1024;
+constexpr milliseconds connectTimeout(2000);
+
+std::size_t takeBody(char *data, std::size_t size, std::size_t count, void *userData)
+{
+    auto &body = *static_cast<std::string *>(userData);
+    const std::size_t bytes = size * count;
+    if (body.size() + bytes > maxAnswerBytes)
+        return 0;
+    body.append(data, bytes);
+    return bytes;
+}
+
+void initialiseCurlOnce()
+{
+    static const CURLcode done = curl_global_init(CURL_GLOBAL_DEFAULT);
+    static_cast<void>(done);
+}
+
+} // namespace
+
+class PlatformHttp::Private
+{
+public:
+    explicit Private(std::string url) : url_(std::move(url))
+    {
+        initialiseCurlOnce();
+        handle_ = curl_easy_init();
+    }
+    ~Private() { curl_easy_cleanup(handle_); }
+    Private(const Private &) = delete;
+    Private &operator=(const Private &) = delete;
+
+    void prepare(const std::string &path, milliseconds timeout)
+    {
+        const long limit = static_cast<long>(timeout.count());
+        curl_easy_reset(handle_);
+        curl_easy_setopt(handle_, CURLOPT_URL, (url_ + path).c_str());
+        curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(handle_, CURLOPT_PROXY, "");
+        curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS, std::max(limit, 1L));
+        curl_easy_setopt(handle_, CURLOPT_CONNECTTIMEOUT_MS,
+                         static_cast<long>(connectTimeout.count()));
+        curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, takeBody);
+        curl_easy_setopt(handle_, CURLOPT_NOPROGRESS, 0L);
+        curl_easy_setopt(handle_, CURLOPT_XFERINFOFUNCTION, &Private::onProgress);
+        curl_easy_setopt(handle_, CURLOPT_XFERINFODATA, this);
+    }
+
+    PlatformAnswer perform()
+    {
+        PlatformAnswer answer;
+        curl_easy_setopt(handle_, CURLOPT_WRITEDATA, &answer.body);
+        const CURLcode code = curl_easy_perform(handle_);
+        long requestBytes = 0;
+        curl_easy_getinfo(handle_, CURLINFO_REQUEST_SIZE, &requestBytes);
+        if (code == CURLE_OK)
+            curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &answer.status);
+        else
+            answer.trouble = curl_easy_strerror(code);
+        answer.timedOut = code == CURLE_OPERATION_TIMEDOUT;
+        answer.neverSent = code != CURLE_OK && requestBytes == 0;
+        return answer;
+    }
+
+    CURL *handle() const { return handle_; }
+
+    std::string url_;
+    std::atomic<bool> interrupted_ = false;
+
+private:
+    /// libcurl asks at least once a second whether to go on.
+    static int onProgress(void *self, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+    {
+        return static_cast<Private *>(self)->interrupted_ ? 1 : 0;
+    }
+
+    CURL *handle_ = nullptr;
+};
+
+PlatformHttp::PlatformHttp(std::string url)
+    : private_(std::make_unique<Private>(std::move(url))) { }
+
+PlatformHttp::~PlatformHttp() = default;
+
+PlatformAnswer PlatformHttp::get(const std::string &path, milliseconds timeout)
+{
+    private_->prepare(path, timeout);
+    return private_->perform();
+}
+
+PlatformAnswer PlatformHttp::post(const std::string &path, const std::string &data,
+                                  milliseconds timeout)
+{
+    private_->prepare(path, timeout);
+    CURL *handle = private_->handle();
+    curl_slist *headers = curl_slist_append(nullptr, "Content-Type: application/octet-stream");
+    headers = curl_slist_append(headers, "Expect:");
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(handle, CURLOPT_POST, 1L);
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, data.data());
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(data.size()));
+    // Failure guarded against: libcurl sends a request once more by itself when a kept
+    // connection turns out to be dead. Should the second connection be refused, the error
+    // would say that nothing was sent though the first one may have been written. On a fresh
+    // connection there is no such second try, so the error tells the truth.
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    PlatformAnswer answer = private_->perform();
+    curl_slist_free_all(headers);
+    return answer;
+}
+
+void PlatformHttp::interrupt()
+{
+    private_->interrupted_ = true;
+}
+
+const std::string &PlatformHttp::url() const
+{
+    return private_->url_;
+}
+
+std::string describe(const PlatformAnswer &answer)
+{
+    return answer.trouble.empty() ? "status " + std::to_string(answer.status) : answer.trouble;
+}
+
+} // namespace wisteria
--- a/Source/Process/AgentProcess.cpp
+++ b/Source/Process/AgentProcess.cpp
@@ -1,6 +1,7 @@
 #include "Process/AgentProcess.h"
 
 #include <iostream>
+#include <optional>
 #include <utility>
 
 #include "Connection/HttpLogClient.h"
@@ -11,6 +12,7 @@
 #include "Process/Logging.h"
 #include "Process/Metrics.h"
 #include "Process/ShutdownSignal.h"
+#include "Process/VmWatcher.h"
 
 namespace wisteria {
 
@@ -44,10 +46,14 @@
         BOOST_OUTCOME_TRY(metrics, metrics_.listen(settings_.metricsListen));
         BOOST_OUTCOME_TRY(peer, worker_.listen(settings_.peerListen));
         worker_.start();
-        ConfigReader reader(follower_, [this](std::shared_ptr<const ConfigState> config) {
+        ConfigReader reader(log_, follower_, [this](std::shared_ptr<const ConfigState> config) {
             worker_.configure(std::move(config));
         });
         reader_ = &reader;
+        std::optional<VmWatcher> vms;
+        if (!settings_.vmsUrl.empty())
+            vms.emplace(settings_.vmsUrl,
+                        [this](VmView view) { worker_.noteVms(std::move(view)); });
         std::cout << "ready peer=" << peer << " metrics=" << metrics << std::endl;
         loggerFor("agent")->info("Standing before {} on {}.", settings_.backendUrl, peer);
         loop_.run();
--- a/Source/Process/AgentWorker.cpp
+++ b/Source/Process/AgentWorker.cpp
@@ -130,7 +130,14 @@
                      static_cast<double>(config->version));
     }
 
-    void noteVmGone(const std::string &vm) { vmGone(gate_, vm, monotonicNow(), wallNow()); }
+    /// Former homes on VMs that are gone can run no key any more.
+    void noteVms(const VmView &view)
+    {
+        for (const HandoverWanted &wanted : handoversWanted(gate_)) {
+            if (isVmGone(view, wanted.vm))
+                vmGone(gate_, wanted.vm, monotonicNow(), wallNow());
+        }
+    }
 
     void leave(std::function<void()> idleCallback)
     {
@@ -552,9 +559,9 @@
     private_->loop().post([this, config = std::move(config)] { private_->configure(config); });
 }
 
-void AgentWorker::noteVmGone(const std::string &vm)
+void AgentWorker::noteVms(VmView view)
 {
-    private_->loop().post([this, vm] { private_->noteVmGone(vm); });
+    private_->loop().post([this, view = std::move(view)] { private_->noteVms(view); });
 }
 
 void AgentWorker::leave(std::function<void()> idle)
--- a/Source/Process/AgentWorker.h
+++ b/Source/Process/AgentWorker.h
@@ -10,6 +10,7 @@
 #include "Process/Metrics.h"
 // The worker owns the gate that its attempts pass.
 #include "Request/AgentGate.h"
+#include "Version/VmList.h"
 
 namespace wisteria {
 
@@ -45,8 +46,8 @@
     /// Takes a version of the configuration into force. Any thread may call it.
     void configure(std::shared_ptr<const ConfigState> config);
 
-    /// The platform's list says that a VM is gone. Any thread may call it.
-    void noteVmGone(const std::string &vm);
+    /// Takes in the platform's list of VMs. Any thread may call it.
+    void noteVms(VmView view);
 
     /// Takes no new work from now on. Any thread may call it.
     /// @param idle Called on the worker's thread once every answer has been taken by its entry.
--- a/Source/Process/ConfigReader.cpp
+++ b/Source/Process/ConfigReader.cpp
@@ -14,7 +14,9 @@
 
 namespace {
 
-constexpr milliseconds logWait(1000);
+/// How long the log holds a read open when nothing is new. Long, so that thousands of processes at
+/// rest ask it a few hundred times a second.
+constexpr milliseconds logWait(5000);
 /// Pause after the log gave no answer.
 constexpr milliseconds retryPause(200);
 
@@ -23,8 +25,8 @@
 class ConfigReader::Private
 {
 public:
-    Private(ConfigFollower &follower, Changed changed)
-        : follower_(follower), changed_(std::move(changed)), thread_([this] { run(); })
+    Private(LogClient &log, ConfigFollower &follower, Changed changed)
+        : log_(log), follower_(follower), changed_(std::move(changed)), thread_([this] { run(); })
     { }
 
     ~Private()
@@ -33,6 +35,7 @@
             const std::lock_guard<std::mutex> lock(mutex_);
             stopping_ = true;
         }
+        log_.interrupt();
         wake_.notify_all();
         thread_.join();
     }
@@ -100,6 +103,7 @@
         wake_.wait_for(lock, retryPause, [this] { return stopping_ || offered_.has_value(); });
     }
 
+    LogClient &log_;
     ConfigFollower &follower_;
     Changed changed_;
     bool reachable_ = true;
@@ -111,8 +115,8 @@
     std::thread thread_;
 };
 
-ConfigReader::ConfigReader(ConfigFollower &follower, Changed changed)
-    : private_(std::make_unique<Private>(follower, std::move(changed)))
+ConfigReader::ConfigReader(LogClient &log, ConfigFollower &follower, Changed changed)
+    : private_(std::make_unique<Private>(log, follower, std::move(changed)))
 { }
 
 ConfigReader::~ConfigReader() = default;
--- a/Source/Process/ConfigReader.h
+++ b/Source/Process/ConfigReader.h
@@ -15,12 +15,13 @@
 public:
     using Changed = std::function<void(std::shared_ptr<const ConfigState>)>;
 
+    /// @param log What the follower reads; interrupted when the reader stops. Outlives the reader.
     /// @param follower Outlives the reader; only the reader's thread polls it.
     /// @param changed Called on the reader's thread, first when the state is usable and then for
     /// each new version.
-    ConfigReader(ConfigFollower &follower, Changed changed);
+    ConfigReader(LogClient &log, ConfigFollower &follower, Changed changed);
 
-    /// Stops and waits for the thread; takes as long as one wait of the log at most.
+    /// Stops and waits for the thread, about a second at most.
     ~ConfigReader();
     ConfigReader(const ConfigReader &) = delete;
     ConfigReader &operator=(const ConfigReader &) = delete;
--- a/Source/Process/EntryProcess.cpp
+++ b/Source/Process/EntryProcess.cpp
@@ -19,6 +19,7 @@
 #include "Process/Logging.h"
 #include "Process/Metrics.h"
 #include "Process/ShutdownSignal.h"
+#include "Process/VmWatcher.h"
 // The control loop keeps routing state of its own, to know whom to ask for a sign of life.
 #include "Request/EntryRequest.h"
 #include "Version/Snapshot.h"
@@ -56,12 +57,13 @@
         BOOST_OUTCOME_TRY(peerAddress, peerServer_.listen(settings_.peerListen));
         metricsAddress_ = metricsAddress;
         peerAddress_ = peerAddress;
-        ConfigReader reader(follower_, [this](std::shared_ptr<const ConfigState> config) {
+        ConfigReader reader(log_, follower_, [this](std::shared_ptr<const ConfigState> config) {
             loop_.post([this, config = std::move(config)] { configure(config); });
         });
         reader_ = &reader;
         loop_.run();
         directory_.reset();
+        vms_.reset();
         if (failed_)
             return *failed_;
         return boost::outcome_v2::success();
@@ -117,6 +119,7 @@
         }
         sendHeartbeats();
         joinEntries();
+        watchVms();
         std::cout << "ready caller=" << address << " peer=" << peerAddress_
                   << " metrics=" << metricsAddress_ << std::endl;
         logger_->info("Serving callers on {}.", address);
@@ -149,6 +152,29 @@
         }
     }
 
+    void watchVms()
+    {
+        if (settings_.vmsUrl.empty())
+            return;
+        vms_ = std::make_unique<VmWatcher>(settings_.vmsUrl, [this](VmView view) {
+            loop_.post([this, view = std::move(view)] { vmsListed(view); });
+        });
+    }
+
+    void vmsListed(const VmView &view)
+    {
+        for (const std::string &name : heartbeatTargets(state_)) {
+            const std::string vm = vmOf(state_, name);
+            if (!leavingVms(view).contains(vm) && !isVmGone(view, vm))
+                continue;
+            for (const auto &worker : workers_) {
+                worker->update([name](EntryState &state, EntryShared &, TimePoint now) {
+                    observeVmLeaving(state, name, now);
+                });
+            }
+        }
+    }
+
     void sendHeartbeats()
     {
         v1::Heartbeat heartbeat;
@@ -265,6 +291,7 @@
     EntryMembers members_;
     ConfigReader *reader_ = nullptr;
     std::unique_ptr<EntryDirectory> directory_;
+    std::unique_ptr<VmWatcher> vms_;
     std::map<std::string, bool> awaited_;
     std::string peerAddress_;
     std::string metricsAddress_;
--- a/Source/Process/EntrySettings.cpp
+++ b/Source/Process/EntrySettings.cpp
@@ -20,6 +20,7 @@
           {"metrics_listen", addressSchema()},
           {"traffic_threads", {{"type", "integer"}, {"minimum", 1}, {"maximum", 64}}},
           {"log", urlSchema()},
+          {"vms", urlSchema()},
           {"log_level", logLevelSchema()},
           {"log_format", {{"enum", {"text", "json"}}}},
           {"drain_ms", {{"type", "integer"}, {"minimum", 0}, {"maximum", 600000}}}}},
@@ -40,6 +41,8 @@
     settings.metricsListen = json.value("metrics_listen", "127.0.0.1:0");
     settings.trafficThreads = json.value("traffic_threads", settings.trafficThreads);
     settings.logUrl = json["log"]["url"];
+    if (json.contains("vms"))
+        settings.vmsUrl = json["vms"]["url"];
     settings.logLevel = json.value("log_level", settings.logLevel);
     settings.logJson = json.value("log_format", "text") == "json";
     settings.drainTime = milliseconds(json.value("drain_ms", settings.drainTime.count()));
--- a/Source/Process/EntrySettings.h
+++ b/Source/Process/EntrySettings.h
@@ -17,6 +17,8 @@
     std::string metricsListen;
     unsigned trafficThreads = 4;
     std::string logUrl;
+    /// Platform's list of VMs; empty when there is none.
+    std::string vmsUrl;
     std::string logLevel = "info";
     bool logJson = false;
     /// How long callers may still come after SIGTERM, while GET /health already says 503.
--- /dev/null
+++ b/Source/Version/VmList.cpp
@@ -0,0 +1,59 @@
+#include "Version/VmList.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace wisteria {
+
+Result<std::map<std::string, VmState>> parseVmList(const std::string &body)
+{
+    std::map<std::string, VmState> list;
+    try {
+        const nlohmann::json document = nlohmann::json::parse(body);
+        for (const nlohmann::json &vm : document.at("vms")) {
+            const bool leaving = vm.at("state").get<std::string>() == "leaving";
+            list[vm.at("name").get<std::string>()] = leaving ? VmState::Leaving : VmState::Live;
+        }
+    } catch (const nlohmann::json::exception &error) {
+        return failure(ErrorKind::BadInput,
+                       std::string("the list of VMs can't be understood (") + error.what()
+                           + "); check that the settings' vms.url names the platform's list");
+    }
+    return list;
+}
+
+void takeVmList(VmView &view, const std::map<std::string, VmState> &list, TimePoint now)
+{
+    if (!view.any)
+        view.firstList = now;
+    view.any = true;
+    view.newestList = now;
+    view.listed = list;
+    for (const auto &[name, state] : list)
+        view.lastListed[name] = now;
+    std::erase_if(view.lastListed,
+                  [&](const auto &vm) { return now - vm.second > 2 * vmGoneAfter; });
+}
+
+bool isVmGone(const VmView &view, const std::string &vm)
+{
+    if (!view.any || view.listed.contains(vm))
+        return false;
+    const auto found = view.lastListed.find(vm);
+    const TimePoint lastListed =
+        found == view.lastListed.end() ? view.firstList : std::max(view.firstList, found->second);
+    return view.newestList - lastListed >= vmGoneAfter;
+}
+
+std::set<std::string> leavingVms(const VmView &view)
+{
+    std::set<std::string> leaving;
+    for (const auto &[name, state] : view.listed) {
+        if (state == VmState::Leaving)
+            leaving.insert(name);
+    }
+    return leaving;
+}
+
+} // namespace wisteria
