Keep off backend servers on VMs that the platform names as leaving

Cause: the list's word was kept in the flag that the agent's own reports set, so the next heartbeat cleared it (test 'A backend server on a leaving VM is not asked' is of that order of events). Change: a mark of its own, set from each list; the entry watches the list.

--- a/Source/Process/EntryProcess.cpp
+++ b/Source/Process/EntryProcess.cpp
@@ -161,17 +161,18 @@
         });
     }
 
+    /// The list lags, so the agents' own word comes first; the list tells of VMs whose agents died.
     void vmsListed(const VmView &view)
     {
-        for (const std::string &name : heartbeatTargets(state_)) {
-            const std::string vm = vmOf(state_, name);
-            if (!leavingVms(view).contains(vm) && !isVmGone(view, vm))
-                continue;
-            for (const auto &worker : workers_) {
-                worker->update([name](EntryState &state, EntryShared &, TimePoint now) {
-                    observeVmLeaving(state, name, now);
-                });
-            }
+        std::set<std::string> leaving = leavingVms(view);
+        for (const std::string &vm : routedVms(state_)) {
+            if (isVmGone(view, vm))
+                leaving.insert(vm);
+        }
+        for (const auto &worker : workers_) {
+            worker->update([leaving](EntryState &state, EntryShared &, TimePoint) {
+                observeVms(state, leaving);
+            });
         }
     }
 
--- a/Source/Request/EntryRequest.h
+++ b/Source/Request/EntryRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -100,8 +101,12 @@
 /// A heartbeat to the backend server's agent was not answered.
 void observeUnreachable(EntryState &state, const std::string &backendServer, TimePoint now);
 
-/// The platform's list names the backend server's VM as leaving or gone.
-void observeVmLeaving(EntryState &state, const std::string &backendServer, TimePoint now);
+/// Takes in which VMs the platform's list names as leaving or no more. Backend servers on others
+/// are asked again.
+void observeVms(EntryState &state, const std::set<std::string> &leaving);
+
+/// VMs of the backend servers that this entry routes to.
+std::set<std::string> routedVms(const EntryState &state);
 
 /// Names of the backend servers that this entry routes to and so sends heartbeats.
 std::vector<std::string> heartbeatTargets(const EntryState &state);
--- a/Source/Request/Route.cpp
+++ b/Source/Request/Route.cpp
@@ -80,7 +80,7 @@
 
 bool mayBeAsked(const Candidate &candidate, TimePoint now)
 {
-    if (candidate.leaving || candidate.down || now < candidate.shunnedUntil)
+    if (candidate.leaving || candidate.vmLeaving || candidate.down || now < candidate.shunnedUntil)
         return false;
     // After a shun one attempt probes; others wait for its end.
     const bool probing = candidate.failures >= shunAfterFailures && candidate.outstanding > 0;
--- a/Source/Request/Route.h
+++ b/Source/Request/Route.h
@@ -29,6 +29,9 @@
     std::uint32_t sentSinceReport = 0;
     bool leaving = false;
     bool down = false;
+    /// The platform's list names its VM as leaving or no more. Kept apart from `leaving`, which
+    /// the agent's own reports set and clear.
+    bool vmLeaving = false;
     /// Attempts in a row that timed out or were lost.
     std::uint32_t failures = 0;
     /// Not asked before then, except that one attempt probes it afterwards.
--- a/Source/Request/RoutingView.cpp
+++ b/Source/Request/RoutingView.cpp
@@ -187,9 +187,22 @@
     forCandidates(state, backendServer, [](Candidate &candidate) { candidate.down = true; });
 }
 
-void observeVmLeaving(EntryState &state, const std::string &backendServer, TimePoint)
+void observeVms(EntryState &state, const std::set<std::string> &leaving)
 {
-    forCandidates(state, backendServer, [](Candidate &candidate) { candidate.leaving = true; });
+    for (auto &[name, service] : state.services) {
+        for (Candidate &candidate : service.candidates)
+            candidate.vmLeaving = leaving.contains(candidate.vm);
+    }
+}
+
+std::set<std::string> routedVms(const EntryState &state)
+{
+    std::set<std::string> vms;
+    for (const auto &[name, service] : state.services) {
+        for (const Candidate &candidate : service.candidates)
+            vms.insert(candidate.vm);
+    }
+    return vms;
 }
 
 std::vector<std::string> heartbeatTargets(const EntryState &state)
--- /dev/null
+++ b/Tests/Request/VmRoutingTest.cpp
@@ -0,0 +1,22 @@
+#include "Request/EntryRequest.h"
+
+#include <catch2/catch.hpp>
+
+using namespace wisteria;
+
+// A counter clerk waits for a backend server whose VM is being taken away: the platform named the
+// VM as leaving, and the next heartbeat of its agent, which does not know yet, cleared the mark.
+TEST_CASE("A backend server on a leaving VM is not asked, whatever its agent reports")
+{
+    EntryState state;
+    Candidate candidate;
+    candidate.name = "b1";
+    candidate.vm = "vm1";
+    state.services["lookup"].candidates = {candidate};
+    const TimePoint now{};
+    observeVms(state, {"vm1"});
+    observeLoad(state, "b1", v1::LoadReport(), 1, now);
+    CHECK_FALSE(mayBeAsked(state.services["lookup"].candidates[0], now));
+    observeVms(state, {});
+    CHECK(mayBeAsked(state.services["lookup"].candidates[0], now));
+}
