--- a/Source/Programs/Bench/LoadCommand.cpp
+++ b/Source/Programs/Bench/LoadCommand.cpp
@@ -31,7 +31,7 @@
     std::vector<pid_t> pids;
 };
 
-LoadOptions parseOptions(int argc, char **argv)
+LoadOptions parseOptions(std::vector<std::string> &arguments)
 {
     TCLAP::CmdLine command("Sends load to a running system and prints figures as JSON");
     TCLAP::MultiArg<std::string> url("u", "url", "Address to POST to; several take turns", true,
@@ -54,7 +54,7 @@
                                            30000, "ms", command);
     TCLAP::MultiArg<pid_t> pid("p", "pid", "Process whose usage is reported", false, "pid",
                                command);
-    command.parse(argc, argv);
+    command.parse(arguments);
 
     LoadOptions options;
     options.plan.urls = url.getValue();
@@ -131,16 +131,12 @@
     std::atomic<std::size_t> running_ = 0;
 };
 
-bool sampleAll(std::vector<ProcessWatch> &watches)
+Result<void> sampleAll(std::vector<ProcessWatch> &watches)
 {
     for (ProcessWatch &watch : watches) {
-        const auto sampled = watch.sample();
-        if (sampled.has_error()) {
-            std::cerr << sampled.error().message << "\n";
-            return false;
-        }
+        BOOST_OUTCOME_TRYV(watch.sample());
     }
-    return true;
+    return boost::outcome_v2::success();
 }
 
 nlohmann::json measure(const LoadOptions &options, std::vector<ProcessWatch> &watches)
@@ -150,10 +146,10 @@
     phase.start();
     while (phase.isRunning()) {
         std::this_thread::sleep_for(samplePause);
-        sampleAll(watches);
+        static_cast<void>(sampleAll(watches));
     }
     const std::chrono::duration<double> elapsed = monotonicNow() - begin;
-    sampleAll(watches);
+    static_cast<void>(sampleAll(watches));
     nlohmann::json report = renderTally(phase.finish(), elapsed);
     report["processes"] = nlohmann::json::array();
     for (const ProcessWatch &watch : watches)
@@ -163,9 +159,9 @@
 
 } // namespace
 
-int runLoad(int argc, char **argv)
+Result<void> runLoadCommand(std::vector<std::string> arguments, std::ostream &out)
 {
-    const LoadOptions options = parseOptions(argc, argv);
+    const LoadOptions options = parseOptions(arguments);
     curl_global_init(CURL_GLOBAL_DEFAULT);
     std::vector<ProcessWatch> watches(options.pids.begin(), options.pids.end());
     if (options.warmUp > 0) {
@@ -173,11 +169,13 @@
         warmUp.start();
         warmUp.finish();
     }
-    if (!sampleAll(watches))
-        return EXIT_FAILURE;
+    BOOST_OUTCOME_TRYV(sampleAll(watches));
     const nlohmann::json report = measure(options, watches);
-    std::cout << report.dump(2) << "\n";
-    return report["crossed"] == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    out << report.dump(2) << "\n";
+    if (report["crossed"] == 0)
+        return boost::outcome_v2::success();
+    return failure(ErrorKind::Internal,
+                   "an answer belonged to another request; keep the logs and report it as a fault");
 }
 
 } // namespace wisteria
