--- a/Source/Version/ConfigCheck.cpp
+++ b/Source/Version/ConfigCheck.cpp
@@ -328,6 +328,7 @@
 
 Result<void> checkObject(const v1::Object &object)
 {
+    BOOST_OUTCOME_TRY(checkName(keyOf(object)));
     if (object.has_service())
         return checkService(object.service());
     if (object.has_backend_server())
--- /dev/null
+++ b/Tests/Version/ConfigMistakesTest.cpp
@@ -0,0 +1,143 @@
+#include <fstream>
+#include <sstream>
+
+#include <catch2/catch.hpp>
+
+#include "Version/ConfigCheck.h"
+#include "Version/ConfigFile.h"
+#include "Version/ConfigRecords.h"
+
+using namespace wisteria;
+using namespace wisteria::test;
+
+namespace {
+
+const std::string folder = std::string(WISTERIA_TEST_DATA) + "/Mistakes/";
+
+std::string textOf(const std::string &path)
+{
+    const std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// Replays one more change, which must be accepted.
+void accept(ConfigState &state, v1::ChangeRecord change)
+{
+    change.set_confirm_digest(effectsOf(state, change).digest);
+    REQUIRE(replayRecord(state, recordOf(state.position + 1, change)).reason.empty());
+}
+
+/// The base, then a routing policy and a service that changed and an organisation that left.
+ConfigState stateInForce()
+{
+    ConfigState state;
+    const auto base = parseConfigFile(textOf(folder + "base.json"), "base.json");
+    v1::ChangeRecord change = changeFromFile(base.value(), {});
+    change.MergeFrom(emptyChange("change-base"));
+    accept(state, change);
+    for (int i = 0; i < 6; ++i) {
+        change = emptyChange("change-lookup-" + std::to_string(i), state.position);
+        auto lookup = state.objects.at({v1::OBJECT_KIND_SERVICE, "lookup"});
+        lookup.mutable_object()->mutable_service()->set_queue_bound(65 + i);
+        addSet(change, lookup.object(), lookup.version());
+        auto spare = state.objects.at({v1::OBJECT_KIND_ROUTING_POLICY, "spare"});
+        spare.mutable_object()->mutable_routing_policy()->set_load_weight(2 + i);
+        addSet(change, spare.object(), spare.version());
+        accept(state, change);
+    }
+    change = emptyChange("change-leaver", state.position);
+    addRemoval(change, v1::OBJECT_KIND_ORGANISATION, "leaver", 1);
+    accept(state, change);
+    accept(state, [&] {
+        v1::ChangeRecord last = emptyChange("change-last", state.position);
+        addSet(last, policyObject("last"));
+        return last;
+    }());
+    return state;
+}
+
+/// One line of the table: title, the operator's file, and how the change is signed where that is
+/// the mistake.
+struct Mistake
+{
+    std::string title;
+    std::string file;
+    std::string signature;
+};
+
+Mistake mistakeFrom(const std::string &line)
+{
+    std::istringstream fields(line);
+    Mistake mistake;
+    std::getline(fields, mistake.title, '|');
+    std::getline(fields, mistake.file, '|');
+    std::getline(fields, mistake.signature, '|');
+    return mistake;
+}
+
+v1::ChangeRecord signedChange(const Mistake &mistake, const v1::ChangeRecord &content)
+{
+    v1::ChangeRecord change = emptyChange("change-mistake");
+    change.MergeFrom(content);
+    const std::size_t equals = mistake.signature.find('=');
+    const std::string field = mistake.signature.substr(0, equals);
+    const std::string value =
+        equals == std::string::npos ? "" : mistake.signature.substr(equals + 1);
+    if (field == "confirm")
+        change.set_confirm_digest(value);
+    if (field == "why")
+        change.set_why(value);
+    if (field == "who")
+        change.set_who(value);
+    if (field == "id")
+        change.set_change_id(value);
+    return change;
+}
+
+/// What an operator is told, as wisteriactl and the admin come to it.
+std::string answerTo(const ConfigState &state, const Mistake &mistake)
+{
+    const auto file = parseConfigFile(mistake.file, "file.json");
+    if (!file)
+        return "file: " + file.error().message;
+    const std::vector<std::string> offline = checkConfigFile(file.value());
+    if (!offline.empty())
+        return "check: " + offline.front();
+    v1::ChangeRecord change = signedChange(mistake, changeFromFile(file.value(), state.objects));
+    if (change.base_position() == 0)
+        change.set_base_position(state.position);
+    const auto shape = checkShape(change);
+    if (!shape)
+        return "admin: " + shape.error().message;
+    const ChangeJudgement judgement = judgeChange(state, state.position + 1, change);
+    if (judgement.acceptable)
+        return "ACCEPTED";
+    return (judgement.needsConfirmation ? "held back: " : "refused: ") + judgement.reason;
+}
+
+} // namespace
+
+// An operator makes a mistake in a file, a number or a name, or applies a file that is out of date.
+// Without a check it would be in force everywhere within seconds. Each is refused or held back,
+// with what was found and what to do.
+TEST_CASE("Each known mistake is refused or held back with its remedy")
+{
+    const ConfigState state = stateInForce();
+    std::istringstream table(textOf(folder + "mistakes.txt"));
+    std::string said;
+    std::string line;
+    std::size_t mistakes = 0;
+    while (std::getline(table, line)) {
+        const Mistake mistake = mistakeFrom(line);
+        const std::string answer = answerTo(state, mistake);
+        INFO(mistake.title);
+        CHECK(answer != "ACCEPTED");
+        CHECK(answer.find("; ") != std::string::npos);
+        said += mistake.title + "\n    " + answer + "\n";
+        ++mistakes;
+    }
+    CHECK(mistakes >= 40);
+    CHECK(said == textOf(folder + "answers.txt"));
+}
