--- a/Tests/Version/ConfigReplayTest.cpp
+++ b/Tests/Version/ConfigReplayTest.cpp
@@ -53,23 +53,24 @@
 }
 
 /// Appends one of an operator's changes, right or wrong, or something else that a log may hold.
-void appendSomething(MemoryLog &log, const ConfigState &state, std::vector<LogRecord> &late)
+void appendSomething(MemoryLog &log, const ConfigState &state, const ConfigState &slow,
+                     std::vector<LogRecord> &late)
 {
-    const int choice = *rc::gen::inRange(0, 12);
+    const int choice = *rc::gen::inRange(0, 14);
     const std::string name = "s" + std::to_string(*rc::gen::inRange(0, 4));
     const ObjectKey key{v1::OBJECT_KIND_SERVICE, name};
     const auto held = state.objects.find(key);
     const Offset current = held == state.objects.end() ? 0 : held->second.version();
-    const Offset base = *rc::gen::element(current, current, Offset(0), Offset(1));
+    const Offset base = *rc::gen::element(current, current, current, Offset(0), Offset(1));
     const Offset position = *rc::gen::element(state.position, state.position, Offset(0));
-    const std::string id = "change-" + std::to_string(*rc::gen::inRange(0, 60));
+    const std::string id = "change-" + std::to_string(*rc::gen::inRange(0, 400));
     v1::ChangeRecord change = emptyChange(id, position);
     if (choice == 0 && !late.empty()) {
         log.append(late[*rc::gen::inRange<std::size_t>(0, late.size())]); // a duplicate, or late
         return;
     }
     if (choice == 1) {
-        log.append(recordOf(0, snapshotOf(state))); // possibly behind the log's end
+        log.append(recordOf(0, snapshotOf(slow))); // behind the log's end
         return;
     }
     if (choice == 2) {
@@ -115,9 +116,9 @@
         ReplayCursor early;
         const int appends = *rc::gen::inRange(1, 60);
         for (int i = 0; i < appends; ++i) {
-            if (*rc::gen::inRange(0, 3) != 0)
+            if (*rc::gen::inRange(0, 6) != 0)
                 follow(writer, log, 64); // else it judges and writes by a state that is behind
-            appendSomething(log, writer.state, late);
+            appendSomething(log, writer.state, early.state, late);
             if (*rc::gen::inRange(0, 5) == 0)
                 follow(early, log, *rc::gen::inRange<std::size_t>(1, 9));
         }
@@ -205,6 +206,27 @@
     CHECK(bytesOf(reader.state) == bytesOf(plainReplay(log)));
 }
 
+// During an outage a process takes the configuration from peers, and one of them is behind.
+TEST_CASE("A peer's or the log's snapshot never takes a state back")
+{
+    MemoryLog log;
+    log.append(serviceRecord(1, "lookup"));
+    ReplayCursor reader;
+    follow(reader, log, 10);
+    const v1::SnapshotRecord old = snapshotOf(reader.state);
+    log.append(serviceRecord(2, "chat"));
+    follow(reader, log, 10);
+    CHECK_FALSE(adoptSnapshot(reader.state, old));
+    v1::SnapshotRecord lower = old; // further in the log, yet of a lower version
+    lower.set_as_of(9);
+    CHECK_FALSE(adoptSnapshot(reader.state, lower));
+    v1::SnapshotRecord unknown = snapshotOf(reader.state);
+    unknown.set_as_of(9);
+    unknown.set_rules_version(newestRules + 1);
+    CHECK_FALSE(adoptSnapshot(reader.state, unknown));
+    CHECK(reader.state.version == 2);
+}
+
 TEST_CASE("A log whose end goes backwards is an error and the state stays")
 {
     MemoryLog log;
