Keep the operator's answer true when an admin dies after its append

An admin died after an append whose answer was lost, the operator repeated the change at another admin during an outage and was told 'nothing was written'; then the first append turned up and was in force. Ruled out: asking the log first, since the append may still be under way. Change: only a change id that was never sent before may be answered 'nothing was written'; wisteriactl says so for ids that it made itself.

--- a/Source/Process/AdminService.cpp
+++ b/Source/Process/AdminService.cpp
@@ -178,11 +178,12 @@
         return {grpc::StatusCode::PERMISSION_DENIED, permitted.error().message};
     }
 
-    void submit(const v1::ChangeRecord &change, std::uint32_t timeout, v1::ApplyReply &reply)
+    void submit(const v1::ChangeRecord &change, bool firstAttempt, std::uint32_t timeout,
+                v1::ApplyReply &reply)
     {
         const auto log = makeLog_();
         const SubmissionDecision decision =
-            submitChange(change, *log, follower_, timeoutOf(timeout));
+            submitChange(change, firstAttempt, *log, follower_, timeoutOf(timeout));
         metrics_.countChange(endOf(decision.step));
         logger_->info("change {} by {}: {} {}", change.change_id(), change.who(),
                       decision.step == SubmissionStep::Accepted
@@ -349,9 +350,10 @@
         return begun;
     v1::ChangeRecord change = request->change();
     change.set_cancel(false);
+    const bool firstAttempt = request->first_attempt() || change.change_id().empty();
     if (const auto prepared = d_->prepare(account, *d_->follower_.state(), change); !prepared.ok())
         return prepared;
-    d_->submit(change, request->timeout_ms(), *reply);
+    d_->submit(change, firstAttempt, request->timeout_ms(), *reply);
     return grpc::Status::OK;
 }
 
@@ -374,7 +376,7 @@
     cancel.set_cancel(true);
     if (const auto prepared = d_->prepare(account, *state, cancel); !prepared.ok())
         return prepared;
-    d_->submit(cancel, 0, *reply);
+    d_->submit(cancel, false, 0, *reply);
     return grpc::Status::OK;
 }
 
@@ -453,7 +455,8 @@
     entry.mutable_content()->mutable_backend_server()->set_draining(request->draining());
     if (const auto prepared = d_->prepare(account, *state, change); !prepared.ok())
         return prepared;
-    d_->submit(change, request->timeout_ms(), *reply);
+    const bool firstAttempt = request->first_attempt() || request->change_id().empty();
+    d_->submit(change, firstAttempt, request->timeout_ms(), *reply);
     return grpc::Status::OK;
 }
 
--- a/Source/Process/ChangeSubmission.h
+++ b/Source/Process/ChangeSubmission.h
@@ -14,8 +14,11 @@
     TimePoint deadline;
     /// Offset of an append that was answered.
     std::optional<Offset> appendedAt;
-    /// Whether any append may have been written.
-    bool mayStand = false;
+    /// Whether any append may have been written, by this admin or by another one that was sent the
+    /// same change id before. Failure guarded against: an admin dies after its append, the operator
+    /// repeats the change at another one during an outage, hears "nothing was written", and the
+    /// first append turns up. Only a change id that was never sent before begins with false.
+    bool mayStand = true;
     /// No append before this moment.
     TimePoint nextAppend;
 };
--- a/Source/Process/ChangeSubmitter.cpp
+++ b/Source/Process/ChangeSubmitter.cpp
@@ -28,13 +28,14 @@
 
 } // namespace
 
-SubmissionDecision submitChange(v1::ChangeRecord change, LogClient &log,
+SubmissionDecision submitChange(v1::ChangeRecord change, bool firstAttempt, LogClient &log,
                                 const ConfigFollower &follower, milliseconds timeout)
 {
     const TimePoint start = monotonicNow();
     Submission submission;
     submission.change = std::move(change);
     submission.deadline = start + timeout;
+    submission.mayStand = !firstAttempt;
     submission.nextAppend = start;
     auto state = follower.state();
     while (true) {
--- a/Source/Programs/Ctl/CtlCommands.cpp
+++ b/Source/Programs/Ctl/CtlCommands.cpp
@@ -180,6 +180,7 @@
     v1::ApplyRequest request;
     sign(session.options, change);
     *request.mutable_change() = std::move(change);
+    request.set_first_attempt(session.options.changeId.empty());
     request.set_timeout_ms(static_cast<std::uint32_t>(session.options.timeout.count()));
     return request;
 }
@@ -303,6 +304,7 @@
     v1::DrainRequest request;
     request.set_backend_server(session.options.arguments.front());
     request.set_draining(draining);
+    request.set_first_attempt(session.options.changeId.empty());
     request.set_change_id(changeIdOf(session.options));
     request.set_who(session.options.who);
     request.set_why(session.options.why);
