--- a/Source/Connection/HttpLogClient.cpp
+++ b/Source/Connection/HttpLogClient.cpp
@@ -134,6 +134,7 @@
     }
 
     const std::string &url() const { return url_; }
+    std::uint64_t transferred() const { return transferred_; }
 
 private:
     void prepare(const std::string &path, milliseconds timeout)
@@ -156,11 +157,18 @@
         answer.code = curl_easy_perform(handle_);
         curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &answer.status);
         curl_easy_getinfo(handle_, CURLINFO_REQUEST_SIZE, &answer.requestBytes);
+        long headerBytes = 0;
+        curl_easy_getinfo(handle_, CURLINFO_HEADER_SIZE, &headerBytes);
+        curl_off_t sentBytes = 0;
+        curl_easy_getinfo(handle_, CURLINFO_SIZE_UPLOAD_T, &sentBytes);
+        transferred_ += static_cast<std::uint64_t>(answer.requestBytes + headerBytes + sentBytes)
+            + answer.body.size();
         return answer;
     }
 
     std::string url_;
     CURL *handle_ = nullptr;
+    std::uint64_t transferred_ = 0;
 };
 
 HttpLogClient::HttpLogClient(std::string url) : d_(std::make_unique<Private>(std::move(url))) { }
@@ -197,4 +205,9 @@
     return parseBatch(answer.body);
 }
 
+std::uint64_t HttpLogClient::transferredBytes() const
+{
+    return d_->transferred();
+}
+
 } // namespace wisteria
--- a/Source/Connection/HttpLogClient.h
+++ b/Source/Connection/HttpLogClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -20,6 +21,9 @@
                           milliseconds timeout) override;
     Result<LogBatch> read(const std::string &stream, Offset from, milliseconds wait) override;
 
+    /// Bytes of requests and answers so far, headers included, without those of TCP and IP.
+    std::uint64_t transferredBytes() const;
+
 private:
     class Private;
     std::unique_ptr<Private> d_;
