--- a/Source/Connection/HttpLogClient.cpp
+++ b/Source/Connection/HttpLogClient.cpp
@@ -99,4 +99,9 @@
     return parseBatch(answer.body);
 }
 
+std::uint64_t HttpLogClient::transferredBytes() const
+{
+    return http_->transferredBytes();
+}
+
 } // namespace wisteria
--- a/Source/Connection/HttpLogClient.h
+++ b/Source/Connection/HttpLogClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -24,6 +25,9 @@
 
     void interrupt() override;
 
+    /// Bytes of requests and answers so far, headers included, without those of TCP and IP.
+    std::uint64_t transferredBytes() const;
+
 private:
     std::unique_ptr<PlatformHttp> http_;
 };
--- a/Source/Connection/PlatformHttp.cpp
+++ b/Source/Connection/PlatformHttp.cpp
@@ -71,6 +71,7 @@
             curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &answer.status);
         else
             answer.trouble = curl_easy_strerror(code);
+        transferred_ += transferredNow(requestBytes) + answer.body.size();
         answer.timedOut = code == CURLE_OPERATION_TIMEDOUT;
         answer.neverSent = code != CURLE_OK && requestBytes == 0;
         return answer;
@@ -81,7 +82,18 @@
     std::string url_;
     std::atomic<bool> interrupted_ = false;
 
+    std::uint64_t transferred_ = 0;
+
 private:
+    std::uint64_t transferredNow(long requestBytes) const
+    {
+        long headerBytes = 0;
+        curl_easy_getinfo(handle_, CURLINFO_HEADER_SIZE, &headerBytes);
+        curl_off_t sentBytes = 0;
+        curl_easy_getinfo(handle_, CURLINFO_SIZE_UPLOAD_T, &sentBytes);
+        return static_cast<std::uint64_t>(requestBytes + headerBytes + sentBytes);
+    }
+
     /// libcurl asks at least once a second whether to go on.
     static int onProgress(void *self, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
     {
@@ -133,6 +145,11 @@
     return private_->url_;
 }
 
+std::uint64_t PlatformHttp::transferredBytes() const
+{
+    return private_->transferred_;
+}
+
 std::string describe(const PlatformAnswer &answer)
 {
     return answer.trouble.empty() ? "status " + std::to_string(answer.status) : answer.trouble;
--- a/Source/Connection/PlatformHttp.h
+++ b/Source/Connection/PlatformHttp.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -42,6 +43,9 @@
 
     const std::string &url() const;
 
+    /// Bytes of requests and answers so far, headers included, without those of TCP and IP.
+    std::uint64_t transferredBytes() const;
+
 private:
     class Private;
     std::unique_ptr<Private> private_;
