--- a/Tests/Sessions/TestSystem.cpp
+++ b/Tests/Sessions/TestSystem.cpp
@@ -143,7 +143,7 @@
     startAgent(i, agentAddresses_[i]);
 }
 
-std::uint64_t TestSystem::declareAll() const
+std::uint64_t TestSystem::declareAll()
 {
     std::vector<v1::Object> objects(3);
     v1::RoutingPolicy &policy = *objects[0].mutable_routing_policy();
@@ -179,9 +179,8 @@
     return backend;
 }
 
-std::uint64_t TestSystem::apply(const std::vector<v1::Object> &objects) const
+std::uint64_t TestSystem::apply(const std::vector<v1::Object> &objects)
 {
-    // Changes of one test follow one another, so each is made against the newest record.
     const std::string stream = http(log_->address("address")) + "/streams/config/records";
     v1::ConfigRecord record;
     v1::ChangeRecord &change = *record.mutable_change();
@@ -189,10 +188,15 @@
     change.set_who("tests");
     change.set_why("session test");
     change.set_rules_version(1);
-    for (const v1::Object &object : objects)
-        *change.add_changes() = changeOf(object);
+    for (const v1::Object &object : objects) {
+        v1::ObjectChange &part = *change.add_changes() = changeOf(object);
+        part.set_base_version(versions_[part.name()]);
+    }
     const HttpAnswer answer = call({.url = stream, .body = record.SerializeAsString()});
-    return answer.json().value("offset", 0ULL);
+    const std::uint64_t offset = answer.json().value("offset", 0ULL);
+    for (const v1::ObjectChange &part : change.changes())
+        versions_[part.name()] = offset;
+    return offset;
 }
 
 void TestSystem::waitInForce(std::uint64_t version) const
--- a/Tests/Sessions/TestSystem.h
+++ b/Tests/Sessions/TestSystem.h
@@ -77,7 +77,7 @@
     void release(const std::string &name) const;
 
     /// Appends a change of the configuration and returns its offset.
-    std::uint64_t apply(const std::vector<v1::Object> &objects) const;
+    std::uint64_t apply(const std::vector<v1::Object> &objects);
     v1::BackendServer declaredBackend(std::size_t i) const;
     /// Waits until every agent and entry that lives has the version in force.
     void waitInForce(std::uint64_t version) const;
@@ -90,7 +90,7 @@
     std::string path(const std::string &name) const;
     std::string writeSettings(const std::string &name, const nlohmann::json &settings) const;
     void startAgent(std::size_t i, const std::string &listen);
-    std::uint64_t declareAll() const;
+    std::uint64_t declareAll();
 
     SystemShape shape_;
     std::string folder_;
@@ -99,6 +99,8 @@
     std::vector<std::unique_ptr<ChildProcess>> backends_;
     std::vector<std::unique_ptr<ChildProcess>> agents_;
     std::vector<std::unique_ptr<ChildProcess>> entries_;
+    /// Offset of the change that last set an object, by its name.
+    std::map<std::string, std::uint64_t> versions_;
     std::vector<std::string> agentAddresses_;
     std::vector<std::string> backendAddresses_;
 };
