Look two steps ahead where no single step pays

Every single step would have made another rank the straggler, so the search stopped. Ruled out: too few reports and missing payback; the trace of decisions showed 0 moves found with a threshold of 0.00001. Change: the six least bad first steps are followed up by the best second step each. The exponent is bounded, so that a rank far above the others can't overflow it. The search's state is a class of its own.

--- /dev/null
+++ b/Source/Version/LayerSearch.cpp
@@ -0,0 +1,275 @@
+#include "Version/LayerSearch.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace wisteria {
+
+namespace {
+
+/// Bounds of the sharpness k. Below, the bound is loose; above, it is the plain maximum.
+constexpr double leastSharpness = 20;
+constexpr double mostSharpness = 300;
+/// Largest argument of the exponential; its sum over all ranks stays finite.
+constexpr double largestExponent = 600;
+
+/// Loads scaled so that a balanced group's time is 1.
+std::vector<double> scaledLoads(const RankGroup &group, const std::vector<double> &loads)
+{
+    const double total = std::accumulate(loads.begin(), loads.end(), 0.0);
+    double speed = 0;
+    for (const RankCapacity &rank : group.ranks)
+        speed += rank.speed;
+    std::vector<double> scaled = loads;
+    for (double &load : scaled)
+        load = total > 0 ? load * speed / total : 0;
+    return scaled;
+}
+
+} // namespace
+
+LayerSearch::LayerSearch(const RankGroup &group, const LayerMap &present,
+                         const SearchProblem &problem, const SearchLimits &limits)
+    : group_(group), present_(present), limits_(limits), map_(present),
+      loads_(scaledLoads(group, problem.loads)), relativeVariance_(problem.noise * problem.noise),
+      held_(group.ranks.size() * loads_.size(), 0), holders_(loads_.size()),
+      loadChange_(group.ranks.size(), 0.0), squareChange_(group.ranks.size(), 0.0)
+{
+    for (std::size_t rank = 0; rank < map_.ranks.size(); ++rank) {
+        for (const ExpertId expert : map_.ranks[rank]) {
+            held_[index(rank, expert)] = 1;
+            holders_[expert].push_back(rank);
+        }
+    }
+    setUpRanks();
+    chooseSharpness();
+    setUpSum();
+}
+
+double LayerSearch::skew() const
+{
+    return 1.0 + std::log(sum_) / sharpness_;
+}
+
+double LayerSearch::gainOf(double change) const
+{
+    return -std::log1p(change / sum_) / sharpness_;
+}
+
+double LayerSearch::exponent(double mean, double variance) const
+{
+    return sharpness_ * (mean - 1.0) + sharpness_ * sharpness_ * variance / 2;
+}
+
+void LayerSearch::setUpRanks()
+{
+    mean_.assign(map_.ranks.size(), 0.0);
+    variance_.assign(map_.ranks.size(), 0.0);
+    for (std::size_t rank = 0; rank < map_.ranks.size(); ++rank) {
+        const double speed = group_.ranks[rank].speed;
+        for (const ExpertId expert : map_.ranks[rank]) {
+            const double share = loads_[expert] / static_cast<double>(holders_[expert].size());
+            mean_[rank] += share / speed;
+            variance_[rank] += relativeVariance_ * share * share / (speed * speed);
+        }
+    }
+}
+
+void LayerSearch::setUpSum()
+{
+    terms_.resize(mean_.size());
+    for (std::size_t rank = 0; rank < mean_.size(); ++rank)
+        terms_[rank] = std::exp(exponent(mean_[rank], variance_[rank]));
+    sum_ = std::accumulate(terms_.begin(), terms_.end(), 0.0);
+}
+
+/// The bound on the maximum of n normal variables is tightest at k = sqrt(2 log n) / deviation. A
+/// rank far above the others would overflow the exponential; k then shrinks, as nothing but that
+/// rank counts anyway.
+void LayerSearch::chooseSharpness()
+{
+    const double ranks = static_cast<double>(mean_.size());
+    const double variance = std::accumulate(variance_.begin(), variance_.end(), 0.0) / ranks;
+    sharpness_ = mostSharpness;
+    if (variance > 0) {
+        const double tightest = std::sqrt(2 * std::log(std::max(ranks, 2.0)) / variance);
+        sharpness_ = std::clamp(tightest, leastSharpness, mostSharpness);
+    }
+    for (std::size_t rank = 0; rank < mean_.size(); ++rank) {
+        while (exponent(mean_[rank], variance_[rank]) > largestExponent)
+            sharpness_ /= 2;
+    }
+}
+
+bool LayerSearch::hasRoom(std::size_t rank, ExpertId expert) const
+{
+    if (limits_.stagingRoom.empty())
+        return true;
+    std::vector<ExpertId> next = map_.ranks[rank];
+    next.push_back(expert);
+    return missingExperts(present_.ranks[rank], next).size() <= limits_.stagingRoom[rank];
+}
+
+void LayerSearch::touch(std::size_t rank, double load, double square)
+{
+    if (loadChange_[rank] == 0 && squareChange_[rank] == 0)
+        touched_.push_back(rank);
+    loadChange_[rank] += load;
+    squareChange_[rank] += square;
+}
+
+/// Notes what the present holders of an expert gain or lose when its replicas go from `from` to
+/// `to`.
+void LayerSearch::touchHolders(ExpertId expert, std::size_t from, std::size_t to)
+{
+    const double before = loads_[expert] / static_cast<double>(from);
+    const double after = loads_[expert] / static_cast<double>(to);
+    for (const std::size_t holder : holders_[expert])
+        touch(holder, after - before, after * after - before * before);
+}
+
+/// Change of the sum by the touched ranks; clears the notes.
+double LayerSearch::touchedChange()
+{
+    double change = 0;
+    for (const std::size_t rank : touched_) {
+        const double speed = group_.ranks[rank].speed;
+        const double mean = mean_[rank] + loadChange_[rank] / speed;
+        const double square = squareChange_[rank] * relativeVariance_ / (speed * speed);
+        change += std::exp(exponent(mean, variance_[rank] + square)) - terms_[rank];
+        loadChange_[rank] = 0;
+        squareChange_[rank] = 0;
+    }
+    touched_.clear();
+    return change;
+}
+
+double LayerSearch::replaceChange(std::size_t rank, std::size_t slot, ExpertId expert)
+{
+    const std::size_t replicas = holders_[expert].size();
+    touchHolders(expert, replicas, replicas + 1);
+    const double added = loads_[expert] / static_cast<double>(replicas + 1);
+    touch(rank, added, added * added);
+    if (slot != noSlot) {
+        const ExpertId dropped = map_.ranks[rank][slot];
+        const std::size_t left = holders_[dropped].size() - 1;
+        touchHolders(dropped, left + 1, left);
+        const double share = loads_[dropped] / static_cast<double>(left);
+        touch(rank, -share, -share * share);
+    }
+    return touchedChange();
+}
+
+double LayerSearch::exchangeChange(std::size_t rank, std::size_t slot, std::size_t other,
+                                   std::size_t otherSlot)
+{
+    const ExpertId given = map_.ranks[rank][slot];
+    const ExpertId taken = map_.ranks[other][otherSlot];
+    const double out = loads_[given] / static_cast<double>(holders_[given].size());
+    const double in = loads_[taken] / static_cast<double>(holders_[taken].size());
+    touch(rank, in - out, in * in - out * out);
+    touch(other, out - in, out * out - in * in);
+    return touchedChange();
+}
+
+void LayerSearch::consider(std::size_t partner, const SearchStep &step)
+{
+    SearchStep &kept = steps_[partner];
+    if (kept.moves == 0 || step.change / step.moves < kept.change / kept.moves)
+        kept = step;
+}
+
+/// A further replica of one of the busiest rank's experts on another rank.
+void LayerSearch::considerFurtherReplica(std::size_t busiest, ExpertId expert, std::size_t rank)
+{
+    if (holds(rank, expert) || mean_[rank] >= mean_[busiest] || !hasRoom(rank, expert))
+        return;
+    if (map_.ranks[rank].size() < group_.ranks[rank].slots)
+        consider(rank, {rank, noSlot, expert, 0, noSlot, 1, replaceChange(rank, noSlot, expert)});
+    for (std::size_t slot = 0; slot < map_.ranks[rank].size(); ++slot) {
+        if (holders_[map_.ranks[rank][slot]].size() < 2)
+            continue;
+        consider(rank, {rank, slot, expert, 0, noSlot, 1, replaceChange(rank, slot, expert)});
+    }
+}
+
+/// The busiest rank gives an expert to another rank and takes a lighter one from it.
+void LayerSearch::considerExchange(std::size_t busiest, std::size_t slot, std::size_t rank)
+{
+    const ExpertId given = map_.ranks[busiest][slot];
+    if (holds(rank, given) || mean_[rank] >= mean_[busiest] || !hasRoom(rank, given))
+        return;
+    for (std::size_t other = 0; other < map_.ranks[rank].size(); ++other) {
+        const ExpertId taken = map_.ranks[rank][other];
+        if (holds(busiest, taken) || !hasRoom(busiest, taken))
+            continue;
+        const double change = exchangeChange(busiest, slot, rank, other);
+        consider(rank, {busiest, slot, taken, rank, other, 2, change});
+    }
+}
+
+/// The busiest rank drops an expert that others hold as well and takes another one's replica.
+void LayerSearch::considerDrop(std::size_t busiest, std::size_t slot)
+{
+    if (holders_[map_.ranks[busiest][slot]].size() < 2)
+        return;
+    for (ExpertId expert = 0; expert < loads_.size(); ++expert) {
+        if (holds(busiest, expert) || !hasRoom(busiest, expert))
+            continue;
+        const double change = replaceChange(busiest, slot, expert);
+        consider(busiest, {busiest, slot, expert, 0, noSlot, 1, change});
+    }
+}
+
+const std::vector<SearchStep> &LayerSearch::scan()
+{
+    steps_.assign(map_.ranks.size(), SearchStep());
+    const auto largest = std::max_element(terms_.begin(), terms_.end());
+    const auto busiest = static_cast<std::size_t>(largest - terms_.begin());
+    for (std::size_t slot = 0; slot < map_.ranks[busiest].size(); ++slot) {
+        considerDrop(busiest, slot);
+        for (std::size_t rank = 0; rank < map_.ranks.size(); ++rank) {
+            if (rank == busiest)
+                continue;
+            considerFurtherReplica(busiest, map_.ranks[busiest][slot], rank);
+            considerExchange(busiest, slot, rank);
+        }
+    }
+    std::erase_if(steps_, [](const SearchStep &step) { return step.moves == 0; });
+    std::stable_sort(steps_.begin(), steps_.end(), [](const SearchStep &a, const SearchStep &b) {
+        return a.change / a.moves < b.change / b.moves;
+    });
+    return steps_;
+}
+
+void LayerSearch::place(std::size_t rank, std::size_t slot, ExpertId expert)
+{
+    if (slot == noSlot) {
+        map_.ranks[rank].push_back(expert);
+    } else {
+        ExpertId &held = map_.ranks[rank][slot];
+        held_[index(rank, held)] = 0;
+        std::vector<std::size_t> &former = holders_[held];
+        former.erase(std::find(former.begin(), former.end(), rank));
+        held = expert;
+    }
+    held_[index(rank, expert)] = 1;
+    holders_[expert].push_back(rank);
+}
+
+void LayerSearch::take(const SearchStep &step)
+{
+    if (step.isExchange()) {
+        const ExpertId given = map_.ranks[step.rank][step.slot];
+        place(step.rank, step.slot, step.expert);
+        place(step.other, step.otherSlot, given);
+    } else {
+        place(step.rank, step.slot, step.expert);
+    }
+    // Computed afresh, so that rounding doesn't pile up over many steps.
+    setUpRanks();
+    setUpSum();
+}
+
+} // namespace wisteria
--- a/Source/Version/PlacementSearch.cpp
+++ b/Source/Version/PlacementSearch.cpp
@@ -1,348 +1,94 @@
 #include "Version/PlacementSearch.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
-#include <numeric>
+#include <optional>
+
+#include "Version/LayerSearch.h"
 
 namespace wisteria {
 
 namespace {
 
-/// Bounds of the sharpness k. Below, the bound is loose; above, it is the plain maximum.
-constexpr double leastSharpness = 20;
-constexpr double mostSharpness = 300;
-constexpr std::size_t noSlot = std::numeric_limits<std::size_t>::max();
+/// First steps that the search tries to follow up when no single step pays.
+constexpr std::size_t lookAheadWidth = 6;
 
-/// One step of the search: on `rank`, the expert in `slot` gives way to `expert` (or a free slot
-/// takes it); in an exchange, the rank `other` takes the former expert in place of `expert`.
-struct Step
+/// Steps that are worth taking together.
+struct StepPlan
 {
-    std::size_t rank = 0;
-    std::size_t slot = noSlot;
-    ExpertId expert = 0;
-    std::size_t other = 0;
-    std::size_t otherSlot = noSlot;
+    std::vector<SearchStep> steps;
     std::uint32_t moves = 0;
     double gain = 0;
-
-    bool isExchange() const { return otherSlot != noSlot; }
 };
 
-/// Loads scaled so that a balanced group's time is 1.
-std::vector<double> scaledLoads(const RankGroup &group, const std::vector<double> &loads)
-{
-    const double total = std::accumulate(loads.begin(), loads.end(), 0.0);
-    double speed = 0;
-    for (const RankCapacity &rank : group.ranks)
-        speed += rank.speed;
-    std::vector<double> scaled = loads;
-    for (double &load : scaled)
-        load = total > 0 ? load * speed / total : 0;
-    return scaled;
-}
-
-/// The search's working state: the map, and of each rank the mean and variance of its time and its
-/// term of the sum that expectedSkew() takes the logarithm of.
-class LayerSearch
-{
-public:
-    LayerSearch(const RankGroup &group, const LayerMap &map, const SearchProblem &problem);
-
-    double skew() const { return 1.0 + std::log(sum_) / sharpness_; }
-    const LayerMap &map() const { return map_; }
-    Step bestStep(const SearchLimits &limits, const LayerMap &present);
-    void take(const Step &step);
-
-private:
-    bool holds(std::size_t rank, ExpertId expert) const { return held_[index(rank, expert)]; }
-    std::size_t index(std::size_t rank, ExpertId expert) const
-    {
-        return rank * loads_.size() + expert;
-    }
-    double term(double mean, double variance) const
-    {
-        return std::exp(sharpness_ * (mean - 1.0) + sharpness_ * sharpness_ * variance / 2);
-    }
-    void setUpRanks();
-    void chooseSharpness();
-    bool hasRoom(const SearchLimits &limits, const LayerMap &present, std::size_t rank,
-                 ExpertId expert) const;
-    void touch(std::size_t rank, double load, double square);
-    void touchHolders(ExpertId expert, std::size_t from, std::size_t to);
-    double touchedChange();
-    double replaceChange(std::size_t rank, std::size_t slot, ExpertId expert);
-    double exchangeChange(std::size_t rank, std::size_t slot, std::size_t other,
-                          std::size_t otherSlot);
-    void consider(Step step, double change);
-    void considerFurtherReplica(std::size_t busiest, ExpertId expert, std::size_t rank);
-    void considerExchange(std::size_t busiest, std::size_t slot, std::size_t rank);
-    void considerDrop(std::size_t busiest, std::size_t slot);
-    void place(std::size_t rank, std::size_t slot, ExpertId expert);
-
-    const RankGroup &group_;
-    LayerMap map_;
-    std::vector<double> loads_;
-    double relativeVariance_;
-    double sharpness_ = mostSharpness;
-    std::vector<char> held_;
-    std::vector<std::vector<std::size_t>> holders_;
-    std::vector<double> mean_;
-    std::vector<double> variance_;
-    std::vector<double> terms_;
-    double sum_ = 0;
-    // Scratch of one evaluation: changes of the touched ranks.
-    std::vector<double> loadChange_;
-    std::vector<double> squareChange_;
-    std::vector<std::size_t> touched_;
-    const SearchLimits *limits_ = nullptr;
-    const LayerMap *present_ = nullptr;
-    Step best_;
-};
-
-LayerSearch::LayerSearch(const RankGroup &group, const LayerMap &map, const SearchProblem &problem)
-    : group_(group), map_(map), loads_(scaledLoads(group, problem.loads)),
-      relativeVariance_(problem.noise * problem.noise),
-      held_(group.ranks.size() * loads_.size(), 0), holders_(loads_.size()),
-      loadChange_(group.ranks.size(), 0.0), squareChange_(group.ranks.size(), 0.0)
-{
-    for (std::size_t rank = 0; rank < map_.ranks.size(); ++rank) {
-        for (const ExpertId expert : map_.ranks[rank]) {
-            held_[index(rank, expert)] = 1;
-            holders_[expert].push_back(rank);
-        }
-    }
-    setUpRanks();
-    chooseSharpness();
-    terms_.resize(mean_.size());
-    for (std::size_t rank = 0; rank < mean_.size(); ++rank)
-        terms_[rank] = term(mean_[rank], variance_[rank]);
-    sum_ = std::accumulate(terms_.begin(), terms_.end(), 0.0);
-}
-
-void LayerSearch::setUpRanks()
-{
-    mean_.assign(map_.ranks.size(), 0.0);
-    variance_.assign(map_.ranks.size(), 0.0);
-    for (std::size_t rank = 0; rank < map_.ranks.size(); ++rank) {
-        const double speed = group_.ranks[rank].speed;
-        for (const ExpertId expert : map_.ranks[rank]) {
-            const double share = loads_[expert] / static_cast<double>(holders_[expert].size());
-            mean_[rank] += share / speed;
-            variance_[rank] += relativeVariance_ * share * share / (speed * speed);
-        }
-    }
-}
-
-/// The bound on the maximum of n normal variables is tightest at k = sqrt(2 log n) / deviation.
-void LayerSearch::chooseSharpness()
+bool pays(const StepPlan &plan, const SearchLimits &limits)
 {
-    const double ranks = static_cast<double>(mean_.size());
-    const double variance = std::accumulate(variance_.begin(), variance_.end(), 0.0) / ranks;
-    if (variance <= 0)
-        return;
-    const double tightest = std::sqrt(2 * std::log(std::max(ranks, 2.0)) / variance);
-    sharpness_ = std::clamp(tightest, leastSharpness, mostSharpness);
+    return plan.moves > 0 && plan.gain > 0 && plan.gain / plan.moves >= limits.minGainPerMove;
 }
 
-bool LayerSearch::hasRoom(const SearchLimits &limits, const LayerMap &present, std::size_t rank,
-                          ExpertId expert) const
+StepPlan planOf(const LayerSearch &search, const SearchStep &step)
 {
-    if (limits.stagingRoom.empty())
-        return true;
-    std::vector<ExpertId> next = map_.ranks[rank];
-    next.push_back(expert);
-    return missingExperts(present.ranks[rank], next).size() <= limits.stagingRoom[rank];
+    return {{step}, step.moves, search.gainOf(step.change)};
 }
 
-void LayerSearch::touch(std::size_t rank, double load, double square)
+/// Follows up the least bad first steps by the best second step each. A hot expert can be stuck on
+/// a rank although another has room for it in sum: every single step would only make the other rank
+/// the straggler, and only a second one relieves that rank in turn.
+StepPlan planTwoSteps(const LayerSearch &search, const std::vector<SearchStep> &firstSteps,
+                      const SearchLimits &limits)
 {
-    if (loadChange_[rank] == 0 && squareChange_[rank] == 0)
-        touched_.push_back(rank);
-    loadChange_[rank] += load;
-    squareChange_[rank] += square;
-}
-
-/// Notes what the present holders of an expert gain or lose when its replicas go from `from` to
-/// `to`.
-void LayerSearch::touchHolders(ExpertId expert, std::size_t from, std::size_t to)
-{
-    const double before = loads_[expert] / static_cast<double>(from);
-    const double after = loads_[expert] / static_cast<double>(to);
-    for (const std::size_t holder : holders_[expert])
-        touch(holder, after - before, after * after - before * before);
-}
-
-/// Change of the sum by the touched ranks; clears the notes.
-double LayerSearch::touchedChange()
-{
-    double change = 0;
-    for (const std::size_t rank : touched_) {
-        const double speed = group_.ranks[rank].speed;
-        const double mean = mean_[rank] + loadChange_[rank] / speed;
-        const double square = squareChange_[rank] * relativeVariance_ / (speed * speed);
-        change += term(mean, variance_[rank] + square) - terms_[rank];
-        loadChange_[rank] = 0;
-        squareChange_[rank] = 0;
-    }
-    touched_.clear();
-    return change;
-}
-
-double LayerSearch::replaceChange(std::size_t rank, std::size_t slot, ExpertId expert)
-{
-    const std::size_t replicas = holders_[expert].size();
-    touchHolders(expert, replicas, replicas + 1);
-    const double added = loads_[expert] / static_cast<double>(replicas + 1);
-    touch(rank, added, added * added);
-    if (slot != noSlot) {
-        const ExpertId dropped = map_.ranks[rank][slot];
-        const std::size_t left = holders_[dropped].size() - 1;
-        touchHolders(dropped, left + 1, left);
-        const double share = loads_[dropped] / static_cast<double>(left);
-        touch(rank, -share, -share * share);
-    }
-    return touchedChange();
-}
-
-double LayerSearch::exchangeChange(std::size_t rank, std::size_t slot, std::size_t other,
-                                   std::size_t otherSlot)
-{
-    const ExpertId given = map_.ranks[rank][slot];
-    const ExpertId taken = map_.ranks[other][otherSlot];
-    const double out = loads_[given] / static_cast<double>(holders_[given].size());
-    const double in = loads_[taken] / static_cast<double>(holders_[taken].size());
-    touch(rank, in - out, in * in - out * out);
-    touch(other, out - in, out * out - in * in);
-    return touchedChange();
-}
-
-void LayerSearch::consider(Step step, double change)
-{
-    const double sum = sum_ + change;
-    if (!(change < 0) || sum <= 0)
-        return;
-    step.gain = -std::log(sum / sum_) / sharpness_;
-    if (step.gain / step.moves < limits_->minGainPerMove)
-        return;
-    if (best_.moves == 0 || step.gain / step.moves > best_.gain / best_.moves)
-        best_ = step;
-}
-
-/// A further replica of one of the busiest rank's experts on another rank.
-void LayerSearch::considerFurtherReplica(std::size_t busiest, ExpertId expert, std::size_t rank)
-{
-    if (holds(rank, expert) || mean_[rank] >= mean_[busiest]
-        || !hasRoom(*limits_, *present_, rank, expert))
-        return;
-    if (map_.ranks[rank].size() < group_.ranks[rank].slots)
-        consider({rank, noSlot, expert, 0, noSlot, 1, 0}, replaceChange(rank, noSlot, expert));
-    for (std::size_t slot = 0; slot < map_.ranks[rank].size(); ++slot) {
-        if (holders_[map_.ranks[rank][slot]].size() < 2)
+    StepPlan best;
+    const std::size_t width = std::min(lookAheadWidth, firstSteps.size());
+    for (std::size_t i = 0; i < width; ++i) {
+        LayerSearch ahead = search;
+        ahead.take(firstSteps[i]);
+        const std::vector<SearchStep> &secondSteps = ahead.scan();
+        if (secondSteps.empty())
             continue;
-        consider({rank, slot, expert, 0, noSlot, 1, 0}, replaceChange(rank, slot, expert));
-    }
-}
-
-/// The busiest rank gives an expert to another rank and takes a lighter one from it.
-void LayerSearch::considerExchange(std::size_t busiest, std::size_t slot, std::size_t rank)
-{
-    const ExpertId given = map_.ranks[busiest][slot];
-    if (holds(rank, given) || mean_[rank] >= mean_[busiest]
-        || !hasRoom(*limits_, *present_, rank, given))
-        return;
-    for (std::size_t other = 0; other < map_.ranks[rank].size(); ++other) {
-        const ExpertId taken = map_.ranks[rank][other];
-        if (holds(busiest, taken) || !hasRoom(*limits_, *present_, busiest, taken))
-            continue;
-        consider({busiest, slot, taken, rank, other, 2, 0},
-                 exchangeChange(busiest, slot, rank, other));
-    }
-}
-
-/// The busiest rank drops an expert that others hold as well and takes another one's replica.
-void LayerSearch::considerDrop(std::size_t busiest, std::size_t slot)
-{
-    if (holders_[map_.ranks[busiest][slot]].size() < 2)
-        return;
-    for (ExpertId expert = 0; expert < loads_.size(); ++expert) {
-        if (holds(busiest, expert) || !hasRoom(*limits_, *present_, busiest, expert))
-            continue;
-        consider({busiest, slot, expert, 0, noSlot, 1, 0}, replaceChange(busiest, slot, expert));
-    }
-}
-
-Step LayerSearch::bestStep(const SearchLimits &limits, const LayerMap &present)
-{
-    limits_ = &limits;
-    present_ = &present;
-    best_ = Step();
-    const auto largest = std::max_element(terms_.begin(), terms_.end());
-    const auto busiest = static_cast<std::size_t>(largest - terms_.begin());
-    for (std::size_t slot = 0; slot < map_.ranks[busiest].size(); ++slot) {
-        considerDrop(busiest, slot);
-        for (std::size_t rank = 0; rank < map_.ranks.size(); ++rank) {
-            if (rank == busiest)
-                continue;
-            considerFurtherReplica(busiest, map_.ranks[busiest][slot], rank);
-            considerExchange(busiest, slot, rank);
-        }
-    }
-    return best_;
-}
-
-void LayerSearch::place(std::size_t rank, std::size_t slot, ExpertId expert)
-{
-    if (slot == noSlot) {
-        map_.ranks[rank].push_back(expert);
-    } else {
-        ExpertId &held = map_.ranks[rank][slot];
-        held_[index(rank, held)] = 0;
-        std::vector<std::size_t> &former = holders_[held];
-        former.erase(std::find(former.begin(), former.end(), rank));
-        held = expert;
+        const SearchStep &second = secondSteps.front();
+        StepPlan plan{{firstSteps[i], second}, firstSteps[i].moves + second.moves, 0};
+        plan.gain = search.skew() - (ahead.skew() - ahead.gainOf(second.change));
+        const bool better = best.moves == 0 || plan.gain / plan.moves > best.gain / best.moves;
+        if (pays(plan, limits) && better)
+            best = plan;
     }
-    held_[index(rank, expert)] = 1;
-    holders_[expert].push_back(rank);
+    return best;
 }
 
-void LayerSearch::take(const Step &step)
+StepPlan nextSteps(LayerSearch &search, const SearchLimits &limits)
 {
-    if (step.isExchange()) {
-        const ExpertId given = map_.ranks[step.rank][step.slot];
-        place(step.rank, step.slot, step.expert);
-        place(step.other, step.otherSlot, given);
-    } else {
-        place(step.rank, step.slot, step.expert);
+    const std::vector<SearchStep> steps = search.scan();
+    if (steps.empty())
+        return {};
+    if (steps.front().change < 0) {
+        StepPlan plan = planOf(search, steps.front());
+        if (pays(plan, limits))
+            return plan;
     }
-    // Computed afresh, so that rounding doesn't pile up over many steps.
-    setUpRanks();
-    for (std::size_t rank = 0; rank < mean_.size(); ++rank)
-        terms_[rank] = term(mean_[rank], variance_[rank]);
-    sum_ = std::accumulate(terms_.begin(), terms_.end(), 0.0);
+    return planTwoSteps(search, steps, limits);
 }
 
 } // namespace
 
 double expectedSkew(const RankGroup &group, const LayerMap &map, const SearchProblem &problem)
 {
-    return LayerSearch(group, map, problem).skew();
+    return LayerSearch(group, map, problem, {}).skew();
 }
 
 SearchResult improveLayerMap(const RankGroup &group, const LayerMap &present,
                              const SearchProblem &problem, const SearchLimits &limits)
 {
-    LayerSearch search(group, present, problem);
+    LayerSearch search(group, present, problem, limits);
     SearchResult result;
     result.map = present;
     result.presentSkew = search.skew();
     result.foundSkew = result.presentSkew;
-    // Every step lowers the skew, so the search ends; the bound keeps its time in hand as well.
-    for (std::uint32_t steps = 0; steps < limits.maxMoves; ++steps) {
-        const Step step = search.bestStep(limits, present);
-        if (step.moves == 0)
+    // Every plan lowers the skew, so the search ends; the bound keeps its time in hand as well.
+    for (std::uint32_t round = 0; round < limits.maxMoves; ++round) {
+        const StepPlan plan = nextSteps(search, limits);
+        if (!pays(plan, limits))
             break;
-        search.take(step);
+        for (const SearchStep &step : plan.steps)
+            search.take(step);
         if (countMoves(present, search.map()) > limits.maxMoves)
             break;
         result.map = search.map();
--- a/Tests/Version/PlacementTest.cpp
+++ b/Tests/Version/PlacementTest.cpp
@@ -47,6 +47,17 @@
     return loads;
 }
 
+std::vector<double> addNoise(std::vector<double> loads, double noise, std::mt19937_64 &engine)
+{
+    for (double &load : loads) {
+        double sum = 0;
+        for (int i = 0; i < 12; ++i)
+            sum += static_cast<double>(engine() >> 11) * 0x1p-53;
+        load *= std::max(0.0, 1.0 + noise * (sum - 6.0));
+    }
+    return loads;
+}
+
 void reportAll(const RankGroup &group, PlacementState &state, const std::vector<double> &loads,
                TimePoint at)
 {
@@ -103,6 +114,43 @@
     }
 }
 
+// Counter waits double for hours: one expert becomes hot, and smoothing against noise follows so
+// slowly that its rank stays the straggler.
+TEST_CASE("A sudden hot expert is relieved within three reports")
+{
+    const RankGroup group = makeGroup(16, 5, 64);
+    PlacementState state = startedState(group);
+    std::mt19937_64 engine(3);
+    std::vector<double> expected = drawLoads(group.experts, engine);
+    const ExpertId coldest = static_cast<ExpertId>(
+        std::min_element(expected.begin(), expected.end()) - expected.begin());
+    for (int report = 0; report < 103; ++report) {
+        if (report == 100)
+            expected[coldest] = 2.0;
+        const TimePoint now = TimePoint() + report * interval;
+        reportAll(group, state, addNoise(expected, 0.08, engine), now);
+        switchDone(state, decidePlacement(PlacementPolicy::Wisteria, group, state, now), true);
+    }
+    CHECK(layerSkew(group, state.layers[0].map, expected) < 1.15);
+}
+
+// A rank runs hot and slows down; every step of the group waits for it until it gets less to do.
+TEST_CASE("A slow rank is given less load")
+{
+    RankGroup group = makeGroup(8, 5, 32);
+    PlacementState state = startedState(group);
+    std::mt19937_64 engine(9);
+    const std::vector<double> loads = drawLoads(group.experts, engine);
+    for (int report = 0; report < 30; ++report) {
+        if (report == 15)
+            group.ranks[3].speed = 0.5;
+        const TimePoint now = TimePoint() + report * interval;
+        reportAll(group, state, addNoise(loads, 0.02, engine), now);
+        switchDone(state, decidePlacement(PlacementPolicy::Wisteria, group, state, now), true);
+    }
+    CHECK(layerSkew(group, state.layers[0].map, loads) < 1.1);
+}
+
 // A rank runs out of memory in the middle of a switch, because the new weights are staged beside
 // the old ones and nobody counted the room for both.
 TEST_CASE("Staged weights fit into the memory beside those in use")
