Begin the search afresh where steps get stuck

Cause: on daily-drift the search ended at an expected skew of 1.13 to 1.39 where a map from scratch for the same estimate reached 1.09. The replica counts were still yesterday's, and no one or two steps could change them. Ruled out: the estimate; greedy's map of that same estimate was good. Change: a map from scratch is the yardstick. Where the search ends more than 0.02 above it, it begins again from three maps that leave experts in place where they fit, and the best after polishing is taken, moves counted.

--- a/Source/Programs/Bench/PlacementReplay.cpp
+++ b/Source/Programs/Bench/PlacementReplay.cpp
@@ -37,9 +37,11 @@
         SearchLimits limits;
         limits.maxMoves = static_cast<std::uint32_t>(group.ranks.size()) * group.experts;
         limits.minGainPerMove = 1e-6;
-        LayerMap best = improveLayerMap(group, greedyLayerMap(group, loads), problem, limits).map;
+        const LayerMap fresh = greedyLayerMap(group, loads);
+        LayerMap best = improveLayerMap(group, fresh, fresh, problem, limits).map;
         if (!maps_[layer].ranks.empty()) {
-            LayerMap kept = improveLayerMap(group, maps_[layer], problem, limits).map;
+            const LayerMap &last = maps_[layer];
+            LayerMap kept = improveLayerMap(group, last, last, problem, limits).map;
             if (layerSkew(group, kept, loads) < layerSkew(group, best, loads))
                 best = std::move(kept);
         }
--- a/Source/Version/LayerSearch.cpp
+++ b/Source/Version/LayerSearch.cpp
@@ -29,9 +29,9 @@
 
 } // namespace
 
-LayerSearch::LayerSearch(const RankGroup &group, const LayerMap &present,
+LayerSearch::LayerSearch(const RankGroup &group, const LayerMap &present, const LayerMap &start,
                          const SearchProblem &problem, const SearchLimits &limits)
-    : group_(group), present_(present), limits_(limits), map_(present),
+    : group_(group), present_(present), limits_(limits), map_(start),
       loads_(scaledLoads(group, problem.loads)), relativeVariance_(problem.noise * problem.noise),
       held_(group.ranks.size() * loads_.size(), 0), holders_(loads_.size()),
       loadChange_(group.ranks.size(), 0.0), squareChange_(group.ranks.size(), 0.0)
--- a/Source/Version/LayerSearch.h
+++ b/Source/Version/LayerSearch.h
@@ -35,8 +35,8 @@
 {
 public:
     /// @param present The map in force, which the moves are counted from.
-    LayerSearch(const RankGroup &group, const LayerMap &present, const SearchProblem &problem,
-                const SearchLimits &limits);
+    LayerSearch(const RankGroup &group, const LayerMap &present, const LayerMap &start,
+                const SearchProblem &problem, const SearchLimits &limits);
 
     /// Expected skew of the map as it stands.
     double skew() const;
--- a/Source/Version/Placement.cpp
+++ b/Source/Version/Placement.cpp
@@ -21,8 +21,10 @@
 constexpr double significantDeviations = 0.5;
 /// A move must gain this multiple of what it costs.
 constexpr double paybackFactor = 2.0;
-/// Replicas of one layer that a decision loads at most, as a share of its slots.
-constexpr double largestShareMoved = 0.5;
+/// Skew above that of a map made from scratch at which the search begins afresh.
+constexpr double restartSkew = 0.02;
+/// Times, relative to a balanced group's, up to which a fresh beginning leaves experts in place.
+constexpr std::array<double, 3> restartCeilings = {1.0, 0.95, 0.85};
 
 constexpr std::array<std::pair<const char *, PlacementPolicy>, 4> policyNames = {{
     {"static", PlacementPolicy::Static},
@@ -88,6 +90,25 @@
     return slots;
 }
 
+/// Improves the present map step by step. Where that gets stuck well above what a map from scratch
+/// would reach, begins again from maps that only keep the experts in place that fit.
+SearchResult searchLayer(const RankGroup &group, const LayerMap &present,
+                         const SearchProblem &problem, const SearchLimits &limits)
+{
+    SearchResult best = improveLayerMap(group, present, present, problem, limits);
+    const double fromScratch = expectedSkew(group, greedyLayerMap(group, problem.loads), problem);
+    if (best.foundSkew < fromScratch + restartSkew)
+        return best;
+    for (const double ceiling : restartCeilings) {
+        const LayerMap start = stickyLayerMap(group, problem.loads, present, ceiling);
+        SearchResult found = improveLayerMap(group, present, start, problem, limits);
+        const double furtherCost = limits.minGainPerMove * found.moves;
+        if (found.foundSkew + furtherCost < best.foundSkew + limits.minGainPerMove * best.moves)
+            best = std::move(found);
+    }
+    return best;
+}
+
 LayerDecision decideWisteria(const RankGroup &group, const LayerPlacement &placement,
                              std::uint32_t layer, std::vector<std::uint32_t> stagingRoom)
 {
@@ -101,10 +122,10 @@
     problem.loads = forecast.shares;
     problem.noise = forecast.noise;
     SearchLimits limits;
-    limits.maxMoves = static_cast<std::uint32_t>(std::ceil(slotsOf(group) * largestShareMoved));
+    limits.maxMoves = slotsOf(group);
     limits.minGainPerMove = paybackSkew(group, forecast);
     limits.stagingRoom = std::move(stagingRoom);
-    SearchResult found = improveLayerMap(group, placement.map, problem, limits);
+    SearchResult found = searchLayer(group, placement.map, problem, limits);
     if (found.moves == 0)
         return stay(layer, StayReason::NoPayback);
     const double needed = significantDeviations * noiseSkew(group, placement, forecast);
--- a/Source/Version/PlacementGreedy.cpp
+++ b/Source/Version/PlacementGreedy.cpp
@@ -31,50 +31,106 @@
     return counts;
 }
 
-/// The least busy rank that has a free slot and no replica of the expert yet.
-std::optional<std::size_t> leastBusyRank(const RankGroup &group, const LayerMap &map,
-                                         const std::vector<double> &times, ExpertId expert,
-                                         double share)
+/// Replicas, largest first, on their way to a map.
+class Packing
 {
-    std::optional<std::size_t> best;
-    double bestTime = 0;
-    for (std::size_t rank = 0; rank < map.ranks.size(); ++rank) {
-        const std::vector<ExpertId> &held = map.ranks[rank];
-        const bool holds = std::find(held.begin(), held.end(), expert) != held.end();
-        if (held.size() >= group.ranks[rank].slots || holds)
-            continue;
-        const double time = times[rank] + share / group.ranks[rank].speed;
-        if (!best || time < bestTime) {
-            best = rank;
-            bestTime = time;
+public:
+    Packing(const RankGroup &group, const std::vector<double> &loads)
+        : group_(group), loads_(loads), counts_(chooseReplicaCounts(group, loads)),
+          times_(group.ranks.size(), 0.0)
+    {
+        map_.ranks.resize(group.ranks.size());
+    }
+
+    std::vector<ExpertId> replicasBySize() const
+    {
+        std::vector<ExpertId> replicas;
+        for (ExpertId expert = 0; expert < group_.experts; ++expert)
+            replicas.insert(replicas.end(), counts_[expert], expert);
+        std::stable_sort(replicas.begin(), replicas.end(),
+                         [this](ExpertId a, ExpertId b) { return share(a) > share(b); });
+        return replicas;
+    }
+
+    /// The least busy of the ranks that have a free slot and no replica of the expert yet; with
+    /// `holders`, of those that also hold it in that map.
+    std::optional<std::size_t> leastBusyRank(ExpertId expert, const LayerMap *holders) const
+    {
+        std::optional<std::size_t> best;
+        for (std::size_t rank = 0; rank < map_.ranks.size(); ++rank) {
+            if (map_.ranks[rank].size() >= group_.ranks[rank].slots || holds(map_, rank, expert))
+                continue;
+            if (holders && !holds(*holders, rank, expert))
+                continue;
+            if (!best || timeWith(rank, expert) < timeWith(*best, expert))
+                best = rank;
         }
+        return best;
+    }
+
+    double timeWith(std::size_t rank, ExpertId expert) const
+    {
+        return times_[rank] + share(expert) / group_.ranks[rank].speed;
+    }
+
+    void put(std::size_t rank, ExpertId expert)
+    {
+        times_[rank] = timeWith(rank, expert);
+        map_.ranks[rank].push_back(expert);
+    }
+
+    const LayerMap &map() const { return map_; }
+
+private:
+    static bool holds(const LayerMap &map, std::size_t rank, ExpertId expert)
+    {
+        const std::vector<ExpertId> &held = map.ranks[rank];
+        return std::find(held.begin(), held.end(), expert) != held.end();
     }
-    return best;
+
+    double share(ExpertId expert) const { return loads_[expert] / counts_[expert]; }
+
+    const RankGroup &group_;
+    const std::vector<double> &loads_;
+    std::vector<std::uint32_t> counts_;
+    std::vector<double> times_;
+    LayerMap map_;
+};
+
+double balancedTime(const RankGroup &group, const std::vector<double> &loads)
+{
+    double speed = 0;
+    for (const RankCapacity &rank : group.ranks)
+        speed += rank.speed;
+    return std::accumulate(loads.begin(), loads.end(), 0.0) / speed;
 }
 
 } // namespace
 
 LayerMap greedyLayerMap(const RankGroup &group, const std::vector<double> &loads)
 {
-    const std::vector<std::uint32_t> counts = chooseReplicaCounts(group, loads);
-    std::vector<ExpertId> replicas;
-    for (ExpertId expert = 0; expert < group.experts; ++expert)
-        replicas.insert(replicas.end(), counts[expert], expert);
-    const auto share = [&](ExpertId expert) { return loads[expert] / counts[expert]; };
-    std::stable_sort(replicas.begin(), replicas.end(),
-                     [&](ExpertId a, ExpertId b) { return share(a) > share(b); });
-    LayerMap map;
-    map.ranks.resize(group.ranks.size());
-    std::vector<double> times(group.ranks.size(), 0.0);
-    for (const ExpertId expert : replicas) {
-        const auto rank = leastBusyRank(group, map, times, expert, share(expert));
+    Packing packing(group, loads);
+    for (const ExpertId expert : packing.replicasBySize()) {
         // Only a further replica can find no rank; the slot then stays empty.
-        if (!rank)
-            continue;
-        map.ranks[*rank].push_back(expert);
-        times[*rank] += share(expert) / group.ranks[*rank].speed;
+        if (const auto rank = packing.leastBusyRank(expert, nullptr))
+            packing.put(*rank, expert);
+    }
+    return packing.map();
+}
+
+LayerMap stickyLayerMap(const RankGroup &group, const std::vector<double> &loads,
+                        const LayerMap &present, double ceiling)
+{
+    const double most = ceiling * balancedTime(group, loads);
+    Packing packing(group, loads);
+    for (const ExpertId expert : packing.replicasBySize()) {
+        auto rank = packing.leastBusyRank(expert, &present);
+        if (!rank || packing.timeWith(*rank, expert) > most)
+            rank = packing.leastBusyRank(expert, nullptr);
+        if (rank)
+            packing.put(*rank, expert);
     }
-    return map;
+    return packing.map();
 }
 
 } // namespace wisteria
--- a/Source/Version/PlacementGreedy.h
+++ b/Source/Version/PlacementGreedy.h
@@ -11,4 +11,9 @@
 /// present map. Deterministic: ties go to the lower number.
 LayerMap greedyLayerMap(const RankGroup &group, const std::vector<double> &loads);
 
+/// As greedyLayerMap(), but a replica goes to a rank that holds its expert already, as long as that
+/// rank's time stays within `ceiling`, relative to a balanced group's time.
+LayerMap stickyLayerMap(const RankGroup &group, const std::vector<double> &loads,
+                        const LayerMap &present, double ceiling);
+
 } // namespace wisteria
--- a/Source/Version/PlacementSearch.cpp
+++ b/Source/Version/PlacementSearch.cpp
@@ -71,17 +71,17 @@
 
 double expectedSkew(const RankGroup &group, const LayerMap &map, const SearchProblem &problem)
 {
-    return LayerSearch(group, map, problem, {}).skew();
+    return LayerSearch(group, map, map, problem, {}).skew();
 }
 
-SearchResult improveLayerMap(const RankGroup &group, const LayerMap &present,
+SearchResult improveLayerMap(const RankGroup &group, const LayerMap &present, const LayerMap &start,
                              const SearchProblem &problem, const SearchLimits &limits)
 {
-    LayerSearch search(group, present, problem, limits);
+    LayerSearch search(group, present, start, problem, limits);
     SearchResult result;
-    result.map = present;
-    result.presentSkew = search.skew();
-    result.foundSkew = result.presentSkew;
+    result.map = start;
+    result.presentSkew = expectedSkew(group, present, problem);
+    result.foundSkew = search.skew();
     // Every plan lowers the skew, so the search ends; the bound keeps its time in hand as well.
     for (std::uint32_t round = 0; round < limits.maxMoves; ++round) {
         const StepPlan plan = nextSteps(search, limits);
--- a/Source/Version/PlacementSearch.h
+++ b/Source/Version/PlacementSearch.h
@@ -47,7 +47,8 @@
 /// Improves a map by steepest descent: as long as it pays, the step with the most gain a loaded
 /// replica is taken. A step relieves the busiest rank by a further replica elsewhere, by dropping a
 /// replica, or by exchanging two experts. Deterministic: ties go to the first found.
-SearchResult improveLayerMap(const RankGroup &group, const LayerMap &present,
+/// @param start The map to improve: the present one, or another for the same group.
+SearchResult improveLayerMap(const RankGroup &group, const LayerMap &present, const LayerMap &start,
                              const SearchProblem &problem, const SearchLimits &limits);
 
 } // namespace wisteria
--- a/Tests/Version/PlacementTest.cpp
+++ b/Tests/Version/PlacementTest.cpp
@@ -258,7 +258,7 @@
         SearchLimits limits;
         limits.maxMoves = 64;
         const LayerMap present = initialLayerMap(group);
-        const SearchResult found = improveLayerMap(group, present, problem, limits);
+        const SearchResult found = improveLayerMap(group, present, present, problem, limits);
         REQUIRE(checkLayerMap(group, found.map));
         CHECK(found.foundSkew <= found.presentSkew);
         const double bound = lowerBoundSkew(group, problem.loads);
