--- a/Source/Request/AgentGate.cpp
+++ b/Source/Request/AgentGate.cpp
@@ -184,6 +184,9 @@
     ++state.deaths;
     for (const GateRun &run : state.running)
         recordDeath(state.suspects, run.head.fingerprint(), deathId(state), run.alone, now);
+    refuseQueued(state, v1::REASON_CONVICTED, convictionTime, actions, [&](const GateRun &run) {
+        return suspicionOf(state.suspects, run.head.fingerprint(), now) == Suspicion::Convicted;
+    });
     refuseQueued(state, v1::REASON_BACKEND_DOWN, longGateRetry, actions,
                  [](const GateRun &) { return true; });
     return actions;
--- a/Source/Request/EntryRequest.cpp
+++ b/Source/Request/EntryRequest.cpp
@@ -19,13 +19,16 @@
     return findCandidate(state, request.request.service, request.backendServer);
 }
 
-void releaseLimits(EntryShared &shared, RequestState &request)
+/// Gives back what the request holds of what the entry's requests share.
+void releaseShared(EntryShared &shared, RequestState &request)
 {
-    if (!request.admitted)
-        return;
-    request.admitted = false;
     const Lock lock(shared.mutex);
-    release(shared.limits, request.request.organisation);
+    if (request.holdsSuspect)
+        shared.suspectsInFlight.erase(request.request.fingerprint);
+    if (request.admitted)
+        release(shared.limits, request.request.organisation);
+    request.holdsSuspect = false;
+    request.admitted = false;
 }
 
 void endAttempt(EntryState &state, RequestState &request, bool failed, TimePoint now)
@@ -41,7 +44,7 @@
                milliseconds retryAfter)
 {
     request.ended = true;
-    releaseLimits(shared, request);
+    releaseShared(shared, request);
     return {end, reason, retryAfter};
 }
 
@@ -67,7 +70,10 @@
 Suspicion suspicionNow(EntryShared &shared, const RequestState &request, TimePoint now)
 {
     const Lock lock(shared.mutex);
-    return suspicionOf(shared.suspects, request.request.fingerprint, now);
+    const Suspicion suspicion = suspicionOf(shared.suspects, request.request.fingerprint, now);
+    if (suspicion == Suspicion::Convicted)
+        renewConviction(shared.suspects, request.request.fingerprint, now);
+    return suspicion;
 }
 
 v1::RunHead headOf(const EntryState &state, const RequestState &request, TimePoint now)
@@ -104,6 +110,20 @@
     return SendAttempt{backendServer, address, headOf(state, request, now)};
 }
 
+/// Whether this entry may let a suspect through to the home of its key. Homes differ from key to
+/// key, so unlike others these suspects have no one place where their standing is known: one entry
+/// alone lets them through, one at a time, and so learns of a death before the next.
+bool maySendSuspectHome(const EntryState &state, EntryShared &shared, RequestState &request)
+{
+    const std::uint64_t fingerprint = request.request.fingerprint;
+    const auto entry = rendezvousChoice(std::to_string(fingerprint), state.entryNames);
+    if (entry && *entry != state.ownName)
+        return false;
+    const Lock lock(shared.mutex);
+    request.holdsSuspect = shared.suspectsInFlight.insert(fingerprint).second;
+    return request.holdsSuspect;
+}
+
 /// Sends a non-idempotent request to the home of its key, and to no other backend server.
 EntryAction sendToHome(EntryState &state, EntryShared &shared, RequestState &request,
                        const ServiceView &service, TimePoint now)
@@ -116,29 +136,38 @@
         const auto reason = candidate->leaving ? v1::REASON_LEAVING : v1::REASON_BACKEND_DOWN;
         return refuseNotRun(state, shared, request, reason, longRetry);
     }
+    if (request.runAlone && !maySendSuspectHome(state, shared, request))
+        return refuseNotRun(state, shared, request, v1::REASON_SUSPECT, longRetry);
     return sendTo(state, request, *home, service.homes.at(*home), now);
 }
 
-/// The backend server on which a suspect runs alone: the same one for all entries, as far as their
-/// beliefs agree, so that a killer meets one at a time.
-const Candidate *designatedFor(const ServiceView &service, std::uint64_t fingerprint, TimePoint now)
+/// The backend server on which a suspect runs alone. All entries choose the same one, also while
+/// it is down for a moment: there the agent learns who the killer is and tells whoever comes next.
+/// Choosing another one at once would let each entry take down a backend server of its own.
+std::optional<std::string> designatedFor(const ServiceView &service, std::uint64_t fingerprint,
+                                         TimePoint now)
 {
     std::vector<std::string> names;
-    for (const Candidate &candidate : service.candidates) {
-        if (mayBeAsked(candidate, now))
-            names.push_back(candidate.name);
+    for (const std::string &name : service.homeNames) {
+        const Candidate *candidate = candidateNamed(service, name);
+        const bool longDown =
+            candidate && candidate->down && now - candidate->downSince > suspectSettleTime;
+        if (!longDown)
+            names.push_back(name);
     }
-    const auto chosen = rendezvousChoice(std::to_string(fingerprint), names);
-    return chosen ? candidateNamed(service, *chosen) : nullptr;
+    return rendezvousChoice(std::to_string(fingerprint), names);
 }
 
 EntryAction sendSuspect(EntryState &state, EntryShared &shared, RequestState &request,
                         const ServiceView &service, TimePoint now)
 {
-    const Candidate *candidate = designatedFor(service, request.request.fingerprint, now);
-    if (!candidate)
+    const auto chosen = designatedFor(service, request.request.fingerprint, now);
+    if (!chosen)
         return refuseNotRun(state, shared, request, v1::REASON_NO_BACKEND_SERVER, longRetry);
-    return sendTo(state, request, candidate->name, candidate->address, now);
+    const Candidate *candidate = candidateNamed(service, *chosen);
+    if (candidate && (candidate->down || candidate->leaving))
+        return refuseNotRun(state, shared, request, v1::REASON_SUSPECT, longRetry);
+    return sendTo(state, request, *chosen, service.homes.at(*chosen), now);
 }
 
 EntryAction sendByScore(EntryState &state, EntryShared &shared, RequestState &request,
@@ -363,7 +392,7 @@
     if (Candidate *candidate = candidateOf(state, request)) {
         attemptHeard(*candidate, now);
         if (frame.has_load())
-            takeLoad(*candidate, frame.load());
+            takeLoad(*candidate, frame.load(), now);
     }
     request.answerBytes += frame.chunk().size();
     if (frame.has_end())
@@ -408,7 +437,7 @@
         return;
     endAttempt(state, request, !complete, now);
     request.ended = true;
-    releaseLimits(shared, request);
+    releaseShared(shared, request);
     if (!complete)
         return;
     const auto service = state.services.find(request.request.service);
@@ -424,7 +453,7 @@
 {
     endAttempt(state, request, false, now);
     request.ended = true;
-    releaseLimits(shared, request);
+    releaseShared(shared, request);
 }
 
 void observeSuspects(EntryShared &shared, const v1::Heartbeat &heartbeat, TimePoint now)
--- a/Source/Request/EntryState.h
+++ b/Source/Request/EntryState.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -78,6 +78,8 @@
     std::mutex mutex;
     OrganisationLimits limits;
     SuspectBook suspects;
+    /// Suspected fingerprints of non-idempotent requests that are in flight.
+    std::set<std::uint64_t> suspectsInFlight;
     /// Retry budgets by service.
     std::map<std::string, RetryBudget> retryBudgets;
 };
@@ -98,6 +100,8 @@
     bool outstanding = false;
     bool answering = false;
     bool runAlone = false;
+    /// Stands in `suspectsInFlight`.
+    bool holdsSuspect = false;
     /// An attempt of this request may have run: no later refusal may say that it did not.
     bool mayHaveRun = false;
     /// Bytes of the answer's chunks seen so far.
--- a/Source/Request/GateAdmission.cpp
+++ b/Source/Request/GateAdmission.cpp
@@ -29,8 +29,10 @@
 std::optional<RefuseAttempt> refusedBySuspicion(GateState &state, GateRun &run, TimePoint now)
 {
     const Suspicion suspicion = suspicionOf(state.suspects, run.head.fingerprint(), now);
-    if (suspicion == Suspicion::Convicted)
+    if (suspicion == Suspicion::Convicted) {
+        renewConviction(state.suspects, run.head.fingerprint(), now);
         return refuseNotRun(state, run, v1::REASON_CONVICTED, convictionTime);
+    }
     if (suspicion == Suspicion::None || run.alone)
         return std::nullopt;
     // A key may run nowhere else, so it runs alone here; others go to the designated server.
@@ -99,10 +101,12 @@
 
 std::optional<RefuseAttempt> refusedAnyhow(GateState &state, GateRun &run, TimePoint now)
 {
-    if (auto refused = refusedByState(state, run))
-        return refused;
+    // First, so that an entry learns of a conviction also from an agent whose backend server is
+    // down.
     if (auto refused = refusedBySuspicion(state, run, now))
         return refused;
+    if (auto refused = refusedByState(state, run))
+        return refused;
     return refusedByQueue(state, run, now);
 }
 
--- a/Source/Request/GateConfiguration.cpp
+++ b/Source/Request/GateConfiguration.cpp
@@ -2,6 +2,7 @@
 
 #include "Request/GateQueue.h"
 #include "Request/KeyHome.h"
+#include "Version/ConfigJudge.h"
 
 namespace wisteria {
 
@@ -24,6 +25,9 @@
 /// versions in between were never in force here.
 bool everyVersionSeen(const ConfigState &config, std::uint64_t version)
 {
+    // What happened before the window is not remembered.
+    if (config.position > version + changeWindow)
+        return false;
     const auto newer = [version](const auto &item) {
         return item.second.accepted() && item.second.offset() > version;
     };
--- a/Source/Request/Route.h
+++ b/Source/Request/Route.h
@@ -29,6 +29,8 @@
     std::uint32_t sentSinceReport = 0;
     bool leaving = false;
     bool down = false;
+    /// When `down` was set last.
+    TimePoint downSince;
     /// Attempts in a row that timed out or were lost.
     std::uint32_t failures = 0;
     /// Not asked before then, except that one attempt probes it afterwards.
--- a/Source/Request/RoutingView.cpp
+++ b/Source/Request/RoutingView.cpp
@@ -135,13 +135,20 @@
     return nullptr;
 }
 
-void takeLoad(Candidate &candidate, const v1::LoadReport &load)
+void setDown(Candidate &candidate, bool down, TimePoint now)
+{
+    if (down && !candidate.down)
+        candidate.downSince = now;
+    candidate.down = down;
+}
+
+void takeLoad(Candidate &candidate, const v1::LoadReport &load, TimePoint now)
 {
     candidate.running = load.running();
     candidate.queued = load.queued();
     candidate.serviceTime = microseconds(load.service_time_us());
     candidate.leaving = load.leaving();
-    candidate.down = load.backend_down();
+    setDown(candidate, load.backend_down(), now);
     candidate.sentSinceReport = 0;
 }
 
@@ -176,15 +183,16 @@
 }
 
 void observeLoad(EntryState &state, const std::string &backendServer, const v1::LoadReport &load,
-                 std::uint64_t, TimePoint)
+                 std::uint64_t, TimePoint now)
 {
     forCandidates(state, backendServer,
-                  [&load](Candidate &candidate) { takeLoad(candidate, load); });
+                  [&load, now](Candidate &candidate) { takeLoad(candidate, load, now); });
 }
 
-void observeUnreachable(EntryState &state, const std::string &backendServer, TimePoint)
+void observeUnreachable(EntryState &state, const std::string &backendServer, TimePoint now)
 {
-    forCandidates(state, backendServer, [](Candidate &candidate) { candidate.down = true; });
+    forCandidates(state, backendServer,
+                  [now](Candidate &candidate) { setDown(candidate, true, now); });
 }
 
 void observeVmLeaving(EntryState &state, const std::string &backendServer, TimePoint)
--- a/Source/Request/SuspectBook.cpp
+++ b/Source/Request/SuspectBook.cpp
@@ -72,6 +72,13 @@
     record.forgetAt = std::max(record.forgetAt, now + holds);
 }
 
+void renewConviction(SuspectBook &book, std::uint64_t fingerprint, TimePoint now)
+{
+    const auto found = book.records.find(fingerprint);
+    if (found != book.records.end() && found->second.convicted)
+        found->second.forgetAt = std::max(found->second.forgetAt, now + convictionTime);
+}
+
 void recordGoodRun(SuspectBook &book, std::uint64_t fingerprint)
 {
     const auto found = book.records.find(fingerprint);
--- a/Source/Request/SuspectBook.h
+++ b/Source/Request/SuspectBook.h
@@ -12,8 +12,10 @@
 
 /// How long a suspicion holds unless a good run clears it.
 constexpr seconds suspicionTime{120};
-/// How long a convicted fingerprint is refused.
-constexpr seconds convictionTime{600};
+/// How long a convicted fingerprint is refused after its last appearance.
+constexpr seconds convictionTime{3600};
+/// Time after which every entry has heard of a death: several heartbeats.
+constexpr milliseconds suspectSettleTime{2000};
 /// Fingerprints that one process remembers; the ones soonest forgotten give way.
 constexpr std::size_t maxSuspects = 4096;
 /// Fingerprints that one heartbeat carries, to stay within a daemon's control traffic.
@@ -54,6 +56,10 @@
 void recordDeath(SuspectBook &book, std::uint64_t fingerprint, std::uint64_t death, bool alone,
                  TimePoint now);
 
+/// A convicted fingerprint was sent again and refused: it stays convicted for as long again, or a
+/// caller that repeats for ever would take down another backend server each time it is forgotten.
+void renewConviction(SuspectBook &book, std::uint64_t fingerprint, TimePoint now);
+
 /// Records a good run alone: every death known so far is cleared.
 void recordGoodRun(SuspectBook &book, std::uint64_t fingerprint);
 
--- a/Tests/Request/RequestMatrixTest.cpp
+++ b/Tests/Request/RequestMatrixTest.cpp
@@ -170,7 +170,7 @@
         world.run(seconds(2));
         REQUIRE(world.calls.size() == 1);
         CHECK(world.calls[0]->told == Told::Answer);
-        CHECK(world.breaches() == std::vector<std::string>());
+        CHECK(world.breaches().empty());
     }
 }
 
--- a/Tests/Request/RequestWorld.cpp
+++ b/Tests/Request/RequestWorld.cpp
@@ -300,9 +300,9 @@
     killed.node.alive = false;
     ++killed.node.epoch;
     for (const auto &[stream, callAndHead] : killed.streams) {
-        const auto [call, head] = callAndHead;
+        const std::size_t call = callAndHead.first;
         Call &lost = *calls[call];
-        after(hop, [this, call, &lost, attempt = head.attempt()] {
+        after(hop, [this, call, &lost, attempt = callAndHead.second.attempt()] {
             deliver(entries[lost.entry].node, lost.entryEpoch, [this, call, &lost, attempt] {
                 if (lost.told || lost.state.attempt != attempt || !lost.state.outstanding)
                     return;
--- a/Tests/Request/RequestWorldAgents.cpp
+++ b/Tests/Request/RequestWorldAgents.cpp
@@ -26,7 +26,8 @@
     const auto found = agents[agent].streams.find(stream);
     if (found == agents[agent].streams.end())
         return;
-    const auto [call, head] = found->second;
+    const std::size_t call = found->second.first;
+    const v1::RunHead head = found->second.second;
     for (const GateRun &run : agents[agent].gate.running) {
         if (run.stream == stream && run.deadline <= now)
             seenBreaches_.push_back("a run began past its deadline");
@@ -42,7 +43,7 @@
     }
     backends[agent].running.insert(stream);
     send(Step::AgentToBackend, call, &agents[agent].node, &backends[agent].node,
-         [=, this, head = head, call = call] { backendRuns(agent, stream, call, head); });
+         [=, this] { backendRuns(agent, stream, call, head); });
 }
 
 void RequestWorld::backendRuns(int agent, StreamId stream, std::size_t call,
@@ -106,7 +107,8 @@
     const auto found = agents[agent].streams.find(stream);
     if (found == agents[agent].streams.end())
         return;
-    const auto [call, head] = found->second;
+    const std::size_t call = found->second.first;
+    const v1::RunHead head = found->second.second;
     frame.set_request_id(head.request_id());
     frame.set_attempt(head.attempt());
     *frame.mutable_load() = loadReport(agents[agent].gate);
@@ -114,7 +116,7 @@
     Node &entry = entries[receiver.entry].node;
     if (entry.epoch != receiver.entryEpoch)
         return;
-    send(step, call, &agents[agent].node, &entry, [this, call = call, frame] {
+    send(step, call, &agents[agent].node, &entry, [this, call, frame] {
         frameArrived(call, frame);
         if (calls[call]->misdeliveredTo)
             frameArrived(*calls[call]->misdeliveredTo, frame);
