Hold an organisation's limits over all entries by leased grants

Cause: each entry sees only its own part of an organisation's calls. Change: BudgetOwner keeps leases and grants from the part of the limit that callers hold leases for; entries renew every 250 ms, or 50 ms when a grant is used up. Conclusion: holds; an entry that never calls for an organisation keeps its share unused.

--- a/Source/Request/OrganisationLimits.cpp
+++ b/Source/Request/OrganisationLimits.cpp
@@ -32,9 +32,8 @@
     use.share.capacity = std::max(1.0, use.declared.burst() / entries);
     use.share.tokens = isNew ? use.share.capacity : std::min(use.share.tokens, use.share.capacity);
     use.share.refilledAt = now;
-    const std::uint32_t whole = use.declared.concurrency() / entryCount(limits);
-    const std::uint32_t rest = use.declared.concurrency() % entryCount(limits);
-    use.concurrencyShare = whole + (entryRank(limits) < rest ? 1 : 0);
+    use.concurrencyShare =
+        staticShare(use.declared.concurrency(), entryCount(limits), entryRank(limits));
 }
 
 bool hasGrant(const OrganisationUse &use, TimePoint now)
@@ -42,6 +41,14 @@
     return now < use.grantUntil;
 }
 
+bool isCallDue(const OrganisationUse &use, TimePoint now)
+{
+    if (!use.used && use.inFlight == 0 && !hasGrant(use, now))
+        return false;
+    const bool hungry = use.refused > 0 || (hasGrant(use, now) && use.granted == 0);
+    return now - use.lastCall >= (hungry ? hungryInterval : grantInterval);
+}
+
 LimitRefusal refuse(OrganisationUse &use, v1::Reason reason, milliseconds retryAfter)
 {
     ++use.refused;
@@ -58,6 +65,11 @@
 
 } // namespace
 
+std::uint32_t staticShare(std::uint32_t whole, std::size_t entries, std::size_t rank)
+{
+    return static_cast<std::uint32_t>(whole / entries + (rank < whole % entries ? 1 : 0));
+}
+
 void refill(TokenBucket &bucket, TimePoint now)
 {
     if (now <= bucket.refilledAt)
@@ -96,7 +108,7 @@
     if (use.inFlight >= concurrency)
         return refuse(use, v1::REASON_ORGANISATION_CONCURRENCY, concurrencyRetry);
     if (granted && use.granted == 0)
-        return refuse(use, v1::REASON_ORGANISATION_RATE, grantInterval);
+        return refuse(use, v1::REASON_ORGANISATION_RATE, hungryInterval);
     if (!granted && use.share.tokens < 1.0)
         return refuse(use, v1::REASON_ORGANISATION_RATE, untilNextToken(use));
     if (granted)
@@ -120,7 +132,7 @@
 {
     std::vector<BudgetCall> calls;
     for (auto &[name, use] : limits.uses) {
-        if (!use.used && use.inFlight == 0 && !hasGrant(use, now))
+        if (!isCallDue(use, now))
             continue;
         const auto owner = rendezvousChoice(name, limits.entryNames);
         if (!owner)
@@ -137,6 +149,7 @@
         use.admitted = 0;
         use.refused = 0;
         use.used = false;
+        use.lastCall = now;
     }
     return calls;
 }
--- a/Source/Request/OrganisationLimits.h
+++ b/Source/Request/OrganisationLimits.h
@@ -14,8 +14,9 @@
 
 /// How long a grant of an organisation's budget holds.
 constexpr milliseconds grantTime{1000};
-/// How often an entry renews its grants.
+/// How often an entry renews a grant, and how often it asks again for one that is used up.
 constexpr milliseconds grantInterval{250};
+constexpr milliseconds hungryInterval{50};
 
 /// Tokens that refill at a rate up to a capacity.
 struct TokenBucket
@@ -29,6 +30,9 @@
 /// Refills the bucket up to now.
 void refill(TokenBucket &bucket, TimePoint now);
 
+/// One entry's share of a whole number; the remainder goes to the entries of lowest rank.
+std::uint32_t staticShare(std::uint32_t whole, std::size_t entries, std::size_t rank);
+
 /// One organisation as one entry limits it.
 struct OrganisationUse
 {
@@ -45,6 +49,7 @@
     std::uint32_t admitted = 0;
     std::uint32_t refused = 0;
     bool used = false;
+    TimePoint lastCall;
 };
 
 /// Limits of all organisations at one entry.
@@ -83,7 +88,9 @@
     v1::BudgetRequest request;
 };
 
-/// Calls to make now, every grantInterval, for the organisations in use. Counts start anew.
+/// Calls to make now, for the organisations in use; to be asked for every hungryInterval. Counts
+/// of those that are called for start anew. An entry that does not use an organisation makes no
+/// call for it, so its static share stays unused.
 std::vector<BudgetCall> budgetCalls(OrganisationLimits &limits, TimePoint now);
 
 /// Takes the owner's grant.
--- a/Tests/Request/RequestWorld.h
+++ b/Tests/Request/RequestWorld.h
@@ -237,6 +237,8 @@
     WorldOptions options_;
     std::vector<bool> faultUsed_;
     int faultsWithoutEffect_ = 0;
+    /// All calls before it were told their end.
+    std::size_t firstOpen_ = 0;
     std::priority_queue<Event> events_;
     std::uint64_t sequence_ = 0;
     /// Events to come that are not periodic.
--- a/Tests/Request/RequestWorldAgents.cpp
+++ b/Tests/Request/RequestWorldAgents.cpp
@@ -129,7 +129,9 @@
         if (agents[i].node.alive && !agents[i].node.frozen)
             act(i, tick(agents[i].gate, now, wall()));
     }
-    for (std::size_t i = 0; i < calls.size(); ++i) {
+    while (firstOpen_ < calls.size() && calls[firstOpen_]->told)
+        ++firstOpen_;
+    for (std::size_t i = firstOpen_; i < calls.size(); ++i) {
         Call &call = *calls[i];
         const bool open = call.startedAt != TimePoint() && !call.told && !call.state.ended;
         const Node &entry = entries[call.entry].node;
