--- /dev/null
+++ b/Source/Version/PlacementSearch.cpp
@@ -0,0 +1,101 @@
+#include "Version/PlacementSearch.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "Version/LayerSearch.h"
+
+namespace wisteria {
+
+namespace {
+
+/// First steps that the search tries to follow up when no single step pays.
+constexpr std::size_t lookAheadWidth = 6;
+
+/// Steps that are worth taking together.
+struct StepPlan
+{
+    std::vector<SearchStep> steps;
+    std::uint32_t moves = 0;
+    double gain = 0;
+};
+
+bool pays(const StepPlan &plan, const SearchLimits &limits)
+{
+    return plan.moves > 0 && plan.gain > 0 && plan.gain / plan.moves >= limits.minGainPerMove;
+}
+
+StepPlan planOf(const LayerSearch &search, const SearchStep &step)
+{
+    return {{step}, step.moves, search.gainOf(step.change)};
+}
+
+/// Follows up the least bad first steps by the best second step each. A hot expert can be stuck on
+/// a rank although another has room for it in sum: every single step would only make the other rank
+/// the straggler, and only a second one relieves that rank in turn.
+StepPlan planTwoSteps(const LayerSearch &search, const std::vector<SearchStep> &firstSteps,
+                      const SearchLimits &limits)
+{
+    StepPlan best;
+    const std::size_t width = std::min(lookAheadWidth, firstSteps.size());
+    for (std::size_t i = 0; i < width; ++i) {
+        LayerSearch ahead = search;
+        ahead.take(firstSteps[i]);
+        const std::vector<SearchStep> &secondSteps = ahead.scan();
+        if (secondSteps.empty())
+            continue;
+        const SearchStep &second = secondSteps.front();
+        StepPlan plan{{firstSteps[i], second}, firstSteps[i].moves + second.moves, 0};
+        plan.gain = search.skew() - (ahead.skew() - ahead.gainOf(second.change));
+        const bool better = best.moves == 0 || plan.gain / plan.moves > best.gain / best.moves;
+        if (pays(plan, limits) && better)
+            best = plan;
+    }
+    return best;
+}
+
+StepPlan nextSteps(LayerSearch &search, const SearchLimits &limits)
+{
+    const std::vector<SearchStep> steps = search.scan();
+    if (steps.empty())
+        return {};
+    if (steps.front().change < 0) {
+        StepPlan plan = planOf(search, steps.front());
+        if (pays(plan, limits))
+            return plan;
+    }
+    return planTwoSteps(search, steps, limits);
+}
+
+} // namespace
+
+double expectedSkew(const RankGroup &group, const LayerMap &map, const SearchProblem &problem)
+{
+    return LayerSearch(group, map, map, problem, {}).skew();
+}
+
+SearchResult improveLayerMap(const RankGroup &group, const LayerMap &present, const LayerMap &start,
+                             const SearchProblem &problem, const SearchLimits &limits)
+{
+    LayerSearch search(group, present, start, problem, limits);
+    SearchResult result;
+    result.map = start;
+    result.presentSkew = expectedSkew(group, present, problem);
+    result.foundSkew = search.skew();
+    // Every plan lowers the skew, so the search ends; the bound keeps its time in hand as well.
+    for (std::uint32_t round = 0; round < limits.maxMoves; ++round) {
+        const StepPlan plan = nextSteps(search, limits);
+        if (!pays(plan, limits))
+            break;
+        for (const SearchStep &step : plan.steps)
+            search.take(step);
+        if (countMoves(present, search.map()) > limits.maxMoves)
+            break;
+        result.map = search.map();
+        result.foundSkew = search.skew();
+    }
+    result.moves = countMoves(present, result.map);
+    return result;
+}
+
+} // namespace wisteria
