--- a/Source/Version/MapSwitchCoordinator.cpp
+++ b/Source/Version/MapSwitchCoordinator.cpp
@@ -12,10 +12,15 @@
     CoordinatorState &state;
     const MapSwitchContext &context;
     TimePoint now;
-    bool logAnswers;
+    std::optional<TimePoint> logAnsweredAt;
     MapSwitchActions &actions;
 };
 
+bool logAnswers(const Turn &turn)
+{
+    return turn.logAnsweredAt && turn.now - *turn.logAnsweredAt <= turn.context.timing.logFresh;
+}
+
 bool allRanks(const CoordinatorState &state, bool RankProgress::*flag)
 {
     const auto &progress = state.attempt->progress;
@@ -141,7 +146,7 @@
     const auto needed = turn.context.timing.collectTimeout + turn.context.timing.armTimeout;
     const bool leaseLasts = turn.now + needed < turn.state.lease.heldUntil;
     const bool guarded = turn.context.guards.armOnlyWithLog;
-    return !guarded || (leaseLasts && turn.logAnswers);
+    return !guarded || (leaseLasts && logAnswers(turn));
 }
 
 bool anotherIsWanted(const CoordinatorState &state)
@@ -272,7 +277,10 @@
 
 void appendLeaseRecordWhenDue(Turn &turn, bool isMember)
 {
-    const bool eligible = isMember && !turn.state.draining && turn.logAnswers;
+    // At rest the log is read about once per renewal, so its silence shows only after a while.
+    const bool reachable =
+        turn.logAnsweredAt && turn.now < *turn.logAnsweredAt + turn.context.timing.lease;
+    const bool eligible = isMember && !turn.state.draining && reachable;
     auto record = dueLeaseRecord(turn.state.lease, turn.context.group, turn.now,
                                  turn.context.timing, eligible);
     if (record)
@@ -307,8 +315,7 @@
                         std::optional<TimePoint> logAnsweredAt, bool isMember,
                         MapSwitchActions &actions)
 {
-    const bool logAnswers = logAnsweredAt && now - *logAnsweredAt <= context.timing.logFresh;
-    Turn turn{state, context, now, logAnswers, actions};
+    Turn turn{state, context, now, logAnsweredAt, actions};
     observeLease(state.lease, context.group, now, context.timing);
     appendLeaseRecordWhenDue(turn, isMember);
     if (state.attempt)
--- a/Source/Version/MapSwitchLog.cpp
+++ b/Source/Version/MapSwitchLog.cpp
@@ -83,6 +83,28 @@
     return true;
 }
 
+/// Failure: a change between a snapshot's "as of" and its own offset is skipped, and a rank that
+/// starts runs on an older map than the others. A snapshot serves only when the batch holds every
+/// record after its "as of".
+bool replacesMissing(const v1::GroupRecord &record, const LogBatch &batch)
+{
+    const Offset heldFrom = batch.records.front().offset;
+    return record.has_snapshot() && record.snapshot().as_of() + 1 >= heldFrom;
+}
+
+bool startFromSnapshot(GroupState &state, const LogBatch &batch, const MapSwitchGuards &guards)
+{
+    for (const LogRecord &each : batch.records) {
+        v1::GroupRecord record;
+        if (!record.ParseFromString(each.data) || !replacesMissing(record, batch))
+            continue;
+        state = GroupState();
+        replayGroupRecord(state, each.offset, record, guards);
+        return true;
+    }
+    return false;
+}
+
 /// A snapshot is used only by a reader that has nothing yet; for others it repeats what they know.
 bool replaySnapshot(GroupState &state, const v1::GroupSnapshot &snapshot)
 {
@@ -130,6 +152,7 @@
     if (offset <= state.position)
         return false;
     if (record.has_snapshot()) {
+        state.snapshotAt = offset;
         // A snapshot leaves out what was appended between its own "as of" and itself, so the reader
         // goes on from "as of" and reads those records too.
         if (!replaySnapshot(state, record.snapshot())) {
@@ -144,6 +167,21 @@
     return effective;
 }
 
+bool takeRecords(GroupState &state, const LogBatch &batch, const MapSwitchGuards &guards)
+{
+    const bool missing = state.position + 1 < batch.first;
+    if (missing && !startFromSnapshot(state, batch, guards))
+        return false;
+    for (const LogRecord &each : batch.records) {
+        v1::GroupRecord record;
+        // A record that can't be read has no effect for anybody, but keeps its place.
+        if (!record.ParseFromString(each.data))
+            record.Clear();
+        replayGroupRecord(state, each.offset, record, guards);
+    }
+    return true;
+}
+
 SwitchOutcome outcomeOf(const GroupState &state, const SwitchKey &key, Offset membersVersion)
 {
     if (key == state.committed)
--- a/Source/Version/MapSwitchLog.h
+++ b/Source/Version/MapSwitchLog.h
@@ -40,6 +40,8 @@
     MapInForce previous;
     /// First step that runs on the present map; steps before it run on the previous one.
     std::uint64_t currentFromStep = 0;
+    /// Offset of the newest snapshot seen.
+    Offset snapshotAt = 0;
 };
 
 /// What the stream says about one attempt.
@@ -51,6 +53,12 @@
 bool replayGroupRecord(GroupState &state, Offset offset, const v1::GroupRecord &record,
                        const MapSwitchGuards &guards);
 
+/// Replays what one read gave. When retention dropped records that were not read, it goes on from a
+/// snapshot in the batch.
+/// @return False when records are missing and the batch holds no snapshot that replaces them; the
+/// state stays.
+bool takeRecords(GroupState &state, const LogBatch &batch, const MapSwitchGuards &guards);
+
 /// Outcome of an attempt that was armed when the newest join was `membersVersion`.
 SwitchOutcome outcomeOf(const GroupState &state, const SwitchKey &key, Offset membersVersion);
 
--- a/Source/Version/MapSwitchRank.cpp
+++ b/Source/Version/MapSwitchRank.cpp
@@ -6,12 +6,6 @@
 
 namespace {
 
-bool isSuperseded(const RankState &state, const GroupState &group)
-{
-    const auto member = group.members.find(state.self.rank);
-    return member != group.members.end() && member->second > state.self.incarnation;
-}
-
 bool logAnswers(const RankState &state, const MapSwitchContext &context, TimePoint now)
 {
     return state.logAnsweredAt && now - *state.logAnsweredAt <= context.timing.logFresh;
@@ -458,6 +452,12 @@
 
 } // namespace
 
+bool isSuperseded(const RankState &state, const GroupState &group)
+{
+    const auto member = group.members.find(state.self.rank);
+    return member != group.members.end() && member->second > state.self.incarnation;
+}
+
 bool isMember(const RankState &state, const GroupState &group)
 {
     return state.joinOffset != 0 && !isSuperseded(state, group);
--- a/Source/Version/MapSwitchRank.h
+++ b/Source/Version/MapSwitchRank.h
@@ -93,6 +93,9 @@
 void advanceRank(RankState &state, const MapSwitchContext &context, TimePoint now,
                  MapSwitchActions &actions);
 
+/// Whether a newer incarnation of the rank stands in the stream; this one takes no part any more.
+bool isSuperseded(const RankState &state, const GroupState &group);
+
 /// Whether this incarnation's join was read back and no newer one stands in the stream.
 bool isMember(const RankState &state, const GroupState &group);
 
