Lease organisations' limits between entries

Cause: each entry admitted by its static share; callers of one entry could not use what the others left. A spent grant now falls back to the static share, and grants keep half the fair part of concurrency.

--- a/Source/Process/EntryProcess.cpp
+++ b/Source/Process/EntryProcess.cpp
@@ -2,15 +2,17 @@
 
 #include <algorithm>
 #include <iostream>
-#include <map>
 #include <utility>
 #include <vector>
 
+#include "Connection/FrameCodec.h"
 #include "Connection/HttpLogClient.h"
 #include "Connection/PeerCall.h"
 #include "Connection/PeerPool.h"
 #include "Connection/PeerServer.h"
 #include "Peer.pb.h"
+#include "Process/AgentHeartbeats.h"
+#include "Process/BudgetExchange.h"
 #include "Process/ConfigFollower.h"
 #include "Process/ConfigReader.h"
 #include "Process/EntryDirectory.h"
@@ -28,7 +30,6 @@
 
 namespace {
 
-constexpr milliseconds heartbeatInterval(1000);
 constexpr milliseconds shutdownCheck(20);
 /// Heartbeats fail faster than traffic, so that a frozen agent is noticed within two of them.
 constexpr PeerTimeouts heartbeatTimeouts{.connect = milliseconds(500),
@@ -44,6 +45,12 @@
     explicit Private(EntrySettings settings)
         : settings_(std::move(settings)), log_(settings_.logUrl), follower_(log_),
           peers_(loop_, heartbeatTimeouts), peerServer_(loop_, *this),
+          heartbeats_(
+              loop_, peers_, state_, [this] { return ownHeartbeat(); },
+              [this](const std::string &name, const std::optional<v1::Heartbeat> &reply) {
+                  heartbeatEnded(name, reply);
+              }),
+          budgets_(loop_, peers_, shared_, settings_.name),
           signal_(loop_, [this] { beginShutdown(); }), logger_(loggerFor("entry"))
     {
         state_.ownName = settings_.name;
@@ -74,6 +81,8 @@
     {
         if (path == "/v1/config")
             return answerConfig(stream, frames);
+        if (path == "/v1/grant")
+            return answerGrant(stream, frames);
         peerServer_.abort(stream);
     }
 
@@ -86,6 +95,7 @@
     {
         const TimePoint now = monotonicNow();
         setConfiguration(state_, shared_, *config, now);
+        budgets_.setOrganisations(state_.organisations);
         for (const auto &worker : workers_) {
             worker->update([config](EntryState &state, EntryShared &shared, TimePoint at) {
                 setConfiguration(state, shared, *config, at);
@@ -117,7 +127,8 @@
                 setConfiguration(state, shared, *config, at);
             });
         }
-        sendHeartbeats();
+        heartbeats_.start();
+        budgets_.start();
         joinEntries();
         watchVms();
         std::cout << "ready caller=" << address << " peer=" << peerAddress_
@@ -140,7 +151,7 @@
     /// Subsets of backend servers and static shares of limits follow from who shares the work.
     void entriesChanged(const EntryMembers &members)
     {
-        members_ = members;
+        budgets_.setMembers(members, monotonicNow());
         std::vector<std::string> names = memberNames(members);
         if (std::find(names.begin(), names.end(), settings_.name) == names.end())
             names.push_back(settings_.name);
@@ -176,7 +187,7 @@
         }
     }
 
-    void sendHeartbeats()
+    v1::Heartbeat ownHeartbeat()
     {
         v1::Heartbeat heartbeat;
         heartbeat.set_process(settings_.name);
@@ -185,22 +196,7 @@
         heartbeat.set_address(peerAddress_);
         for (const v1::SuspectReport &report : suspectsToReport(shared_, monotonicNow()))
             *heartbeat.add_suspects() = report;
-        for (const std::string &name : heartbeatTargets(state_))
-            sendHeartbeat(name, heartbeat);
-        loop_.runAfter(heartbeatInterval, [this] { sendHeartbeats(); });
-    }
-
-    void sendHeartbeat(const std::string &name, const v1::Heartbeat &heartbeat)
-    {
-        // One question at a time: a frozen agent must not gather a queue of them.
-        if (std::exchange(awaited_[name], true))
-            return;
-        PeerClient &client = peers_.clientFor(agentAddress(state_, name));
-        callPeer<v1::Heartbeat>(client, "/v1/heartbeat", heartbeat,
-                                [this, name](const std::optional<v1::Heartbeat> &reply) {
-                                    awaited_[name] = false;
-                                    heartbeatEnded(name, reply);
-                                });
+        return heartbeat;
     }
 
     void heartbeatEnded(const std::string &name, const std::optional<v1::Heartbeat> &reply)
@@ -248,6 +244,16 @@
         peerServer_.reply(stream, out, true);
     }
 
+    void answerGrant(PeerStreamId stream, const std::vector<std::string> &frames)
+    {
+        v1::BudgetRequest request;
+        if (frames.empty() || !request.ParseFromString(frames.front()))
+            return peerServer_.abort(stream);
+        std::string out;
+        appendFrame(out, budgets_.answer(request, monotonicNow()));
+        peerServer_.reply(stream, out, true);
+    }
+
     /// Callers first learn to go elsewhere, then the doors close, then what is open ends by itself.
     void beginShutdown()
     {
@@ -286,14 +292,14 @@
     EntryState state_;
     PeerPool peers_;
     PeerServer peerServer_;
+    AgentHeartbeats heartbeats_;
+    BudgetExchange budgets_;
     ShutdownSignal signal_;
     std::shared_ptr<spdlog::logger> logger_;
     std::vector<std::unique_ptr<EntryWorker>> workers_;
-    EntryMembers members_;
     ConfigReader *reader_ = nullptr;
     std::unique_ptr<EntryDirectory> directory_;
     std::unique_ptr<VmWatcher> vms_;
-    std::map<std::string, bool> awaited_;
     std::string peerAddress_;
     std::string metricsAddress_;
     std::optional<Error> failed_;
--- a/Source/Request/BudgetOwner.cpp
+++ b/Source/Request/BudgetOwner.cpp
@@ -86,7 +86,9 @@
     const std::uint32_t left = limit > others ? limit - others : 0;
     // An entry that needs less than its fair part leaves the rest to others.
     const auto fair = static_cast<std::uint32_t>(limit / entryCount(owner));
-    const std::uint32_t want = lease.inFlight + lease.wanted + spareRequests;
+    // A quiet entry keeps half its fair part for a jump of its callers' pace; all of it would hold
+    // the busy entries below what the organisation pays for.
+    const std::uint32_t want = std::max(fair / 2, lease.inFlight + lease.wanted + spareRequests);
     // While another one is held below its fair part, nobody holds more than the fair part.
     bool starved = false;
     for (const auto &[name, other] : budget.leases)
--- a/Source/Request/OrganisationLimits.cpp
+++ b/Source/Request/OrganisationLimits.cpp
@@ -107,11 +107,15 @@
     const std::uint32_t concurrency = granted ? use.grantedConcurrency : use.concurrencyShare;
     if (use.inFlight >= concurrency)
         return refuse(use, v1::REASON_ORGANISATION_CONCURRENCY, concurrencyRetry);
-    if (granted && use.granted == 0)
-        return refuse(use, v1::REASON_ORGANISATION_RATE, hungryInterval);
-    if (!granted && use.share.tokens < 1.0)
-        return refuse(use, v1::REASON_ORGANISATION_RATE, untilNextToken(use));
-    if (granted)
+    // A spent grant falls back to the share: an entry that was quiet holds a small grant and must
+    // not refuse what its share allows. The owner takes the difference off its next grants.
+    const bool byGrant = granted && use.granted > 0;
+    if (!byGrant && use.share.tokens < 1.0) {
+        const milliseconds wait = untilNextToken(use);
+        return refuse(use, v1::REASON_ORGANISATION_RATE,
+                      granted ? std::min(wait, hungryInterval) : wait);
+    }
+    if (byGrant)
         --use.granted;
     // The share is spent along with the grant: when the grant lapses, what was just admitted
     // counts against the share and the two together do not exceed the limit.
--- a/Tests/Request/OrganisationLimitsTest.cpp
+++ b/Tests/Request/OrganisationLimitsTest.cpp
@@ -144,3 +144,18 @@
     CHECK(refusal->retryAfter <= milliseconds(11));
     CHECK(refusal->retryAfter >= milliseconds(10));
 }
+
+// A shop far below its limit is refused when ten of its clerks ask at once.
+// Order: the organisation asks a little for a while, so the entries hold small grants; then its
+// clerks ask at once, well within its burst and its concurrency.
+// Cause: a grant was cut to twice the last demand, and the entry refused beyond it.
+TEST_CASE("A pace that jumps within the burst is not refused")
+{
+    Fleet fleet(2);
+    int number = 0;
+    const auto inTurn = [&number] { return ++number % 2; };
+    fleet.run(seconds(3), milliseconds(200), inTurn);
+    for (std::uint32_t i = 0; i < concurrency / 2 - 1; ++i)
+        fleet.request(inTurn());
+    CHECK(fleet.refused == 0);
+}
