--- a/Source/Process/AdminProcess.cpp
+++ b/Source/Process/AdminProcess.cpp
@@ -86,6 +86,7 @@
         sigwait(&signals, &signal);
         logger_->info("stopping");
         stopping_ = true;
+        log_.interrupt();
         server->Shutdown(std::chrono::system_clock::now() + shutdownGrace);
         control.join();
         return boost::outcome_v2::success();
@@ -125,15 +126,10 @@
                 logger_->warn("{}", polled.error().message);
                 askPeers();
                 std::this_thread::sleep_for(retryPause);
-            } else if (!follower_.status().blocked.empty()) {
-                logger_->error("{}", follower_.status().blocked);
-                askPeers();
-                std::this_thread::sleep_for(retryPause);
             }
             metrics_.setFollower(follower_.status(), follower_.state()->objects.size());
             writeSnapshot();
-            if (!announced
-                && (!polled || follower_.usable() || !follower_.status().blocked.empty())) {
+            if (!announced && (!polled || follower_.usable())) {
                 firstRound_.set_value();
                 announced = true;
             }
