--- a/Source/Process/AdminProcess.cpp
+++ b/Source/Process/AdminProcess.cpp
@@ -140,8 +140,10 @@
     {
         if (settings_.peers.empty())
             return;
-        const auto newest =
-            fetchConfigFromPeers(settings_.peers, follower_.state()->position, peerTimeout);
+        // One that can't go on needs a peer's position though the version may be the same.
+        const bool blocked = !follower_.status().blocked.empty();
+        const Offset known = blocked ? 0 : follower_.state()->version;
+        const auto newest = fetchConfigFromPeers(settings_.peers, known, peerTimeout);
         if (newest && follower_.adopt(*newest))
             logger_->info("took version {} from a peer", newest->version());
     }
--- a/Source/Process/EntryProcess.cpp
+++ b/Source/Process/EntryProcess.cpp
@@ -74,6 +74,8 @@
     {
         if (path == "/v1/config")
             return answerConfig(stream, frames);
+        if (path == "/v1/heartbeat")
+            return answerHeartbeat(stream);
         peerServer_.abort(stream);
     }
 
@@ -234,6 +236,20 @@
                                        });
     }
 
+    /// Tells an admin, for its view of the fleet, which version is in force here.
+    void answerHeartbeat(PeerStreamId stream)
+    {
+        v1::Heartbeat heartbeat;
+        heartbeat.set_process(settings_.name);
+        heartbeat.set_role("entry");
+        heartbeat.set_config_version(state_.configVersion);
+        heartbeat.set_address(peerAddress_);
+        heartbeat.set_state(leaving_ ? "leaving" : workers_.empty() ? "starting" : "serving");
+        std::string out;
+        appendFrame(out, heartbeat);
+        peerServer_.reply(stream, out, true);
+    }
+
     void answerConfig(PeerStreamId stream, const std::vector<std::string> &frames)
     {
         v1::ConfigFetch fetch;
--- a/Source/Process/FleetProbe.cpp
+++ b/Source/Process/FleetProbe.cpp
@@ -109,7 +109,7 @@
         v1::ConfigFetchReply reply;
         if (!answer || !reply.ParseFromString(*answer) || !reply.has_snapshot())
             continue;
-        if (reply.snapshot().as_of() <= newerThan)
+        if (reply.snapshot().version() <= newerThan)
             continue;
         if (!newest || reply.snapshot().as_of() > newest->as_of())
             newest = std::move(*reply.mutable_snapshot());
--- a/Source/Process/FleetProbe.h
+++ b/Source/Process/FleetProbe.h
@@ -24,7 +24,7 @@
 std::vector<ProbeResult> probeFleet(const std::vector<std::string> &addresses,
                                     const v1::Heartbeat &own, milliseconds timeout);
 
-/// Asks peers for a configuration newer than an offset.
+/// Asks peers for a configuration of a version above `newerThan`.
 /// @return The one with the highest `as_of` among those that answered; nothing when none is newer.
 std::optional<v1::SnapshotRecord> fetchConfigFromPeers(const std::vector<std::string> &addresses,
                                                        std::uint64_t newerThan,
