--- a/Source/Connection/PlatformHttp.cpp
+++ b/Source/Connection/PlatformHttp.cpp
@@ -67,11 +67,11 @@
         const CURLcode code = curl_easy_perform(handle_);
         long requestBytes = 0;
         curl_easy_getinfo(handle_, CURLINFO_REQUEST_SIZE, &requestBytes);
-        countBytes(requestBytes, answer.body.size());
         if (code == CURLE_OK)
             curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &answer.status);
         else
             answer.trouble = curl_easy_strerror(code);
+        transferred_ += transferredNow(requestBytes) + answer.body.size();
         answer.timedOut = code == CURLE_OPERATION_TIMEDOUT;
         answer.neverSent = code != CURLE_OK && requestBytes == 0;
         return answer;
@@ -81,17 +81,17 @@
 
     std::string url_;
     std::atomic<bool> interrupted_ = false;
+
     std::uint64_t transferred_ = 0;
 
 private:
-    void countBytes(long requestBytes, std::size_t answerBytes)
+    std::uint64_t transferredNow(long requestBytes) const
     {
         long headerBytes = 0;
-        curl_off_t bodyBytes = 0;
         curl_easy_getinfo(handle_, CURLINFO_HEADER_SIZE, &headerBytes);
-        curl_easy_getinfo(handle_, CURLINFO_SIZE_UPLOAD_T, &bodyBytes);
-        transferred_ += static_cast<std::uint64_t>(requestBytes + headerBytes + bodyBytes);
-        transferred_ += answerBytes;
+        curl_off_t sentBytes = 0;
+        curl_easy_getinfo(handle_, CURLINFO_SIZE_UPLOAD_T, &sentBytes);
+        return static_cast<std::uint64_t>(requestBytes + headerBytes + sentBytes);
     }
 
     /// libcurl asks at least once a second whether to go on.
