--- a/Source/Process/AdminProcess.cpp
+++ b/Source/Process/AdminProcess.cpp
@@ -86,6 +86,7 @@
         sigwait(&signals, &signal);
         logger_->info("stopping");
         stopping_ = true;
+        log_.interrupt();
         server->Shutdown(std::chrono::system_clock::now() + shutdownGrace);
         control.join();
         return boost::outcome_v2::success();
@@ -125,15 +126,10 @@
                 logger_->warn("{}", polled.error().message);
                 askPeers();
                 std::this_thread::sleep_for(retryPause);
-            } else if (!follower_.status().blocked.empty()) {
-                logger_->error("{}", follower_.status().blocked);
-                askPeers();
-                std::this_thread::sleep_for(retryPause);
             }
             metrics_.setFollower(follower_.status(), follower_.state()->objects.size());
             writeSnapshot();
-            if (!announced
-                && (!polled || follower_.usable() || !follower_.status().blocked.empty())) {
+            if (!announced && (!polled || follower_.usable())) {
                 firstRound_.set_value();
                 announced = true;
             }
@@ -144,8 +140,10 @@
     {
         if (settings_.peers.empty())
             return;
-        const auto newest =
-            fetchConfigFromPeers(settings_.peers, follower_.state()->position, peerTimeout);
+        // One that can't go on needs a peer's position though the version may be the same.
+        const bool blocked = !follower_.status().blocked.empty();
+        const Offset known = blocked ? 0 : follower_.state()->version;
+        const auto newest = fetchConfigFromPeers(settings_.peers, known, peerTimeout);
         if (newest && follower_.adopt(*newest))
             logger_->info("took version {} from a peer", newest->version());
     }
