--- a/Source/Process/EntryProcess.cpp
+++ b/Source/Process/EntryProcess.cpp
@@ -1,5 +1,6 @@
 #include "Process/EntryProcess.h"
 
+#include <algorithm>
 #include <iostream>
 #include <map>
 #include <utility>
@@ -12,11 +13,13 @@
 #include "Peer.pb.h"
 #include "Process/ConfigFollower.h"
 #include "Process/ConfigReader.h"
+#include "Process/EntryDirectory.h"
 #include "Process/EntryWorker.h"
 #include "Process/EventLoop.h"
 #include "Process/Logging.h"
 #include "Process/Metrics.h"
 #include "Process/ShutdownSignal.h"
+#include "Process/VmWatcher.h"
 // The control loop keeps routing state of its own, to know whom to ask for a sign of life.
 #include "Request/EntryRequest.h"
 #include "Version/Snapshot.h"
@@ -54,11 +57,13 @@
         BOOST_OUTCOME_TRY(peerAddress, peerServer_.listen(settings_.peerListen));
         metricsAddress_ = metricsAddress;
         peerAddress_ = peerAddress;
-        ConfigReader reader(follower_, [this](std::shared_ptr<const ConfigState> config) {
+        ConfigReader reader(log_, follower_, [this](std::shared_ptr<const ConfigState> config) {
             loop_.post([this, config = std::move(config)] { configure(config); });
         });
         reader_ = &reader;
         loop_.run();
+        directory_.reset();
+        vms_.reset();
         if (failed_)
             return *failed_;
         return boost::outcome_v2::success();
@@ -113,11 +118,64 @@
             });
         }
         sendHeartbeats();
+        joinEntries();
+        watchVms();
         std::cout << "ready caller=" << address << " peer=" << peerAddress_
                   << " metrics=" << metricsAddress_ << std::endl;
         logger_->info("Serving callers on {}.", address);
     }
 
+    void joinEntries()
+    {
+        v1::EntryMemberRecord self;
+        self.set_name(settings_.name);
+        self.set_address(peerAddress_);
+        self.set_incarnation(static_cast<std::uint64_t>(wallNow().time_since_epoch().count()));
+        directory_ = std::make_unique<EntryDirectory>(
+            settings_.logUrl, std::move(self), [this](EntryMembers members) {
+                loop_.post([this, members = std::move(members)] { entriesChanged(members); });
+            });
+    }
+
+    /// Subsets of backend servers and static shares of limits follow from who shares the work.
+    void entriesChanged(const EntryMembers &members)
+    {
+        members_ = members;
+        std::vector<std::string> names = memberNames(members);
+        if (std::find(names.begin(), names.end(), settings_.name) == names.end())
+            names.push_back(settings_.name);
+        setEntries(state_, shared_, names, monotonicNow());
+        for (const auto &worker : workers_) {
+            worker->update([names](EntryState &state, EntryShared &shared, TimePoint now) {
+                setEntries(state, shared, names, now);
+            });
+        }
+    }
+
+    void watchVms()
+    {
+        if (settings_.vmsUrl.empty())
+            return;
+        vms_ = std::make_unique<VmWatcher>(settings_.vmsUrl, [this](VmView view) {
+            loop_.post([this, view = std::move(view)] { vmsListed(view); });
+        });
+    }
+
+    /// The list lags, so the agents' own word comes first; the list tells of VMs whose agents died.
+    void vmsListed(const VmView &view)
+    {
+        std::set<std::string> leaving = leavingVms(view);
+        for (const std::string &vm : routedVms(state_)) {
+            if (isVmGone(view, vm))
+                leaving.insert(vm);
+        }
+        for (const auto &worker : workers_) {
+            worker->update([leaving](EntryState &state, EntryShared &, TimePoint) {
+                observeVms(state, leaving);
+            });
+        }
+    }
+
     void sendHeartbeats()
     {
         v1::Heartbeat heartbeat;
@@ -195,6 +253,7 @@
     {
         if (std::exchange(leaving_, true))
             return;
+        directory_.reset();
         logger_->info("Leaving: {} ms for callers to go elsewhere.", settings_.drainTime.count());
         for (const auto &worker : workers_)
             worker->announceLeaving();
@@ -230,7 +289,10 @@
     ShutdownSignal signal_;
     std::shared_ptr<spdlog::logger> logger_;
     std::vector<std::unique_ptr<EntryWorker>> workers_;
+    EntryMembers members_;
     ConfigReader *reader_ = nullptr;
+    std::unique_ptr<EntryDirectory> directory_;
+    std::unique_ptr<VmWatcher> vms_;
     std::map<std::string, bool> awaited_;
     std::string peerAddress_;
     std::string metricsAddress_;
