Test routing, deadlines, retry budget, queue and stalls

Cause: score, subset, shunning, queue and budget of retries had one test. Ruled out: nothing failed here; each test was seen to pass only, so these pin behaviour and are no proof by themselves. Change: tables for subsets, affinity, priorities, shunning, queue, leaving; a stalled backend server and a frozen agent among 16.

--- a/Tests/Request/KillerTest.cpp
+++ b/Tests/Request/KillerTest.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr seconds observed{60};
+constexpr seconds observed{30};
 constexpr milliseconds innocentEvery{5};
 constexpr milliseconds killerEvery{50};
 
--- /dev/null
+++ b/Tests/Request/LimitsAndEndsTest.cpp
@@ -0,0 +1,177 @@
+#include <iostream>
+
+#include <catch2/catch.hpp>
+
+#include "Request/RequestWorld.h"
+
+using namespace wisteria;
+using namespace wisteria::test;
+
+namespace {
+
+/// One entry's view of a world, driven by hand.
+struct OneEntry
+{
+    RequestWorld world{WorldOptions()};
+    EntryState &state = world.entries[0].state;
+    EntryShared &shared = *world.entries[0].shared;
+
+    EntryAction start(RequestState &request, milliseconds deadline = milliseconds(0))
+    {
+        CallerRequest caller = world.idempotentRequest("lookup");
+        caller.deadline = deadline;
+        return startRequest(state, shared, request, caller, world.now);
+    }
+
+    EntryAction refuse(RequestState &request, v1::Reason reason)
+    {
+        v1::AgentFrame frame;
+        frame.set_request_id(request.request.id);
+        frame.set_attempt(request.attempt);
+        frame.mutable_verdict()->set_kind(v1::VERDICT_KIND_NOT_RUN);
+        frame.mutable_verdict()->set_reason(reason);
+        return attemptVerdict(state, shared, request, frame, world.now);
+    }
+};
+
+v1::RunHead headWith(std::uint32_t priority, milliseconds remaining)
+{
+    v1::RunHead head;
+    head.set_service(serviceName);
+    head.set_priority(priority);
+    head.set_remaining_ms(remaining.count());
+    head.set_idempotent(true);
+    return head;
+}
+
+const StartBackend &started(const GateActions &actions)
+{
+    REQUIRE(actions.size() == 1);
+    REQUIRE(std::holds_alternative<StartBackend>(actions.front()));
+    return std::get<StartBackend>(actions.front());
+}
+
+v1::Reason refusedFor(const GateActions &actions)
+{
+    REQUIRE(actions.size() == 1);
+    REQUIRE(std::holds_alternative<RefuseAttempt>(actions.front()));
+    return std::get<RefuseAttempt>(actions.front()).verdict.reason();
+}
+
+} // namespace
+
+// A sick fleet is stormed: each caller's request becomes three.
+// Order: every agent refuses; every entry tries again as often as it may.
+// Cause: retries without a budget multiply the load that made the fleet sick.
+TEST_CASE("Retries without successes stop when their budget is spent")
+{
+    OneEntry entry;
+    int attempts = 0;
+    for (int i = 0; i < 100; ++i) {
+        RequestState request;
+        EntryAction action = entry.start(request);
+        while (std::holds_alternative<SendAttempt>(action)) {
+            ++attempts;
+            action = entry.refuse(request, v1::REASON_QUEUE_FULL);
+        }
+        CHECK(std::get<Refusal>(action).end == EndKind::NotRun);
+        CHECK(std::get<Refusal>(action).reason == v1::REASON_QUEUE_FULL);
+    }
+    CHECK(attempts == 100 + static_cast<int>(maxRetryBudget));
+}
+
+TEST_CASE("The deadline travels along and a request that can't make it is refused at once")
+{
+    OneEntry entry;
+    RequestState request;
+    const EntryAction first = entry.start(request, milliseconds(500));
+    CHECK(std::get<SendAttempt>(first).head.remaining_ms() == 500);
+    entry.world.now += milliseconds(200);
+    const EntryAction second = entry.refuse(request, v1::REASON_LEAVING);
+    CHECK(std::get<SendAttempt>(second).head.remaining_ms() == 300);
+    v1::LoadReport load;
+    load.set_running(1);
+    load.set_queued(4);
+    load.set_service_time_us(200'000);
+    for (const std::string &name : heartbeatTargets(entry.state))
+        observeLoad(entry.state, name, load, 1, entry.world.now);
+    RequestState late;
+    const EntryAction refused = entry.start(late, milliseconds(500));
+    REQUIRE(std::holds_alternative<Refusal>(refused));
+    CHECK(std::get<Refusal>(refused).end == EndKind::NotRun);
+    CHECK(std::get<Refusal>(refused).reason == v1::REASON_DEADLINE);
+    CHECK(std::get<Refusal>(refused).retryAfter > milliseconds(500));
+    RequestState patient;
+    CHECK(std::holds_alternative<SendAttempt>(entry.start(patient, seconds(5))));
+}
+
+TEST_CASE("The agent's queue is bounded, keeps priorities and refuses what can't make its deadline")
+{
+    RequestWorld world({.agents = 1, .queueBound = 3});
+    GateState &gate = world.agents[0].gate;
+    const auto arrive = [&](StreamId stream, std::uint32_t priority, milliseconds remaining) {
+        return runArrived(gate, stream, headWith(priority, remaining), world.now, world.wall());
+    };
+    const auto end = [&](StreamId stream) {
+        world.now += milliseconds(100);
+        return backendEnded(gate, stream, {BackendEnd::Answered, 200, "", std::nullopt}, world.now);
+    };
+    CHECK(started(arrive(1, 0, seconds(1))).stream == 1);
+    CHECK(arrive(2, 0, seconds(1)).empty());
+    CHECK(started(end(1)).stream == 2);
+    CHECK(refusedFor(arrive(3, 0, milliseconds(150))) == v1::REASON_DEADLINE);
+    CHECK(arrive(4, 1, seconds(1)).empty());
+    CHECK(arrive(5, 2, seconds(1)).empty());
+    CHECK(arrive(6, 1, seconds(1)).empty());
+    CHECK(refusedFor(arrive(7, 3, seconds(1))) == v1::REASON_QUEUE_FULL);
+    CHECK(started(end(2)).stream == 5);
+    CHECK(started(end(5)).stream == 4);
+    CHECK(started(end(4)).stream == 6);
+}
+
+// A planned stop cuts off a quotation that is being drafted.
+// Order: SIGTERM while one request runs and another is queued.
+// Cause: a stop that does not wait for what runs.
+TEST_CASE("A leaving agent refuses what is queued and new as not run, and ends what runs")
+{
+    RequestWorld world({.agents = 1});
+    GateState &gate = world.agents[0].gate;
+    runArrived(gate, 1, headWith(0, seconds(1)), world.now, world.wall());
+    runArrived(gate, 2, headWith(0, seconds(1)), world.now, world.wall());
+    CHECK(refusedFor(beginLeaving(gate, world.now)) == v1::REASON_LEAVING);
+    CHECK(refusedFor(runArrived(gate, 3, headWith(0, seconds(1)), world.now, world.wall()))
+          == v1::REASON_LEAVING);
+    CHECK_FALSE(idle(gate));
+    CHECK(loadReport(gate).leaving());
+    CHECK(backendEnded(gate, 1, {BackendEnd::Answered, 200, "", std::nullopt}, world.now).empty());
+    CHECK(idle(gate));
+}
+
+// Counter clerks wait out their deadlines because one backend server hangs.
+// Order: a backend server accepts and never answers, or its agent is frozen, for half a minute.
+// Cause: the process is stalled, its connections stay open.
+TEST_CASE("A stalled backend server or agent costs few callers their answer")
+{
+    for (const bool agentFrozen : {false, true}) {
+        RequestWorld world({.agents = 16, .concurrency = 4, .queueBound = 16});
+        int unanswered = 0;
+        int sent = 0;
+        for (milliseconds at{0}; at < seconds(30); at += milliseconds(5)) {
+            world.after(at, [&world, &unanswered, &sent] {
+                ++sent;
+                world.submit(
+                    sent % 2, world.idempotentRequest(std::to_string(sent)), false,
+                    [&unanswered](Told told) { unanswered += told == Told::Answer ? 0 : 1; });
+            });
+        }
+        if (agentFrozen)
+            world.freeze(world.agents[3].node, seconds(30));
+        else
+            world.backends[3].hung = true;
+        world.run(seconds(32));
+        std::cout << (agentFrozen ? "frozen agent: " : "hung backend server: ") << unanswered
+                  << " of " << sent << " callers without an answer\n";
+        CHECK(world.breaches().empty());
+        CHECK(unanswered * 100 < sent);
+    }
+}
--- a/Tests/Request/RouteTest.cpp
+++ b/Tests/Request/RouteTest.cpp
@@ -1,6 +1,7 @@
 #include "Request/Route.h"
 
 #include <map>
+#include <set>
 
 #include <catch2/catch.hpp>
 
@@ -25,6 +26,14 @@
     return query;
 }
 
+std::vector<Candidate> named(const std::vector<std::string> &names)
+{
+    std::vector<Candidate> candidates(names.size());
+    for (std::size_t i = 0; i < names.size(); ++i)
+        candidates[i].name = names[i];
+    return candidates;
+}
+
 } // namespace
 
 TEST_CASE("The least occupied backend server that was not tried is chosen")
@@ -40,3 +49,115 @@
     CHECK(chooseBackendServer(candidates, loadOnly(), queryTrying({"a", "b"}), start)
           == std::nullopt);
 }
+
+TEST_CASE("A prefix stays where it is cached until that backend server is loaded beyond the bound")
+{
+    auto candidates = named({"a", "b", "c"});
+    v1::RoutingPolicy policy = loadOnly();
+    policy.set_affinity_weight(0.5);
+    RouteQuery query = queryTrying({});
+    query.prefix = 7;
+    const std::size_t home = *chooseBackendServer(candidates, policy, query, start);
+    for (int i = 0; i < 20; ++i) {
+        query.requestId = std::to_string(i);
+        CHECK(chooseBackendServer(candidates, policy, query, start) == home);
+    }
+    candidates[home].concurrency = 4;
+    candidates[home].running = 1;
+    CHECK(chooseBackendServer(candidates, policy, query, start) == home);
+    candidates[home].running = 4;
+    CHECK(chooseBackendServer(candidates, policy, query, start) != home);
+}
+
+TEST_CASE("Queues weigh less for a high priority, and the entry's own failure domain is preferred")
+{
+    auto candidates = named({"queue", "busy"});
+    candidates[0].queued = 3;
+    candidates[0].running = 1;
+    candidates[1].running = 2;
+    RouteQuery query = queryTrying({});
+    CHECK(chooseBackendServer(candidates, loadOnly(), query, start) == 1);
+    query.priority = 9;
+    CHECK(chooseBackendServer(candidates, loadOnly(), query, start) == 0);
+    auto domains = named({"far", "near"});
+    domains[1].failureDomain = query.failureDomain = "domain-1";
+    v1::RoutingPolicy policy = loadOnly();
+    policy.set_domain_weight(0.1);
+    CHECK(chooseBackendServer(domains, policy, query, start) == 1);
+}
+
+// Callers wait out their deadlines at a backend server that accepts and never answers.
+// Order: attempts time out in a row; later it recovers.
+// Cause: a stalled process keeps its connections open.
+TEST_CASE("A backend server that fails twice is shunned, probed by one attempt and used again")
+{
+    Candidate candidate;
+    TimePoint now = start;
+    for (std::uint32_t i = 0; i < shunAfterFailures; ++i) {
+        CHECK(mayBeAsked(candidate, now));
+        attemptSent(candidate, now);
+        attemptOver(candidate, true, now);
+    }
+    CHECK_FALSE(mayBeAsked(candidate, now));
+    now += firstShun;
+    CHECK(mayBeAsked(candidate, now));
+    attemptSent(candidate, now);
+    CHECK_FALSE(mayBeAsked(candidate, now));
+    attemptOver(candidate, true, now);
+    CHECK_FALSE(mayBeAsked(candidate, now + firstShun));
+    now += 2 * firstShun;
+    attemptSent(candidate, now);
+    attemptHeard(candidate, now);
+    CHECK(mayBeAsked(candidate, now));
+}
+
+TEST_CASE("Silence beyond several service times counts as a stall")
+{
+    Candidate candidate;
+    candidate.serviceTime = seconds(1);
+    attemptSent(candidate, start);
+    CHECK(mayBeAsked(candidate, start + seconds(8)));
+    CHECK_FALSE(mayBeAsked(candidate, start + seconds(10)));
+    attemptHeard(candidate, start + seconds(11));
+    CHECK(mayBeAsked(candidate, start + seconds(12)));
+}
+
+TEST_CASE("Subsets cover all backend servers evenly and span the failure domains")
+{
+    struct Row
+    {
+        int servers;
+        int domains;
+        std::size_t entries;
+        std::size_t size;
+    };
+    for (const Row &row : {Row{16, 3, 5, 6}, Row{300, 10, 40, 20}, Row{300, 10, 7, 30},
+                           Row{18, 3, 2, 9}, Row{16, 3, 4, 0}}) {
+        std::vector<v1::BackendServer> servers(row.servers);
+        for (int i = 0; i < row.servers; ++i) {
+            servers[i].set_name("server-" + std::to_string(i));
+            servers[i].set_failure_domain("domain-" + std::to_string(i % row.domains));
+        }
+        std::map<std::string, int> covered;
+        for (std::size_t entry = 0; entry < row.entries; ++entry) {
+            std::set<std::string> domains;
+            for (const v1::BackendServer &server :
+                 subsetOf(servers, entry, row.entries, row.size)) {
+                ++covered[server.name()];
+                domains.insert(server.failure_domain());
+            }
+            CHECK(domains.size() == static_cast<std::size_t>(row.domains));
+        }
+        int least = 1'000'000;
+        int most = 0;
+        for (const auto &[name, times] : covered) {
+            least = std::min(least, times);
+            most = std::max(most, times);
+        }
+        CHECK(covered.size()
+              == std::min<std::size_t>(
+                  row.servers,
+                  row.entries * std::max<std::size_t>(row.size, row.servers * (row.size == 0))));
+        CHECK(most - least <= 1);
+    }
+}
