--- a/Utilities/local-system.sh
+++ b/Utilities/local-system.sh
@@ -16,14 +16,16 @@
 }
 trap end_system EXIT
 
-# start_process NAME PROGRAM [ARGUMENT...]: waits for the program's "ready" line.
+# start_process NAME PROGRAM [ARGUMENT...]: waits for the program's "ready" line. Words in the
+# array system_wrapper go before the program, for a profiler.
+system_wrapper=()
 start_process() {
   local name="$1" program="$2" output line=""
   shift 2
-  exec {output}< <(exec "$WISTERIA_PROGRAMS/$program" "$@" 2> "$system_folder/$name.log")
+  exec {output}< <(exec "${system_wrapper[@]}" "$WISTERIA_PROGRAMS/$program" "$@" 2> "$system_folder/$name.log")
   system_pid[$name]=$!
   system_pids+=("$!")
-  if ! read -r -t 20 line <&"$output"; then
+  if ! read -r -t 60 line <&"$output"; then
     echo "$name did not become ready; its log says:" >&2
     cat "$system_folder/$name.log" >&2
     exit 1
@@ -36,6 +38,12 @@
   sed -n "s/.*\\b$2=\\([^ ]*\\).*/\\1/p" <<< "${system_ready[$1]}"
 }
 
+# stop_process NAME: asks it to end and waits for it.
+stop_process() {
+  kill "${system_pid[$1]}"
+  wait "${system_pid[$1]}" 2> /dev/null || true
+}
+
 start_platform() {
   start_process log standin-log
   start_process vms standin-vms
@@ -89,6 +97,24 @@
   export WISTERIA_ADMIN
 }
 
+# apply_trial_configuration SERVICE CONCURRENCY BACKEND...: one service without tight limits.
+apply_trial_configuration() {
+  local service="$1" concurrency="$2" lines=() name
+  shift 2
+  for name in "$@"; do
+    lines+=("$(backend_line "$name" "$service" domain-a "$concurrency")")
+  done
+  cat > "$system_folder/configuration.json" << END
+{
+  "routing_policies": [{"name": "even", "load_weight": 1, "retry_ratio": 0.1, "max_attempts": 3}],
+  "services": [{"name": "$service", "routing_policy": "even", "queue_bound": 2000, "default_deadline_ms": 30000, "max_body_bytes": 1048576}],
+  "backend_servers": [$(IFS=,; echo "${lines[*]}")],
+  "organisations": [{"name": "bench", "requests_per_second": 1000000, "burst": 1000000, "concurrency": 100000}]
+}
+END
+  control apply "$system_folder/configuration.json" --who bench --why "trial configuration"
+}
+
 # control COMMAND...: wisteriactl against the admin.
 control() {
   "$WISTERIA_PROGRAMS/wisteriactl" "$@"
