--- a/Source/Request/EntryRequest.h
+++ b/Source/Request/EntryRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -70,6 +71,10 @@
 EntryAction attemptVerdict(EntryState &state, EntryShared &shared, RequestState &request,
                            const v1::AgentFrame &frame, TimePoint now);
 
+/// Whether the answer that the end frame closes arrived whole. Every chunk frame must have been fed
+/// to attemptVerdict().
+bool answerIsWhole(const RequestState &request, const v1::AnswerEnd &end);
+
 /// The attempt's stream or connection failed before a verdict. After StartAnswer call
 /// answerEnded() instead.
 /// @param mayHaveReachedAgent False only if no byte of the attempt was handed to the socket.
@@ -96,8 +101,12 @@
 /// A heartbeat to the backend server's agent was not answered.
 void observeUnreachable(EntryState &state, const std::string &backendServer, TimePoint now);
 
-/// The platform's list names the backend server's VM as leaving or gone.
-void observeVmLeaving(EntryState &state, const std::string &backendServer, TimePoint now);
+/// Takes in which VMs the platform's list names as leaving or no more. Backend servers on others
+/// are asked again.
+void observeVms(EntryState &state, const std::set<std::string> &leaving);
+
+/// VMs of the backend servers that this entry routes to.
+std::set<std::string> routedVms(const EntryState &state);
 
 /// Names of the backend servers that this entry routes to and so sends heartbeats.
 std::vector<std::string> heartbeatTargets(const EntryState &state);
