--- a/Source/Process/EntryProcess.cpp
+++ b/Source/Process/EntryProcess.cpp
@@ -196,6 +196,7 @@
         heartbeat.set_role("entry");
         heartbeat.set_config_version(state_.configVersion);
         heartbeat.set_address(peerAddress_);
+        heartbeat.set_state(leaving_ ? "leaving" : workers_.empty() ? "starting" : "serving");
         for (const v1::SuspectReport &report : suspectsToReport(shared_, monotonicNow()))
             *heartbeat.add_suspects() = report;
         return heartbeat;
@@ -235,14 +236,8 @@
     /// Tells an admin, for its view of the fleet, which version is in force here.
     void answerHeartbeat(PeerStreamId stream)
     {
-        v1::Heartbeat heartbeat;
-        heartbeat.set_process(settings_.name);
-        heartbeat.set_role("entry");
-        heartbeat.set_config_version(state_.configVersion);
-        heartbeat.set_address(peerAddress_);
-        heartbeat.set_state(leaving_ ? "leaving" : workers_.empty() ? "starting" : "serving");
         std::string out;
-        appendFrame(out, heartbeat);
+        appendFrame(out, ownHeartbeat());
         peerServer_.reply(stream, out, true);
     }
 
