Move subsets and budgets when entries come or go

Cause: setEntries() said that subsets follow at once but left them until the next configuration, and a budget that moved to a new owner would have been granted twice. Ruled out: keeping the whole configuration in each thread; the declared servers of a service suffice. Change: subsets are chosen anew with beliefs kept; an owner whose entries changed grants nothing until every earlier grant has lapsed. Conclusion: while entries' views of each other differ, shares can add up to more than the limit.

--- a/Source/Request/BudgetOwner.cpp
+++ b/Source/Request/BudgetOwner.cpp
@@ -99,9 +99,17 @@
 BudgetOwner startBudgetOwner(const std::vector<std::string> &entryNames, TimePoint now)
 {
     BudgetOwner owner;
+    setBudgetEntries(owner, entryNames, now);
+    return owner;
+}
+
+void setBudgetEntries(BudgetOwner &owner, const std::vector<std::string> &entryNames, TimePoint now)
+{
+    if (owner.entryNames == entryNames)
+        return;
     owner.entryNames = entryNames;
+    owner.budgets.clear();
     owner.grantsFrom = now + grantTime + grantMargin;
-    return owner;
 }
 
 void setBudgets(BudgetOwner &owner, const std::map<std::string, v1::Organisation> &organisations)
--- a/Source/Request/BudgetOwner.h
+++ b/Source/Request/BudgetOwner.h
@@ -34,13 +34,13 @@
     std::map<std::string, BudgetLease> leases;
 };
 
-/// Budgets that an entry owns: those of the organisations that rendezvous hashing gives it. There
-/// is no second owner: while this one is gone, entries keep to their static shares.
+/// Budgets that an entry owns: those of the organisations that rendezvous hashing gives it among
+/// the entries. While the owner is gone, entries keep to their static shares.
 struct BudgetOwner
 {
-    /// All entries that share the work, from settings, whether they run or not.
+    /// The entries that share the work, as this process knows them.
     std::vector<std::string> entryNames;
-    /// Nothing is granted before: entries may still hold grants of an earlier life.
+    /// Nothing is granted before: entries may still hold grants of an earlier life or owner.
     TimePoint grantsFrom;
     std::map<std::string, v1::Organisation> declared;
     std::map<std::string, OrganisationBudget> budgets;
@@ -49,6 +49,12 @@
 /// Begins owning, without knowledge of what an earlier life granted.
 BudgetOwner startBudgetOwner(const std::vector<std::string> &entryNames, TimePoint now);
 
+/// Takes another set of entries into force. Budgets may come from another owner and shares change
+/// their size, so nothing is granted until every earlier grant has lapsed; the entries use their
+/// shares meanwhile.
+void setBudgetEntries(BudgetOwner &owner, const std::vector<std::string> &entryNames,
+                      TimePoint now);
+
 /// Takes declared organisations into force.
 void setBudgets(BudgetOwner &owner, const std::map<std::string, v1::Organisation> &organisations);
 
--- a/Source/Request/EntryState.h
+++ b/Source/Request/EntryState.h
@@ -48,9 +48,11 @@
 {
     v1::Service declared;
     v1::RoutingPolicy policy;
-    /// Beliefs about the backend servers of this entry's subset.
+    /// Declared backend servers that are not draining.
+    std::vector<v1::BackendServer> servers;
+    /// Beliefs about those of this entry's subset.
     std::vector<Candidate> candidates;
-    /// Every declared backend server that may be home of a key, with its agent's address.
+    /// The agents' addresses of `servers`, each of which may be home of a key.
     std::map<std::string, std::string> homes;
     /// The names of `homes`, for rendezvous hashing.
     std::vector<std::string> homeNames;
--- a/Source/Request/RoutingView.cpp
+++ b/Source/Request/RoutingView.cpp
@@ -54,6 +54,18 @@
     return candidate;
 }
 
+/// The backend servers of this entry's subset, with what is believed of them already.
+std::vector<Candidate> candidatesOf(const EntryState &state, const ServiceView &view,
+                                    const ServiceView *before)
+{
+    std::vector<Candidate> candidates;
+    const auto subset = subsetOf(view.servers, entryIndex(state), state.entryNames.size(),
+                                 view.policy.subset_size());
+    for (const v1::BackendServer &server : subset)
+        candidates.push_back(candidateFor(server, before));
+    return candidates;
+}
+
 ServiceView viewOf(const EntryState &state, const v1::Service &service,
                    const v1::RoutingPolicy &policy, const std::vector<v1::BackendServer> &servers,
                    const ServiceView *before)
@@ -61,14 +73,12 @@
     ServiceView view;
     view.declared = service;
     view.policy = policy;
+    view.servers = servers;
     for (const v1::BackendServer &server : servers) {
         view.homes[server.name()] = server.agent_address();
         view.homeNames.push_back(server.name());
     }
-    const auto subset =
-        subsetOf(servers, entryIndex(state), state.entryNames.size(), policy.subset_size());
-    for (const v1::BackendServer &server : subset)
-        view.candidates.push_back(candidateFor(server, before));
+    view.candidates = candidatesOf(state, view, before);
     return view;
 }
 
@@ -176,6 +186,8 @@
                 TimePoint now)
 {
     state.entryNames = names;
+    for (auto &[name, view] : state.services)
+        view.candidates = candidatesOf(state, view, &view);
     const std::lock_guard<std::mutex> lock(shared.mutex);
     shared.limits.ownName = state.ownName;
     shared.limits.entryNames = names;
--- a/Tests/Request/LimitsAndEndsTest.cpp
+++ b/Tests/Request/LimitsAndEndsTest.cpp
@@ -105,6 +105,35 @@
     CHECK(std::holds_alternative<SendAttempt>(entry.start(patient, seconds(5))));
 }
 
+TEST_CASE("When entries come or go, subsets move at once and beliefs are kept")
+{
+    RequestWorld world({.agents = 12});
+    v1::Object object;
+    object.mutable_routing_policy()->set_subset_size(3);
+    world.config.objects[{v1::OBJECT_KIND_ROUTING_POLICY, "few"}].mutable_object()->CopyFrom(
+        object);
+    world.config.objects[{v1::OBJECT_KIND_SERVICE, serviceName}]
+        .mutable_object()
+        ->mutable_service()
+        ->set_routing_policy("few");
+    ++world.config.version;
+    EntryState &state = world.entries[1].state;
+    setConfiguration(state, *world.entries[1].shared, world.config, world.now);
+    const auto before = heartbeatTargets(state);
+    REQUIRE(before.size() == 3);
+    v1::LoadReport load;
+    load.set_leaving(true);
+    for (const std::string &name : before)
+        observeLoad(state, name, load, 1, world.now);
+    setEntries(state, *world.entries[1].shared, {"entry-0", "entry-1", "entry-2"}, world.now);
+    for (const Candidate &candidate : state.services.at(serviceName).candidates)
+        CHECK(candidate.leaving);
+    setEntries(state, *world.entries[1].shared, {"entry-0", "entry-00", "entry-1"}, world.now);
+    CHECK(heartbeatTargets(state) != before);
+    setEntries(state, *world.entries[1].shared, {"entry-0", "entry-1"}, world.now);
+    CHECK(heartbeatTargets(state) == before);
+}
+
 TEST_CASE("The agent's queue is bounded, keeps priorities and refuses what can't make its deadline")
 {
     RequestWorld world({.agents = 1, .queueBound = 3});
--- a/Tests/Request/OrganisationLimitsTest.cpp
+++ b/Tests/Request/OrganisationLimitsTest.cpp
@@ -132,6 +132,22 @@
     CHECK(each > 66);
 }
 
+// An organisation takes twice its limit when an entry is added.
+// Order: grants of the old owner are out; another entry becomes owner and grants at once.
+// Cause: the new owner does not know what the old one granted.
+TEST_CASE("A new owner grants nothing until the grants of the old one have lapsed")
+{
+    Fleet fleet(2);
+    fleet.run(seconds(3), milliseconds(1), [] { return 0; });
+    fleet.names.push_back("entry-2");
+    setBudgetEntries(*fleet.owner, fleet.names, fleet.now);
+    v1::BudgetRequest request;
+    request.set_organisation("org");
+    request.set_entry("entry-2");
+    CHECK(answerBudget(*fleet.owner, request, fleet.now + grantTime).valid_ms() == 0);
+    CHECK(answerBudget(*fleet.owner, request, fleet.now + grantTime + grantMargin).valid_ms() > 0);
+}
+
 TEST_CASE("A refusal by rate says when to come back")
 {
     Fleet fleet(1);
