Bound the memory of keys in every way, and route on when all servers are silent

Ruled out: refusing when every backend server is silent (a service of long requests looks stalled). Change: old, far-ahead and answered keys no longer outgrow the bound (order of answers, keys older than all others, keys of the year 10000 that push others out); another request under a key that ran is answered "outcome unknown", since "not run" covers earlier tries; routing and homes fall back to available servers when silence is all that speaks against them; the entry compares the count of an answer's bytes before it calls it whole. Conclusion: mended.

--- a/Source/Request/CallerSession.cpp
+++ b/Source/Request/CallerSession.cpp
@@ -171,7 +171,7 @@
     if (frame.has_chunk())
         takeChunk(frame.chunk());
     if (frame.has_end())
-        finishAnswer(frame.end().complete());
+        finishAnswer(answerIsWhole(state_, frame.end()));
 }
 
 void CallerSession::takeChunk(const std::string &bytes)
--- a/Source/Request/EntryRequest.cpp
+++ b/Source/Request/EntryRequest.cpp
@@ -132,7 +132,8 @@
     if (!home)
         return refuseNotRun(state, shared, request, v1::REASON_NO_BACKEND_SERVER, longRetry);
     const Candidate *candidate = candidateNamed(service, *home);
-    if (candidate && !mayBeAsked(*candidate, now)) {
+    // Silence alone may be a long request; nobody else can take this one, so only failures count.
+    if (candidate && (!isAvailable(*candidate) || now < candidate->shunnedUntil)) {
         const auto reason = candidate->leaving ? v1::REASON_LEAVING : v1::REASON_BACKEND_DOWN;
         return refuseNotRun(state, shared, request, reason, longRetry);
     }
@@ -165,7 +166,7 @@
     if (!chosen)
         return refuseNotRun(state, shared, request, v1::REASON_NO_BACKEND_SERVER, longRetry);
     const Candidate *candidate = candidateNamed(service, *chosen);
-    if (candidate && (candidate->down || candidate->leaving))
+    if (candidate && !isAvailable(*candidate))
         return refuseNotRun(state, shared, request, v1::REASON_SUSPECT, longRetry);
     return sendTo(state, request, *chosen, service.homes.at(*chosen), now);
 }
--- a/Source/Request/GateAdmission.cpp
+++ b/Source/Request/GateAdmission.cpp
@@ -91,7 +91,10 @@
         return false;
     // Nothing is known of the key here, so only the caller's word that this is its first try makes
     // "not run" true; and this try is refused for good, so that it stays true.
-    const bool firstTry = run.head.caller_attempt() == 1 || !state.guards.repeatsNeedProof;
+    // Keys far ahead are not remembered, or a few of them would push all others out of the memory.
+    const bool farAhead = run.key->first > wall + rememberAhead;
+    const bool firstTry =
+        (run.head.caller_attempt() == 1 && !farAhead) || !state.guards.repeatsNeedProof;
     if (firstTry)
         refuseTry(state.keys, *run.key, run.head, state.guards);
     const auto kind = firstTry ? v1::VERDICT_KIND_NOT_RUN : v1::VERDICT_KIND_OUTCOME_UNKNOWN;
--- a/Source/Request/GateKeys.cpp
+++ b/Source/Request/GateKeys.cpp
@@ -38,9 +38,13 @@
     const KeyRecord *record = findKey(memory, id);
     if (!record || !guards.keyMemory)
         return {};
-    // Another request under a used key: it must not get the first one's answer.
-    if (record->fingerprint != head.fingerprint())
-        return refuse(v1::VERDICT_KIND_NOT_RUN, v1::REASON_BAD_REQUEST, milliseconds(0));
+    // Another request under a used key: it must not get the first one's answer. "Not run" covers
+    // earlier tries too, so it is said only when the key did not run.
+    if (record->fingerprint != head.fingerprint()) {
+        const bool ran = record->phase != KeyPhase::Refused;
+        return refuse(ran ? v1::VERDICT_KIND_OUTCOME_UNKNOWN : v1::VERDICT_KIND_NOT_RUN,
+                      v1::REASON_BAD_REQUEST, milliseconds(0));
+    }
     switch (record->phase) {
     case KeyPhase::Refused:
         if (guards.refusedTries && isRefusedTry(*record, head))
--- a/Source/Request/KeyMemory.cpp
+++ b/Source/Request/KeyMemory.cpp
@@ -47,12 +47,11 @@
     const auto found = memory.records.find(id);
     if (found != memory.records.end())
         return found->second;
-    KeyRecord &record = memory.records[id];
-    // The new record itself is never the one forgotten here unless it is the oldest; callers run
-    // only keys above the floor, so forgetting it again would still be safe.
-    if (memory.records.size() > maxKeys && memory.records.begin()->first != id)
+    // A key older than all that are remembered falls below the floor by this; it is refused then
+    // whether it is remembered or not.
+    if (memory.records.size() >= maxKeys)
         forgetOldest(memory);
-    return record;
+    return memory.records[id];
 }
 
 KeyRecord *findKey(KeyMemory &memory, const KeyId &id)
@@ -71,7 +70,7 @@
     record->answer = std::move(answer);
     memory.answerBytes += bytes;
     memory.answerOrder.push_back(id);
-    while (memory.answerBytes > maxStoredBytes)
+    while (memory.answerBytes > maxStoredBytes || memory.answerOrder.size() > maxKeys)
         dropOldestAnswer(memory);
 }
 
--- a/Source/Request/KeyMemory.h
+++ b/Source/Request/KeyMemory.h
@@ -18,6 +18,9 @@
 /// Keys remembered; when full, the oldest are forgotten and every key as old is refused.
 constexpr std::size_t maxKeys = 50'000;
 
+/// Keys further ahead of the home's clock than this are refused without being remembered.
+constexpr seconds rememberAhead{60};
+
 /// An answer kept for repeats of its key.
 struct StoredAnswer
 {
--- a/Source/Request/Route.cpp
+++ b/Source/Request/Route.cpp
@@ -24,17 +24,26 @@
     return occupancy(candidate) - discount * candidate.queued / slots;
 }
 
-std::vector<std::size_t> eligible(const std::vector<Candidate> &candidates, const RouteQuery &query,
-                                  TimePoint now)
+template <typename Predicate>
+std::vector<std::size_t> untried(const std::vector<Candidate> &candidates, const RouteQuery &query,
+                                 Predicate allowed)
 {
     std::vector<std::size_t> chosen;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (mayBeAsked(candidates[i], now) && !wasTried(query, candidates[i]))
+        if (allowed(candidates[i]) && !wasTried(query, candidates[i]))
             chosen.push_back(i);
     }
     return chosen;
 }
 
+std::vector<std::size_t> eligible(const std::vector<Candidate> &candidates, const RouteQuery &query,
+                                  TimePoint now)
+{
+    auto chosen = untried(candidates, query,
+                          [now](const Candidate &candidate) { return mayBeAsked(candidate, now); });
+    return chosen.empty() ? untried(candidates, query, isAvailable) : chosen;
+}
+
 /// The backend server that most likely holds the prefix: rendezvous hashing, passing over those
 /// that are loaded beyond the bound.
 std::optional<std::size_t> affineCandidate(const std::vector<Candidate> &candidates,
@@ -78,9 +87,14 @@
 
 } // namespace
 
+bool isAvailable(const Candidate &candidate)
+{
+    return !candidate.leaving && !candidate.vmLeaving && !candidate.down;
+}
+
 bool mayBeAsked(const Candidate &candidate, TimePoint now)
 {
-    if (candidate.leaving || candidate.vmLeaving || candidate.down || now < candidate.shunnedUntil)
+    if (!isAvailable(candidate) || now < candidate.shunnedUntil)
         return false;
     // After a shun one attempt probes; others wait for its end.
     const bool probing = candidate.failures >= shunAfterFailures && candidate.outstanding > 0;
--- a/Source/Request/Route.h
+++ b/Source/Request/Route.h
@@ -65,7 +65,10 @@
 /// Load beyond the average at which prefix affinity gives way (rendezvous with bounded load).
 constexpr double affinityLoadBound = 1.25;
 
-/// Whether the backend server may be asked now.
+/// Whether the backend server runs and takes new work, as far as is known.
+bool isAvailable(const Candidate &candidate);
+
+/// Whether the backend server is available and has not lately failed or fallen silent.
 bool mayBeAsked(const Candidate &candidate, TimePoint now);
 
 /// Requests that the backend server has, as far as this entry knows, per request it runs at once.
@@ -74,7 +77,8 @@
 /// Time a new request would wait there before it runs.
 microseconds expectedWait(const Candidate &candidate);
 
-/// Chooses the backend server for one attempt.
+/// Chooses the backend server for one attempt: among those that may be asked, or if there is none,
+/// among those that are available, since long requests look like a stall from here.
 /// @return Index into candidates; nothing when none may be asked.
 std::optional<std::size_t> chooseBackendServer(const std::vector<Candidate> &candidates,
                                                const v1::RoutingPolicy &policy,
--- a/Tests/Request/AtMostOnceTest.cpp
+++ b/Tests/Request/AtMostOnceTest.cpp
@@ -96,6 +96,7 @@
     v1::RunHead otherBody = home.head(door, 1);
     otherBody.set_fingerprint(42);
     CHECK(home.refused(otherBody).reason() == v1::REASON_BAD_REQUEST);
+    CHECK(home.refused(otherBody).kind() == v1::VERDICT_KIND_OUTCOME_UNKNOWN);
     v1::RunHead otherOrganisation = home.head(door, 1);
     otherOrganisation.set_organisation("other");
     CHECK(std::holds_alternative<StartBackend>(home.arrive(otherOrganisation)));
@@ -126,6 +127,28 @@
     CHECK(home.refused(home.head(first, 2)).reason() == v1::REASON_KEY_TOO_OLD);
 }
 
+// An agent's memory grows without end.
+// Order: callers send keys that are refused, older or newer than any, or whose answers are tiny.
+// Cause: refused tries and the order of answers are remembered too.
+TEST_CASE("No kind of key makes the memory outgrow its bound")
+{
+    OneHome home;
+    const WallTime wall = home.world.wall();
+    for (std::size_t i = 0; i < maxKeys + 100; ++i) {
+        const KeyId newer = keyId(wall + milliseconds(i), "org", "newer");
+        rememberKey(home.gate.keys, newer);
+        storeAnswer(home.gate.keys, newer, {200, "", ""});
+        rememberKey(home.gate.keys, keyId(wall - milliseconds(i), "org", "older"));
+    }
+    CHECK(home.gate.keys.records.size() <= maxKeys);
+    CHECK(home.gate.keys.answerOrder.size() <= maxKeys);
+    CallerRequest ahead = home.world.keyedRequest("ahead");
+    ahead.key = "ffffffff-ffff-7000-8000-000000000001";
+    const std::size_t before = home.gate.keys.records.size();
+    CHECK(home.refused(home.head(ahead, 1)).kind() == v1::VERDICT_KIND_OUTCOME_UNKNOWN);
+    CHECK(home.gate.keys.records.size() == before);
+}
+
 TEST_CASE("Answers kept for repeats stay within their bound")
 {
     OneHome home;
--- a/Tests/Request/RouteTest.cpp
+++ b/Tests/Request/RouteTest.cpp
@@ -122,6 +122,21 @@
     CHECK(mayBeAsked(candidate, start + seconds(12)));
 }
 
+// Every quotation takes a minute, and the third caller is refused although nothing is wrong.
+// Order: each backend server runs one long request and is silent; another request comes.
+// Cause: silence can't be told from a stall.
+TEST_CASE("When all backend servers are silent, the least loaded is asked all the same")
+{
+    auto candidates = named({"a", "b", "c"});
+    for (Candidate &candidate : candidates)
+        attemptSent(candidate, start);
+    attemptSent(candidates[0], start);
+    candidates[2].down = true;
+    const TimePoint later = start + seconds(30);
+    CHECK_FALSE(mayBeAsked(candidates[1], later));
+    CHECK(chooseBackendServer(candidates, loadOnly(), queryTrying({}), later) == 1);
+}
+
 TEST_CASE("Subsets cover all backend servers evenly and span the failure domains")
 {
     struct Row
