--- a/Source/Request/SuspectBook.cpp
+++ b/Source/Request/SuspectBook.cpp
@@ -29,6 +29,22 @@
     return book.records[fingerprint];
 }
 
+/// Adds a death. When there are too many to tell apart, an open one stands for the new one too, and
+/// cleared ones are forgotten; either way the fingerprint is a suspect, as it has to be.
+void addDeath(SuspectRecord &record, std::uint64_t death)
+{
+    if (record.deaths.contains(death))
+        return;
+    const bool full = record.deaths.size() >= maxDeaths;
+    if (full && hasOpenDeath(record))
+        return;
+    if (full) {
+        record.deaths.clear();
+        record.cleared.clear();
+    }
+    record.deaths.insert(death);
+}
+
 ReportedStanding standingOf(const SuspectRecord &record)
 {
     if (record.convicted)
@@ -66,7 +82,7 @@
 {
     forgetSuspects(book, now);
     SuspectRecord &record = recordOf(book, fingerprint);
-    record.deaths.insert(death);
+    addDeath(record, death);
     record.convicted = record.convicted || alone;
     const seconds holds = record.convicted ? convictionTime : suspicionTime;
     record.forgetAt = std::max(record.forgetAt, now + holds);
@@ -93,10 +109,12 @@
         return;
     forgetSuspects(book, now);
     SuspectRecord &record = recordOf(book, report.fingerprint());
-    record.deaths.insert(report.death_ids().begin(), report.death_ids().end());
     const auto standing = static_cast<ReportedStanding>(report.deaths());
-    if (standing == ReportedStanding::Cleared)
-        record.cleared.insert(report.death_ids().begin(), report.death_ids().end());
+    for (const std::uint64_t death : report.death_ids()) {
+        addDeath(record, death);
+        if (standing == ReportedStanding::Cleared && record.deaths.contains(death))
+            record.cleared.insert(death);
+    }
     if (standing == ReportedStanding::Convicted)
         record.convicted = true;
     // A peer can't prolong a suspicion beyond what its own evidence would give.
--- a/Source/Request/SuspectBook.h
+++ b/Source/Request/SuspectBook.h
@@ -19,7 +19,9 @@
 /// Fingerprints that one process remembers; the ones soonest forgotten give way.
 constexpr std::size_t maxSuspects = 4096;
 /// Fingerprints that one heartbeat carries, to stay within a daemon's control traffic.
-constexpr std::size_t maxSuspectReports = 64;
+constexpr std::size_t maxSuspectReports = 32;
+/// Deaths that are told apart for one fingerprint.
+constexpr std::size_t maxDeaths = 16;
 
 /// What is held against a fingerprint.
 enum class Suspicion {
--- a/Tests/Request/KillerTest.cpp
+++ b/Tests/Request/KillerTest.cpp
@@ -145,4 +145,11 @@
     CHECK(book.records.size() == maxSuspects);
     CHECK(suspicionOf(book, maxSuspects + 9, now) == Suspicion::Suspect);
     CHECK(suspectReports(book, now).size() == maxSuspectReports);
+    for (std::uint64_t death = 0; death < 3 * maxDeaths; ++death) {
+        recordDeath(book, 7, death, false, now);
+        CHECK(suspicionOf(book, 7, now) == Suspicion::Suspect);
+        if (death % 5 == 0)
+            recordGoodRun(book, 7);
+    }
+    CHECK(book.records.at(7).deaths.size() <= maxDeaths);
 }
