Let the event loop sleep until its timers are due

Cause: an idle agent used 4.8% of a core, above the 3% that control may cost. ACE's reactor waits in whole milliseconds and cuts the rest off, so with less than one left it asked epoll again and again: 13,728 epoll_wait calls in 5 s under strace. Ruled out: the agent's own ticks (50 a second cost 0.25% together); the timer queue's skew, which would fire timers early. Change: the timer heap rounds the wait up to a whole millisecond. Conclusion: timers may come up to a millisecond late; nothing here needs better.

--- a/Source/Process/EventLoop.cpp
+++ b/Source/Process/EventLoop.cpp
@@ -19,10 +19,29 @@
 namespace {
 
 /// ACE's usual timer heap follows the wall clock, whose jumps would fire or hold back every timer.
-using MonotonicTimerHeap =
+using MonotonicTimers =
     ACE_Timer_Heap_T<ACE_Event_Handler *, ACE_Event_Handler_Handle_Timeout_Upcall,
                      ACE_SYNCH_RECURSIVE_MUTEX, ACE_Monotonic_Time_Policy>;
 
+/// The reactor waits in whole milliseconds and cuts the rest off: with less than one left until a
+/// timer it would not wait at all but ask again and again, which shows as a few percent of a core
+/// in an idle process. Rounding up makes it sleep, at the price of timers up to a millisecond late.
+class MonotonicTimerHeap : public MonotonicTimers
+{
+public:
+    using MonotonicTimers::calculate_timeout;
+
+    ACE_Time_Value *calculate_timeout(ACE_Time_Value *longest, ACE_Time_Value *buffer) override
+    {
+        constexpr suseconds_t microsecondsPerMillisecond = 1000;
+        ACE_Time_Value *wait = MonotonicTimers::calculate_timeout(longest, buffer);
+        if (wait == buffer && wait->usec() % microsecondsPerMillisecond != 0)
+            *wait += ACE_Time_Value(
+                0, microsecondsPerMillisecond - wait->usec() % microsecondsPerMillisecond);
+        return wait;
+    }
+};
+
 constexpr std::size_t initialDescriptors = 4096;
 
 ACE_Reactor_Mask maskFor(Interest interest)
--- a/Tests/Process/EventLoopTest.cpp
+++ b/Tests/Process/EventLoopTest.cpp
@@ -1,5 +1,8 @@
 #include "Process/EventLoop.h"
 
+#include <ctime>
+#include <functional>
+
 #include <thread>
 #include <vector>
 
@@ -56,3 +59,25 @@
     close(ends[0]);
     close(ends[1]);
 }
+
+// An idle process keeps a core busy for a twentieth of its time. The reactor waits in whole
+// milliseconds and cut the last part of one off, so it asked again and again until a timer was due.
+TEST_CASE("Waiting for timers costs next to no processor time")
+{
+    EventLoop loop;
+    int left = 60;
+    std::function<void()> again = [&] {
+        if (--left == 0)
+            return loop.stop();
+        loop.runAfter(milliseconds(7), again);
+    };
+    again();
+    timespec before = {};
+    timespec after = {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &before);
+    loop.run();
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &after);
+    const auto used = seconds(after.tv_sec - before.tv_sec)
+        + std::chrono::nanoseconds(after.tv_nsec - before.tv_nsec);
+    CHECK(std::chrono::duration_cast<microseconds>(used).count() < 15000);
+}
--- a/Utilities/local-system.sh
+++ b/Utilities/local-system.sh
@@ -52,6 +52,11 @@
 # start_backend NAME DOMAIN: a backend server and the agent beside it.
 start_backend() {
   start_process "$1" standin-backend --name "$1"
+  start_agent "$1" "$2"
+}
+
+# start_agent NAME DOMAIN: the agent of a backend server that runs.
+start_agent() {
   cat > "$system_folder/agent-$1.json" << END
 {
   "name": "$1",
