--- a/Source/Process/ConfigFollower.cpp
+++ b/Source/Process/ConfigFollower.cpp
@@ -32,6 +32,11 @@
         if (cursor_.diverged && !divergedBefore)
             logger_->error("a snapshot in the log differs from what replay gave; compare releases");
         publish(true);
+        // Failure guarded against: a record that can't be judged stays the next one to read, and
+        // the log has it ready at once; a caller without a pause would read it in a loop at full
+        // speed. As an error, callers pause before the next try.
+        if (moved && !cursor_.blocked.empty())
+            return failure(ErrorKind::Conflict, cursor_.blocked);
         return moved;
     }
 
--- a/Source/Process/ConfigFollower.h
+++ b/Source/Process/ConfigFollower.h
@@ -37,7 +37,9 @@
     ~ConfigFollower();
 
     /// Reads once, waiting up to `wait` for a new record, and replays what came.
-    /// @return Whether the version moved; otherwise as LogClient::read(), and the state stays.
+    /// @return Whether the version moved; as LogClient::read() when the log gives no answer;
+    /// Conflict when it answers but can't be followed, see FollowerStatus::blocked. The state then
+    /// stays.
     Result<bool> poll(milliseconds wait);
 
     /// Takes a peer's state, for when the log does not answer or has dropped needed records. Moves
--- a/Source/Process/ConfigReader.cpp
+++ b/Source/Process/ConfigReader.cpp
@@ -53,7 +53,7 @@
     {
         while (!stopping()) {
             const auto moved = follower_.poll(logWait);
-            noteReachable(moved.has_value());
+            noteReachable(follower_.status().logReachable);
             if (const auto snapshot = takeOffer())
                 follower_.adopt(*snapshot);
             handOn();
--- a/Tests/Process/ConfigFollowerTest.cpp
+++ b/Tests/Process/ConfigFollowerTest.cpp
@@ -72,7 +72,10 @@
     append(log, serviceRecord(2, "chat"));
     log.dropBefore(2);
     ConfigFollower follower(log);
-    REQUIRE(follower.poll(milliseconds(0)).has_value());
+    const auto polled = follower.poll(milliseconds(0));
+    REQUIRE(polled.has_error());
+    CHECK(polled.error().kind == ErrorKind::Conflict);
+    CHECK(follower.status().logReachable);
     CHECK_FALSE(follower.usable());
     CHECK(follower.status().blocked.find("take the state from a peer") != std::string::npos);
 }
