--- a/Tests/Sessions/ChildProcess.cpp
+++ b/Tests/Sessions/ChildProcess.cpp
@@ -93,6 +93,14 @@
         ::kill(pid_, number);
 }
 
+bool ChildProcess::hasEnded() const
+{
+    siginfo_t information = {};
+    const int result =
+        waitid(P_PID, static_cast<id_t>(pid_), &information, WEXITED | WNOHANG | WNOWAIT);
+    return result == 0 && information.si_pid == pid_;
+}
+
 void ChildProcess::kill()
 {
     if (pid_ <= 0)
--- a/Tests/Sessions/ChildProcess.h
+++ b/Tests/Sessions/ChildProcess.h
@@ -29,6 +29,8 @@
     const std::string &address(const std::string &name) const { return ready_.at(name); }
 
     void signal(int number) const;
+    /// Whether it has ended by itself.
+    bool hasEnded() const;
     /// Kills it and waits until it is gone.
     void kill();
     /// Waits for its own end.
--- a/Tests/Sessions/TestSystem.cpp
+++ b/Tests/Sessions/TestSystem.cpp
@@ -71,6 +71,8 @@
         backendAddresses_.push_back(backends_.back()->address("address"));
         startAgent(i, "127.0.0.1:0");
         agentAddresses_.push_back(agents_[i]->address("peer"));
+        if (shape.links)
+            links_.push_back(std::make_unique<FlowLink>(agentAddresses_[i]));
     }
     const std::uint64_t version = declareAll();
     for (std::size_t i = 0; i < shape.entries; ++i)
@@ -172,7 +174,7 @@
     v1::BackendServer backend;
     backend.set_name(backendName(i));
     backend.set_service("quotations");
-    backend.set_agent_address(agentAddresses_[i]);
+    backend.set_agent_address(shape_.links ? links_[i]->address() : agentAddresses_[i]);
     backend.set_failure_domain(failureDomains[i % failureDomains.size()]);
     backend.set_vm("vm-" + std::to_string(i + 1));
     backend.set_concurrency(shape_.concurrency);
@@ -213,11 +215,15 @@
         throw std::runtime_error("version " + std::to_string(version) + " is not in force");
 }
 
+std::string TestSystem::callerUrl(std::size_t entry, const std::string &service) const
+{
+    return http(entries_.at(entry)->address("caller")) + "/v1/services/" + service + "/requests";
+}
+
 HttpAsk TestSystem::askFor(std::size_t entry, const CallerAsk &ask) const
 {
     HttpAsk http;
-    http.url = sessions::http(entries_.at(entry)->address("caller")) + "/v1/services/" + ask.service
-        + "/requests";
+    http.url = callerUrl(entry, ask.service);
     http.body = ask.body;
     http.headers = ask.headers;
     http.headers.push_back("Wisteria-Organisation: " + ask.organisation);
@@ -263,6 +269,29 @@
     return sum;
 }
 
+int TestSystem::totalRuns() const
+{
+    int sum = 0;
+    for (const std::string &address : backendAddresses_)
+        sum += call({.url = http(address) + "/runs", .method = "GET"}).json().value("total", 0);
+    return sum;
+}
+
+int TestSystem::mostRunsOfAKey() const
+{
+    std::map<std::string, int> sums;
+    int most = 0;
+    for (const std::string &address : backendAddresses_) {
+        const json counts = call({.url = http(address) + "/runs", .method = "GET"}).json();
+        const json keys = counts.value("keys", json::object());
+        for (const auto &[key, count] : keys.items()) {
+            sums[key] += count.get<int>();
+            most = std::max(most, sums[key]);
+        }
+    }
+    return most;
+}
+
 int TestSystem::holding(std::size_t backend) const
 {
     const std::string url = http(backendAddresses_[backend]) + "/runs";
--- a/Tests/Sessions/TestSystem.h
+++ b/Tests/Sessions/TestSystem.h
@@ -9,6 +9,7 @@
 
 #include "Config.pb.h"
 #include "Sessions/ChildProcess.h"
+#include "Sessions/FlowLink.h"
 #include "Sessions/HttpCall.h"
 
 namespace wisteria::sessions {
@@ -21,6 +22,8 @@
     std::uint32_t concurrency = 4;
     std::uint32_t queueBound = 8;
     std::uint32_t maxAttempts = 3;
+    /// Whether the ways between entries and agents can be broken.
+    bool links = false;
     /// Lag of the platform's list of VMs.
     milliseconds vmLag = milliseconds(0);
 };
@@ -53,8 +56,10 @@
     ChildProcess &entry(std::size_t i) { return *entries_.at(i); }
     ChildProcess &agent(std::size_t i) { return *agents_.at(i); }
     ChildProcess &backend(std::size_t i) { return *backends_.at(i); }
-    std::size_t backendCount() const { return backends_.size(); }
+    /// The way from all entries to an agent; with SystemShape::links only.
+    FlowLink &link(std::size_t i) { return *links_.at(i); }
 
+    std::string callerUrl(std::size_t entry, const std::string &service) const;
     HttpAsk askFor(std::size_t entry, const CallerAsk &ask) const;
     HttpAnswer ask(std::size_t entry, const CallerAsk &ask) const;
     std::future<HttpAnswer> askLater(std::size_t entry, const CallerAsk &ask) const;
@@ -69,6 +74,10 @@
 
     /// Runs of all backend servers that still answer, by "keys" or "tags".
     int runs(const std::string &kind, const std::string &name) const;
+    /// Requests that all backend servers together have run.
+    int totalRuns() const;
+    /// How often the key ran that ran most often, over all backend servers that answer.
+    int mostRunsOfAKey() const;
     /// Requests that a backend server holds until release().
     int holding(std::size_t backend) const;
     /// Index of the backend server that holds a request; waits until one does.
@@ -99,6 +108,7 @@
     std::vector<std::unique_ptr<ChildProcess>> backends_;
     std::vector<std::unique_ptr<ChildProcess>> agents_;
     std::vector<std::unique_ptr<ChildProcess>> entries_;
+    std::vector<std::unique_ptr<FlowLink>> links_;
     /// Offset of the change that last set an object, by its name.
     std::map<std::string, std::uint64_t> versions_;
     std::vector<std::string> agentAddresses_;
