Move only for drift, not for noise

Three reasons were seen in the decisions' trace: the fastest smoothing gain won by chance and its map fitted noise; a later, better estimate always seemed to offer a gain over the first one; a jump of one expert blew up the noise estimate for 20 reports and hid what followed. Ruled out, as trials: a higher gain threshold alone. Change: the slowest gain within 8% of the least error is used; noise is weighed by load, without jumps; the uncertainty of a plain mean is 1/n; a map remembers the loads and speeds that it was made for, and stays unless they differ by more than noise explains, or the gain is beyond doubt.

--- a/Source/Version/Placement.cpp
+++ b/Source/Version/Placement.cpp
@@ -17,8 +17,14 @@
 /// Reports that the first move of a layer waits for. A map that fits the noise of fewer reports
 /// would have to be moved again.
 constexpr std::uint32_t reportsBeforeFirstMove = 6;
-/// How many standard deviations of the estimate's own error a gain must exceed.
-constexpr double significantDeviations = 0.5;
+/// How many standard deviations of the estimates' own errors a gain must exceed.
+constexpr double significantDeviations = 0.75;
+/// Without drift, a gain must exceed this many: the first estimate was far off, or the noise is not
+/// what it is taken for.
+constexpr double certainDeviations = 3.0;
+/// How much the loads must differ from those that a map was made for, in units of the variance that
+/// noise explains, to count as drift.
+constexpr double driftFactor = 2.2;
 /// A move must gain this multiple of what it costs.
 constexpr double paybackFactor = 2.0;
 /// Skew above that of a map made from scratch at which the search begins afresh.
@@ -67,19 +73,54 @@
     return paybackFactor * group.costWeight * loading / worth;
 }
 
-/// Skew that the estimate's own error can feign. The error moves a rank's time by about the
-/// deviation of one report's noise, less what smoothing took away.
+/// Standard deviation that the errors of two estimates feign of the time of the rank that depends
+/// most on single experts: of the estimate that the present map was made for, and of the newest.
+/// With noise alone, a better estimate always seems to offer a gain of this order; a map that
+/// chased it would move for ever without drift.
 double noiseSkew(const RankGroup &group, const LayerPlacement &placement,
                  const LoadForecast &forecast)
 {
     const std::vector<std::uint32_t> counts = replicaCounts(placement.map, group.experts);
-    double variance = 0;
+    const double ranks = static_cast<double>(group.ranks.size());
+    double largest = 0;
+    for (std::size_t rank = 0; rank < placement.map.ranks.size(); ++rank) {
+        double variance = 0;
+        for (const ExpertId expert : placement.map.ranks[rank]) {
+            const double share =
+                forecast.shares[expert] * ranks / (counts[expert] * group.ranks[rank].speed);
+            variance += share * share;
+        }
+        largest = std::max(largest, variance);
+    }
+    return forecast.noise
+        * std::sqrt(largest * (forecast.uncertainty + placement.basis.uncertainty));
+}
+
+std::vector<double> speedsOf(const RankGroup &group)
+{
+    std::vector<double> speeds;
+    for (const RankCapacity &rank : group.ranks)
+        speeds.push_back(rank.speed);
+    return speeds;
+}
+
+/// Whether loads or ranks differ from what the present map was made for by more than the errors of
+/// both estimates explain, or an expert had just jumped and its load was barely known: the mean
+/// squared difference, in units of its variance, is 1 without drift. Noise makes a new estimate
+/// differ a little everywhere, which moves must not chase.
+bool hasDrifted(const RankGroup &group, const MapBasis &basis, const LoadForecast &forecast)
+{
+    if (basis.shares.empty() || !basis.settled || basis.rankSpeeds != speedsOf(group))
+        return true;
+    const double uncertainty = basis.uncertainty + forecast.uncertainty;
+    const double relativeVariance = forecast.noise * forecast.noise * uncertainty;
+    double sum = 0;
     for (ExpertId expert = 0; expert < group.experts; ++expert) {
-        const double share = forecast.shares[expert] * static_cast<double>(group.ranks.size());
-        variance += share * share / counts[expert];
+        const double difference = forecast.shares[expert] - basis.shares[expert];
+        const double size = std::max(forecast.shares[expert], basis.shares[expert]);
+        sum += size > 0 ? difference * difference / size : 0;
     }
-    variance /= static_cast<double>(group.ranks.size());
-    return forecast.noise * std::sqrt(variance * forecast.uncertainty);
+    return sum > driftFactor * relativeVariance;
 }
 
 std::uint32_t slotsOf(const RankGroup &group)
@@ -128,15 +169,19 @@
     SearchResult found = searchLayer(group, placement.map, problem, limits);
     if (found.moves == 0)
         return stay(layer, StayReason::NoPayback);
-    const double needed = significantDeviations * noiseSkew(group, placement, forecast);
-    if (found.presentSkew - found.foundSkew < needed)
+    const double gain = found.presentSkew - found.foundSkew;
+    const double deviation = noiseSkew(group, placement, forecast);
+    if (gain < significantDeviations * deviation)
         return stay(layer, StayReason::GainWithinNoise);
+    if (gain < certainDeviations * deviation && !hasDrifted(group, placement.basis, forecast))
+        return stay(layer, StayReason::NoDrift);
     LayerDecision decision;
     decision.layer = layer;
     decision.next = std::move(found.map);
     decision.presentSkew = found.presentSkew;
     decision.nextSkew = found.foundSkew;
     decision.moves = found.moves;
+    decision.basis = {forecast.shares, forecast.uncertainty, forecast.settled, speedsOf(group)};
     return decision;
 }
 
@@ -226,6 +271,8 @@
         return "the policy never moves experts";
     case StayReason::NotDue:
         return "the next decision is not due yet";
+    case StayReason::NoDrift:
+        return "loads and ranks are what the present map was made for";
     case StayReason::NoNewReport:
         return "no load report came since the last decision";
     case StayReason::TooFewReports:
@@ -315,7 +362,7 @@
         if (!layer.next)
             continue;
         state.layers[layer.layer].map = *layer.next;
-        state.layers[layer.layer].placed = true;
+        state.layers[layer.layer].basis = layer.basis;
     }
 }
 
--- a/Source/Version/Placement.h
+++ b/Source/Version/Placement.h
@@ -29,6 +29,7 @@
     None, ///< It does not stay.
     PolicyNeverMoves, ///< The policy is static.
     NotDue, ///< The policy's next decision is not due yet.
+    NoDrift, ///< Loads and ranks are what the present map was made for.
     NoNewReport, ///< No report came since the last decision.
     TooFewReports, ///< The estimate is still too uncertain for a first move.
     GainWithinNoise, ///< What could be gained can't be told from noise.
@@ -40,6 +41,17 @@
 /// The reason in words, for logs and operators.
 const char *stayReasonText(StayReason reason);
 
+/// What a map was made for. Empty for the map that a group began with.
+struct MapBasis
+{
+    /// Estimated share of each expert, and how uncertain it was.
+    std::vector<double> shares;
+    double uncertainty = 0;
+    /// LoadForecast::settled of that estimate.
+    bool settled = false;
+    std::vector<double> rankSpeeds;
+};
+
 /// What a decision says of one layer.
 struct LayerDecision
 {
@@ -52,6 +64,8 @@
     double nextSkew = 0;
     /// Replicas that have to be loaded.
     std::uint32_t moves = 0;
+    /// What the new map was made for; only the wisteria policy fills it in.
+    MapBasis basis;
 };
 
 /// A decision on the whole group.
@@ -72,8 +86,8 @@
     std::vector<double> newestLoads;
     /// Reports seen when the last decision was made.
     std::uint32_t decidedAtReports = 0;
-    /// Whether the layer's map was chosen by a decision.
-    bool placed = false;
+    /// What the present map was made for.
+    MapBasis basis;
 };
 
 /// All that placement remembers of a group. A plain value.
--- a/Source/Version/PlacementEstimate.cpp
+++ b/Source/Version/PlacementEstimate.cpp
@@ -10,12 +10,16 @@
 
 /// Weight of the newest forecast error in the smoothed errors.
 constexpr double errorGain = 0.05;
+/// A slower row is preferred as long as its error is within this factor of the least.
+constexpr double toleratedError = 1.08;
 /// A difference of this many standard deviations is a jump when it comes twice on one side.
 constexpr double surprisingDeviations = 4.0;
 /// A difference of this many standard deviations is a jump at once.
 constexpr double jumpDeviations = 8.0;
 /// Jumps are told from noise only once this many reports have shown how large the noise is.
-constexpr std::uint32_t reportsBeforeJumps = 6;
+constexpr std::uint32_t reportsBeforeJumps = 20;
+/// Reports that an expert's estimate must rest on to be settled.
+constexpr std::uint32_t reportsToSettle = 6;
 /// Relative noise is taken to be at least this, so that silent traces don't make every change a
 /// jump.
 constexpr double leastNoise = 0.01;
@@ -46,10 +50,16 @@
     return shares;
 }
 
+/// The slowest row whose error is about the least. Rows differ by a few per cent when there is
+/// nothing but noise, so the very least is often a fast row by chance, and the next map would fit
+/// the noise that row let through.
 std::size_t bestRow(const LoadEstimate &estimate)
 {
-    const auto best = std::min_element(estimate.errors.begin(), estimate.errors.end());
-    return static_cast<std::size_t>(best - estimate.errors.begin());
+    const double least = *std::min_element(estimate.errors.begin(), estimate.errors.end());
+    std::size_t row = 0;
+    while (estimate.errors[row] > least * toleratedError)
+        ++row;
+    return row;
 }
 
 void begin(LoadEstimate &estimate, const std::vector<double> &shares)
@@ -67,6 +77,13 @@
     return std::max(sinceLast, 1.0 / (reportsOf + 1.0));
 }
 
+/// Variance of a smoothed level in units of the variance of one report: that of exponential
+/// smoothing in the long run, and that of the plain mean before.
+double uncertaintyOf(double gain, std::uint32_t reports)
+{
+    return std::max(gain / (2.0 - gain), 1.0 / reports);
+}
+
 double elapsedIntervals(const LoadEstimate &estimate, TimePoint at)
 {
     if (estimate.interval.count() == 0)
@@ -75,14 +92,54 @@
     return std::max(1.0, elapsed.count() / static_cast<double>(estimate.interval.count()));
 }
 
+/// Squared difference of a share from its level, relative to the level. Weighed by the levels
+/// themselves, these sum up to the squared relative noise; weighed by their squares, the hottest
+/// expert alone would make up most of it.
+double weighedSquare(double share, double level, std::size_t experts)
+{
+    const double floor = leastNoise / static_cast<double>(experts);
+    const double difference = share - level;
+    return difference * difference / (level + floor);
+}
+
+/// Whether a load has left its level for good: smoothing would take many reports to follow, and the
+/// rank that holds the expert would be the straggler for all of them.
+bool hasJumped(LoadEstimate &estimate, std::size_t expert, double share, double level)
+{
+    const double deviation = std::max(std::sqrt(estimate.noise), leastNoise) * level;
+    const double floor = leastNoise / static_cast<double>(estimate.reportsOf.size());
+    const double deviations = (share - level) / (deviation + floor);
+    int sign = 0;
+    if (std::abs(deviations) > surprisingDeviations)
+        sign = deviations > 0 ? 1 : -1;
+    const bool again = sign != 0 && sign == estimate.surprise[expert];
+    estimate.surprise[expert] = sign;
+    return again || std::abs(deviations) > jumpDeviations;
+}
+
+/// Lets the estimates of experts that jumped begin anew.
+void findJumps(LoadEstimate &estimate, const std::vector<double> &shares)
+{
+    if (estimate.reports <= reportsBeforeJumps)
+        return;
+    const std::vector<double> &levels = estimate.levels[bestRow(estimate)];
+    for (std::size_t expert = 0; expert < shares.size(); ++expert) {
+        if (hasJumped(estimate, expert, shares[expert], levels[expert]))
+            estimate.reportsOf[expert] = 0;
+    }
+}
+
+/// Jumps are left out of the errors and of the noise: one of them would hide drift for many
+/// reports.
 void updateErrors(LoadEstimate &estimate, const std::vector<double> &shares)
 {
     const double weight = std::max(errorGain, 1.0 / estimate.reports);
     for (std::size_t row = 0; row < smoothingGains.size(); ++row) {
         double squared = 0;
         for (std::size_t expert = 0; expert < shares.size(); ++expert) {
-            const double difference = shares[expert] - estimate.levels[row][expert];
-            squared += difference * difference;
+            if (estimate.reportsOf[expert] == 0)
+                continue;
+            squared += weighedSquare(shares[expert], estimate.levels[row][expert], shares.size());
         }
         estimate.errors[row] += weight * (squared - estimate.errors[row]);
     }
@@ -92,48 +149,25 @@
 void updateNoise(LoadEstimate &estimate, const std::vector<double> &shares)
 {
     const std::size_t row = bestRow(estimate);
-    double squaredLevels = 0;
-    double squaredErrors = 0;
-    double uncertainty = 0;
+    double squares = 0;
+    double variances = 0;
     for (std::size_t expert = 0; expert < shares.size(); ++expert) {
+        const std::uint32_t reports = estimate.reportsOf[expert];
+        if (reports == 0)
+            continue;
         const double level = estimate.levels[row][expert];
-        const double difference = shares[expert] - level;
-        const double gain = gainFor(smoothingGains[row], estimate.reportsOf[expert], 1.0);
-        squaredLevels += level * level;
-        squaredErrors += difference * difference;
-        uncertainty += level * level * gain / (2.0 - gain);
+        squares += weighedSquare(shares[expert], level, shares.size());
+        variances += level * (1.0 + uncertaintyOf(smoothingGains[row], reports));
     }
-    if (squaredLevels <= 0)
+    if (variances <= 0)
         return;
-    const double measured = squaredErrors / (squaredLevels + uncertainty);
     const double weight = std::max(errorGain, 1.0 / estimate.reports);
-    estimate.noise += weight * (measured - estimate.noise);
-}
-
-/// Whether a load has left its level for good: smoothing would take many reports to follow, and the
-/// rank that holds the expert would be the straggler for all of them.
-bool hasJumped(LoadEstimate &estimate, std::size_t expert, double share, double level)
-{
-    const double deviation = std::max(std::sqrt(estimate.noise), leastNoise) * level;
-    const double floor = leastNoise / static_cast<double>(estimate.reportsOf.size());
-    const double deviations = (share - level) / (deviation + floor);
-    int sign = 0;
-    if (std::abs(deviations) > surprisingDeviations)
-        sign = deviations > 0 ? 1 : -1;
-    const bool again = sign != 0 && sign == estimate.surprise[expert];
-    estimate.surprise[expert] = sign;
-    return again || std::abs(deviations) > jumpDeviations;
+    estimate.noise += weight * (squares / variances - estimate.noise);
 }
 
 void updateLevels(LoadEstimate &estimate, const std::vector<double> &shares, double intervals)
 {
-    const std::size_t best = bestRow(estimate);
     for (std::size_t expert = 0; expert < shares.size(); ++expert) {
-        const double level = estimate.levels[best][expert];
-        const bool jumped = estimate.reports > reportsBeforeJumps
-            && hasJumped(estimate, expert, shares[expert], level);
-        if (jumped)
-            estimate.reportsOf[expert] = 0;
         for (std::size_t row = 0; row < smoothingGains.size(); ++row) {
             const double gain = gainFor(smoothingGains[row], estimate.reportsOf[expert], intervals);
             double &smoothed = estimate.levels[row][expert];
@@ -165,6 +199,7 @@
         begin(estimate, shares);
     } else {
         const double intervals = elapsedIntervals(estimate, report.at);
+        findJumps(estimate, shares);
         updateErrors(estimate, shares);
         updateNoise(estimate, shares);
         updateLevels(estimate, shares, intervals);
@@ -184,7 +219,9 @@
     const double gain = std::max(smoothingGains[row], 1.0 / estimate.reports);
     forecast.shares = estimate.levels[row];
     forecast.noise = std::sqrt(estimate.noise);
-    forecast.uncertainty = gain / (2.0 - gain);
+    forecast.uncertainty = uncertaintyOf(gain, estimate.reports);
+    const auto fewest = std::min_element(estimate.reportsOf.begin(), estimate.reportsOf.end());
+    forecast.settled = *fewest >= reportsToSettle;
     // A random walk that is followed best with gain g moves by g standard deviations of the noise a
     // report, so it has moved by one of them after 1/g^2 reports.
     const double reports = std::min(longestHorizonReports, 1.0 / (gain * gain));
--- a/Source/Version/PlacementEstimate.h
+++ b/Source/Version/PlacementEstimate.h
@@ -51,6 +51,8 @@
     double noise = 0;
     /// Variance of the estimate in units of the variance of one report.
     double uncertainty = 1;
+    /// Whether every expert's estimate rests on several reports; false after a jump.
+    bool settled = false;
     /// Time that the loads' drift leaves before it has moved them as far as one report's noise.
     milliseconds horizon{0};
 };
--- a/Tests/Version/PlacementTest.cpp
+++ b/Tests/Version/PlacementTest.cpp
@@ -114,6 +114,30 @@
     }
 }
 
+// Clerks would see answers slow down again and again without cause: load reports only jitter, but
+// each jitter looks like a better map, and the weight store is kept busy by moves that gain
+// nothing.
+TEST_CASE("Noise without drift causes no move after the first switch")
+{
+    for (const std::uint64_t seed : {1, 2, 3, 4}) {
+        const RankGroup group = makeGroup(16, 5, 64);
+        PlacementState state = startedState(group);
+        std::mt19937_64 engine(seed);
+        const std::vector<double> expected = drawLoads(group.experts, engine);
+        std::vector<int> switches(group.layers, 0);
+        for (int report = 0; report < 600; ++report) {
+            const TimePoint now = TimePoint() + report * interval;
+            reportAll(group, state, addNoise(expected, 0.08, engine), now);
+            const PlacementDecision decision =
+                decidePlacement(PlacementPolicy::Wisteria, group, state, now);
+            for (const LayerDecision &layer : decision.layers)
+                switches[layer.layer] += layer.next ? 1 : 0;
+            switchDone(state, decision, true);
+        }
+        CHECK(switches == std::vector<int>(group.layers, 1));
+    }
+}
+
 // Counter waits double for hours: one expert becomes hot, and smoothing against noise follows so
 // slowly that its rank stays the straggler.
 TEST_CASE("A sudden hot expert is relieved within three reports")
