--- a/Source/Process/AdminService.cpp
+++ b/Source/Process/AdminService.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
+#include <mutex>
 #include <random>
 
 #include "Process/ChangeSubmitter.h"
@@ -256,6 +258,20 @@
         return addresses;
     }
 
+    /// Milliseconds since a process was last heard of by this admin; nothing if it never was.
+    std::optional<milliseconds> silence(const ProbeResult &result, TimePoint now)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (result.heartbeat) {
+            lastHeard_[result.address] = now;
+            return milliseconds(0);
+        }
+        const auto heard = lastHeard_.find(result.address);
+        if (heard == lastHeard_.end())
+            return std::nullopt;
+        return std::chrono::duration_cast<milliseconds>(now - heard->second);
+    }
+
     std::vector<ProbeResult> probe() const
     {
         v1::Heartbeat own;
@@ -270,6 +286,9 @@
     ConfigFollower &follower_;
     AdminMetrics &metrics_;
     const LogFactory makeLog_;
+    std::mutex mutex_;
+    /// By address; bounded by the addresses that were ever declared while this admin runs.
+    std::map<std::string, TimePoint> lastHeard_;
     std::shared_ptr<spdlog::logger> logger_ = loggerFor("admin");
 };
 
@@ -475,6 +494,8 @@
         v1::ProcessStatus &process = *reply->add_processes();
         process.set_address(result.address);
         process.set_state(result.heartbeat ? result.heartbeat->state() : "silent");
+        if (const auto silent = d_->silence(result, monotonicNow()))
+            process.set_silent_ms(static_cast<std::uint64_t>(silent->count()));
         if (!result.heartbeat)
             continue;
         process.set_name(result.heartbeat->process());
--- a/Source/Programs/Bench/ConfigCommand.cpp
+++ b/Source/Programs/Bench/ConfigCommand.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <thread>
 
 #include <tclap/CmdLine.h>
@@ -90,7 +91,7 @@
     std::vector<microseconds> delays;
     Offset looked = 0;
     bool ended = false;
-    milliseconds startUp(0);
+    std::optional<milliseconds> startUp;
     std::uint64_t bytesAtStart = 0;
     TimePoint caughtUp = start;
     while (!ended && monotonicNow() - start < settings.limit) {
@@ -100,7 +101,7 @@
             std::this_thread::sleep_for(milliseconds(200));
             continue;
         }
-        if (startUp == milliseconds(0) && follower.caughtUp() && follower.state()->version != 0) {
+        if (!startUp && follower.caughtUp() && follower.state()->version != 0) {
             caughtUp = monotonicNow();
             startUp = std::chrono::duration_cast<milliseconds>(caughtUp - start);
             bytesAtStart = log.transferredBytes();
@@ -109,12 +110,12 @@
         ended = collectDelays(*follower.state(), looked, monotonicNow(), delays);
         looked = follower.state()->position;
         // A start is measured alone, without changes to follow.
-        ended |= settings.changes == 0 && settings.interval == milliseconds(0) && looked > 0;
+        ended |= settings.changes == 0 && settings.interval == milliseconds(0) && startUp;
     }
     BOOST_OUTCOME_TRYV(usage.sample());
     const auto followed = std::chrono::duration_cast<milliseconds>(monotonicNow() - caughtUp);
     Json result = delaysJson(delays);
-    result["start_up_ms"] = startUp.count();
+    result["start_up_ms"] = startUp.value_or(milliseconds(0)).count();
     result["objects"] = follower.state()->objects.size();
     result["followed_ms"] = followed.count();
     result["bytes"] = log.transferredBytes() - bytesAtStart;
--- a/Source/Programs/Ctl/CtlOutput.cpp
+++ b/Source/Programs/Ctl/CtlOutput.cpp
@@ -24,7 +24,10 @@
 {
     out << std::left << std::setw(24) << process.address() << std::setw(20) << process.name()
         << std::setw(8) << process.role() << std::setw(12) << process.state() << std::right
-        << std::setw(8) << process.config_version() << std::setw(8) << process.lag() << "\n";
+        << std::setw(8) << process.config_version() << std::setw(8) << process.lag();
+    if (process.silent_ms() > 0)
+        out << "  last heard of " << process.silent_ms() / 1000 << " s ago";
+    out << "\n";
 }
 
 } // namespace
--- a/Source/Version/ConfigCheck.cpp
+++ b/Source/Version/ConfigCheck.cpp
@@ -127,6 +127,11 @@
         return bad(owner + " has agent_address '" + server.agent_address() + "'",
                    "give the agent's IP number and port, such as 10.0.0.7:7001");
     }
+    if (server.failure_domain().size() > limits::nameLength
+        || server.vm().size() > limits::nameLength) {
+        return bad(owner + " has a vm or failure_domain longer than 63 characters",
+                   "use the platform's own short names");
+    }
     if (server.failure_domain().empty()) {
         return bad(owner + " names no failure_domain",
                    "name the one its VM is in, so that requests are spread over all of them");
@@ -296,6 +301,8 @@
                    "give 8 to 64, a UUID is usual");
     if (change.who().empty())
         return bad("the change does not say who makes it", "give the operator's name with --who");
+    if (change.who().size() > limits::nameLength)
+        return bad("the operator's name is longer than 63 characters", "shorten it");
     if (change.why().empty())
         return bad("the change does not say why", "give the reason with --why");
     if (change.why().size() > limits::whyLength)
