Let the group's coordinator place experts by their loads

Cause: placement and the agreement on maps stood side by side; no process joined them. Ruled out: deciding on the control loop (a decision takes tens of ms).

--- a/Source/Process/AgentGroup.h
+++ b/Source/Process/AgentGroup.h
@@ -8,6 +8,7 @@
 #include "Process/AgentSettings.h"
 #include "Process/EventLoop.h"
 #include "Process/Metrics.h"
+#include "Version/ConfigState.h"
 
 namespace wisteria {
 
@@ -27,8 +28,10 @@
     /// @param loop The control loop; outlives the group. Build and destroy it while the loop does
     /// not run.
     /// @param incarnation Differs between lives of the process and only grows.
-    AgentGroup(EventLoop &loop, const AgentGroupSettings &settings, const std::string &logUrl,
-               std::uint64_t incarnation, Metrics &metrics, AgentGroupEvents events);
+    /// @param ownName Name of the agent's backend server in the configuration.
+    AgentGroup(EventLoop &loop, const AgentGroupSettings &settings, const std::string &ownName,
+               const std::string &logUrl, std::uint64_t incarnation, Metrics &metrics,
+               AgentGroupEvents events);
     ~AgentGroup();
     AgentGroup(const AgentGroup &) = delete;
     AgentGroup &operator=(const AgentGroup &) = delete;
@@ -36,6 +39,10 @@
     /// Takes a message of another agent. Any thread may call it.
     void deliver(const v1::GroupMessage &message);
 
+    /// Takes into force what operators declare of the experts of this backend server's service. On
+    /// the control loop.
+    void configure(const ConfigState &config);
+
     /// Takes part in no new switch any more. Any thread may call it.
     void beginLeaving();
 
--- a/Source/Process/AgentProcess.cpp
+++ b/Source/Process/AgentProcess.cpp
@@ -56,7 +56,11 @@
         BOOST_OUTCOME_TRY(peer, worker_.listen(settings_.peerListen));
         worker_.start();
         ConfigReader reader(log_, follower_, [this](std::shared_ptr<const ConfigState> config) {
-            worker_.configure(std::move(config));
+            worker_.configure(config);
+            loop_.post([this, config = std::move(config)] {
+                if (group_)
+                    group_->configure(*config);
+            });
         });
         reader_ = &reader;
         startGroup();
@@ -77,7 +81,8 @@
     {
         if (!settings_.group)
             return;
-        group_.emplace(loop_, *settings_.group, settings_.logUrl, incarnation_, metrics_,
+        group_.emplace(loop_, *settings_.group, settings_.name, settings_.logUrl, incarnation_,
+                       metrics_,
                        AgentGroupEvents{[this](bool stalled) { worker_.setMapStalled(stalled); },
                                         [this] { beginShutdown(); }});
     }
--- a/Source/Process/MapSwitchRunner.cpp
+++ b/Source/Process/MapSwitchRunner.cpp
@@ -137,6 +137,12 @@
         return status_;
     }
 
+    v1::ExpertMap currentMap() const
+    {
+        const std::lock_guard<std::mutex> lock(statusMutex_);
+        return currentMap_;
+    }
+
 private:
     // On the control loop.
 
@@ -227,6 +233,8 @@
         {
             // Only this thread writes, so it reads without the lock.
             const std::lock_guard<std::mutex> lock(statusMutex_);
+            if (status.mapVersion != status_.mapVersion)
+                currentMap_ = agent_.group.current.map;
             status_ = status;
         }
         if (!changed)
@@ -312,6 +320,7 @@
     Offset snapshotSentAt_ = 0;
     mutable std::mutex statusMutex_;
     MapSwitchStatus status_;
+    v1::ExpertMap currentMap_;
     std::atomic<bool> stopping_ = false;
     std::atomic<bool> switching_ = true;
     WorkThread appendThread_;
@@ -348,4 +357,9 @@
     return private_->status();
 }
 
+v1::ExpertMap MapSwitchRunner::currentMap() const
+{
+    return private_->currentMap();
+}
+
 } // namespace wisteria
--- a/Source/Process/MapSwitchRunner.h
+++ b/Source/Process/MapSwitchRunner.h
@@ -77,6 +77,9 @@
     /// Any thread may call it.
     MapSwitchStatus status() const;
 
+    /// The map in force, empty before the first switch. Any thread may call it.
+    v1::ExpertMap currentMap() const;
+
 private:
     class Private;
     std::unique_ptr<Private> private_;
--- a/Tests/Sessions/MapSwitchSessionTest.cpp
+++ b/Tests/Sessions/MapSwitchSessionTest.cpp
@@ -13,6 +13,7 @@
 #include "Connection/PeerGroupLink.h"
 #include "Connection/PeerServer.h"
 #include "Process/MapSwitchRunner.h"
+#include "Process/PlacementRunner.h"
 #include "Sessions/ChildProcess.h"
 #include "Sessions/HttpCall.h"
 
@@ -167,6 +168,8 @@
         ask(url(ranks_) + "/ranks/" + std::to_string(rank) + "/restart", "POST", "");
     }
     TestAgent &agent(std::size_t rank) { return *agents_[rank]; }
+    std::string engineUrl() const { return url(ranks_); }
+    void setLoads(const std::string &body) const { ask(url(ranks_) + "/loads", "PUT", body); }
 
     /// Asks again until it holds; each ask is a call over the network, which paces the loop.
     static bool waitFor(const std::function<bool()> &condition)
@@ -346,3 +349,33 @@
     }));
     CHECK(group.state()["mixed_steps"] == 0);
 }
+
+// The ranks that hold the season's two hot experts set the pace for all others. Every agent stands
+// ready to decide, the one that coordinates does, and all ranks take up its map between two steps.
+TEST_CASE("Skewed loads bring a better map into force on all ranks")
+{
+    TestGroup group(false);
+    group.setLoads(R"({"age_ms":0,"layers":[{"layer":0,"loads":[900,850,10,20,15,10,12,9]}]})");
+    RankGroup declared;
+    declared.ranks.assign(rankCount, RankCapacity{.slots = 3});
+    declared.layers = 1;
+    declared.experts = 8;
+    declared.expertBytes = 1000;
+    declared.storeBytesPerSecond = 1e6;
+    declared.stepTime = milliseconds(5);
+    declared.skewWeight = 1;
+    declared.costWeight = 0.001;
+    Metrics metrics;
+    std::vector<std::unique_ptr<PlacementRunner>> placements;
+    for (std::uint32_t rank = 0; rank < rankCount; ++rank) {
+        placements.push_back(std::make_unique<PlacementRunner>(
+            declared, "quotations", group.engineUrl(), group.agent(rank).runner(), metrics,
+            milliseconds(20)));
+    }
+    CHECK(TestGroup::waitFor([&] {
+        const nlohmann::json maps = group.state()["maps"];
+        return maps.size() == 1 && !maps.contains("initial");
+    }));
+    CHECK(group.state()["mixed_steps"] == 0);
+    CHECK(group.stepsGoOn());
+}
--- a/Tests/StandIns/RankGroup.cpp
+++ b/Tests/StandIns/RankGroup.cpp
@@ -1,6 +1,7 @@
 // Stand-in for a group of engines that run steps in lock-step on an expert map. Orders go to
 // POST /ranks/N/orders and are answered by the rank's status; POST /ranks/N/restart gives a fresh
-// engine; GET /group tells the steps completed, the maps they ran on and steps that ran on two.
+// engine; GET /group tells the steps completed, the maps they ran on and steps that ran on two;
+// GET /loads gives the report of expert loads that PUT /loads set.
 
 #include <algorithm>
 #include <cstdint>
@@ -85,6 +86,8 @@
     {
         if (exchange.path() == "/group")
             return group();
+        if (exchange.path() == "/loads")
+            return loads(exchange);
         if (const auto rank = exchange.pathBetween("/ranks/", "/orders"))
             return order(std::stoul(*rank), Json::parse(exchange.body(), nullptr, false));
         if (const auto rank = exchange.pathBetween("/ranks/", "/restart"))
@@ -93,6 +96,15 @@
     }
 
 private:
+    /// PUT sets the report of expert loads that GET gives from then on.
+    Reply loads(const Exchange &exchange)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (exchange.method() == "PUT")
+            loads_ = exchange.body();
+        return loads_.empty() ? notFound() : Reply{.body = loads_};
+    }
+
     Reply group()
     {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -237,6 +249,7 @@
     /// Map that the present step runs on, empty before the first rank begins it.
     std::string mapOfStep_;
     unsigned mixedSteps_ = 0;
+    std::string loads_;
     std::chrono::milliseconds longestStall_{0};
 };
 
