Keep a running process serving when it can't follow the log any more

Cause: switching guards off one by one showed two that no test held. One was wrong: a process that had caught up and then met a record of newer rules, or a gap, called itself not usable, so it would have dropped its callers though its state stands. The other guarded against nothing: a frame from a cut stream is whole, since frames carry their length. Ruled out: letting an admin go on likewise; it could not read a change back. Change: usable() stays true once caught up, blocked admins answer status alone, the needless guard is gone; a test of both stories.

--- a/Source/Process/AdminService.cpp
+++ b/Source/Process/AdminService.cpp
@@ -142,12 +142,15 @@
 
     grpc::Status requireState() const
     {
+        // An admin that can't follow the log would show operators a state that has moved on, and
+        // could not read a change back.
+        const std::string blocked = follower_.status().blocked;
+        if (!blocked.empty())
+            return {grpc::StatusCode::FAILED_PRECONDITION, blocked};
         if (follower_.usable())
             return grpc::Status::OK;
-        const std::string blocked = follower_.status().blocked;
         return {grpc::StatusCode::FAILED_PRECONDITION,
-                blocked.empty() ? "this admin has not caught up with the log yet; try again soon"
-                                : blocked};
+                "this admin has not caught up with the log yet; try again soon"};
     }
 
     /// Identity, readiness: what each call but Status begins with.
--- a/Source/Process/ConfigFollower.cpp
+++ b/Source/Process/ConfigFollower.cpp
@@ -72,7 +72,7 @@
     bool usable() const
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        return caughtUp_ || (adoptedPublished_ && !status_.logReachable);
+        return wasCaughtUp_ || (adoptedPublished_ && !status_.logReachable);
     }
 
     std::shared_ptr<const ConfigState> waitBeyond(Offset position, milliseconds limit) const
@@ -95,6 +95,7 @@
             published_ = std::move(fresh);
         publishedChanged_.notify_all();
         caughtUp_ = hasCaughtUp(cursor_);
+        wasCaughtUp_ |= caughtUp_;
         adoptedPublished_ = adopted_;
         status_ = {cursor_.state.version, cursor_.state.position, cursor_.end,           reachable,
                    cursor_.blocked,       cursor_.diverged,       cursor_.newestSnapshot};
@@ -111,6 +112,7 @@
     std::shared_ptr<const ConfigState> published_;
     FollowerStatus status_;
     bool caughtUp_ = false;
+    bool wasCaughtUp_ = false;
     bool adoptedPublished_ = false;
 };
 
--- a/Source/Process/ConfigFollower.h
+++ b/Source/Process/ConfigFollower.h
@@ -53,8 +53,9 @@
     /// Whether everything that stood in the log at the first read has been replayed.
     bool caughtUp() const;
 
-    /// Whether there is a state to serve with: caught up with the log, or taken from a peer while
-    /// the log did not answer.
+    /// Whether there is a state to serve with: caught up with the log once, or taken from a peer
+    /// while the log did not answer. A process that was caught up goes on with what it has, also
+    /// when it can't follow the log any more; status() says so.
     bool usable() const;
 
     FollowerStatus status() const;
--- a/Source/Process/FleetProbe.cpp
+++ b/Source/Process/FleetProbe.cpp
@@ -23,11 +23,10 @@
 
     void frameReceived(const std::string &content) override { received_ = content; }
 
-    void streamClosed(const StreamEnd &end) override
+    void streamClosed(const StreamEnd &) override
     {
-        // A cut answer may be a part of a message that parses by accident; it is dropped.
-        if (end.complete)
-            answer_ = std::move(received_);
+        // Frames carry their length, so what was received is whole though the stream may be cut.
+        answer_ = std::move(received_);
         done_();
     }
 
--- a/Source/Version/ConfigReplay.cpp
+++ b/Source/Version/ConfigReplay.cpp
@@ -61,7 +61,7 @@
 
 bool hasCaughtUp(const ReplayCursor &cursor)
 {
-    return cursor.endAtStart && !cursor.searchFrom && cursor.blocked.empty()
+    return cursor.endAtStart && !cursor.searchFrom
         && cursor.state.position + 1 >= *cursor.endAtStart;
 }
 
--- a/Tests/Process/ConfigFollowerTest.cpp
+++ b/Tests/Process/ConfigFollowerTest.cpp
@@ -79,3 +79,39 @@
     CHECK_FALSE(follower.usable());
     CHECK(follower.status().blocked.find("take the state from a peer") != std::string::npos);
 }
+
+// A release with new rules is rolled out, and a running process of the older release meets its
+// first record. It must not drop its callers: it goes on with what it has and says that it is
+// stuck.
+TEST_CASE("A running process goes on with its state when it can't follow the log any more")
+{
+    MemoryLogClient log;
+    append(log, serviceRecord(1, "lookup"));
+    ConfigFollower follower(log);
+    REQUIRE(follower.poll(milliseconds(0)).has_value());
+    v1::ChangeRecord change = emptyChange("change-future", 1);
+    change.set_rules_version(newestRules + 1);
+    addSet(change, serviceObject("chat"));
+    append(log, recordOf(2, change));
+    REQUIRE(follower.poll(milliseconds(0)).has_error());
+    CHECK(follower.usable());
+    CHECK(follower.state()->version == 1);
+    CHECK(follower.status().blocked.find("upgrade this process") != std::string::npos);
+
+    ConfigFollower starting(log); // one that starts now has nothing to go on with
+    REQUIRE(starting.poll(milliseconds(0)).has_error());
+    CHECK_FALSE(starting.usable());
+
+    MemoryLogClient gap;
+    for (Offset at = 1; at <= 4; ++at)
+        append(gap, serviceRecord(at, "s" + std::to_string(at)));
+    ConfigFollower cutOff(gap);
+    REQUIRE(cutOff.poll(milliseconds(0)).has_value());
+    for (Offset at = 5; at <= 8; ++at)
+        append(gap, serviceRecord(at, "s" + std::to_string(at)));
+    gap.dropBefore(7);
+    CHECK(cutOff.poll(milliseconds(0)).has_error());
+    CHECK(cutOff.usable());
+    CHECK_FALSE(cutOff.caughtUp());
+    CHECK(cutOff.state()->version == 4);
+}
