Move reading the log's past out of the operators' service

Ruled out: splitting by call; the calls share their beginning. Change: ConfigArchive reads history and former states over any LogClient; the loops are short functions.

--- a/Source/Process/AdminService.cpp
+++ b/Source/Process/AdminService.cpp
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "Process/ChangeSubmitter.h"
+#include "Process/ConfigArchive.h"
 #include "Process/FleetProbe.h"
 #include "Process/Logging.h"
 #include "Version/ConfigCheck.h"
@@ -24,8 +25,6 @@
 constexpr milliseconds watchPause(300);
 constexpr std::uint32_t defaultHistory = 50;
 constexpr std::uint32_t longestHistory = 10000;
-/// Reads of the whole stream that a history or a former version may take.
-constexpr int readsOfWholeLog = 100000;
 
 milliseconds timeoutOf(std::uint32_t wanted)
 {
@@ -198,57 +197,6 @@
         fill(reply, decision, change.change_id());
     }
 
-    /// Replays the stream from its beginning, telling each change; stops when `enough` says so.
-    Result<ReplayCursor> replayWhole(const std::function<void(HistoryItem)> &tell,
-                                     const std::function<bool(const ReplayCursor &)> &enough,
-                                     Offset *oldest) const
-    {
-        const auto log = makeLog_();
-        ReplayCursor cursor;
-        for (int i = 0; i < readsOfWholeLog; ++i) {
-            BOOST_OUTCOME_TRY(batch, log->read(configStream, nextOffset(cursor), milliseconds(0)));
-            if (oldest != nullptr)
-                *oldest = batch.first;
-            BOOST_OUTCOME_TRY(replayWithHistory(cursor, batch, tell));
-            if (nextOffset(cursor) >= batch.end || !cursor.blocked.empty() || enough(cursor))
-                break;
-        }
-        return cursor;
-    }
-
-    Result<ConfigState> stateAt(Offset version) const
-    {
-        ConfigState found;
-        const auto tell = [](const HistoryItem &) {};
-        const auto enough = [&](const ReplayCursor &cursor) {
-            return cursor.state.version > version;
-        };
-        // Batches hold many versions, so each state is looked at record by record.
-        const auto log = makeLog_();
-        ReplayCursor cursor;
-        for (int i = 0; i < readsOfWholeLog && !enough(cursor); ++i) {
-            BOOST_OUTCOME_TRY(batch, log->read(configStream, nextOffset(cursor), milliseconds(0)));
-            LogBatch single{{}, batch.first, batch.end};
-            for (const LogRecord &record : batch.records) {
-                single.records = {record};
-                const bool wasSearching = cursor.searchFrom.has_value();
-                BOOST_OUTCOME_TRY(replayWithHistory(cursor, single, tell));
-                if (cursor.state.version == version)
-                    found = cursor.state;
-                if (enough(cursor) || wasSearching != cursor.searchFrom.has_value())
-                    break;
-            }
-            if (nextOffset(cursor) >= batch.end || !cursor.blocked.empty())
-                break;
-        }
-        if (found.version == version && version != 0)
-            return found;
-        return failure(ErrorKind::NotFound,
-                       "version " + std::to_string(version)
-                           + " is not among the changes that the log still holds; "
-                             "'wisteriactl history' lists them");
-    }
-
     std::vector<std::string> fleetAddresses() const
     {
         std::vector<std::string> addresses = settings_.peers;
@@ -327,7 +275,8 @@
         return begun;
     auto state = d_->follower_.state();
     if (request->at_version() != 0) {
-        auto former = d_->stateAt(request->at_version());
+        const auto log = d_->makeLog_();
+        auto former = readStateAt(*log, request->at_version());
         if (!former)
             return statusOf(former.error());
         state = std::make_shared<const ConfigState>(std::move(former).value());
@@ -418,13 +367,13 @@
         if (newest.size() > limit)
             newest.pop_front();
     };
-    Offset oldest = 0;
-    const auto never = [](const ReplayCursor &) { return false; };
-    if (const auto replayed = d_->replayWhole(tell, never, &oldest); !replayed)
-        return statusOf(replayed.error());
+    const auto log = d_->makeLog_();
+    const auto oldest = readHistory(*log, tell);
+    if (!oldest)
+        return statusOf(oldest.error());
     for (v1::HistoryEntry &entry : newest)
         *reply->add_entries() = std::move(entry);
-    reply->set_oldest_offset(oldest);
+    reply->set_oldest_offset(oldest.value());
     return grpc::Status::OK;
 }
 
