--- a/Tests/Sessions/CallerGoldenTest.cpp
+++ b/Tests/Sessions/CallerGoldenTest.cpp
@@ -49,6 +49,18 @@
     std::ostringstream text_;
 };
 
+/// Asks as callers are told to: again when the request was not run for want of a backend server,
+/// which on a busy machine a late heartbeat is enough for.
+HttpAnswer askAsTold(const TestSystem &system, std::size_t entry, const CallerAsk &ask)
+{
+    HttpAnswer answer;
+    eventually([&] {
+        answer = system.ask(entry, ask);
+        return answer.json().value("reason", "") != "no_backend_server";
+    });
+    return answer;
+}
+
 std::string readGolden(const std::string &path)
 {
     std::ostringstream text;
@@ -72,19 +84,22 @@
     system.waitForKeys();
 
     Transcript session;
-    session.note("A quotation", system.ask(0, {.body = "400 bolts M8"}));
-    session.note("A streamed notice", system.ask(1, {.body = R"({"stream":2,"tag":"notice"})"}));
+    session.note("A quotation", askAsTold(system, 0, {.body = "400 bolts M8"}));
+    session.note("A streamed notice",
+                 askAsTold(system, 1, {.body = R"({"stream":2,"tag":"notice"})"}));
     const CallerAsk door{.body = "open door 7", .key = freshKey()};
-    session.note("A door release, not idempotent", system.ask(0, door));
+    session.note("A door release, not idempotent", askAsTold(system, 0, door));
     CallerAsk repeat = door;
     repeat.attempt = 2;
-    session.note("Its repeat through the other entry", system.ask(1, repeat));
+    session.note("Its repeat through the other entry", askAsTold(system, 1, repeat));
     repeat.body = "open door 8";
-    session.note("Another request under the same key", system.ask(1, repeat));
-    session.note("A key that is no UUID of version 7", system.ask(0, {.key = "door-7"}));
-    session.note("A service that nobody declared", system.ask(0, {.service = "haircuts"}));
-    session.note("An organisation that nobody declared", system.ask(0, {.organisation = "x"}));
-    session.note("A number that is none", system.ask(0, {.headers = {"Wisteria-Priority: high"}}));
+    session.note("Another request under the same key", askAsTold(system, 1, repeat));
+    session.note("A key that is no UUID of version 7", askAsTold(system, 0, {.key = "door-7"}));
+    session.note("A service that nobody declared", askAsTold(system, 0, {.service = "haircuts"}));
+    session.note("An organisation that nobody declared",
+                 askAsTold(system, 0, {.organisation = "x"}));
+    session.note("A number that is none",
+                 askAsTold(system, 0, {.headers = {"Wisteria-Priority: high"}}));
     system.ask(0, {.organisation = "corner-shop"});
     session.note("An organisation above its rate", system.ask(0, {.organisation = "corner-shop"}));
     v1::Object drained;
