Bound the work of a placement decision

Cause: one decision for 64 ranks x 60 layers took up to 364 ms with 64 experts a layer and 2881 ms with 256 (median 72 ms and 395 ms), the goal is 50 ms. Every layer was searched at every report, mostly to find that it should stay; and the first decision walked hundreds of steps from a map far off.

--- a/Source/Programs/Bench/PlacementReplay.cpp
+++ b/Source/Programs/Bench/PlacementReplay.cpp
@@ -37,11 +37,12 @@
         SearchLimits limits;
         limits.maxMoves = static_cast<std::uint32_t>(group.ranks.size()) * group.experts;
         limits.minGainPerMove = 1e-6;
+        SearchBudget budget;
         const LayerMap fresh = greedyLayerMap(group, loads);
-        LayerMap best = improveLayerMap(group, fresh, fresh, problem, limits).map;
+        LayerMap best = improveLayerMap(group, fresh, fresh, problem, limits, budget).map;
         if (!maps_[layer].ranks.empty()) {
             const LayerMap &last = maps_[layer];
-            LayerMap kept = improveLayerMap(group, last, last, problem, limits).map;
+            LayerMap kept = improveLayerMap(group, last, last, problem, limits, budget).map;
             if (layerSkew(group, kept, loads) < layerSkew(group, best, loads))
                 best = std::move(kept);
         }
--- a/Source/Version/ExpertMap.cpp
+++ b/Source/Version/ExpertMap.cpp
@@ -172,4 +172,18 @@
     return moves;
 }
 
+bool reserveStagingRoom(std::vector<std::uint32_t> &room, const LayerMap &present,
+                        const LayerMap &next)
+{
+    std::vector<std::uint32_t> left = room;
+    for (std::size_t rank = 0; rank < left.size(); ++rank) {
+        const std::size_t needed = missingExperts(present.ranks[rank], next.ranks[rank]).size();
+        if (needed > left[rank])
+            return false;
+        left[rank] -= static_cast<std::uint32_t>(needed);
+    }
+    room = std::move(left);
+    return true;
+}
+
 } // namespace wisteria
--- a/Source/Version/ExpertMap.h
+++ b/Source/Version/ExpertMap.h
@@ -90,4 +90,11 @@
 /// Replicas that have to be loaded from the weight store to get from one map to another.
 std::uint32_t countMoves(const LayerMap &from, const LayerMap &to);
 
+/// Takes the room that a layer's new replicas need from the replicas that each rank can still
+/// stage. Empty room is unbounded. While new replicas are staged, the old ones are still in use:
+/// without the room, the rank would run out of memory in the middle of a step.
+/// @return Whether there was room; otherwise nothing is taken.
+bool reserveStagingRoom(std::vector<std::uint32_t> &room, const LayerMap &present,
+                        const LayerMap &next);
+
 } // namespace wisteria
--- a/Source/Version/LayerSearch.cpp
+++ b/Source/Version/LayerSearch.cpp
@@ -30,8 +30,9 @@
 } // namespace
 
 LayerSearch::LayerSearch(const RankGroup &group, const LayerMap &present, const LayerMap &start,
-                         const SearchProblem &problem, const SearchLimits &limits)
-    : group_(group), present_(present), limits_(limits), map_(start),
+                         const SearchProblem &problem, const SearchLimits &limits,
+                         SearchBudget &budget)
+    : group_(group), present_(present), limits_(limits), budget_(budget), map_(start),
       loads_(scaledLoads(group, problem.loads)), relativeVariance_(problem.noise * problem.noise),
       held_(group.ranks.size() * loads_.size(), 0), holders_(loads_.size()),
       loadChange_(group.ranks.size(), 0.0), squareChange_(group.ranks.size(), 0.0)
@@ -133,6 +134,7 @@
 double LayerSearch::touchedChange()
 {
     double change = 0;
+    budget_.terms -= std::min<std::uint64_t>(budget_.terms, touched_.size());
     for (const std::size_t rank : touched_) {
         const double speed = group_.ranks[rank].speed;
         const double mean = mean_[rank] + loadChange_[rank] / speed;
--- a/Source/Version/LayerSearch.h
+++ b/Source/Version/LayerSearch.h
@@ -36,7 +36,7 @@
 public:
     /// @param present The map in force, which the moves are counted from.
     LayerSearch(const RankGroup &group, const LayerMap &present, const LayerMap &start,
-                const SearchProblem &problem, const SearchLimits &limits);
+                const SearchProblem &problem, const SearchLimits &limits, SearchBudget &budget);
 
     /// Expected skew of the map as it stands.
     double skew() const;
@@ -80,6 +80,7 @@
     const RankGroup &group_;
     const LayerMap &present_;
     const SearchLimits &limits_;
+    SearchBudget &budget_;
     LayerMap map_;
     std::vector<double> loads_;
     double relativeVariance_;
--- a/Source/Version/PlacementGreedy.cpp
+++ b/Source/Version/PlacementGreedy.cpp
@@ -16,17 +16,24 @@
         spare += rank.slots;
     spare -= group.experts;
     std::vector<std::uint32_t> counts(group.experts, 1);
-    for (; spare > 0; --spare) {
-        std::optional<ExpertId> hottest;
-        for (ExpertId expert = 0; expert < group.experts; ++expert) {
-            if (counts[expert] >= group.ranks.size())
-                continue;
-            if (!hottest || loads[expert] / counts[expert] > loads[*hottest] / counts[*hottest])
-                hottest = expert;
+    const auto isCooler = [&](ExpertId a, ExpertId b) {
+        const double loadA = loads[a] / counts[a];
+        const double loadB = loads[b] / counts[b];
+        return loadA < loadB || (loadA == loadB && a > b);
+    };
+    std::vector<ExpertId> heap(group.experts);
+    std::iota(heap.begin(), heap.end(), 0);
+    std::make_heap(heap.begin(), heap.end(), isCooler);
+    while (spare > 0 && !heap.empty()) {
+        std::pop_heap(heap.begin(), heap.end(), isCooler);
+        const ExpertId hottest = heap.back();
+        if (counts[hottest] >= group.ranks.size()) {
+            heap.pop_back();
+            continue;
         }
-        if (!hottest)
-            break;
-        ++counts[*hottest];
+        ++counts[hottest];
+        --spare;
+        std::push_heap(heap.begin(), heap.end(), isCooler);
     }
     return counts;
 }
--- a/Source/Version/PlacementSearch.cpp
+++ b/Source/Version/PlacementSearch.cpp
@@ -71,19 +71,23 @@
 
 double expectedSkew(const RankGroup &group, const LayerMap &map, const SearchProblem &problem)
 {
-    return LayerSearch(group, map, map, problem, {}).skew();
+    const SearchLimits limits;
+    SearchBudget budget;
+    return LayerSearch(group, map, map, problem, limits, budget).skew();
 }
 
 SearchResult improveLayerMap(const RankGroup &group, const LayerMap &present, const LayerMap &start,
-                             const SearchProblem &problem, const SearchLimits &limits)
+                             const SearchProblem &problem, const SearchLimits &limits,
+                             SearchBudget &budget)
 {
-    LayerSearch search(group, present, start, problem, limits);
+    LayerSearch search(group, present, start, problem, limits, budget);
     SearchResult result;
     result.map = start;
-    result.presentSkew = expectedSkew(group, present, problem);
     result.foundSkew = search.skew();
+    result.presentSkew =
+        start == present ? result.foundSkew : expectedSkew(group, present, problem);
     // Every plan lowers the skew, so the search ends; the bound keeps its time in hand as well.
-    for (std::uint32_t round = 0; round < limits.maxMoves; ++round) {
+    for (std::uint32_t round = 0; round < limits.maxMoves && budget.terms > 0; ++round) {
         const StepPlan plan = nextSteps(search, limits);
         if (!pays(plan, limits))
             break;
--- a/Source/Version/PlacementSearch.h
+++ b/Source/Version/PlacementSearch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <vector>
 
 #include "Version/ExpertMap.h"
@@ -27,6 +28,14 @@
     std::vector<std::uint32_t> stagingRoom;
 };
 
+/// Work that a decision may still spend. Counted and not timed, so that the same input gives the
+/// same decision on every machine.
+struct SearchBudget
+{
+    /// Terms of ranks' times that may still be evaluated; the search ends soon after it is 0.
+    std::uint64_t terms = std::numeric_limits<std::uint64_t>::max();
+};
+
 /// A map found by the search.
 struct SearchResult
 {
@@ -47,8 +56,10 @@
 /// Improves a map by steepest descent: as long as it pays, the step with the most gain a loaded
 /// replica is taken. A step relieves the busiest rank by a further replica elsewhere, by dropping a
 /// replica, or by exchanging two experts. Deterministic: ties go to the first found.
+/// Any map on the way is a valid one, so the search may end early for want of budget.
 /// @param start The map to improve: the present one, or another for the same group.
 SearchResult improveLayerMap(const RankGroup &group, const LayerMap &present, const LayerMap &start,
-                             const SearchProblem &problem, const SearchLimits &limits);
+                             const SearchProblem &problem, const SearchLimits &limits,
+                             SearchBudget &budget);
 
 } // namespace wisteria
--- a/Tests/Version/PlacementTest.cpp
+++ b/Tests/Version/PlacementTest.cpp
@@ -281,8 +281,10 @@
         problem.loads = drawLoads(group.experts, engine);
         SearchLimits limits;
         limits.maxMoves = 64;
+        SearchBudget budget;
         const LayerMap present = initialLayerMap(group);
-        const SearchResult found = improveLayerMap(group, present, present, problem, limits);
+        const SearchResult found =
+            improveLayerMap(group, present, present, problem, limits, budget);
         REQUIRE(checkLayerMap(group, found.map));
         CHECK(found.foundSkew <= found.presentSkew);
         const double bound = lowerBoundSkew(group, problem.loads);
