Plan the staged transfers from one map to another

Cause: an accepted map says where experts shall be, but not which weights to load on which rank, in which order and at what rate. Ruled out: transfers side by side at shares of the rate; the last one ends no earlier, and a slow rank would hold all of them. Change: planStaging() gives the transfers one after another at the store's rate, ranks in turn, as spans of time; it refuses maps that don't fit and ranks without the memory to stage. The replay stages by the same plan.

--- a/Source/Programs/Bench/PlacementReplay.cpp
+++ b/Source/Programs/Bench/PlacementReplay.cpp
@@ -8,6 +8,7 @@
 #include "Version/PlacementBound.h"
 #include "Version/PlacementGreedy.h"
 #include "Version/PlacementSearch.h"
+#include "Version/PlacementStaging.h"
 
 namespace wisteria {
 
@@ -70,8 +71,8 @@
     void carry(const TraceLine &line);
     void measureFloors(const TraceLine &line);
     Result<void> takeReports(milliseconds now);
-    void decide(milliseconds now);
-    void stage(milliseconds now, PlacementDecision decision);
+    Result<void> decide(milliseconds now);
+    Result<void> stage(milliseconds now, PlacementDecision decision);
     void remeasure(std::uint32_t layer, milliseconds now);
     void publish(milliseconds now, std::uint32_t layer);
     ReplayResult result();
@@ -204,7 +205,7 @@
     return boost::outcome_v2::success();
 }
 
-void Replay::decide(milliseconds now)
+Result<void> Replay::decide(milliseconds now)
 {
     const TimePoint before = options_.clock ? options_.clock() : TimePoint();
     PlacementDecision decision =
@@ -212,20 +213,25 @@
     const TimePoint after = options_.clock ? options_.clock() : TimePoint();
     decideTimes_.push_back(std::chrono::duration_cast<microseconds>(after - before));
     if (decision.moves())
-        stage(now, std::move(decision));
+        return stage(now, std::move(decision));
+    return boost::outcome_v2::success();
 }
 
-void Replay::stage(milliseconds now, PlacementDecision decision)
+Result<void> Replay::stage(milliseconds now, PlacementDecision decision)
 {
-    std::uint64_t moves = 0;
-    for (const LayerDecision &layer : decision.layers)
-        moves += layer.moves;
-    const std::uint64_t bytes = moves * group_.expertBytes;
-    result_.moves += moves;
-    result_.movedBytes += bytes;
-    const double loading = static_cast<double>(bytes) / group_.storeBytesPerSecond;
-    const auto needed = std::chrono::ceil<milliseconds>(std::chrono::duration<double>(loading));
-    pending_ = PendingSwitch{now + needed, std::move(decision)};
+    ExpertMap present;
+    for (const LayerPlacement &layer : state_.layers)
+        present.layers.push_back(layer.map);
+    ExpertMap next = present;
+    for (const LayerDecision &layer : decision.layers) {
+        if (layer.next)
+            next.layers[layer.layer] = *layer.next;
+    }
+    BOOST_OUTCOME_TRY(plan, planStaging(knownGroup_, present, next));
+    result_.moves += plan.transfers.size();
+    result_.movedBytes += plan.transfers.size() * group_.expertBytes;
+    pending_ = PendingSwitch{now + plan.duration, std::move(decision)};
+    return boost::outcome_v2::success();
 }
 
 Result<ReplayResult> Replay::run()
@@ -248,8 +254,9 @@
             carry(trace_.lines[nextLine_]);
         const bool reported = !reports_.empty() && reports_.begin()->first == *now;
         BOOST_OUTCOME_TRYV(takeReports(*now));
-        if (reported)
-            decide(*now);
+        if (reported) {
+            BOOST_OUTCOME_TRYV(decide(*now));
+        }
     }
     return result();
 }
