--- a/Source/Request/GateAdmission.cpp
+++ b/Source/Request/GateAdmission.cpp
@@ -23,6 +23,10 @@
         return refuseNotRun(state, run, v1::REASON_STALE_CONFIG, shortGateRetry);
     if (!state.backendUp)
         return refuseNotRun(state, run, v1::REASON_BACKEND_DOWN, longGateRetry);
+    // Failure: a rank that holds for a map switch takes work that can't begin, and callers wait
+    // with no word. Refused at once, they may go to another group.
+    if (state.mapStalled)
+        return refuseNotRun(state, run, v1::REASON_MAP_SWITCH, shortGateRetry);
     return std::nullopt;
 }
 
@@ -91,7 +95,10 @@
         return false;
     // Nothing is known of the key here, so only the caller's word that this is its first try makes
     // "not run" true; and this try is refused for good, so that it stays true.
-    const bool firstTry = run.head.caller_attempt() == 1 || !state.guards.repeatsNeedProof;
+    // Keys far ahead are not remembered, or a few of them would push all others out of the memory.
+    const bool farAhead = run.key->first > wall + rememberAhead;
+    const bool firstTry =
+        (run.head.caller_attempt() == 1 && !farAhead) || !state.guards.repeatsNeedProof;
     if (firstTry)
         refuseTry(state.keys, *run.key, run.head, state.guards);
     const auto kind = firstTry ? v1::VERDICT_KIND_NOT_RUN : v1::VERDICT_KIND_OUTCOME_UNKNOWN;
