Ask for budget grants when hungry, and name the remedy of refused keys

Change: BudgetExchange runs every hungryInterval and keeps its owner's state over changes of address; the messages name a new key. Tried and reverted: telling agents a deadline 30 ms shorter, so that what only waited in a queue is told as not run instead of unknown. The fault matrix turned red: idempotent, 'duplicated at entry to agent' + 'lost at backend to agent', told 'not run' of what ran (the copy waits, is refused and its word comes in time). After: 169 of 169 tests pass.

--- a/Source/Connection/CallerProtocol.cpp
+++ b/Source/Connection/CallerProtocol.cpp
@@ -140,8 +140,19 @@
     }
 }
 
+/// Whether the key itself is in the way, so that only a new one helps.
+bool needsNewKey(v1::Reason reason)
+{
+    return reason == v1::REASON_KEY_TOO_OLD || reason == v1::REASON_KEY_UNPROVEN;
+}
+
 std::string messageOf(const Refusal &refusal)
 {
+    if (refusal.end == EndKind::NotRun && needsNewKey(refusal.reason))
+        return "The request was not run; send it again with a new key after retry_after_ms.";
+    if (refusal.end == EndKind::OutcomeUnknown && refusal.reason == v1::REASON_BAD_REQUEST)
+        return "Another request came under this key before, and it may have run; send this one "
+               "with a key of its own.";
     switch (refusal.end) {
     case EndKind::NotRun:
         return refusal.retryAfter.count() > 0
--- a/Source/Process/BudgetExchange.cpp
+++ b/Source/Process/BudgetExchange.cpp
@@ -16,18 +16,13 @@
 void BudgetExchange::start()
 {
     askAll();
-    loop_.runAfter(grantInterval, [this] { start(); });
+    loop_.runAfter(hungryInterval, [this] { start(); });
 }
 
 void BudgetExchange::setMembers(const EntryMembers &members, TimePoint now)
 {
-    const bool sameNames = memberNames(members) == memberNames(members_);
     members_ = members;
-    if (sameNames)
-        return;
-    const std::map<std::string, v1::Organisation> declared = std::move(owner_.declared);
-    owner_ = startBudgetOwner(memberNames(members), now);
-    setBudgets(owner_, declared);
+    setBudgetEntries(owner_, memberNames(members), now);
 }
 
 void BudgetExchange::setOrganisations(const std::map<std::string, v1::Organisation> &organisations)
