--- a/Source/Process/EntryProcess.cpp
+++ b/Source/Process/EntryProcess.cpp
@@ -154,6 +154,8 @@
     void entriesChanged(const EntryMembers &members)
     {
         budgets_.setMembers(members, monotonicNow());
+        metrics_.set("wisteria_entries", "Entries that share the callers' work.",
+                     static_cast<double>(members.members.size()));
         std::vector<std::string> names = memberNames(members);
         if (std::find(names.begin(), names.end(), settings_.name) == names.end())
             names.push_back(settings_.name);
@@ -197,8 +199,13 @@
         heartbeat.set_config_version(state_.configVersion);
         heartbeat.set_address(peerAddress_);
         heartbeat.set_state(leaving_ ? "leaving" : workers_.empty() ? "starting" : "serving");
-        for (const v1::SuspectReport &report : suspectsToReport(shared_, monotonicNow()))
+        int suspects = 0;
+        for (const v1::SuspectReport &report : suspectsToReport(shared_, monotonicNow())) {
             *heartbeat.add_suspects() = report;
+            suspects += report.deaths() > 0 ? 1 : 0;
+        }
+        metrics_.set("wisteria_suspects", "Requests held against deaths of backend servers.",
+                     suspects);
         return heartbeat;
     }
 
