Share what is declared between an entry's traffic threads

Cause: docs/CAPACITY.md names an entry's memory as what breaks first, 61 of 64 MB at the full size: each of four traffic threads and the control loop held its own copy of organisations and backend servers. Change: DeclaredRouting, built once a version without the lock and shared; threads keep only their beliefs. Ruled out: one routing state under a lock for all threads, which every request would wait for.

--- a/Source/Process/EntryProcess.cpp
+++ b/Source/Process/EntryProcess.cpp
@@ -97,7 +97,7 @@
     {
         const TimePoint now = monotonicNow();
         setConfiguration(state_, shared_, *config, now);
-        budgets_.setOrganisations(state_.organisations);
+        budgets_.setOrganisations(state_.declared->organisations);
         for (const auto &worker : workers_) {
             worker->update([config](EntryState &state, EntryShared &shared, TimePoint at) {
                 setConfiguration(state, shared, *config, at);
--- a/Source/Process/EntryWorker.cpp
+++ b/Source/Process/EntryWorker.cpp
@@ -51,7 +51,7 @@
 std::set<std::string> addressesOf(const EntryState &state)
 {
     std::set<std::string> addresses;
-    for (const auto &[name, service] : state.services) {
+    for (const auto &[name, service] : state.declared->services) {
         for (const auto &[home, address] : service.homes)
             addresses.insert(address);
     }
--- a/Source/Request/EntryRequest.cpp
+++ b/Source/Request/EntryRequest.cpp
@@ -128,7 +128,8 @@
 EntryAction sendToHome(EntryState &state, EntryShared &shared, RequestState &request,
                        const ServiceView &service, TimePoint now)
 {
-    const auto home = rendezvousChoice(canonicalKey(request.request.key), service.homeNames);
+    const auto home =
+        rendezvousChoice(canonicalKey(request.request.key), service.declared->homeNames);
     if (!home)
         return refuseNotRun(state, shared, request, v1::REASON_NO_BACKEND_SERVER, longRetry);
     const Candidate *candidate = candidateNamed(service, *home);
@@ -139,7 +140,7 @@
     }
     if (request.runAlone && !maySendSuspectHome(state, shared, request))
         return refuseNotRun(state, shared, request, v1::REASON_SUSPECT, longRetry);
-    return sendTo(state, request, *home, service.homes.at(*home), now);
+    return sendTo(state, request, *home, service.declared->homes.at(*home), now);
 }
 
 /// The backend server on which a suspect runs alone. All entries choose the same one, also while
@@ -149,7 +150,7 @@
                                          TimePoint now)
 {
     std::vector<std::string> names;
-    for (const std::string &name : service.homeNames) {
+    for (const std::string &name : service.declared->homeNames) {
         const Candidate *candidate = candidateNamed(service, name);
         const bool longDown =
             candidate && candidate->down && now - candidate->downSince > suspectSettleTime;
@@ -168,7 +169,7 @@
     const Candidate *candidate = candidateNamed(service, *chosen);
     if (candidate && !isAvailable(*candidate))
         return refuseNotRun(state, shared, request, v1::REASON_SUSPECT, longRetry);
-    return sendTo(state, request, *chosen, service.homes.at(*chosen), now);
+    return sendTo(state, request, *chosen, service.declared->homes.at(*chosen), now);
 }
 
 EntryAction sendByScore(EntryState &state, EntryShared &shared, RequestState &request,
@@ -176,7 +177,8 @@
 {
     const RouteQuery query{request.request.id, request.priority, request.request.prefix,
                            state.failureDomain, request.tried};
-    const auto chosen = chooseBackendServer(service.candidates, service.policy, query, now);
+    const auto chosen =
+        chooseBackendServer(service.candidates, service.declared->policy, query, now);
     if (!chosen)
         return refuseNotRun(state, shared, request, v1::REASON_NO_BACKEND_SERVER, longRetry);
     const Candidate &candidate = service.candidates[*chosen];
@@ -211,7 +213,8 @@
     const auto service = state.services.find(request.request.service);
     if (service == state.services.end())
         return false;
-    const std::uint32_t most = std::max<std::uint32_t>(service->second.policy.max_attempts(), 1);
+    const std::uint32_t most =
+        std::max<std::uint32_t>(service->second.declared->policy.max_attempts(), 1);
     if (request.attempt >= most)
         return false;
     const Lock lock(shared.mutex);
@@ -324,8 +327,8 @@
 std::optional<Refusal> refusedByOrganisation(EntryState &state, EntryShared &shared,
                                              RequestState &request, TimePoint now)
 {
-    const auto found = state.organisations.find(request.request.organisation);
-    if (found == state.organisations.end())
+    const auto found = state.declared->organisations.find(request.request.organisation);
+    if (found == state.declared->organisations.end())
         return refuseNotRun(state, shared, request, v1::REASON_BAD_REQUEST, milliseconds(0));
     const v1::Organisation &organisation = found->second;
     const auto &allowed = organisation.services();
@@ -358,7 +361,7 @@
         const auto retry = starting ? longRetry : milliseconds(0);
         return refuseNotRun(state, shared, request, reason, retry);
     }
-    const v1::Service &declared = service->second.declared;
+    const v1::Service &declared = service->second.declared->service;
     const bool stated = caller.deadline.count() > 0;
     request.deadline =
         now + (stated ? caller.deadline : milliseconds(declared.default_deadline_ms()));
@@ -443,7 +446,7 @@
         return;
     const auto service = state.services.find(request.request.service);
     const double ratio =
-        service == state.services.end() ? 0.0 : service->second.policy.retry_ratio();
+        service == state.services.end() ? 0.0 : service->second.declared->policy.retry_ratio();
     const Lock lock(shared.mutex);
     earnRetry(shared.retryBudgets[request.request.service], ratio);
     if (request.runAlone)
--- a/Source/Request/EntryState.h
+++ b/Source/Request/EntryState.h
@@ -43,21 +43,37 @@
     std::uint64_t bodyBytes = 0;
 };
 
-/// One service as an entry routes to it.
-struct ServiceView
+/// One service as operators declared it.
+struct DeclaredService
 {
-    v1::Service declared;
+    v1::Service service;
     v1::RoutingPolicy policy;
     /// Declared backend servers that are not draining.
     std::vector<v1::BackendServer> servers;
-    /// Beliefs about those of this entry's subset.
-    std::vector<Candidate> candidates;
     /// The agents' addresses of `servers`, each of which may be home of a key.
     std::map<std::string, std::string> homes;
     /// The names of `homes`, for rendezvous hashing.
     std::vector<std::string> homeNames;
 };
 
+/// What routing needs of one version of the configuration. Built once and never changed, so that
+/// all threads of an entry share it: a copy for each would not fit into an entry's memory.
+struct DeclaredRouting
+{
+    std::uint64_t version = 0;
+    std::map<std::string, DeclaredService> services;
+    std::map<std::string, v1::Organisation> organisations;
+};
+
+/// One service as a traffic thread routes to it.
+struct ServiceView
+{
+    /// Owned by EntryState::declared.
+    const DeclaredService *declared = nullptr;
+    /// Beliefs about the backend servers of this entry's subset.
+    std::vector<Candidate> candidates;
+};
+
 /// Routing state of one traffic thread.
 struct EntryState
 {
@@ -69,8 +85,8 @@
     RequestGuards guards;
 
     std::uint64_t configVersion = 0;
+    std::shared_ptr<const DeclaredRouting> declared = std::make_shared<DeclaredRouting>();
     std::map<std::string, ServiceView> services;
-    std::map<std::string, v1::Organisation> organisations;
 };
 
 /// What the traffic threads of an entry share. The functions of EntryRequest.h lock `mutex`
@@ -78,6 +94,8 @@
 struct EntryShared
 {
     std::mutex mutex;
+    /// The newest version that any thread has built.
+    std::shared_ptr<const DeclaredRouting> declared = std::make_shared<DeclaredRouting>();
     OrganisationLimits limits;
     SuspectBook suspects;
     /// Suspected fingerprints of non-idempotent requests that are in flight.
--- a/Source/Request/RoutingView.cpp
+++ b/Source/Request/RoutingView.cpp
@@ -55,33 +55,17 @@
 }
 
 /// The backend servers of this entry's subset, with what is believed of them already.
-std::vector<Candidate> candidatesOf(const EntryState &state, const ServiceView &view,
+std::vector<Candidate> candidatesOf(const EntryState &state, const DeclaredService &declared,
                                     const ServiceView *before)
 {
     std::vector<Candidate> candidates;
-    const auto subset = subsetOf(view.servers, entryIndex(state), state.entryNames.size(),
-                                 view.policy.subset_size());
+    const auto subset = subsetOf(declared.servers, entryIndex(state), state.entryNames.size(),
+                                 declared.policy.subset_size());
     for (const v1::BackendServer &server : subset)
         candidates.push_back(candidateFor(server, before));
     return candidates;
 }
 
-ServiceView viewOf(const EntryState &state, const v1::Service &service,
-                   const v1::RoutingPolicy &policy, const std::vector<v1::BackendServer> &servers,
-                   const ServiceView *before)
-{
-    ServiceView view;
-    view.declared = service;
-    view.policy = policy;
-    view.servers = servers;
-    for (const v1::BackendServer &server : servers) {
-        view.homes[server.name()] = server.agent_address();
-        view.homeNames.push_back(server.name());
-    }
-    view.candidates = candidatesOf(state, view, before);
-    return view;
-}
-
 /// Declared backend servers of a service that are not draining.
 std::vector<v1::BackendServer> serversOf(const ConfigState &config, const std::string &service)
 {
@@ -96,17 +80,55 @@
     return servers;
 }
 
-std::map<std::string, ServiceView> viewsOf(const EntryState &state, const ConfigState &config)
+DeclaredService declaredService(const ConfigState &config, const v1::Service &service)
 {
-    std::map<std::string, ServiceView> views;
+    DeclaredService declared;
+    declared.service = service;
+    declared.policy = policyOf(config, service);
+    declared.servers = serversOf(config, service.name());
+    for (const v1::BackendServer &server : declared.servers) {
+        declared.homes[server.name()] = server.agent_address();
+        declared.homeNames.push_back(server.name());
+    }
+    return declared;
+}
+
+std::shared_ptr<const DeclaredRouting> declaredRouting(const ConfigState &config)
+{
+    auto declared = std::make_shared<DeclaredRouting>();
+    declared->version = config.version;
     for (const auto &[key, object] : config.objects) {
-        if (key.kind != v1::OBJECT_KIND_SERVICE)
-            continue;
-        const v1::Service &service = object.object().service();
-        const auto before = state.services.find(service.name());
+        if (key.kind == v1::OBJECT_KIND_SERVICE)
+            declared->services[key.name] = declaredService(config, object.object().service());
+        if (key.kind == v1::OBJECT_KIND_ORGANISATION)
+            declared->organisations[key.name] = object.object().organisation();
+    }
+    return declared;
+}
+
+/// The declared state of the version, or of a newer one that another thread has built already.
+std::shared_ptr<const DeclaredRouting> sharedRouting(EntryShared &shared, const ConfigState &config)
+{
+    {
+        const std::lock_guard<std::mutex> lock(shared.mutex);
+        if (shared.declared->version >= config.version)
+            return shared.declared;
+    }
+    // Built without the lock, which every request takes.
+    auto built = declaredRouting(config);
+    const std::lock_guard<std::mutex> lock(shared.mutex);
+    if (shared.declared->version < built->version)
+        shared.declared = std::move(built);
+    return shared.declared;
+}
+
+std::map<std::string, ServiceView> viewsOf(const EntryState &state, const DeclaredRouting &declared)
+{
+    std::map<std::string, ServiceView> views;
+    for (const auto &[name, service] : declared.services) {
+        const auto before = state.services.find(name);
         const ServiceView *known = before == state.services.end() ? nullptr : &before->second;
-        views[service.name()] = viewOf(state, service, policyOf(config, service),
-                                       serversOf(config, service.name()), known);
+        views[name] = {&service, candidatesOf(state, service, known)};
     }
     return views;
 }
@@ -167,19 +189,17 @@
 {
     if (config.version <= state.configVersion)
         return;
-    state.configVersion = config.version;
-    state.services = viewsOf(state, config);
-    state.organisations.clear();
-    for (const auto &[key, object] : config.objects) {
-        if (key.kind == v1::OBJECT_KIND_ORGANISATION)
-            state.organisations[key.name] = object.object().organisation();
-    }
+    const auto declared = sharedRouting(shared, config);
+    state.services = viewsOf(state, *declared);
+    // Only now, since the views before point into it.
+    state.declared = declared;
+    state.configVersion = declared->version;
     const std::lock_guard<std::mutex> lock(shared.mutex);
-    if (shared.limits.configVersion >= config.version)
+    if (shared.limits.configVersion >= declared->version)
         return;
     shared.limits.ownName = state.ownName;
     shared.limits.entryNames = state.entryNames;
-    setLimits(shared.limits, state.organisations, config.version, now);
+    setLimits(shared.limits, declared->organisations, declared->version, now);
 }
 
 void setEntries(EntryState &state, EntryShared &shared, const std::vector<std::string> &names,
@@ -187,11 +207,11 @@
 {
     state.entryNames = names;
     for (auto &[name, view] : state.services)
-        view.candidates = candidatesOf(state, view, &view);
+        view.candidates = candidatesOf(state, *view.declared, &view);
     const std::lock_guard<std::mutex> lock(shared.mutex);
     shared.limits.ownName = state.ownName;
     shared.limits.entryNames = names;
-    setLimits(shared.limits, state.organisations, shared.limits.configVersion, now);
+    setLimits(shared.limits, state.declared->organisations, shared.limits.configVersion, now);
 }
 
 void observeLoad(EntryState &state, const std::string &backendServer, const v1::LoadReport &load,
@@ -237,7 +257,7 @@
 
 std::string agentAddress(const EntryState &state, const std::string &backendServer)
 {
-    for (const auto &[name, service] : state.services) {
+    for (const auto &[name, service] : state.declared->services) {
         const auto home = service.homes.find(backendServer);
         if (home != service.homes.end())
             return home->second;
