Do not believe a health check that is older than a broken connection

Cause: while a check was under way a run's connection could break; the check, answered before the death, then cleared the backend server and the killer request was no suspect. Found by reading. Conclusion: one more way is closed by which a killer reached a next server.

--- /dev/null
+++ b/Source/Process/AgentPeerCalls.cpp
@@ -0,0 +1,140 @@
+#include "Process/AgentPeerCalls.h"
+
+#include <utility>
+
+#include "Connection/FrameCodec.h"
+#include "Connection/PeerCall.h"
+#include "Connection/PeerGroupLink.h"
+#include "Version/Snapshot.h"
+
+namespace wisteria {
+
+namespace {
+
+constexpr milliseconds handoverInterval(200);
+
+} // namespace
+
+AgentPeerCalls::AgentPeerCalls(EventLoop &loop, PeerServer &server, GateState &gate,
+                               AgentIdentity identity, const AgentWorkerEvents &events)
+    : loop_(loop), server_(server), gate_(gate), identity_(std::move(identity)), events_(events),
+      peers_(loop, PeerTimeouts{})
+{ }
+
+void AgentPeerCalls::start()
+{
+    askHandovers();
+    loop_.runAfter(handoverInterval, [this] { start(); });
+}
+
+void AgentPeerCalls::received(PeerStreamId stream, const std::string &path,
+                              const std::string &content)
+{
+    if (path == "/v1/heartbeat")
+        return heartbeatReceived(stream, content);
+    if (path == "/v1/config")
+        return configAsked(stream, content);
+    if (path == "/v1/handover")
+        return handoverAsked(stream, content);
+    if (path == groupPath)
+        return groupMessageReceived(stream, content);
+    server_.abort(stream);
+}
+
+void AgentPeerCalls::setConfiguration(std::shared_ptr<const ConfigState> config)
+{
+    config_ = std::move(config);
+}
+
+void AgentPeerCalls::heartbeatReceived(PeerStreamId stream, const std::string &content)
+{
+    v1::Heartbeat heartbeat;
+    if (!heartbeat.ParseFromString(content))
+        return server_.abort(stream);
+    const TimePoint now = monotonicNow();
+    for (const v1::SuspectReport &report : heartbeat.suspects())
+        mergeSuspectReport(gate_.suspects, report, now);
+    if (heartbeat.config_version() > gate_.configVersion)
+        fetchConfig(heartbeat.address());
+    answer(stream, ownHeartbeat(now));
+}
+
+v1::Heartbeat AgentPeerCalls::ownHeartbeat(TimePoint now) const
+{
+    v1::Heartbeat heartbeat;
+    heartbeat.set_process(identity_.name);
+    heartbeat.set_role("agent");
+    heartbeat.set_incarnation(identity_.incarnation);
+    heartbeat.set_config_version(gate_.configVersion);
+    heartbeat.set_state(gate_.leaving ? "leaving" : "serving");
+    *heartbeat.mutable_load() = loadReport(gate_);
+    for (const v1::SuspectReport &report : suspectReports(gate_.suspects, now))
+        *heartbeat.add_suspects() = report;
+    return heartbeat;
+}
+
+void AgentPeerCalls::groupMessageReceived(PeerStreamId stream, const std::string &content)
+{
+    v1::GroupMessage message;
+    if (!events_.groupMessage || !message.ParseFromString(content))
+        return server_.abort(stream);
+    events_.groupMessage(std::move(message));
+    answer(stream, v1::GroupMessage());
+}
+
+void AgentPeerCalls::fetchConfig(const std::string &address)
+{
+    if (address.empty() || std::exchange(fetching_, true))
+        return;
+    v1::ConfigFetch fetch;
+    fetch.set_newer_than(gate_.configVersion);
+    callPeer<v1::ConfigFetchReply>(peers_.clientFor(address), "/v1/config", fetch,
+                                   [this](const std::optional<v1::ConfigFetchReply> &reply) {
+                                       fetching_ = false;
+                                       if (reply && reply->has_snapshot())
+                                           events_.snapshotOffered(reply->snapshot());
+                                   });
+}
+
+void AgentPeerCalls::configAsked(PeerStreamId stream, const std::string &content)
+{
+    v1::ConfigFetch fetch;
+    if (!fetch.ParseFromString(content))
+        return server_.abort(stream);
+    v1::ConfigFetchReply reply;
+    if (config_ && config_->version > fetch.newer_than())
+        *reply.mutable_snapshot() = snapshotOf(*config_);
+    answer(stream, reply);
+}
+
+void AgentPeerCalls::handoverAsked(PeerStreamId stream, const std::string &content)
+{
+    v1::KeyHandover question;
+    if (!question.ParseFromString(content))
+        return server_.abort(stream);
+    answer(stream, answerHandover(gate_, question));
+}
+
+void AgentPeerCalls::askHandovers()
+{
+    for (const HandoverWanted &wanted : handoversWanted(gate_)) {
+        if (!asked_.insert(wanted.formerHome).second)
+            continue;
+        callPeer<v1::KeyHandoverReply>(
+            peers_.clientFor(wanted.address), "/v1/handover", wanted.message,
+            [this, home = wanted.formerHome](const std::optional<v1::KeyHandoverReply> &reply) {
+                asked_.erase(home);
+                if (reply)
+                    handoverAnswered(gate_, home, *reply, monotonicNow(), wallNow());
+            });
+    }
+}
+
+void AgentPeerCalls::answer(PeerStreamId stream, const google::protobuf::MessageLite &message)
+{
+    std::string out;
+    appendFrame(out, message);
+    server_.reply(stream, out, true);
+}
+
+} // namespace wisteria
--- a/Source/Process/AgentWorker.cpp
+++ b/Source/Process/AgentWorker.cpp
@@ -2,30 +2,24 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <thread>
 #include <utility>
 #include <vector>
 
 #include "Connection/BackendClient.h"
 #include "Connection/FrameCodec.h"
-#include "Connection/PeerCall.h"
-#include "Connection/PeerGroupLink.h"
-#include "Connection/PeerPool.h"
 #include "Connection/PeerServer.h"
 #include "Peer.pb.h"
+#include "Process/AgentPeerCalls.h"
+#include "Process/BackendHealth.h"
 #include "Process/EventLoop.h"
 #include "Process/Logging.h"
-#include "Version/Snapshot.h"
 
 namespace wisteria {
 
 namespace {
 
 constexpr milliseconds tickInterval(20);
-constexpr milliseconds healthInterval(250);
-constexpr milliseconds healthTimeout(1000);
-constexpr milliseconds handoverInterval(200);
 constexpr milliseconds idleCheck(20);
 /// Bytes that may wait for a slow entry before the backend server is held back.
 constexpr std::size_t pauseAboveBytes = 256 * 1024;
@@ -67,11 +61,12 @@
             AgentWorkerEvents events)
         : name_(settings.name), metrics_(metrics), events_(std::move(events)),
           server_(loop_, *this), backend_(loop_, settings.backendUrl),
-          peers_(loop_, PeerTimeouts{}), logger_(loggerFor("agent"))
+          health_(loop_, backend_, [this](BackendCondition seen) { conditionSeen(seen); }),
+          calls_(loop_, server_, gate_, {settings.name, incarnation}, events_),
+          logger_(loggerFor("agent"))
     {
         gate_.ownName = settings.name;
         gate_.incarnation = incarnation;
-        incarnation_ = incarnation;
     }
 
     ~Private() override
@@ -84,8 +79,8 @@
     void start()
     {
         tickLater();
-        checkHealth();
-        askHandovers();
+        health_.start();
+        calls_.start();
         thread_ = std::thread([this] { loop_.run(); });
     }
 
@@ -96,15 +91,7 @@
             return runReceived(stream, frames);
         if (frames.size() != 1)
             return server_.abort(stream);
-        if (path == "/v1/heartbeat")
-            return heartbeatReceived(stream, frames.front());
-        if (path == "/v1/config")
-            return configAsked(stream, frames.front());
-        if (path == "/v1/handover")
-            return handoverAsked(stream, frames.front());
-        if (path == groupPath)
-            return groupMessageReceived(stream, frames.front());
-        server_.abort(stream);
+        calls_.received(stream, path, frames.front());
     }
 
     void streamCancelled(PeerStreamId stream) override
@@ -127,7 +114,7 @@
 
     void configure(const std::shared_ptr<const ConfigState> &config)
     {
-        config_ = config;
+        calls_.setConfiguration(config);
         perform(setGateConfiguration(gate_, *config, name_, monotonicNow(), wallNow()));
         metrics_.set("wisteria_config_version", "Configuration version in force.",
                      static_cast<double>(config->version));
@@ -308,7 +295,7 @@
             // A broken connection may be the death of the backend server: its health decides,
             // since only a death makes suspects of what ran.
             found->second.cut = true;
-            return checkHealthNow();
+            return health_.noteCut();
         }
         endRun(stream,
                end == BackendCallEnd::Complete           ? BackendEnd::Answered
@@ -378,86 +365,6 @@
         server_.reply(stream, out, last);
     }
 
-    void heartbeatReceived(PeerStreamId stream, const std::string &content)
-    {
-        v1::Heartbeat heartbeat;
-        if (!heartbeat.ParseFromString(content))
-            return server_.abort(stream);
-        const TimePoint now = monotonicNow();
-        for (const v1::SuspectReport &report : heartbeat.suspects())
-            mergeSuspectReport(gate_.suspects, report, now);
-        if (heartbeat.config_version() > gate_.configVersion)
-            fetchConfig(heartbeat.address());
-        v1::Heartbeat reply;
-        reply.set_process(name_);
-        reply.set_role("agent");
-        reply.set_incarnation(incarnation_);
-        reply.set_config_version(gate_.configVersion);
-        reply.set_state(gate_.leaving ? "leaving" : "serving");
-        *reply.mutable_load() = loadReport(gate_);
-        for (const v1::SuspectReport &report : suspectReports(gate_.suspects, now))
-            *reply.add_suspects() = report;
-        sendFrame(stream, reply, true);
-    }
-
-    void groupMessageReceived(PeerStreamId stream, const std::string &content)
-    {
-        v1::GroupMessage message;
-        if (!events_.groupMessage || !message.ParseFromString(content))
-            return server_.abort(stream);
-        events_.groupMessage(std::move(message));
-        sendFrame(stream, v1::GroupMessage(), true);
-    }
-
-    void fetchConfig(const std::string &address)
-    {
-        if (address.empty() || std::exchange(fetching_, true))
-            return;
-        v1::ConfigFetch fetch;
-        fetch.set_newer_than(gate_.configVersion);
-        callPeer<v1::ConfigFetchReply>(peers_.clientFor(address), "/v1/config", fetch,
-                                       [this](const std::optional<v1::ConfigFetchReply> &reply) {
-                                           fetching_ = false;
-                                           if (reply && reply->has_snapshot())
-                                               events_.snapshotOffered(reply->snapshot());
-                                       });
-    }
-
-    void configAsked(PeerStreamId stream, const std::string &content)
-    {
-        v1::ConfigFetch fetch;
-        if (!fetch.ParseFromString(content))
-            return server_.abort(stream);
-        v1::ConfigFetchReply reply;
-        if (config_ && config_->version > fetch.newer_than())
-            *reply.mutable_snapshot() = snapshotOf(*config_);
-        sendFrame(stream, reply, true);
-    }
-
-    void handoverAsked(PeerStreamId stream, const std::string &content)
-    {
-        v1::KeyHandover question;
-        if (!question.ParseFromString(content))
-            return server_.abort(stream);
-        sendFrame(stream, answerHandover(gate_, question), true);
-    }
-
-    void askHandovers()
-    {
-        for (const HandoverWanted &wanted : handoversWanted(gate_)) {
-            if (!asked_.insert(wanted.formerHome).second)
-                continue;
-            callPeer<v1::KeyHandoverReply>(
-                peers_.clientFor(wanted.address), "/v1/handover", wanted.message,
-                [this, home = wanted.formerHome](const std::optional<v1::KeyHandoverReply> &reply) {
-                    asked_.erase(home);
-                    if (reply)
-                        handoverAnswered(gate_, home, *reply, monotonicNow(), wallNow());
-                });
-        }
-        loop_.runAfter(handoverInterval, [this] { askHandovers(); });
-    }
-
     void tickLater()
     {
         loop_.runAfter(tickInterval, [this] {
@@ -466,43 +373,14 @@
         });
     }
 
-    void checkHealth()
-    {
-        checkHealthNow();
-        loop_.runAfter(healthInterval, [this] { checkHealth(); });
-    }
-
-    /// Hears how a health check ended.
-    class HealthHandler : public BackendCallHandler
-    {
-    public:
-        explicit HealthHandler(Private &worker) : worker_(worker) { }
-        void answerStarted(std::uint32_t, const std::string &) override { }
-        void answerBytes(std::string_view) override { }
-        void answerEnded(BackendCallEnd end) override { worker_.healthChecked(end); }
-
-    private:
-        Private &worker_;
-    };
-
-    void checkHealthNow()
-    {
-        if (std::exchange(checkingHealth_, true))
-            return;
-        backend_.checkHealth(healthTimeout, std::make_shared<HealthHandler>(*this));
-    }
-
-    void healthChecked(BackendCallEnd end)
+    void conditionSeen(BackendCondition condition)
     {
-        checkingHealth_ = false;
-        // A late answer is a stall and no death: what runs there may still end well.
-        const bool died = end == BackendCallEnd::NotConnected || end == BackendCallEnd::Cut;
-        const bool wasUp = gate_.backendUp;
-        if (died && wasUp)
+        const bool died = condition == BackendCondition::Dead;
+        if (died && gate_.backendUp)
             logger_->warn("The backend server died with {} running.", gate_.running.size());
-        if (end == BackendCallEnd::Complete && !wasUp)
+        if (condition == BackendCondition::Up && !gate_.backendUp)
             logger_->info("The backend server is up.");
-        if (died || end == BackendCallEnd::Complete)
+        if (condition != BackendCondition::Stalled)
             perform(backendHealth(gate_, !died, monotonicNow()));
         endCutRuns(died ? BackendEnd::Died : BackendEnd::Cut);
     }
@@ -536,18 +414,14 @@
     std::string name_;
     Metrics &metrics_;
     AgentWorkerEvents events_;
-    std::uint64_t incarnation_ = 0;
     EventLoop loop_;
     GateState gate_;
     PeerServer server_;
     BackendClient backend_;
-    PeerPool peers_;
+    BackendHealth health_;
+    AgentPeerCalls calls_;
     std::shared_ptr<spdlog::logger> logger_;
-    std::shared_ptr<const ConfigState> config_;
     std::map<PeerStreamId, Run> runs_;
-    std::set<std::string> asked_;
-    bool fetching_ = false;
-    bool checkingHealth_ = false;
     std::thread thread_;
 };
 
--- a/Source/Process/AgentWorker.h
+++ b/Source/Process/AgentWorker.h
@@ -1,13 +1,11 @@
 #pragma once
 
-#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
 
-#include "Config.pb.h"
-#include "Peer.pb.h"
 #include "Process/AgentSettings.h"
+#include "Process/AgentWorkerEvents.h"
 #include "Process/Metrics.h"
 // The worker owns the gate that its attempts pass.
 #include "Request/AgentGate.h"
@@ -15,15 +13,6 @@
 
 namespace wisteria {
 
-/// What the worker tells the control thread; called on the worker's thread.
-struct AgentWorkerEvents
-{
-    /// A peer has a newer configuration than the agent.
-    std::function<void(v1::SnapshotRecord)> snapshotOffered;
-    /// Another agent of the rank group sent a message; may be empty where there is no group.
-    std::function<void(v1::GroupMessage)> groupMessage = {};
-};
-
 /// The traffic thread of an agent: takes attempts from entries, decides by the gate, calls the
 /// backend server and streams its answers back, all on one event loop.
 class AgentWorker
