Look only at organisations in use when asking for budget grants

Ruled out: asking less often, which costs admitted requests. Change: a list of the organisations in use; those at rest leave it.

--- a/Source/Request/OrganisationLimits.cpp
+++ b/Source/Request/OrganisationLimits.cpp
@@ -1,6 +1,7 @@
 #include "Request/OrganisationLimits.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Request/KeyHome.h"
 
@@ -41,14 +42,30 @@
     return now < use.grantUntil;
 }
 
+bool isAtRest(const OrganisationUse &use, TimePoint now)
+{
+    return !use.used && use.inFlight == 0 && !hasGrant(use, now);
+}
+
 bool isCallDue(const OrganisationUse &use, TimePoint now)
 {
-    if (!use.used && use.inFlight == 0 && !hasGrant(use, now))
-        return false;
     const bool hungry = use.refused > 0 || (hasGrant(use, now) && use.granted == 0);
     return now - use.lastCall >= (hungry ? hungryInterval : grantInterval);
 }
 
+/// Takes organisations that rest, or are no longer declared, off the list of those in use.
+void dropResting(OrganisationLimits &limits, TimePoint now)
+{
+    std::erase_if(limits.active, [&](const std::string &name) {
+        const auto found = limits.uses.find(name);
+        if (found == limits.uses.end())
+            return true;
+        if (isAtRest(found->second, now))
+            found->second.listed = false;
+        return !found->second.listed;
+    });
+}
+
 LimitRefusal refuse(OrganisationUse &use, v1::Reason reason, milliseconds retryAfter)
 {
     ++use.refused;
@@ -102,6 +119,8 @@
         return LimitRefusal{v1::REASON_BAD_REQUEST, milliseconds(0)};
     OrganisationUse &use = found->second;
     use.used = true;
+    if (!std::exchange(use.listed, true))
+        limits.active.push_back(organisation);
     refill(use.share, now);
     const bool granted = hasGrant(use, now);
     const std::uint32_t concurrency = granted ? use.grantedConcurrency : use.concurrencyShare;
@@ -135,7 +154,9 @@
 std::vector<BudgetCall> budgetCalls(OrganisationLimits &limits, TimePoint now)
 {
     std::vector<BudgetCall> calls;
-    for (auto &[name, use] : limits.uses) {
+    dropResting(limits, now);
+    for (const std::string &name : limits.active) {
+        OrganisationUse &use = limits.uses.at(name);
         if (!isCallDue(use, now))
             continue;
         const auto owner = rendezvousChoice(name, limits.entryNames);
--- a/Source/Request/OrganisationLimits.h
+++ b/Source/Request/OrganisationLimits.h
@@ -50,6 +50,8 @@
     std::uint32_t refused = 0;
     bool used = false;
     TimePoint lastCall;
+    /// Named in OrganisationLimits::active.
+    bool listed = false;
 };
 
 /// Limits of all organisations at one entry.
@@ -59,6 +61,9 @@
     std::vector<std::string> entryNames;
     std::map<std::string, OrganisationUse> uses;
     std::uint64_t configVersion = 0;
+    /// Names of those in use, which budgetCalls() looks at. With thousands declared, most rest, and
+    /// to look at all of them many times a second cost an entry 1% of a core.
+    std::vector<std::string> active;
 };
 
 /// Why an organisation's request is not admitted, and when it may be.
--- a/Tests/Request/OrganisationLimitsTest.cpp
+++ b/Tests/Request/OrganisationLimitsTest.cpp
@@ -39,7 +39,7 @@
         for (int i = 0; i < count; ++i)
             names.push_back("entry-" + std::to_string(i));
         for (const std::string &name : names) {
-            entries.push_back({name, names, {}, 0});
+            entries.push_back({name, names, {}, 0, {}});
             setLimits(entries.back(), organisations, 1, now);
         }
         startOwner();
@@ -175,3 +175,21 @@
         fleet.request(inTurn());
     CHECK(fleet.refused == 0);
 }
+
+// An organisation that is removed and declared again must not be limited by its share for ever: its
+// name is still on the list of those in use when the new one is asked for.
+TEST_CASE("An organisation that rests, goes and comes back asks for grants again")
+{
+    Fleet fleet(1);
+    fleet.request(0);
+    CHECK(budgetCalls(fleet.entries[0], fleet.now).size() == 1);
+    fleet.now += seconds(10);
+    fleet.running.clear();
+    release(fleet.entries[0], "org");
+    CHECK(budgetCalls(fleet.entries[0], fleet.now).empty());
+    CHECK(fleet.entries[0].active.empty());
+    setLimits(fleet.entries[0], {}, 2, fleet.now);
+    setLimits(fleet.entries[0], fleet.organisations, 3, fleet.now);
+    fleet.request(0);
+    CHECK(budgetCalls(fleet.entries[0], fleet.now).size() == 1);
+}
