--- a/Source/Process/AdminMetrics.cpp
+++ b/Source/Process/AdminMetrics.cpp
@@ -47,54 +47,54 @@
     std::unique_ptr<prometheus::Exposer> exposer_;
 };
 
-AdminMetrics::AdminMetrics() : d_(std::make_unique<Private>()) { }
+AdminMetrics::AdminMetrics() : private_(std::make_unique<Private>()) { }
 
 AdminMetrics::~AdminMetrics() = default;
 
 Result<std::string> AdminMetrics::listen(const std::string &address)
 {
     try {
-        d_->exposer_ = std::make_unique<prometheus::Exposer>(address, 1);
+        private_->exposer_ = std::make_unique<prometheus::Exposer>(address, 1);
     } catch (const std::exception &) {
         return failure(ErrorKind::BadSettings,
                        "metrics can't be served on " + address
                            + "; give an IP number of this VM and a free port, or port 0");
     }
-    d_->exposer_->RegisterCollectable(d_->registry_);
+    private_->exposer_->RegisterCollectable(private_->registry_);
     const std::string host = address.substr(0, address.rfind(':'));
-    return host + ":" + std::to_string(d_->exposer_->GetListeningPorts().front());
+    return host + ":" + std::to_string(private_->exposer_->GetListeningPorts().front());
 }
 
 void AdminMetrics::countChange(ChangeEnd end)
 {
     switch (end) {
     case ChangeEnd::Accepted:
-        d_->accepted_.Increment();
+        private_->accepted_.Increment();
         return;
     case ChangeEnd::Refused:
-        d_->refused_.Increment();
+        private_->refused_.Increment();
         return;
     case ChangeEnd::NotYetKnown:
-        d_->notYetKnown_.Increment();
+        private_->notYetKnown_.Increment();
         return;
     }
 }
 
 void AdminMetrics::countSnapshot()
 {
-    d_->snapshots_.Increment();
+    private_->snapshots_.Increment();
 }
 
 void AdminMetrics::setFollower(const FollowerStatus &status, std::size_t objects)
 {
     const Offset replayed = status.position + 1;
     const Offset lag = status.logEnd > replayed ? status.logEnd - replayed : 0;
-    d_->version_.Set(static_cast<double>(status.version));
-    d_->lag_.Set(static_cast<double>(lag));
-    d_->reachable_.Set(status.logReachable ? 1 : 0);
-    d_->blocked_.Set(status.blocked.empty() ? 0 : 1);
-    d_->diverged_.Set(status.diverged ? 1 : 0);
-    d_->objects_.Set(static_cast<double>(objects));
+    private_->version_.Set(static_cast<double>(status.version));
+    private_->lag_.Set(static_cast<double>(lag));
+    private_->reachable_.Set(status.logReachable ? 1 : 0);
+    private_->blocked_.Set(status.blocked.empty() ? 0 : 1);
+    private_->diverged_.Set(status.diverged ? 1 : 0);
+    private_->objects_.Set(static_cast<double>(objects));
 }
 
 } // namespace wisteria
--- a/Source/Process/AdminProcess.cpp
+++ b/Source/Process/AdminProcess.cpp
@@ -185,14 +185,14 @@
 };
 
 AdminProcess::AdminProcess(AdminSettings settings)
-    : d_(std::make_unique<Private>(std::move(settings)))
+    : private_(std::make_unique<Private>(std::move(settings)))
 { }
 
 AdminProcess::~AdminProcess() = default;
 
 Result<void> AdminProcess::run()
 {
-    return d_->run();
+    return private_->run();
 }
 
 } // namespace wisteria
--- a/Source/Process/AdminService.cpp
+++ b/Source/Process/AdminService.cpp
@@ -245,7 +245,8 @@
 
 AdminService::AdminService(AdminSettings settings, ConfigFollower &follower, AdminMetrics &metrics,
                            LogFactory makeLog)
-    : d_(std::make_unique<Private>(std::move(settings), follower, metrics, std::move(makeLog)))
+    : private_(
+        std::make_unique<Private>(std::move(settings), follower, metrics, std::move(makeLog)))
 { }
 
 AdminService::~AdminService() = default;
@@ -254,9 +255,9 @@
                                v1::GetReply *reply)
 {
     const OperatorAccount *account = nullptr;
-    if (const auto begun = d_->begin(*context, account); !begun.ok())
+    if (const auto begun = private_->begin(*context, account); !begun.ok())
         return begun;
-    const auto state = d_->follower_.state();
+    const auto state = private_->follower_.state();
     const ObjectKey key{request->kind(), request->name()};
     const auto held = state->objects.find(key);
     if (held == state->objects.end()) {
@@ -271,11 +272,11 @@
                                 v1::ListReply *reply)
 {
     const OperatorAccount *account = nullptr;
-    if (const auto begun = d_->begin(*context, account); !begun.ok())
+    if (const auto begun = private_->begin(*context, account); !begun.ok())
         return begun;
-    auto state = d_->follower_.state();
+    auto state = private_->follower_.state();
     if (request->at_version() != 0) {
-        const auto log = d_->makeLog_();
+        const auto log = private_->makeLog_();
         auto former = readStateAt(*log, request->at_version());
         if (!former)
             return statusOf(former.error());
@@ -294,11 +295,11 @@
                                   v1::DryRunReply *reply)
 {
     const OperatorAccount *account = nullptr;
-    if (const auto begun = d_->begin(*context, account); !begun.ok())
+    if (const auto begun = private_->begin(*context, account); !begun.ok())
         return begun;
-    const auto state = d_->follower_.state();
+    const auto state = private_->follower_.state();
     v1::ChangeRecord change = request->change();
-    if (const auto prepared = d_->prepare(account, *state, change); !prepared.ok())
+    if (const auto prepared = private_->prepare(account, *state, change); !prepared.ok())
         return prepared;
     const ChangeJudgement judgement = judgeChange(*state, state->position + 1, change);
     reply->set_acceptable(judgement.acceptable);
@@ -317,14 +318,15 @@
                                  v1::ApplyReply *reply)
 {
     const OperatorAccount *account = nullptr;
-    if (const auto begun = d_->begin(*context, account); !begun.ok())
+    if (const auto begun = private_->begin(*context, account); !begun.ok())
         return begun;
     v1::ChangeRecord change = request->change();
     change.set_cancel(false);
     const bool firstAttempt = request->first_attempt() || change.change_id().empty();
-    if (const auto prepared = d_->prepare(account, *d_->follower_.state(), change); !prepared.ok())
+    if (const auto prepared = private_->prepare(account, *private_->follower_.state(), change);
+        !prepared.ok())
         return prepared;
-    d_->submit(change, firstAttempt, request->timeout_ms(), *reply);
+    private_->submit(change, firstAttempt, request->timeout_ms(), *reply);
     return grpc::Status::OK;
 }
 
@@ -332,9 +334,9 @@
                                    v1::ApplyReply *reply)
 {
     const OperatorAccount *account = nullptr;
-    if (const auto begun = d_->begin(*context, account); !begun.ok())
+    if (const auto begun = private_->begin(*context, account); !begun.ok())
         return begun;
-    const auto state = d_->follower_.state();
+    const auto state = private_->follower_.state();
     const SubmissionDecision decision = wisteria::outcomeOf(request->change_id(), *state);
     if (decision.step != SubmissionStep::NotYetKnown || !request->cancel()) {
         fill(*reply, decision, request->change_id());
@@ -345,9 +347,9 @@
     cancel.set_who(request->who());
     cancel.set_why("cancelled");
     cancel.set_cancel(true);
-    if (const auto prepared = d_->prepare(account, *state, cancel); !prepared.ok())
+    if (const auto prepared = private_->prepare(account, *state, cancel); !prepared.ok())
         return prepared;
-    d_->submit(cancel, false, 0, *reply);
+    private_->submit(cancel, false, 0, *reply);
     return grpc::Status::OK;
 }
 
@@ -355,7 +357,7 @@
                                    v1::HistoryReply *reply)
 {
     const OperatorAccount *account = nullptr;
-    if (const auto begun = d_->begin(*context, account); !begun.ok())
+    if (const auto begun = private_->begin(*context, account); !begun.ok())
         return begun;
     const std::size_t limit =
         request->limit() == 0 ? defaultHistory : std::min(request->limit(), longestHistory);
@@ -367,7 +369,7 @@
         if (newest.size() > limit)
             newest.pop_front();
     };
-    const auto log = d_->makeLog_();
+    const auto log = private_->makeLog_();
     const auto oldest = readHistory(*log, tell);
     if (!oldest)
         return statusOf(oldest.error());
@@ -381,12 +383,12 @@
                                  grpc::ServerWriter<v1::WatchReply> *writer)
 {
     const OperatorAccount *account = nullptr;
-    if (const auto begun = d_->begin(*context, account); !begun.ok())
+    if (const auto begun = private_->begin(*context, account); !begun.ok())
         return begun;
     const TimePoint deadline = monotonicNow() + timeoutOf(request->timeout_ms());
     while (!context->IsCancelled()) {
         v1::WatchReply reply;
-        for (const ProbeResult &result : d_->probe()) {
+        for (const ProbeResult &result : private_->probe()) {
             reply.set_processes(reply.processes() + 1);
             if (result.heartbeat && result.heartbeat->config_version() >= request->version())
                 reply.set_in_force(reply.in_force() + 1);
@@ -397,7 +399,7 @@
         writer->Write(reply);
         if (reply.done() || monotonicNow() >= deadline)
             break;
-        d_->follower_.waitBeyond(d_->follower_.status().position, watchPause);
+        private_->follower_.waitBeyond(private_->follower_.status().position, watchPause);
     }
     return grpc::Status::OK;
 }
@@ -406,9 +408,9 @@
                                  v1::ApplyReply *reply)
 {
     const OperatorAccount *account = nullptr;
-    if (const auto begun = d_->begin(*context, account); !begun.ok())
+    if (const auto begun = private_->begin(*context, account); !begun.ok())
         return begun;
-    const auto state = d_->follower_.state();
+    const auto state = private_->follower_.state();
     const ObjectKey key{v1::OBJECT_KIND_BACKEND_SERVER, request->backend_server()};
     const auto held = state->objects.find(key);
     if (held == state->objects.end())
@@ -424,10 +426,10 @@
     entry.set_base_version(held->second.version());
     *entry.mutable_content() = held->second.object();
     entry.mutable_content()->mutable_backend_server()->set_draining(request->draining());
-    if (const auto prepared = d_->prepare(account, *state, change); !prepared.ok())
+    if (const auto prepared = private_->prepare(account, *state, change); !prepared.ok())
         return prepared;
     const bool firstAttempt = request->first_attempt() || request->change_id().empty();
-    d_->submit(change, firstAttempt, request->timeout_ms(), *reply);
+    private_->submit(change, firstAttempt, request->timeout_ms(), *reply);
     return grpc::Status::OK;
 }
 
@@ -435,18 +437,18 @@
                                   v1::StatusReply *reply)
 {
     const OperatorAccount *account = nullptr;
-    if (const auto identified = d_->identify(*context, account); !identified.ok())
+    if (const auto identified = private_->identify(*context, account); !identified.ok())
         return identified;
-    const FollowerStatus status = d_->follower_.status();
+    const FollowerStatus status = private_->follower_.status();
     reply->set_version(status.version);
     reply->set_log_end(status.logEnd);
     reply->set_log_reachable(status.logReachable);
     reply->set_blocked(status.blocked);
-    for (const ProbeResult &result : d_->probe()) {
+    for (const ProbeResult &result : private_->probe()) {
         v1::ProcessStatus &process = *reply->add_processes();
         process.set_address(result.address);
         process.set_state(result.heartbeat ? result.heartbeat->state() : "silent");
-        if (const auto silent = d_->silence(result, monotonicNow()))
+        if (const auto silent = private_->silence(result, monotonicNow()))
             process.set_silent_ms(static_cast<std::uint64_t>(silent->count()));
         if (!result.heartbeat)
             continue;
--- a/Source/Process/ConfigFollower.cpp
+++ b/Source/Process/ConfigFollower.cpp
@@ -117,45 +117,45 @@
 };
 
 ConfigFollower::ConfigFollower(LogClient &log, std::string stream)
-    : d_(std::make_unique<Private>(log, std::move(stream)))
+    : private_(std::make_unique<Private>(log, std::move(stream)))
 { }
 
 ConfigFollower::~ConfigFollower() = default;
 
 Result<bool> ConfigFollower::poll(milliseconds wait)
 {
-    return d_->poll(wait);
+    return private_->poll(wait);
 }
 
 bool ConfigFollower::adopt(const v1::SnapshotRecord &snapshot)
 {
-    return d_->adopt(snapshot);
+    return private_->adopt(snapshot);
 }
 
 std::shared_ptr<const ConfigState> ConfigFollower::state() const
 {
-    return d_->state();
+    return private_->state();
 }
 
 bool ConfigFollower::caughtUp() const
 {
-    return d_->caughtUp();
+    return private_->caughtUp();
 }
 
 bool ConfigFollower::usable() const
 {
-    return d_->usable();
+    return private_->usable();
 }
 
 FollowerStatus ConfigFollower::status() const
 {
-    return d_->status();
+    return private_->status();
 }
 
 std::shared_ptr<const ConfigState> ConfigFollower::waitBeyond(Offset position,
                                                               milliseconds limit) const
 {
-    return d_->waitBeyond(position, limit);
+    return private_->waitBeyond(position, limit);
 }
 
 } // namespace wisteria
--- a/Source/Process/ConfigFollower.h
+++ b/Source/Process/ConfigFollower.h
@@ -66,7 +66,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d_;
+    std::unique_ptr<Private> private_;
 };
 
 } // namespace wisteria
