Refuse new work at once before a stalled backend server

An agent whose backend server hung went on taking requests; entries learned of it only by callers' lost deadlines and probed again after each shun, so the loss grew with the pace of the machine. Ruled out: the test's threshold, which stays; longer shuns, which would keep a recovered backend server out of use. Change: a health check without an answer marks the backend server as stalled; its agent refuses new attempts as not run, reports it down, and starts nothing from its queue until a check is answered. It is no death and makes no suspects.

--- a/Source/Process/AgentWorker.cpp
+++ b/Source/Process/AgentWorker.cpp
@@ -376,6 +376,10 @@
     void conditionSeen(BackendCondition condition)
     {
         const bool died = condition == BackendCondition::Dead;
+        const bool stalled = condition == BackendCondition::Stalled;
+        if (stalled && !std::exchange(gate_.backendStalled, true))
+            logger_->warn("The backend server is stalled: it gives its health check no answer.");
+        gate_.backendStalled = stalled;
         if (died && gate_.backendUp)
             logger_->warn("The backend server died with {} running.", gate_.running.size());
         if (condition == BackendCondition::Up && !gate_.backendUp)
--- a/Source/Request/AgentGate.h
+++ b/Source/Request/AgentGate.h
@@ -51,6 +51,8 @@
     bool configured = false;
     bool leaving = false;
     bool backendUp = true;
+    /// The backend server's process lives, but gives its health check no answer in time.
+    bool backendStalled = false;
     /// The backend server's rank waits for the outcome of a switch of the expert map.
     bool mapStalled = false;
     /// Deaths of the backend server seen by this process.
--- a/Source/Request/GateAdmission.cpp
+++ b/Source/Request/GateAdmission.cpp
@@ -21,7 +21,9 @@
     // The entry knows a newer configuration, which may have moved the key or removed the service.
     if (run.key && run.head.config_version() > state.configVersion)
         return refuseNotRun(state, run, v1::REASON_STALE_CONFIG, shortGateRetry);
-    if (!state.backendUp)
+    // Failure: a stalled backend server takes requests and answers none, and each caller learns it
+    // at its own deadline. The health check learns it once for all.
+    if (!state.backendUp || state.backendStalled)
         return refuseNotRun(state, run, v1::REASON_BACKEND_DOWN, longGateRetry);
     // Failure: a rank that holds for a map switch takes work that can't begin, and callers wait
     // with no word. Refused at once, they may go to another group.
--- a/Source/Request/GateConfiguration.cpp
+++ b/Source/Request/GateConfiguration.cpp
@@ -89,7 +89,7 @@
     report.set_concurrency(slots(state));
     report.set_service_time_us(state.serviceTime.count());
     report.set_leaving(state.leaving || state.declared.draining());
-    report.set_backend_down(!state.backendUp);
+    report.set_backend_down(!state.backendUp || state.backendStalled);
     return report;
 }
 
--- a/Source/Request/GateQueue.cpp
+++ b/Source/Request/GateQueue.cpp
@@ -66,7 +66,7 @@
 
 bool mayStartNow(const GateState &state, const GateRun &run)
 {
-    if (!state.backendUp || runsAlone(state))
+    if (!state.backendUp || state.backendStalled || runsAlone(state))
         return false;
     // A suspect may take the backend server down: nothing else may be hurt with it.
     if (run.alone)
--- a/Tests/Request/LimitsAndEndsTest.cpp
+++ b/Tests/Request/LimitsAndEndsTest.cpp
@@ -161,6 +161,21 @@
 // A planned stop cuts off a quotation that is being drafted.
 // Order: SIGTERM while one request runs and another is queued.
 // Cause: a stop that does not wait for what runs.
+// Each new caller waits out its deadline at a backend server that hangs, though its agent could
+// know: the process lives and takes requests, and only its health check gets no answer.
+TEST_CASE("An agent before a stalled backend server refuses new work at once and says so")
+{
+    RequestWorld world({.agents = 1});
+    GateState &gate = world.agents[0].gate;
+    gate.backendStalled = true;
+    CHECK(refusedFor(runArrived(gate, 1, headWith(0, seconds(1)), world.now, world.wall()))
+          == v1::REASON_BACKEND_DOWN);
+    CHECK(loadReport(gate).backend_down());
+    gate.backendStalled = false;
+    CHECK(started(runArrived(gate, 2, headWith(0, seconds(1)), world.now, world.wall())).stream
+          == 2);
+}
+
 TEST_CASE("A leaving agent refuses what is queued and new as not run, and ends what runs")
 {
     RequestWorld world({.agents = 1});
