Let sidecars switch a group's expert map by demand

Ruled out: a lease in the store for the decider: safety rests on the ranks' own state (held, armed), so a leader is chosen by silence alone and works through outages of the store. Change: wisteria-sidecar reads its own engine, tells gateways its load and gives its own rank's orders; the first live one leads: collects counts, proposes maps with the project's search, and switches by prepare, hold, arm, go. The event loop opens its reactor within the descriptor limit: a limit of 2048 ended every sidecar at its start.

--- /dev/null
+++ b/Source/Connection/DatagramSocket.cpp
@@ -0,0 +1,71 @@
+#include "Connection/DatagramSocket.h"
+
+#include <array>
+#include <utility>
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Dgram.h>
+
+namespace wisteria {
+
+namespace {
+
+/// Largest datagram that is received.
+constexpr std::size_t datagramBytes = 65536;
+
+} // namespace
+
+class DatagramSocket::Private
+{
+public:
+    EventLoop &loop_;
+    Received received_;
+    ACE_SOCK_Dgram socket_;
+
+    void read()
+    {
+        static thread_local std::array<char, datagramBytes> buffer;
+        ACE_INET_Addr from;
+        ssize_t count = socket_.recv(buffer.data(), buffer.size(), from);
+        while (count >= 0) {
+            received_({from.get_ip_address(), from.get_port_number()},
+                      std::string_view(buffer.data(), static_cast<std::size_t>(count)));
+            count = socket_.recv(buffer.data(), buffer.size(), from);
+        }
+    }
+};
+
+DatagramSocket::DatagramSocket(EventLoop &loop, Received received)
+    : private_(new Private{loop, std::move(received), {}})
+{ }
+
+DatagramSocket::~DatagramSocket()
+{
+    if (private_->socket_.get_handle() == ACE_INVALID_HANDLE)
+        return;
+    private_->loop_.unwatch(private_->socket_.get_handle());
+    private_->socket_.close();
+}
+
+Result<void> DatagramSocket::open(const Endpoint &address)
+{
+    const ACE_INET_Addr local(address.port, address.ip);
+    if (private_->socket_.open(local, PF_INET, 0, 1) == -1) {
+        return failure(ErrorKind::BadSettings,
+                       "can't receive datagrams on " + toText(address)
+                           + "; check that the address is this VM's and "
+                             "that no other process has the port");
+    }
+    private_->socket_.enable(ACE_NONBLOCK);
+    private_->loop_.watch(private_->socket_.get_handle(), Interest{.read = true},
+                          [this](Interest) { private_->read(); });
+    return boost::outcome_v2::success();
+}
+
+void DatagramSocket::send(const Endpoint &to, std::string_view bytes)
+{
+    const ACE_INET_Addr address(to.port, to.ip);
+    private_->socket_.send(bytes.data(), bytes.size(), address);
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Connection/TimedCalls.cpp
@@ -0,0 +1,64 @@
+#include "Connection/TimedCalls.h"
+
+#include <utility>
+#include <vector>
+
+namespace wisteria {
+
+struct TimedCalls::Call
+{
+    std::unique_ptr<HttpCall> http;
+    HttpResponse response;
+    TimePoint giveUpAt;
+    Done done;
+};
+
+TimedCalls::TimedCalls(HttpClientPool &pool) : pool_(pool) { }
+
+TimedCalls::~TimedCalls() = default;
+
+void TimedCalls::start(const Endpoint &to, std::string request, milliseconds timeout, Done done,
+                       TimePoint now)
+{
+    const std::uint64_t id = ++last_;
+    auto call = std::make_unique<Call>();
+    Call &state = *call;
+    state.giveUpAt = now + timeout;
+    state.done = std::move(done);
+    calls_[id] = std::move(call);
+    CallEvents events{
+        .accept = {},
+        .head = [&state](const HttpResponseHead &head) { state.response.head = head; },
+        .body = [&state](std::string_view bytes) { state.response.body.append(bytes); },
+        .complete = [this, id, &state] { end(id, std::move(state.response)); },
+        .failed =
+            [this, id](const CallFailure &failed) {
+                const ErrorKind kind =
+                    failed.neverSent ? ErrorKind::Unavailable : ErrorKind::OutcomeUnknown;
+                end(id, failure(kind, failed.reason));
+            }};
+    state.http = pool_.call(to, std::move(request), ConnectionUse::Reuse, std::move(events), now);
+}
+
+void TimedCalls::checkTime(TimePoint now)
+{
+    std::vector<std::uint64_t> late;
+    for (const auto &[id, call] : calls_) {
+        if (now >= call->giveUpAt)
+            late.push_back(id);
+    }
+    for (const std::uint64_t id : late)
+        end(id, failure(ErrorKind::Timeout, "no answer in time"));
+}
+
+void TimedCalls::end(std::uint64_t id, Result<HttpResponse> result)
+{
+    const auto found = calls_.find(id);
+    if (found == calls_.end())
+        return;
+    const std::unique_ptr<Call> call = std::move(found->second);
+    calls_.erase(found);
+    call->done(std::move(result));
+}
+
+} // namespace wisteria
--- a/Source/Process/EventLoop.cpp
+++ b/Source/Process/EventLoop.cpp
@@ -1,5 +1,6 @@
 #include "Process/EventLoop.h"
 
+#include <algorithm>
 #include <atomic>
 #include <deque>
 #include <mutex>
@@ -13,6 +14,7 @@
 #include <ace/Reactor.h>
 #include <ace/Recursive_Thread_Mutex.h>
 #include <ace/Timer_Heap_T.h>
+#include <sys/resource.h>
 
 namespace wisteria {
 
@@ -42,7 +44,18 @@
     }
 };
 
-constexpr std::size_t initialDescriptors = 4096;
+/// Descriptors that a loop watches at most, where the process may open that many.
+constexpr rlim_t mostDescriptors = 4096;
+
+/// The reactor can't be opened for more descriptors than the process may have, and a reactor that
+/// is not open ends the process at its first use.
+std::size_t watchableDescriptors()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return mostDescriptors;
+    return std::min(limit.rlim_cur, mostDescriptors);
+}
 
 ACE_Reactor_Mask maskFor(Interest interest)
 {
@@ -96,7 +109,7 @@
 {
 public:
     explicit Private(std::size_t postBound)
-        : timers_(), poll_(initialDescriptors, true, nullptr, &timers_), reactor_(&poll_),
+        : timers_(), poll_(watchableDescriptors(), true, nullptr, &timers_), reactor_(&poll_),
           postBound_(postBound)
     { }
 
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -6,11 +6,13 @@
 
 #include <unistd.h>
 
+#include "Connection/DatagramSocket.h"
 #include "Connection/TcpConnection.h"
 #include "Process/ShutdownSignal.h"
 #include "Programs/Gateway/BackendList.h"
 #include "Programs/Gateway/Session.h"
 #include "Programs/Gateway/StoreWatch.h"
+#include "Version/GroupMessages.h"
 #include "platform/ConfigurationCodec.h"
 
 namespace wisteria {
@@ -26,6 +28,8 @@
 /// Pause between two reads of the list of servers, which changes with every heartbeat of each.
 /// With an answer's time it stays well within the two seconds for leaving servers.
 constexpr milliseconds backendsPause{600};
+/// Pause between two hellos to the sidecars; they stop telling loads after three missed ones.
+constexpr milliseconds helloPeriod{600};
 /// Descriptors kept for the store, the log and files; callers and backend servers share the rest.
 constexpr std::size_t descriptorsKept = 400;
 /// How long a stopping gateway still takes new connections: the platform asks for readiness once a
@@ -40,6 +44,20 @@
         .ratio = settings.retryRatio, .slack = settings.retrySlack, .window = settings.retryWindow};
 }
 
+ExpertProfile expertProfileOf(const EngineProfile &engine)
+{
+    constexpr double bitsPerByte = 8;
+    constexpr double millisecondsPerSecond = 1000;
+    const double loadSeconds = engine.linkMegabitsPerSecond > 0
+        ? engine.expertMegabytes * bitsPerByte / engine.linkMegabitsPerSecond
+        : 0;
+    return {.sets = engine.expertSets,
+            .expertsPerSet = engine.expertsPerSet,
+            .expertsPerRank = engine.expertsPerRank,
+            .loadsPerMap = engine.loadsPerMap,
+            .loadMilliseconds = loadSeconds * millisecondsPerSecond};
+}
+
 } // namespace
 
 class Gateway::Private
@@ -57,7 +75,10 @@
                                  .routes = nullptr},
           list_(board_, log_), shutdown_(loop_, [this] { stop(); }),
           callers_(loop_, [this](int descriptor) { acceptCaller(descriptor); }),
-          readiness_(loop_, [this](int descriptor) { acceptReadiness(descriptor); })
+          readiness_(loop_, [this](int descriptor) { acceptReadiness(descriptor); }),
+          peers_(loop_, [this](const Endpoint &from, std::string_view bytes) {
+              receiveMessage(from, bytes);
+          })
     { }
 
     Result<void> run()
@@ -70,6 +91,7 @@
         }
         BOOST_OUTCOME_TRYV(callers_.listen(*settings_.callers));
         BOOST_OUTCOME_TRYV(readiness_.listen(*settings_.readiness));
+        BOOST_OUTCOME_TRYV(peers_.open({settings_.vm.ip, settings_.firstInternalPort}));
         log_.info("process.start",
                   {{"callers", toText(*settings_.callers)},
                    {"domain", settings_.failureDomain},
@@ -128,6 +150,55 @@
         log_.info("config.in_force", {{"version", version}, {"offset", record.offset}});
     }
 
+    /// Tells each engine's sidecar that this gateway is there, and who else serves the service.
+    void sayHello(TimePoint now)
+    {
+        if (!context_.routes || now - helloAt_ < helloPeriod)
+            return;
+        helloAt_ = now;
+        for (const auto &[name, service] : context_.routes->configuration().services) {
+            if (service.engine && service.engine->expertSets > 0)
+                sayHelloTo(name, *service.engine);
+        }
+    }
+
+    void sayHelloTo(const std::string &service, const EngineProfile &engine)
+    {
+        GatewayHello hello{.profile = expertProfileOf(engine), .engines = {}};
+        for (const auto &[id, state] : board_.backends) {
+            if (state.entry.service == service)
+                hello.engines.push_back(state.entry.address);
+        }
+        const std::string bytes = encodeMessage(hello);
+        for (const Endpoint &address : hello.engines)
+            peers_.send({address.ip, settings_.firstInternalPort}, bytes);
+    }
+
+    void receiveMessage(const Endpoint &from, std::string_view bytes)
+    {
+        const auto message = decodeMessage(bytes);
+        if (message.has_error()) {
+            log_.warn("message.refused",
+                      {{"from", toText(from)}, {"reason", message.error().message}});
+            return;
+        }
+        if (const auto *load = std::get_if<EngineLoad>(&message.value()))
+            takeLoad(*load);
+    }
+
+    void takeLoad(const EngineLoad &load)
+    {
+        for (auto &[id, state] : board_.backends) {
+            if (state.entry.address != load.engine)
+                continue;
+            state.told = LoadTold{.running = load.running,
+                                  .waiting = load.waiting,
+                                  .own = state.own,
+                                  .at = monotonicNow()};
+        }
+        serveWaitingSoon();
+    }
+
     void acceptCaller(int descriptor)
     {
         const std::size_t most = settings_.openFiles > descriptorsKept
@@ -245,6 +316,7 @@
             if (found != sessions_.end())
                 found->second->checkTime(now);
         }
+        sayHello(now);
         configurationWatch_->checkTime(now);
         backendsWatch_->checkTime(now);
         list_.checkTime(now);
@@ -299,6 +371,7 @@
     ShutdownSignal shutdown_;
     TcpListener callers_;
     TcpListener readiness_;
+    DatagramSocket peers_;
     std::unique_ptr<StoreWatch> configurationWatch_;
     std::unique_ptr<StoreWatch> backendsWatch_;
     std::map<std::uint64_t, std::unique_ptr<Session>> sessions_;
@@ -306,6 +379,7 @@
     std::vector<std::uint64_t> waiting_;
     std::uint64_t lastSession_ = 0;
     std::uint64_t lastProbe_ = 0;
+    TimePoint helloAt_;
     bool servingSoon_ = false;
     bool stopping_ = false;
     TimePoint stopAt_;
--- /dev/null
+++ b/Source/Programs/Sidecar/EngineLink.cpp
@@ -0,0 +1,62 @@
+#include "Programs/Sidecar/EngineLink.h"
+
+#include <utility>
+
+#include "platform/RankCodec.h"
+
+namespace wisteria {
+
+namespace {
+
+/// An engine answers a report within a few milliseconds; one across failure domains in some more.
+constexpr milliseconds readTimeout{300};
+/// An order is asked for again after this time: a lost answer must not keep a group held.
+constexpr milliseconds orderTimeout{60};
+
+/// Hands a decoded answer on, or the error of the call.
+template <typename Value, typename Decode>
+TimedCalls::Done decoded(std::function<void(Result<Value>)> done, Decode decode)
+{
+    return [done = std::move(done), decode](Result<HttpResponse> response) {
+        if (response.has_error())
+            done(boost::outcome_v2::failure(response.error()));
+        else
+            done(decode(response.value()));
+    };
+}
+
+} // namespace
+
+EngineLink::EngineLink(HttpClientPool &pool, EventLog &log) : calls_(pool), log_(log) { }
+
+void EngineLink::readReport(const Endpoint &engine, std::function<void(Result<RankReport>)> done)
+{
+    calls_.start(engine, platform::reportRequest(), readTimeout,
+                 decoded<RankReport>(std::move(done), platform::decodeReport), monotonicNow());
+}
+
+void EngineLink::readCounts(const Endpoint &engine, std::function<void(Result<ExpertCounts>)> done)
+{
+    calls_.start(engine, platform::expertCountsRequest(), readTimeout,
+                 decoded<ExpertCounts>(std::move(done), platform::decodeExpertCounts),
+                 monotonicNow());
+}
+
+void EngineLink::readExperts(
+    const Endpoint &engine,
+    std::function<void(Result<std::vector<std::vector<std::uint32_t>>>)> done)
+{
+    calls_.start(engine, platform::heldExpertsRequest(), readTimeout,
+                 decoded<std::vector<std::vector<std::uint32_t>>>(std::move(done),
+                                                                  platform::decodeHeldExperts),
+                 monotonicNow());
+}
+
+void EngineLink::order(const Endpoint &engine, const RankOrder &order,
+                       std::function<void(Result<void>)> done)
+{
+    calls_.start(engine, platform::orderRequest(order), orderTimeout,
+                 decoded<void>(std::move(done), platform::decodeOrderAnswer), monotonicNow());
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -0,0 +1,178 @@
+#include "Programs/Sidecar/GroupLeader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteria {
+
+namespace {
+
+/// Pause between two polls of all ranks. A shift of demand is seen that much later at most.
+constexpr milliseconds pollPeriod{200};
+/// The same while a switch is under way; sidecars also tell of each change by themselves.
+constexpr milliseconds pollPeriodSwitching{60};
+/// A rank whose sidecar has not answered for this long is asked itself: a group may be held by the
+/// rank beside a sidecar that is gone.
+constexpr milliseconds silentAfter{500};
+/// Pause between two such questions to one engine; each is priced.
+constexpr milliseconds directReadPeriod{400};
+/// Versions begin at this moment and grow by ten a second, so that leaders that don't know of each
+/// other don't use the same ones, and all fit into 32 bits for years.
+constexpr seconds versionEpoch{1'700'000'000};
+constexpr milliseconds versionTick{100};
+
+std::uint64_t versionHint()
+{
+    const auto since = wallNow().time_since_epoch() - versionEpoch;
+    return since > milliseconds(0) ? static_cast<std::uint64_t>(since / versionTick) : 1;
+}
+
+} // namespace
+
+GroupLeader::GroupLeader(EngineLink &engines, EventLog &log, LeaderLinks links, Endpoint ownEngine)
+    : engines_(engines), log_(log), links_(std::move(links)), ownEngine_(ownEngine)
+{ }
+
+void GroupLeader::setEngines(const std::vector<Endpoint> &engines, const ExpertProfile &profile)
+{
+    members_ = engines;
+    profile_ = profile;
+}
+
+void GroupLeader::takeStatus(const RankStatus &status, TimePoint now)
+{
+    heardAt_[status.engine] = now;
+    if (status.report.group.empty())
+        return;
+    GroupSwitch &group = groups_[status.report.group];
+    wisteria::takeStatus(group, profile_, status, now);
+    advance(group, now);
+}
+
+void GroupLeader::work(TimePoint now)
+{
+    if (leadsSince_ == TimePoint())
+        leadsSince_ = now;
+    poll(now);
+    readSilentRanks(now);
+    for (auto &[name, group] : groups_)
+        advance(group, now);
+}
+
+void GroupLeader::stop()
+{
+    groups_.clear();
+    heardAt_.clear();
+    leadsSince_ = TimePoint();
+}
+
+void GroupLeader::poll(TimePoint now)
+{
+    const bool busy = std::any_of(groups_.begin(), groups_.end(),
+                                  [](const auto &entry) { return switching(entry.second); });
+    if (now - polledAt_ < (busy ? pollPeriodSwitching : pollPeriod))
+        return;
+    polledAt_ = now;
+    for (const Endpoint &engine : members_)
+        links_.send(engine, RankPoll{.withCounts = !busy});
+}
+
+void GroupLeader::advance(GroupSwitch &group, TimePoint now)
+{
+    const auto own =
+        std::find_if(group.ranks.begin(), group.ranks.end(), [this](const auto &entry) {
+            return entry.second.status.engine == ownEngine_;
+        });
+    const std::uint32_t ownRank = own != group.ranks.end() ? own->first : 0;
+    const SwitchStep step =
+        advanceSwitch(group, profile_, bounds_, timing_, ownRank, versionHint(), now);
+    if (!step.note.empty())
+        logStep(group, step.note, now);
+    for (const SwitchAction &action : step.actions)
+        carryOut(group.group, action);
+}
+
+void GroupLeader::carryOut(const std::string &name, const SwitchAction &action)
+{
+    if (!action.direct) {
+        links_.send(action.engine, RankCommand{action.order});
+        return;
+    }
+    log_.info("map.direct_order",
+              {{"group", name},
+               {"rank", action.rank},
+               {"version", action.order.version},
+               {"step", action.order.step}});
+    engines_.order(action.engine, action.order, [this, name, action](Result<void> result) {
+        const auto group = groups_.find(name);
+        if (result.has_error() || group == groups_.end())
+            return;
+        noteOrderDone(group->second, action.rank, action.order, monotonicNow());
+    });
+}
+
+void GroupLeader::readSilentRanks(TimePoint now)
+{
+    if (now - leadsSince_ < silentAfter)
+        return;
+    for (const Endpoint &engine : members_) {
+        const auto heard = heardAt_.find(engine);
+        const bool silent = heard == heardAt_.end() || now - heard->second > silentAfter;
+        if (!silent || now - readDirectlyAt_[engine] < directReadPeriod)
+            continue;
+        readDirectlyAt_[engine] = now;
+        readDirectly(engine);
+    }
+}
+
+void GroupLeader::readDirectly(const Endpoint &engine)
+{
+    engines_.readReport(engine, [this, engine](Result<RankReport> report) {
+        if (report.has_error() || report.value().group.empty())
+            return;
+        RankStatus status{.engine = engine, .report = report.value()};
+        const auto group = groups_.find(status.report.group);
+        if (group == groups_.end())
+            return;
+        const auto known = group->second.ranks.find(status.report.rank);
+        const bool sameMap = known != group->second.ranks.end()
+            && known->second.status.report.map == status.report.map
+            && !known->second.status.experts.empty();
+        if (!sameMap) {
+            readExpertsDirectly(std::move(status));
+            return;
+        }
+        status.readAtMilliseconds = known->second.status.readAtMilliseconds;
+        status.experts = known->second.status.experts;
+        wisteria::takeStatus(group->second, profile_, status, monotonicNow());
+    });
+}
+
+void GroupLeader::readExpertsDirectly(RankStatus status)
+{
+    const Endpoint engine = status.engine;
+    engines_.readExperts(engine, [this, status = std::move(status)](auto experts) mutable {
+        const auto group = groups_.find(status.report.group);
+        if (experts.has_error() || group == groups_.end())
+            return;
+        status.experts = experts.value();
+        wisteria::takeStatus(group->second, profile_, status, monotonicNow());
+    });
+}
+
+void GroupLeader::logStep(const GroupSwitch &group, const std::string &note, TimePoint now)
+{
+    log_.info("map.switch",
+              {{"group", group.group},
+               {"note", note},
+               {"phase", phaseName(group.phase)},
+               {"epoch", group.epoch},
+               {"version", group.version},
+               {"step", group.step},
+               {"skew_before", group.proposal.skewBefore},
+               {"skew_after", group.proposal.skewAfter},
+               {"loads", group.proposal.loads},
+               {"phase_ms", remaining(group.phaseSince, now).count()}});
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Programs/Sidecar/GroupLeader.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Process/EventLog.h"
+#include "Programs/Sidecar/EngineLink.h"
+#include "Version/RankSwitch.h"
+
+namespace wisteria {
+
+/// How the leader reaches the sidecars of the service's engines.
+struct LeaderLinks
+{
+    /// Sends a message to the sidecar on the engine's VM; its own included.
+    std::function<void(const Endpoint &engine, const GroupMessage &message)> send;
+};
+
+/// The work of the sidecar that leads its service's groups: polls the ranks, decides on new maps
+/// and carries switches through.
+class GroupLeader
+{
+public:
+    GroupLeader(EngineLink &engines, EventLog &log, LeaderLinks links, Endpoint ownEngine);
+
+    /// The engines of the service, as the gateways name them.
+    void setEngines(const std::vector<Endpoint> &engines, const ExpertProfile &profile);
+
+    void takeStatus(const RankStatus &status, TimePoint now);
+
+    /// Polls and decides; called often while it leads.
+    void work(TimePoint now);
+
+    /// Forgets everything: another one leads.
+    void stop();
+
+private:
+    void poll(TimePoint now);
+    void advance(GroupSwitch &group, TimePoint now);
+    void carryOut(const std::string &name, const SwitchAction &action);
+    void readSilentRanks(TimePoint now);
+    void readDirectly(const Endpoint &engine);
+    void readExpertsDirectly(RankStatus status);
+    void logStep(const GroupSwitch &group, const std::string &note, TimePoint now);
+
+    EngineLink &engines_;
+    EventLog &log_;
+    LeaderLinks links_;
+    Endpoint ownEngine_;
+    std::vector<Endpoint> members_;
+    ExpertProfile profile_;
+    SwitchTiming timing_;
+    PlacementBounds bounds_;
+    std::map<std::string, GroupSwitch> groups_;
+    std::map<Endpoint, TimePoint> heardAt_;
+    std::map<Endpoint, TimePoint> readDirectlyAt_;
+    TimePoint polledAt_;
+    TimePoint leadsSince_;
+};
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -0,0 +1,335 @@
+#include "Programs/Sidecar/Sidecar.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "Connection/DatagramSocket.h"
+#include "Process/EventLog.h"
+#include "Process/ShutdownSignal.h"
+#include "Programs/Sidecar/EngineLink.h"
+#include "Programs/Sidecar/GroupLeader.h"
+#include "Version/LeaderChoice.h"
+
+namespace wisteria {
+
+namespace {
+
+/// Period of the process' own checks.
+constexpr milliseconds tickPeriod{25};
+/// Pause between two reports of the engine. Gateways place requests by them.
+constexpr milliseconds reportPeriod{100};
+/// The same while the rank takes part in a switch of maps.
+constexpr milliseconds reportPeriodSwitching{25};
+/// A gateway that has not been heard of for this long gets no more loads: three of its hellos.
+constexpr milliseconds gatewayLifetime{2000};
+/// How long an order keeps the reports frequent.
+constexpr milliseconds orderAttention{400};
+
+bool sameOrder(const RankOrder &a, const RankOrder &b)
+{
+    return a.kind == b.kind && a.epoch == b.epoch && a.version == b.version && a.step == b.step;
+}
+
+/// What of a rank's state the leader waits for.
+bool sameSwitchState(const RankReport &a, const RankReport &b)
+{
+    return a.epoch == b.epoch && a.map == b.map && a.prepared == b.prepared && a.armed == b.armed
+        && a.heldStep == b.heldStep && a.groupOpen == b.groupOpen;
+}
+
+} // namespace
+
+class Sidecar::Private
+{
+public:
+    explicit Private(platform::ProcessSettings settings)
+        : settings_(std::move(settings)), log_(settings_.vmName, LogLevel::Info), pool_(loop_),
+          engines_(pool_, log_), shutdown_(loop_, [this] { loop_.stop(); }),
+          socket_(loop_,
+                  [this](const Endpoint &from, std::string_view bytes) { receive(from, bytes); })
+    { }
+
+    Result<void> run()
+    {
+        if (!settings_.engine) {
+            return failure(ErrorKind::BadSettings,
+                           "the settings name no engine on this VM; add the line 'app=...'");
+        }
+        engine_ = *settings_.engine;
+        port_ = settings_.firstInternalPort;
+        BOOST_OUTCOME_TRYV(socket_.open({settings_.vm.ip, port_}));
+        choice_.since = monotonicNow();
+        leader_ = std::make_unique<GroupLeader>(
+            engines_, log_,
+            LeaderLinks{.send = [this](const Endpoint &engine,
+                                       const GroupMessage &message) { sendTo(engine, message); }},
+            engine_);
+        log_.info("process.start", {{"engine", toText(engine_)}, {"port", port_}});
+        readReport();
+        scheduleTick();
+        loop_.run();
+        log_.info("process.stop", {{"leading", leading_}});
+        return boost::outcome_v2::success();
+    }
+
+private:
+    void scheduleTick()
+    {
+        loop_.runAfter(tickPeriod, [this] {
+            tick(monotonicNow());
+            scheduleTick();
+        });
+    }
+
+    void tick(TimePoint now)
+    {
+        engines_.checkTime(now);
+        pool_.closeExpired(now);
+        const bool attentive = now < attentiveUntil_;
+        if (!reading_ && now - readAt_ >= (attentive ? reportPeriodSwitching : reportPeriod))
+            readReport();
+        std::erase_if(gateways_,
+                      [now](const auto &entry) { return now - entry.second > gatewayLifetime; });
+        lead(now);
+    }
+
+    void lead(TimePoint now)
+    {
+        const auto place = std::find(members_.begin(), members_.end(), engine_);
+        const bool should = place != members_.end()
+            && leads(choice_, static_cast<std::size_t>(place - members_.begin()), now);
+        if (should != leading_)
+            log_.info(should ? "leader.begin" : "leader.end", {{"members", members_.size()}});
+        if (leading_ && !should)
+            leader_->stop();
+        leading_ = should;
+        if (leading_)
+            leader_->work(now);
+    }
+
+    void readReport()
+    {
+        reading_ = true;
+        readAt_ = monotonicNow();
+        engines_.readReport(engine_, [this](Result<RankReport> report) {
+            reading_ = false;
+            if (report.has_error()) {
+                noteEngine(false, report.error().message);
+                return;
+            }
+            noteEngine(true, "");
+            takeReport(report.value());
+        });
+    }
+
+    void noteEngine(bool answers, const std::string &reason)
+    {
+        if (answers == engineAnswers_)
+            return;
+        engineAnswers_ = answers;
+        log_.info(answers ? "engine.regained" : "engine.lost", {{"reason", reason}});
+    }
+
+    void takeReport(const RankReport &report)
+    {
+        const bool changed = !status_ || !sameSwitchState(status_->report, report);
+        const bool newMap = !status_ || status_->report.map != report.map
+            || status_->report.epoch != report.epoch || status_->experts.empty();
+        RankStatus status{.engine = engine_, .report = report};
+        status.readAtMilliseconds = static_cast<std::uint64_t>(
+            std::chrono::duration_cast<milliseconds>(monotonicNow().time_since_epoch()).count());
+        if (!newMap)
+            status.experts = status_->experts;
+        status_ = status;
+        tellGateways(report);
+        if (newMap && report.groupSize > 0 && !readingExperts_)
+            readExperts(report);
+        if (changed)
+            tellLeader(status);
+    }
+
+    void readExperts(const RankReport &of)
+    {
+        readingExperts_ = true;
+        engines_.readExperts(engine_, [this, of](auto experts) {
+            readingExperts_ = false;
+            const bool same =
+                status_ && status_->report.map == of.map && status_->report.epoch == of.epoch;
+            if (experts.has_error() || !same)
+                return;
+            status_->experts = experts.value();
+            tellLeader(*status_);
+        });
+    }
+
+    void tellGateways(const RankReport &report)
+    {
+        const std::string bytes = encodeMessage(EngineLoad{.engine = engine_,
+                                                           .running = report.running,
+                                                           .waiting = report.waiting,
+                                                           .memoryUsed = report.memoryUsed,
+                                                           .memoryTotal = report.memoryTotal});
+        for (const auto &[gateway, heardAt] : gateways_)
+            socket_.send(gateway, bytes);
+    }
+
+    void tellLeader(const RankStatus &status)
+    {
+        if (leading_) {
+            leader_->takeStatus(status, monotonicNow());
+            return;
+        }
+        if (leaderAddress_)
+            socket_.send(*leaderAddress_, encodeMessage(status));
+    }
+
+    /// Sends to the sidecar beside an engine; to itself without the network.
+    void sendTo(const Endpoint &engine, const GroupMessage &message)
+    {
+        const Endpoint address{engine.ip, port_};
+        if (engine == engine_) {
+            loop_.defer([this, address, message] { handle(address, message); });
+            return;
+        }
+        socket_.send(address, encodeMessage(message));
+    }
+
+    void receive(const Endpoint &from, std::string_view bytes)
+    {
+        auto message = decodeMessage(bytes);
+        if (message.has_error()) {
+            log_.warn("message.refused",
+                      {{"from", toText(from)}, {"reason", message.error().message}});
+            return;
+        }
+        handle(from, message.value());
+    }
+
+    void handle(const Endpoint &from, const GroupMessage &message)
+    {
+        std::visit([this, &from](const auto &fields) { take(from, fields); }, message);
+    }
+
+    void take(const Endpoint &from, const GatewayHello &hello)
+    {
+        gateways_[from] = monotonicNow();
+        const bool wasMember = isMember();
+        members_ = hello.engines;
+        std::sort(members_.begin(), members_.end());
+        // A new member listens for the present leader before it thinks of leading itself.
+        if (!wasMember && isMember())
+            choice_.since = monotonicNow();
+        leader_->setEngines(members_, hello.profile);
+    }
+
+    bool isMember() const { return std::binary_search(members_.begin(), members_.end(), engine_); }
+
+    void take(const Endpoint &, const EngineLoad &) { }
+
+    void take(const Endpoint &from, const RankPoll &poll)
+    {
+        const TimePoint now = monotonicNow();
+        const bool own = from.ip == engine_.ip;
+        if (!own && from.ip < engine_.ip)
+            noteSuperior(choice_, now);
+        if (!own)
+            leaderAddress_ = from;
+        if (!status_)
+            return;
+        if (poll.withCounts)
+            answerWithCounts(from);
+        else
+            answerPoll(from, *status_);
+    }
+
+    void answerPoll(const Endpoint &from, const RankStatus &status)
+    {
+        if (from.ip == engine_.ip)
+            leader_->takeStatus(status, monotonicNow());
+        else
+            socket_.send(from, encodeMessage(status));
+    }
+
+    void answerWithCounts(const Endpoint &from)
+    {
+        engines_.readCounts(engine_, [this, from](Result<ExpertCounts> counts) {
+            if (counts.has_error() || !status_)
+                return;
+            RankStatus status = *status_;
+            if (counts.value().epoch == status.report.epoch)
+                status.counts = counts.value().counts;
+            answerPoll(from, status);
+        });
+    }
+
+    void take(const Endpoint &, const RankStatus &status)
+    {
+        if (leading_)
+            leader_->takeStatus(status, monotonicNow());
+    }
+
+    void take(const Endpoint &from, const RankCommand &command)
+    {
+        const TimePoint now = monotonicNow();
+        attentiveUntil_ = now + orderAttention;
+        const RankOrder &order = command.order;
+        const bool underWay =
+            std::any_of(openOrders_.begin(), openOrders_.end(),
+                        [&order](const RankOrder &open) { return sameOrder(open, order); });
+        if (underWay)
+            return;
+        openOrders_.push_back(order);
+        engines_.order(engine_, order, [this, order, from](const Result<void> &result) {
+            std::erase_if(openOrders_,
+                          [&order](const RankOrder &open) { return sameOrder(open, order); });
+            if (result.has_error()) {
+                log_.info("order.failed",
+                          {{"kind", static_cast<int>(order.kind)},
+                           {"version", order.version},
+                           {"step", order.step},
+                           {"leader", toText(from)},
+                           {"reason", result.error().message}});
+            }
+            readReport();
+        });
+    }
+
+    platform::ProcessSettings settings_;
+    EventLoop loop_;
+    EventLog log_;
+    HttpClientPool pool_;
+    EngineLink engines_;
+    ShutdownSignal shutdown_;
+    DatagramSocket socket_;
+    std::unique_ptr<GroupLeader> leader_;
+    Endpoint engine_;
+    std::uint16_t port_ = 0;
+    std::optional<RankStatus> status_;
+    bool engineAnswers_ = true;
+    bool reading_ = false;
+    bool readingExperts_ = false;
+    TimePoint readAt_;
+    TimePoint attentiveUntil_;
+    std::map<Endpoint, TimePoint> gateways_;
+    std::vector<Endpoint> members_;
+    LeaderChoice choice_;
+    bool leading_ = false;
+    std::optional<Endpoint> leaderAddress_;
+    std::vector<RankOrder> openOrders_;
+};
+
+Sidecar::Sidecar(platform::ProcessSettings settings)
+    : private_(std::make_unique<Private>(std::move(settings)))
+{ }
+
+Sidecar::~Sidecar() = default;
+
+Result<void> Sidecar::run()
+{
+    return private_->run();
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Version/DemandPlacement.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "Process/Time.h"
+#include "Version/ExpertMap.h"
+#include "Version/GroupMessages.h"
+
+namespace wisteria {
+
+/// Demand for experts of one group as its ranks counted it lately. A plain value.
+///
+/// Demand may move to other experts within one step of time, so old counts fade within a few
+/// tenths of a second: a map made for the demand of a second ago is worse than none.
+struct ExpertDemand
+{
+    /// Faded counts, by set and expert.
+    std::vector<std::vector<double>> loads;
+    /// Counts of each rank as it last told them.
+    std::map<std::uint32_t, std::vector<std::uint64_t>> told;
+    std::optional<TimePoint> fadedAt;
+};
+
+/// Takes in the counts of one rank, one set after the other. Counts below the last ones come from a
+/// rank that started anew.
+void takeCounts(ExpertDemand &demand, const ExpertProfile &profile, std::uint32_t rank,
+                const std::vector<std::uint64_t> &counts, TimePoint now);
+
+/// Bounds of one change of the map.
+struct PlacementBounds
+{
+    /// Skew, summed over the sets, that a change must gain at least.
+    double leastGain = 0.15;
+    /// Skew that each loaded expert must gain at least.
+    double leastGainPerLoad = 0.004;
+    /// Experts that one rank may load for one change, over all sets: the copies of a rank come one
+    /// after the other, and the slowest rank sets the moment of the switch.
+    std::uint32_t loadsPerRank = 3;
+};
+
+/// A map that is better for the present demand than the one in force.
+struct PlacementProposal
+{
+    RankMap map;
+    /// Step-time skew, averaged over the sets, before and after.
+    double skewBefore = 1;
+    double skewAfter = 1;
+    /// Experts to be copied.
+    std::uint32_t loads = 0;
+};
+
+/// Looks for a better map.
+/// @return Nothing when the gain is not worth the copies, or too little demand is known.
+std::optional<PlacementProposal> proposeMap(const ExpertProfile &profile,
+                                            const ExpertDemand &demand, const RankMap &present,
+                                            const PlacementBounds &bounds);
+
+/// Step-time skew of a map under the present demand, averaged over the sets; 1 is balanced.
+double demandSkew(const ExpertDemand &demand, const RankMap &map);
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Version/GroupMessages.cpp
@@ -0,0 +1,181 @@
+#include "Version/GroupMessages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace wisteria {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// First element of each message. A new meaning of the fields gets a new number.
+enum class MessageKind : std::uint8_t { Hello = 1, Load = 2, Poll = 3, Status = 4, Command = 5 };
+
+Json encode(const Endpoint &endpoint)
+{
+    return Json::array({endpoint.ip, endpoint.port});
+}
+
+Endpoint decodeEndpoint(const Json &json)
+{
+    return {json.at(0).get<std::uint32_t>(), json.at(1).get<std::uint16_t>()};
+}
+
+Json encode(const GatewayHello &hello)
+{
+    const ExpertProfile &profile = hello.profile;
+    Json engines = Json::array();
+    for (const Endpoint &engine : hello.engines)
+        engines.push_back(encode(engine));
+    return {MessageKind::Hello,     profile.sets,        profile.expertsPerSet,
+            profile.expertsPerRank, profile.loadsPerMap, profile.loadMilliseconds,
+            std::move(engines)};
+}
+
+GatewayHello decodeHello(const Json &json)
+{
+    GatewayHello hello;
+    hello.profile = {.sets = json.at(1).get<std::uint32_t>(),
+                     .expertsPerSet = json.at(2).get<std::uint32_t>(),
+                     .expertsPerRank = json.at(3).get<std::uint32_t>(),
+                     .loadsPerMap = json.at(4).get<std::uint32_t>(),
+                     .loadMilliseconds = json.at(5).get<double>()};
+    for (const Json &engine : json.at(6))
+        hello.engines.push_back(decodeEndpoint(engine));
+    return hello;
+}
+
+Json encode(const EngineLoad &load)
+{
+    return {MessageKind::Load, encode(load.engine), load.running,
+            load.waiting,      load.memoryUsed,     load.memoryTotal};
+}
+
+EngineLoad decodeLoad(const Json &json)
+{
+    return {.engine = decodeEndpoint(json.at(1)),
+            .running = json.at(2).get<std::uint32_t>(),
+            .waiting = json.at(3).get<std::uint32_t>(),
+            .memoryUsed = json.at(4).get<std::uint64_t>(),
+            .memoryTotal = json.at(5).get<std::uint64_t>()};
+}
+
+Json encode(const RankReport &report)
+{
+    return {report.running,
+            report.waiting,
+            report.group,
+            report.epoch,
+            report.rank,
+            report.groupSize,
+            report.groupOpen,
+            report.step,
+            report.map,
+            report.prepared,
+            report.armed,
+            report.armedStep,
+            report.heldStep.value_or(0)};
+}
+
+RankReport decodeReport(const Json &json)
+{
+    RankReport report;
+    report.running = json.at(0).get<std::uint32_t>();
+    report.waiting = json.at(1).get<std::uint32_t>();
+    report.group = json.at(2).get<std::string>();
+    report.epoch = json.at(3).get<std::uint64_t>();
+    report.rank = json.at(4).get<std::uint32_t>();
+    report.groupSize = json.at(5).get<std::uint32_t>();
+    report.groupOpen = json.at(6).get<bool>();
+    report.step = json.at(7).get<std::uint64_t>();
+    report.map = json.at(8).get<std::uint64_t>();
+    report.prepared = json.at(9).get<std::uint64_t>();
+    report.armed = json.at(10).get<std::uint64_t>();
+    report.armedStep = json.at(11).get<std::uint64_t>();
+    if (const auto held = json.at(12).get<std::uint64_t>(); held != 0)
+        report.heldStep = held;
+    return report;
+}
+
+Json encode(const RankStatus &status)
+{
+    return {MessageKind::Status,   encode(status.engine), status.readAtMilliseconds,
+            encode(status.report), status.experts,        status.counts};
+}
+
+RankStatus decodeStatus(const Json &json)
+{
+    return {.engine = decodeEndpoint(json.at(1)),
+            .readAtMilliseconds = json.at(2).get<std::uint64_t>(),
+            .report = decodeReport(json.at(3)),
+            .experts = json.at(4).get<std::vector<std::vector<std::uint32_t>>>(),
+            .counts = json.at(5).get<std::vector<std::uint64_t>>()};
+}
+
+Json encode(const RankCommand &command)
+{
+    const RankOrder &order = command.order;
+    return {MessageKind::Command, order.kind, order.epoch, order.version, order.step, order.map};
+}
+
+RankCommand decodeCommand(const Json &json)
+{
+    RankCommand command;
+    const auto kind = json.at(1).get<int>();
+    if (kind < 0 || kind > static_cast<int>(RankOrderKind::Go))
+        throw std::out_of_range("unknown order");
+    command.order = {.kind = static_cast<RankOrderKind>(kind),
+                     .epoch = json.at(2).get<std::uint64_t>(),
+                     .version = json.at(3).get<std::uint64_t>(),
+                     .step = json.at(4).get<std::uint64_t>(),
+                     .map = json.at(5).get<RankMap>()};
+    return command;
+}
+
+GroupMessage decodeFields(const Json &json)
+{
+    switch (static_cast<MessageKind>(json.at(0).get<int>())) {
+    case MessageKind::Hello:
+        return decodeHello(json);
+    case MessageKind::Load:
+        return decodeLoad(json);
+    case MessageKind::Poll:
+        return RankPoll{.withCounts = json.at(1).get<bool>()};
+    case MessageKind::Status:
+        return decodeStatus(json);
+    case MessageKind::Command:
+        return decodeCommand(json);
+    }
+    throw std::out_of_range("unknown message");
+}
+
+Json encode(const RankPoll &poll)
+{
+    return {MessageKind::Poll, poll.withCounts};
+}
+
+} // namespace
+
+std::string encodeMessage(const GroupMessage &message)
+{
+    const Json json = std::visit([](const auto &fields) { return encode(fields); }, message);
+    std::string bytes;
+    Json::to_msgpack(json, bytes);
+    return bytes;
+}
+
+Result<GroupMessage> decodeMessage(std::string_view bytes)
+{
+    const Json json = Json::from_msgpack(bytes, true, false);
+    if (!json.is_array())
+        return failure(ErrorKind::BadInput, "a datagram is no message; see who sends to the port");
+    try {
+        return decodeFields(json);
+    } catch (const std::exception &error) {
+        return failure(ErrorKind::BadInput,
+                       std::string("a message can't be read: ") + error.what()
+                           + "; run the same version on all VMs");
+    }
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Version/GroupMessages.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "Process/Endpoint.h"
+#include "Process/Error.h"
+#include "Version/RankReport.h"
+
+namespace wisteria {
+
+/// What the placement of experts needs to know of a service's engines.
+struct ExpertProfile
+{
+    std::uint32_t sets = 0;
+    std::uint32_t expertsPerSet = 0;
+    std::uint32_t expertsPerRank = 0;
+    /// Experts of a set that one rank may load for one new map.
+    std::uint32_t loadsPerMap = 0;
+    /// Time that one expert's weights take to a rank, in milliseconds.
+    double loadMilliseconds = 0;
+
+    bool operator==(const ExpertProfile &) const = default;
+};
+
+/// A gateway tells a sidecar that it is there, and who else serves the engine's service. A sidecar
+/// needs no other knowledge of the platform's lists.
+struct GatewayHello
+{
+    ExpertProfile profile;
+    /// Engines of the service; each has a sidecar on the same VM.
+    std::vector<Endpoint> engines;
+};
+
+/// A sidecar tells a gateway the load of its engine.
+struct EngineLoad
+{
+    Endpoint engine;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint64_t memoryUsed = 0;
+    std::uint64_t memoryTotal = 0;
+};
+
+/// The group's leader asks a sidecar for its rank's state.
+struct RankPoll
+{
+    /// Whether the counts of experts are wanted as well.
+    bool withCounts = false;
+};
+
+/// The state of a rank, as its own sidecar read it a moment ago.
+struct RankStatus
+{
+    Endpoint engine;
+    /// Time since the VM's boot at which the state was read. Datagrams may overtake each other, and
+    /// an older state must not replace a newer one.
+    std::uint64_t readAtMilliseconds = 0;
+    RankReport report{};
+    /// Experts that the rank holds, by set; empty while unknown.
+    std::vector<std::vector<std::uint32_t>> experts{};
+    /// How often the rank's requests chose each expert since its start, one set after the other;
+    /// empty when not asked for.
+    std::vector<std::uint64_t> counts{};
+};
+
+/// The group's leader wants an order given to a sidecar's own rank.
+struct RankCommand
+{
+    RankOrder order;
+};
+
+using GroupMessage = std::variant<GatewayHello, EngineLoad, RankPoll, RankStatus, RankCommand>;
+
+/// A message as MessagePack bytes.
+std::string encodeMessage(const GroupMessage &message);
+
+/// @return BadInput for bytes that are no message of this version.
+Result<GroupMessage> decodeMessage(std::string_view bytes);
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Version/LeaderChoice.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+
+#include "Process/Time.h"
+
+namespace wisteria {
+
+/// Which sidecar of a service leads: the first of the list that is alive. A plain value.
+///
+/// Two may lead for a moment, as when a paused one wakes up; the agreement on maps bears that, so
+/// the choice needs no lease and holds through outages of the store.
+struct LeaderChoice
+{
+    /// When a sidecar further up the list was last heard to lead.
+    TimePoint heardSuperior;
+    /// When this process began to listen.
+    TimePoint since;
+};
+
+/// A silent leader is replaced after this time: four of its polls.
+constexpr milliseconds leaderSilence{700};
+/// Each further place in the list waits this much longer, so that one at a time tries.
+constexpr milliseconds leaderStagger{150};
+/// Places beyond this one don't add to the wait.
+constexpr std::size_t staggeredPlaces = 20;
+
+/// Notes a poll from a sidecar further up the list.
+inline void noteSuperior(LeaderChoice &choice, TimePoint now)
+{
+    choice.heardSuperior = now;
+}
+
+/// Whether this sidecar leads now.
+/// @param place Its place in the list of the service's sidecars, from 0.
+inline bool leads(const LeaderChoice &choice, std::size_t place, TimePoint now)
+{
+    const milliseconds wait =
+        leaderSilence + leaderStagger * static_cast<int>(std::min(place, staggeredPlaces));
+    const TimePoint from = std::max(choice.heardSuperior, choice.since);
+    return now - from >= wait;
+}
+
+} // namespace wisteria
--- a/Source/Version/RankReport.h
+++ b/Source/Version/RankReport.h
@@ -37,12 +37,13 @@
     std::optional<std::uint64_t> heldStep;
 };
 
-/// How often the requests of one rank chose each expert since the rank started, by set.
+/// How often the requests of one rank chose each expert since the rank started.
 struct ExpertCounts
 {
     std::uint64_t epoch = 0;
     std::uint64_t step = 0;
-    std::vector<std::vector<std::uint64_t>> sets;
+    /// One set of experts after the other.
+    std::vector<std::uint64_t> counts;
 };
 
 /// Experts by set and rank.
@@ -60,7 +61,7 @@
     /// Pass; for Arm, Hold and Go.
     std::uint64_t step = 0;
     /// For Prepare.
-    RankMap map;
+    RankMap map{};
 };
 
 } // namespace wisteria
--- /dev/null
+++ b/Source/Version/RankSwitch.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Process/Endpoint.h"
+#include "Process/Time.h"
+#include "Version/DemandPlacement.h"
+#include "Version/GroupMessages.h"
+
+namespace wisteria {
+
+/// One rank as the group's leader knows it.
+struct RankView
+{
+    RankStatus status;
+    /// When the status arrived.
+    TimePoint at;
+};
+
+/// Times and bounds of the leader's work. Tests shorten them.
+struct SwitchTiming
+{
+    /// A status that is older than this says nothing of the present.
+    milliseconds statusLifetime{450};
+    /// Pause before an order without an effect is asked for again.
+    milliseconds resend{50};
+    /// How long all copies may take before the map is given up.
+    milliseconds prepareTimeout{4000};
+    /// A sidecar that does not answer for this long while the group is held has its rank ordered
+    /// from here: each further moment stalls every stream of the group.
+    milliseconds orderDirectlyAfter{150};
+    /// Passes between the last one seen and the one at which the group switches. The hold must
+    /// reach its rank before that pass begins; a pass takes some 30 to 60 ms, an order 5 to 20.
+    std::uint64_t passesAhead = 2;
+    /// Pause between two changes of the map.
+    milliseconds betweenSwitches{100};
+};
+
+/// Where a change of the map stands.
+///
+/// No pass may begin while two ranks have different maps. A hold on one rank keeps the whole group
+/// from beginning a pass. The group is let go only after every rank has been seen armed for the
+/// same version and pass since the hold, and an armed rank is never disarmed unless some rank is
+/// known to lack that version for good, so that no one can have seen them all armed. Both hold
+/// whoever leads, however late its orders are carried out, and with two leaders at a time; a new
+/// leader needs no memory and reads everything from the ranks.
+enum class SwitchPhase {
+    Idle,
+    Preparing, ///< The ranks copy the experts that are new to them.
+    Holding, ///< One rank is told to hold the group at a pass.
+    Arming, ///< Every rank is told to switch as that pass begins.
+    Unwinding, ///< Some rank lost the version: the others are disarmed before another is made.
+    Releasing, ///< All are armed: the held rank is told to go on.
+};
+
+/// All that the leader keeps of one group. A plain value.
+struct GroupSwitch
+{
+    std::string group{};
+    std::uint64_t epoch = 0;
+    std::map<std::uint32_t, RankView> ranks{};
+    ExpertDemand demand{};
+    SwitchPhase phase = SwitchPhase::Idle;
+    TimePoint phaseSince{};
+    std::uint64_t version = 0;
+    std::uint64_t step = 0;
+    /// Rank that holds, or is to hold, the group.
+    std::uint32_t holder = 0;
+    /// The group was held before the present version was prepared.
+    bool heldBefore = false;
+    RankMap map{};
+    /// Highest version known of, in use or not.
+    std::uint64_t highestVersion = 0;
+    /// When an order was last asked of a rank.
+    std::map<std::uint32_t, TimePoint> askedAt{};
+    TimePoint lastSwitchAt{};
+    TimePoint heldSince{};
+    PlacementProposal proposal{};
+};
+
+/// An order for a rank, through its sidecar or straight to its engine.
+struct SwitchAction
+{
+    std::uint32_t rank = 0;
+    Endpoint engine;
+    RankOrder order;
+    bool direct = false;
+};
+
+/// What a step of the leader's work gave.
+struct SwitchStep
+{
+    std::vector<SwitchAction> actions;
+    /// What happened, for the log; empty for nothing.
+    std::string note;
+};
+
+/// Takes in a rank's status. A new epoch begins anew.
+void takeStatus(GroupSwitch &group, const ExpertProfile &profile, const RankStatus &status,
+                TimePoint now);
+
+/// Notes that a rank has carried out an order that went straight to its engine.
+void noteOrderDone(GroupSwitch &group, std::uint32_t rank, const RankOrder &order, TimePoint now);
+
+/// Decides what to do next.
+/// @param leaderRank Rank beside the leader, which it orders fastest.
+/// @param versionHint Grows with time, so that versions of leaders that don't know of each other
+/// differ.
+SwitchStep advanceSwitch(GroupSwitch &group, const ExpertProfile &profile,
+                         const PlacementBounds &bounds, const SwitchTiming &timing,
+                         std::uint32_t leaderRank, std::uint64_t versionHint, TimePoint now);
+
+/// Whether the group is in the middle of a change, so that statuses are wanted often.
+inline bool switching(const GroupSwitch &group)
+{
+    return group.phase != SwitchPhase::Idle;
+}
+
+const char *phaseName(SwitchPhase phase);
+
+} // namespace wisteria
