Let go of a group that a late order holds after its switch

Cause: an order to hold that got no answer is asked for again at a later pass. Carried out seconds late, it can hold a pass after the switch; the leader then kept sending go for the switch's own pass, and the group stood for good. Ruled out: late arms (refused once the pass has begun). Change: only the switch's own hold keeps the leader in releasing; another one is found as a hold that nobody owns. SIGHUP reloads instead of ending the process (default action), which cut requests on 15 VMs at once.

--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -73,7 +73,8 @@
                                  .retryShares = {},
                                  .failureDomain = settings_.failureDomain,
                                  .routes = nullptr},
-          list_(board_, log_), shutdown_(loop_, [this] { stop(); }),
+          list_(board_, log_), shutdown_(
+                                   loop_, [this] { stop(); }, [this] { reload(); }),
           callers_(loop_, [this](int descriptor) { acceptCaller(descriptor); }),
           readiness_(loop_, [this](int descriptor) { acceptReadiness(descriptor); }),
           peers_(loop_, [this](const Endpoint &from, std::string_view bytes) {
@@ -325,6 +326,21 @@
             checkStop(now);
     }
 
+    /// Takes over what may change while the process runs. A file that can't be read keeps the old.
+    void reload()
+    {
+        auto read = platform::loadProcessSettings();
+        if (read.has_error()) {
+            log_.warn("process.reload_refused", {{"reason", read.error().message}});
+            return;
+        }
+        context_.retryBounds = retryBoundsOf(read.value());
+        settings_.gracePeriod = read.value().gracePeriod;
+        log_.info("process.reload",
+                  {{"retry_ratio", context_.retryBounds.ratio},
+                   {"retry_slack", context_.retryBounds.slack}});
+    }
+
     void stop()
     {
         if (stopping_)
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -47,7 +47,8 @@
 public:
     explicit Private(platform::ProcessSettings settings)
         : settings_(std::move(settings)), log_(settings_.vmName, LogLevel::Info), pool_(loop_),
-          engines_(pool_, log_), shutdown_(loop_, [this] { loop_.stop(); }),
+          engines_(pool_, log_), shutdown_(
+                                     loop_, [this] { loop_.stop(); }, [this] { reload(); }),
           socket_(loop_,
                   [this](const Endpoint &from, std::string_view bytes) { receive(from, bytes); })
     { }
@@ -76,6 +77,9 @@
     }
 
 private:
+    /// Nothing of a sidecar's settings may change while it runs; the line tells that it was asked.
+    void reload() { log_.info("process.reload", {{"engine", toText(engine_)}}); }
+
     void scheduleTick()
     {
         loop_.runAfter(tickPeriod, [this] {
--- a/Source/Version/RankReport.h
+++ b/Source/Version/RankReport.h
@@ -34,7 +34,7 @@
     std::uint64_t armed = 0;
     std::uint64_t armedStep = 0;
     /// Pass that the group does not begin until it is told to; nothing when not held.
-    std::optional<std::uint64_t> heldStep;
+    std::optional<std::uint64_t> heldStep{};
 };
 
 /// How often the requests of one rank chose each expert since the rank started.
--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -252,7 +252,9 @@
                       TimePoint now)
 {
     const RankReport &holder = group.ranks.at(group.holder).status.report;
-    if (holder.heldStep) {
+    // Another pass may be held by then: an order to hold that was believed lost can be carried out
+    // after the switch. The group is then done with this one and finds itself held by nobody.
+    if (holder.heldStep == group.step) {
         ask(group, step, timing, group.holder, {.kind = RankOrderKind::Go, .step = group.step},
             now);
         return;
--- /dev/null
+++ b/Tests/Version/RankSwitchTest.cpp
@@ -0,0 +1,348 @@
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "Version/RankSwitch.h"
+
+using namespace wisteria;
+
+namespace {
+
+constexpr std::uint32_t rankCount = 4;
+constexpr std::uint32_t expertCount = 8;
+const ExpertProfile profile{.sets = 1,
+                            .expertsPerSet = expertCount,
+                            .expertsPerRank = 3,
+                            .loadsPerMap = 2,
+                            .loadMilliseconds = 100};
+
+/// What goes wrong in one run.
+struct Trouble
+{
+    /// Share of orders without an answer, carried out up to three seconds later.
+    double lateOrders = 0;
+    double lostMessages = 0;
+    /// The leader is replaced by one that knows nothing, each so often.
+    milliseconds leaderLife{1'000'000};
+    /// The former leader goes on for this long beside the new one.
+    milliseconds overlap{0};
+};
+
+struct Rank
+{
+    RankReport report;
+    std::vector<std::uint32_t> experts;
+    std::uint64_t highest = 0;
+    RankMap preparedMap;
+    std::uint64_t copying = 0;
+    TimePoint copiedAt;
+    std::vector<std::uint64_t> counts = std::vector<std::uint64_t>(expertCount, 0);
+};
+
+/// A rank group in virtual time that carries out orders as engines do and checks each pass.
+class World
+{
+public:
+    World(std::uint64_t seed, const Trouble &trouble) : trouble_(trouble), random_(seed)
+    {
+        for (std::uint32_t rank = 0; rank < rankCount; ++rank) {
+            ranks_[rank].report = {
+                .group = "g", .epoch = 1, .rank = rank, .groupSize = rankCount, .groupOpen = true};
+            for (std::uint32_t expert = rank; expert < expertCount; expert += rankCount)
+                ranks_[rank].experts.push_back(expert);
+        }
+        leaders_.push_back({GroupSwitch{}, TimePoint::max()});
+        leaderBornAt_ = now_;
+    }
+
+    void run(milliseconds length)
+    {
+        const TimePoint end = now_ + length;
+        while (now_ < end) {
+            now_ += milliseconds(5);
+            replaceLeader();
+            deliver();
+            finishCopies();
+            if (now_ >= nextPassAt_)
+                beginPass();
+            tellStatuses();
+            for (Leader &leader : leaders_)
+                advance(leader);
+            longestHold_ = std::max(longestHold_, remaining(lastPassAt_, now_));
+        }
+    }
+
+    bool mixed() const { return mixed_; }
+    milliseconds longestHold() const { return longestHold_; }
+    std::uint32_t switches() const { return switches_; }
+
+    /// Tells the rank's holder to hold, as a leader that is gone did.
+    void holdByNobody() { ranks_[1].report.heldStep = ranks_[1].report.step + 2; }
+
+    /// Has one rank armed alone behind a hold, as a leader that died half-way left it.
+    void armHalf()
+    {
+        for (Rank &rank : ranks_) {
+            rank.highest = 5;
+            rank.report.prepared = 5;
+            rank.preparedMap = {{{0, 4}, {1, 5}, {2, 6}, {3, 7}}};
+        }
+        holdByNobody();
+        ranks_[2].report.armed = 5;
+        ranks_[2].report.armedStep = *ranks_[1].report.heldStep;
+    }
+
+private:
+    struct Leader
+    {
+        GroupSwitch group;
+        TimePoint until;
+    };
+
+    struct Event
+    {
+        TimePoint at;
+        std::function<void()> run;
+    };
+
+    bool chance(double share)
+    {
+        return std::uniform_real_distribution<double>(0, 1)(random_) < share;
+    }
+
+    milliseconds between(int low, int high)
+    {
+        return milliseconds(std::uniform_int_distribution<int>(low, high)(random_));
+    }
+
+    void later(milliseconds delay, std::function<void()> run)
+    {
+        events_.push_back({now_ + delay, std::move(run)});
+    }
+
+    void deliver()
+    {
+        std::vector<Event> due;
+        std::erase_if(events_, [&](Event &event) {
+            if (event.at > now_)
+                return false;
+            due.push_back(std::move(event));
+            return true;
+        });
+        for (Event &event : due)
+            event.run();
+    }
+
+    void replaceLeader()
+    {
+        std::erase_if(leaders_, [this](const Leader &leader) { return leader.until <= now_; });
+        if (now_ - leaderBornAt_ < trouble_.leaderLife)
+            return;
+        leaderBornAt_ = now_;
+        for (Leader &leader : leaders_)
+            leader.until = std::min(leader.until, now_ + trouble_.overlap);
+        leaders_.push_back({GroupSwitch{}, TimePoint::max()});
+    }
+
+    void finishCopies()
+    {
+        for (Rank &rank : ranks_) {
+            if (rank.copying == 0 || now_ < rank.copiedAt)
+                continue;
+            rank.report.prepared = rank.copying;
+            rank.copying = 0;
+        }
+    }
+
+    void beginPass()
+    {
+        const std::uint64_t step = ranks_.front().report.step + 1;
+        for (const Rank &rank : ranks_) {
+            if (rank.report.heldStep == step)
+                return;
+        }
+        nextPassAt_ = now_ + between(30, 60);
+        lastPassAt_ = now_;
+        for (Rank &rank : ranks_)
+            beginPass(rank, step);
+        for (const Rank &rank : ranks_)
+            mixed_ = mixed_ || rank.report.map != ranks_.front().report.map;
+    }
+
+    void beginPass(Rank &rank, std::uint64_t step)
+    {
+        rank.report.step = step;
+        const std::uint32_t hot = static_cast<std::uint32_t>(step / 30) % expertCount;
+        for (std::uint32_t expert = 0; expert < expertCount; ++expert)
+            rank.counts[expert] += expert == hot ? 2000 : 300;
+        if (rank.report.armedStep != step || rank.report.armed == 0)
+            return;
+        rank.report.map = rank.report.armed;
+        rank.report.armed = 0;
+        rank.report.prepared = 0;
+        rank.experts = rank.preparedMap[0][rank.report.rank];
+        if (rank.report.rank == 0)
+            ++switches_;
+    }
+
+    /// Carries an order out as an engine does.
+    void carryOut(Rank &rank, const RankOrder &order)
+    {
+        RankReport &report = rank.report;
+        const bool begun = order.step <= report.step;
+        if (order.epoch != report.epoch)
+            return;
+        switch (order.kind) {
+        case RankOrderKind::Prepare:
+            if (order.version <= rank.highest || report.armed != 0)
+                return;
+            rank.highest = order.version;
+            rank.copying = order.version;
+            rank.copiedAt = now_ + between(50, 300);
+            rank.preparedMap = order.map;
+            report.prepared = 0;
+            return;
+        case RankOrderKind::Arm:
+            if (report.prepared != order.version || begun)
+                return;
+            report.armed = order.version;
+            report.armedStep = order.step;
+            return;
+        case RankOrderKind::Disarm:
+            if (report.armed == order.version)
+                report.armed = 0;
+            return;
+        case RankOrderKind::Hold:
+            if (!begun && !report.heldStep)
+                report.heldStep = order.step;
+            return;
+        case RankOrderKind::Go:
+            if (report.heldStep == order.step)
+                report.heldStep.reset();
+            return;
+        }
+    }
+
+    RankStatus statusOf(const Rank &rank)
+    {
+        RankStatus status{.engine = {rank.report.rank + 1, 1}, .report = rank.report};
+        status.readAtMilliseconds = static_cast<std::uint64_t>(
+            std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count());
+        status.experts = {rank.experts};
+        status.counts = rank.counts;
+        return status;
+    }
+
+    void tellStatuses()
+    {
+        if (now_ < nextTellAt_)
+            return;
+        nextTellAt_ = now_ + milliseconds(40);
+        for (const Rank &rank : ranks_) {
+            const RankStatus status = statusOf(rank);
+            for (std::size_t leader = 0; leader < leaders_.size(); ++leader) {
+                if (chance(trouble_.lostMessages))
+                    continue;
+                later(between(1, 30), [this, leader, status] {
+                    if (leader < leaders_.size())
+                        takeStatus(leaders_[leader].group, profile, status, now_);
+                });
+            }
+        }
+    }
+
+    void advance(Leader &leader)
+    {
+        const auto hint = static_cast<std::uint64_t>(remaining(TimePoint(), now_).count() / 100);
+        const SwitchStep step =
+            advanceSwitch(leader.group, profile, bounds_, SwitchTiming{}, 0, hint, now_);
+        for (const SwitchAction &action : step.actions) {
+            if (chance(trouble_.lostMessages))
+                continue;
+            const bool late = chance(trouble_.lateOrders);
+            later(late ? between(300, 3000) : between(1, 12),
+                  [this, action] { carryOut(ranks_[action.rank], action.order); });
+        }
+    }
+
+    Trouble trouble_;
+    std::mt19937_64 random_;
+    TimePoint now_{seconds(1000)};
+    std::vector<Rank> ranks_ = std::vector<Rank>(rankCount);
+    std::deque<Leader> leaders_;
+    std::vector<Event> events_;
+    PlacementBounds bounds_{.leastGain = 0.1, .leastGainPerLoad = 0.001, .loadsPerRank = 2};
+    TimePoint leaderBornAt_;
+    TimePoint nextPassAt_;
+    TimePoint nextTellAt_;
+    TimePoint lastPassAt_ = now_;
+    milliseconds longestHold_{0};
+    bool mixed_ = false;
+    std::uint32_t switches_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("A quiet group follows demand and is hardly held")
+{
+    World world(1, {});
+    world.run(seconds(30));
+    REQUIRE_FALSE(world.mixed());
+    REQUIRE(world.switches() >= 5);
+    REQUIRE(world.longestHold() < milliseconds(250));
+}
+
+// Callers would see every stream of a group stop for seconds. Orders to ranks get no answer and are
+// carried out seconds later, after newer ones; a leader that believed an order lost, or let the
+// group go before each rank was seen armed, would let a pass begin on two maps.
+TEST_CASE("Orders that are carried out seconds late never bring a pass on two maps")
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        World world(seed, {.lateOrders = 0.35, .lostMessages = 0.1});
+        world.run(seconds(20));
+        CAPTURE(seed, world.longestHold().count());
+        REQUIRE_FALSE(world.mixed());
+        REQUIRE(world.switches() >= 1);
+        REQUIRE(world.longestHold() < seconds(2));
+    }
+}
+
+// Every stream of a group stops for good. The leader's VM dies between hold and go, or freezes and
+// wakes up beside its successor; the hold has no time limit, so whoever follows must find it.
+TEST_CASE("Leaders that die at any moment, or go on beside the next one, leave no group held")
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        World world(seed,
+                    {.lateOrders = 0.2,
+                     .lostMessages = 0.1,
+                     .leaderLife = milliseconds(730),
+                     .overlap = milliseconds(seed % 2 == 0 ? 0 : 400)});
+        world.run(seconds(20));
+        CAPTURE(seed, world.longestHold().count());
+        REQUIRE_FALSE(world.mixed());
+        REQUIRE(world.longestHold() < seconds(3));
+    }
+}
+
+TEST_CASE("A hold that nobody owns is let go within a second")
+{
+    World world(7, {});
+    world.run(seconds(3));
+    world.holdByNobody();
+    world.run(seconds(2));
+    REQUIRE_FALSE(world.mixed());
+    REQUIRE(world.longestHold() < seconds(1));
+}
+
+TEST_CASE("A switch that its leader left half armed is carried through")
+{
+    World world(8, {});
+    world.armHalf();
+    world.run(seconds(2));
+    REQUIRE_FALSE(world.mixed());
+    REQUIRE(world.longestHold() < seconds(1));
+}
