Take the work off a rank that is slow

Cause: every pass waits for the slowest rank; one at a twelfth of its speed kept the group at one event a second for nine seconds, with 9 of its streams and its share of the experts there. Ruled out: refusing more (all ranks are slow together); placing by pace alone (slow rank still got one request each time the others were full: 163 moves). Change: reports carry the pace; a rank at 1.4 or more holds no experts, one at 2.0 gets no requests while there is another, and its resumable streams go on elsewhere after their last event.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -17,6 +17,10 @@
 /// Share of the target latency for which a request waits for a place before it is refused: longer,
 /// and the answer would come late even if a place were found.
 constexpr double waitShare = 0.5;
+/// Load in parts of the slots up to which a backend server gets a first send, and a further one of
+/// a request that has begun: that one has cost work already, and its caller waits for the rest.
+constexpr double fullForFirstSend = 1.0;
+constexpr double fullForRetry = 2.0;
 /// When a refused caller is told to come back: about the time in which a place becomes free.
 constexpr milliseconds retryAfterFull{400};
 /// The same when the service has no backend server at all; a restart takes seconds.
@@ -55,11 +59,7 @@
 
 bool Exchange::tryPlace(TimePoint now)
 {
-    const BackendWish wish{.service = service_,
-                           .tried = tried_,
-                           .fullAt = 1.0,
-                           .failureDomain = context_.failureDomain};
-    const BackendChoice choice = chooseBackend(context_.board, wish, now, context_.draw());
+    const BackendChoice choice = chooseNext(fullForFirstSend, now);
     if (choice.backend != nullptr) {
         waiting_ = false;
         send(*choice.backend, now);
@@ -112,10 +112,12 @@
     lastByteAt_ = monotonicNow();
     BackendState *backend = backendNow();
     if (backend != nullptr && head_.load) {
+        const double pace = backend->told ? backend->told->pace : 1;
         backend->told = LoadTold{.running = head_.load->running,
                                  .waiting = head_.load->waiting,
                                  .own = backend->own,
-                                 .at = lastByteAt_};
+                                 .at = lastByteAt_,
+                                 .pace = pace};
     }
 }
 
@@ -249,11 +251,7 @@
         && (end == SendEnd::NeverSent
             || takeRetry(context_.retryShares[service_], context_.retryBounds, now));
     if (again) {
-        const BackendWish wish{.service = service_,
-                               .tried = tried_,
-                               .fullAt = 2.0,
-                               .failureDomain = context_.failureDomain};
-        const BackendChoice choice = chooseBackend(context_.board, wish, now, context_.draw());
+        const BackendChoice choice = chooseNext(fullForRetry, now);
         if (choice.backend != nullptr) {
             send(*choice.backend, now);
             return;
@@ -297,8 +295,46 @@
         endSend(call_->sent() ? SendEnd::Silent : SendEnd::NeverSent, "out of time");
         return;
     }
-    if (!call_->sent() && now - sentAt_ >= connectTimeout)
+    if (!call_->sent() && now - sentAt_ >= connectTimeout) {
         endSend(SendEnd::NeverSent, "no connection in time");
+        return;
+    }
+    moveOffSlowBackend(now);
+}
+
+void Exchange::moveOffSlowBackend(TimePoint now)
+{
+    const BackendState *slow = backendNow();
+    if (route_.kind != RequestKind::Streaming || slow == nullptr
+        || paceOf(*slow, now, context_.board.loadLifetime) < moveAtPace)
+        return;
+    SendHistory after = history_;
+    ++after.arrivals;
+    after.mayHaveRun = true;
+    if (!mayRetry(route_, SendEnd::Broken, after, timeLeft(now)))
+        return;
+    const BackendChoice choice = chooseNext(fullForFirstSend, now);
+    const bool better = choice.backend != nullptr
+        && paceOf(*choice.backend, now, context_.board.loadLifetime) < moveAtPace;
+    if (!better || !takeRetry(context_.retryShares[service_], context_.retryBounds, now))
+        return;
+    context_.log.info("request.moved",
+                      {{"id", request_.attemptId},
+                       {"from", backendId_},
+                       {"pace", slow->told->pace},
+                       {"to", choice.backend->entry.id}});
+    history_ = after;
+    leaveBackend();
+    send(*choice.backend, now);
+}
+
+BackendChoice Exchange::chooseNext(double fullAt, TimePoint now)
+{
+    const BackendWish wish{.service = service_,
+                           .tried = tried_,
+                           .fullAt = fullAt,
+                           .failureDomain = context_.failureDomain};
+    return chooseBackend(context_.board, wish, now, context_.draw());
 }
 
 BackendState *Exchange::backendNow()
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -74,6 +74,8 @@
     void passOnAnswer();
     void endSend(SendEnd end, const std::string &reason);
     void leaveBackend();
+    void moveOffSlowBackend(TimePoint now);
+    BackendChoice chooseNext(double fullAt, TimePoint now);
     BackendState *backendNow();
     void refuse(const char *reason, milliseconds retryAfter, TimePoint now);
     void finish(int status, const char *reason, TimePoint now);
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -195,7 +195,8 @@
             state.told = LoadTold{.running = load.running,
                                   .waiting = load.waiting,
                                   .own = state.own,
-                                  .at = monotonicNow()};
+                                  .at = monotonicNow(),
+                                  .pace = load.pace};
         }
         serveWaitingSoon();
     }
--- a/Source/Programs/Sidecar/GroupLeader.cpp
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -105,7 +105,12 @@
                {"step", action.order.step}});
     engines_.order(action.engine, action.order, [this, name, action](Result<void> result) {
         const auto group = groups_.find(name);
-        if (result.has_error() || group == groups_.end())
+        if (result.has_error()) {
+            log_.info("map.direct_order_failed",
+                      {{"rank", action.rank}, {"reason", result.error().message}});
+            return;
+        }
+        if (group == groups_.end())
             return;
         noteOrderDone(group->second, action.rank, action.order, monotonicNow());
     });
@@ -128,8 +133,11 @@
 void GroupLeader::readDirectly(const Endpoint &engine)
 {
     engines_.readReport(engine, [this, engine](Result<RankReport> report) {
-        if (report.has_error() || report.value().group.empty())
+        if (report.has_error()) {
+            log_.info("engine.no_report",
+                      {{"engine", toText(engine)}, {"reason", report.error().message}});
             return;
+        }
         RankStatus status{.engine = engine, .report = report.value()};
         const auto group = groups_.find(status.report.group);
         if (group == groups_.end())
@@ -151,9 +159,14 @@
 void GroupLeader::readExpertsDirectly(RankStatus status)
 {
     const Endpoint engine = status.engine;
-    engines_.readExperts(engine, [this, status = std::move(status)](auto experts) mutable {
+    engines_.readExperts(engine, [this, engine, status = std::move(status)](auto experts) mutable {
         const auto group = groups_.find(status.report.group);
-        if (experts.has_error() || group == groups_.end())
+        if (experts.has_error()) {
+            log_.info("engine.no_experts",
+                      {{"engine", toText(engine)}, {"reason", experts.error().message}});
+            return;
+        }
+        if (group == groups_.end())
             return;
         status.experts = experts.value();
         wisteria::takeStatus(group->second, profile_, status, monotonicNow());
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -175,7 +175,8 @@
                                                            .running = report.running,
                                                            .waiting = report.waiting,
                                                            .memoryUsed = report.memoryUsed,
-                                                           .memoryTotal = report.memoryTotal});
+                                                           .memoryTotal = report.memoryTotal,
+                                                           .pace = report.pace});
         for (const auto &[gateway, heardAt] : gateways_)
             socket_.send(gateway, bytes);
     }
--- a/Source/Request/BackendBoard.cpp
+++ b/Source/Request/BackendBoard.cpp
@@ -39,6 +39,17 @@
     }
 };
 
+/// Leaves slow backend servers out as long as there is another, even when that one is full: a
+/// single request on a slow rank slows down the passes of its whole group.
+void dropSlow(std::vector<Candidate> &candidates, TimePoint now, milliseconds loadLifetime)
+{
+    const auto slow = [&](const Candidate &candidate) {
+        return paceOf(*candidate.state, now, loadLifetime) >= moveAtPace;
+    };
+    if (!std::all_of(candidates.begin(), candidates.end(), slow))
+        std::erase_if(candidates, slow);
+}
+
 } // namespace
 
 void putBackend(BackendBoard &board, const BackendEntry &entry)
@@ -68,6 +79,18 @@
     return others + state.own;
 }
 
+double paceOf(const BackendState &state, TimePoint now, milliseconds loadLifetime)
+{
+    const bool fresh = state.told && now - state.told->at <= loadLifetime;
+    return fresh ? std::max(1.0, state.told->pace) : 1.0;
+}
+
+double loadWithOneMore(const BackendState &state, TimePoint now, milliseconds loadLifetime)
+{
+    const double expected = expectedLoad(state, now, loadLifetime) + 1;
+    return expected * paceOf(state, now, loadLifetime) / state.entry.slots;
+}
+
 BackendChoice chooseBackend(BackendBoard &board, const BackendWish &wish, TimePoint now,
                             double draw)
 {
@@ -86,6 +109,7 @@
     }
     if (candidates.empty())
         return choice;
+    dropSlow(candidates, now, board.loadLifetime);
     // The search begins at a drawn place, so that equals share the work.
     const auto start = static_cast<std::size_t>(draw * static_cast<double>(candidates.size()));
     Candidate best = candidates[start % candidates.size()];
@@ -95,7 +119,7 @@
             best = next;
     }
     choice.load = best.load;
-    if (best.load >= wish.fullAt) {
+    if (best.load > wish.fullAt) {
         choice.why = NoBackend::AllFull;
         return choice;
     }
--- a/Source/Request/BackendBoard.h
+++ b/Source/Request/BackendBoard.h
@@ -19,6 +19,8 @@
     /// This gateway's own requests there at that moment.
     std::uint32_t own = 0;
     TimePoint at;
+    /// Above 1 for a backend server slower than usual.
+    double pace = 1;
 };
 
 /// One backend server as this gateway sees it.
@@ -52,13 +54,25 @@
 /// gateway has sent and got back since.
 double expectedLoad(const BackendState &state, TimePoint now, milliseconds loadLifetime);
 
+/// How slow a backend server is now, 1 for usual; 1 when nothing fresh is known.
+double paceOf(const BackendState &state, TimePoint now, milliseconds loadLifetime);
+
+/// Pace from which streams are moved off a backend server. In a group of ranks every pass waits for
+/// the slowest: ten streams on a rank at a twelfth of its speed kept 180 others at one event a
+/// second, while moving one costs the reading of its prompt, some tens of milliseconds.
+constexpr double moveAtPace = 2.0;
+
+/// The load with one more request, in parts of what the backend server can use. One that is slow
+/// can use fewer, and in a group of ranks each request there slows all ranks down.
+double loadWithOneMore(const BackendState &state, TimePoint now, milliseconds loadLifetime);
+
 /// What a request needs of a backend server.
 struct BackendWish
 {
     std::string service;
     /// Servers that this request was sent to already.
     std::vector<std::string> tried;
-    /// Largest expected load, in parts of the slots, at which one more request is sent.
+    /// Largest load that the request may bring about, in parts of the slots.
     double fullAt = 1.0;
     /// Failure domain of the gateway; ties go to it, which keeps bytes within the domain.
     std::string failureDomain;
--- a/Source/Version/DemandPlacement.cpp
+++ b/Source/Version/DemandPlacement.cpp
@@ -35,10 +35,17 @@
     demand.fadedAt = now;
 }
 
-RankGroup groupFor(const ExpertProfile &profile, std::size_t ranks)
+/// A rank this much slower than usual holds no experts: spread over the others, its share costs
+/// them less than its slowness costs all.
+constexpr double emptyAtPace = 1.4;
+
+RankGroup groupFor(const ExpertProfile &profile, const std::vector<double> &paces)
 {
     RankGroup group;
-    group.ranks.assign(ranks, RankCapacity{.slots = profile.expertsPerRank});
+    for (const double pace : paces) {
+        group.ranks.push_back({.slots = pace >= emptyAtPace ? 0 : profile.expertsPerRank,
+                               .speed = 1 / std::max(1.0, pace)});
+    }
     group.layers = 1;
     group.experts = profile.expertsPerSet;
     return group;
@@ -56,6 +63,74 @@
     double skew = 1;
 };
 
+std::size_t replicasOf(const LayerMap &map, ExpertId expert)
+{
+    return static_cast<std::size_t>(
+        std::count_if(map.ranks.begin(), map.ranks.end(), [expert](const auto &held) {
+            return std::find(held.begin(), held.end(), expert) != held.end();
+        }));
+}
+
+/// Where an expert may go: the rank that would have the least to do with it.
+struct Destination
+{
+    std::size_t rank = 0;
+    /// Place whose expert gives way, or the end of the list for a free place.
+    std::size_t slot = 0;
+};
+
+std::optional<Destination> destinationFor(const RankGroup &group, const LayerMap &map,
+                                          const std::vector<double> &loads, ExpertId expert,
+                                          const std::vector<std::uint32_t> &room)
+{
+    const std::vector<double> times = rankTimes(group, map, loads);
+    std::optional<Destination> best;
+    for (std::size_t rank = 0; rank < map.ranks.size(); ++rank) {
+        const std::vector<ExpertId> &held = map.ranks[rank];
+        const bool holds = std::find(held.begin(), held.end(), expert) != held.end();
+        if (group.ranks[rank].slots == 0 || room[rank] == 0 || holds)
+            continue;
+        if (best && times[rank] >= times[best->rank])
+            continue;
+        if (held.size() < group.ranks[rank].slots) {
+            best = Destination{rank, held.size()};
+            continue;
+        }
+        for (std::size_t slot = 0; slot < held.size(); ++slot) {
+            if (replicasOf(map, held[slot]) > 1)
+                best = Destination{rank, slot};
+        }
+    }
+    return best;
+}
+
+/// Takes the experts off the ranks that may hold none. One without any other replica stays where
+/// it is when no rank has room for it.
+LayerMap withoutEmptied(const RankGroup &group, LayerMap map, const std::vector<double> &loads,
+                        std::vector<std::uint32_t> room)
+{
+    for (std::size_t rank = 0; rank < map.ranks.size(); ++rank) {
+        if (group.ranks[rank].slots > 0)
+            continue;
+        const std::vector<ExpertId> leaving = map.ranks[rank];
+        for (const ExpertId expert : leaving) {
+            if (replicasOf(map, expert) < 2) {
+                const auto to = destinationFor(group, map, loads, expert, room);
+                if (!to)
+                    continue;
+                --room[to->rank];
+                std::vector<ExpertId> &held = map.ranks[to->rank];
+                if (to->slot < held.size())
+                    held[to->slot] = expert;
+                else
+                    held.push_back(expert);
+            }
+            std::erase(map.ranks[rank], expert);
+        }
+    }
+    return map;
+}
+
 /// The sets in the order of their skew, the worst first: it has the first use of the copies.
 std::vector<SetSearch> worstFirst(const RankGroup &group, const ExpertDemand &demand,
                                   const RankMap &present)
@@ -98,15 +173,15 @@
     before = counts;
 }
 
-double demandSkew(const ExpertDemand &demand, const RankMap &map)
+double demandSkew(const ExpertDemand &demand, const RankMap &map, const std::vector<double> &paces)
 {
     if (map.empty() || demand.loads.size() != map.size())
         return 1;
     double sum = 0;
     for (std::size_t set = 0; set < map.size(); ++set) {
-        RankGroup group;
-        group.ranks.assign(map[set].size(), RankCapacity{});
-        group.experts = static_cast<std::uint32_t>(demand.loads[set].size());
+        ExpertProfile profile;
+        profile.expertsPerSet = static_cast<std::uint32_t>(demand.loads[set].size());
+        const RankGroup group = groupFor(profile, paces);
         sum += layerSkew(group, LayerMap{map[set]}, demand.loads[set]);
     }
     return sum / static_cast<double>(map.size());
@@ -114,13 +189,14 @@
 
 std::optional<PlacementProposal> proposeMap(const ExpertProfile &profile,
                                             const ExpertDemand &demand, const RankMap &present,
+                                            const std::vector<double> &paces,
                                             const PlacementBounds &bounds)
 {
     if (!enoughCounts(demand, present.size()))
         return std::nullopt;
     const std::size_t ranks = present.front().size();
-    const RankGroup group = groupFor(profile, ranks);
-    PlacementProposal proposal{.map = present, .skewBefore = demandSkew(demand, present)};
+    const RankGroup group = groupFor(profile, paces);
+    PlacementProposal proposal{.map = present, .skewBefore = demandSkew(demand, present, paces)};
     // No map is better than balanced: most looks end here, without a search of milliseconds.
     if ((proposal.skewBefore - 1) * static_cast<double>(present.size()) < bounds.leastGain)
         return std::nullopt;
@@ -137,7 +213,8 @@
         for (std::uint32_t &room : limits.stagingRoom)
             room = std::min(room, profile.loadsPerMap);
         SearchBudget budget{.terms = searchTerms};
-        const SearchResult found = improveLayerMap(group, layer, layer, problem, limits, budget);
+        const LayerMap start = withoutEmptied(group, layer, problem.loads, limits.stagingRoom);
+        const SearchResult found = improveLayerMap(group, layer, start, problem, limits, budget);
         proposal.map[entry.set] = found.map.ranks;
         proposal.loads += found.moves;
         for (std::size_t rank = 0; rank < ranks; ++rank) {
@@ -146,10 +223,10 @@
             left[rank] -= std::min(left[rank], static_cast<std::uint32_t>(loaded));
         }
     }
-    proposal.skewAfter = demandSkew(demand, proposal.map);
+    proposal.skewAfter = demandSkew(demand, proposal.map, paces);
     const double gain =
         (proposal.skewBefore - proposal.skewAfter) * static_cast<double>(present.size());
-    if (proposal.loads == 0 || gain < bounds.leastGain)
+    if (proposal.map == present || gain < bounds.leastGain)
         return std::nullopt;
     return proposal;
 }
--- a/Source/Version/DemandPlacement.h
+++ b/Source/Version/DemandPlacement.h
@@ -55,12 +55,15 @@
 };
 
 /// Looks for a better map.
+/// @param paces Of each rank, above 1 for one slower than usual. A rank that is much slower gets no
+/// experts at all: all ranks wait for it in every pass.
 /// @return Nothing when the gain is not worth the copies, or too little demand is known.
 std::optional<PlacementProposal> proposeMap(const ExpertProfile &profile,
                                             const ExpertDemand &demand, const RankMap &present,
+                                            const std::vector<double> &paces,
                                             const PlacementBounds &bounds);
 
 /// Step-time skew of a map under the present demand, averaged over the sets; 1 is balanced.
-double demandSkew(const ExpertDemand &demand, const RankMap &map);
+double demandSkew(const ExpertDemand &demand, const RankMap &map, const std::vector<double> &paces);
 
 } // namespace wisteria
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -47,8 +47,8 @@
 
 Json encode(const EngineLoad &load)
 {
-    return {MessageKind::Load, encode(load.engine), load.running,
-            load.waiting,      load.memoryUsed,     load.memoryTotal};
+    return {MessageKind::Load, encode(load.engine), load.running, load.waiting,
+            load.memoryUsed,   load.memoryTotal,    load.pace};
 }
 
 EngineLoad decodeLoad(const Json &json)
@@ -57,7 +57,8 @@
             .running = json.at(2).get<std::uint32_t>(),
             .waiting = json.at(3).get<std::uint32_t>(),
             .memoryUsed = json.at(4).get<std::uint64_t>(),
-            .memoryTotal = json.at(5).get<std::uint64_t>()};
+            .memoryTotal = json.at(5).get<std::uint64_t>(),
+            .pace = json.at(6).get<double>()};
 }
 
 Json encode(const RankReport &report)
@@ -74,7 +75,8 @@
             report.prepared,
             report.armed,
             report.armedStep,
-            report.heldStep.value_or(0)};
+            report.heldStep.value_or(0),
+            report.pace};
 }
 
 RankReport decodeReport(const Json &json)
@@ -94,6 +96,7 @@
     report.armedStep = json.at(11).get<std::uint64_t>();
     if (const auto held = json.at(12).get<std::uint64_t>(); held != 0)
         report.heldStep = held;
+    report.pace = json.at(13).get<double>();
     return report;
 }
 
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -43,6 +43,8 @@
     std::uint32_t waiting = 0;
     std::uint64_t memoryUsed = 0;
     std::uint64_t memoryTotal = 0;
+    /// Above 1 for an engine slower than usual.
+    double pace = 1;
 };
 
 /// The group's leader asks a sidecar for its rank's state.
--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -64,6 +64,14 @@
     return map;
 }
 
+std::vector<double> pacesOf(const GroupSwitch &group)
+{
+    std::vector<double> paces;
+    for (const auto &[rank, view] : group.ranks)
+        paces.push_back(view.status.report.pace);
+    return paces;
+}
+
 std::uint64_t newVersion(GroupSwitch &group, std::uint64_t hint)
 {
     group.highestVersion = std::max(group.highestVersion + 1, hint);
@@ -149,7 +157,7 @@
     const RankMap present = presentMap(group, profile);
     if (present.empty())
         return;
-    auto proposal = proposeMap(profile, group.demand, present, bounds);
+    auto proposal = proposeMap(profile, group.demand, present, pacesOf(group), bounds);
     if (!proposal)
         return;
     group.proposal = std::move(*proposal);
