--- /dev/null
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -0,0 +1,456 @@
+#include <csignal>
+#include <future>
+#include <sstream>
+
+#include <arpa/inet.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "Gateway/ScriptedServer.h"
+#include "Programs/Gateway/Gateway.h"
+
+using namespace wisteria;
+using namespace wisteria::gateway_tests;
+
+namespace {
+
+constexpr const char *seal = "Wisteriawind-Response-Seal: s\r\n";
+
+/// A stand-in of the platform's store: keyed topics that answer log-newest and log-read.
+class StoreStandIn
+{
+public:
+    StoreStandIn() : server_([this](const SeenRequest &r, ScriptPeer &p) { answer(r, p); }) { }
+
+    void put(const std::string &topic, const std::string &key, const nlohmann::json &value)
+    {
+        append(topic, key, value.dump());
+    }
+
+    /// An empty value removes the key.
+    void append(const std::string &topic, const std::string &key, const std::string &value)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        logs_[topic].push_back({key, value});
+    }
+
+    /// Answers 503 to everything from now on, or no longer.
+    void away(bool away) { away_ = away; }
+
+    Endpoint endpoint() const { return server_.endpoint(); }
+
+private:
+    struct Record
+    {
+        std::string key;
+        std::string value;
+    };
+
+    static std::string number(const std::string &target, const std::string &name)
+    {
+        const std::size_t at = target.find(name + "=");
+        const std::size_t begin = at + name.size() + 1;
+        return at == std::string::npos ? "0"
+                                       : target.substr(begin, target.find('&', begin) - begin);
+    }
+
+    void answer(const SeenRequest &request, ScriptPeer &peer)
+    {
+        const std::string target = request.target();
+        if (away_) {
+            peer.send(plainResponse(503, "", ""));
+            return;
+        }
+        const std::string topic = number(target, "topic");
+        if (target.starts_with("/log-newest"))
+            peer.send(plainResponse(200, "", newest(topic)));
+        else
+            peer.send(plainResponse(200, "", read(topic, std::stoul(number(target, "from")))));
+    }
+
+    std::string newest(const std::string &topic)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        std::map<std::string, std::string> values;
+        for (const Record &record : logs_[topic])
+            values[record.key] = record.value;
+        nlohmann::json entries = nlohmann::json::array();
+        for (const auto &[key, value] : values) {
+            if (!value.empty())
+                entries.push_back({{"key", key}, {"value", base64(value)}, {"offset", 0}});
+        }
+        return nlohmann::json(
+                   {{"entries", entries}, {"has_more", false}, {"end", logs_[topic].size()}})
+            .dump();
+    }
+
+    std::string read(const std::string &topic, std::size_t from)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const std::vector<Record> &log = logs_[topic];
+        std::string bytes = big(log.size(), 8) + big(0, 8);
+        for (std::size_t i = from; i < log.size(); ++i) {
+            const std::string content = big(log[i].key.size(), 1) + log[i].key + log[i].value;
+            bytes += big(content.size(), 4) + content;
+        }
+        return bytes;
+    }
+
+    static std::string big(std::uint64_t value, int size)
+    {
+        std::string bytes;
+        for (int i = size - 1; i >= 0; --i)
+            bytes += static_cast<char>((value >> (8 * i)) & 0xFF);
+        return bytes;
+    }
+
+    static std::string base64(const std::string &text)
+    {
+        static const char *const digits =
+            "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+        std::string encoded;
+        for (std::size_t i = 0; i < text.size(); i += 3) {
+            std::uint32_t group = 0;
+            for (std::size_t j = 0; j < 3; ++j)
+                group = (group << 8)
+                    | (i + j < text.size() ? static_cast<unsigned char>(text[i + j]) : 0U);
+            for (std::size_t j = 0; j < 4; ++j)
+                encoded += i + j <= text.size() ? digits[(group >> (18 - 6 * j)) & 63] : '=';
+        }
+        return encoded;
+    }
+
+    std::mutex mutex_;
+    std::map<std::string, std::vector<Record>> logs_;
+    std::atomic<bool> away_ = false;
+    ScriptedServer server_;
+};
+
+/// Signals that a gateway takes must be blocked in every thread before the first one starts.
+const bool signalsBlocked = [] {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGHUP);
+    return ::pthread_sigmask(SIG_BLOCK, &signals, nullptr) == 0;
+}();
+
+std::uint16_t freePort()
+{
+    const ScriptedServer server([](const SeenRequest &, ScriptPeer &) {});
+    return server.endpoint().port;
+}
+
+nlohmann::json routeOf(const std::string &prefix, const std::string &kind,
+                       const std::string &service, bool resumable)
+{
+    return {{"name", prefix},    {"hostname", "h.example"}, {"path_prefix", prefix},
+            {"kind", kind},      {"timeout_ms", 3000},      {"target_latency_ms", 400},
+            {"max_attempts", 2}, {"service", service},      {"resumable", resumable},
+            {"priority", 1},     {"public", false}};
+}
+
+nlohmann::json configurationOf(int version)
+{
+    return {{"version", version},
+            {"routes",
+             {routeOf("/once/", "non_idempotent", "plain", false),
+              routeOf("/again/", "idempotent", "plain", false),
+              routeOf("/stream/", "streaming", "model", true)}},
+            {"services", nlohmann::json::array()},
+            {"tenants", {{{"name", "acme"}, {"api_keys", {"key1"}}}}}};
+}
+
+/// A gateway in a thread of its own before a stand-in of the store.
+class Running
+{
+public:
+    Running()
+    {
+        settings_.vmName = "front-1";
+        settings_.failureDomain = "a";
+        settings_.callers = Endpoint{INADDR_LOOPBACK, freePort()};
+        settings_.readiness = Endpoint{INADDR_LOOPBACK, freePort()};
+        settings_.vm = {INADDR_LOOPBACK, 0};
+        settings_.firstInternalPort = freePort();
+        settings_.store = store.endpoint();
+        settings_.retrySlack = 200;
+        settings_.gracePeriod = milliseconds(1000);
+        gateway_ = std::make_unique<Gateway>(settings_);
+        end_ = std::async(std::launch::async, [this] { return gateway_->run().has_value(); });
+    }
+
+    ~Running()
+    {
+        if (end_.valid()) {
+            ::kill(::getpid(), SIGTERM);
+            end_.wait();
+        }
+    }
+
+    void configure(int version = 1) { store.put("keyed.op", "config", configurationOf(version)); }
+
+    void addBackend(const std::string &id, const std::string &service, const ScriptedServer &server,
+                    const std::string &state = "ready")
+    {
+        store.put("keyed.servers", id,
+                  {{"service", service},
+                   {"address", toText(server.endpoint())},
+                   {"zone", "a"},
+                   {"slot_count", 4},
+                   {"state", state}});
+    }
+
+    bool ready() const
+    {
+        return callServer(*settings_.readiness, "GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n").status
+            == 200;
+    }
+
+    /// Sends until the answer has the status; the watches of the store take their time.
+    CallResult callUntil(const std::string &request, int status) const
+    {
+        CallResult result;
+        eventually([&] {
+            result = callServer(*settings_.callers, request);
+            return result.status == status;
+        });
+        return result;
+    }
+
+    void waitUntilReady() const
+    {
+        REQUIRE(eventually([this] { return ready(); }));
+    }
+
+    const Endpoint &callers() const { return *settings_.callers; }
+
+    CallResult call(const std::string &request) const
+    {
+        return callServer(*settings_.callers, request);
+    }
+
+    StoreStandIn store;
+
+private:
+    platform::ProcessSettings settings_;
+    std::unique_ptr<Gateway> gateway_;
+    std::future<bool> end_;
+};
+
+std::string requestFor(const std::string &target, const std::string &id,
+                       const std::string &method = "POST")
+{
+    return method + " " + target
+        + " HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token key1\r\nWisteriawind-Attempt-Id: "
+        + id + "\r\nWisteriawind-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string sealed(const SeenRequest &request, int status, const std::string &body)
+{
+    return plainResponse(status,
+                         std::string(seal) + "Wisteriawind-Attempt-Id: "
+                             + request.header("Wisteriawind-Attempt-Id") + "\r\n",
+                         body);
+}
+
+std::string eventText(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: piece" + std::to_string(id) + "\n\n";
+}
+
+std::string streamHead(const SeenRequest &request)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + std::string(seal)
+        + "Wisteriawind-Attempt-Id: " + request.header("Wisteriawind-Attempt-Id")
+        + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunk(const std::string &bytes)
+{
+    std::ostringstream text;
+    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return text.str();
+}
+
+} // namespace
+
+TEST_CASE("A request reaches its service with the organisation in place of the key")
+{
+    ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 200, "stock: 7"));
+    });
+    Running gateway;
+    gateway.configure();
+    gateway.addBackend("i-1", "plain", backend);
+    gateway.waitUntilReady();
+    const CallResult answer = gateway.callUntil(requestFor("/once/x", "a1"), 200);
+    REQUIRE(answer.status == 200);
+    REQUIRE(answer.body == "stock: 7");
+    REQUIRE(answer.header("Wisteriawind-Response-Seal") == "s");
+    const SeenRequest seen = backend.seen().front();
+    REQUIRE(seen.header("Wisteriawind-Tenant") == "acme");
+    REQUIRE(seen.header("Wisteriawind-Expect-Instance") == "i-1");
+    REQUIRE(seen.header("Authorization").empty());
+    REQUIRE(std::stol(seen.header("Wisteriawind-Deadline-Ms")) <= 3000);
+}
+
+TEST_CASE("Unknown routes and keys are told, but not before a configuration is known")
+{
+    Running gateway;
+    REQUIRE_FALSE(gateway.ready());
+    REQUIRE(gateway.callUntil(requestFor("/once/x", "a0"), 503).status == 503);
+    gateway.configure();
+    gateway.waitUntilReady();
+    REQUIRE(gateway.call(requestFor("/none/x", "a1")).status == 404);
+    std::string wrongKey = requestFor("/once/x", "a2");
+    wrongKey.replace(wrongKey.find("key1"), 4, "key9");
+    REQUIRE(gateway.call(wrongKey).status == 401);
+}
+
+// A courier's notice breaks off in the middle of a word. The backend server crashes within an
+// event; the gateway goes on at another one after the last whole event, in the same answer.
+TEST_CASE("A stream that breaks within an event goes on at another backend server")
+{
+    std::atomic<int> runs = 0;
+    const auto script = [&runs](const SeenRequest &request, ScriptPeer &peer) {
+        const std::string last = request.header("Last-Event-Id");
+        peer.send(streamHead(request));
+        if (runs++ == 0) {
+            peer.send(chunk(eventText(1)) + chunk(eventText(2)) + chunk("id: 3\ndata: pie"));
+            peer.reset();
+            return;
+        }
+        for (int id = std::stoi(last) + 1; id <= 4; ++id)
+            peer.send(chunk(eventText(id)));
+        peer.send("0\r\n\r\n");
+    };
+    ScriptedServer first(script);
+    ScriptedServer second(script);
+    Running gateway;
+    gateway.configure();
+    gateway.addBackend("i-1", "model", first);
+    gateway.addBackend("i-2", "model", second);
+    gateway.waitUntilReady();
+    const CallResult answer = gateway.callUntil(requestFor("/stream/x", "a1"), 200);
+    REQUIRE(answer.whole);
+    REQUIRE(answer.body == eventText(1) + eventText(2) + eventText(3) + eventText(4));
+    REQUIRE(runs == 2);
+}
+
+// Somebody's order line ships twice. The backend server ran the request and its answer was lost;
+// a repeat by the gateway, or a status that lets the caller repeat, would run it again.
+TEST_CASE("A request that may not repeat and got no answer is told as unknown")
+{
+    ScriptedServer backend([](const SeenRequest &, ScriptPeer &peer) { peer.reset(); });
+    Running gateway;
+    gateway.configure();
+    gateway.addBackend("i-1", "plain", backend);
+    gateway.addBackend("i-2", "plain", backend);
+    gateway.waitUntilReady();
+    REQUIRE(gateway.callUntil(requestFor("/once/x", "a1"), 502).status == 502);
+    REQUIRE(backend.count("/once/") == 1);
+}
+
+TEST_CASE("An idempotent request whose answer was lost is sent once more")
+{
+    std::atomic<int> runs = 0;
+    ScriptedServer backend([&runs](const SeenRequest &request, ScriptPeer &peer) {
+        if (runs++ == 0)
+            peer.reset();
+        else
+            peer.send(sealed(request, 200, "price: 3"));
+    });
+    Running gateway;
+    gateway.configure();
+    gateway.addBackend("i-1", "plain", backend);
+    gateway.addBackend("i-2", "plain", backend);
+    gateway.waitUntilReady();
+    REQUIRE(gateway.callUntil(requestFor("/again/x", "a1", "GET"), 200).body == "price: 3");
+    REQUIRE(runs == 2);
+}
+
+// A clerk reads another clerk's quotation. A backend server sends an answer late, on a connection
+// that serves the next request by then; only the attempt's id tells whose it is.
+TEST_CASE("An answer to another attempt never reaches the caller")
+{
+    ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(plainResponse(
+            200, std::string(seal) + "Wisteriawind-Attempt-Id: someone-else\r\n", "not yours"));
+        peer.send(sealed(request, 200, "yours"));
+    });
+    Running gateway;
+    gateway.configure();
+    gateway.addBackend("i-1", "plain", backend);
+    gateway.waitUntilReady();
+    REQUIRE(gateway.callUntil(requestFor("/once/x", "a1"), 200).body == "yours");
+}
+
+TEST_CASE("A success without the backend server's seal is not passed on as one")
+{
+    ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(plainResponse(
+            200, "Wisteriawind-Attempt-Id: " + request.header("Wisteriawind-Attempt-Id") + "\r\n",
+            "spoilt"));
+    });
+    Running gateway;
+    gateway.configure();
+    gateway.addBackend("i-1", "plain", backend);
+    gateway.waitUntilReady();
+    REQUIRE(gateway.callUntil(requestFor("/once/x", "a1"), 502).status == 502);
+}
+
+TEST_CASE("What a backend server surely did not run is told so, with a time to come back")
+{
+    ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(plainResponse(503,
+                                "Wisteriawind-Not-Executed: 1\r\nWisteriawind-Attempt-Id: "
+                                    + request.header("Wisteriawind-Attempt-Id") + "\r\n",
+                                ""));
+    });
+    Running gateway;
+    gateway.configure();
+    gateway.addBackend("i-1", "plain", backend);
+    gateway.waitUntilReady();
+    const CallResult answer = gateway.callUntil(requestFor("/once/x", "a1"), 503);
+    REQUIRE(answer.status == 503);
+    REQUIRE_FALSE(answer.header("Retry-After").empty());
+}
+
+// Someone has left the shop, and a model still writes the answer. The caller closes its connection
+// in the middle of a stream; the gateway closes the one to the backend server at once.
+TEST_CASE("A caller that leaves ends the work at the backend server")
+{
+    std::atomic<bool> ended = false;
+    ScriptedServer backend([&ended](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(streamHead(request) + chunk(eventText(1)));
+        ended = peer.waitForEnd();
+        peer.close();
+    });
+    Running gateway;
+    gateway.configure();
+    gateway.addBackend("i-1", "model", backend);
+    gateway.waitUntilReady();
+    REQUIRE(eventually([&] {
+        OpenCall caller(gateway.callers(), requestFor("/stream/x", "a1"));
+        return caller.waitForBytes() && backend.count("/stream/") > 0;
+    }));
+    REQUIRE(eventually([&ended] { return ended.load(); }));
+}
+
+// All requests in flight are cut at once. Operators send SIGHUP after they changed the settings
+// file, and a process that does not handle the signal ends.
+TEST_CASE("SIGHUP does not end a gateway")
+{
+    ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 200, "here"));
+    });
+    Running gateway;
+    gateway.configure();
+    gateway.addBackend("i-1", "plain", backend);
+    gateway.waitUntilReady();
+    ::kill(::getpid(), SIGHUP);
+    REQUIRE(gateway.callUntil(requestFor("/once/x", "a1"), 200).body == "here");
+}
