Let no old state of a rank leave its group held

Cause: two readings of an engine ended in the other order; the older state, told as the newer one, made the leader take a version for lost that all ranks were being armed for, and prepare another one, which armed ranks refuse. Change: readings are stamped when they begin; a version is lost only after 0.6 s; disarming settles for 0.3 s; preparing goes back when a rank is armed or has had a higher version.

--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -118,14 +118,14 @@
     {
         reading_ = true;
         readAt_ = monotonicNow();
-        engines_.readReport(engine_, [this](Result<RankReport> report) {
+        engines_.readReport(engine_, [this, begunAt = readAt_](Result<RankReport> report) {
             reading_ = false;
             if (report.has_error()) {
                 noteEngine(false, report.error().message);
                 return;
             }
             noteEngine(true, "");
-            takeReport(report.value());
+            takeReport(report.value(), begunAt);
         });
     }
 
@@ -137,14 +137,19 @@
         log_.info(answers ? "engine.regained" : "engine.lost", {{"reason", reason}});
     }
 
-    void takeReport(const RankReport &report)
+    /// @param begunAt When the reading began. Two readings may end in the other order, and the one
+    /// that began first must not replace the other: it can show the rank as it was before an order.
+    void takeReport(const RankReport &report, TimePoint begunAt)
     {
+        if (begunAt < takenAt_)
+            return;
+        takenAt_ = begunAt;
         const bool changed = !status_ || !sameSwitchState(status_->report, report);
         const bool newMap = !status_ || status_->report.map != report.map
             || status_->report.epoch != report.epoch || status_->experts.empty();
         RankStatus status{.engine = engine_, .report = report};
         status.readAtMilliseconds = static_cast<std::uint64_t>(
-            std::chrono::duration_cast<milliseconds>(monotonicNow().time_since_epoch()).count());
+            std::chrono::duration_cast<milliseconds>(begunAt.time_since_epoch()).count());
         if (!newMap)
             status.experts = status_->experts;
         status_ = status;
@@ -317,6 +322,7 @@
     bool reading_ = false;
     bool readingExperts_ = false;
     TimePoint readAt_;
+    TimePoint takenAt_;
     TimePoint attentiveUntil_;
     std::map<Endpoint, TimePoint> gateways_;
     std::vector<Endpoint> members_;
--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -171,6 +171,24 @@
 void advancePreparing(GroupSwitch &group, const SwitchTiming &timing, std::uint32_t leaderRank,
                       SwitchStep &step, TimePoint now)
 {
+    // A rank that has had a higher version never takes this one: an order that was believed lost
+    // was carried out late, or another leader's clock is ahead. Without a new version the group
+    // would be prepared for ever, and if it is held, stand for ever.
+    if (group.highestVersion > group.version) {
+        step.note = "overtaken by a higher version";
+        enter(group, group.heldBefore ? SwitchPhase::Unwinding : SwitchPhase::Idle, now);
+        return;
+    }
+    // A rank that is armed takes no other version: the held group must go on with that one, or the
+    // rank be disarmed.
+    const bool armed = std::any_of(group.ranks.begin(), group.ranks.end(), [&](const auto &entry) {
+        const std::uint64_t version = entry.second.status.report.armed;
+        return version != 0 && version != group.version;
+    });
+    if (armed && group.heldBefore) {
+        enter(group, SwitchPhase::Unwinding, now);
+        return;
+    }
     bool all = true;
     for (const auto &[rank, view] : group.ranks) {
         if (hasVersion(view.status.report, group.version))
@@ -232,6 +250,16 @@
         enter(group, SwitchPhase::Releasing, now);
         return;
     }
+    // The pass began without anybody armed: the group was not held any more when it was taken over.
+    const bool begun = furthestStep(group) >= group.step
+        && std::none_of(group.ranks.begin(), group.ranks.end(), [&](const auto &entry) {
+                           return entry.second.status.report.map == group.version;
+                       });
+    if (begun) {
+        step.note = "the pass has begun";
+        enter(group, SwitchPhase::Idle, now);
+        return;
+    }
     if (lost) {
         step.note = "a rank lost the version";
         enter(group, SwitchPhase::Unwinding, now);
@@ -241,6 +269,13 @@
 void advanceUnwinding(GroupSwitch &group, const ExpertProfile &profile, const SwitchTiming &timing,
                       std::uint64_t versionHint, SwitchStep &step, TimePoint now)
 {
+    if (const std::uint64_t common = commonVersion(group); common != 0) {
+        group.version = common;
+        enter(group, SwitchPhase::Arming, now);
+        return;
+    }
+    if (now - group.phaseSince < timing.settle)
+        return;
     bool armed = false;
     for (const auto &[rank, view] : group.ranks) {
         const RankReport &report = view.status.report;
--- a/Source/Version/RankSwitch.h
+++ b/Source/Version/RankSwitch.h
@@ -36,6 +36,13 @@
     /// Passes between the last one seen and the one at which the group switches. The hold must
     /// reach its rank before that pass begins; a pass takes some 30 to 60 ms, an order 5 to 20.
     std::uint64_t passesAhead = 2;
+    /// How long a rank must be seen without the version before it counts as lost there. What is
+    /// known of a rank may be some hundred milliseconds old when it comes from afar, and acting on
+    /// it at once left a group held for good: all ranks were armed a moment later.
+    milliseconds lostAfter{600};
+    /// How long orders to arm that are still on their way are waited for before any rank is
+    /// disarmed.
+    milliseconds settle{300};
     /// Pause between two changes of the map.
     milliseconds betweenSwitches{100};
     /// Longest wait for the counts of all ranks before a look for a better map. A look at each
--- a/Tests/Version/RankSwitchTest.cpp
+++ b/Tests/Version/RankSwitchTest.cpp
@@ -26,6 +26,8 @@
     /// Share of orders without an answer, carried out up to three seconds later.
     double lateOrders = 0;
     double lostMessages = 0;
+    /// Share of statuses that show a rank as it was a fifth of a second before.
+    double staleStatuses = 0;
     /// The leader is replaced by one that knows nothing, each so often.
     milliseconds leaderLife{1'000'000};
     /// The former leader goes on for this long beside the new one.
@@ -83,6 +85,16 @@
     /// Tells the rank's holder to hold, as a leader that is gone did.
     void holdByNobody() { ranks_[1].report.heldStep = ranks_[1].report.step + 2; }
 
+    /// Has a rank take a version of its own, as late orders do, while the group is being let go.
+    void overtake(std::uint32_t rank, std::uint64_t version)
+    {
+        later(milliseconds(60), [this, rank, version] {
+            ranks_[rank].highest = version;
+            ranks_[rank].copying = 0;
+            ranks_[rank].report.prepared = version;
+        });
+    }
+
     /// Has one rank armed alone behind a hold, as a leader that died half-way left it.
     void armHalf()
     {
@@ -237,13 +249,29 @@
         return status;
     }
 
+    /// The status as a leader hears it, which may be an old state told as a new one.
+    RankStatus toldStatus(const Rank &rank)
+    {
+        RankStatus status = statusOf(rank);
+        std::deque<RankStatus> &past = told_[rank.report.rank];
+        past.push_back(status);
+        constexpr std::size_t kept = 5;
+        if (past.size() > kept)
+            past.pop_front();
+        if (!chance(trouble_.staleStatuses))
+            return status;
+        RankStatus stale = past.front();
+        stale.readAtMilliseconds = status.readAtMilliseconds;
+        return stale;
+    }
+
     void tellStatuses()
     {
         if (now_ < nextTellAt_)
             return;
         nextTellAt_ = now_ + milliseconds(40);
         for (const Rank &rank : ranks_) {
-            const RankStatus status = statusOf(rank);
+            const RankStatus status = toldStatus(rank);
             for (std::size_t leader = 0; leader < leaders_.size(); ++leader) {
                 if (chance(trouble_.lostMessages))
                     continue;
@@ -275,6 +303,7 @@
     std::vector<Rank> ranks_ = std::vector<Rank>(rankCount);
     std::deque<Leader> leaders_;
     std::vector<Event> events_;
+    std::map<std::uint32_t, std::deque<RankStatus>> told_;
     PlacementBounds bounds_{.leastGain = 0.1, .leastGainPerLoad = 0.001, .loadsPerRank = 2};
     TimePoint leaderBornAt_;
     TimePoint nextPassAt_;
@@ -328,6 +357,21 @@
     }
 }
 
+// Every stream of a group stopped for 34 seconds, until all was restarted. A status showed a rank
+// as it was before its copies were complete; the leader took the version for lost there and
+// prepared another one, which ranks refuse that were armed in the meantime.
+TEST_CASE("Old states that are told as new ones leave no group held")
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        World world(seed, {.lateOrders = 0.05, .lostMessages = 0.05, .staleStatuses = 0.15});
+        world.run(seconds(20));
+        CAPTURE(seed, world.longestHold().count());
+        REQUIRE_FALSE(world.mixed());
+        REQUIRE(world.switches() >= 1);
+        REQUIRE(world.longestHold() < seconds(3));
+    }
+}
+
 TEST_CASE("A hold that nobody owns is let go within a second")
 {
     World world(7, {});
@@ -338,6 +382,20 @@
     REQUIRE(world.longestHold() < seconds(1));
 }
 
+// Every stream of a group stops for good. A leader whose clock was ahead had a rank prepare a high
+// version and died; its successor, in the middle of letting a held group go, asks that rank for
+// lower ones, which it refuses for ever.
+TEST_CASE("A rank that has had a higher version does not keep a group held")
+{
+    World world(9, {});
+    world.run(seconds(3));
+    world.holdByNobody();
+    world.overtake(3, 900'000);
+    world.run(seconds(3));
+    REQUIRE_FALSE(world.mixed());
+    REQUIRE(world.longestHold() < seconds(1));
+}
+
 TEST_CASE("A switch that its leader left half armed is carried through")
 {
     World world(8, {});
