Send nothing to ranks of a broken group, and tell callers when it may be back

Cause: after a loss of power all engines come back under other ids; the old entries answer 421 and the new ranks refuse until their group has formed, for about three seconds. Callers were told 0.4 s, came back too early and were refused for good. Ruled out: the store (configuration and list known 20 ms after the start). Change: sidecars tell whether the group takes work; a server whose address another one has is left out until it reports; such refusals tell 1.2 to 2.2 s.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -23,8 +23,11 @@
 constexpr double fullForRetry = 2.0;
 /// When a refused caller is told to come back: about the time in which a place becomes free.
 constexpr milliseconds retryAfterFull{400};
-/// The same when the service has no backend server at all; a restart takes seconds.
-constexpr milliseconds retryAfterNone{1000};
+/// The same when the service has no backend server that takes work. A restart, or a group that
+/// forms anew, takes seconds: callers that were told 0.4 s came back too early, used up their retry
+/// and were refused for good. Spread over a while, so that they don't all come back at once.
+constexpr milliseconds retryAfterNone{1200};
+constexpr milliseconds retryAfterNoneSpread{1000};
 
 double secondsOf(milliseconds time)
 {
@@ -70,7 +73,7 @@
     waiting_ = false;
     const bool full = choice.why == NoBackend::AllFull;
     refuse(full ? "all places are taken" : "no backend server takes work",
-           full ? retryAfterFull : retryAfterNone, now);
+           full ? retryAfterFull : comeBackAfterRestart(), now);
     return true;
 }
 
@@ -111,6 +114,8 @@
     head_ = platform::decodeAnswerHead(head);
     lastByteAt_ = monotonicNow();
     BackendState *backend = backendNow();
+    if (backend != nullptr && head_.misdirected)
+        noteReplaced(*backend);
     if (backend != nullptr && head_.load) {
         const double pace = backend->told ? backend->told->pace : 1;
         backend->told = LoadTold{.running = head_.load->running,
@@ -262,7 +267,8 @@
         passOnAnswer();
         return;
     case NextStep::Refuse:
-        refuse("not run by any backend server", retryAfterFull, now);
+        refuse("not run by any backend server",
+               end == SendEnd::NotExecuted ? retryAfterFull : comeBackAfterRestart(), now);
         return;
     case NextStep::BreakOff:
         finish(0, "broken off", now);
@@ -337,6 +343,12 @@
     return chooseBackend(context_.board, wish, now, context_.draw());
 }
 
+milliseconds Exchange::comeBackAfterRestart()
+{
+    return retryAfterNone
+        + std::chrono::duration_cast<milliseconds>(retryAfterNoneSpread * context_.draw());
+}
+
 BackendState *Exchange::backendNow()
 {
     const auto found = context_.board.backends.find(backendId_);
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -196,7 +196,8 @@
                                   .waiting = load.waiting,
                                   .own = state.own,
                                   .at = monotonicNow(),
-                                  .pace = load.pace};
+                                  .pace = load.pace,
+                                  .open = load.open};
         }
         serveWaitingSoon();
     }
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -176,12 +176,14 @@
 
     void tellGateways(const RankReport &report)
     {
-        const std::string bytes = encodeMessage(EngineLoad{.engine = engine_,
-                                                           .running = report.running,
-                                                           .waiting = report.waiting,
-                                                           .memoryUsed = report.memoryUsed,
-                                                           .memoryTotal = report.memoryTotal,
-                                                           .pace = report.pace});
+        const std::string bytes =
+            encodeMessage(EngineLoad{.engine = engine_,
+                                     .running = report.running,
+                                     .waiting = report.waiting,
+                                     .memoryUsed = report.memoryUsed,
+                                     .memoryTotal = report.memoryTotal,
+                                     .pace = report.pace,
+                                     .open = report.groupOpen || report.groupSize == 0});
         for (const auto &[gateway, heardAt] : gateways_)
             socket_.send(gateway, bytes);
     }
--- a/Source/Request/BackendBoard.cpp
+++ b/Source/Request/BackendBoard.cpp
@@ -63,6 +63,7 @@
         state.own = own;
     }
     state.entry = entry;
+    state.replaced = false;
 }
 
 void removeBackend(BackendBoard &board, const std::string &id)
@@ -85,6 +86,12 @@
     return fresh ? std::max(1.0, state.told->pace) : 1.0;
 }
 
+bool isOpen(const BackendState &state, TimePoint now, milliseconds loadLifetime)
+{
+    const bool fresh = state.told && now - state.told->at <= loadLifetime;
+    return !fresh || state.told->open;
+}
+
 double loadWithOneMore(const BackendState &state, TimePoint now, milliseconds loadLifetime)
 {
     const double expected = expectedLoad(state, now, loadLifetime) + 1;
@@ -97,10 +104,14 @@
     BackendChoice choice{.why = NoBackend::Unknown};
     std::vector<Candidate> candidates;
     for (auto &[id, state] : board.backends) {
-        if (state.entry.service != wish.service || state.entry.draining)
+        if (state.entry.service != wish.service || state.entry.draining || state.replaced)
+            continue;
+        if (!isOpen(state, now, board.loadLifetime)) {
+            choice.why = NoBackend::NotOpen;
             continue;
+        }
         if (wasTried(wish, id)) {
-            choice.why = NoBackend::AllTried;
+            choice.why = choice.why == NoBackend::NotOpen ? choice.why : NoBackend::AllTried;
             continue;
         }
         candidates.push_back({&state, loadWithOneMore(state, now, board.loadLifetime),
@@ -128,6 +139,11 @@
     return choice;
 }
 
+void noteReplaced(BackendState &state)
+{
+    state.replaced = true;
+}
+
 void noteSuccess(BackendState &state)
 {
     state.failures = 0;
--- a/Source/Request/BackendBoard.h
+++ b/Source/Request/BackendBoard.h
@@ -21,6 +21,8 @@
     TimePoint at;
     /// Above 1 for a backend server slower than usual.
     double pace = 1;
+    /// It takes work; false for a rank whose group is broken or still forms.
+    bool open = true;
 };
 
 /// One backend server as this gateway sees it.
@@ -34,6 +36,8 @@
     TimePoint avoidUntil;
     /// Failures in a row.
     std::uint32_t failures = 0;
+    /// Another backend server answers at its address; until it reports again.
+    bool replaced = false;
 };
 
 /// The backend servers of all services, by id. A plain value.
@@ -62,6 +66,9 @@
 /// second, while moving one costs the reading of its prompt, some tens of milliseconds.
 constexpr double moveAtPace = 2.0;
 
+/// Whether a backend server takes work, as far as is known.
+bool isOpen(const BackendState &state, TimePoint now, milliseconds loadLifetime);
+
 /// The load with one more request, in parts of what the backend server can use. One that is slow
 /// can use fewer, and in a group of ranks each request there slows all ranks down.
 double loadWithOneMore(const BackendState &state, TimePoint now, milliseconds loadLifetime);
@@ -84,6 +91,7 @@
     Unknown, ///< The service has none that takes work.
     AllTried, ///< Each was tried by this request.
     AllFull, ///< Each has as many requests as it can use.
+    NotOpen, ///< Each is a rank of a group that does not take work now.
 };
 
 struct BackendChoice
@@ -103,6 +111,10 @@
 BackendChoice chooseBackend(BackendBoard &board, const BackendWish &wish, TimePoint now,
                             double draw);
 
+/// Notes that another backend server has the address. After a loss of power all engines of a group
+/// come back under other ids, and the old entries stand for seconds: each would cost a send.
+void noteReplaced(BackendState &state);
+
 /// Notes how a request at a backend server ended.
 void noteSuccess(BackendState &state);
 /// @param sure The server itself is at fault, as a refused connection shows.
--- a/Source/Request/CallerRequest.h
+++ b/Source/Request/CallerRequest.h
@@ -65,6 +65,8 @@
     bool sealed = false;
     /// The backend server says that it did not run the request and never will.
     bool notExecuted = false;
+    /// Another backend server than the one named has the address.
+    bool misdirected = false;
     bool eventStream = false;
     /// A body encoding that the caller did not ask for.
     bool encoded = false;
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -48,7 +48,7 @@
 Json encode(const EngineLoad &load)
 {
     return {MessageKind::Load, encode(load.engine), load.running, load.waiting,
-            load.memoryUsed,   load.memoryTotal,    load.pace};
+            load.memoryUsed,   load.memoryTotal,    load.pace,    load.open};
 }
 
 EngineLoad decodeLoad(const Json &json)
@@ -58,7 +58,8 @@
             .waiting = json.at(3).get<std::uint32_t>(),
             .memoryUsed = json.at(4).get<std::uint64_t>(),
             .memoryTotal = json.at(5).get<std::uint64_t>(),
-            .pace = json.at(6).get<double>()};
+            .pace = json.at(6).get<double>(),
+            .open = json.at(7).get<bool>()};
 }
 
 Json encode(const RankReport &report)
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -45,6 +45,8 @@
     std::uint64_t memoryTotal = 0;
     /// Above 1 for an engine slower than usual.
     double pace = 1;
+    /// Its group takes work; one whose rank has crashed does not until it has formed anew.
+    bool open = true;
 };
 
 /// The group's leader asks a sidecar for its rank's state.
--- a/Tests/Gateway/DecisionsTest.cpp
+++ b/Tests/Gateway/DecisionsTest.cpp
@@ -175,6 +175,30 @@
     REQUIRE(chooseBackend(board, wish, start + seconds(1), 0).backend->entry.id == "i-1");
 }
 
+// Counters get nothing but refusals for three seconds after a loss of power. Ranks whose group has
+// not formed yet refuse each request, and callers that come back at once use up their retry.
+TEST_CASE("A rank whose group is broken gets no request until it says otherwise")
+{
+    BackendBoard board;
+    putBackend(board, entryOf("i-1"));
+    board.backends.at("i-1").told = LoadTold{.at = start, .open = false};
+    const BackendWish wish{.service = "s", .tried = {}, .failureDomain = "a"};
+    REQUIRE(chooseBackend(board, wish, start, 0).why == NoBackend::NotOpen);
+    board.backends.at("i-1").told->open = true;
+    REQUIRE(chooseBackend(board, wish, start, 0).why == NoBackend::None);
+}
+
+TEST_CASE("A backend server whose address another one has is left out until it reports again")
+{
+    BackendBoard board;
+    putBackend(board, entryOf("i-1"));
+    noteReplaced(board.backends.at("i-1"));
+    const BackendWish wish{.service = "s", .tried = {}, .failureDomain = "a"};
+    REQUIRE(chooseBackend(board, wish, start, 0).why == NoBackend::Unknown);
+    putBackend(board, entryOf("i-1"));
+    REQUIRE(chooseBackend(board, wish, start, 0).why == NoBackend::None);
+}
+
 TEST_CASE("A backend server that started anew under its id is known anew")
 {
     BackendBoard board;
--- a/Tests/Gateway/GatewayTest.cpp
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <csignal>
 #include <future>
 #include <sstream>
@@ -402,6 +403,30 @@
     REQUIRE(gateway.callUntil(requestFor("/once/x", "a1"), 502).status == 502);
 }
 
+// Half of the requests after a loss of power are refused. A backend server came back under another
+// id at its old address, and the entry of the old one stands until it lapses.
+TEST_CASE("A backend server that has another one's address costs one send at most")
+{
+    ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
+        if (request.header("Wisteriawind-Expect-Instance") == "i-old")
+            peer.send(sealed(request, 421, ""));
+        else
+            peer.send(sealed(request, 200, "here"));
+    });
+    Running gateway;
+    gateway.configure();
+    gateway.addBackend("i-old", "plain", backend);
+    gateway.addBackend("i-new", "plain", backend);
+    gateway.waitUntilReady();
+    for (int i = 0; i < 20; ++i)
+        gateway.callUntil(requestFor("/again/x", "a" + std::to_string(i), "GET"), 200);
+    const auto seen = backend.seen();
+    const auto toOld = std::count_if(seen.begin(), seen.end(), [](const SeenRequest &request) {
+        return request.header("Wisteriawind-Expect-Instance") == "i-old";
+    });
+    REQUIRE(toOld <= 1);
+}
+
 TEST_CASE("What a backend server surely did not run is told so, with a time to come back")
 {
     ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
