Take no new callers late in a stop

Cause: where fewer than half of a domain's gateways are ready the platform sends callers to all of them; a stopping gateway took requests until its end and cut them: LOST on Kalahari, mix. Ruled out: kept connections (each answer closes its own since SIGTERM). The new session test fails without the change.

--- a/Source/Connection/TcpConnection.cpp
+++ b/Source/Connection/TcpConnection.cpp
@@ -269,6 +269,11 @@
 { }
 
 TcpListener::~TcpListener()
+{
+    close();
+}
+
+void TcpListener::close()
 {
     if (private_->acceptor_.get_handle() == ACE_INVALID_HANDLE)
         return;
--- a/Source/Connection/TcpConnection.h
+++ b/Source/Connection/TcpConnection.h
@@ -72,6 +72,9 @@
     /// @return BadSettings that names the address when it can't be had.
     Result<void> listen(const Endpoint &address);
 
+    /// Stops to listen: connections that come later are refused.
+    void close();
+
 private:
     class Private;
     std::unique_ptr<Private> private_;
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -361,6 +361,9 @@
         }
         if (now - stopAt_ < stopAcceptingAfter)
             return;
+        // Where too few gateways of a failure domain are ready the platform goes on sending callers
+        // here. A request that is taken too late would be cut by the end of the process.
+        callers_.close();
         std::vector<std::uint64_t> idle;
         for (const auto &[id, session] : sessions_) {
             if (session->idle())
--- a/Tests/Gateway/GatewayTest.cpp
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -168,7 +168,7 @@
 class Running
 {
 public:
-    Running()
+    explicit Running(milliseconds gracePeriod = milliseconds(1000))
     {
         settings_.vmName = "front-1";
         settings_.failureDomain = "a";
@@ -178,7 +178,7 @@
         settings_.firstInternalPort = freePort();
         settings_.store = store.endpoint();
         settings_.retrySlack = 200;
-        settings_.gracePeriod = milliseconds(1000);
+        settings_.gracePeriod = gracePeriod;
         gateway_ = std::make_unique<Gateway>(settings_);
         end_ = std::async(std::launch::async, [this] { return gateway_->run().has_value(); });
     }
@@ -465,6 +465,31 @@
     REQUIRE(eventually([&ended] { return ended.load(); }));
 }
 
+// A notice breaks off in the middle. During a rolling restart the platform goes on sending callers
+// to a stopping gateway; it took requests until its end and cut them then.
+TEST_CASE("A stopping gateway takes no new callers in its last seconds, and ends what it has")
+{
+    std::atomic<bool> finish = false;
+    ScriptedServer backend([&finish](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(streamHead(request) + chunk(eventText(1)));
+        eventually([&finish] { return finish.load(); });
+        peer.send(chunk(eventText(2)) + "0\r\n\r\n");
+    });
+    Running gateway(milliseconds(8000));
+    gateway.configure();
+    gateway.addBackend("i-1", "model", backend);
+    gateway.waitUntilReady();
+    auto answer = std::async(std::launch::async, [&gateway] {
+        return gateway.callUntil(requestFor("/stream/x", "a1"), 200);
+    });
+    REQUIRE(eventually([&] { return backend.count("/stream/") > 0; }));
+    ::kill(::getpid(), SIGTERM);
+    REQUIRE(eventually([&] { return !gateway.ready(); }));
+    REQUIRE(eventually([&] { return gateway.call("GET / HTTP/1.1\r\n\r\n").status == 0; }));
+    finish = true;
+    REQUIRE(answer.get().body == eventText(1) + eventText(2));
+}
+
 // All requests in flight are cut at once. Operators send SIGHUP after they changed the settings
 // file, and a process that does not handle the signal ends.
 TEST_CASE("SIGHUP does not end a gateway")
