Bound changes of a map by the time of copies, and send maps as changes

Cause: on 72 ranks with 12 sets a change could copy 3 experts a rank, as where a copy takes seven times as long; a whole map for each rank is 270 KB on the leader's 8 Mbit/s, and the counts of all ranks 1.8 MB a second. Ruled out: the search's own time (30 ms a look at 72 ranks). Change: bounds as mean skew and copy time; maps travel as changes against the one in force; counts come from 16 ranks; a sidecar asks again for an order that got no answer.

--- a/Source/Programs/Sidecar/GroupLeader.cpp
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -70,11 +70,13 @@
 {
     const bool busy = std::any_of(groups_.begin(), groups_.end(),
                                   [](const auto &entry) { return switching(entry.second); });
-    if (now - polledAt_ < (busy ? pollPeriodSwitching : pollPeriod))
+    const auto share = static_cast<int>(members_.size() / timing_.countedRanks);
+    const milliseconds period = busy ? pollPeriodSwitching * std::max(1, share) : pollPeriod;
+    if (now - polledAt_ < std::min(period, pollPeriod))
         return;
     polledAt_ = now;
-    for (const Endpoint &engine : members_)
-        links_.send(engine, RankPoll{.withCounts = !busy});
+    for (std::size_t i = 0; i < members_.size(); ++i)
+        links_.send(members_[i], RankPoll{.withCounts = !busy && i < timing_.countedRanks});
 }
 
 void GroupLeader::advance(GroupSwitch &group, TimePoint now)
@@ -95,7 +97,7 @@
 void GroupLeader::carryOut(const std::string &name, const SwitchAction &action)
 {
     if (!action.direct) {
-        links_.send(action.engine, RankCommand{action.order});
+        sendOrder(name, action);
         return;
     }
     log_.info("map.direct_order",
@@ -116,6 +118,18 @@
     });
 }
 
+void GroupLeader::sendOrder(const std::string &name, const SwitchAction &action)
+{
+    RankCommand command{.order = action.order};
+    if (action.asChanges) {
+        const GroupSwitch &group = groups_.at(name);
+        command.order.map.clear();
+        command.base = group.baseVersion;
+        command.changes = changesBetween(group.base, group.map);
+    }
+    links_.send(action.engine, command);
+}
+
 void GroupLeader::readSilentRanks(TimePoint now)
 {
     if (now - leadsSince_ < silentAfter)
--- a/Source/Programs/Sidecar/GroupLeader.h
+++ b/Source/Programs/Sidecar/GroupLeader.h
@@ -40,6 +40,7 @@
     void poll(TimePoint now);
     void advance(GroupSwitch &group, TimePoint now);
     void carryOut(const std::string &name, const SwitchAction &action);
+    void sendOrder(const std::string &name, const SwitchAction &action);
     void readSilentRanks(TimePoint now);
     void readDirectly(const Endpoint &engine);
     void readExpertsDirectly(RankStatus status);
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -25,9 +25,15 @@
 constexpr milliseconds reportPeriodSwitching{25};
 /// A gateway that has not been heard of for this long gets no more loads: three of its hellos.
 constexpr milliseconds gatewayLifetime{2000};
+/// Times that one order is given while it gets no answer; the leader asks again after that.
+constexpr int triesOfOrder = 6;
 /// How long an order keeps the reports frequent.
 constexpr milliseconds orderAttention{400};
 
+/// Maps that are kept for changes that go on from them: the one in force, the one being prepared,
+/// and one that was given up.
+constexpr std::size_t keptMaps = 4;
+
 bool sameOrder(const RankOrder &a, const RankOrder &b)
 {
     return a.kind == b.kind && a.epoch == b.epoch && a.version == b.version && a.step == b.step;
@@ -287,14 +293,28 @@
     {
         const TimePoint now = monotonicNow();
         attentiveUntil_ = now + orderAttention;
-        const RankOrder &order = command.order;
+        RankOrder order = command.order;
+        if (order.kind == RankOrderKind::Prepare && !completeMap(order, command))
+            return;
         const bool underWay =
             std::any_of(openOrders_.begin(), openOrders_.end(),
                         [&order](const RankOrder &open) { return sameOrder(open, order); });
         if (underWay)
             return;
         openOrders_.push_back(order);
-        engines_.order(engine_, order, [this, order, from](const Result<void> &result) {
+        giveOrder(order, from, triesOfOrder);
+    }
+
+    /// Gives an order to the own engine, and again while it gets no answer: one that was lost can't
+    /// be told from one that is carried out later, and each order bears to be carried out twice.
+    void giveOrder(const RankOrder &order, const Endpoint &from, int triesLeft)
+    {
+        engines_.order(engine_, order, [this, order, from, triesLeft](const Result<void> &result) {
+            const bool unanswered = result.has_error() && result.error().kind == ErrorKind::Timeout;
+            if (unanswered && triesLeft > 1) {
+                giveOrder(order, from, triesLeft - 1);
+                return;
+            }
             std::erase_if(openOrders_,
                           [&order](const RankOrder &open) { return sameOrder(open, order); });
             if (result.has_error()) {
@@ -309,6 +329,30 @@
         });
     }
 
+    /// Puts together a map that came as changes, and keeps it for the next changes.
+    /// @return False when the sidecar lacks the map that they go on from, as after its start; the
+    /// leader sends the whole map when it asks again.
+    bool completeMap(RankOrder &order, const RankCommand &command)
+    {
+        if (order.map.empty()) {
+            const auto base = maps_.find(command.base);
+            if (base == maps_.end()) {
+                log_.info("map.base_unknown", {{"version", order.version}, {"base", command.base}});
+                return false;
+            }
+            auto map = applyChanges(base->second, command.changes);
+            if (map.has_error()) {
+                log_.warn("message.refused", {{"reason", map.error().message}});
+                return false;
+            }
+            order.map = std::move(map.value());
+        }
+        maps_[order.version] = order.map;
+        while (maps_.size() > keptMaps)
+            maps_.erase(maps_.begin());
+        return true;
+    }
+
     platform::ProcessSettings settings_;
     EventLoop loop_;
     EventLog log_;
@@ -332,6 +376,8 @@
     bool leading_ = false;
     std::optional<Endpoint> leaderAddress_;
     std::vector<RankOrder> openOrders_;
+    /// Whole maps by version, as they were ordered.
+    std::map<std::uint64_t, RankMap> maps_;
 };
 
 Sidecar::Sidecar(platform::ProcessSettings settings)
--- a/Source/Version/DemandPlacement.cpp
+++ b/Source/Version/DemandPlacement.cpp
@@ -143,6 +143,24 @@
     return order;
 }
 
+/// Experts that one rank may load for one change.
+std::uint32_t loadsPerRank(const ExpertProfile &profile, const PlacementBounds &bounds)
+{
+    const auto most = profile.loadsPerMap * profile.sets;
+    if (profile.loadMilliseconds <= 0)
+        return most;
+    const double fit = static_cast<double>(bounds.copyTime.count()) / profile.loadMilliseconds;
+    return std::clamp(static_cast<std::uint32_t>(std::min(fit, 1e6)), 1U, std::max(1U, most));
+}
+
+/// Skew of one set that each loaded expert must gain.
+double leastGainPerLoad(const ExpertProfile &profile, const PlacementBounds &bounds)
+{
+    constexpr double millisecondsPerSecond = 1000;
+    const double copySeconds = profile.loadMilliseconds / millisecondsPerSecond;
+    return bounds.leastGainPerCopySecond * copySeconds * profile.sets;
+}
+
 bool enoughCounts(const ExpertDemand &demand, std::size_t sets)
 {
     if (demand.loads.size() != sets || sets == 0)
@@ -198,9 +216,9 @@
     const RankGroup group = groupFor(profile, paces);
     PlacementProposal proposal{.map = present, .skewBefore = demandSkew(demand, present, paces)};
     // No map is better than balanced: most looks end here, without a search of milliseconds.
-    if ((proposal.skewBefore - 1) * static_cast<double>(present.size()) < bounds.leastGain)
+    if (proposal.skewBefore - 1 < bounds.leastGain)
         return std::nullopt;
-    std::vector<std::uint32_t> left(ranks, bounds.loadsPerRank);
+    std::vector<std::uint32_t> left(ranks, loadsPerRank(profile, bounds));
     for (const SetSearch &entry : worstFirst(group, demand, present)) {
         const LayerMap layer{present[entry.set]};
         const double total = sumOf(demand.loads[entry.set]);
@@ -208,7 +226,7 @@
             .loads = demand.loads[entry.set],
             .noise = std::sqrt(static_cast<double>(profile.expertsPerSet) / total)};
         SearchLimits limits{.maxMoves = static_cast<std::uint32_t>(ranks) * profile.loadsPerMap,
-                            .minGainPerMove = bounds.leastGainPerLoad,
+                            .minGainPerMove = leastGainPerLoad(profile, bounds),
                             .stagingRoom = left};
         for (std::uint32_t &room : limits.stagingRoom)
             room = std::min(room, profile.loadsPerMap);
@@ -224,8 +242,7 @@
         }
     }
     proposal.skewAfter = demandSkew(demand, proposal.map, paces);
-    const double gain =
-        (proposal.skewBefore - proposal.skewAfter) * static_cast<double>(present.size());
+    const double gain = proposal.skewBefore - proposal.skewAfter;
     if (proposal.map == present || gain < bounds.leastGain)
         return std::nullopt;
     return proposal;
--- a/Source/Version/DemandPlacement.h
+++ b/Source/Version/DemandPlacement.h
@@ -29,18 +29,20 @@
 void takeCounts(ExpertDemand &demand, const ExpertProfile &profile, std::uint32_t rank,
                 const std::vector<std::uint64_t> &counts, TimePoint now);
 
-/// Bounds of one change of the map.
+/// Bounds of one change of the map. They hold for groups of any size: what a copy costs follows
+/// from its time, and what it gains from the mean over the sets.
 struct PlacementBounds
 {
-    /// Skew, summed over the sets, that a change must gain at least. While experts are copied each
-    /// pass takes 15 in 100 longer: changes for less slowed a loaded group down more than they
-    /// gained (share of the worth served on the day of highest load: 0.47 at 0.15, 0.72 at 1.0).
-    double leastGain = 1.0;
-    /// Skew that each loaded expert must gain at least; halves the memory that is copied.
-    double leastGainPerLoad = 0.02;
-    /// Experts that one rank may load for one change, over all sets: the copies of a rank come one
-    /// after the other, and the slowest rank sets the moment of the switch.
-    std::uint32_t loadsPerRank = 3;
+    /// Skew, averaged over the sets, that a change must gain at least. While experts are copied
+    /// each pass takes 15 in 100 longer: changes for less slowed a loaded group down more than they
+    /// gained (share of the worth served on the day of highest load: 0.47 at 0.04, 0.72 at 0.25).
+    double leastGain = 0.25;
+    /// Skew, averaged over the sets, that each second of copying one expert must gain at least;
+    /// halves the memory that is copied.
+    double leastGainPerCopySecond = 0.045;
+    /// Longest time that one rank may copy for one change, over all sets: the copies of a rank come
+    /// one after the other, and the slowest rank sets the moment of the switch.
+    milliseconds copyTime{340};
 };
 
 /// A map that is better for the present demand than the one in force.
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -119,7 +119,11 @@
 Json encode(const RankCommand &command)
 {
     const RankOrder &order = command.order;
-    return {MessageKind::Command, order.kind, order.epoch, order.version, order.step, order.map};
+    Json changes = Json::array();
+    for (const RankMapChange &change : command.changes)
+        changes.push_back(Json::array({change.set, change.rank, change.experts}));
+    return {MessageKind::Command, order.kind, order.epoch,  order.version,
+            order.step,           order.map,  command.base, std::move(changes)};
 }
 
 RankCommand decodeCommand(const Json &json)
@@ -133,6 +137,12 @@
                      .version = json.at(3).get<std::uint64_t>(),
                      .step = json.at(4).get<std::uint64_t>(),
                      .map = json.at(5).get<RankMap>()};
+    command.base = json.at(6).get<std::uint64_t>();
+    for (const Json &change : json.at(7)) {
+        command.changes.push_back({change.at(0).get<std::uint32_t>(),
+                                   change.at(1).get<std::uint32_t>(),
+                                   change.at(2).get<std::vector<std::uint32_t>>()});
+    }
     return command;
 }
 
@@ -160,6 +170,31 @@
 
 } // namespace
 
+std::vector<RankMapChange> changesBetween(const RankMap &from, const RankMap &to)
+{
+    std::vector<RankMapChange> changes;
+    for (std::uint32_t set = 0; set < to.size(); ++set) {
+        for (std::uint32_t rank = 0; rank < to[set].size(); ++rank) {
+            const bool known = set < from.size() && rank < from[set].size();
+            if (!known || from[set][rank] != to[set][rank])
+                changes.push_back({set, rank, to[set][rank]});
+        }
+    }
+    return changes;
+}
+
+Result<RankMap> applyChanges(RankMap map, const std::vector<RankMapChange> &changes)
+{
+    for (const RankMapChange &change : changes) {
+        if (change.set >= map.size() || change.rank >= map[change.set].size()) {
+            return failure(ErrorKind::BadInput,
+                           "a change of the expert map names a set or rank that it lacks");
+        }
+        map[change.set][change.rank] = change.experts;
+    }
+    return map;
+}
+
 std::string encodeMessage(const GroupMessage &message)
 {
     const Json json = std::visit([](const auto &fields) { return encode(fields); }, message);
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -71,12 +71,31 @@
     std::vector<std::uint64_t> counts{};
 };
 
+/// Experts that one rank is to hold of one set.
+struct RankMapChange
+{
+    std::uint32_t set = 0;
+    std::uint32_t rank = 0;
+    std::vector<std::uint32_t> experts;
+};
+
 /// The group's leader wants an order given to a sidecar's own rank.
 struct RankCommand
 {
     RankOrder order;
+    /// For Prepare without a map: the version whose map the changes go on from, which the sidecar
+    /// had before. A whole map for each rank took a third of a second of a large group's link.
+    std::uint64_t base = 0;
+    std::vector<RankMapChange> changes{};
 };
 
+/// What leads from one map to another of the same shape.
+std::vector<RankMapChange> changesBetween(const RankMap &from, const RankMap &to);
+
+/// Carries changes out.
+/// @return BadInput when they name a set or rank that the map lacks.
+Result<RankMap> applyChanges(RankMap map, const std::vector<RankMapChange> &changes);
+
 using GroupMessage = std::variant<GatewayHello, EngineLoad, RankPoll, RankStatus, RankCommand>;
 
 /// A message as MessagePack bytes.
--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -84,14 +84,18 @@
 {
     const RankView &view = group.ranks.at(rank);
     const auto asked = group.askedAt.find(rank);
-    if (asked != group.askedAt.end() && now - asked->second < timing.resend)
+    const bool again = asked != group.askedAt.end();
+    const bool prepares = order.kind == RankOrderKind::Prepare;
+    const bool patient = prepares && !group.heldBefore;
+    if (again && now - asked->second < (patient ? timing.resendMap : timing.resend))
         return;
     group.askedAt[rank] = now;
     order.epoch = group.epoch;
     const bool silent = now - view.at > timing.orderDirectlyAfter;
     const bool held = group.phase == SwitchPhase::Arming || group.phase == SwitchPhase::Unwinding
         || group.phase == SwitchPhase::Releasing;
-    step.actions.push_back({rank, view.status.engine, std::move(order), silent && held});
+    const bool asChanges = prepares && !again && group.baseVersion != 0;
+    step.actions.push_back({rank, view.status.engine, std::move(order), silent && held, asChanges});
 }
 
 struct Held
@@ -149,7 +153,8 @@
     });
     if (armed || now - group.lastSwitchAt < timing.betweenSwitches)
         return;
-    const bool countsOfAll = group.countsSinceLook >= group.ranks.size();
+    const bool countsOfAll =
+        group.countsSinceLook >= std::min(group.ranks.size(), timing.countedRanks);
     if (!countsOfAll && now - group.lookedAt < timing.lookAtLatest)
         return;
     group.countsSinceLook = 0;
@@ -161,6 +166,8 @@
     if (!proposal)
         return;
     group.proposal = std::move(*proposal);
+    group.base = present;
+    group.baseVersion = group.ranks.begin()->second.status.report.map;
     group.map = group.proposal.map;
     group.version = newVersion(group, versionHint);
     group.heldBefore = false;
@@ -291,6 +298,7 @@
     group.map = presentMap(group, profile);
     if (group.map.empty())
         return;
+    group.baseVersion = 0;
     group.version = newVersion(group, versionHint);
     group.heldBefore = true;
     enter(group, SwitchPhase::Preparing, now);
--- a/Source/Version/RankSwitch.h
+++ b/Source/Version/RankSwitch.h
@@ -28,6 +28,8 @@
     milliseconds statusLifetime{450};
     /// Pause before an order without an effect is asked for again.
     milliseconds resend{50};
+    /// The same for a map, which takes long to copy and whose message is large.
+    milliseconds resendMap{400};
     /// How long all copies may take before the map is given up.
     milliseconds prepareTimeout{4000};
     /// A sidecar that does not answer for this long while the group is held has its rank ordered
@@ -48,6 +50,9 @@
     /// Longest wait for the counts of all ranks before a look for a better map. A look at each
     /// rank's counts took more than the leader's whole share of a core.
     milliseconds lookAtLatest{300};
+    /// Ranks whose counts are asked for. All ranks serve the same mix of requests, so a sample
+    /// tells the demand; the counts of 72 ranks would fill the link of the leader's VM.
+    std::size_t countedRanks = 16;
 };
 
 /// Where a change of the map stands.
@@ -83,6 +88,10 @@
     /// The group was held before the present version was prepared.
     bool heldBefore = false;
     RankMap map{};
+    /// The map in force that `map` goes on from, and its version; empty when it may not be known to
+    /// the sidecars.
+    RankMap base{};
+    std::uint64_t baseVersion = 0;
     /// Highest version known of, in use or not.
     std::uint64_t highestVersion = 0;
     /// When an order was last asked of a rank.
@@ -102,6 +111,8 @@
     Endpoint engine;
     RankOrder order;
     bool direct = false;
+    /// For Prepare through a sidecar: it may be sent as changes against the map in force.
+    bool asChanges = false;
 };
 
 /// What a step of the leader's work gave.
--- a/Tests/Version/DemandPlacementTest.cpp
+++ b/Tests/Version/DemandPlacementTest.cpp
@@ -150,3 +150,39 @@
     REQUIRE_FALSE(leads(second, 1, start + milliseconds(1600)));
     REQUIRE(leads(second, 1, start + milliseconds(1700)));
 }
+
+TEST_CASE("A map travels as changes against one that is known")
+{
+    const RankMap from = firstMap();
+    RankMap to = from;
+    to[1][3] = {7, 8};
+    const auto changes = changesBetween(from, to);
+    REQUIRE(changes.size() == 1);
+    REQUIRE(applyChanges(from, changes).value() == to);
+    REQUIRE(applyChanges({}, changes).has_error());
+}
+
+TEST_CASE("A large group with small experts is balanced in one change")
+{
+    const ExpertProfile large{.sets = 12,
+                              .expertsPerSet = 144,
+                              .expertsPerRank = 3,
+                              .loadsPerMap = 2,
+                              .loadMilliseconds = 16.4};
+    constexpr std::size_t ranks = 72;
+    RankMap map(large.sets, std::vector<std::vector<std::uint32_t>>(ranks));
+    std::mt19937_64 random(1);
+    std::uniform_real_distribution<double> draw(0.001, 1);
+    ExpertDemand demand;
+    demand.loads.assign(large.sets, std::vector<double>(large.expertsPerSet));
+    for (std::size_t set = 0; set < large.sets; ++set) {
+        for (std::uint32_t expert = 0; expert < large.expertsPerSet; ++expert) {
+            map[set][expert % ranks].push_back(expert);
+            demand.loads[set][expert] = 2000 * std::pow(draw(random), -0.4);
+        }
+    }
+    const auto proposal = proposeMap(large, demand, map, std::vector<double>(ranks, 1.0), {});
+    REQUIRE(proposal);
+    REQUIRE(proposal->skewBefore > 2);
+    REQUIRE(proposal->skewAfter < 1.5);
+}
--- a/Tests/Version/RankSwitchTest.cpp
+++ b/Tests/Version/RankSwitchTest.cpp
@@ -304,7 +304,8 @@
     std::deque<Leader> leaders_;
     std::vector<Event> events_;
     std::map<std::uint32_t, std::deque<RankStatus>> told_;
-    PlacementBounds bounds_{.leastGain = 0.1, .leastGainPerLoad = 0.001, .loadsPerRank = 2};
+    PlacementBounds bounds_{
+        .leastGain = 0.1, .leastGainPerCopySecond = 0.01, .copyTime = milliseconds(200)};
     TimePoint leaderBornAt_;
     TimePoint nextPassAt_;
     TimePoint nextTellAt_;
