Ask again soon for copies that a rank is not known to have begun

Cause: of 72 messages with a map one is easily lost; it was sent again after 0.4 s, and the whole group waited. Change: a status tells which map the engine copies; others are asked again after 0.12 s.

--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -151,10 +151,11 @@
         if (begunAt < takenAt_)
             return;
         takenAt_ = begunAt;
-        const bool changed = !status_ || !sameSwitchState(status_->report, report);
+        const bool changed =
+            !status_ || !sameSwitchState(status_->report, report) || status_->accepted != accepted_;
         const bool newMap = !status_ || status_->report.map != report.map
             || status_->report.epoch != report.epoch || status_->experts.empty();
-        RankStatus status{.engine = engine_, .report = report};
+        RankStatus status{.engine = engine_, .report = report, .accepted = accepted_};
         status.readAtMilliseconds = static_cast<std::uint64_t>(
             std::chrono::duration_cast<milliseconds>(begunAt.time_since_epoch()).count());
         if (!newMap)
@@ -384,6 +385,8 @@
     LeaderChoice choice_;
     bool leading_ = false;
     std::optional<Endpoint> leaderAddress_;
+    /// Version of the last order to prepare that the engine took.
+    std::uint64_t accepted_ = 0;
     /// The engine's counts of experts as they were last told.
     std::vector<std::uint64_t> counts_;
     std::vector<RankOrder> openOrders_;
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -104,7 +104,8 @@
 Json encode(const RankStatus &status)
 {
     return {MessageKind::Status,   encode(status.engine), status.readAtMilliseconds,
-            encode(status.report), status.experts,        status.counts};
+            encode(status.report), status.experts,        status.counts,
+            status.accepted};
 }
 
 RankStatus decodeStatus(const Json &json)
@@ -112,6 +113,7 @@
     return {.engine = decodeEndpoint(json.at(1)),
             .readAtMilliseconds = json.at(2).get<std::uint64_t>(),
             .report = decodeReport(json.at(3)),
+            .accepted = json.at(6).get<std::uint64_t>(),
             .experts = json.at(4).get<std::vector<std::vector<std::uint32_t>>>(),
             .counts = json.at(5).get<std::vector<std::uint64_t>>()};
 }
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -64,6 +64,9 @@
     /// an older state must not replace a newer one.
     std::uint64_t readAtMilliseconds = 0;
     RankReport report{};
+    /// Version whose copies the engine has begun on the sidecar's last order to prepare; 0 for
+    /// none.
+    std::uint64_t accepted = 0;
     /// Experts that the rank holds, by set; empty while unknown.
     std::vector<std::vector<std::uint32_t>> experts{};
     /// How often the rank's requests chose each expert since it was last asked, one set after the
--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -86,8 +86,11 @@
     const auto asked = group.askedAt.find(rank);
     const bool again = asked != group.askedAt.end();
     const bool prepares = order.kind == RankOrderKind::Prepare;
-    const bool patient = prepares && !group.heldBefore;
-    if (again && now - asked->second < (patient ? timing.resendMap : timing.resend))
+    const bool accepted = prepares && view.status.accepted == order.version;
+    milliseconds pause = timing.resend;
+    if (prepares && !group.heldBefore)
+        pause = accepted ? timing.resendAcceptedMap : timing.resendMap;
+    if (again && now - asked->second < pause)
         return;
     group.askedAt[rank] = now;
     order.epoch = group.epoch;
--- a/Source/Version/RankSwitch.h
+++ b/Source/Version/RankSwitch.h
@@ -28,8 +28,10 @@
     milliseconds statusLifetime{450};
     /// Pause before an order without an effect is asked for again.
     milliseconds resend{50};
-    /// The same for a map, which takes long to copy and whose message is large.
-    milliseconds resendMap{400};
+    /// The same for a map that the rank is not known to copy yet, and for one that it copies. Of 72
+    /// messages one is easily lost, and the whole group waits for that rank.
+    milliseconds resendMap{120};
+    milliseconds resendAcceptedMap{1000};
     /// How long all copies may take before the map is given up.
     milliseconds prepareTimeout{4000};
     /// A sidecar that does not answer for this long while the group is held has its rank ordered
