--- a/Source/Request/BackendBoard.cpp
+++ b/Source/Request/BackendBoard.cpp
@@ -15,6 +15,10 @@
 constexpr std::uint32_t failuresBeforeAvoidance = 3;
 /// Loads that differ by less count as equal, in parts of the slots.
 constexpr double tie = 0.02;
+/// A backend server of another failure domain must have so much less load, in parts of its slots,
+/// to be preferred: about one request. Bytes between domains are dear, and an answer stays longer
+/// on its way.
+constexpr double domainBias = 0.09;
 
 bool wasTried(const BackendWish &wish, const std::string &id)
 {
@@ -29,13 +33,13 @@
     bool avoided = false;
     bool elsewhere = false;
 
+    double cost() const { return load + (elsewhere ? domainBias : 0); }
+
     bool before(const Candidate &other) const
     {
         if (avoided != other.avoided)
             return !avoided;
-        if (load < other.load - tie || load > other.load + tie)
-            return load < other.load;
-        return !elsewhere && other.elsewhere;
+        return cost() < other.cost() - tie;
     }
 };
 
--- a/Tests/Gateway/DecisionsTest.cpp
+++ b/Tests/Gateway/DecisionsTest.cpp
@@ -119,7 +119,7 @@
     const BackendWish wish{.service = "s", .tried = {}, .failureDomain = "a"};
     const BackendChoice first = chooseBackend(board, wish, start, 0.1);
     REQUIRE(first.backend->entry.id == "i-2");
-    first.backend->own = 1;
+    first.backend->own = 2;
     REQUIRE(chooseBackend(board, wish, start, 0.1).backend->entry.id == "i-1");
 }
 
