--- a/Source/Programs/Sidecar/EngineLink.cpp
+++ b/Source/Programs/Sidecar/EngineLink.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-EngineLink::EngineLink(HttpClientPool &pool, EventLog &log) : calls_(pool), log_(log) { }
+EngineLink::EngineLink(HttpClientPool &pool) : calls_(pool) { }
 
 void EngineLink::readReport(const Endpoint &engine, std::function<void(Result<RankReport>)> done)
 {
--- a/Source/Programs/Sidecar/EngineLink.h
+++ b/Source/Programs/Sidecar/EngineLink.h
@@ -4,7 +4,6 @@
 #include <optional>
 
 #include "Connection/TimedCalls.h"
-#include "Process/EventLog.h"
 #include "Version/RankReport.h"
 
 namespace wisteria {
@@ -13,7 +12,7 @@
 class EngineLink
 {
 public:
-    EngineLink(HttpClientPool &pool, EventLog &log);
+    explicit EngineLink(HttpClientPool &pool);
 
     void readReport(const Endpoint &engine, std::function<void(Result<RankReport>)> done);
     void readCounts(const Endpoint &engine, std::function<void(Result<ExpertCounts>)> done);
@@ -27,7 +26,6 @@
 
 private:
     TimedCalls calls_;
-    EventLog &log_;
 };
 
 } // namespace wisteria
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -53,8 +53,8 @@
 public:
     explicit Private(platform::ProcessSettings settings)
         : settings_(std::move(settings)), log_(settings_.vmName, LogLevel::Info), pool_(loop_),
-          engines_(pool_, log_), shutdown_(
-                                     loop_, [this] { loop_.stop(); }, [this] { reload(); }),
+          engines_(pool_), shutdown_(
+                               loop_, [this] { loop_.stop(); }, [this] { reload(); }),
           socket_(loop_,
                   [this](const Endpoint &from, std::string_view bytes) { receive(from, bytes); })
     { }
