--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -65,7 +65,9 @@
 {
 public:
     explicit Private(platform::ProcessSettings settings)
-        : settings_(std::move(settings)), log_(settings_.vmName, LogLevel::Info),
+        : settings_(std::move(settings)), shutdown_(
+                                              loop_, [this] { stop(); }, [this] { reload(); }),
+          log_(settings_.vmName, LogLevel::Info),
           pool_(loop_), context_{.loop = loop_,
                                  .log = log_,
                                  .pool = pool_,
@@ -74,8 +76,7 @@
                                  .retryShares = {},
                                  .failureDomain = settings_.failureDomain,
                                  .routes = nullptr},
-          list_(board_, log_), shutdown_(
-                                   loop_, [this] { stop(); }, [this] { reload(); }),
+          list_(board_, log_),
           callers_(loop_, [this](int descriptor) { acceptCaller(descriptor); }),
           readiness_(loop_, [this](int descriptor) { acceptReadiness(descriptor); }),
           peers_(loop_, [this](const Endpoint &from, std::string_view bytes) {
@@ -385,12 +386,14 @@
 
     platform::ProcessSettings settings_;
     EventLoop loop_;
+    /// Before whatever starts a thread, as the log does: a thread in which the signals are not
+    /// blocked takes SIGTERM, and its default ends the process with all requests.
+    ShutdownSignal shutdown_;
     EventLog log_;
     HttpClientPool pool_;
     BackendBoard board_;
     GatewayContext context_;
     BackendList list_;
-    ShutdownSignal shutdown_;
     TcpListener callers_;
     TcpListener readiness_;
     DatagramSocket peers_;
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -52,9 +52,10 @@
 {
 public:
     explicit Private(platform::ProcessSettings settings)
-        : settings_(std::move(settings)), log_(settings_.vmName, LogLevel::Info), pool_(loop_),
-          engines_(pool_), shutdown_(
-                               loop_, [this] { loop_.stop(); }, [this] { reload(); }),
+        : settings_(std::move(settings)),
+          shutdown_(
+              loop_, [this] { loop_.stop(); }, [this] { reload(); }),
+          log_(settings_.vmName, LogLevel::Info), pool_(loop_), engines_(pool_),
           socket_(loop_,
                   [this](const Endpoint &from, std::string_view bytes) { receive(from, bytes); })
     { }
@@ -364,10 +365,11 @@
 
     platform::ProcessSettings settings_;
     EventLoop loop_;
+    /// Before whatever starts a thread, as the log does; see ShutdownSignal.
+    ShutdownSignal shutdown_;
     EventLog log_;
     HttpClientPool pool_;
     EngineLink engines_;
-    ShutdownSignal shutdown_;
     DatagramSocket socket_;
     std::unique_ptr<GroupLeader> leader_;
     Endpoint engine_;
--- a/Tests/Gateway/GatewayTest.cpp
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -1,15 +1,19 @@
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
+#include <fstream>
 #include <future>
 #include <sstream>
 
 #include <arpa/inet.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
-#include "Gateway/ScriptedServer.h"
+#include "Gateway/StoreStandIn.h"
 #include "Programs/Gateway/Gateway.h"
 
 using namespace wisteria;
@@ -19,116 +23,6 @@
 
 constexpr const char *seal = "Wisteriawind-Response-Seal: s\r\n";
 
-/// A stand-in of the platform's store: keyed topics that answer log-newest and log-read.
-class StoreStandIn
-{
-public:
-    StoreStandIn() : server_([this](const SeenRequest &r, ScriptPeer &p) { answer(r, p); }) { }
-
-    void put(const std::string &topic, const std::string &key, const nlohmann::json &value)
-    {
-        append(topic, key, value.dump());
-    }
-
-    /// An empty value removes the key.
-    void append(const std::string &topic, const std::string &key, const std::string &value)
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        logs_[topic].push_back({key, value});
-    }
-
-    /// Answers 503 to everything from now on, or no longer.
-    void away(bool away) { away_ = away; }
-
-    Endpoint endpoint() const { return server_.endpoint(); }
-
-private:
-    struct Record
-    {
-        std::string key;
-        std::string value;
-    };
-
-    static std::string number(const std::string &target, const std::string &name)
-    {
-        const std::size_t at = target.find(name + "=");
-        const std::size_t begin = at + name.size() + 1;
-        return at == std::string::npos ? "0"
-                                       : target.substr(begin, target.find('&', begin) - begin);
-    }
-
-    void answer(const SeenRequest &request, ScriptPeer &peer)
-    {
-        const std::string target = request.target();
-        if (away_) {
-            peer.send(plainResponse(503, "", ""));
-            return;
-        }
-        const std::string topic = number(target, "topic");
-        if (target.starts_with("/log-newest"))
-            peer.send(plainResponse(200, "", newest(topic)));
-        else
-            peer.send(plainResponse(200, "", read(topic, std::stoul(number(target, "from")))));
-    }
-
-    std::string newest(const std::string &topic)
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        std::map<std::string, std::string> values;
-        for (const Record &record : logs_[topic])
-            values[record.key] = record.value;
-        nlohmann::json entries = nlohmann::json::array();
-        for (const auto &[key, value] : values) {
-            if (!value.empty())
-                entries.push_back({{"key", key}, {"value", base64(value)}, {"offset", 0}});
-        }
-        return nlohmann::json(
-                   {{"entries", entries}, {"has_more", false}, {"end", logs_[topic].size()}})
-            .dump();
-    }
-
-    std::string read(const std::string &topic, std::size_t from)
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        const std::vector<Record> &log = logs_[topic];
-        std::string bytes = big(log.size(), 8) + big(0, 8);
-        for (std::size_t i = from; i < log.size(); ++i) {
-            const std::string content = big(log[i].key.size(), 1) + log[i].key + log[i].value;
-            bytes += big(content.size(), 4) + content;
-        }
-        return bytes;
-    }
-
-    static std::string big(std::uint64_t value, int size)
-    {
-        std::string bytes;
-        for (int i = size - 1; i >= 0; --i)
-            bytes += static_cast<char>((value >> (8 * i)) & 0xFF);
-        return bytes;
-    }
-
-    static std::string base64(const std::string &text)
-    {
-        static const char *const digits =
-            "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-        std::string encoded;
-        for (std::size_t i = 0; i < text.size(); i += 3) {
-            std::uint32_t group = 0;
-            for (std::size_t j = 0; j < 3; ++j)
-                group = (group << 8)
-                    | (i + j < text.size() ? static_cast<unsigned char>(text[i + j]) : 0U);
-            for (std::size_t j = 0; j < 4; ++j)
-                encoded += i + j <= text.size() ? digits[(group >> (18 - 6 * j)) & 63] : '=';
-        }
-        return encoded;
-    }
-
-    std::mutex mutex_;
-    std::map<std::string, std::vector<Record>> logs_;
-    std::atomic<bool> away_ = false;
-    ScriptedServer server_;
-};
-
 /// Signals that a gateway takes must be blocked in every thread before the first one starts.
 const bool signalsBlocked = [] {
     sigset_t signals;
@@ -138,6 +32,28 @@
     return ::pthread_sigmask(SIG_BLOCK, &signals, nullptr) == 0;
 }();
 
+std::string temporaryFolder()
+{
+    std::string folder = "/tmp/gateway-test-XXXXXX";
+    return ::mkdtemp(folder.data());
+}
+
+/// Starts a program of the build with the signals as a shell leaves them.
+pid_t startProgram(const std::string &program, const std::string &settings)
+{
+    const std::string path = std::string(WISTERIA_PROGRAMS) + "/" + program;
+    const pid_t child = ::fork();
+    if (child != 0)
+        return child;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    sigset_t none;
+    sigemptyset(&none);
+    ::pthread_sigmask(SIG_SETMASK, &none, nullptr);
+    ::setenv("WISTERIAWIND_CONFIG", settings.c_str(), 1);
+    ::execl(path.c_str(), path.c_str(), nullptr);
+    ::_exit(127);
+}
+
 std::uint16_t freePort()
 {
     const ScriptedServer server([](const SeenRequest &, ScriptPeer &) {});
@@ -504,3 +420,33 @@
     ::kill(::getpid(), SIGHUP);
     REQUIRE(gateway.callUntil(requestFor("/once/x", "a1"), 200).body == "here");
 }
+
+// Every request in flight is cut at each planned stop. The thread that writes log lines started
+// before the signals were blocked, so the kernel gave SIGTERM to it, and its default ends the
+// process.
+TEST_CASE("The programs bear SIGHUP and end in order at SIGTERM")
+{
+    for (const char *program : {"wisteria-gateway", "wisteria-sidecar"}) {
+        const ScriptedServer engine(
+            [](const SeenRequest &, ScriptPeer &peer) { peer.send(plainResponse(200, "", "{}")); });
+        const Endpoint callers{INADDR_LOOPBACK, freePort()};
+        const std::string path = temporaryFolder() + "/" + program + ".conf";
+        std::ofstream(path) << "node_name=vm\nip=127.0.0.1\nzone=a\ninternal_port_range="
+                            << freePort()
+                            << ",65535\nplatform.address=" << toText(engine.endpoint())
+                            << "\napp=" << toText(engine.endpoint())
+                            << "\nlisten.front=" << toText(callers)
+                            << "\nlisten.ready=127.0.0.1:" << freePort() << "\n";
+        const pid_t child = startProgram(program, path);
+        REQUIRE(eventually([&] { return !engine.seen().empty(); }));
+        ::kill(child, SIGHUP);
+        const std::size_t before = engine.seen().size();
+        REQUIRE(eventually([&] { return engine.seen().size() > before + 1; }));
+        ::kill(child, SIGTERM);
+        int status = 0;
+        REQUIRE(::waitpid(child, &status, 0) == child);
+        CAPTURE(program);
+        REQUIRE(WIFEXITED(status));
+        REQUIRE(WEXITSTATUS(status) == 0);
+    }
+}
--- /dev/null
+++ b/Tests/Gateway/StoreStandIn.cpp
@@ -0,0 +1,92 @@
+#include "Gateway/StoreStandIn.h"
+
+namespace wisteria::gateway_tests {
+
+namespace {
+
+std::string number(const std::string &target, const std::string &name)
+{
+    const std::size_t at = target.find(name + "=");
+    const std::size_t begin = at + name.size() + 1;
+    return at == std::string::npos ? "0" : target.substr(begin, target.find('&', begin) - begin);
+}
+
+std::string big(std::uint64_t value, int size)
+{
+    std::string bytes;
+    for (int i = size - 1; i >= 0; --i)
+        bytes += static_cast<char>((value >> (8 * i)) & 0xFF);
+    return bytes;
+}
+
+std::string base64(const std::string &text)
+{
+    static const char *const digits =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    std::string encoded;
+    for (std::size_t i = 0; i < text.size(); i += 3) {
+        std::uint32_t group = 0;
+        for (std::size_t j = 0; j < 3; ++j)
+            group =
+                (group << 8) | (i + j < text.size() ? static_cast<unsigned char>(text[i + j]) : 0U);
+        for (std::size_t j = 0; j < 4; ++j)
+            encoded += i + j <= text.size() ? digits[(group >> (18 - 6 * j)) & 63] : '=';
+    }
+    return encoded;
+}
+
+} // namespace
+
+StoreStandIn::StoreStandIn()
+    : server_([this](const SeenRequest &request, ScriptPeer &peer) { answer(request, peer); })
+{ }
+
+void StoreStandIn::append(const std::string &topic, const std::string &key,
+                          const std::string &value)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    logs_[topic].push_back({key, value});
+}
+
+void StoreStandIn::answer(const SeenRequest &request, ScriptPeer &peer)
+{
+    const std::string target = request.target();
+    if (away_) {
+        peer.send(plainResponse(503, "", ""));
+        return;
+    }
+    const std::string topic = number(target, "topic");
+    if (target.starts_with("/log-newest"))
+        peer.send(plainResponse(200, "", newest(topic)));
+    else
+        peer.send(plainResponse(200, "", read(topic, std::stoul(number(target, "from")))));
+}
+
+std::string StoreStandIn::newest(const std::string &topic)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::map<std::string, std::string> values;
+    for (const Record &record : logs_[topic])
+        values[record.key] = record.value;
+    nlohmann::json entries = nlohmann::json::array();
+    for (const auto &[key, value] : values) {
+        if (!value.empty())
+            entries.push_back({{"key", key}, {"value", base64(value)}, {"offset", 0}});
+    }
+    return nlohmann::json({{"entries", entries}, {"has_more", false}, {"end", logs_[topic].size()}})
+        .dump();
+}
+
+std::string StoreStandIn::read(const std::string &topic, std::size_t from)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const std::vector<Record> &log = logs_[topic];
+    std::string bytes = big(log.size(), 8) + big(0, 8);
+    for (std::size_t i = from; i < log.size(); ++i) {
+        const std::string content = big(log[i].key.size(), 1) + log[i].key + log[i].value;
+        bytes += big(content.size(), 4) + content;
+    }
+    return bytes;
+}
+
+} // namespace wisteria::gateway_tests
