--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -92,8 +92,13 @@
     body_.clear();
     cutter_.beginRun();
     const ConnectionUse use = route_.repeatable() ? ConnectionUse::Reuse : ConnectionUse::Fresh;
-    context_.log.debug("request.send",
-                       {{"id", request_.attemptId}, {"backend", backendId_}, {"own", backend.own}});
+    if (context_.log.writes(LogLevel::Debug)) {
+        context_.log.debug("request.send",
+                           {{"id", request_.attemptId},
+                            {"backend", backendId_},
+                            {"own", backend.own},
+                            {"left_s", secondsOf(options.timeLeft)}});
+    }
     CallEvents events{.accept = [this](const HttpResponseHead &head) { return acceptsHead(head); },
                       .head = [this](const HttpResponseHead &head) { onHead(head); },
                       .body = [this](std::string_view bytes) { onBody(bytes); },
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -59,8 +59,6 @@
     const std::string &service() const { return service_; }
 
 private:
-    struct Run;
-
     milliseconds timeLeft(TimePoint now) const { return remaining(now, deadline_); }
     void send(BackendState &backend, TimePoint now);
     bool acceptsHead(const HttpResponseHead &head) const;
