--- a/Source/Version/DemandPlacement.h
+++ b/Source/Version/DemandPlacement.h
@@ -38,7 +38,7 @@
 {
     /// Skew, averaged over the sets, that a change must gain at least. While experts are copied
     /// each pass takes 15 in 100 longer: changes for less slowed a loaded group down more than they
-    /// gained (share of the worth served on the day of highest load: 0.47 at 0.04, 0.72 at 0.25).
+    /// gained (share of the worth served under high load: 0.47 at 0.04, 0.72 at 0.25).
     double leastGain = 0.25;
     /// Skew, averaged over the sets, that each second of copying one expert must gain at least;
     /// halves the memory that is copied.
--- a/Source/Version/ServiceConfiguration.h
+++ b/Source/Version/ServiceConfiguration.h
@@ -33,8 +33,9 @@
     /// Begins and ends with a slash.
     std::string pathPrefix;
     RequestKind kind = RequestKind::NonIdempotent;
-    /// Longest time that the operator wants a request kept waiting.
-    milliseconds timeout{0};
+    /// Longest time that the operator wants a request kept waiting; of a route that does not say
+    /// so, as long as common proxies wait.
+    milliseconds timeout{30'000};
     /// Time within which an answer has its full value; for streams, up to the first event.
     milliseconds targetLatency{0};
     /// Longest pause between two events of a stream that is still in time.
--- a/Tests/Gateway/CodecTest.cpp
+++ b/Tests/Gateway/CodecTest.cpp
@@ -70,6 +70,9 @@
             "tenants":[{"name":"t","api_keys":["k"],"priority":2}]})");
     REQUIRE(good.value().routes.front().repeatable());
     REQUIRE(good.value().routes.front().targetGap == milliseconds(120));
+    const auto untold = decodeConfiguration(
+        R"({"version":3,"routes":[{"hostname":"h","path_prefix":"/","kind":"idempotent"}]})");
+    REQUIRE(untold.value().routes.front().timeout > milliseconds(0));
     REQUIRE(good.value().organisationOfKey.at("k").priority == 2);
 }
 
