Tell callers to come back later while a service stands

Cause: while a group stands all places stay taken; callers that were told 0.4 s came back too early and were refused for good. Change: a service without any event for 0.5 s counts as standing: 1.2 to 2.2 s.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -21,14 +21,6 @@
 /// a request that has begun: that one has cost work already, and its caller waits for the rest.
 constexpr double fullForFirstSend = 1.0;
 constexpr double fullForRetry = 2.0;
-/// When a refused caller is told to come back: about the time in which a place becomes free.
-constexpr milliseconds retryAfterFull{400};
-/// The same when the service has no backend server that takes work. A restart, or a group that
-/// forms anew, takes seconds: callers that were told 0.4 s came back too early, used up their retry
-/// and were refused for good. Spread over a while, so that they don't all come back at once.
-constexpr milliseconds retryAfterNone{1200};
-constexpr milliseconds retryAfterNoneSpread{1000};
-
 double secondsOf(milliseconds time)
 {
     return std::chrono::duration<double>(time).count();
@@ -72,8 +64,7 @@
         return false;
     waiting_ = false;
     const bool full = choice.why == NoBackend::AllFull;
-    refuse(full ? "all places are taken" : "no backend server takes work",
-           full ? retryAfterFull : comeBackAfterRestart(), now);
+    refuse(full ? "all places are taken" : "no backend server takes work", choice.why, now);
     return true;
 }
 
@@ -160,6 +151,7 @@
         longestPause_ = std::max(longestPause_, remaining(lastByteAt_, now));
     }
     lastByteAt_ = now;
+    context_.progressAt[service_] = now;
     sink_.sendStream(events);
     if (sink_.queued() > callerQueueBytes)
         call_->pauseReading(true);
@@ -223,6 +215,7 @@
     const BackendAnswerHead head = std::move(head_);
     const std::string body = std::move(body_);
     leaveBackend();
+    context_.progressAt[service_] = now;
     finish(head.status, "answered", now);
     sink_.answer(head.status, head.passedOn, body);
 }
@@ -273,7 +266,7 @@
         return;
     case NextStep::Refuse:
         refuse("not run by any backend server",
-               end == SendEnd::NotExecuted ? retryAfterFull : comeBackAfterRestart(), now);
+               end == SendEnd::NotExecuted ? NoBackend::AllFull : NoBackend::Unknown, now);
         return;
     case NextStep::BreakOff:
         finish(0, "broken off", now);
@@ -348,12 +341,6 @@
     return chooseBackend(context_.board, wish, now, context_.draw());
 }
 
-milliseconds Exchange::comeBackAfterRestart()
-{
-    return retryAfterNone
-        + std::chrono::duration_cast<milliseconds>(retryAfterNoneSpread * context_.draw());
-}
-
 BackendState *Exchange::backendNow()
 {
     const auto found = context_.board.backends.find(backendId_);
@@ -370,8 +357,11 @@
     backendId_.clear();
 }
 
-void Exchange::refuse(const char *reason, milliseconds retryAfter, TimePoint now)
+void Exchange::refuse(const char *reason, NoBackend why, TimePoint now)
 {
+    const milliseconds sinceProgress = remaining(context_.progressAt[service_], now);
+    const milliseconds retryAfter =
+        comeBackAfter(context_.comeBackTimes, why, sinceProgress, context_.draw());
     finish(503, reason, now);
     sink_.answer(503, platform::ownAnswerFields(request_.attemptId, retryAfter), "");
 }
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -74,9 +74,8 @@
     void leaveBackend();
     void moveOffSlowBackend(TimePoint now);
     BackendChoice chooseNext(double fullAt, TimePoint now);
-    milliseconds comeBackAfterRestart();
     BackendState *backendNow();
-    void refuse(const char *reason, milliseconds retryAfter, TimePoint now);
+    void refuse(const char *reason, NoBackend why, TimePoint now);
     void finish(int status, const char *reason, TimePoint now);
 
     GatewayContext &context_;
--- a/Source/Programs/Gateway/GatewayContext.h
+++ b/Source/Programs/Gateway/GatewayContext.h
@@ -10,6 +10,7 @@
 #include "Process/EventLog.h"
 #include "Process/EventLoop.h"
 #include "Request/BackendBoard.h"
+#include "Request/ComeBack.h"
 #include "Request/RetryShare.h"
 #include "Request/RouteTable.h"
 
@@ -25,6 +26,9 @@
     RetryBounds retryBounds;
     std::map<std::string, RetryShare> retryShares;
     std::string failureDomain;
+    ComeBackTimes comeBackTimes{};
+    /// When each service last answered anything.
+    std::map<std::string, TimePoint> progressAt{};
     /// Null until the first configuration is known.
     std::shared_ptr<const RouteTable> routes;
     std::mt19937_64 random{std::random_device{}()};
--- /dev/null
+++ b/Source/Request/ComeBack.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Process/Time.h"
+#include "Request/BackendBoard.h"
+
+namespace wisteria {
+
+/// When callers are told to come back. A caller comes back once: one that comes too early is
+/// refused for good, and all that come at the same moment are refused together.
+struct ComeBackTimes
+{
+    /// Places are taken and work goes on: about the time in which a place becomes free.
+    milliseconds full{400};
+    /// No work goes on: a restart, a group that forms anew or is held takes seconds.
+    milliseconds standing{1200};
+    /// Spread of the latter.
+    milliseconds standingSpread{1000};
+    /// Service without any event of any stream for this long, while its places are taken, stands. A
+    /// pass takes 30 to 120 ms.
+    milliseconds stalledAfter{500};
+};
+
+/// @param why Why no backend server was chosen.
+/// @param sinceProgress Time since the service last answered anything.
+/// @param draw A number from 0 to below 1.
+inline milliseconds comeBackAfter(const ComeBackTimes &times, NoBackend why,
+                                  milliseconds sinceProgress, double draw)
+{
+    if (why == NoBackend::AllFull && sinceProgress < times.stalledAfter)
+        return times.full;
+    return times.standing + std::chrono::duration_cast<milliseconds>(times.standingSpread * draw);
+}
+
+} // namespace wisteria
--- a/Tests/Gateway/DecisionsTest.cpp
+++ b/Tests/Gateway/DecisionsTest.cpp
@@ -3,6 +3,7 @@
 #include "Process/EventLog.h"
 #include "Programs/Gateway/BackendList.h"
 #include "Request/BackendBoard.h"
+#include "Request/ComeBack.h"
 #include "Request/EventCutter.h"
 #include "Request/NextStep.h"
 #include "Request/RetryShare.h"
@@ -263,3 +264,14 @@
     REQUIRE(*serviceOf(wide, 0.89) == "x");
     REQUIRE(*serviceOf(wide, 0.91) == "y");
 }
+
+// Half of the callers are refused for good while a group stands for four seconds. They were told to
+// come back after 0.4 s, found all places still taken, and come back only once.
+TEST_CASE("Callers of a service that stands are told to come back later, and not all at once")
+{
+    const ComeBackTimes times;
+    REQUIRE(comeBackAfter(times, NoBackend::AllFull, milliseconds(60), 0.5) == times.full);
+    REQUIRE(comeBackAfter(times, NoBackend::AllFull, seconds(1), 0.0) == times.standing);
+    REQUIRE(comeBackAfter(times, NoBackend::NotOpen, milliseconds(60), 0.9)
+            > times.standing + milliseconds(800));
+}
