--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -87,12 +87,7 @@
 
     Result<void> run()
     {
-        if (!settings_.callers || !settings_.readiness) {
-            return failure(ErrorKind::BadSettings,
-                           "the settings name no address for callers or "
-                           "for readiness; add listen.front and "
-                           "listen.ready");
-        }
+        BOOST_OUTCOME_TRYV(platform::checkGatewaySettings(settings_));
         BOOST_OUTCOME_TRYV(callers_.listen(*settings_.callers));
         BOOST_OUTCOME_TRYV(readiness_.listen(*settings_.readiness));
         BOOST_OUTCOME_TRYV(peers_.open({settings_.vm.ip, settings_.firstInternalPort}));
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -62,10 +62,7 @@
 
     Result<void> run()
     {
-        if (!settings_.engine) {
-            return failure(ErrorKind::BadSettings,
-                           "the settings name no engine on this VM; add the line 'app=...'");
-        }
+        BOOST_OUTCOME_TRYV(platform::checkSidecarSettings(settings_));
         engine_ = *settings_.engine;
         port_ = settings_.firstInternalPort;
         BOOST_OUTCOME_TRYV(socket_.open({settings_.vm.ip, port_}));
--- a/Tests/Gateway/CodecTest.cpp
+++ b/Tests/Gateway/CodecTest.cpp
@@ -41,6 +41,9 @@
     const auto wrong = parseProcessSettings(goodSettings + "bounds.budget_slack=many\n");
     REQUIRE(wrong.error().message.find("bounds.budget_slack") != std::string::npos);
     REQUIRE(parseProcessSettings(goodSettings + "app=nowhere\n").has_error());
+    const ProcessSettings bare = parseProcessSettings(goodSettings).value();
+    REQUIRE(checkGatewaySettings(bare).error().message.find("listen.front") != std::string::npos);
+    REQUIRE(checkSidecarSettings(bare).error().message.find("app=") != std::string::npos);
     REQUIRE(parseProcessSettings(goodSettings + "something.new=1\nnonsense\n").has_value());
 }
 
