Start the test's gateway once the store holds what the test put there

A session test failed once, under the address sanitizer beside other load: the gateway read the list of backend servers between two entries that the test wrote, knew one server, and broke the stream off for want of another, as it should (its lines show 'tried' with one of the two). The test now starts the gateway when both stand; what it checks is unchanged. 41 cases passed twice under the address and undefined-behaviour sanitizers, GroupTests once.

--- a/Tests/Gateway/GatewayTest.cpp
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -95,6 +95,14 @@
         settings_.store = store.endpoint();
         settings_.retrySlack = 200;
         settings_.gracePeriod = gracePeriod;
+    }
+
+    /// Starts the gateway. What the store holds by then it knows when it is ready; what comes later
+    /// it reads a while after.
+    void start()
+    {
+        if (gateway_)
+            return;
         gateway_ = std::make_unique<Gateway>(settings_);
         end_ = std::async(std::launch::async, [this] { return gateway_->run().has_value(); });
     }
@@ -137,8 +145,9 @@
         return result;
     }
 
-    void waitUntilReady() const
+    void waitUntilReady()
     {
+        start();
         REQUIRE(eventually([this] { return ready(); }));
     }
 
@@ -217,6 +226,7 @@
 TEST_CASE("Unknown routes and keys are told, but not before a configuration is known")
 {
     Running gateway;
+    gateway.start();
     REQUIRE_FALSE(gateway.ready());
     REQUIRE(gateway.callUntil(requestFor("/once/x", "a0"), 503).status == 503);
     gateway.configure();
