--- a/Source/Programs/RunProgram.h
+++ b/Source/Programs/RunProgram.h
@@ -7,11 +7,13 @@
 
 namespace wisteria {
 
+/// Exit code of a process whose settings can't be used.
+inline constexpr int exitBadSettings = 2;
+
 /// Reads the settings that the platform names, runs a process with them and tells its exit code.
 /// @param name Stands before messages about settings that can't be used.
 template <typename Process> int runProgram(const char *name)
 {
-    constexpr int exitBadSettings = 2;
     const auto fail = [name](const Error &error) {
         std::cerr << name << ": " << error.message << std::endl;
         return exitBadSettings;
