--- a/Source/Connection/TcpConnection.cpp
+++ b/Source/Connection/TcpConnection.cpp
@@ -276,6 +276,13 @@
     close();
 }
 
+Endpoint TcpListener::address() const
+{
+    ACE_INET_Addr local;
+    private_->acceptor_.get_local_addr(local);
+    return {local.get_ip_address(), local.get_port_number()};
+}
+
 void TcpListener::close()
 {
     if (private_->acceptor_.get_handle() == ACE_INVALID_HANDLE)
--- a/Source/Connection/TcpConnection.h
+++ b/Source/Connection/TcpConnection.h
@@ -72,6 +72,9 @@
     /// @return BadSettings that names the address when it can't be had.
     Result<void> listen(const Endpoint &address);
 
+    /// The address in use, with the port that was given for port 0.
+    Endpoint address() const;
+
     /// Stops to listen: connections that come later are refused.
     void close();
 
--- a/Source/Process/AdminMetrics.cpp
+++ b/Source/Process/AdminMetrics.cpp
@@ -1,8 +1,8 @@
 #include "Process/AdminMetrics.h"
 
 #include <prometheus/counter.h>
-#include <prometheus/exposer.h>
 #include <prometheus/gauge.h>
+#include <prometheus/text_serializer.h>
 
 namespace wisteria {
 
@@ -44,25 +44,15 @@
         gauge(*registry_, "wisteria_config_diverged", "1 after a snapshot differed from replay");
     prometheus::Gauge &objects_ =
         gauge(*registry_, "wisteria_config_objects", "Declared objects in force");
-    std::unique_ptr<prometheus::Exposer> exposer_;
 };
 
 AdminMetrics::AdminMetrics() : private_(std::make_unique<Private>()) { }
 
 AdminMetrics::~AdminMetrics() = default;
 
-Result<std::string> AdminMetrics::listen(const std::string &address)
+std::string AdminMetrics::text() const
 {
-    try {
-        private_->exposer_ = std::make_unique<prometheus::Exposer>(address, 1);
-    } catch (const std::exception &) {
-        return failure(ErrorKind::BadSettings,
-                       "metrics can't be served on " + address
-                           + "; give an IP number of this VM and a free port, or port 0");
-    }
-    private_->exposer_->RegisterCollectable(private_->registry_);
-    const std::string host = address.substr(0, address.rfind(':'));
-    return host + ":" + std::to_string(private_->exposer_->GetListeningPorts().front());
+    return prometheus::TextSerializer().Serialize(private_->registry_->Collect());
 }
 
 void AdminMetrics::countChange(ChangeEnd end)
--- a/Source/Process/AdminMetrics.h
+++ b/Source/Process/AdminMetrics.h
@@ -13,16 +13,15 @@
 /// How an operator's change ended, as metrics count it.
 enum class ChangeEnd { Accepted, Refused, NotYetKnown };
 
-/// The metrics of an admin, and the page they are read from.
+/// The metrics of an admin.
 class AdminMetrics
 {
 public:
     AdminMetrics();
     ~AdminMetrics();
 
-    /// Serves the page.
-    /// @return The address in use; BadSettings when it can't be had.
-    Result<std::string> listen(const std::string &address);
+    /// All metrics in Prometheus' text format.
+    std::string text() const;
 
     void countChange(ChangeEnd end);
     void countSnapshot();
--- a/Source/Process/AdminProcess.cpp
+++ b/Source/Process/AdminProcess.cpp
@@ -10,6 +10,7 @@
 #include <grpcpp/grpcpp.h>
 
 #include "Connection/HttpLogClient.h"
+#include "Connection/MetricsServer.h"
 #include "Process/AdminService.h"
 #include "Process/FleetProbe.h"
 #include "Process/Logging.h"
@@ -97,7 +98,7 @@
     {
         std::string metrics = "off";
         if (!settings_.metricsListen.empty()) {
-            BOOST_OUTCOME_TRY(address, metrics_.listen(settings_.metricsListen));
+            BOOST_OUTCOME_TRY(address, metricsServer_.listen(settings_.metricsListen));
             metrics = address;
         }
         BOOST_OUTCOME_TRY(credentials, credentialsFor(settings_));
@@ -175,6 +176,7 @@
     HttpLogClient log_;
     ConfigFollower follower_;
     AdminMetrics metrics_;
+    MetricsServer metricsServer_{[this] { return metrics_.text(); }};
     AdminService service_;
     SnapshotSchedule schedule_;
     bool wasCaughtUp_ = false;
--- a/Source/Process/AgentProcess.cpp
+++ b/Source/Process/AgentProcess.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "Connection/HttpLogClient.h"
+#include "Connection/MetricsServer.h"
 #include "Process/AgentGroup.h"
 #include "Process/AgentWorker.h"
 #include "Process/ConfigFollower.h"
@@ -52,7 +53,7 @@
 
     Result<void> run()
     {
-        BOOST_OUTCOME_TRY(metrics, metrics_.listen(settings_.metricsListen));
+        BOOST_OUTCOME_TRY(metrics, metricsServer_.listen(settings_.metricsListen));
         BOOST_OUTCOME_TRY(peer, worker_.listen(settings_.peerListen));
         worker_.start();
         ConfigReader reader(log_, follower_, [this](std::shared_ptr<const ConfigState> config) {
@@ -98,6 +99,7 @@
 
     AgentSettings settings_;
     Metrics metrics_;
+    MetricsServer metricsServer_{[this] { return metrics_.text(); }};
     EventLoop loop_;
     ShutdownSignal signal_;
     HttpLogClient log_;
--- a/Source/Process/Endpoint.cpp
+++ b/Source/Process/Endpoint.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-Result<Endpoint> endpointFromText(std::string_view text)
+Result<Endpoint> listenAddressFromText(std::string_view text)
 {
     const std::size_t colon = text.rfind(':');
     if (colon == std::string_view::npos)
@@ -26,7 +26,7 @@
     Endpoint endpoint;
     const std::string_view port = text.substr(colon + 1);
     const auto parsed = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
-    if (parsed.ec != std::errc() || parsed.ptr != port.data() + port.size() || endpoint.port == 0)
+    if (parsed.ec != std::errc() || parsed.ptr != port.data() + port.size())
         return badEndpoint(text);
     in_addr address{};
     if (inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &address) != 1)
@@ -35,6 +35,14 @@
     return endpoint;
 }
 
+Result<Endpoint> endpointFromText(std::string_view text)
+{
+    auto endpoint = listenAddressFromText(text);
+    if (endpoint.has_value() && endpoint.value().port == 0)
+        return badEndpoint(text);
+    return endpoint;
+}
+
 std::string toText(const Endpoint &endpoint)
 {
     const in_addr address{htonl(endpoint.ip)};
--- a/Source/Process/Endpoint.h
+++ b/Source/Process/Endpoint.h
@@ -22,6 +22,9 @@
 /// @return BadInput that quotes the text when it is no such address.
 Result<Endpoint> endpointFromText(std::string_view text);
 
+/// Reads an address to listen on, where port 0 takes a free one.
+Result<Endpoint> listenAddressFromText(std::string_view text);
+
 /// The endpoint as "10.1.0.40:8227".
 std::string toText(const Endpoint &endpoint);
 
--- a/Source/Process/EntryProcess.cpp
+++ b/Source/Process/EntryProcess.cpp
@@ -7,6 +7,7 @@
 
 #include "Connection/FrameCodec.h"
 #include "Connection/HttpLogClient.h"
+#include "Connection/MetricsServer.h"
 #include "Connection/PeerCall.h"
 #include "Connection/PeerPool.h"
 #include "Connection/PeerServer.h"
@@ -60,7 +61,7 @@
 
     Result<void> run()
     {
-        BOOST_OUTCOME_TRY(metricsAddress, metrics_.listen(settings_.metricsListen));
+        BOOST_OUTCOME_TRY(metricsAddress, metricsServer_.listen(settings_.metricsListen));
         BOOST_OUTCOME_TRY(peerAddress, peerServer_.listen(settings_.peerListen));
         metricsAddress_ = metricsAddress;
         peerAddress_ = peerAddress;
@@ -303,6 +304,7 @@
 
     EntrySettings settings_;
     Metrics metrics_;
+    MetricsServer metricsServer_{[this] { return metrics_.text(); }};
     EventLoop loop_;
     HttpLogClient log_;
     ConfigFollower follower_;
--- a/Source/Process/EventLog.h
+++ b/Source/Process/EventLog.h
@@ -16,16 +16,30 @@
 /// How much a process writes.
 enum class LogLevel { Debug, Info, Warning, Error };
 
+/// The level of that name; Info for any other.
+LogLevel logLevelFromName(const std::string &name);
+
+/// Bounds of what a process writes.
+struct LogSettings
+{
+    /// Lines below this level are left out.
+    LogLevel least = LogLevel::Info;
+    /// Lines that may wait for a slow reader, in each of the two queues: some seconds of a busy
+    /// process, about 1 MB.
+    std::size_t queuedLines = 4096;
+};
+
 /// Structured log lines of one process: one JSON object a line on standard output.
 ///
-/// A background thread writes them from a bounded queue, so that a reader that does not read never
-/// holds up a request. When the queue is full the oldest lines go; dropped() counts them.
+/// Background threads write them from bounded queues, so that a reader that does not read never
+/// holds up a request. When a queue is full its oldest lines go; dropped() counts them, and a line
+/// "log.dropped" says so once lines are read again. Warnings and errors have a queue of their own:
+/// a flood of successes can't push out the lines about failures.
 class EventLog
 {
 public:
     /// @param process Name of the process, written on each line.
-    /// @param least Lines below this level are left out.
-    EventLog(std::string process, LogLevel least);
+    EventLog(std::string process, const LogSettings &settings);
     ~EventLog();
     EventLog(const EventLog &) = delete;
     EventLog &operator=(const EventLog &) = delete;
--- a/Source/Process/Metrics.cpp
+++ b/Source/Process/Metrics.cpp
@@ -3,10 +3,10 @@
 #include <mutex>
 
 #include <prometheus/counter.h>
-#include <prometheus/exposer.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
 
 namespace wisteria {
 
@@ -14,8 +14,9 @@
 
 const prometheus::Histogram::BucketBoundaries latencyBuckets = {
     0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30};
-/// One thread is enough for a scraper that asks every few seconds.
-constexpr std::size_t exposerThreads = 1;
+/// Series of one process at most; some 300 bytes each. Labels come from configurations, and one
+/// with thousands of services must not use up the memory of a small VM.
+constexpr std::size_t seriesAtMost = 2000;
 
 } // namespace
 
@@ -24,22 +25,31 @@
 public:
     /// The series of a name and labels; looked up here rather than in the library, whose own
     /// look-up builds a hash of all labels each time.
+    /// @return Null for a series beyond the bound.
     template <typename T, typename Make>
-    T &series(std::map<std::string, T *> &cache, const std::string &name,
+    T *series(std::map<std::string, T *> &cache, const std::string &name,
               const MetricLabels &labels, Make make)
     {
         std::string key = name;
         for (const auto &[label, value] : labels)
             key += '\n' + label + '\n' + value;
         const std::lock_guard<std::mutex> lock(mutex_);
-        T *&found = cache[key];
-        if (!found)
-            found = &make();
-        return *found;
+        const auto found = cache.find(key);
+        if (found != cache.end())
+            return found->second;
+        if (counters_.size() + gauges_.size() + histograms_.size() >= seriesAtMost) {
+            dropped_.Increment();
+            return nullptr;
+        }
+        return cache[key] = &make();
     }
 
     std::shared_ptr<prometheus::Registry> registry_ = std::make_shared<prometheus::Registry>();
-    std::unique_ptr<prometheus::Exposer> exposer_;
+    prometheus::Counter &dropped_ = prometheus::BuildCounter()
+                                        .Name("wisteria_metric_updates_dropped_total")
+                                        .Help("Updates of series beyond the bound on their number")
+                                        .Register(*registry_)
+                                        .Add({});
     std::mutex mutex_;
     std::map<std::string, prometheus::Counter *> counters_;
     std::map<std::string, prometheus::Gauge *> gauges_;
@@ -50,18 +60,9 @@
 
 Metrics::~Metrics() = default;
 
-Result<std::string> Metrics::listen(const std::string &address)
+std::string Metrics::text() const
 {
-    try {
-        private_->exposer_ = std::make_unique<prometheus::Exposer>(address, exposerThreads);
-    } catch (const std::exception &error) {
-        return failure(ErrorKind::BadSettings,
-                       "can't serve metrics on " + address + " (" + error.what()
-                           + "); give an IP number of this VM and a free port, or port 0");
-    }
-    private_->exposer_->RegisterCollectable(private_->registry_);
-    const int port = private_->exposer_->GetListeningPorts().front();
-    return address.substr(0, address.rfind(':')) + ":" + std::to_string(port);
+    return prometheus::TextSerializer().Serialize(private_->registry_->Collect());
 }
 
 void Metrics::count(const std::string &name, const std::string &help, const MetricLabels &labels,
@@ -74,7 +75,8 @@
             .Register(*private_->registry_)
             .Add(labels);
     };
-    private_->series(private_->counters_, name, labels, make).Increment(by);
+    if (auto *counter = private_->series(private_->counters_, name, labels, make))
+        counter->Increment(by);
 }
 
 void Metrics::set(const std::string &name, const std::string &help, double value,
@@ -87,7 +89,8 @@
             .Register(*private_->registry_)
             .Add(labels);
     };
-    private_->series(private_->gauges_, name, labels, make).Set(value);
+    if (auto *gauge = private_->series(private_->gauges_, name, labels, make))
+        gauge->Set(value);
 }
 
 void Metrics::observeSeconds(const std::string &name, const std::string &help, double value,
@@ -100,7 +103,8 @@
             .Register(*private_->registry_)
             .Add(labels, latencyBuckets);
     };
-    private_->series(private_->histograms_, name, labels, make).Observe(value);
+    if (auto *histogram = private_->series(private_->histograms_, name, labels, make))
+        histogram->Observe(value);
 }
 
 } // namespace wisteria
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -4,23 +4,23 @@
 #include <memory>
 #include <string>
 
-#include "Process/Error.h"
-
 namespace wisteria {
 
 /// Labels of one time series.
 using MetricLabels = std::map<std::string, std::string>;
 
-/// The metrics of one process, served in Prometheus' text format. Any thread may use it.
+/// The metrics of one process. Any thread may use it.
+///
+/// The number of series is bounded: updates of series beyond the bound are counted in
+/// "wisteria_metric_updates_dropped_total" and otherwise ignored.
 class Metrics
 {
 public:
     Metrics();
     ~Metrics();
 
-    /// Starts to serve GET /metrics.
-    /// @return The address with the port in use; BadSettings when it can't be had.
-    Result<std::string> listen(const std::string &address);
+    /// All metrics in Prometheus' text format.
+    std::string text() const;
 
     /// Adds to a counter; its name ends in "_total".
     void count(const std::string &name, const std::string &help, const MetricLabels &labels = {},
--- a/Source/Process/Time.h
+++ b/Source/Process/Time.h
@@ -57,4 +57,10 @@
     return std::chrono::duration_cast<milliseconds>(then - now);
 }
 
+/// A time in seconds with its fraction, for logs and metrics.
+inline double secondsOf(milliseconds time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
 } // namespace wisteria
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Programs/Gateway/GatewayMetrics.h"
 #include "platform/RequestCodec.h"
 
 namespace wisteria {
@@ -21,10 +22,6 @@
 /// a request that has begun: that one has cost work already, and its caller waits for the rest.
 constexpr double fullForFirstSend = 1.0;
 constexpr double fullForRetry = 2.0;
-double secondsOf(milliseconds time)
-{
-    return std::chrono::duration<double>(time).count();
-}
 
 } // namespace
 
@@ -49,6 +46,8 @@
             "request.abandoned",
             {{"id", request_.attemptId}, {"backend", backendId_}, {"reason", "the caller left"}});
     }
+    if (!finished_)
+        countEnd(0, "the caller left", monotonicNow());
     leaveBackend();
 }
 
@@ -74,6 +73,8 @@
                         .organisation = organisation_,
                         .timeLeft = timeLeft(now),
                         .lastEventId = cutter_.lastId() ? cutter_.lastId() : request_.lastEventId};
+    if (tried_.empty())
+        countFirstSend(context_.metrics, service_, remaining(arrived_, now));
     backendId_ = backend.entry.id;
     tried_.push_back(backendId_);
     ++backend.own;
@@ -204,6 +205,7 @@
         return;
     }
     const int status = head_.status;
+    countSendEnd(context_.metrics, service_, "answered");
     leaveBackend();
     finish(status, "answered", now);
     sink_.endStream();
@@ -214,6 +216,7 @@
     const TimePoint now = monotonicNow();
     const BackendAnswerHead head = std::move(head_);
     const std::string body = std::move(body_);
+    countSendEnd(context_.metrics, service_, "answered");
     leaveBackend();
     context_.progressAt[service_] = now;
     finish(head.status, "answered", now);
@@ -241,7 +244,7 @@
     if (BackendState *backend = backendNow())
         noteFailure(*backend, end == SendEnd::NeverSent, now);
     const milliseconds left = timeLeft(now);
-    context_.log.info("request.send_failed",
+    context_.log.warn("request.send_failed",
                       {{"id", request_.attemptId},
                        {"backend", backendId_},
                        {"reason", reason},
@@ -249,6 +252,7 @@
                        {"arrivals", history_.arrivals},
                        {"may_have_run", history_.mayHaveRun},
                        {"left_s", secondsOf(left)}});
+    countSendEnd(context_.metrics, service_, nameOf(end));
     leaveBackend();
     const bool again = mayRetry(route_, end, history_, left)
         && (end == SendEnd::NeverSent
@@ -256,6 +260,8 @@
     if (again) {
         const BackendChoice choice = chooseNext(fullForRetry, now);
         if (choice.backend != nullptr) {
+            countRetry(context_.metrics, service_,
+                       history_.answerBegun ? RetryCause::Resumed : RetryCause::Failed);
             send(*choice.backend, now);
             return;
         }
@@ -328,6 +334,8 @@
                        {"pace", slow->told->pace},
                        {"to", choice.backend->entry.id}});
     history_ = after;
+    countSendEnd(context_.metrics, service_, "moved");
+    countRetry(context_.metrics, service_, RetryCause::Moved);
     leaveBackend();
     send(*choice.backend, now);
 }
@@ -379,7 +387,21 @@
         fields["first_event_s"] = secondsOf(remaining(arrived_, firstEventAt_));
         fields["longest_pause_s"] = secondsOf(longestPause_);
     }
-    context_.log.info("request.end", fields);
+    constexpr int firstClientError = 400;
+    const bool success = status != 0 && status < firstClientError;
+    context_.log.write(success ? LogLevel::Info : LogLevel::Warning, "request.end", fields);
+    countEnd(status, reason, now);
+}
+
+void Exchange::countEnd(int status, const char *reason, TimePoint now)
+{
+    RequestEnded ended{
+        .service = service_, .status = status, .reason = reason, .took = remaining(arrived_, now)};
+    if (history_.answerBegun) {
+        ended.firstEvent = remaining(arrived_, firstEventAt_);
+        ended.longestPause = longestPause_;
+    }
+    countRequestEnd(context_.metrics, ended);
 }
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -77,6 +77,7 @@
     BackendState *backendNow();
     void refuse(const char *reason, NoBackend why, TimePoint now);
     void finish(int status, const char *reason, TimePoint now);
+    void countEnd(int status, const char *reason, TimePoint now);
 
     GatewayContext &context_;
     AnswerSink &sink_;
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -7,9 +7,11 @@
 #include <unistd.h>
 
 #include "Connection/DatagramSocket.h"
+#include "Connection/MetricsServer.h"
 #include "Connection/TcpConnection.h"
 #include "Process/ShutdownSignal.h"
 #include "Programs/Gateway/BackendList.h"
+#include "Programs/Gateway/GatewayMetrics.h"
 #include "Programs/Gateway/Session.h"
 #include "Programs/Gateway/StoreWatch.h"
 #include "Version/GroupMessages.h"
@@ -60,17 +62,35 @@
             .loadMilliseconds = loadSeconds * millisecondsPerSecond};
 }
 
+/// The places of each service as this gateway expects them to be taken.
+std::vector<ServicePlaces> placesOf(const BackendBoard &board, TimePoint now)
+{
+    std::map<std::string, ServicePlaces> places;
+    for (const auto &[id, state] : board.backends) {
+        ServicePlaces &service = places[state.entry.service];
+        service.service = state.entry.service;
+        ++service.backends;
+        service.taken += expectedLoad(state, now, board.loadLifetime);
+        service.total += state.entry.slots;
+    }
+    std::vector<ServicePlaces> list;
+    for (const auto &[name, service] : places)
+        list.push_back(service);
+    return list;
+}
+
 } // namespace
 
 class Gateway::Private
 {
 public:
-    explicit Private(platform::ProcessSettings settings)
+    Private(platform::ProcessSettings settings, const LogSettings &log)
         : settings_(std::move(settings)), shutdown_(
                                               loop_, [this] { stop(); }, [this] { reload(); }),
-          log_(settings_.vmName, LogLevel::Info),
+          log_(settings_.vmName, log),
           pool_(loop_), context_{.loop = loop_,
                                  .log = log_,
+                                 .metrics = metrics_,
                                  .pool = pool_,
                                  .board = board_,
                                  .retryBounds = retryBoundsOf(settings_),
@@ -79,7 +99,13 @@
                                  .routes = nullptr},
           list_(board_, log_),
           callers_(loop_, [this](int descriptor) { acceptCaller(descriptor); }),
-          readiness_(loop_, [this](int descriptor) { acceptReadiness(descriptor); }),
+          readiness_(
+              loop_,
+              [this](const HttpRequest &) { return StatusAnswer{.status = ready() ? 200 : 503}; }),
+          scrapes_(loop_,
+                   [this](const HttpRequest &request) {
+                       return answerScraper(request, [this] { return metricsText(); });
+                   }),
           peers_(loop_, [this](const Endpoint &from, std::string_view bytes) {
               receiveMessage(from, bytes);
           })
@@ -87,9 +113,12 @@
 
     Result<void> run()
     {
-        BOOST_OUTCOME_TRYV(platform::checkGatewaySettings(settings_));
+        BOOST_OUTCOME_TRYV(Gateway::check(settings_));
         BOOST_OUTCOME_TRYV(callers_.listen(*settings_.callers));
         BOOST_OUTCOME_TRYV(readiness_.listen(*settings_.readiness));
+        if (settings_.metrics) {
+            BOOST_OUTCOME_TRYV(scrapes_.listen(*settings_.metrics));
+        }
         BOOST_OUTCOME_TRYV(peers_.open({settings_.vm.ip, settings_.firstInternalPort}));
         log_.info("process.start",
                   {{"callers", toText(*settings_.callers)},
@@ -106,8 +135,8 @@
     void watchStore()
     {
         configurationWatch_ = std::make_unique<StoreWatch>(
-            loop_, pool_, log_, settings_.store,
-            WatchPlan{platform::operatorTopic, configurationWait, milliseconds(0)},
+            loop_, pool_, log_, metrics_, settings_.store,
+            WatchPlan{"configuration", platform::operatorTopic, configurationWait, milliseconds(0)},
             WatchEvents{.record = [this](const auto &record) { takeConfiguration(record); },
                         .snapshot =
                             [this](const auto &records) {
@@ -116,8 +145,8 @@
                             },
                         .regained = [] {}});
         backendsWatch_ = std::make_unique<StoreWatch>(
-            loop_, pool_, log_, settings_.store,
-            WatchPlan{platform::backendsTopic, milliseconds(0), backendsPause},
+            loop_, pool_, log_, metrics_, settings_.store,
+            WatchPlan{"backends", platform::backendsTopic, milliseconds(0), backendsPause},
             WatchEvents{.record =
                             [this](const auto &record) {
                                 list_.take(record, monotonicNow());
@@ -268,34 +297,32 @@
 
     bool ready() const { return !stopping_ && context_.routes && list_.known(); }
 
-    void acceptReadiness(int descriptor)
-    {
-        const std::uint64_t id = ++lastProbe_;
-        CallerEvents events{.request = [this, id](const HttpRequest &) { answerProbe(id); },
-                            .fault = [this, id](RequestFault) { endProbe(id); },
-                            .left = [this, id] { endProbe(id); },
-                            .drained = [] {}};
-        probes_[id] =
-            std::make_unique<CallerConnection>(loop_, descriptor, HttpLimits{}, std::move(events));
-    }
-
-    void answerProbe(std::uint64_t id)
+    std::string metricsText()
     {
-        const auto found = probes_.find(id);
-        if (found == probes_.end())
-            return;
-        found->second->send(responseText(ready() ? 200 : 503, {}, "", true));
-        found->second->finishAnswer(monotonicNow());
+        const TimePoint now = monotonicNow();
+        setGatewayState(
+            metrics_,
+            {.configurationVersion = context_.routes ? context_.routes->configuration().version : 0,
+             .connections = sessions_.size(),
+             .openRequests = busySessions(),
+             .waitingRequests = waiting_.size(),
+             .ready = ready(),
+             .droppedLogLines = log_.dropped()});
+        for (auto &[service, share] : context_.retryShares) {
+            refill(share, context_.retryBounds, now);
+            setRetriesLeft(metrics_, service, share.tokens);
+        }
+        for (const ServicePlaces &places : placesOf(board_, now))
+            setPlaces(metrics_, places);
+        noteStoreAge("configuration", *configurationWatch_, now);
+        noteStoreAge("backends", *backendsWatch_, now);
+        return metrics_.text();
     }
 
-    void endProbe(std::uint64_t id)
+    void noteStoreAge(const std::string &topic, const StoreWatch &watch, TimePoint now)
     {
-        const auto found = probes_.find(id);
-        if (found == probes_.end())
-            return;
-        std::shared_ptr<CallerConnection> ended = std::move(found->second);
-        probes_.erase(found);
-        loop_.defer([ended] {});
+        if (watch.answeredAt())
+            setStoreAge(metrics_, topic, remaining(*watch.answeredAt(), now));
     }
 
     void scheduleCheck()
@@ -386,28 +413,33 @@
     /// blocked takes SIGTERM, and its default ends the process with all requests.
     ShutdownSignal shutdown_;
     EventLog log_;
+    Metrics metrics_;
     HttpClientPool pool_;
     BackendBoard board_;
     GatewayContext context_;
     BackendList list_;
     TcpListener callers_;
-    TcpListener readiness_;
+    StatusListener readiness_;
+    StatusListener scrapes_;
     DatagramSocket peers_;
     std::unique_ptr<StoreWatch> configurationWatch_;
     std::unique_ptr<StoreWatch> backendsWatch_;
     std::map<std::uint64_t, std::unique_ptr<Session>> sessions_;
-    std::map<std::uint64_t, std::unique_ptr<CallerConnection>> probes_;
     std::vector<std::uint64_t> waiting_;
     std::uint64_t lastSession_ = 0;
-    std::uint64_t lastProbe_ = 0;
     TimePoint helloAt_;
     bool servingSoon_ = false;
     bool stopping_ = false;
     TimePoint stopAt_;
 };
 
-Gateway::Gateway(platform::ProcessSettings settings)
-    : private_(std::make_unique<Private>(std::move(settings)))
+Result<void> Gateway::check(const platform::ProcessSettings &settings)
+{
+    return platform::checkGatewaySettings(settings);
+}
+
+Gateway::Gateway(platform::ProcessSettings settings, const LogSettings &log)
+    : private_(std::make_unique<Private>(std::move(settings), log))
 { }
 
 Gateway::~Gateway() = default;
--- a/Source/Programs/Gateway/Gateway.h
+++ b/Source/Programs/Gateway/Gateway.h
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "Process/Error.h"
+#include "Process/EventLog.h"
 #include "platform/ProcessSettings.h"
 
 namespace wisteria {
@@ -11,7 +12,11 @@
 class Gateway
 {
 public:
-    explicit Gateway(platform::ProcessSettings settings);
+    /// Checks that the settings name all that the process needs.
+    /// @return BadSettings that names what is missing.
+    static Result<void> check(const platform::ProcessSettings &settings);
+
+    explicit Gateway(platform::ProcessSettings settings, const LogSettings &log = {});
     ~Gateway();
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
--- a/Source/Programs/Gateway/GatewayContext.h
+++ b/Source/Programs/Gateway/GatewayContext.h
@@ -9,6 +9,7 @@
 #include "Connection/HttpClientPool.h"
 #include "Process/EventLog.h"
 #include "Process/EventLoop.h"
+#include "Process/Metrics.h"
 #include "Request/BackendBoard.h"
 #include "Request/ComeBack.h"
 #include "Request/RetryShare.h"
@@ -21,6 +22,7 @@
 {
     EventLoop &loop;
     EventLog &log;
+    Metrics &metrics;
     HttpClientPool &pool;
     BackendBoard &board;
     RetryBounds retryBounds;
--- /dev/null
+++ b/Source/Programs/Gateway/GatewayMetrics.cpp
@@ -0,0 +1,123 @@
+#include "Programs/Gateway/GatewayMetrics.h"
+
+namespace wisteria {
+
+namespace {
+
+/// Class of an end: what a caller got out of it.
+const char *classOf(const RequestEnded &request)
+{
+    constexpr int firstRedirect = 300;
+    constexpr int firstServerError = 500;
+    constexpr int serviceUnavailable = 503;
+    if (request.reason == "the caller left")
+        return "abandoned";
+    if (request.status == 0)
+        return "broken_off";
+    if (request.status < firstRedirect)
+        return "success";
+    if (request.status == serviceUnavailable && request.reason != "answered")
+        return "refused";
+    return request.status < firstServerError ? "rejected" : "failed";
+}
+
+const char *nameOf(RetryCause cause)
+{
+    switch (cause) {
+    case RetryCause::Failed:
+        return "failed";
+    case RetryCause::Resumed:
+        return "resumed";
+    case RetryCause::Moved:
+        return "moved";
+    }
+    return "failed";
+}
+
+} // namespace
+
+void countRequestEnd(Metrics &metrics, const RequestEnded &request)
+{
+    metrics.count(
+        "wisteria_requests_total", "Callers' requests by how they ended",
+        {{"service", request.service}, {"end", classOf(request)}, {"reason", request.reason}});
+    const MetricLabels service = {{"service", request.service}};
+    metrics.observeSeconds("wisteria_request_duration_seconds",
+                           "From the arrival of a request to its end", secondsOf(request.took),
+                           service);
+    if (request.firstEvent) {
+        metrics.observeSeconds("wisteria_first_event_seconds",
+                               "From the arrival of a request to the first event of its stream",
+                               secondsOf(*request.firstEvent), service);
+    }
+    if (request.longestPause) {
+        metrics.observeSeconds("wisteria_longest_pause_seconds",
+                               "Longest pause between two events of a stream",
+                               secondsOf(*request.longestPause), service);
+    }
+}
+
+void countFirstSend(Metrics &metrics, const std::string &service, milliseconds waited)
+{
+    metrics.observeSeconds("wisteria_wait_seconds",
+                           "From the arrival of a request to its first send", secondsOf(waited),
+                           {{"service", service}});
+}
+
+void countSendEnd(Metrics &metrics, const std::string &service, const std::string &outcome)
+{
+    metrics.count("wisteria_sends_total", "Sends to backend servers by how they ended",
+                  {{"service", service}, {"outcome", outcome}});
+}
+
+void countRetry(Metrics &metrics, const std::string &service, RetryCause cause)
+{
+    metrics.count("wisteria_retries_total", "Requests sent once more, by cause",
+                  {{"service", service}, {"cause", nameOf(cause)}});
+}
+
+void countStoreCall(Metrics &metrics, const std::string &what, const std::string &result)
+{
+    metrics.count("wisteria_store_calls_total", "Calls to the platform's store by result",
+                  {{"what", what}, {"result", result}});
+}
+
+void setStoreAge(Metrics &metrics, const std::string &what, milliseconds sinceAnswer)
+{
+    metrics.set("wisteria_store_age_seconds",
+                "Since the store last answered about it: the age of what is known",
+                secondsOf(sinceAnswer), {{"what", what}});
+}
+
+void setPlaces(Metrics &metrics, const ServicePlaces &places)
+{
+    metrics.set("wisteria_backends", "Backend servers that the gateway knows of",
+                static_cast<double>(places.backends), {{"service", places.service}});
+    metrics.set("wisteria_places_taken", "Requests expected at a service's backend servers now",
+                places.taken, {{"service", places.service}});
+    metrics.set("wisteria_places", "Requests that a service's backend servers work on at a time",
+                places.total, {{"service", places.service}});
+}
+
+void setRetriesLeft(Metrics &metrics, const std::string &service, double retries)
+{
+    metrics.set("wisteria_retries_left", "Retries that this gateway may still send to a service",
+                retries, {{"service", service}});
+}
+
+void setGatewayState(Metrics &metrics, const GatewayState &state)
+{
+    metrics.set("wisteria_configuration_version", "Version of the configuration in force; 0: none",
+                static_cast<double>(state.configurationVersion));
+    metrics.set("wisteria_connections", "Callers' connections",
+                static_cast<double>(state.connections));
+    metrics.set("wisteria_open_requests", "Requests under way",
+                static_cast<double>(state.openRequests));
+    metrics.set("wisteria_waiting_requests", "Requests that wait for a place",
+                static_cast<double>(state.waitingRequests));
+    metrics.set("wisteria_ready", "1 while the gateway takes callers", state.ready ? 1 : 0);
+    metrics.set("wisteria_log_lines_dropped", "Log lines that nobody read in time, since the start",
+                static_cast<double>(state.droppedLogLines));
+}
+
+} // namespace wisteria
--- a/Source/Programs/Gateway/Main.cpp
+++ b/Source/Programs/Gateway/Main.cpp
@@ -1,7 +1,9 @@
 #include "Programs/Gateway/Gateway.h"
 #include "Programs/RunProgram.h"
 
-int main()
+int main(int argc, char **argv)
 {
-    return wisteria::runProgram<wisteria::Gateway>("wisteria-gateway");
+    return wisteria::runProgram<wisteria::Gateway>(
+        {"wisteria-gateway", "Takes callers' requests and routes them to backend servers."}, argc,
+        argv);
 }
--- a/Source/Programs/Gateway/Session.cpp
+++ b/Source/Programs/Gateway/Session.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "Programs/Gateway/GatewayMetrics.h"
 #include "platform/RequestCodec.h"
 
 namespace wisteria {
@@ -34,6 +35,7 @@
 
 /// When a caller is told to come back while no configuration is known: the time of a read.
 constexpr milliseconds retryAfterConfiguration{300};
+constexpr const char *unreadableReason = "the request can't be read";
 
 } // namespace
 
@@ -95,7 +97,7 @@
 void Session::onFault(RequestFault fault)
 {
     keepAlive_ = false;
-    answerNow(statusOf(fault), "", milliseconds(0), "the request can't be read");
+    answerNow(statusOf(fault), "", milliseconds(0), unreadableReason);
 }
 
 void Session::answerNow(int status, const std::string &attemptId, milliseconds retryAfter,
@@ -104,7 +106,10 @@
     LogFields fields = {{"id", attemptId}, {"status", status}, {"reason", reason}};
     if (context_.routes)
         fields["config"] = context_.routes->configuration().version;
-    context_.log.info("request.end", fields);
+    context_.log.warn("request.end", fields);
+    const bool read = status != statusOf(RequestFault::Malformed);
+    countRequestEnd(context_.metrics,
+                    {.status = status, .reason = read ? reason : unreadableReason});
     answer(status, platform::ownAnswerFields(attemptId, retryAfter), "");
 }
 
--- a/Source/Programs/Gateway/StoreWatch.cpp
+++ b/Source/Programs/Gateway/StoreWatch.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Programs/Gateway/GatewayMetrics.h"
+
 namespace wisteria {
 
 namespace {
@@ -16,9 +18,9 @@
 
 } // namespace
 
-StoreWatch::StoreWatch(EventLoop &loop, HttpClientPool &pool, EventLog &log, const Endpoint &store,
-                       WatchPlan plan, WatchEvents events)
-    : loop_(loop), pool_(pool), log_(log), store_(store), plan_(std::move(plan)),
+StoreWatch::StoreWatch(EventLoop &loop, HttpClientPool &pool, EventLog &log, Metrics &metrics,
+                       const Endpoint &store, WatchPlan plan, WatchEvents events)
+    : loop_(loop), pool_(pool), log_(log), metrics_(metrics), store_(store), plan_(std::move(plan)),
       events_(std::move(events))
 {
     start();
@@ -105,7 +107,8 @@
 {
     auto page = platform::decodeLogRead(response, next_);
     if (page.has_error() && page.error().kind == ErrorKind::NotFound) {
-        log_.info("store.history_lost", {{"topic", plan_.topic}, {"from", next_}});
+        countStoreCall(metrics_, plan_.name, "history lost");
+        log_.info("store.history_lost", {{"what", plan_.name}, {"from", next_}});
         synced_ = false;
         start();
         return;
@@ -125,18 +128,20 @@
 void StoreWatch::succeeded()
 {
     if (failures_ > 0) {
-        log_.info("store.regained", {{"topic", plan_.topic}, {"failures", failures_}});
+        log_.info("store.regained", {{"what", plan_.name}, {"failures", failures_}});
         events_.regained();
     }
     failures_ = 0;
+    countStoreCall(metrics_, plan_.name, "answered");
     answeredAt_ = monotonicNow();
 }
 
 void StoreWatch::fail(const std::string &reason)
 {
     if (failures_ == 0)
-        log_.warn("store.lost", {{"topic", plan_.topic}, {"reason", reason}});
+        log_.warn("store.lost", {{"what", plan_.name}, {"reason", reason}});
     ++failures_;
+    countStoreCall(metrics_, plan_.name, "failed");
     const std::uint32_t doublings = std::min(failures_ - 1, 3U);
     again(std::min(longestRetry, firstRetry * (1 << doublings)));
 }
--- a/Source/Programs/Gateway/StoreWatch.h
+++ b/Source/Programs/Gateway/StoreWatch.h
@@ -6,6 +6,7 @@
 #include "Connection/HttpClientPool.h"
 #include "Process/EventLog.h"
 #include "Process/EventLoop.h"
+#include "Process/Metrics.h"
 #include "platform/StoreCodec.h"
 
 namespace wisteria {
@@ -13,6 +14,8 @@
 /// How a topic of the store is followed.
 struct WatchPlan
 {
+    /// What is followed, for logs and metrics.
+    std::string name;
     std::string topic;
     /// The store answers as soon as there is a record, and after this time without one. Zero asks
     /// for what is there.
@@ -36,8 +39,8 @@
 class StoreWatch
 {
 public:
-    StoreWatch(EventLoop &loop, HttpClientPool &pool, EventLog &log, const Endpoint &store,
-               WatchPlan plan, WatchEvents events);
+    StoreWatch(EventLoop &loop, HttpClientPool &pool, EventLog &log, Metrics &metrics,
+               const Endpoint &store, WatchPlan plan, WatchEvents events);
     ~StoreWatch();
     StoreWatch(const StoreWatch &) = delete;
     StoreWatch &operator=(const StoreWatch &) = delete;
@@ -63,6 +66,7 @@
     EventLoop &loop_;
     HttpClientPool &pool_;
     EventLog &log_;
+    Metrics &metrics_;
     Endpoint store_;
     WatchPlan plan_;
     WatchEvents events_;
--- a/Source/Programs/Sidecar/GroupLeader.cpp
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Programs/Sidecar/SidecarMetrics.h"
+
 namespace wisteria {
 
 namespace {
@@ -42,8 +44,10 @@
 
 } // namespace
 
-GroupLeader::GroupLeader(EngineLink &engines, EventLog &log, LeaderLinks links, Endpoint ownEngine)
-    : engines_(engines), log_(log), links_(std::move(links)), ownEngine_(ownEngine)
+GroupLeader::GroupLeader(EngineLink &engines, EventLog &log, Metrics &metrics, LeaderLinks links,
+                         Endpoint ownEngine)
+    : engines_(engines), log_(log), metrics_(metrics), links_(std::move(links)),
+      ownEngine_(ownEngine)
 { }
 
 void GroupLeader::setEngines(const std::vector<Endpoint> &engines, const ExpertProfile &profile)
@@ -103,8 +107,8 @@
     const std::uint32_t ownRank = own != group.ranks.end() ? own->first : 0;
     const SwitchStep step =
         advanceSwitch(group, profile_, bounds_, timing_, ownRank, versionHint(), now);
-    if (!step.note.empty())
-        logStep(group, step.note, now);
+    if (step.note != SwitchNote::Nothing)
+        noteStep(group, step.note, now);
     carryOut(group.group, step.actions);
 }
 
@@ -220,11 +224,12 @@
     });
 }
 
-void GroupLeader::logStep(const GroupSwitch &group, const std::string &note, TimePoint now)
+void GroupLeader::noteStep(const GroupSwitch &group, SwitchNote note, TimePoint now)
 {
+    countSwitchStep(metrics_, group, note, now);
     log_.info("map.switch",
               {{"group", group.group},
-               {"note", note},
+               {"note", noteText(note)},
                {"phase", phaseName(group.phase)},
                {"epoch", group.epoch},
                {"version", group.version},
--- a/Source/Programs/Sidecar/GroupLeader.h
+++ b/Source/Programs/Sidecar/GroupLeader.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "Process/EventLog.h"
+#include "Process/Metrics.h"
 #include "Programs/Sidecar/EngineLink.h"
 #include "Version/RankSwitch.h"
 
@@ -23,7 +24,8 @@
 class GroupLeader
 {
 public:
-    GroupLeader(EngineLink &engines, EventLog &log, LeaderLinks links, Endpoint ownEngine);
+    GroupLeader(EngineLink &engines, EventLog &log, Metrics &metrics, LeaderLinks links,
+                Endpoint ownEngine);
 
     /// The engines of the service, as the gateways name them.
     void setEngines(const std::vector<Endpoint> &engines, const ExpertProfile &profile);
@@ -45,10 +47,11 @@
     void readSilentRanks(TimePoint now);
     void readDirectly(const Endpoint &engine);
     void readExpertsDirectly(RankStatus status);
-    void logStep(const GroupSwitch &group, const std::string &note, TimePoint now);
+    void noteStep(const GroupSwitch &group, SwitchNote note, TimePoint now);
 
     EngineLink &engines_;
     EventLog &log_;
+    Metrics &metrics_;
     LeaderLinks links_;
     Endpoint ownEngine_;
     std::vector<Endpoint> members_;
--- a/Source/Programs/Sidecar/Main.cpp
+++ b/Source/Programs/Sidecar/Main.cpp
@@ -1,7 +1,8 @@
 #include "Programs/RunProgram.h"
 #include "Programs/Sidecar/Sidecar.h"
 
-int main()
+int main(int argc, char **argv)
 {
-    return wisteria::runProgram<wisteria::Sidecar>("wisteria-sidecar");
+    return wisteria::runProgram<wisteria::Sidecar>(
+        {"wisteria-sidecar", "Keeps the rank of one model engine and tells its load."}, argc, argv);
 }
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -7,10 +7,12 @@
 #include <vector>
 
 #include "Connection/DatagramSocket.h"
+#include "Connection/MetricsServer.h"
 #include "Process/EventLog.h"
 #include "Process/ShutdownSignal.h"
 #include "Programs/Sidecar/EngineLink.h"
 #include "Programs/Sidecar/GroupLeader.h"
+#include "Programs/Sidecar/SidecarMetrics.h"
 #include "Version/LeaderChoice.h"
 
 namespace wisteria {
@@ -51,24 +53,30 @@
 class Sidecar::Private
 {
 public:
-    explicit Private(platform::ProcessSettings settings)
+    Private(platform::ProcessSettings settings, const LogSettings &log)
         : settings_(std::move(settings)),
           shutdown_(
               loop_, [this] { loop_.stop(); }, [this] { reload(); }),
-          log_(settings_.vmName, LogLevel::Info), pool_(loop_), engines_(pool_),
+          log_(settings_.vmName, log), pool_(loop_), engines_(pool_),
           socket_(loop_,
-                  [this](const Endpoint &from, std::string_view bytes) { receive(from, bytes); })
+                  [this](const Endpoint &from, std::string_view bytes) { receive(from, bytes); }),
+          scrapes_(loop_, [this](const HttpRequest &request) {
+              return answerScraper(request, [this] { return metricsText(); });
+          })
     { }
 
     Result<void> run()
     {
-        BOOST_OUTCOME_TRYV(platform::checkSidecarSettings(settings_));
+        BOOST_OUTCOME_TRYV(Sidecar::check(settings_));
         engine_ = *settings_.engine;
         port_ = settings_.firstInternalPort;
         BOOST_OUTCOME_TRYV(socket_.open({settings_.vm.ip, port_}));
+        if (settings_.metrics) {
+            BOOST_OUTCOME_TRYV(scrapes_.listen(*settings_.metrics));
+        }
         choice_.since = monotonicNow();
         leader_ = std::make_unique<GroupLeader>(
-            engines_, log_,
+            engines_, log_, metrics_,
             LeaderLinks{
                 .sendAll = [this](const std::vector<Endpoint> &engines,
                                   const GroupMessage &message) { sendToAll(engines, message); }},
@@ -82,6 +90,18 @@
     }
 
 private:
+    std::string metricsText()
+    {
+        SidecarState state{.reportAge = remaining(takenAt_, monotonicNow()),
+                           .leading = leading_,
+                           .gateways = gateways_.size(),
+                           .droppedLogLines = log_.dropped()};
+        if (status_)
+            state.report = status_->report;
+        setSidecarState(metrics_, state);
+        return metrics_.text();
+    }
+
     /// Nothing of a sidecar's settings may change while it runs; the line tells that it was asked.
     void reload() { log_.info("process.reload", {{"engine", toText(engine_)}}); }
 
@@ -322,9 +342,10 @@
             }
             std::erase_if(openOrders_,
                           [&order](const RankOrder &open) { return sameOrder(open, order); });
+            countOrder(metrics_, order.kind, result.has_error() ? "failed" : "done");
             if (result.has_error()) {
                 log_.info("order.failed",
-                          {{"kind", static_cast<int>(order.kind)},
+                          {{"kind", orderName(order.kind)},
                            {"version", order.version},
                            {"step", order.step},
                            {"leader", toText(from)},
@@ -365,9 +386,11 @@
     /// Before whatever starts a thread, as the log does; see ShutdownSignal.
     ShutdownSignal shutdown_;
     EventLog log_;
+    Metrics metrics_;
     HttpClientPool pool_;
     EngineLink engines_;
     DatagramSocket socket_;
+    StatusListener scrapes_;
     std::unique_ptr<GroupLeader> leader_;
     Endpoint engine_;
     std::uint16_t port_ = 0;
@@ -393,8 +416,13 @@
     std::map<std::uint64_t, RankMap> maps_;
 };
 
-Sidecar::Sidecar(platform::ProcessSettings settings)
-    : private_(std::make_unique<Private>(std::move(settings)))
+Result<void> Sidecar::check(const platform::ProcessSettings &settings)
+{
+    return platform::checkSidecarSettings(settings);
+}
+
+Sidecar::Sidecar(platform::ProcessSettings settings, const LogSettings &log)
+    : private_(std::make_unique<Private>(std::move(settings), log))
 { }
 
 Sidecar::~Sidecar() = default;
--- a/Source/Programs/Sidecar/Sidecar.h
+++ b/Source/Programs/Sidecar/Sidecar.h
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "Process/Error.h"
+#include "Process/EventLog.h"
 #include "platform/ProcessSettings.h"
 
 namespace wisteria {
@@ -12,7 +13,11 @@
 class Sidecar
 {
 public:
-    explicit Sidecar(platform::ProcessSettings settings);
+    /// Checks that the settings name all that the process needs.
+    /// @return BadSettings that names what is missing.
+    static Result<void> check(const platform::ProcessSettings &settings);
+
+    explicit Sidecar(platform::ProcessSettings settings, const LogSettings &log = {});
     ~Sidecar();
     Sidecar(const Sidecar &) = delete;
     Sidecar &operator=(const Sidecar &) = delete;
--- a/Source/Request/NextStep.cpp
+++ b/Source/Request/NextStep.cpp
@@ -2,6 +2,23 @@
 
 namespace wisteria {
 
+const char *nameOf(SendEnd end)
+{
+    switch (end) {
+    case SendEnd::NeverSent:
+        return "no connection";
+    case SendEnd::NotExecuted:
+        return "not executed";
+    case SendEnd::ServerError:
+        return "server error";
+    case SendEnd::Broken:
+        return "broken off";
+    case SendEnd::Silent:
+        return "silent";
+    }
+    return "";
+}
+
 bool mayRetry(const RouteRule &route, SendEnd end, const SendHistory &history,
               milliseconds timeLeft)
 {
--- a/Source/Request/NextStep.h
+++ b/Source/Request/NextStep.h
@@ -16,6 +16,9 @@
     Silent, ///< Nothing came for longer than a sound backend server takes; it may have run.
 };
 
+/// The end in words, for metrics.
+const char *nameOf(SendEnd end);
+
 /// What became of a request so far.
 struct SendHistory
 {
--- a/Source/Version/RankReport.h
+++ b/Source/Version/RankReport.h
@@ -52,6 +52,24 @@
 /// What an order makes a rank do.
 enum class RankOrderKind { Prepare, Arm, Disarm, Hold, Go };
 
+/// The order's name, for logs and metrics.
+inline const char *orderName(RankOrderKind kind)
+{
+    switch (kind) {
+    case RankOrderKind::Prepare:
+        return "prepare";
+    case RankOrderKind::Arm:
+        return "arm";
+    case RankOrderKind::Disarm:
+        return "disarm";
+    case RankOrderKind::Hold:
+        return "hold";
+    case RankOrderKind::Go:
+        return "go";
+    }
+    return "";
+}
+
 struct RankOrder
 {
     RankOrderKind kind = RankOrderKind::Prepare;
--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -136,8 +136,9 @@
     group.holder = held.rank;
     group.step = held.step;
     group.heldBefore = true;
+    group.heldSince = now;
     group.version = commonVersion(group);
-    step.note = "took over a held group";
+    step.note = SwitchNote::TookOver;
     enter(group, group.version != 0 ? SwitchPhase::Arming : SwitchPhase::Unwinding, now);
 }
 
@@ -185,7 +186,7 @@
     group.map = group.proposal.map;
     group.version = newVersion(group, versionHint);
     group.heldBefore = false;
-    step.note = "preparing";
+    step.note = SwitchNote::Preparing;
     enter(group, SwitchPhase::Preparing, now);
 }
 
@@ -196,7 +197,7 @@
     // was carried out late, or another leader's clock is ahead. Without a new version the group
     // would be prepared for ever, and if it is held, stand for ever.
     if (group.highestVersion > group.version) {
-        step.note = "overtaken by a higher version";
+        step.note = SwitchNote::Overtaken;
         enter(group, group.heldBefore ? SwitchPhase::Unwinding : SwitchPhase::Idle, now);
         return;
     }
@@ -229,7 +230,7 @@
         return;
     }
     if (!group.heldBefore && now - group.phaseSince > timing.prepareTimeout) {
-        step.note = "gave up preparing";
+        step.note = SwitchNote::GaveUpPreparing;
         group.lastSwitchAt = now;
         enter(group, SwitchPhase::Idle, now);
     }
@@ -277,12 +278,12 @@
                            return entry.second.status.report.map == group.version;
                        });
     if (begun) {
-        step.note = "the pass has begun";
+        step.note = SwitchNote::PassBegun;
         enter(group, SwitchPhase::Idle, now);
         return;
     }
     if (lost) {
-        step.note = "a rank lost the version";
+        step.note = SwitchNote::VersionLost;
         enter(group, SwitchPhase::Unwinding, now);
     }
 }
@@ -334,7 +335,7 @@
     });
     if (!done)
         return;
-    step.note = "in force";
+    step.note = SwitchNote::InForce;
     group.lastSwitchAt = now;
     enter(group, SwitchPhase::Idle, now);
 }
@@ -431,6 +432,29 @@
     return step;
 }
 
+const char *noteText(SwitchNote note)
+{
+    switch (note) {
+    case SwitchNote::Nothing:
+        return "";
+    case SwitchNote::Preparing:
+        return "preparing";
+    case SwitchNote::GaveUpPreparing:
+        return "gave up preparing";
+    case SwitchNote::TookOver:
+        return "took over a held group";
+    case SwitchNote::Overtaken:
+        return "overtaken by a higher version";
+    case SwitchNote::PassBegun:
+        return "the pass has begun";
+    case SwitchNote::VersionLost:
+        return "a rank lost the version";
+    case SwitchNote::InForce:
+        return "in force";
+    }
+    return "";
+}
+
 const char *phaseName(SwitchPhase phase)
 {
     switch (phase) {
--- a/Source/Version/RankSwitch.h
+++ b/Source/Version/RankSwitch.h
@@ -126,12 +126,26 @@
     bool asChanges = false;
 };
 
+/// What happened in a step of the leader's work, for logs and metrics.
+enum class SwitchNote {
+    Nothing,
+    Preparing, ///< A better map was found, and its copies begin.
+    GaveUpPreparing, ///< The copies took too long.
+    TookOver, ///< The group was held by somebody who is gone.
+    Overtaken, ///< A rank has had a higher version.
+    PassBegun, ///< The pass began before any rank was armed.
+    VersionLost, ///< A rank no longer has the version that the others are armed for.
+    InForce, ///< All ranks use the map.
+};
+
+/// The note in words.
+const char *noteText(SwitchNote note);
+
 /// What a step of the leader's work gave.
 struct SwitchStep
 {
     std::vector<SwitchAction> actions;
-    /// What happened, for the log; empty for nothing.
-    std::string note;
+    SwitchNote note = SwitchNote::Nothing;
 };
 
 /// Takes in a rank's status. A new epoch begins anew.
--- a/Tests/Gateway/DecisionsTest.cpp
+++ b/Tests/Gateway/DecisionsTest.cpp
@@ -216,7 +216,7 @@
 TEST_CASE("What lapsed in an outage of the store is kept until its owners can have reported")
 {
     BackendBoard board;
-    EventLog log("test", LogLevel::Error);
+    EventLog log("test", {.least = LogLevel::Error});
     BackendList list(board, log);
     list.take({"i-1", entryText("ready"), 0}, start);
     list.take({"i-2", entryText("ready"), 1}, start);
@@ -233,7 +233,7 @@
 TEST_CASE("A draining or unreadable entry takes its server out at once, the others hold")
 {
     BackendBoard board;
-    EventLog log("test", LogLevel::Error);
+    EventLog log("test", {.least = LogLevel::Error});
     BackendList list(board, log);
     list.takeAll({{"i-1", entryText("ready"), 0}, {"i-2", entryText("ready"), 1}}, start);
     list.take({"i-1", "{\"service\":7}", 2}, start);
--- /dev/null
+++ b/Tests/Gateway/GatewayUnderTest.cpp
@@ -0,0 +1,114 @@
+#include "Gateway/GatewayUnderTest.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <sstream>
+
+#include <arpa/inet.h>
+#include <sys/prctl.h>
+#include <unistd.h>
+
+namespace wisteria::gateway_tests {
+
+namespace {
+
+/// Signals that a gateway takes must be blocked in every thread before the first one starts.
+const bool signalsBlocked = [] {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGHUP);
+    return ::pthread_sigmask(SIG_BLOCK, &signals, nullptr) == 0;
+}();
+
+} // namespace
+
+std::string temporaryFolder()
+{
+    std::string folder = "/tmp/gateway-test-XXXXXX";
+    return ::mkdtemp(folder.data());
+}
+
+pid_t startProgram(const std::string &program, const std::string &settings,
+                   const std::vector<std::string> &arguments, int output)
+{
+    const std::string path = std::string(WISTERIA_PROGRAMS) + "/" + program;
+    const pid_t child = ::fork();
+    if (child != 0)
+        return child;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    sigset_t none;
+    sigemptyset(&none);
+    ::pthread_sigmask(SIG_SETMASK, &none, nullptr);
+    ::setenv("WISTERIAWIND_CONFIG", settings.c_str(), 1);
+    if (output >= 0)
+        ::dup2(output, STDOUT_FILENO);
+    std::vector<char *> words = {const_cast<char *>(path.c_str())};
+    for (const std::string &argument : arguments)
+        words.push_back(const_cast<char *>(argument.c_str()));
+    words.push_back(nullptr);
+    ::execv(path.c_str(), words.data());
+    ::_exit(127);
+}
+
+std::uint16_t freePort()
+{
+    const ScriptedServer server([](const SeenRequest &, ScriptPeer &) {});
+    return server.endpoint().port;
+}
+
+nlohmann::json routeOf(const std::string &prefix, const std::string &kind,
+                       const std::string &service, bool resumable)
+{
+    return {{"name", prefix},    {"hostname", "h.example"}, {"path_prefix", prefix},
+            {"kind", kind},      {"timeout_ms", 3000},      {"target_latency_ms", 400},
+            {"max_attempts", 2}, {"service", service},      {"resumable", resumable},
+            {"priority", 1},     {"public", false}};
+}
+
+nlohmann::json configurationOf(int version)
+{
+    return {{"version", version},
+            {"routes",
+             {routeOf("/once/", "non_idempotent", "plain", false),
+              routeOf("/again/", "idempotent", "plain", false),
+              routeOf("/stream/", "streaming", "model", true)}},
+            {"services", nlohmann::json::array()},
+            {"tenants", {{{"name", "acme"}, {"api_keys", {"key1"}}}}}};
+}
+
+std::string requestFor(const std::string &target, const std::string &id, const std::string &method)
+{
+    return method + " " + target
+        + " HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token key1\r\nWisteriawind-Attempt-Id: "
+        + id + "\r\nWisteriawind-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string sealed(const SeenRequest &request, int status, const std::string &body)
+{
+    return plainResponse(status,
+                         std::string(seal) + "Wisteriawind-Attempt-Id: "
+                             + request.header("Wisteriawind-Attempt-Id") + "\r\n",
+                         body);
+}
+
+std::string eventText(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: piece" + std::to_string(id) + "\n\n";
+}
+
+std::string streamHead(const SeenRequest &request)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + std::string(seal)
+        + "Wisteriawind-Attempt-Id: " + request.header("Wisteriawind-Attempt-Id")
+        + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunk(const std::string &bytes)
+{
+    std::ostringstream text;
+    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return text.str();
+}
+
+} // namespace wisteria::gateway_tests
--- /dev/null
+++ b/Tests/Gateway/GatewayUnderTest.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <future>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <csignal>
+
+#include <arpa/inet.h>
+#include <sys/types.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "Gateway/StoreStandIn.h"
+#include "Programs/Gateway/Gateway.h"
+
+namespace wisteria::gateway_tests {
+
+/// A new folder under /tmp.
+std::string temporaryFolder();
+
+/// Starts a program of the build with the signals as a shell leaves them.
+/// @param settings The settings file.
+/// @param output Descriptor that becomes its standard output; the test's own when negative.
+pid_t startProgram(const std::string &program, const std::string &settings,
+                   const std::vector<std::string> &arguments = {}, int output = -1);
+
+/// A port that was free a moment ago.
+std::uint16_t freePort();
+
+/// A response header that marks an answer as the backend server's own.
+inline constexpr const char *seal = "Wisteriawind-Response-Seal: s\r\n";
+
+/// A route of the configuration.
+nlohmann::json routeOf(const std::string &prefix, const std::string &kind,
+                       const std::string &service, bool resumable);
+
+/// A configuration with routes of each kind: /once/, /again/ and /stream/.
+nlohmann::json configurationOf(int version);
+
+/// A gateway in a thread of its own before a stand-in of the store.
+class Running
+{
+public:
+    explicit Running(milliseconds gracePeriod = milliseconds(1000))
+    {
+        settings_.vmName = "front-1";
+        settings_.failureDomain = "a";
+        settings_.callers = Endpoint{INADDR_LOOPBACK, freePort()};
+        settings_.readiness = Endpoint{INADDR_LOOPBACK, freePort()};
+        settings_.metrics = Endpoint{INADDR_LOOPBACK, freePort()};
+        settings_.vm = {INADDR_LOOPBACK, 0};
+        settings_.firstInternalPort = freePort();
+        settings_.store = store.endpoint();
+        settings_.retrySlack = 200;
+        settings_.gracePeriod = gracePeriod;
+    }
+
+    /// Starts the gateway. What the store holds by then it knows when it is ready; what comes later
+    /// it reads a while after.
+    void start()
+    {
+        if (gateway_)
+            return;
+        gateway_ = std::make_unique<Gateway>(settings_);
+        end_ = std::async(std::launch::async, [this] { return gateway_->run().has_value(); });
+    }
+
+    ~Running()
+    {
+        if (end_.valid()) {
+            ::kill(::getpid(), SIGTERM);
+            end_.wait();
+        }
+    }
+
+    void configure(int version = 1) { store.put("keyed.op", "config", configurationOf(version)); }
+
+    void addBackend(const std::string &id, const std::string &service, const ScriptedServer &server,
+                    const std::string &state = "ready")
+    {
+        store.put("keyed.servers", id,
+                  {{"service", service},
+                   {"address", toText(server.endpoint())},
+                   {"zone", "a"},
+                   {"slot_count", 4},
+                   {"state", state}});
+    }
+
+    bool ready() const
+    {
+        return callServer(*settings_.readiness, "GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n").status
+            == 200;
+    }
+
+    /// Sends until the answer has the status; the watches of the store take their time.
+    CallResult callUntil(const std::string &request, int status) const
+    {
+        CallResult result;
+        eventually([&] {
+            result = callServer(*settings_.callers, request);
+            return result.status == status;
+        });
+        return result;
+    }
+
+    void waitUntilReady()
+    {
+        start();
+        REQUIRE(eventually([this] { return ready(); }));
+    }
+
+    /// The metrics as a scraper gets them.
+    std::string metrics() const
+    {
+        return callServer(*settings_.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").body;
+    }
+
+    const Endpoint &callers() const { return *settings_.callers; }
+
+    CallResult call(const std::string &request) const
+    {
+        return callServer(*settings_.callers, request);
+    }
+
+    StoreStandIn store;
+
+private:
+    platform::ProcessSettings settings_;
+    std::unique_ptr<Gateway> gateway_;
+    std::future<bool> end_;
+};
+
+/// A caller's request with the key of the configuration.
+std::string requestFor(const std::string &target, const std::string &id,
+                       const std::string &method = "POST");
+
+/// A backend server's whole answer to a request.
+std::string sealed(const SeenRequest &request, int status, const std::string &body);
+
+/// One event of a stream; its data names the number.
+std::string eventText(int id);
+
+/// The head of a stream in chunks that answers a request.
+std::string streamHead(const SeenRequest &request);
+
+/// Bytes as one chunk of a body.
+std::string chunk(const std::string &bytes);
+
+} // namespace wisteria::gateway_tests
--- /dev/null
+++ b/Tests/Gateway/MetricsTest.cpp
@@ -0,0 +1,183 @@
+#include <csignal>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+
+#include "Gateway/GatewayUnderTest.h"
+#include "Programs/Gateway/GatewayMetrics.h"
+#include "Programs/Sidecar/SidecarMetrics.h"
+
+using namespace wisteria;
+using namespace wisteria::gateway_tests;
+
+namespace {
+
+/// The value of a series, -1 when it is not served.
+double valueOf(const std::string &metrics, const std::string &series)
+{
+    std::istringstream lines(metrics);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with(series + " "))
+            return std::stod(line.substr(series.size() + 1));
+    }
+    return -1;
+}
+
+/// Names that stand after "# TYPE ".
+std::set<std::string> servedNames(const std::string &metrics)
+{
+    std::set<std::string> names;
+    std::istringstream lines(metrics);
+    const std::string type = "# TYPE ";
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with(type))
+            names.insert(line.substr(type.size(), line.find(' ', type.size()) - type.size()));
+    }
+    return names;
+}
+
+/// Names in the first column of the page's tables.
+std::set<std::string> documentedNames()
+{
+    std::set<std::string> names;
+    std::ifstream page(std::string(WISTERIA_DOCS) + "/METRICS.md");
+    const std::string start = "| `wisteria_";
+    for (std::string line; std::getline(page, line);) {
+        if (line.starts_with(start))
+            names.insert(line.substr(3, line.find('`', 3) - 3));
+    }
+    return names;
+}
+
+/// Updates every metric of both programs once.
+std::string everyMetric()
+{
+    Metrics metrics;
+    countRequestEnd(metrics,
+                    {.service = "s",
+                     .status = 200,
+                     .reason = "answered",
+                     .firstEvent = milliseconds(1),
+                     .longestPause = milliseconds(1)});
+    countFirstSend(metrics, "s", milliseconds(1));
+    countSendEnd(metrics, "s", "answered");
+    countRetry(metrics, "s", RetryCause::Moved);
+    countStoreCall(metrics, "t", "answered");
+    setStoreAge(metrics, "t", milliseconds(1));
+    setPlaces(metrics, {.service = "s"});
+    setRetriesLeft(metrics, "s", 1);
+    setGatewayState(metrics, {});
+    GroupSwitch group;
+    group.heldSince = TimePoint(seconds(1));
+    countSwitchStep(metrics, group, SwitchNote::InForce, TimePoint(seconds(2)));
+    countOrder(metrics, RankOrderKind::Arm, "done");
+    setSidecarState(metrics, {});
+    return metrics.text();
+}
+
+} // namespace
+
+TEST_CASE("A scrape tells what became of requests, and what the gateway knows")
+{
+    std::atomic<int> runs = 0;
+    ScriptedServer model([&runs](const SeenRequest &request, ScriptPeer &peer) {
+        const std::string last = request.header("Last-Event-Id");
+        peer.send(streamHead(request) + chunk(eventText(last.empty() ? 1 : std::stoi(last) + 1)));
+        if (runs++ == 0) {
+            peer.reset();
+            return;
+        }
+        peer.send("0\r\n\r\n");
+    });
+    Running gateway;
+    gateway.configure();
+    gateway.addBackend("m-1", "model", model);
+    gateway.addBackend("m-2", "model", model);
+    gateway.waitUntilReady();
+    REQUIRE(gateway.callUntil(requestFor("/stream/x", "a1"), 200).whole);
+    REQUIRE(gateway.call(requestFor("/once/x", "a2")).status == 503);
+    REQUIRE(gateway.call(requestFor("/none/x", "a3")).status == 404);
+    const std::string metrics = gateway.metrics();
+    REQUIRE(
+        valueOf(metrics,
+                "wisteria_requests_total{end=\"success\",reason=\"answered\",service=\"model\"}")
+        == 1);
+    REQUIRE(valueOf(metrics,
+                    "wisteria_requests_total{end=\"refused\",reason=\"no backend server takes "
+                    "work\",service=\"plain\"}")
+            == 1);
+    REQUIRE(valueOf(metrics,
+                    "wisteria_requests_total{end=\"rejected\",reason=\"no route\",service=\"\"}")
+            == 1);
+    REQUIRE(valueOf(metrics, "wisteria_retries_total{cause=\"resumed\",service=\"model\"}") == 1);
+    REQUIRE(valueOf(metrics, "wisteria_sends_total{outcome=\"broken off\",service=\"model\"}")
+            == 1);
+    REQUIRE(valueOf(metrics, "wisteria_first_event_seconds_count{service=\"model\"}") == 1);
+    REQUIRE(valueOf(metrics, "wisteria_backends{service=\"model\"}") == 2);
+    REQUIRE(valueOf(metrics, "wisteria_places{service=\"model\"}") == 8);
+    REQUIRE(valueOf(metrics, "wisteria_configuration_version") == 1);
+    REQUIRE(valueOf(metrics, "wisteria_ready") == 1);
+    REQUIRE(valueOf(metrics, "wisteria_store_calls_total{result=\"answered\",what=\"backends\"}")
+            >= 1);
+}
+
+TEST_CASE("The page on metrics names each metric that is served, and no other")
+{
+    REQUIRE(documentedNames() == servedNames(everyMetric()));
+}
+
+// A configuration with thousands of services arrives. Each would get series of its own, until the
+// process is over the memory of its VM and is killed with all its requests.
+TEST_CASE("The number of series is bounded, and what is left out is counted")
+{
+    Metrics metrics;
+    constexpr int services = 5000;
+    for (int i = 0; i < services; ++i)
+        countFirstSend(metrics, "s" + std::to_string(i), milliseconds(1));
+    const double dropped = valueOf(metrics.text(), "wisteria_metric_updates_dropped_total");
+    REQUIRE(dropped > 0);
+    REQUIRE(dropped < services);
+}
+
+// The collector of the logs hangs while callers keep asking. The pipe fills, and the gateway must
+// go on answering, say how many lines it dropped, and end when it is told to: its writer stood in
+// a write that never returned, and SIGTERM was followed by nothing until the kill.
+TEST_CASE("A reader of the log that does not read holds up neither requests nor the end")
+{
+    const std::string folder = temporaryFolder();
+    const std::string settings = folder + "/settings.conf";
+    const Endpoint callers{INADDR_LOOPBACK, freePort()};
+    const Endpoint metrics{INADDR_LOOPBACK, freePort()};
+    std::ofstream(settings) << "node_name=front-1\nip=127.0.0.1\nzone=a\ninternal_port_range="
+                            << freePort() << ",65535\nplatform.address=127.0.0.1:1\nlisten.front="
+                            << toText(callers) << "\nlisten.ready=127.0.0.1:" << freePort() << "\n";
+    int pipe[2] = {-1, -1};
+    REQUIRE(::pipe2(pipe, O_CLOEXEC) == 0);
+    const pid_t child = startProgram(
+        "wisteria-gateway", settings,
+        {"--metrics-port", std::to_string(metrics.port), "--log-queue", "256"}, pipe[1]);
+    ::close(pipe[1]);
+    REQUIRE(eventually([&] { return callServer(callers, requestFor("/x", "a")).status == 503; }));
+    constexpr int requests = 2000;
+    for (int i = 0; i < requests; ++i)
+        REQUIRE(callServer(callers, requestFor("/x", "a" + std::to_string(i))).status == 503);
+    const std::string scraped =
+        callServer(metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").body;
+    REQUIRE(valueOf(scraped, "wisteria_log_lines_dropped") > 0);
+    ::kill(child, SIGTERM);
+    int status = 0;
+    const bool ended = eventually([&] { return ::waitpid(child, &status, WNOHANG) == child; });
+    if (!ended) {
+        ::kill(child, SIGKILL);
+        ::waitpid(child, &status, 0);
+    }
+    ::close(pipe[0]);
+    REQUIRE(ended);
+    REQUIRE(WIFEXITED(status));
+}
