Search for a better map among the idlest ranks only

Ruled out: decoding of statuses (0.014 ms each), the switch's own step (0.003 ms), encoding of a map (0.3 ms); cheap filters before each evaluation, which found the same maps and saved nothing measurable; a search without look-ahead (a third faster, skew 0.1 worse).

Change: a step of the search brings in one of the 12 idlest ranks instead of any of 71. The proposal tells how many terms were evaluated.

--- a/Source/Programs/Sidecar/GroupLeader.cpp
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -42,6 +42,12 @@
         && a.order.step == b.order.step && a.asChanges == b.asChanges;
 }
 
+/// For how long a phase of the present switch lasted so far, in milliseconds.
+std::int64_t phaseTime(const GroupSwitch &group, SwitchPhase phase)
+{
+    return group.phaseTimes.at(static_cast<std::size_t>(phase)).count();
+}
+
 } // namespace
 
 GroupLeader::GroupLeader(EngineLink &engines, EventLog &log, Metrics &metrics, LeaderLinks links,
@@ -237,7 +243,11 @@
                {"skew_before", group.proposal.skewBefore},
                {"skew_after", group.proposal.skewAfter},
                {"loads", group.proposal.loads},
-               {"phase_ms", remaining(group.phaseSince, now).count()}});
+               {"searched_terms", group.proposal.searchedTerms},
+               {"preparing_ms", phaseTime(group, SwitchPhase::Preparing)},
+               {"holding_ms", phaseTime(group, SwitchPhase::Holding)},
+               {"arming_ms", phaseTime(group, SwitchPhase::Arming)},
+               {"releasing_ms", phaseTime(group, SwitchPhase::Releasing)}});
 }
 
 } // namespace wisteria
--- a/Source/Version/DemandPlacement.cpp
+++ b/Source/Version/DemandPlacement.cpp
@@ -18,6 +18,10 @@
 constexpr double leastCounts = 4000;
 /// Terms that one set's search may evaluate: some 4 ms of a core at full speed.
 constexpr std::uint64_t searchTerms = 300000;
+/// Ranks that each step of the search may move experts to. Of 72 ranks the busiest one's work goes
+/// to the idlest anyway: looking at 12 took a third of the time that all of them took (20 against
+/// 50 ms a look), for the same skew and a tenth fewer copies.
+constexpr std::uint32_t searchPartners = 12;
 
 void fade(ExpertDemand &demand, TimePoint now)
 {
@@ -234,7 +238,8 @@
             .noise = std::sqrt(static_cast<double>(profile.expertsPerSet) / total)};
         SearchLimits limits{.maxMoves = static_cast<std::uint32_t>(ranks) * profile.loadsPerMap,
                             .minGainPerMove = leastGainPerLoad(profile, bounds),
-                            .stagingRoom = left};
+                            .stagingRoom = left,
+                            .partners = searchPartners};
         for (std::uint32_t &room : limits.stagingRoom)
             room = std::min(room, profile.loadsPerMap);
         SearchBudget budget{.terms = searchTerms};
@@ -242,6 +247,7 @@
         const SearchResult found = improveLayerMap(group, layer, start, problem, limits, budget);
         proposal.map[entry.set] = found.map.ranks;
         proposal.loads += found.moves;
+        proposal.searchedTerms += searchTerms - budget.terms;
         for (std::size_t rank = 0; rank < ranks; ++rank) {
             const auto loaded =
                 missingExperts(present[entry.set][rank], found.map.ranks[rank]).size();
--- a/Source/Version/DemandPlacement.h
+++ b/Source/Version/DemandPlacement.h
@@ -57,6 +57,8 @@
     double skewAfter = 1;
     /// Experts to be copied.
     std::uint32_t loads = 0;
+    /// Work of the search, in ranks' times evaluated; a million take some 10 ms of a core.
+    std::uint64_t searchedTerms = 0;
 };
 
 /// Looks for a better map.
--- a/Source/Version/LayerSearch.cpp
+++ b/Source/Version/LayerSearch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <numeric>
 
 namespace wisteria {
@@ -230,15 +231,27 @@
     }
 }
 
+/// Time of the busiest rank that a step may bring in as a partner.
+double LayerSearch::partnersUpTo() const
+{
+    if (limits_.partners == 0 || limits_.partners >= mean_.size())
+        return std::numeric_limits<double>::infinity();
+    std::vector<double> times = mean_;
+    const auto last = times.begin() + limits_.partners;
+    std::nth_element(times.begin(), last, times.end());
+    return *last;
+}
+
 const std::vector<SearchStep> &LayerSearch::scan()
 {
+    const double upTo = partnersUpTo();
     steps_.assign(map_.ranks.size(), SearchStep());
     const auto largest = std::max_element(terms_.begin(), terms_.end());
     const auto busiest = static_cast<std::size_t>(largest - terms_.begin());
     for (std::size_t slot = 0; slot < map_.ranks[busiest].size(); ++slot) {
         considerDrop(busiest, slot);
         for (std::size_t rank = 0; rank < map_.ranks.size(); ++rank) {
-            if (rank == busiest)
+            if (rank == busiest || mean_[rank] > upTo)
                 continue;
             considerFurtherReplica(busiest, map_.ranks[busiest][slot], rank);
             considerExchange(busiest, slot, rank);
--- a/Source/Version/LayerSearch.h
+++ b/Source/Version/LayerSearch.h
@@ -68,6 +68,7 @@
     void touch(std::size_t rank, double load, double square);
     void touchHolders(ExpertId expert, std::size_t from, std::size_t to);
     double touchedChange();
+    double partnersUpTo() const;
     double replaceChange(std::size_t rank, std::size_t slot, ExpertId expert);
     double exchangeChange(std::size_t rank, std::size_t slot, std::size_t other,
                           std::size_t otherSlot);
--- a/Source/Version/PlacementSearch.h
+++ b/Source/Version/PlacementSearch.h
@@ -26,6 +26,8 @@
     double minGainPerMove = 0;
     /// Replicas that each rank has room to stage beside those in use; empty when unbounded.
     std::vector<std::uint32_t> stagingRoom;
+    /// Ranks, the least busy first, that a step may bring in besides the busiest; 0 for all.
+    std::uint32_t partners = 0;
 };
 
 /// Work that a decision may still spend. Counted and not timed, so that the same input gives the
--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -9,6 +9,9 @@
 
 void enter(GroupSwitch &group, SwitchPhase phase, TimePoint now)
 {
+    if (phase == SwitchPhase::Preparing && group.phase == SwitchPhase::Idle)
+        group.phaseTimes = {};
+    group.phaseTimes.at(static_cast<std::size_t>(group.phase)) += remaining(group.phaseSince, now);
     group.phase = phase;
     group.phaseSince = now;
     group.askedAt.clear();
--- a/Source/Version/RankSwitch.h
+++ b/Source/Version/RankSwitch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -77,6 +78,7 @@
     Unwinding, ///< Some rank lost the version: the others are disarmed before another is made.
     Releasing, ///< All are armed: the held rank is told to go on.
 };
+inline constexpr std::size_t switchPhases = 6;
 
 /// All that the leader keeps of one group. A plain value.
 struct GroupSwitch
@@ -110,6 +112,8 @@
     double fruitlessSkew = 0;
     TimePoint fruitlessAt{};
     TimePoint heldSince{};
+    /// For how long each phase of the present switch lasted, by phase.
+    std::array<milliseconds, switchPhases> phaseTimes{};
     PlacementProposal proposal{};
 };
 
--- a/Tests/Version/DemandPlacementTest.cpp
+++ b/Tests/Version/DemandPlacementTest.cpp
@@ -170,7 +170,11 @@
     REQUIRE(applyChanges({}, changes).has_error());
 }
 
-TEST_CASE("A large group with small experts is balanced in one change")
+// Quotations stall for a third of a second after each shift of demand: the leader of 72 ranks works
+// on a better map for 50 ms of a core, of which its VM has 0.15, and all passes stay slow
+// meanwhile. A search that looks at the idlest ranks only finds as good a map with a fraction of
+// the work.
+TEST_CASE("A large group with small experts is balanced in one change, with little work")
 {
     const ExpertProfile large{.sets = 12,
                               .expertsPerSet = 144,
@@ -193,4 +197,6 @@
     REQUIRE(proposal);
     REQUIRE(proposal->skewBefore > 2);
     REQUIRE(proposal->skewAfter < 1.5);
+    CAPTURE(proposal->searchedTerms, proposal->skewAfter, proposal->loads);
+    REQUIRE(proposal->searchedTerms < 250'000);
 }
