Send large messages between sidecars through relays

Cause: a map for 72 ranks takes 0.15 s of the leader's link of 8 Mbit/s, and resends of whole maps more; copies took 200 to 460 ms from the decision to the last rank prepared, of which copying itself is 30 to 130 ms.

Ruled out: smaller messages alone (changes are 1.5 to 2.9 KB already).

Change: a message of more than 16 KB in all goes to one sidecar in eight, which passes it on; the relays are the ones heard of last.

--- a/Source/Programs/Sidecar/GroupLeader.cpp
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -133,8 +133,13 @@
         Batch &batch = same != batches.end() ? *same : batches.emplace_back(Batch{&action, {}});
         batch.engines.push_back(action.engine);
     }
-    for (const Batch &batch : batches)
+    for (Batch &batch : batches) {
+        // The first ones may have to pass the message on.
+        std::stable_sort(
+            batch.engines.begin(), batch.engines.end(),
+            [this](const Endpoint &a, const Endpoint &b) { return heardAt_[a] > heardAt_[b]; });
         links_.sendAll(batch.engines, commandFor(name, *batch.first));
+    }
 }
 
 void GroupLeader::orderDirectly(const std::string &name, const SwitchAction &action)
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -14,6 +14,7 @@
 #include "Programs/Sidecar/GroupLeader.h"
 #include "Programs/Sidecar/SidecarMetrics.h"
 #include "Version/LeaderChoice.h"
+#include "Version/RelayPlan.h"
 
 namespace wisteria {
 
@@ -229,13 +230,32 @@
     void sendToAll(const std::vector<Endpoint> &engines, const GroupMessage &message)
     {
         const std::string bytes = encodeMessage(message);
+        std::vector<Endpoint> others;
         for (const Endpoint &engine : engines) {
-            const Endpoint address{engine.ip, port_};
             if (engine == engine_)
-                loop_.defer([this, address, message] { handle(address, message); });
+                loop_.defer([this, message] { handle({engine_.ip, port_}, message); });
             else
-                socket_.send(address, bytes);
+                others.push_back(engine);
         }
+        for (const RelayBranch &branch : relayPlan(others, bytes.size())) {
+            const std::string whole =
+                branch.rest.empty() ? bytes : encodeMessage(RelayedMessage{branch.rest, bytes});
+            socket_.send({branch.first.ip, port_}, whole);
+        }
+    }
+
+    /// Passes a message on and takes it as if it had come from its sender directly.
+    void take(const Endpoint &from, const RelayedMessage &relayed)
+    {
+        const auto message = decodeMessage(relayed.message);
+        if (message.has_error() || std::holds_alternative<RelayedMessage>(message.value())) {
+            log_.warn("message.refused",
+                      {{"from", toText(from)}, {"reason", "a relayed message can't be used"}});
+            return;
+        }
+        for (const Endpoint &engine : relayed.engines)
+            socket_.send({engine.ip, port_}, relayed.message);
+        handle(from, message.value());
     }
 
     void receive(const Endpoint &from, std::string_view bytes)
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -9,7 +9,14 @@
 using Json = nlohmann::json;
 
 /// First element of each message. A new meaning of the fields gets a new number.
-enum class MessageKind : std::uint8_t { Hello = 1, Load = 2, Poll = 3, Status = 4, Command = 5 };
+enum class MessageKind : std::uint8_t {
+    Hello = 1,
+    Load = 2,
+    Poll = 3,
+    Status = 4,
+    Command = 5,
+    Relayed = 6
+};
 
 Json encode(const Endpoint &endpoint)
 {
@@ -21,15 +28,28 @@
     return {json.at(0).get<std::uint32_t>(), json.at(1).get<std::uint16_t>()};
 }
 
+Json encode(const std::vector<Endpoint> &endpoints)
+{
+    Json list = Json::array();
+    for (const Endpoint &endpoint : endpoints)
+        list.push_back(encode(endpoint));
+    return list;
+}
+
+std::vector<Endpoint> decodeEndpoints(const Json &json)
+{
+    std::vector<Endpoint> endpoints;
+    for (const Json &endpoint : json)
+        endpoints.push_back(decodeEndpoint(endpoint));
+    return endpoints;
+}
+
 Json encode(const GatewayHello &hello)
 {
     const ExpertProfile &profile = hello.profile;
-    Json engines = Json::array();
-    for (const Endpoint &engine : hello.engines)
-        engines.push_back(encode(engine));
     return {MessageKind::Hello,     profile.sets,        profile.expertsPerSet,
             profile.expertsPerRank, profile.loadsPerMap, profile.loadMilliseconds,
-            std::move(engines)};
+            encode(hello.engines)};
 }
 
 GatewayHello decodeHello(const Json &json)
@@ -40,8 +60,7 @@
                      .expertsPerRank = json.at(3).get<std::uint32_t>(),
                      .loadsPerMap = json.at(4).get<std::uint32_t>(),
                      .loadMilliseconds = json.at(5).get<double>()};
-    for (const Json &engine : json.at(6))
-        hello.engines.push_back(decodeEndpoint(engine));
+    hello.engines = decodeEndpoints(json.at(6));
     return hello;
 }
 
@@ -148,6 +167,20 @@
     return command;
 }
 
+Json encode(const RelayedMessage &relayed)
+{
+    const auto *bytes = reinterpret_cast<const std::uint8_t *>(relayed.message.data());
+    return {MessageKind::Relayed, encode(relayed.engines),
+            Json::binary({bytes, bytes + relayed.message.size()})};
+}
+
+RelayedMessage decodeRelayed(const Json &json)
+{
+    const Json::binary_t &bytes = json.at(2).get_binary();
+    return {.engines = decodeEndpoints(json.at(1)),
+            .message = std::string(bytes.begin(), bytes.end())};
+}
+
 GroupMessage decodeFields(const Json &json)
 {
     switch (static_cast<MessageKind>(json.at(0).get<int>())) {
@@ -161,6 +194,8 @@
         return decodeStatus(json);
     case MessageKind::Command:
         return decodeCommand(json);
+    case MessageKind::Relayed:
+        return decodeRelayed(json);
     }
     throw std::out_of_range("unknown message");
 }
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -92,6 +92,16 @@
     std::vector<RankMapChange> changes{};
 };
 
+/// A message that the receiver takes itself and passes on to the sidecars of further engines.
+///
+/// The leader of 72 ranks has a link of 8 Mbit/s: a new map for each of them took 0.15 s of it.
+struct RelayedMessage
+{
+    std::vector<Endpoint> engines;
+    /// Another message's bytes. Never a relayed one.
+    std::string message;
+};
+
 /// The map that groups begin with, version 0: experts in turn.
 RankMap firstRankMap(const ExpertProfile &profile, std::size_t ranks);
 
@@ -102,7 +112,8 @@
 /// @return BadInput when they name a set or rank that the map lacks.
 Result<RankMap> applyChanges(RankMap map, const std::vector<RankMapChange> &changes);
 
-using GroupMessage = std::variant<GatewayHello, EngineLoad, RankPoll, RankStatus, RankCommand>;
+using GroupMessage =
+    std::variant<GatewayHello, EngineLoad, RankPoll, RankStatus, RankCommand, RelayedMessage>;
 
 /// A message as MessagePack bytes.
 std::string encodeMessage(const GroupMessage &message);
--- a/Tests/Version/DemandPlacementTest.cpp
+++ b/Tests/Version/DemandPlacementTest.cpp
@@ -6,6 +6,7 @@
 
 #include "Version/DemandPlacement.h"
 #include "Version/LeaderChoice.h"
+#include "Version/RelayPlan.h"
 
 using namespace wisteria;
 
@@ -200,3 +201,39 @@
     CAPTURE(proposal->searchedTerms, proposal->skewAfter, proposal->loads);
     REQUIRE(proposal->searchedTerms < 250'000);
 }
+
+// A shift of demand is met 0.15 s late: the leader's link carries the new map 72 times. Relays
+// carry most of it; one that is gone would leave its branch without the map, so the sidecars that
+// were heard of last are chosen.
+TEST_CASE("A large message goes through relays that were heard of last, to each receiver once")
+{
+    constexpr std::size_t mapBytes = 2000;
+    std::vector<Endpoint> engines;
+    for (std::uint32_t i = 72; i > 0; --i)
+        engines.push_back({i, 1});
+    const auto plan = relayPlan(engines, mapBytes);
+    REQUIRE(plan.size() == 9);
+    std::vector<Endpoint> reached;
+    for (const RelayBranch &branch : plan) {
+        REQUIRE(branch.first.ip > 72 - plan.size());
+        REQUIRE(branch.rest.size() == branchSize - 1);
+        reached.push_back(branch.first);
+        reached.insert(reached.end(), branch.rest.begin(), branch.rest.end());
+    }
+    std::sort(reached.begin(), reached.end());
+    std::sort(engines.begin(), engines.end());
+    REQUIRE(reached == engines);
+    constexpr std::size_t pollBytes = 4;
+    REQUIRE(relayPlan(engines, pollBytes).size() == engines.size());
+    REQUIRE(relayPlan({}, mapBytes).empty());
+}
+
+TEST_CASE("A relayed message keeps its receivers and its bytes")
+{
+    const std::string inner = encodeMessage(RankPoll{.withCounts = true});
+    const auto decoded = decodeMessage(encodeMessage(RelayedMessage{{{1, 2}, {3, 4}}, inner}));
+    REQUIRE(decoded.has_value());
+    const auto &relayed = std::get<RelayedMessage>(decoded.value());
+    REQUIRE(relayed.engines == std::vector<Endpoint>{{1, 2}, {3, 4}});
+    REQUIRE(relayed.message == inner);
+}
