Reset what a caller no longer waits for

Ruled out: the gateway sending late (the requests reached the engine in the very moment the VM went on; the gateway was sound).

Change: a call that its owner drops ends its connection with a reset.

Test: 'A request whose caller left is made void by a reset' failed before.

--- a/Source/Connection/HttpClientPool.cpp
+++ b/Source/Connection/HttpClientPool.cpp
@@ -108,8 +108,13 @@
     ~PooledCall() override
     {
         *gone_ = true;
-        if (wire_)
-            release();
+        if (!wire_)
+            return;
+        // Nobody waits for the answer any more. A backend server that stands still would find the
+        // request when it goes on, seconds after the caller left, and run it; after a reset it does
+        // not.
+        tcp_->abort();
+        release();
     }
 
     bool sent() const override { return sent_; }
--- a/Source/Connection/TcpConnection.cpp
+++ b/Source/Connection/TcpConnection.cpp
@@ -175,6 +175,15 @@
             ended(how);
     }
 
+    void abort()
+    {
+        constexpr int lingerOn = 1;
+        constexpr int noTime = 0;
+        linger reset{lingerOn, noTime};
+        stream_.set_option(SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        close();
+    }
+
     void close()
     {
         if (!open_)
@@ -250,6 +259,11 @@
         private_->watch();
 }
 
+void TcpConnection::abort()
+{
+    private_->abort();
+}
+
 class TcpListener::Private
 {
 public:
--- a/Source/Connection/TcpConnection.h
+++ b/Source/Connection/TcpConnection.h
@@ -54,6 +54,9 @@
     /// Closes after the queue has gone out; nothing is read any more.
     void closeWhenDrained();
 
+    /// Closes with a reset, so that what the other side has not read yet is void.
+    void abort();
+
 private:
     class Private;
     explicit TcpConnection(std::shared_ptr<Private> state);
--- a/Tests/Gateway/GatewayTest.cpp
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -181,6 +181,29 @@
 
 // Someone has left the shop, and a model still writes the answer. The caller closes its connection
 // in the middle of a stream; the gateway closes the one to the backend server at once.
+// A clerk gives up on a quotation while the VM of its model engine stands still. The VM goes on a
+// second later, finds the request with an orderly close behind it, and runs it for nobody.
+TEST_CASE("A request whose caller left is made void by a reset")
+{
+    std::atomic<bool> wasReset = false;
+    std::atomic<bool> over = false;
+    ScriptedServer backend([&](const SeenRequest &, ScriptPeer &peer) {
+        wasReset = peer.waitForReset();
+        over = true;
+        peer.close();
+    });
+    Running gateway;
+    gateway.configure();
+    gateway.addBackend("i-1", "model", backend);
+    gateway.waitUntilReady();
+    REQUIRE(eventually([&] {
+        const OpenCall caller(gateway.callers(), requestFor("/stream/x", "a1"));
+        return eventually([&] { return backend.count("/stream/") > 0; });
+    }));
+    REQUIRE(eventually([&over] { return over.load(); }));
+    REQUIRE(wasReset);
+}
+
 TEST_CASE("A caller that leaves ends the work at the backend server")
 {
     std::atomic<bool> ended = false;
--- a/Tests/Gateway/ScriptedServer.cpp
+++ b/Tests/Gateway/ScriptedServer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <stdexcept>
 
 #include <arpa/inet.h>
@@ -103,6 +104,15 @@
     return ::recv(descriptor_, &byte, 1, MSG_PEEK) <= 0;
 }
 
+bool ScriptPeer::waitForReset() const
+{
+    pollfd wanted{descriptor_, POLLIN, 0};
+    if (::poll(&wanted, 1, waitMilliseconds) <= 0)
+        return false;
+    char byte = 0;
+    return ::recv(descriptor_, &byte, 1, 0) < 0 && errno == ECONNRESET;
+}
+
 ScriptedServer::ScriptedServer(Script script) : script_(std::move(script))
 {
     listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
--- a/Tests/Gateway/ScriptedServer.h
+++ b/Tests/Gateway/ScriptedServer.h
@@ -41,6 +41,8 @@
     bool closed() const { return closed_; }
     /// Whether the other side has closed or reset the connection, waiting up to two seconds.
     bool waitForEnd() const;
+    /// Whether it has reset it, which makes void what has not been read yet.
+    bool waitForReset() const;
 
 private:
     int descriptor_;
--- /dev/null
+++ b/Tests/Soak/SoakClients.cpp
@@ -0,0 +1,118 @@
+#include "Soak/SoakClients.h"
+
+#include <array>
+#include <utility>
+
+#include <poll.h>
+
+namespace wisteria::soak {
+
+using namespace gateway_tests;
+
+namespace {
+
+constexpr int events = 8;
+constexpr int pauseMilliseconds = 15;
+const std::array<std::string, 3> kinds = {"once", "again", "stream"};
+
+std::string requestFor(const std::string &kind, const std::string &id)
+{
+    const std::string method = kind == "again" ? "GET" : "POST";
+    return method + " /" + kind
+        + "/x HTTP/1.1\r\nHost: soak.example\r\nAuthorization: Token key1\r\n"
+          "Wisteriawind-Attempt-Id: "
+        + id + "\r\nWisteriawind-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// The body of a stream up to an event.
+std::string streamUpTo(const std::string &id, int last)
+{
+    std::string text;
+    for (int event = 1; event <= last; ++event) {
+        text +=
+            "id: " + std::to_string(event) + "\ndata: " + id + "/" + std::to_string(event) + "\n\n";
+    }
+    return text;
+}
+
+} // namespace
+
+SoakClients::SoakClients(Fleet &fleet, int clients) : fleet_(fleet)
+{
+    for (int client = 0; client < clients; ++client)
+        threads_.emplace_back([this, client] { work(client); });
+}
+
+SoakClients::~SoakClients()
+{
+    stop();
+}
+
+void SoakClients::stop()
+{
+    stopping_ = true;
+    for (std::thread &thread : threads_) {
+        if (thread.joinable())
+            thread.join();
+    }
+}
+
+SoakCounts SoakClients::takeCounts()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return std::exchange(counts_, {});
+}
+
+std::vector<std::string> SoakClients::refusedIds() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return refused_;
+}
+
+void SoakClients::work(int client)
+{
+    Callers callers;
+    for (const auto &gateway : fleet_.gateways())
+        callers.push_back(std::make_unique<KeptCaller>(gateway->callers()));
+    for (int number = 0; !stopping_; ++number) {
+        ask(callers, client, number);
+        ::poll(nullptr, 0, pauseMilliseconds);
+    }
+}
+
+void SoakClients::ask(Callers &callers, int client, int number)
+{
+    const std::string &kind = kinds.at(static_cast<std::size_t>(number) % kinds.size());
+    const std::string id = kind + "-" + std::to_string(client) + "-" + std::to_string(number);
+    KeptCaller &caller = *callers[static_cast<std::size_t>(client + number) % callers.size()];
+    check(id, kind, caller.call(requestFor(kind, id)));
+}
+
+void SoakClients::check(const std::string &id, const std::string &kind, const CallResult &answer)
+{
+    const std::string whole = kind == "stream" ? streamUpTo(id, events) : "answer to " + id;
+    const bool success = answer.status >= 200 && answer.status < 300;
+    if (success && answer.whole && answer.body != whole)
+        fleet_.book().noteBroken(id + ": a whole answer that is not its own: " + answer.body);
+    if (success && !whole.starts_with(answer.body))
+        fleet_.book().noteBroken(id + ": events missing, doubled or mixed: " + answer.body);
+    const bool own = answer.header("Wisteriawind-Attempt-Id") == id;
+    if (answer.status != 0 && !own)
+        fleet_.book().noteBroken(id + ": an answer to another request");
+    if (answer.status >= 400 && answer.status < 500)
+        fleet_.book().noteBroken(id + ": status " + std::to_string(answer.status));
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++counts_.asked;
+    if (success && answer.whole)
+        ++counts_.whole;
+    else if (answer.status == 503)
+        ++counts_.refused;
+    else if (answer.status >= 500)
+        ++counts_.failed;
+    else
+        ++counts_.cut;
+    if (answer.status == 503)
+        refused_.push_back(id);
+}
+
+} // namespace wisteria::soak
--- /dev/null
+++ b/Tests/Soak/SoakFleet.cpp
@@ -0,0 +1,249 @@
+#include "Soak/SoakFleet.h"
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace wisteria::soak {
+
+using namespace gateway_tests;
+
+namespace {
+
+constexpr int events = 8;
+constexpr int eventMilliseconds = 25;
+constexpr int serverCount = 4;
+/// Every so many streams a crashing server breaks one off.
+constexpr unsigned crashEvery = 3;
+const std::string seal = "Wisteriawind-Response-Seal: soak\r\n";
+
+std::uint16_t freePort()
+{
+    const ScriptedServer server([](const SeenRequest &, ScriptPeer &) {});
+    return server.endpoint().port;
+}
+
+std::string chunk(const std::string &bytes)
+{
+    std::ostringstream text;
+    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return text.str();
+}
+
+std::string fieldsOf(const SeenRequest &request)
+{
+    return seal + "Wisteriawind-Attempt-Id: " + request.header("Wisteriawind-Attempt-Id") + "\r\n";
+}
+
+nlohmann::json routeOf(const std::string &prefix, const std::string &kind)
+{
+    return {{"name", prefix},    {"hostname", "soak.example"}, {"path_prefix", prefix},
+            {"kind", kind},      {"timeout_ms", 3000},         {"target_latency_ms", 1500},
+            {"max_attempts", 2}, {"service", "all"},           {"resumable", kind == "streaming"},
+            {"public", false}};
+}
+
+bool eventuallyWithin(int milliseconds, const std::function<bool()> &condition)
+{
+    constexpr int step = 20;
+    for (int waited = 0; waited < milliseconds; waited += step) {
+        if (condition())
+            return true;
+        ::poll(nullptr, 0, step);
+    }
+    return condition();
+}
+
+} // namespace
+
+void RunBook::noteRun(const std::string &id, const std::string &path)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const std::size_t runs = ++runs_[id];
+    if (path.starts_with("/once/") && runs > 1)
+        broken_.push_back(id + " may run once and ran " + std::to_string(runs) + " times");
+    constexpr std::size_t attemptsAtMost = 2;
+    if (runs > attemptsAtMost)
+        broken_.push_back(id + " ran " + std::to_string(runs) + " times; its route allows 2");
+}
+
+void RunBook::noteBroken(const std::string &what)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    broken_.push_back(what);
+}
+
+std::size_t RunBook::runs(const std::string &id) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = runs_.find(id);
+    return found == runs_.end() ? 0 : found->second;
+}
+
+std::vector<std::string> RunBook::broken() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return broken_;
+}
+
+GatewayProcess::GatewayProcess(std::string program, std::string folder, int number,
+                               const Endpoint &store)
+    : program_(std::move(program)), callers_{INADDR_LOOPBACK, freePort()}, readiness_{
+                                                                               INADDR_LOOPBACK,
+                                                                               freePort()}
+{
+    const std::string name = "gateway-" + std::to_string(number);
+    settings_ = folder + "/" + name + ".conf";
+    log_ = folder + "/" + name + ".log";
+    std::ofstream(settings_) << "node_name=" << name
+                             << "\nip=127.0.0.1\nzone=a\nlisten.front=" << toText(callers_)
+                             << "\nlisten.ready=" << toText(readiness_)
+                             << "\ninternal_port_range=" << freePort()
+                             << ",65535\nplatform.address=" << toText(store)
+                             << "\nbounds.budget_slack=400\nbounds.grace_period_s=6\n";
+}
+
+GatewayProcess::~GatewayProcess()
+{
+    kill();
+}
+
+bool GatewayProcess::ready() const
+{
+    return callServer(readiness_, "GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n").status == 200;
+}
+
+void GatewayProcess::start()
+{
+    const int output = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    pid_ = ::fork();
+    if (pid_ == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        ::dup2(output, STDOUT_FILENO);
+        ::dup2(output, STDERR_FILENO);
+        ::setenv("WISTERIAWIND_CONFIG", settings_.c_str(), 1);
+        ::execl(program_.c_str(), program_.c_str(), nullptr);
+        ::_exit(127);
+    }
+    ::close(output);
+}
+
+void GatewayProcess::signal(int number) const
+{
+    if (pid_ > 0)
+        ::kill(pid_, number);
+}
+
+void GatewayProcess::kill()
+{
+    if (pid_ <= 0)
+        return;
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+    pid_ = -1;
+}
+
+bool GatewayProcess::stop()
+{
+    constexpr int graceMilliseconds = 7000;
+    signal(SIGTERM);
+    int status = 0;
+    const bool ended = eventuallyWithin(
+        graceMilliseconds, [this, &status] { return ::waitpid(pid_, &status, WNOHANG) == pid_; });
+    if (!ended) {
+        kill();
+        return false;
+    }
+    pid_ = -1;
+    return WIFEXITED(status) && WEXITSTATUS(status) == 0;
+}
+
+bool GatewayProcess::endedByItself()
+{
+    if (pid_ <= 0 || ::waitpid(pid_, nullptr, WNOHANG) != pid_)
+        return false;
+    pid_ = -1;
+    return true;
+}
+
+Fleet::Fleet(const std::string &program, const std::string &folder, int gatewayCount)
+{
+    for (int i = 0; i < serverCount; ++i) {
+        servers_.push_back(std::make_unique<ScriptedServer>(
+            [this](const SeenRequest &request, ScriptPeer &peer) { answer(request, peer); }));
+        serverLinks_.push_back(std::make_unique<FaultProxy>(servers_.back()->endpoint()));
+        report(servers_.size() - 1, false);
+    }
+    publish(true);
+    storeLink_ = std::make_unique<FaultProxy>(store_.endpoint());
+    for (int i = 0; i < gatewayCount; ++i)
+        gateways_.push_back(
+            std::make_unique<GatewayProcess>(program, folder, i, storeLink_->endpoint()));
+}
+
+void Fleet::publish(bool withSpareKey)
+{
+    nlohmann::json organisations = {{{"name", "acme"}, {"api_keys", {"key1"}}}};
+    if (withSpareKey)
+        organisations.push_back({{"name", "spare"}, {"api_keys", {"key2"}}});
+    store_.put("keyed.op", "config",
+               {{"version", ++version_},
+                {"routes",
+                 {routeOf("/once/", "non_idempotent"), routeOf("/again/", "idempotent"),
+                  routeOf("/stream/", "streaming")}},
+                {"services", nlohmann::json::array()},
+                {"tenants", organisations}});
+}
+
+void Fleet::report(std::size_t server, bool draining)
+{
+    store_.put("keyed.servers", "server-" + std::to_string(server),
+               {{"service", "all"},
+                {"address", toText(serverLinks_[server]->endpoint())},
+                {"zone", "a"},
+                {"slot_count", 16},
+                {"state", draining ? "draining" : "ready"}});
+}
+
+void Fleet::answer(const SeenRequest &request, ScriptPeer &peer)
+{
+    const std::string id = request.header("Wisteriawind-Attempt-Id");
+    book_.noteRun(id, request.target());
+    if (!request.header("Authorization").empty())
+        book_.noteBroken(id + ": the caller's key reached a backend server");
+    if (request.target().starts_with("/stream/")) {
+        stream(request, peer);
+        return;
+    }
+    peer.send(plainResponse(200, fieldsOf(request), "answer to " + id));
+}
+
+void Fleet::stream(const SeenRequest &request, ScriptPeer &peer)
+{
+    const std::string id = request.header("Wisteriawind-Attempt-Id");
+    const std::string last = request.header("Last-Event-Id");
+    const bool crashes = crashing_ && ++streams_ % crashEvery == 0;
+    peer.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + fieldsOf(request)
+              + "Transfer-Encoding: chunked\r\n\r\n");
+    for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= events; ++event) {
+        const std::string text =
+            "id: " + std::to_string(event) + "\ndata: " + id + "/" + std::to_string(event);
+        if (crashes && event > events / 2) {
+            peer.send(chunk(text));
+            peer.reset();
+            return;
+        }
+        peer.send(chunk(text + "\n\n"));
+        ::poll(nullptr, 0, eventMilliseconds);
+    }
+    peer.send("0\r\n\r\n");
+}
+
+} // namespace wisteria::soak
