--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -93,7 +93,7 @@
     return broken_;
 }
 
-GatewayProcess::GatewayProcess(std::string program, std::string folder, int number,
+GatewayProcess::GatewayProcess(std::string program, const std::string &folder, int number,
                                const Endpoint &store)
     : program_(std::move(program)), callers_{INADDR_LOOPBACK, freePort()}, readiness_{
                                                                                INADDR_LOOPBACK,
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -37,7 +37,8 @@
 {
 public:
     /// @param program Path of the program.
-    GatewayProcess(std::string program, std::string folder, int number, const Endpoint &store);
+    GatewayProcess(std::string program, const std::string &folder, int number,
+                   const Endpoint &store);
     ~GatewayProcess();
     GatewayProcess(const GatewayProcess &) = delete;
     GatewayProcess &operator=(const GatewayProcess &) = delete;
