--- a/Tests/Gateway/MetricsTest.cpp
+++ b/Tests/Gateway/MetricsTest.cpp
@@ -1,5 +1,7 @@
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <regex>
 #include <set>
 #include <sstream>
 
@@ -55,6 +57,38 @@
     return names;
 }
 
+std::string textOf(const std::filesystem::path &path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::set<std::string> matchesOf(const std::string &text, const std::regex &pattern)
+{
+    std::set<std::string> found;
+    for (std::sregex_iterator match(text.begin(), text.end(), pattern), end; match != end; ++match)
+        found.insert((*match)[1]);
+    return found;
+}
+
+/// Names of events in the sources of both programs.
+std::set<std::string> eventsWritten()
+{
+    const std::regex name("\"([a-z]+\\.[a-z_]+)\"");
+    std::set<std::string> events = {"log.dropped"};
+    for (const char *program : {"Gateway", "Sidecar"}) {
+        const std::filesystem::path folder =
+            std::filesystem::path(WISTERIA_SOURCES) / "Programs" / program;
+        for (const auto &entry : std::filesystem::directory_iterator(folder)) {
+            if (entry.path().extension() == ".cpp")
+                events.merge(matchesOf(textOf(entry.path()), name));
+        }
+    }
+    return events;
+}
+
 /// Updates every metric of both programs once.
 std::string everyMetric()
 {
@@ -132,6 +166,15 @@
     REQUIRE(documentedNames() == servedNames(everyMetric()));
 }
 
+// An engineer on call looks up an event of the logs and the page does not know it, or the page
+// names one that no program writes any more.
+TEST_CASE("The page on operations names each event that the programs write, and no other")
+{
+    const std::regex name("[`\"]([a-z]+\\.[a-z_]+)[`\"]");
+    const std::string page = textOf(std::string(WISTERIA_DOCS) + "/OPERATIONS.md");
+    REQUIRE(matchesOf(page, name) == eventsWritten());
+}
+
 // A configuration with thousands of services arrives. Each would get series of its own, until the
 // process is over the memory of its VM and is killed with all its requests.
 TEST_CASE("The number of series is bounded, and what is left out is counted")
