Tell the leader which map a rank copies, in a part of its own

Cause: reading the sidecar to split it showed that the version of the last accepted map was told to the leader but never set, so the longer pause before a map is sent again to a rank that copies it already was never used: copies take 140 ms and maps went out again after 120. And a map in force could be forgotten after four that were given up, as it has the lowest version.

Change: RankOrders (orders to the own engine) and KeptMaps (plain, tested) taken out of the sidecar's file; the accepted version is set when the engine takes the order; the map in force is kept.

Tests: KeptMapsTest; 'The map in force is never forgotten' fails with the former rule. That the accepted version is told has no test of its own yet: the sidecar has no stand-in of an engine.

--- /dev/null
+++ b/Source/Programs/Sidecar/RankOrders.cpp
@@ -0,0 +1,82 @@
+#include "Programs/Sidecar/RankOrders.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Programs/Sidecar/SidecarMetrics.h"
+
+namespace wisteria {
+
+namespace {
+
+/// Times that one order is given while it gets no answer; the leader asks again after that.
+constexpr int triesOfOrder = 6;
+
+bool sameOrder(const RankOrder &a, const RankOrder &b)
+{
+    return a.kind == b.kind && a.epoch == b.epoch && a.version == b.version && a.step == b.step;
+}
+
+} // namespace
+
+RankOrders::RankOrders(EngineLink &engines, EventLog &log, Metrics &metrics, Endpoint engine,
+                       std::function<void()> ended)
+    : engines_(engines), log_(log), metrics_(metrics), engine_(engine), ended_(std::move(ended))
+{ }
+
+void RankOrders::take(const RankCommand &command, const Endpoint &leader,
+                      const ExpertProfile &profile, std::size_t groupSize)
+{
+    RankOrder order = command.order;
+    const bool underWay = std::any_of(open_.begin(), open_.end(), [&order](const RankOrder &open) {
+        return sameOrder(open, order);
+    });
+    if (underWay)
+        return;
+    if (order.kind == RankOrderKind::Prepare) {
+        auto map = completeMap(maps_, profile, groupSize, command);
+        if (map.has_error()) {
+            log_.info("map.refused",
+                      {{"version", order.version},
+                       {"base", command.base},
+                       {"reason", map.error().message}});
+            return;
+        }
+        order.map = std::move(map.value());
+    }
+    open_.push_back(order);
+    give(order, leader, triesOfOrder);
+}
+
+/// Gives an order, and again while it gets no answer: one that was lost can't be told from one that
+/// is carried out later, and each order bears to be carried out twice.
+void RankOrders::give(const RankOrder &order, const Endpoint &leader, int triesLeft)
+{
+    engines_.order(engine_, order, [this, order, leader, triesLeft](const Result<void> &result) {
+        const bool unanswered = result.has_error() && result.error().kind == ErrorKind::Timeout;
+        if (unanswered && triesLeft > 1) {
+            give(order, leader, triesLeft - 1);
+            return;
+        }
+        end(order, leader, result);
+    });
+}
+
+void RankOrders::end(const RankOrder &order, const Endpoint &leader, const Result<void> &result)
+{
+    std::erase_if(open_, [&order](const RankOrder &open) { return sameOrder(open, order); });
+    countOrder(metrics_, order.kind, result.has_error() ? "failed" : "done");
+    if (result.has_error()) {
+        log_.info("order.failed",
+                  {{"kind", orderName(order.kind)},
+                   {"version", order.version},
+                   {"step", order.step},
+                   {"leader", toText(leader)},
+                   {"reason", result.error().message}});
+    } else if (order.kind == RankOrderKind::Prepare) {
+        accepted_ = order.version;
+    }
+    ended_();
+}
+
+} // namespace wisteria
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -12,6 +12,7 @@
 #include "Process/ShutdownSignal.h"
 #include "Programs/Sidecar/EngineLink.h"
 #include "Programs/Sidecar/GroupLeader.h"
+#include "Programs/Sidecar/RankOrders.h"
 #include "Programs/Sidecar/SidecarMetrics.h"
 #include "Version/LeaderChoice.h"
 #include "Version/RelayPlan.h"
@@ -28,20 +29,9 @@
 constexpr milliseconds reportPeriodSwitching{25};
 /// A gateway that has not been heard of for this long gets no more loads: three of its hellos.
 constexpr milliseconds gatewayLifetime{2000};
-/// Times that one order is given while it gets no answer; the leader asks again after that.
-constexpr int triesOfOrder = 6;
 /// How long an order keeps the reports frequent.
 constexpr milliseconds orderAttention{400};
 
-/// Maps that are kept for changes that go on from them: the one in force, the one being prepared,
-/// and one that was given up.
-constexpr std::size_t keptMaps = 4;
-
-bool sameOrder(const RankOrder &a, const RankOrder &b)
-{
-    return a.kind == b.kind && a.epoch == b.epoch && a.version == b.version && a.step == b.step;
-}
-
 /// What of a rank's state the leader waits for.
 bool sameSwitchState(const RankReport &a, const RankReport &b)
 {
@@ -82,6 +72,8 @@
                 .sendAll = [this](const std::vector<Endpoint> &engines,
                                   const GroupMessage &message) { sendToAll(engines, message); }},
             engine_);
+        orders_ = std::make_unique<RankOrders>(engines_, log_, metrics_, engine_,
+                                               [this] { readReport(); });
         log_.info("process.start", {{"engine", toText(engine_)}, {"port", port_}});
         readReport();
         scheduleTick();
@@ -170,14 +162,15 @@
         if (begunAt < takenAt_)
             return;
         takenAt_ = begunAt;
-        const bool changed =
-            !status_ || !sameSwitchState(status_->report, report) || status_->accepted != accepted_;
+        const bool changed = !status_ || !sameSwitchState(status_->report, report)
+            || status_->accepted != orders_->accepted();
         const bool newMap = !status_ || status_->report.map != report.map
             || status_->report.epoch != report.epoch || status_->experts.empty();
-        RankStatus status{.engine = engine_, .report = report, .accepted = accepted_};
+        RankStatus status{.engine = engine_, .report = report, .accepted = orders_->accepted()};
         status.readAtMilliseconds = static_cast<std::uint64_t>(
             std::chrono::duration_cast<milliseconds>(begunAt.time_since_epoch()).count());
-        status.mapKnown = knowsMap(report.map);
+        orders_->noteInForce(report.map);
+        status.mapKnown = orders_->knowsMapOf(report.map, profile_);
         if (!newMap)
             status.experts = status_->experts;
         status_ = status;
@@ -188,12 +181,6 @@
             tellLeader(status);
     }
 
-    /// Whether the sidecar has the whole map of a version. It works out the first one by itself.
-    bool knowsMap(std::uint64_t version) const
-    {
-        return version == 0 ? profile_.sets > 0 : maps_.contains(version);
-    }
-
     void readExperts(const RankReport &of)
     {
         readingExperts_ = true;
@@ -345,67 +332,8 @@
     {
         const TimePoint now = monotonicNow();
         attentiveUntil_ = now + orderAttention;
-        RankOrder order = command.order;
-        if (order.kind == RankOrderKind::Prepare && !completeMap(order, command))
-            return;
-        const bool underWay =
-            std::any_of(openOrders_.begin(), openOrders_.end(),
-                        [&order](const RankOrder &open) { return sameOrder(open, order); });
-        if (underWay)
-            return;
-        openOrders_.push_back(order);
-        giveOrder(order, from, triesOfOrder);
-    }
-
-    /// Gives an order to the own engine, and again while it gets no answer: one that was lost can't
-    /// be told from one that is carried out later, and each order bears to be carried out twice.
-    void giveOrder(const RankOrder &order, const Endpoint &from, int triesLeft)
-    {
-        engines_.order(engine_, order, [this, order, from, triesLeft](const Result<void> &result) {
-            const bool unanswered = result.has_error() && result.error().kind == ErrorKind::Timeout;
-            if (unanswered && triesLeft > 1) {
-                giveOrder(order, from, triesLeft - 1);
-                return;
-            }
-            std::erase_if(openOrders_,
-                          [&order](const RankOrder &open) { return sameOrder(open, order); });
-            countOrder(metrics_, order.kind, result.has_error() ? "failed" : "done");
-            if (result.has_error()) {
-                log_.info("order.failed",
-                          {{"kind", orderName(order.kind)},
-                           {"version", order.version},
-                           {"step", order.step},
-                           {"leader", toText(from)},
-                           {"reason", result.error().message}});
-            }
-            readReport();
-        });
-    }
-
-    /// Puts together a map that came as changes, and keeps it for the next changes.
-    /// @return False when the sidecar lacks the map that they go on from, as after its start; the
-    /// leader sends the whole map when it asks again.
-    bool completeMap(RankOrder &order, const RankCommand &command)
-    {
-        if (order.map.empty()) {
-            if (command.base == 0 && status_)
-                maps_[0] = firstRankMap(profile_, status_->report.groupSize);
-            const auto base = maps_.find(command.base);
-            if (base == maps_.end()) {
-                log_.info("map.base_unknown", {{"version", order.version}, {"base", command.base}});
-                return false;
-            }
-            auto map = applyChanges(base->second, command.changes);
-            if (map.has_error()) {
-                log_.warn("message.refused", {{"reason", map.error().message}});
-                return false;
-            }
-            order.map = std::move(map.value());
-        }
-        maps_[order.version] = order.map;
-        while (maps_.size() > keptMaps)
-            maps_.erase(maps_.begin());
-        return true;
+        const std::size_t groupSize = status_ ? status_->report.groupSize : 0;
+        orders_->take(command, from, profile_, groupSize);
     }
 
     platform::ProcessSettings settings_;
@@ -419,6 +347,7 @@
     DatagramSocket socket_;
     StatusListener scrapes_;
     std::unique_ptr<GroupLeader> leader_;
+    std::unique_ptr<RankOrders> orders_;
     Endpoint engine_;
     std::uint16_t port_ = 0;
     std::optional<RankStatus> status_;
@@ -434,13 +363,8 @@
     LeaderChoice choice_;
     bool leading_ = false;
     std::optional<Endpoint> leaderAddress_;
-    /// Version of the last order to prepare that the engine took.
-    std::uint64_t accepted_ = 0;
     /// The engine's counts of experts as they were last told.
     std::vector<std::uint64_t> counts_;
-    std::vector<RankOrder> openOrders_;
-    /// Whole maps by version, as they were ordered.
-    std::map<std::uint64_t, RankMap> maps_;
 };
 
 Result<void> Sidecar::check(const platform::ProcessSettings &settings)
