Count the experts of all ranks, added up on their way

Cause: on the grown deployment the leader heard the counts of 8 of 63 ranks.

The counts of 63 ranks one by one would need 20 Mbit/s of a link of 8.

Change: sidecars add up the counts of seven others (relayed question, summed answer, 40 ms at most); the question goes on during a switch, so that no sum spans it. Statuses no longer carry counts. Counts that do not fit into two bytes are scaled down together: the test that wanted them cut off is replaced by one that wants the shares kept, as sums of eight ranks would be cut off where single ones were not.

What is left after a shift is the second switch: the first map is made for counts of before and after the shift.

--- a/Source/Programs/Sidecar/GroupLeader.cpp
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -9,15 +9,15 @@
 
 namespace {
 
-/// Pause between two polls of the ranks whose counts are wanted. A shift of demand is seen that
-/// much later at most: each stream that is under way has one late event for it. Worth served by 72
-/// ranks in a burst: 0.42 to 0.56 at 200 ms with counts of 16 ranks, 0.47 to 0.59 at 100 ms with
-/// counts of 8, which take as many bytes.
-constexpr milliseconds pollPeriod{100};
-/// The same for all other ranks: what is known of them stays fresh although one answer is lost.
-constexpr milliseconds pollPeriodOthers{200};
-/// The same for all ranks while a switch is under way; sidecars also tell of each change by
-/// themselves. It grows with the ranks beyond so many, as the answers take the leader's processor:
+/// Pause between two questions for the ranks' counts. A shift of demand is seen that much later at
+/// most: each stream that is under way has one late event for it. It goes on during a switch, as
+/// counts of the time before a shift and after it in one sum lead to a map for neither.
+constexpr milliseconds countsPeriod{100};
+/// Pause between two polls of the ranks: what is known of them stays fresh although one answer is
+/// lost.
+constexpr milliseconds pollPeriod{200};
+/// The same while a switch is under way; sidecars also tell of each change by themselves. It grows
+/// with the ranks beyond so many, as the answers take the leader's processor:
 /// decoding one takes 0.012 ms of a core, and a VM has 0.15 of one.
 constexpr milliseconds pollPeriodSwitching{60};
 constexpr std::size_t ranksPolledOften = 16;
@@ -76,10 +76,19 @@
     if (status.report.group.empty())
         return;
     GroupSwitch &group = groups_[status.report.group];
-    wisteria::takeStatus(group, profile_, status, now);
+    wisteria::takeStatus(group, status, now);
     advance(group, now);
 }
 
+void GroupLeader::takeCounts(const CountsTold &told, TimePoint now)
+{
+    const auto group = groups_.find(told.group);
+    if (group == groups_.end())
+        return;
+    takeDemand(group->second, profile_, told, now);
+    advance(group->second, now);
+}
+
 void GroupLeader::work(TimePoint now)
 {
     if (leadsSince_ == TimePoint())
@@ -99,34 +108,42 @@
 
 void GroupLeader::poll(TimePoint now)
 {
-    const bool busy = std::any_of(groups_.begin(), groups_.end(),
-                                  [](const auto &entry) { return switching(entry.second); });
-    if (busy) {
-        pollSwitching(now);
+    pollRanks(now);
+    if (now - askedCountsAt_ < countsPeriod)
         return;
-    }
-    const auto counted = members_.begin()
-        + static_cast<std::ptrdiff_t>(std::min(members_.size(), timing_.countedRanks));
-    if (now - polledAt_ >= pollPeriod) {
-        polledAt_ = now;
-        links_.sendAll({members_.begin(), counted}, RankPoll{.withCounts = true});
-    }
-    if (now - polledOthersAt_ >= pollPeriodOthers) {
-        polledOthersAt_ = now;
-        links_.sendAll({counted, members_.end()}, RankPoll{.withCounts = false});
-    }
+    askedCountsAt_ = now;
+    links_.askCounts(lastHeardFirst(members_));
 }
 
-void GroupLeader::pollSwitching(TimePoint now)
+milliseconds GroupLeader::rankPollPeriod() const
 {
+    const bool busy = std::any_of(groups_.begin(), groups_.end(),
+                                  [](const auto &entry) { return switching(entry.second); });
+    if (!busy)
+        return pollPeriod;
     const auto share = static_cast<int>(members_.size() / ranksPolledOften);
-    const milliseconds period =
-        std::min(pollPeriodSwitching * std::max(1, share), pollPeriodOthers);
-    if (now - polledAt_ < period)
+    return std::min(pollPeriodSwitching * std::max(1, share), pollPeriod);
+}
+
+void GroupLeader::pollRanks(TimePoint now)
+{
+    if (now - polledRanksAt_ < rankPollPeriod())
         return;
-    polledAt_ = now;
-    polledOthersAt_ = now;
-    links_.sendAll(members_, RankPoll{.withCounts = false});
+    polledRanksAt_ = now;
+    links_.sendAll(members_, RankPoll{});
+}
+
+/// Puts the engines first that are surely there: they may have to pass messages on.
+std::vector<Endpoint> GroupLeader::lastHeardFirst(std::vector<Endpoint> engines) const
+{
+    const auto heardAt = [this](const Endpoint &engine) {
+        const auto found = heardAt_.find(engine);
+        return found == heardAt_.end() ? TimePoint() : found->second;
+    };
+    std::stable_sort(
+        engines.begin(), engines.end(),
+        [&heardAt](const Endpoint &a, const Endpoint &b) { return heardAt(a) > heardAt(b); });
+    return engines;
 }
 
 void GroupLeader::advance(GroupSwitch &group, TimePoint now)
@@ -158,13 +175,8 @@
         Batch &batch = same != batches.end() ? *same : batches.emplace_back(Batch{&action, {}});
         batch.engines.push_back(action.engine);
     }
-    for (Batch &batch : batches) {
-        // The first ones may have to pass the message on.
-        std::stable_sort(
-            batch.engines.begin(), batch.engines.end(),
-            [this](const Endpoint &a, const Endpoint &b) { return heardAt_[a] > heardAt_[b]; });
-        links_.sendAll(batch.engines, commandFor(name, *batch.first));
-    }
+    for (const Batch &batch : batches)
+        links_.sendAll(lastHeardFirst(batch.engines), commandFor(name, *batch.first));
 }
 
 void GroupLeader::orderDirectly(const std::string &name, const SwitchAction &action)
@@ -239,7 +251,7 @@
         }
         status.readAtMilliseconds = known->second.status.readAtMilliseconds;
         status.experts = known->second.status.experts;
-        wisteria::takeStatus(group->second, profile_, status, monotonicNow());
+        wisteria::takeStatus(group->second, status, monotonicNow());
     });
 }
 
@@ -256,7 +268,7 @@
         if (group == groups_.end())
             return;
         status.experts = experts.value();
-        wisteria::takeStatus(group->second, profile_, status, monotonicNow());
+        wisteria::takeStatus(group->second, status, monotonicNow());
     });
 }
 
--- a/Source/Programs/Sidecar/GroupLeader.h
+++ b/Source/Programs/Sidecar/GroupLeader.h
@@ -17,6 +17,9 @@
 {
     /// Sends a message to the sidecars on the engines' VMs; the own one may be among them.
     std::function<void(const std::vector<Endpoint> &engines, const GroupMessage &message)> sendAll;
+    /// Asks for the counts of the engines' ranks, in as many sums as the link of this VM bears.
+    /// The ones heard of last come first.
+    std::function<void(const std::vector<Endpoint> &engines)> askCounts;
 };
 
 /// The work of the sidecar that leads its service's groups: polls the ranks, decides on new maps
@@ -31,6 +34,7 @@
     void setEngines(const std::vector<Endpoint> &engines, const ExpertProfile &profile);
 
     void takeStatus(const RankStatus &status, TimePoint now);
+    void takeCounts(const CountsTold &told, TimePoint now);
 
     /// Polls and decides; called often while it leads.
     void work(TimePoint now);
@@ -40,7 +44,9 @@
 
 private:
     void poll(TimePoint now);
-    void pollSwitching(TimePoint now);
+    void pollRanks(TimePoint now);
+    milliseconds rankPollPeriod() const;
+    std::vector<Endpoint> lastHeardFirst(std::vector<Endpoint> engines) const;
     void advance(GroupSwitch &group, TimePoint now);
     void carryOut(const std::string &name, const std::vector<SwitchAction> &actions);
     void orderDirectly(const std::string &name, const SwitchAction &action);
@@ -62,8 +68,8 @@
     std::map<std::string, GroupSwitch> groups_;
     std::map<Endpoint, TimePoint> heardAt_;
     std::map<Endpoint, TimePoint> readDirectlyAt_;
-    TimePoint polledAt_;
-    TimePoint polledOthersAt_;
+    TimePoint polledRanksAt_;
+    TimePoint askedCountsAt_;
     TimePoint leadsSince_;
 };
 
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -14,6 +14,7 @@
 #include "Programs/Sidecar/GroupLeader.h"
 #include "Programs/Sidecar/RankOrders.h"
 #include "Programs/Sidecar/SidecarMetrics.h"
+#include "Version/CountsCollection.h"
 #include "Version/LeaderChoice.h"
 #include "Version/RelayPlan.h"
 
@@ -70,7 +71,8 @@
             engines_, log_, metrics_,
             LeaderLinks{
                 .sendAll = [this](const std::vector<Endpoint> &engines,
-                                  const GroupMessage &message) { sendToAll(engines, message); }},
+                                  const GroupMessage &message) { sendToAll(engines, message); },
+                .askCounts = [this](const std::vector<Endpoint> &engines) { askCounts(engines); }},
             engine_);
         orders_ = std::make_unique<RankOrders>(engines_, log_, metrics_, engine_,
                                                [this] { readReport(); });
@@ -115,6 +117,7 @@
             readReport();
         std::erase_if(gateways_,
                       [now](const auto &entry) { return now - entry.second > gatewayLifetime; });
+        tellDueCounts(now);
         lead(now);
     }
 
@@ -285,7 +288,7 @@
 
     void take(const Endpoint &, const EngineLoad &) { }
 
-    void take(const Endpoint &from, const RankPoll &poll)
+    void take(const Endpoint &from, const RankPoll &)
     {
         const TimePoint now = monotonicNow();
         const bool own = from.ip == engine_.ip;
@@ -295,33 +298,95 @@
             leaderAddress_ = from;
         if (!status_)
             return;
-        if (poll.withCounts)
-            answerWithCounts(from);
+        if (own)
+            leader_->takeStatus(*status_, now);
         else
-            answerPoll(from, *status_);
+            socket_.send(from, encodeMessage(*status_));
     }
 
-    void answerPoll(const Endpoint &from, const RankStatus &status)
+    /// Asks for the counts of the engines' ranks, each sidecar for as many as the answers allow.
+    void askCounts(const std::vector<Endpoint> &engines)
     {
-        if (from.ip == engine_.ip)
-            leader_->takeStatus(status, monotonicNow());
+        constexpr std::size_t bytesPerCount = 2;
+        const std::size_t answerBytes = bytesPerCount * profile_.sets * profile_.expertsPerSet;
+        std::vector<Endpoint> others = engines;
+        std::erase(others, engine_);
+        sendTo(engine_, CountsPoll{});
+        for (const RelayBranch &branch : relayPlan(others, answerBytes))
+            sendTo(branch.first, CountsPoll{branch.rest});
+    }
+
+    /// To the sidecar beside an engine, to itself without the network.
+    void sendTo(const Endpoint &engine, const GroupMessage &message)
+    {
+        if (engine == engine_)
+            loop_.defer([this, message] { handle({engine_.ip, port_}, message); });
         else
-            socket_.send(from, encodeMessage(status));
+            socket_.send({engine.ip, port_}, encodeMessage(message));
     }
 
-    void answerWithCounts(const Endpoint &from)
+    void take(const Endpoint &from, const CountsPoll &poll)
     {
+        // What an earlier question still waits for goes into this sum.
+        std::erase_if(collections_, [&from](const CountsCollection &collection) {
+            return collection.asker == from;
+        });
+        collections_.push_back({.asker = from,
+                                .since = monotonicNow(),
+                                .awaited = poll.engines.size() + 1,
+                                .sum = {}});
+        for (const Endpoint &engine : poll.engines)
+            sendTo(engine, CountsPoll{});
         engines_.readCounts(engine_, [this, from](Result<ExpertCounts> counts) {
             if (counts.has_error() || !status_)
                 return;
-            RankStatus status = *status_;
-            if (counts.value().epoch == status.report.epoch)
-                status.counts = countsSince(counts_, counts.value().counts);
-            counts_ = counts.value().counts;
-            answerPoll(from, status);
+            CountsTold told{.group = status_->report.group,
+                            .epoch = counts.value().epoch,
+                            .ranks = 1,
+                            .counts = countsSince(counts_, counts.value().counts)};
+            counts_ = std::move(counts.value().counts);
+            addToCollection(from, told);
         });
     }
 
+    /// Counts for this process as the leader, or for a sum that it collects for another one.
+    void take(const Endpoint &, const CountsTold &told)
+    {
+        if (leading_)
+            leader_->takeCounts(told, monotonicNow());
+        else if (!collections_.empty())
+            addToCollection(collections_.front().asker, told);
+    }
+
+    void addToCollection(const Endpoint &asker, const CountsTold &told)
+    {
+        const auto found = std::find_if(
+            collections_.begin(), collections_.end(),
+            [&asker](const CountsCollection &collection) { return collection.asker == asker; });
+        if (found == collections_.end())
+            return;
+        addCounts(*found, told);
+        tellDueCounts(monotonicNow());
+    }
+
+    void tellDueCounts(TimePoint now)
+    {
+        for (const CountsCollection &collection : collections_) {
+            if (isDue(collection, now) && collection.sum.ranks > 0)
+                tellCounts(collection);
+        }
+        std::erase_if(collections_,
+                      [now](const CountsCollection &collection) { return isDue(collection, now); });
+    }
+
+    void tellCounts(const CountsCollection &collection)
+    {
+        if (collection.asker.ip == engine_.ip)
+            take(collection.asker, collection.sum);
+        else
+            socket_.send(collection.asker, encodeMessage(collection.sum));
+    }
+
     void take(const Endpoint &, const RankStatus &status)
     {
         if (leading_)
@@ -357,6 +422,8 @@
     TimePoint readAt_;
     TimePoint takenAt_;
     TimePoint attentiveUntil_;
+    /// Sums of counts that are being collected for others.
+    std::vector<CountsCollection> collections_;
     std::map<Endpoint, TimePoint> gateways_;
     std::vector<Endpoint> members_;
     ExpertProfile profile_;
--- /dev/null
+++ b/Source/Version/CountsCollection.cpp
@@ -0,0 +1,27 @@
+#include "Version/CountsCollection.h"
+
+namespace wisteria {
+
+void addCounts(CountsCollection &collection, const CountsTold &told)
+{
+    if (collection.awaited > 0)
+        --collection.awaited;
+    CountsTold &sum = collection.sum;
+    if (told.counts.empty() || told.epoch < sum.epoch)
+        return;
+    if (sum.group != told.group || sum.epoch != told.epoch
+        || sum.counts.size() != told.counts.size()) {
+        sum = told;
+        return;
+    }
+    sum.ranks += told.ranks;
+    for (std::size_t i = 0; i < told.counts.size(); ++i)
+        sum.counts[i] += told.counts[i];
+}
+
+bool isDue(const CountsCollection &collection, TimePoint now)
+{
+    return collection.awaited == 0 || now - collection.since >= collectionTimeout;
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Version/CountsCollection.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstddef>
+
+#include "Process/Endpoint.h"
+#include "Process/Time.h"
+#include "Version/GroupMessages.h"
+
+namespace wisteria {
+
+/// Counts of several ranks that one sidecar adds up for whoever asked. A plain value.
+///
+/// The demand for experts is known well only from all ranks: a rank reads some four prompts a
+/// second, and each prompt has favourites of its own. The counts of 63 ranks would fill the link of
+/// the leader's VM, so sidecars add up those of seven others.
+struct CountsCollection
+{
+    Endpoint asker;
+    TimePoint since;
+    /// Ranks that have not answered yet.
+    std::size_t awaited = 0;
+    CountsTold sum;
+};
+
+/// How long the counts of others are waited for: some times the way there and back and the reading
+/// of an engine. What comes later goes into the next sum.
+constexpr milliseconds collectionTimeout{40};
+
+/// Adds a rank's counts. Those of a group that has formed anew replace the older ones.
+void addCounts(CountsCollection &collection, const CountsTold &told);
+
+/// Whether the sum is to be told now.
+bool isDue(const CountsCollection &collection, TimePoint now);
+
+} // namespace wisteria
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -17,7 +17,9 @@
     Poll = 3,
     Status = 4,
     Command = 5,
-    Relayed = 6
+    Relayed = 6,
+    CountsPoll = 7,
+    CountsTold = 8
 };
 
 Json encode(const Endpoint &endpoint)
@@ -123,14 +125,16 @@
 }
 
 /// Counts as two bytes each, the low one first. As numbers of their own they took the leader 0.23
-/// ms of a core for each rank and poll. A count that does not fit tells as much as the largest.
+/// ms of a core for each rank and poll.
 Json encodeCounts(const std::vector<std::uint64_t> &counts)
 {
     constexpr std::uint64_t largest = 0xFFFF;
+    const auto most = std::max_element(counts.begin(), counts.end());
+    const std::uint64_t scale = most == counts.end() ? 1 : *most / (largest + 1) + 1;
     std::vector<std::uint8_t> bytes;
     bytes.reserve(counts.size() * 2);
     for (const std::uint64_t count : counts) {
-        const std::uint64_t told = std::min(count, largest);
+        const std::uint64_t told = count / scale;
         bytes.push_back(static_cast<std::uint8_t>(told & 0xFF));
         bytes.push_back(static_cast<std::uint8_t>(told >> 8));
     }
@@ -150,8 +154,8 @@
 Json encode(const RankStatus &status)
 {
     return {MessageKind::Status,   encode(status.engine), status.readAtMilliseconds,
-            encode(status.report), status.experts,        encodeCounts(status.counts),
-            status.accepted,       status.mapKnown};
+            encode(status.report), status.experts,        status.accepted,
+            status.mapKnown};
 }
 
 RankStatus decodeStatus(const Json &json)
@@ -159,10 +163,9 @@
     return {.engine = decodeEndpoint(json.at(1)),
             .readAtMilliseconds = json.at(2).get<std::uint64_t>(),
             .report = decodeReport(json.at(3)),
-            .accepted = json.at(6).get<std::uint64_t>(),
-            .mapKnown = json.at(7).get<bool>(),
-            .experts = json.at(4).get<std::vector<std::vector<std::uint32_t>>>(),
-            .counts = decodeCounts(json.at(5))};
+            .accepted = json.at(5).get<std::uint64_t>(),
+            .mapKnown = json.at(6).get<bool>(),
+            .experts = json.at(4).get<std::vector<std::vector<std::uint32_t>>>()};
 }
 
 Json encode(const RankCommand &command)
@@ -209,6 +212,14 @@
             .message = std::string(bytes.begin(), bytes.end())};
 }
 
+CountsTold decodeCountsTold(const Json &json)
+{
+    return {.group = json.at(1).get<std::string>(),
+            .epoch = json.at(2).get<std::uint64_t>(),
+            .ranks = json.at(3).get<std::uint32_t>(),
+            .counts = decodeCounts(json.at(4))};
+}
+
 GroupMessage decodeFields(const Json &json)
 {
     switch (static_cast<MessageKind>(json.at(0).get<int>())) {
@@ -217,20 +228,34 @@
     case MessageKind::Load:
         return decodeLoad(json);
     case MessageKind::Poll:
-        return RankPoll{.withCounts = json.at(1).get<bool>()};
+        return RankPoll{};
     case MessageKind::Status:
         return decodeStatus(json);
     case MessageKind::Command:
         return decodeCommand(json);
     case MessageKind::Relayed:
         return decodeRelayed(json);
+    case MessageKind::CountsPoll:
+        return CountsPoll{.engines = decodeEndpoints(json.at(1))};
+    case MessageKind::CountsTold:
+        return decodeCountsTold(json);
     }
     throw std::out_of_range("unknown message");
 }
 
-Json encode(const RankPoll &poll)
+Json encode(const RankPoll &)
+{
+    return Json::array({MessageKind::Poll});
+}
+
+Json encode(const CountsPoll &poll)
+{
+    return Json::array({MessageKind::CountsPoll, encode(poll.engines)});
+}
+
+Json encode(const CountsTold &told)
 {
-    return {MessageKind::Poll, poll.withCounts};
+    return {MessageKind::CountsTold, told.group, told.epoch, told.ranks, encodeCounts(told.counts)};
 }
 
 } // namespace
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -51,9 +51,26 @@
 
 /// The group's leader asks a sidecar for its rank's state.
 struct RankPoll
+{ };
+
+/// Asks a sidecar how often its rank, and the ranks beside further sidecars, chose each expert
+/// since they were last asked. The receiver asks those and answers with one sum.
+struct CountsPoll
 {
-    /// Whether the counts of experts are wanted as well.
-    bool withCounts = false;
+    /// Engines beside the further sidecars.
+    std::vector<Endpoint> engines;
+};
+
+/// Answers a CountsPoll.
+struct CountsTold
+{
+    std::string group{};
+    std::uint64_t epoch = 0;
+    /// Ranks whose counts are summed up here.
+    std::uint32_t ranks = 0;
+    /// One set of experts after the other. Numbers that don't fit into two bytes travel scaled down
+    /// together: what matters is their share.
+    std::vector<std::uint64_t> counts{};
 };
 
 /// The state of a rank, as its own sidecar read it a moment ago.
@@ -71,9 +88,6 @@
     bool mapKnown = false;
     /// Experts that the rank holds, by set; empty while unknown.
     std::vector<std::vector<std::uint32_t>> experts{};
-    /// How often the rank's requests chose each expert since it was last asked, one set after the
-    /// other; empty when not asked for.
-    std::vector<std::uint64_t> counts{};
 };
 
 /// Experts that one rank is to hold of one set.
@@ -114,8 +128,8 @@
 /// @return BadInput when they name a set or rank that the map lacks.
 Result<RankMap> applyChanges(RankMap map, const std::vector<RankMapChange> &changes);
 
-using GroupMessage =
-    std::variant<GatewayHello, EngineLoad, RankPoll, RankStatus, RankCommand, RelayedMessage>;
+using GroupMessage = std::variant<GatewayHello, EngineLoad, RankPoll, RankStatus, RankCommand,
+                                  RelayedMessage, CountsPoll, CountsTold>;
 
 /// A message as MessagePack bytes.
 std::string encodeMessage(const GroupMessage &message);
--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -230,8 +230,7 @@
     });
     if (armed || now - group.lastSwitchAt < timing.betweenSwitches)
         return;
-    const bool countsOfAll =
-        group.countsSinceLook >= std::min(group.ranks.size(), timing.countedRanks);
+    const bool countsOfAll = group.countsSinceLook >= group.ranks.size();
     if (!countsOfAll && now - group.lookedAt < timing.lookAtLatest)
         return;
     group.countsSinceLook = 0;
@@ -424,8 +423,7 @@
 
 } // namespace
 
-void takeStatus(GroupSwitch &group, const ExpertProfile &profile, const RankStatus &status,
-                TimePoint now)
+void takeStatus(GroupSwitch &group, const RankStatus &status, TimePoint now)
 {
     const RankReport &report = status.report;
     if (report.epoch < group.epoch)
@@ -445,11 +443,15 @@
     group.highestVersion =
         std::max({group.highestVersion, report.map, report.prepared, report.armed});
     group.ranks[report.rank] = {status, now};
-    group.ranks[report.rank].status.counts.clear();
-    if (status.counts.empty())
+}
+
+void takeDemand(GroupSwitch &group, const ExpertProfile &profile, const CountsTold &told,
+                TimePoint now)
+{
+    if (told.epoch != group.epoch || told.counts.empty())
         return;
-    takeCounts(group.demand, profile, status.counts, now);
-    ++group.countsSinceLook;
+    takeCounts(group.demand, profile, told.counts, now);
+    group.countsSinceLook += told.ranks;
 }
 
 void noteOrderDone(GroupSwitch &group, std::uint32_t rank, const RankOrder &order, TimePoint now)
--- a/Source/Version/RankSwitch.h
+++ b/Source/Version/RankSwitch.h
@@ -54,9 +54,6 @@
     /// for this long: at 72 ranks a look takes 10 to 30 ms of a core, of which a sidecar has 0.15.
     double worthAnotherLook = 0.1;
     milliseconds lookAgain{1000};
-    /// Ranks whose counts are asked for. All ranks serve the same mix of requests, so a sample
-    /// tells the demand; the counts of 72 ranks would fill the link of the leader's VM.
-    std::size_t countedRanks = 8;
 };
 
 /// Where a change of the map stands.
@@ -181,7 +178,10 @@
 };
 
 /// Takes in a rank's status. A new epoch begins anew.
-void takeStatus(GroupSwitch &group, const ExpertProfile &profile, const RankStatus &status,
+void takeStatus(GroupSwitch &group, const RankStatus &status, TimePoint now);
+
+/// Takes in how often ranks of the group chose each expert lately.
+void takeDemand(GroupSwitch &group, const ExpertProfile &profile, const CountsTold &told,
                 TimePoint now);
 
 /// Notes that a rank has carried out an order that went straight to its engine.
--- a/Tests/Gateway/CodecTest.cpp
+++ b/Tests/Gateway/CodecTest.cpp
@@ -205,14 +205,24 @@
     status.report.heldStep = 4;
     status.report.pace = 2.5;
     status.experts = {{1, 2}, {3}};
-    status.counts = {5, 6};
     const auto back = decodeMessage(encodeMessage(status)).value();
     const auto &read = std::get<RankStatus>(back);
     REQUIRE(read.engine == status.engine);
     REQUIRE(read.report.heldStep == 4);
     REQUIRE(read.report.pace == 2.5);
     REQUIRE(read.experts == status.experts);
-    REQUIRE(read.counts == status.counts);
+
+    const CountsPoll poll{.engines = {{1, 2}, {3, 4}}};
+    const auto pollBack = decodeMessage(encodeMessage(poll)).value();
+    REQUIRE(std::get<CountsPoll>(pollBack).engines == poll.engines);
+
+    const CountsTold told{.group = "g", .epoch = 2, .ranks = 8, .counts = {5, 6, 0xFFFF}};
+    const auto toldBack = decodeMessage(encodeMessage(told)).value();
+    REQUIRE(std::get<CountsTold>(toldBack).group == "g");
+    REQUIRE(std::get<CountsTold>(toldBack).epoch == 2);
+    REQUIRE(std::get<CountsTold>(toldBack).ranks == 8);
+    REQUIRE(std::get<CountsTold>(toldBack).counts == told.counts);
+
     REQUIRE(decodeMessage("").has_error());
     REQUIRE(decodeMessage("\x93\x63\x01\x02").has_error());
     REQUIRE(decodeMessage(encodeMessage(status).substr(0, 9)).has_error());
--- /dev/null
+++ b/Tests/Version/CountsCollectionTest.cpp
@@ -0,0 +1,131 @@
+#include <array>
+#include <cmath>
+#include <random>
+
+#include <catch2/catch.hpp>
+
+#include "Version/CountsCollection.h"
+#include "Version/DemandPlacement.h"
+
+using namespace wisteria;
+
+namespace {
+
+constexpr std::size_t rankCount = 63;
+const ExpertProfile profile{
+    .sets = 8, .expertsPerSet = 252, .expertsPerRank = 5, .loadsPerMap = 2, .loadMilliseconds = 14};
+
+CountsTold toldBy(std::uint64_t epoch, std::vector<std::uint64_t> counts)
+{
+    return {.group = "g", .epoch = epoch, .ranks = 1, .counts = std::move(counts)};
+}
+
+/// Prompts whose content decides which experts they choose: some topics, each with favourites.
+class Prompts
+{
+public:
+    explicit Prompts(std::uint64_t seed) : random_(seed)
+    {
+        for (auto &topic : topics_) {
+            topic.resize(profile.sets * profile.expertsPerSet);
+            std::uniform_real_distribution<double> draw(0.001, 1);
+            for (double &like : topic)
+                like = std::pow(draw(random_), -0.7);
+        }
+    }
+
+    /// Counts of one rank in a tenth of a second: the rest of a prompt of one topic at a time.
+    std::vector<std::uint64_t> countsOfRank()
+    {
+        const std::vector<double> &topic = topics_.at(random_() % topics_.size());
+        constexpr double scale = 20;
+        std::vector<std::uint64_t> counts;
+        for (const double like : topic)
+            counts.push_back(static_cast<std::uint64_t>(like * scale));
+        return counts;
+    }
+
+    /// What all topics together choose in the long run.
+    ExpertDemand demand() const
+    {
+        ExpertDemand demand;
+        demand.loads.assign(profile.sets, std::vector<double>(profile.expertsPerSet, 0));
+        for (const auto &topic : topics_) {
+            for (std::size_t i = 0; i < topic.size(); ++i)
+                demand.loads[i / profile.expertsPerSet][i % profile.expertsPerSet] += topic[i];
+        }
+        return demand;
+    }
+
+private:
+    std::mt19937_64 random_;
+    std::array<std::vector<double>, 9> topics_;
+};
+
+/// Skew, under the demand of the long run, of maps that follow the counts of so many ranks.
+double skewFromCountsOf(std::size_t ranks, std::uint64_t seed)
+{
+    Prompts prompts(seed);
+    const std::vector<double> paces(rankCount, 1.0);
+    RankMap map = firstRankMap(profile, rankCount);
+    TimePoint now{};
+    ExpertDemand demand;
+    for (int look = 0; look < 6; ++look) {
+        now += milliseconds(100);
+        CountsCollection collection{.asker = {}, .since = now, .awaited = ranks, .sum = {}};
+        for (std::size_t rank = 0; rank < ranks; ++rank)
+            addCounts(collection, toldBy(1, prompts.countsOfRank()));
+        takeCounts(demand, profile, collection.sum.counts, now);
+        const auto proposal = proposeMap(profile, demand, map, paces, {});
+        if (proposal)
+            map = proposal->map;
+    }
+    return demandSkew(prompts.demand(), map, paces);
+}
+
+} // namespace
+
+TEST_CASE("Counts of all ranks lead to better maps than those of a few")
+{
+    // Treasurers see drafts pause although the map changes several times a second. Each rank reads
+    // one prompt at a time, and each prompt has favourites of its own; the leader heard eight of 63
+    // ranks and followed those few prompts, with a map that was wrong for all the others.
+    constexpr std::uint64_t seeds = 5;
+    double few = 0;
+    double all = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        few += skewFromCountsOf(8, seed) / seeds;
+        all += skewFromCountsOf(rankCount, seed) / seeds;
+    }
+    CAPTURE(few, all);
+    REQUIRE(all < few - 0.1);
+    REQUIRE(all < 1.3);
+}
+
+TEST_CASE("A sum of counts is told when all have answered, or after a while")
+{
+    const TimePoint start{};
+    CountsCollection collection{.asker = {1, 1}, .since = start, .awaited = 2, .sum = {}};
+    REQUIRE_FALSE(isDue(collection, start));
+    addCounts(collection, toldBy(1, {1, 2}));
+    REQUIRE_FALSE(isDue(collection, start));
+    REQUIRE(isDue(collection, start + collectionTimeout));
+    addCounts(collection, toldBy(1, {10, 20}));
+    REQUIRE(isDue(collection, start));
+    REQUIRE(collection.sum.ranks == 2);
+    REQUIRE(collection.sum.counts == std::vector<std::uint64_t>{11, 22});
+}
+
+TEST_CASE("A rank that knows no counts, or those of an earlier group, doesn't spoil a sum")
+{
+    CountsCollection collection{.asker = {1, 1}, .since = {}, .awaited = 4, .sum = {}};
+    addCounts(collection, toldBy(1, {7, 7}));
+    // The group has formed anew.
+    addCounts(collection, toldBy(2, {1, 2}));
+    addCounts(collection, toldBy(1, {9, 9}));
+    addCounts(collection, toldBy(2, {}));
+    REQUIRE(collection.sum.epoch == 2);
+    REQUIRE(collection.sum.ranks == 1);
+    REQUIRE(collection.sum.counts == std::vector<std::uint64_t>{1, 2});
+    REQUIRE(isDue(collection, {}));
+}
--- a/Tests/Version/DemandPlacementTest.cpp
+++ b/Tests/Version/DemandPlacementTest.cpp
@@ -230,7 +230,7 @@
 
 TEST_CASE("A relayed message keeps its receivers and its bytes")
 {
-    const std::string inner = encodeMessage(RankPoll{.withCounts = true});
+    const std::string inner = encodeMessage(RankPoll{});
     const auto decoded = decodeMessage(encodeMessage(RelayedMessage{{{1, 2}, {3, 4}}, inner}));
     REQUIRE(decoded.has_value());
     const auto &relayed = std::get<RelayedMessage>(decoded.value());
@@ -238,12 +238,16 @@
     REQUIRE(relayed.message == inner);
 }
 
-TEST_CASE("Counts travel in two bytes each, the largest for those that do not fit")
+TEST_CASE("Counts travel in two bytes each, scaled down together where one does not fit")
 {
-    RankStatus status{.engine = {1, 2}};
-    status.counts = {0, 1, 255, 256, 65535, 1'000'000};
-    const auto decoded = decodeMessage(encodeMessage(status));
-    REQUIRE(decoded.has_value());
-    const auto &counts = std::get<RankStatus>(decoded.value()).counts;
-    REQUIRE(counts == std::vector<std::uint64_t>{0, 1, 255, 256, 65535, 65535});
+    const auto travelled = [](const std::vector<std::uint64_t> &counts) {
+        const auto decoded = decodeMessage(encodeMessage(CountsTold{.counts = counts}));
+        REQUIRE(decoded.has_value());
+        return std::get<CountsTold>(decoded.value()).counts;
+    };
+    const std::vector<std::uint64_t> fitting{0, 1, 255, 256, 65535};
+    REQUIRE(travelled(fitting) == fitting);
+    // A sixteenth of each. With the largest cut off at 65535 a favourite would look like less.
+    REQUIRE(travelled({0, 1, 255, 256, 65535, 1'000'000})
+            == std::vector<std::uint64_t>{0, 0, 15, 16, 4095, 62500});
 }
--- a/Tests/Version/RankSwitchTest.cpp
+++ b/Tests/Version/RankSwitchTest.cpp
@@ -264,7 +264,6 @@
             std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count());
         status.mapKnown = true;
         status.experts = {rank.experts};
-        status.counts = rank.counts;
         return status;
     }
 
@@ -294,9 +293,13 @@
             for (std::size_t leader = 0; leader < leaders_.size(); ++leader) {
                 if (chance(trouble_.lostMessages))
                     continue;
-                later(between(1, 30) + queue(leader), [this, leader, status] {
-                    if (leader < leaders_.size())
-                        takeStatus(leaders_[leader].group, profile, status, now_);
+                const CountsTold counts{
+                    .group = "g", .epoch = 1, .ranks = 1, .counts = rank.counts};
+                later(between(1, 30) + queue(leader), [this, leader, status, counts] {
+                    if (leader >= leaders_.size())
+                        return;
+                    takeStatus(leaders_[leader].group, status, now_);
+                    takeDemand(leaders_[leader].group, profile, counts, now_);
                 });
             }
         }
