Let requests wait for a group that is forming, and send to no rank before it reports

The gateways answer from 35.5 s, the group of ranks opens at 36.25 s. In between the lines show 138 refusals 'no backend server takes work', told to come back in 1.2 to 2.2 s, and 35 'not run by any backend server': a gateway that has just started knows no load, takes every rank for open, and uses up the two sends of a request; old entries of engines that came back under new ids took sends as well. 119 requests ended after two refusals.

Ruled out: a longer time to come back alone, as a caller comes back once.

Change: a request without a place waits for a closed group for 1.2 s or a quarter of its time; ranks that have not reported since they became known get nothing for 0.4 s; of two entries at one address the one that started last counts.

--- a/Source/Programs/Gateway/BackendList.cpp
+++ b/Source/Programs/Gateway/BackendList.cpp
@@ -44,7 +44,7 @@
                    {"started", entry.value().startedAt},
                    {"offset", record.offset}});
     }
-    putBackend(board_, entry.value());
+    putBackend(board_, entry.value(), now);
 }
 
 void BackendList::takeAll(const std::vector<platform::KeyedRecord> &records, TimePoint now)
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -15,9 +15,6 @@
 constexpr milliseconds connectTimeout{400};
 /// Bytes that a caller has not taken at which its backend server is no longer read.
 constexpr std::size_t callerQueueBytes = 262144;
-/// Share of the target latency for which a request waits for a place before it is refused: longer,
-/// and the answer would come late even if a place were found.
-constexpr double waitShare = 0.5;
 /// Load in parts of the slots up to which a backend server gets a first send, and a further one of
 /// a request that has begun: that one has cost work already, and its caller waits for the rest.
 constexpr double fullForFirstSend = 1.0;
@@ -35,7 +32,8 @@
         organisation_ = access.organisation->name;
     if (request_.timeLeft)
         deadline_ = std::min(deadline_, now + *request_.timeLeft);
-    waitUntil_ = now + std::chrono::duration_cast<milliseconds>(route_.targetLatency * waitShare);
+    waitUntil_ = now;
+    inGroup_ = isGroup(routes_->configuration(), service_);
     noteRequest(context_.retryShares[service_], context_.retryBounds, now);
 }
 
@@ -59,7 +57,14 @@
         send(*choice.backend, now);
         return true;
     }
-    if (choice.why == NoBackend::AllFull && now < waitUntil_)
+    // A longer wait that was granted stays: the group that it waited for may open with all places
+    // taken at once.
+    waitUntil_ = std::max(
+        waitUntil_,
+        waitsUntil(
+            context_.placeWait, choice.why,
+            {.arrived = arrived_, .deadline = deadline_, .targetLatency = route_.targetLatency}));
+    if (now < waitUntil_)
         return false;
     waiting_ = false;
     const bool full = choice.why == NoBackend::AllFull;
@@ -345,6 +350,7 @@
     const BackendWish wish{.service = service_,
                            .tried = tried_,
                            .fullAt = fullAt,
+                           .inGroup = inGroup_,
                            .failureDomain = context_.failureDomain};
     return chooseBackend(context_.board, wish, now, context_.draw());
 }
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -90,6 +90,8 @@
     std::string service_;
     TimePoint arrived_;
     TimePoint deadline_;
+    /// The service's backend servers are ranks of groups.
+    bool inGroup_ = false;
     /// Latest moment at which it still waits for its first place.
     TimePoint waitUntil_;
     bool waiting_ = true;
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -185,7 +185,7 @@
             return;
         helloAt_ = now;
         for (const auto &[name, service] : context_.routes->configuration().services) {
-            if (service.engine && service.engine->expertSets > 0)
+            if (isGroup(service))
                 sayHelloTo(name, *service.engine);
         }
     }
@@ -194,7 +194,7 @@
     {
         GatewayHello hello{.profile = expertProfileOf(engine), .engines = {}};
         for (const auto &[id, state] : board_.backends) {
-            if (state.entry.service == service)
+            if (state.entry.service == service && !state.replaced)
                 hello.engines.push_back(state.entry.address);
         }
         const std::string bytes = encodeMessage(hello);
--- a/Source/Programs/Gateway/GatewayContext.h
+++ b/Source/Programs/Gateway/GatewayContext.h
@@ -12,6 +12,7 @@
 #include "Process/Metrics.h"
 #include "Request/BackendBoard.h"
 #include "Request/ComeBack.h"
+#include "Request/PlaceWait.h"
 #include "Request/RetryShare.h"
 #include "Request/RouteTable.h"
 
@@ -29,6 +30,7 @@
     std::map<std::string, RetryShare> retryShares;
     std::string failureDomain;
     ComeBackTimes comeBackTimes{};
+    PlaceWait placeWait{};
     /// When each service last answered anything.
     std::map<std::string, TimePoint> progressAt{};
     /// Null until the first configuration is known.
--- a/Source/Request/BackendBoard.cpp
+++ b/Source/Request/BackendBoard.cpp
@@ -54,9 +54,24 @@
         std::erase_if(candidates, slow);
 }
 
+/// Marks those at one address that another one has replaced: the last start counts.
+void settleAddress(BackendBoard &board, const Endpoint &address)
+{
+    std::uint64_t lastStart = 0;
+    for (const auto &[id, state] : board.backends) {
+        if (state.entry.address == address)
+            lastStart = std::max(lastStart, state.entry.startedAt);
+    }
+    for (auto &[id, state] : board.backends) {
+        const bool known = state.entry.startedAt != 0;
+        if (known && state.entry.address == address && state.entry.startedAt < lastStart)
+            state.replaced = true;
+    }
+}
+
 } // namespace
 
-void putBackend(BackendBoard &board, const BackendEntry &entry)
+void putBackend(BackendBoard &board, const BackendEntry &entry, TimePoint now)
 {
     BackendState &state = board.backends[entry.id];
     const bool restarted =
@@ -65,9 +80,13 @@
         const std::uint32_t own = state.own;
         state = BackendState{};
         state.own = own;
+        state.since = now;
     }
+    const bool settle = restarted || state.replaced;
     state.entry = entry;
     state.replaced = false;
+    if (settle)
+        settleAddress(board, entry.address);
 }
 
 void removeBackend(BackendBoard &board, const std::string &id)
@@ -90,10 +109,12 @@
     return fresh ? std::max(1.0, state.told->pace) : 1.0;
 }
 
-bool isOpen(const BackendState &state, TimePoint now, milliseconds loadLifetime)
+bool isOpen(const BackendState &state, bool inGroup, TimePoint now, milliseconds loadLifetime)
 {
     const bool fresh = state.told && now - state.told->at <= loadLifetime;
-    return !fresh || state.told->open;
+    if (fresh)
+        return state.told->open;
+    return !inGroup || now - state.since >= firstReportWait;
 }
 
 double loadWithOneMore(const BackendState &state, TimePoint now, milliseconds loadLifetime)
@@ -110,7 +131,7 @@
     for (auto &[id, state] : board.backends) {
         if (state.entry.service != wish.service || state.entry.draining || state.replaced)
             continue;
-        if (!isOpen(state, now, board.loadLifetime)) {
+        if (!isOpen(state, wish.inGroup, now, board.loadLifetime)) {
             choice.why = NoBackend::NotOpen;
             continue;
         }
--- a/Source/Request/BackendBoard.h
+++ b/Source/Request/BackendBoard.h
@@ -29,6 +29,8 @@
 struct BackendState
 {
     BackendEntry entry;
+    /// When this gateway got to know it, or its last start.
+    TimePoint since;
     /// Requests of this gateway that are there now.
     std::uint32_t own = 0;
     std::optional<LoadTold> told;
@@ -36,7 +38,7 @@
     TimePoint avoidUntil;
     /// Failures in a row.
     std::uint32_t failures = 0;
-    /// Another backend server answers at its address; until it reports again.
+    /// Another backend server answers at its address; until its entry is read again.
     bool replaced = false;
 };
 
@@ -49,7 +51,11 @@
 };
 
 /// Takes in what a backend server says of itself; one that started anew is known anew.
-void putBackend(BackendBoard &board, const BackendEntry &entry);
+///
+/// Of two at one address the one that started last is there. After a loss of power all engines of a
+/// group come back under other ids while the old entries stand for seconds: each send to an old one
+/// costs one of the two that a request has.
+void putBackend(BackendBoard &board, const BackendEntry &entry, TimePoint now);
 
 /// Forgets a backend server, or one whose entry says nothing that can be used.
 void removeBackend(BackendBoard &board, const std::string &id);
@@ -66,8 +72,14 @@
 /// second, while moving one costs the reading of its prompt, some tens of milliseconds.
 constexpr double moveAtPace = 2.0;
 
+/// How long a rank's first report is waited for before its state counts as unknown. A sidecar
+/// answers a gateway's first message at once. Without the wait a gateway that had just started sent
+/// to ranks of a group that was not formed yet, and used up the sends of a request.
+constexpr milliseconds firstReportWait{400};
+
 /// Whether a backend server takes work, as far as is known.
-bool isOpen(const BackendState &state, TimePoint now, milliseconds loadLifetime);
+/// @param inGroup It is a rank of a group.
+bool isOpen(const BackendState &state, bool inGroup, TimePoint now, milliseconds loadLifetime);
 
 /// The load with one more request, in parts of what the backend server can use. One that is slow
 /// can use fewer, and in a group of ranks each request there slows all ranks down.
@@ -81,6 +93,9 @@
     std::vector<std::string> tried;
     /// Largest load that the request may bring about, in parts of the slots.
     double fullAt = 1.0;
+    /// The service's backend servers are ranks of groups, whose sidecars tell whether they take
+    /// work.
+    bool inGroup = false;
     /// Failure domain of the gateway; ties go to it, which keeps bytes within the domain.
     std::string failureDomain;
 };
@@ -111,8 +126,7 @@
 BackendChoice chooseBackend(BackendBoard &board, const BackendWish &wish, TimePoint now,
                             double draw);
 
-/// Notes that another backend server has the address. After a loss of power all engines of a group
-/// come back under other ids, and the old entries stand for seconds: each would cost a send.
+/// Notes that another backend server has the address, as its refusal told.
 void noteReplaced(BackendState &state);
 
 /// Notes how a request at a backend server ended.
--- a/Source/Version/ServiceConfiguration.h
+++ b/Source/Version/ServiceConfiguration.h
@@ -91,6 +91,12 @@
     std::optional<EngineProfile> engine;
 };
 
+/// Whether the service's backend servers are ranks of groups.
+inline bool isGroup(const ServiceRule &service)
+{
+    return service.engine && service.engine->expertSets > 0;
+}
+
 struct Organisation
 {
     std::string name;
@@ -120,4 +126,10 @@
     bool needsKeys = false;
 };
 
+inline bool isGroup(const ServiceConfiguration &configuration, const std::string &service)
+{
+    const auto found = configuration.services.find(service);
+    return found != configuration.services.end() && isGroup(found->second);
+}
+
 } // namespace wisteria
--- a/Tests/Gateway/DecisionsTest.cpp
+++ b/Tests/Gateway/DecisionsTest.cpp
@@ -6,6 +6,7 @@
 #include "Request/ComeBack.h"
 #include "Request/EventCutter.h"
 #include "Request/NextStep.h"
+#include "Request/PlaceWait.h"
 #include "Request/RetryShare.h"
 #include "Request/RouteTable.h"
 
@@ -115,8 +116,8 @@
 TEST_CASE("Requests spread over equal backend servers and keep to the gateway's failure domain")
 {
     BackendBoard board;
-    putBackend(board, entryOf("i-1", "b"));
-    putBackend(board, entryOf("i-2", "a"));
+    putBackend(board, entryOf("i-1", "b"), start);
+    putBackend(board, entryOf("i-2", "a"), start);
     const BackendWish wish{.service = "s", .tried = {}, .failureDomain = "a"};
     const BackendChoice first = chooseBackend(board, wish, start, 0.1);
     REQUIRE(first.backend->entry.id == "i-2");
@@ -129,7 +130,7 @@
     BackendBoard board;
     BackendWish wish{.service = "s", .tried = {}, .failureDomain = "a"};
     REQUIRE(chooseBackend(board, wish, start, 0).why == NoBackend::Unknown);
-    putBackend(board, entryOf("i-1"));
+    putBackend(board, entryOf("i-1"), start);
     board.backends.at("i-1").own = 10;
     REQUIRE(chooseBackend(board, wish, start, 0).why == NoBackend::AllFull);
     wish.tried = {"i-1"};
@@ -139,7 +140,7 @@
 TEST_CASE("A report replaces the own count, corrected by what was sent since")
 {
     BackendBoard board;
-    putBackend(board, entryOf("i-1"));
+    putBackend(board, entryOf("i-1"), start);
     BackendState &state = board.backends.at("i-1");
     state.own = 3;
     state.told = LoadTold{.running = 6, .waiting = 1, .own = 2, .at = start};
@@ -152,8 +153,8 @@
 TEST_CASE("A slow rank gets no request while there is another, even a full one")
 {
     BackendBoard board;
-    putBackend(board, entryOf("i-1"));
-    putBackend(board, entryOf("i-2"));
+    putBackend(board, entryOf("i-1"), start);
+    putBackend(board, entryOf("i-2"), start);
     board.backends.at("i-1").told = LoadTold{.at = start, .pace = 12};
     board.backends.at("i-2").told = LoadTold{.running = 10, .at = start};
     const BackendWish wish{.service = "s", .tried = {}, .failureDomain = "a"};
@@ -167,8 +168,8 @@
 TEST_CASE("A backend server that refuses connections is avoided for a while, not for good")
 {
     BackendBoard board;
-    putBackend(board, entryOf("i-1"));
-    putBackend(board, entryOf("i-2"));
+    putBackend(board, entryOf("i-1"), start);
+    putBackend(board, entryOf("i-2"), start);
     noteFailure(board.backends.at("i-1"), true, start);
     const BackendWish wish{.service = "s", .tried = {}, .failureDomain = "a"};
     REQUIRE(chooseBackend(board, wish, start, 0).backend->entry.id == "i-2");
@@ -181,7 +182,7 @@
 TEST_CASE("A rank whose group is broken gets no request until it says otherwise")
 {
     BackendBoard board;
-    putBackend(board, entryOf("i-1"));
+    putBackend(board, entryOf("i-1"), start);
     board.backends.at("i-1").told = LoadTold{.at = start, .open = false};
     const BackendWish wish{.service = "s", .tried = {}, .failureDomain = "a"};
     REQUIRE(chooseBackend(board, wish, start, 0).why == NoBackend::NotOpen);
@@ -192,22 +193,22 @@
 TEST_CASE("A backend server whose address another one has is left out until it reports again")
 {
     BackendBoard board;
-    putBackend(board, entryOf("i-1"));
+    putBackend(board, entryOf("i-1"), start);
     noteReplaced(board.backends.at("i-1"));
     const BackendWish wish{.service = "s", .tried = {}, .failureDomain = "a"};
     REQUIRE(chooseBackend(board, wish, start, 0).why == NoBackend::Unknown);
-    putBackend(board, entryOf("i-1"));
+    putBackend(board, entryOf("i-1"), start);
     REQUIRE(chooseBackend(board, wish, start, 0).why == NoBackend::None);
 }
 
 TEST_CASE("A backend server that started anew under its id is known anew")
 {
     BackendBoard board;
-    putBackend(board, entryOf("i-1"));
+    putBackend(board, entryOf("i-1"), start);
     noteFailure(board.backends.at("i-1"), true, start);
     BackendEntry anew = entryOf("i-1");
     anew.startedAt = 5;
-    putBackend(board, anew);
+    putBackend(board, anew, start);
     REQUIRE(board.backends.at("i-1").failures == 0);
 }
 
@@ -275,3 +276,63 @@
     REQUIRE(comeBackAfter(times, NoBackend::NotOpen, milliseconds(60), 0.9)
             > times.standing + milliseconds(800));
 }
+
+// A treasurer's draft is refused twice and lost. All VMs lost power; the gateways are back 0.7 s
+// before the group of ranks is formed, told everybody at once to come back in 1.2 to 2.2 s, and
+// many came back to a group that was still closed or full.
+TEST_CASE("A request waits for a group that is forming, as long as its caller may")
+{
+    const PlaceWait wait;
+    WaitingRequest request{
+        .arrived = start, .deadline = start + seconds(8), .targetLatency = milliseconds(400)};
+    REQUIRE(waitsUntil(wait, NoBackend::NotOpen, request) == start + milliseconds(1200));
+    REQUIRE(waitsUntil(wait, NoBackend::AllFull, request) == start + milliseconds(200));
+    REQUIRE(waitsUntil(wait, NoBackend::Unknown, request) == start);
+    REQUIRE(waitsUntil(wait, NoBackend::AllTried, request) == start);
+    request.deadline = start + milliseconds(1000);
+    REQUIRE(waitsUntil(wait, NoBackend::NotOpen, request) == start + milliseconds(250));
+}
+
+// The same loss of power: a gateway that had just started knew no loads yet, sent to two ranks that
+// both refused, and told the caller that no backend server ran its request.
+TEST_CASE("Ranks that have not reported yet take no work for a moment")
+{
+    BackendBoard board;
+    putBackend(board, entryOf("i-1"), start);
+    const BackendWish wish{.service = "s", .tried = {}, .inGroup = true, .failureDomain = "a"};
+    REQUIRE(chooseBackend(board, wish, start, 0).why == NoBackend::NotOpen);
+    // A plain service has no reports to wait for.
+    const BackendWish plain{.service = "s", .tried = {}, .failureDomain = "a"};
+    REQUIRE(chooseBackend(board, plain, start, 0).backend != nullptr);
+    // No sidecar may be there, or reach this gateway.
+    REQUIRE(chooseBackend(board, wish, start + firstReportWait, 0).backend != nullptr);
+    board.backends.at("i-1").told = LoadTold{.at = start};
+    REQUIRE(chooseBackend(board, wish, start, 0).backend != nullptr);
+    board.backends.at("i-1").told->open = false;
+    REQUIRE(chooseBackend(board, wish, start + firstReportWait, 0).why == NoBackend::NotOpen);
+}
+
+// The same loss of power: the engines come back under new ids at their old addresses, and every
+// second send names an engine that is gone.
+TEST_CASE("Of two backend servers at one address the one that started last is there")
+{
+    BackendBoard board;
+    BackendEntry former = entryOf("i-1");
+    former.startedAt = 100;
+    BackendEntry present = entryOf("i-2");
+    present.address = former.address;
+    present.startedAt = 200;
+    const bool formerFirst = GENERATE(true, false);
+    putBackend(board, formerFirst ? former : present, start);
+    putBackend(board, formerFirst ? present : former, start);
+    REQUIRE(board.backends.at("i-1").replaced);
+    REQUIRE_FALSE(board.backends.at("i-2").replaced);
+    // Its entry is read once more, as after lost history.
+    putBackend(board, former, start);
+    REQUIRE(board.backends.at("i-1").replaced);
+    // Nothing is said of one that does not tell when it started.
+    BackendEntry silent = entryOf("i-3");
+    silent.address = former.address;
+    putBackend(board, silent, start);
+    REQUIRE_FALSE(board.backends.at("i-3").replaced);
+}
