Move what the leader sees of a group, and its demand, out of the switch's file

No behaviour changes but that a group without ranks has no map in force instead of reading past the end.

--- a/Source/Programs/Sidecar/GroupLeader.cpp
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Programs/Sidecar/SidecarMetrics.h"
+#include "Version/GroupDemand.h"
 
 namespace wisteria {
 
--- /dev/null
+++ b/Source/Version/GroupDemand.cpp
@@ -0,0 +1,55 @@
+#include "Version/GroupDemand.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Version/GroupViews.h"
+
+namespace wisteria {
+
+namespace {
+
+/// Ends a window of counts and takes it into what is known of the demand.
+void closeWindow(GroupSwitch &group, const ExpertProfile &profile, TimePoint now)
+{
+    const ExpertDemand window = std::exchange(group.window, {});
+    const std::uint64_t passes = std::exchange(group.windowPasses, 0);
+    group.windowRanks = 0;
+    if (passes == 0)
+        return;
+    const bool shifted = !group.shiftSeen
+        && hasShifted(group.demand, window, presentMap(group, profile), pacesOf(group));
+    if (shifted)
+        group.demand = {};
+    group.shiftSeen = shifted && passes > 1;
+    if (group.shiftSeen)
+        return;
+    takeWindow(group.demand, window, now);
+    group.demandIsNew = true;
+}
+
+} // namespace
+
+void closeOverdueWindow(GroupSwitch &group, const ExpertProfile &profile,
+                        const SwitchTiming &timing, TimePoint now)
+{
+    if (group.windowRanks > 0 && now - group.windowSince > timing.countsWindow)
+        closeWindow(group, profile, now);
+}
+
+void takeDemand(GroupSwitch &group, const ExpertProfile &profile, const SwitchTiming &timing,
+                const CountsTold &told, TimePoint now)
+{
+    if (told.epoch != group.epoch)
+        return;
+    closeOverdueWindow(group, profile, timing, now);
+    if (group.windowRanks == 0)
+        group.windowSince = now;
+    addCounts(group.window, profile, told.counts);
+    group.windowRanks += told.ranks;
+    group.windowPasses = std::max(group.windowPasses, told.passes);
+    if (group.windowRanks >= group.ranks.size())
+        closeWindow(group, profile, now);
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Version/GroupViews.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "Version/RankSwitch.h"
+
+namespace wisteria {
+
+// What the leader's view of a group says. Nothing here changes the group.
+
+/// Whether the rank is to switch to the version as that pass begins.
+bool isArmed(const RankReport &report, std::uint64_t version, std::uint64_t step);
+
+/// Whether the rank shows the version, in whatever state.
+bool hasVersion(const RankReport &report, std::uint64_t version);
+
+/// Whether the rank can never switch to the version any more: it has had a higher one, and ranks
+/// refuse lower ones then. Unlike a rank that merely does not show the version, this stays true
+/// however long ago it was read.
+bool lacksForGood(const RankReport &report, std::uint64_t version);
+bool anyLacksForGood(const GroupSwitch &group, std::uint64_t version);
+
+/// Every rank of the group is known, in the same epoch, and lately.
+bool allKnown(const GroupSwitch &group, const SwitchTiming &timing, TimePoint now);
+
+/// The last pass that any rank is known to have begun.
+std::uint64_t furthestStep(const GroupSwitch &group);
+
+/// The map in force, put together from what each rank holds; empty when the ranks' lists are not
+/// all of the same version, or no rank is known.
+RankMap presentMap(const GroupSwitch &group, const ExpertProfile &profile);
+
+/// Pace of each rank, above 1 for one slower than usual.
+std::vector<double> pacesOf(const GroupSwitch &group);
+
+/// A rank that holds the group, and the pass that it does not begin.
+struct Held
+{
+    std::uint32_t rank = 0;
+    std::uint64_t step = 0;
+};
+
+std::optional<Held> heldBy(const GroupSwitch &group);
+
+/// The earliest pass that a rank holds: the one that the group stands before.
+std::optional<std::uint64_t> earliestHold(const GroupSwitch &group);
+
+/// The version and pass that every rank is armed for, or has switched to already.
+std::optional<ArmedSwitch> armedAlike(const GroupSwitch &group);
+
+} // namespace wisteria
--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "Version/GroupDemand.h"
+#include "Version/GroupViews.h"
+
 namespace wisteria {
 
 namespace {
@@ -17,80 +20,6 @@
     group.asked.clear();
 }
 
-/// A pass in which a version comes into force, for the rank.
-bool isArmed(const RankReport &report, std::uint64_t version, std::uint64_t step)
-{
-    return report.armed == version && report.armedStep == step;
-}
-
-bool hasVersion(const RankReport &report, std::uint64_t version)
-{
-    return report.prepared == version || report.armed == version || report.map == version;
-}
-
-/// Whether the rank can never switch to the version any more: it has had a higher one, and ranks
-/// refuse lower ones then. Unlike a rank that merely does not show the version, this stays true
-/// however long ago it was read.
-bool lacksForGood(const RankReport &report, std::uint64_t version)
-{
-    const std::uint64_t highest = std::max({report.map, report.prepared, report.armed});
-    return highest > version && !hasVersion(report, version);
-}
-
-bool anyLacksForGood(const GroupSwitch &group, std::uint64_t version)
-{
-    return std::any_of(group.ranks.begin(), group.ranks.end(), [version](const auto &entry) {
-        return lacksForGood(entry.second.status.report, version);
-    });
-}
-
-/// Every rank of the group is known, in the same epoch, and lately.
-bool allKnown(const GroupSwitch &group, const SwitchTiming &timing, TimePoint now)
-{
-    if (group.ranks.empty())
-        return false;
-    const std::uint32_t size = group.ranks.begin()->second.status.report.groupSize;
-    if (size == 0 || group.ranks.size() != size)
-        return false;
-    return std::all_of(group.ranks.begin(), group.ranks.end(), [&](const auto &entry) {
-        return entry.second.status.report.groupOpen
-            && now - entry.second.at <= timing.statusLifetime;
-    });
-}
-
-std::uint64_t furthestStep(const GroupSwitch &group)
-{
-    std::uint64_t step = 0;
-    for (const auto &[rank, view] : group.ranks)
-        step = std::max(step, view.status.report.step);
-    return step;
-}
-
-/// The map in force, put together from what each rank holds; empty when the ranks' lists are not
-/// all of the same version.
-RankMap presentMap(const GroupSwitch &group, const ExpertProfile &profile)
-{
-    const std::uint64_t version = group.ranks.begin()->second.status.report.map;
-    RankMap map(profile.sets, std::vector<std::vector<std::uint32_t>>(group.ranks.size()));
-    for (const auto &[rank, view] : group.ranks) {
-        const RankStatus &status = view.status;
-        if (status.report.map != version || status.experts.size() != profile.sets
-            || rank >= group.ranks.size())
-            return {};
-        for (std::size_t set = 0; set < profile.sets; ++set)
-            map[set][rank] = status.experts[set];
-    }
-    return map;
-}
-
-std::vector<double> pacesOf(const GroupSwitch &group)
-{
-    std::vector<double> paces;
-    for (const auto &[rank, view] : group.ranks)
-        paces.push_back(view.status.report.pace);
-    return paces;
-}
-
 /// A version above all that are known of and that no other leader uses: each leader has the numbers
 /// that are its rank's in every thousand. Two leaders that don't know of each other once took the
 /// same number for different maps, and ranks began a pass on both.
@@ -151,51 +80,6 @@
     step.actions.push_back({rank, view.status.engine, std::move(order), silent && held, changes});
 }
 
-struct Held
-{
-    std::uint32_t rank = 0;
-    std::uint64_t step = 0;
-};
-
-std::optional<Held> heldBy(const GroupSwitch &group)
-{
-    for (const auto &[rank, view] : group.ranks) {
-        if (view.status.report.heldStep)
-            return Held{rank, *view.status.report.heldStep};
-    }
-    return std::nullopt;
-}
-
-/// The earliest pass that a rank holds: the one that the group stands before.
-std::optional<std::uint64_t> earliestHold(const GroupSwitch &group)
-{
-    std::optional<std::uint64_t> earliest;
-    for (const auto &[rank, view] : group.ranks) {
-        const auto &held = view.status.report.heldStep;
-        if (held && (!earliest || *held < *earliest))
-            earliest = held;
-    }
-    return earliest;
-}
-
-/// The version and pass that every rank is armed for, or has switched to already.
-std::optional<ArmedSwitch> armedAlike(const GroupSwitch &group)
-{
-    std::optional<ArmedSwitch> alike;
-    for (const auto &[rank, view] : group.ranks) {
-        const RankReport &report = view.status.report;
-        if (report.armed != 0 && !alike)
-            alike = ArmedSwitch{report.armed, report.armedStep};
-    }
-    if (!alike)
-        return std::nullopt;
-    const bool all = std::all_of(group.ranks.begin(), group.ranks.end(), [&](const auto &entry) {
-        const RankReport &report = entry.second.status.report;
-        return isArmed(report, alike->version, alike->step) || report.map == alike->version;
-    });
-    return all ? alike : std::nullopt;
-}
-
 /// Takes over a group that somebody else left held, or holds now.
 void takeOver(GroupSwitch &group, SwitchStep &step, TimePoint now)
 {
@@ -419,32 +303,6 @@
     enter(group, SwitchPhase::Idle, now);
 }
 
-/// Ends a window of counts and takes it into what is known of the demand.
-void closeWindow(GroupSwitch &group, const ExpertProfile &profile, TimePoint now)
-{
-    const ExpertDemand window = std::exchange(group.window, {});
-    const std::uint64_t passes = std::exchange(group.windowPasses, 0);
-    group.windowRanks = 0;
-    if (passes == 0)
-        return;
-    const bool shifted = !group.shiftSeen && !group.ranks.empty()
-        && hasShifted(group.demand, window, presentMap(group, profile), pacesOf(group));
-    if (shifted)
-        group.demand = {};
-    group.shiftSeen = shifted && passes > 1;
-    if (group.shiftSeen)
-        return;
-    takeWindow(group.demand, window, now);
-    group.demandIsNew = true;
-}
-
-void closeOverdueWindow(GroupSwitch &group, const ExpertProfile &profile,
-                        const SwitchTiming &timing, TimePoint now)
-{
-    if (group.windowRanks > 0 && now - group.windowSince > timing.countsWindow)
-        closeWindow(group, profile, now);
-}
-
 } // namespace
 
 void takeStatus(GroupSwitch &group, const RankStatus &status, TimePoint now)
@@ -469,21 +327,6 @@
     group.ranks[report.rank] = {status, now};
 }
 
-void takeDemand(GroupSwitch &group, const ExpertProfile &profile, const SwitchTiming &timing,
-                const CountsTold &told, TimePoint now)
-{
-    if (told.epoch != group.epoch)
-        return;
-    closeOverdueWindow(group, profile, timing, now);
-    if (group.windowRanks == 0)
-        group.windowSince = now;
-    addCounts(group.window, profile, told.counts);
-    group.windowRanks += told.ranks;
-    group.windowPasses = std::max(group.windowPasses, told.passes);
-    if (group.windowRanks >= group.ranks.size())
-        closeWindow(group, profile, now);
-}
-
 void noteOrderDone(GroupSwitch &group, std::uint32_t rank, const RankOrder &order, TimePoint now)
 {
     const auto found = group.ranks.find(rank);
--- a/Source/Version/RankSwitch.h
+++ b/Source/Version/RankSwitch.h
@@ -186,15 +186,6 @@
 /// Takes in a rank's status. A new epoch begins anew.
 void takeStatus(GroupSwitch &group, const RankStatus &status, TimePoint now);
 
-/// Takes in how often ranks of the group chose each expert lately.
-///
-/// The counts of one question make up a window. When a window shows that demand has shifted, all
-/// that was known is forgotten. A window of several passes is left out as well, as it holds counts
-/// of before and after: a map made for the mixture left a skew of 1.8 and needed another switch,
-/// 0.4 s later, which brought it to 1.25.
-void takeDemand(GroupSwitch &group, const ExpertProfile &profile, const SwitchTiming &timing,
-                const CountsTold &told, TimePoint now);
-
 /// Notes that a rank has carried out an order that went straight to its engine.
 void noteOrderDone(GroupSwitch &group, std::uint32_t rank, const RankOrder &order, TimePoint now);
 
--- a/Tests/Version/RankSwitchTest.cpp
+++ b/Tests/Version/RankSwitchTest.cpp
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "Version/GroupDemand.h"
 #include "Version/RankSwitch.h"
 
 using namespace wisteria;
