Take a rank that refuses work with places free for closed

A rank of a group that still forms refuses each request; the load that the refusal tells was taken in with 'open', until the next report, so the next request went there as well.

Ruled out: gateways that have no report yet (they wait since the last change).

Change: an answer that refuses to run a request while the rank has free places closes the rank until it tells otherwise; one that names another backend server's address tells no load at all. The test failed before it: there was no such decision.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -116,16 +116,14 @@
     head_ = platform::decodeAnswerHead(head);
     lastByteAt_ = monotonicNow();
     BackendState *backend = backendNow();
-    if (backend != nullptr && head_.misdirected)
+    if (backend == nullptr)
+        return;
+    if (head_.misdirected) {
         noteReplaced(*backend);
-    if (backend != nullptr && head_.load) {
-        LoadTold told = backend->told.value_or(LoadTold{});
-        told.running = head_.load->running;
-        told.waiting = head_.load->waiting;
-        told.at = lastByteAt_;
-        told.open = true;
-        noteLoad(*backend, told, context_.draw());
+        return;
     }
+    noteAnswer(*backend, {.load = head_.load, .notExecuted = head_.notExecuted}, inGroup_,
+               lastByteAt_, context_.draw());
 }
 
 bool Exchange::forwardsStream() const
--- a/Source/Request/BackendBoard.cpp
+++ b/Source/Request/BackendBoard.cpp
@@ -136,6 +136,22 @@
     state.told = told;
 }
 
+void noteAnswer(BackendState &state, const AnswerTold &answer, bool inGroup, TimePoint now,
+                double draw)
+{
+    const bool closable = inGroup && answer.notExecuted;
+    if (!answer.load && !closable)
+        return;
+    LoadTold told = state.told.value_or(LoadTold{});
+    if (answer.load) {
+        told.running = answer.load->running;
+        told.waiting = answer.load->waiting;
+    }
+    told.at = now;
+    told.open = !(closable && told.running + told.waiting < state.entry.slots);
+    noteLoad(state, told, draw);
+}
+
 bool exceedsShare(const BackendState &state, TimePoint now, milliseconds loadLifetime)
 {
     if (!state.told || now - state.told->at > loadLifetime)
--- a/Source/Request/BackendBoard.h
+++ b/Source/Request/BackendBoard.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Process/Time.h"
+#include "Request/CallerRequest.h"
 #include "Version/BackendEntry.h"
 
 namespace wisteria {
@@ -100,6 +101,25 @@
 /// @param draw A number from 0 to below 1.
 void noteLoad(BackendState &state, LoadTold told, double draw);
 
+/// What an answer tells of the backend server that gave it.
+struct AnswerTold
+{
+    /// Its load, where the answer names it.
+    std::optional<PlainLoad> load{};
+    /// It refused the request and will not run it.
+    bool notExecuted = false;
+};
+
+/// Takes in what an answer tells.
+///
+/// A rank that refuses work although it has free places belongs to a group that is closed. Taken
+/// for open, each rank of a group that still formed got requests by the hundred after a loss of
+/// power, and each used up the two sends that it had.
+/// @param inGroup It is a rank of a group.
+/// @param draw A number from 0 to below 1.
+void noteAnswer(BackendState &state, const AnswerTold &answer, bool inGroup, TimePoint now,
+                double draw);
+
 /// Whether one more request would go beyond this gateway's share of the free places. A request that
 /// ended since the report has left its place to this gateway.
 bool exceedsShare(const BackendState &state, TimePoint now, milliseconds loadLifetime);
--- a/Tests/Gateway/DecisionsTest.cpp
+++ b/Tests/Gateway/DecisionsTest.cpp
@@ -378,6 +378,38 @@
     REQUIRE_FALSE(exceedsShare(used, start + seconds(2), milliseconds(1000)));
 }
 
+// After a loss of power hundreds of callers are told that no backend server ran their request: each
+// rank of the group that still forms refuses it, and the load that the refusal tells made the rank
+// look open, so that the next request went there as well.
+TEST_CASE("A rank that refuses work although it has free places is closed")
+{
+    BackendBoard board;
+    putBackend(board, entryOf("i-1"), start);
+    BackendState &rank = board.backends.at("i-1");
+    const auto openNow = [&](bool inGroup) {
+        return isOpen(rank, inGroup, start + firstReportWait, milliseconds(1000));
+    };
+    noteAnswer(rank, {.load = PlainLoad{}, .notExecuted = true}, true, start, 0);
+    REQUIRE_FALSE(openNow(true));
+    // The same without a load.
+    rank.told.reset();
+    noteAnswer(rank, {.notExecuted = true}, true, start, 0);
+    REQUIRE_FALSE(openNow(true));
+    // It has begun to work.
+    noteAnswer(rank, {.load = PlainLoad{.running = 1}}, true, start, 0);
+    REQUIRE(openNow(true));
+    // One that refuses because it is full is not closed.
+    noteAnswer(rank, {.load = PlainLoad{.running = 10}, .notExecuted = true}, true, start, 0);
+    REQUIRE(openNow(true));
+    // A plain service has no group that could be closed.
+    noteAnswer(rank, {.load = PlainLoad{}, .notExecuted = true}, false, start, 0);
+    REQUIRE(openNow(false));
+    // Neither answer nor load tells anything.
+    rank.told.reset();
+    noteAnswer(rank, {}, true, start, 0);
+    REQUIRE_FALSE(rank.told);
+}
+
 TEST_CASE("What is left over of the free places goes to as many gateways by chance")
 {
     REQUIRE(shareOfFree(10, 5, 0.9) == 2);
