--- a/Source/Request/BackendBoard.h
+++ b/Source/Request/BackendBoard.h
@@ -113,8 +113,8 @@
 /// Takes in what an answer tells.
 ///
 /// A rank that refuses work although it has free places belongs to a group that is closed. Taken
-/// for open, each rank of a group that still formed got requests by the hundred after a loss of
-/// power, and each used up the two sends that it had.
+/// for open, the ranks of a group that still formed refused 481 requests after a loss of power,
+/// each of which had used up its two sends.
 /// @param inGroup It is a rank of a group.
 /// @param draw A number from 0 to below 1.
 void noteAnswer(BackendState &state, const AnswerTold &answer, bool inGroup, TimePoint now,
--- a/Source/Version/DemandPlacement.cpp
+++ b/Source/Version/DemandPlacement.cpp
@@ -20,8 +20,8 @@
 /// Terms that one set's search may evaluate: some 4 ms of a core at full speed.
 constexpr std::uint64_t searchTerms = 300000;
 /// Ranks that each step of the search may move experts to. Of 72 ranks the busiest one's work goes
-/// to the idlest anyway: looking at 8 takes a quarter of the work that all of them take, for the
-/// same skew.
+/// to the idlest anyway: looking at 8 takes two thirds of the work that 12 take, for the same
+/// skew, and 12 took a third of what all of them take.
 constexpr std::uint32_t searchPartners = 8;
 
 void fade(ExpertDemand &demand, TimePoint now)
