--- a/Source/Version/LayerSearch.h
+++ b/Source/Version/LayerSearch.h
@@ -46,8 +46,9 @@
 
     const LayerMap &map() const { return map_; }
 
-    /// Looks at every step that touches the busiest rank and keeps, for each other rank that takes
-    /// part, the one that lowers the sum most a loaded replica or raises it least.
+    /// Looks at the steps that touch the busiest rank and keeps, for each other rank that takes
+    /// part, the one that lowers the sum most a loaded replica or raises it least. Steps in which
+    /// the busiest rank only drops an expert for another one come in when no other step lowers it.
     /// @return Those steps, the best first; the first may still be a loss.
     const std::vector<SearchStep> &scan();
 
