Tell sums of counts only once they are out of the list

A sidecar that leads asks itself for counts too. When another one leads by the time its own sum is due, the sum was added back to the list that was being gone through, which then was cut while it was read.

Ruled out: the codecs (sums of every size are in the tests). Found by reading the path that a sum takes when leading ends; the crash itself was not replayed before the change.

Change: what is due leaves the list first; a sum for this process is dropped when it no longer leads.

--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -382,20 +382,18 @@
 
     void tellDueCounts(TimePoint now)
     {
-        for (const CountsCollection &collection : collections_) {
-            if (isDue(collection, now) && collection.sum.ranks > 0)
+        for (const CountsCollection &collection : takeDue(collections_, now)) {
+            if (collection.sum.ranks > 0)
                 tellCounts(collection);
         }
-        std::erase_if(collections_,
-                      [now](const CountsCollection &collection) { return isDue(collection, now); });
     }
 
     void tellCounts(const CountsCollection &collection)
     {
-        if (collection.asker.ip == engine_.ip)
-            take(collection.asker, collection.sum);
-        else
+        if (collection.asker.ip != engine_.ip)
             socket_.send(collection.asker, encodeMessage(collection.sum));
+        else if (leading_)
+            leader_->takeCounts(collection.sum, monotonicNow());
     }
 
     void take(const Endpoint &, const RankStatus &status)
--- a/Source/Version/CountsCollection.cpp
+++ b/Source/Version/CountsCollection.cpp
@@ -1,6 +1,7 @@
 #include "Version/CountsCollection.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace wisteria {
 
@@ -30,4 +31,15 @@
     return collection.awaited == 0 || now - collection.since >= collectionTimeout;
 }
 
+std::vector<CountsCollection> takeDue(std::vector<CountsCollection> &collections, TimePoint now)
+{
+    const auto firstDue = std::stable_partition(
+        collections.begin(), collections.end(),
+        [now](const CountsCollection &collection) { return !isDue(collection, now); });
+    std::vector<CountsCollection> due(std::make_move_iterator(firstDue),
+                                      std::make_move_iterator(collections.end()));
+    collections.erase(firstDue, collections.end());
+    return due;
+}
+
 } // namespace wisteria
--- a/Source/Version/CountsCollection.h
+++ b/Source/Version/CountsCollection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <vector>
 
 #include "Process/Endpoint.h"
 #include "Process/Time.h"
@@ -32,4 +33,9 @@
 /// Whether the sum is to be told now.
 bool isDue(const CountsCollection &collection, TimePoint now);
 
+/// Takes those out of the list that are due. They are out of it before anybody is told: a sum for
+/// this process itself, asked for while it led and due when it no longer did, was added to the list
+/// that was being gone through, and the process crashed.
+std::vector<CountsCollection> takeDue(std::vector<CountsCollection> &collections, TimePoint now);
+
 } // namespace wisteria
--- a/Tests/Version/CountsCollectionTest.cpp
+++ b/Tests/Version/CountsCollectionTest.cpp
@@ -128,3 +128,25 @@
     REQUIRE(collection.sum.counts == std::vector<std::uint64_t>{1, 2});
     REQUIRE(isDue(collection, {}));
 }
+
+// A sidecar crashes and its rank goes without orders for a second. It had asked itself for counts
+// while it led, another one led by the time they were due, and the sum went back into the list of
+// sums that was being gone through.
+TEST_CASE("Sums that are due are out of the list before they are told")
+{
+    const TimePoint start{};
+    std::vector<CountsCollection> collections;
+    collections.push_back({.asker = {1, 1}, .since = start, .awaited = 0, .sum = toldBy(1, {5})});
+    collections.push_back({.asker = {2, 1}, .since = start, .awaited = 3, .sum = {}});
+    collections.push_back({.asker = {3, 1}, .since = start, .awaited = 0, .sum = toldBy(1, {6})});
+    for (const CountsCollection &due : takeDue(collections, start)) {
+        REQUIRE(collections.size() == 1);
+        // Told to the process itself, it comes back to the list.
+        addCounts(collections.front(), due.sum);
+    }
+    REQUIRE(collections.front().asker == Endpoint{2, 1});
+    REQUIRE(collections.front().sum.counts == std::vector<std::uint64_t>{11});
+    REQUIRE(takeDue(collections, start).empty());
+    REQUIRE(takeDue(collections, start + collectionTimeout).size() == 1);
+    REQUIRE(collections.empty());
+}
