Tell each failed call of the store, and how old the version is that refuses a request

Cause: of an outage only the first failed call left a line. A call that was given up after 2.7 s on a connection of its own looked like one that went out on a dead kept connection, so two hypotheses of an incident could not be told apart; and a refusal by an old version did not say how old it was.

Ruled out: counters alone (they show how many calls failed, not for how long each one kept the watch from asking again).

Change: `store.lost` and the new `store.call_failed` tell how long the call took, on a new or a kept connection, and when the next one comes. Answers of the gateway's own tell the age of the configuration. The stand-in of the store holds waiting reads as the store does (it answered them at once, and gateways under test read in a loop), and can leave everything unanswered.

--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -143,7 +143,8 @@
                                 for (const auto &record : records)
                                     takeConfiguration(record);
                             },
-                        .regained = [] {}});
+                        .regained = [] {},
+                        .confirmed = [this](TimePoint at) { context_.routesConfirmedAt = at; }});
         backendsWatch_ = std::make_unique<StoreWatch>(
             loop_, pool_, log_, metrics_, settings_.store,
             WatchPlan{"backends", platform::backendsTopic, milliseconds(0), backendsPause},
@@ -157,7 +158,8 @@
                                 list_.takeAll(records, monotonicNow());
                                 serveWaiting();
                             },
-                        .regained = [this] { list_.storeRegained(monotonicNow()); }});
+                        .regained = [this] { list_.storeRegained(monotonicNow()); },
+                        .confirmed = [](TimePoint) {}});
     }
 
     void takeConfiguration(const platform::KeyedRecord &record)
--- a/Source/Programs/Gateway/GatewayContext.h
+++ b/Source/Programs/Gateway/GatewayContext.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -35,6 +36,8 @@
     std::map<std::string, TimePoint> progressAt{};
     /// Null until the first configuration is known.
     std::shared_ptr<const RouteTable> routes;
+    /// When the store last answered about the configuration; nothing before the first time.
+    std::optional<TimePoint> routesConfirmedAt{};
     std::mt19937_64 random{std::random_device{}()};
 
     /// A number from 0 to below 1.
--- a/Source/Programs/Gateway/Session.cpp
+++ b/Source/Programs/Gateway/Session.cpp
@@ -106,6 +106,8 @@
     LogFields fields = {{"id", attemptId}, {"status", status}, {"reason", reason}};
     if (context_.routes)
         fields["config"] = context_.routes->configuration().version;
+    if (context_.routesConfirmedAt)
+        fields["config_age_s"] = secondsOf(remaining(*context_.routesConfirmedAt, monotonicNow()));
     context_.log.warn("request.end", fields);
     const bool read = status != statusOf(RequestFault::Malformed);
     countRequestEnd(context_.metrics,
--- a/Source/Programs/Gateway/StoreWatch.cpp
+++ b/Source/Programs/Gateway/StoreWatch.cpp
@@ -59,6 +59,7 @@
                       std::function<void(const HttpResponse &)> done)
 {
     const TimePoint now = monotonicNow();
+    callBegunAt_ = now;
     giveUpAt_ = now + timeout;
     response_ = {};
     CallEvents events{.accept = {},
@@ -72,18 +73,20 @@
                       .failed =
                           [this](const CallFailure &failure) {
                               call_.reset();
-                              fail(failure.reason);
+                              fail(failure.reason, monotonicNow());
                           }};
     // After a failure no kept connection is trusted: all may have fallen silent together.
     const ConnectionUse use = failures_ > 0 ? ConnectionUse::Fresh : ConnectionUse::Reuse;
+    const std::uint64_t openedBefore = pool_.opened();
     call_ = pool_.call(store_, std::move(request), use, std::move(events), now);
+    connectionIsNew_ = pool_.opened() > openedBefore;
 }
 
 void StoreWatch::takeNewest(const HttpResponse &response)
 {
     auto page = platform::decodeNewest(response);
     if (page.has_error()) {
-        fail(page.error().message);
+        fail(page.error().message, monotonicNow());
         return;
     }
     succeeded();
@@ -114,7 +117,7 @@
         return;
     }
     if (page.has_error()) {
-        fail(page.error().message);
+        fail(page.error().message, monotonicNow());
         return;
     }
     succeeded();
@@ -134,16 +137,24 @@
     failures_ = 0;
     countStoreCall(metrics_, plan_.name, "answered");
     answeredAt_ = monotonicNow();
+    events_.confirmed(*answeredAt_);
 }
 
-void StoreWatch::fail(const std::string &reason)
+void StoreWatch::fail(const std::string &reason, TimePoint now)
 {
-    if (failures_ == 0)
-        log_.warn("store.lost", {{"what", plan_.name}, {"reason", reason}});
+    const std::uint32_t doublings = std::min(failures_, 3U);
+    const milliseconds pause = std::min(longestRetry, firstRetry * (1 << doublings));
+    const char *event = failures_ == 0 ? "store.lost" : "store.call_failed";
     ++failures_;
+    log_.warn(event,
+              {{"what", plan_.name},
+               {"reason", reason},
+               {"after_s", secondsOf(remaining(callBegunAt_, now))},
+               {"connection", connectionIsNew_ ? "new" : "kept"},
+               {"failures", failures_},
+               {"next_in_s", secondsOf(pause)}});
     countStoreCall(metrics_, plan_.name, "failed");
-    const std::uint32_t doublings = std::min(failures_ - 1, 3U);
-    again(std::min(longestRetry, firstRetry * (1 << doublings)));
+    again(pause);
 }
 
 void StoreWatch::again(milliseconds after)
@@ -162,7 +173,7 @@
     if (!call_ || now < giveUpAt_)
         return;
     call_.reset();
-    fail("no answer in time");
+    fail("no answer in time", now);
 }
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/StoreWatch.h
+++ b/Source/Programs/Gateway/StoreWatch.h
@@ -33,6 +33,8 @@
     std::function<void(const std::vector<platform::KeyedRecord> &)> snapshot;
     /// The store answers again after it did not.
     std::function<void()> regained;
+    /// What is known of the topic is as the store had it at this time.
+    std::function<void(TimePoint)> confirmed;
 };
 
 /// Follows one topic of the platform's store for as long as it lives.
@@ -60,7 +62,7 @@
     void takeNewest(const HttpResponse &response);
     void takeLog(const HttpResponse &response);
     void succeeded();
-    void fail(const std::string &reason);
+    void fail(const std::string &reason, TimePoint now);
     void again(milliseconds after);
 
     EventLoop &loop_;
@@ -71,6 +73,9 @@
     WatchPlan plan_;
     WatchEvents events_;
     std::unique_ptr<HttpCall> call_;
+    TimePoint callBegunAt_;
+    /// Whether the call opened its connection; otherwise it took a kept one.
+    bool connectionIsNew_ = false;
     TimePoint giveUpAt_;
     HttpResponse response_;
     bool synced_ = false;
--- a/Tests/Gateway/StoreStandIn.cpp
+++ b/Tests/Gateway/StoreStandIn.cpp
@@ -41,27 +41,52 @@
     : server_([this](const SeenRequest &request, ScriptPeer &peer) { answer(request, peer); })
 { }
 
+StoreStandIn::~StoreStandIn()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+    appended_.notify_all();
+}
+
 void StoreStandIn::append(const std::string &topic, const std::string &key,
                           const std::string &value)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     logs_[topic].push_back({key, value});
+    appended_.notify_all();
 }
 
 void StoreStandIn::answer(const SeenRequest &request, ScriptPeer &peer)
 {
     const std::string target = request.target();
-    if (silent_ && request.before > 0)
+    const bool silentAtArrival = silent_;
+    if (mute_ || (silentAtArrival && request.before > 0))
         return;
     if (away_) {
         peer.send(plainResponse(503, "", ""));
         return;
     }
     const std::string topic = number(target, "topic");
-    if (target.starts_with("/log-newest"))
+    if (target.starts_with("/log-newest")) {
         peer.send(plainResponse(200, "", newest(topic)));
-    else
-        peer.send(plainResponse(200, "", read(topic, std::stoul(number(target, "from")))));
+        return;
+    }
+    const std::size_t from = std::stoul(number(target, "from"));
+    waitForRecord(topic, from, milliseconds(std::stol(number(target, "wait_ms"))));
+    if (!dropped(request, silentAtArrival))
+        peer.send(plainResponse(200, "", read(topic, from)));
+}
+
+bool StoreStandIn::dropped(const SeenRequest &request, bool silentAtArrival) const
+{
+    const bool connectionFellSilent = silent_ && (!silentAtArrival || request.before > 0);
+    return mute_ || connectionFellSilent;
+}
+
+void StoreStandIn::waitForRecord(const std::string &topic, std::size_t from, milliseconds wait)
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    appended_.wait_for(lock, wait, [&] { return stopping_ || logs_[topic].size() > from; });
 }
 
 std::string StoreStandIn::newest(const std::string &topic)
--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <string>
@@ -9,14 +10,19 @@
 #include <nlohmann/json.hpp>
 
 #include "Gateway/ScriptedServer.h"
+#include "Process/Time.h"
 
 namespace wisteria::gateway_tests {
 
-/// A stand-in of the platform's store: keyed topics that answer log-newest and log-read.
+/// A stand-in of the platform's store: keyed topics that answer log-newest and log-read. It holds a
+/// read that waits until there is a record.
 class StoreStandIn
 {
 public:
     StoreStandIn();
+    ~StoreStandIn();
+    StoreStandIn(const StoreStandIn &) = delete;
+    StoreStandIn &operator=(const StoreStandIn &) = delete;
 
     void put(const std::string &topic, const std::string &key, const nlohmann::json &value)
     {
@@ -32,8 +38,17 @@
     /// Answers no further request on connections that have had one, as if they had fallen silent.
     void silenceKeptConnections() { silent_ = true; }
 
+    /// Leaves what arrives from now on without an answer, also later, or no longer.
+    void mute(bool mute) { mute_ = mute; }
+
     Endpoint endpoint() const { return server_.endpoint(); }
 
+    /// Reads of the log of a topic that have arrived.
+    std::size_t readsOf(const std::string &topic) const
+    {
+        return server_.count("/log-read?topic=" + topic);
+    }
+
 private:
     struct Record
     {
@@ -42,13 +57,19 @@
     };
 
     void answer(const SeenRequest &request, ScriptPeer &peer);
+    /// Whether a request that was not dropped on its arrival is by the end of its wait.
+    bool dropped(const SeenRequest &request, bool silentAtArrival) const;
+    void waitForRecord(const std::string &topic, std::size_t from, milliseconds wait);
     std::string newest(const std::string &topic);
     std::string read(const std::string &topic, std::size_t from);
 
     std::mutex mutex_;
+    std::condition_variable appended_;
+    bool stopping_ = false;
     std::map<std::string, std::vector<Record>> logs_;
     std::atomic<bool> away_ = false;
     std::atomic<bool> silent_ = false;
+    std::atomic<bool> mute_ = false;
     ScriptedServer server_;
 };
 
