A failing test: after an outage of the store an old version decides too long

The store had been silent for nine seconds and answered other reads within half a second of its return.

The test lets the store fall silent, waits for the third read of the configuration that begins in the outage, lets the store return and publishes a version.

--- a/Tests/Gateway/StoreOutageTest.cpp
+++ b/Tests/Gateway/StoreOutageTest.cpp
@@ -101,3 +101,32 @@
     REQUIRE(end.value("config", 0) == 1);
     REQUIRE(end.value("config_age_s", 0.0) > 0.7);
 }
+
+// Callers with a key that an operator had added almost three seconds before got 401. The store had
+// been silent for nine seconds, took the version as it came back, and answered other reads within
+// half a second; yet no gateway read the version until 2.8 s after its acknowledgement.
+TEST_CASE("A version is in force in time once a store that was silent answers again")
+{
+    // A version is to be in force this long after its acknowledgement.
+    constexpr seconds inForceWithin{2};
+    ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 200, "here"));
+    });
+    Running gateway;
+    gateway.configure();
+    gateway.addBackend("i-1", "plain", backend);
+    gateway.waitUntilReady();
+    gateway.callUntil(requestFor("/once/x", "a1"), 200);
+    const std::size_t readsBefore = gateway.store.readsOf("keyed.op");
+    gateway.store.mute(true);
+    REQUIRE(eventually([&] { return gateway.store.readsOf("keyed.op") >= readsBefore + 3; }));
+    gateway.store.mute(false);
+    nlohmann::json next = configurationOf(2);
+    next["tenants"][0]["api_keys"] = {"key1", "key2"};
+    gateway.store.put("keyed.op", "config", next);
+    const TimePoint acknowledged = monotonicNow();
+    std::string request = requestFor("/once/x", "a2");
+    request.replace(request.find("key1"), 4, "key2");
+    REQUIRE(gateway.callUntil(request, 200).status == 200);
+    REQUIRE(monotonicNow() - acknowledged < inForceWithin);
+}
