--- a/Tests/Gateway/ScriptedServer.cpp
+++ b/Tests/Gateway/ScriptedServer.cpp
@@ -113,16 +113,16 @@
     return ::recv(descriptor_, &byte, 1, 0) < 0 && errno == ECONNRESET;
 }
 
-ScriptedServer::ScriptedServer(Script script) : script_(std::move(script))
+ScriptedServer::ScriptedServer(Script script, std::uint32_t ip) : script_(std::move(script))
 {
     listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address = addressOf({INADDR_LOOPBACK, 0});
+    sockaddr_in address = addressOf({ip, 0});
     socklen_t size = sizeof(address);
     if (::bind(listener_, reinterpret_cast<sockaddr *>(&address), size) != 0
         || ::listen(listener_, 64) != 0)
         throw std::runtime_error("the scripted server can't listen on loopback");
     ::getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size);
-    endpoint_ = {INADDR_LOOPBACK, ntohs(address.sin_port)};
+    endpoint_ = {ip, ntohs(address.sin_port)};
     acceptor_ = std::thread([this] { acceptLoop(); });
 }
 
--- a/Tests/Gateway/ScriptedServer.h
+++ b/Tests/Gateway/ScriptedServer.h
@@ -49,13 +49,14 @@
     bool closed_ = false;
 };
 
-/// Answers HTTP requests on 127.0.0.1 as a script says; a thread a connection.
+/// Answers HTTP requests on a loopback address as a script says; a thread a connection.
 class ScriptedServer
 {
 public:
     using Script = std::function<void(const SeenRequest &, ScriptPeer &)>;
 
-    explicit ScriptedServer(Script script);
+    /// @param ip The loopback address that it listens on.
+    explicit ScriptedServer(Script script, std::uint32_t ip = 0x7F000001);
     ~ScriptedServer();
     ScriptedServer(const ScriptedServer &) = delete;
     ScriptedServer &operator=(const ScriptedServer &) = delete;
