Tests of the gateway share their set-up

Cause: ten cases repeated "configure, add a backend server, wait until ready", and three wrote the same settings file for a program by themselves.

Change: Running::startWith and writeSettings hold each once. No check changed.

--- a/Tests/Gateway/GatewayTest.cpp
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <csignal>
-#include <fstream>
 
 #include <sys/wait.h>
 #include <unistd.h>
@@ -18,9 +17,7 @@
         peer.send(sealed(request, 200, "stock: 7"));
     });
     Running gateway;
-    gateway.configure();
-    gateway.addBackend("i-1", "plain", backend);
-    gateway.waitUntilReady();
+    gateway.startWith("i-1", "plain", backend);
     const CallResult answer = gateway.callUntil(requestFor("/once/x", "a1"), 200);
     REQUIRE(answer.status == 200);
     REQUIRE(answer.body == "stock: 7");
@@ -118,9 +115,7 @@
         peer.send(sealed(request, 200, "yours"));
     });
     Running gateway;
-    gateway.configure();
-    gateway.addBackend("i-1", "plain", backend);
-    gateway.waitUntilReady();
+    gateway.startWith("i-1", "plain", backend);
     REQUIRE(gateway.callUntil(requestFor("/once/x", "a1"), 200).body == "yours");
 }
 
@@ -132,9 +127,7 @@
             "spoilt"));
     });
     Running gateway;
-    gateway.configure();
-    gateway.addBackend("i-1", "plain", backend);
-    gateway.waitUntilReady();
+    gateway.startWith("i-1", "plain", backend);
     REQUIRE(gateway.callUntil(requestFor("/once/x", "a1"), 502).status == 502);
 }
 
@@ -171,9 +164,7 @@
                                 ""));
     });
     Running gateway;
-    gateway.configure();
-    gateway.addBackend("i-1", "plain", backend);
-    gateway.waitUntilReady();
+    gateway.startWith("i-1", "plain", backend);
     const CallResult answer = gateway.callUntil(requestFor("/once/x", "a1"), 503);
     REQUIRE(answer.status == 503);
     REQUIRE_FALSE(answer.header("Retry-After").empty());
@@ -193,9 +184,7 @@
         peer.close();
     });
     Running gateway;
-    gateway.configure();
-    gateway.addBackend("i-1", "model", backend);
-    gateway.waitUntilReady();
+    gateway.startWith("i-1", "model", backend);
     REQUIRE(eventually([&] {
         const OpenCall caller(gateway.callers(), requestFor("/stream/x", "a1"));
         return eventually([&] { return backend.count("/stream/") > 0; });
@@ -213,9 +202,7 @@
         peer.close();
     });
     Running gateway;
-    gateway.configure();
-    gateway.addBackend("i-1", "model", backend);
-    gateway.waitUntilReady();
+    gateway.startWith("i-1", "model", backend);
     REQUIRE(eventually([&] {
         OpenCall caller(gateway.callers(), requestFor("/stream/x", "a1"));
         return caller.waitForBytes() && backend.count("/stream/") > 0;
@@ -234,9 +221,7 @@
         peer.send(chunk(eventText(2)) + "0\r\n\r\n");
     });
     Running gateway(milliseconds(8000));
-    gateway.configure();
-    gateway.addBackend("i-1", "model", backend);
-    gateway.waitUntilReady();
+    gateway.startWith("i-1", "model", backend);
     auto answer = std::async(std::launch::async, [&gateway] {
         return gateway.callUntil(requestFor("/stream/x", "a1"), 200);
     });
@@ -256,9 +241,7 @@
         peer.send(sealed(request, 200, "here"));
     });
     Running gateway;
-    gateway.configure();
-    gateway.addBackend("i-1", "plain", backend);
-    gateway.waitUntilReady();
+    gateway.startWith("i-1", "plain", backend);
     gateway.callUntil(requestFor("/once/x", "a1"), 200);
     gateway.store.silenceKeptConnections();
     nlohmann::json next = configurationOf(2);
@@ -277,9 +260,7 @@
         peer.send(sealed(request, 200, "here"));
     });
     Running gateway;
-    gateway.configure();
-    gateway.addBackend("i-1", "plain", backend);
-    gateway.waitUntilReady();
+    gateway.startWith("i-1", "plain", backend);
     ::kill(::getpid(), SIGHUP);
     REQUIRE(gateway.callUntil(requestFor("/once/x", "a1"), 200).body == "here");
 }
@@ -293,13 +274,8 @@
         const ScriptedServer engine(
             [](const SeenRequest &, ScriptPeer &peer) { peer.send(plainResponse(200, "", "{}")); });
         const Endpoint callers{INADDR_LOOPBACK, freePort()};
-        const std::string path = temporaryFolder() + "/" + program + ".conf";
-        std::ofstream(path) << "node_name=vm\nip=127.0.0.1\nzone=a\ninternal_port_range="
-                            << freePort()
-                            << ",65535\nplatform.address=" << toText(engine.endpoint())
-                            << "\napp=" << toText(engine.endpoint())
-                            << "\nlisten.front=" << toText(callers)
-                            << "\nlisten.ready=127.0.0.1:" << freePort() << "\n";
+        const std::string path = writeSettings(
+            "vm", {.store = engine.endpoint(), .callers = callers, .engine = engine.endpoint()});
         const pid_t child = startProgram(program, path);
         REQUIRE(eventually([&] { return !engine.seen().empty(); }));
         ::kill(child, SIGHUP);
--- a/Tests/Gateway/GatewayUnderTest.cpp
+++ b/Tests/Gateway/GatewayUnderTest.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <sstream>
 
 #include <arpa/inet.h>
@@ -57,6 +58,19 @@
     return server.endpoint().port;
 }
 
+std::string writeSettings(const std::string &vmName, const ProgramAddresses &addresses)
+{
+    const std::string path = temporaryFolder() + "/settings.conf";
+    std::ofstream file(path);
+    file << "node_name=" << vmName << "\nip=127.0.0.1\nzone=a\ninternal_port_range=" << freePort()
+         << ",65535\nplatform.address=" << toText(addresses.store)
+         << "\nlisten.front=" << toText(addresses.callers)
+         << "\nlisten.ready=127.0.0.1:" << freePort() << "\n";
+    if (addresses.engine)
+        file << "app=" << toText(*addresses.engine) << "\n";
+    return path;
+}
+
 nlohmann::json routeOf(const std::string &prefix, const std::string &kind,
                        const std::string &service, bool resumable)
 {
--- a/Tests/Gateway/GatewayUnderTest.h
+++ b/Tests/Gateway/GatewayUnderTest.h
@@ -2,6 +2,7 @@
 
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,19 @@
 /// A port that was free a moment ago.
 std::uint16_t freePort();
 
+/// Addresses in the settings file of a program under test.
+struct ProgramAddresses
+{
+    Endpoint store;
+    Endpoint callers;
+    /// Sidecars only.
+    std::optional<Endpoint> engine{};
+};
+
+/// Writes a settings file into a new folder under /tmp.
+/// @return The file's path.
+std::string writeSettings(const std::string &vmName, const ProgramAddresses &addresses);
+
 /// A response header that marks an answer as the backend server's own.
 inline constexpr const char *seal = "Wisteriawind-Response-Seal: s\r\n";
 
@@ -113,6 +127,14 @@
         REQUIRE(eventually([this] { return ready(); }));
     }
 
+    /// Starts the gateway with one backend server and waits until it is ready.
+    void startWith(const std::string &id, const std::string &service, const ScriptedServer &server)
+    {
+        configure();
+        addBackend(id, service, server);
+        waitUntilReady();
+    }
+
     /// The metrics as a scraper gets them.
     std::string metrics() const
     {
--- a/Tests/Gateway/MetricsTest.cpp
+++ b/Tests/Gateway/MetricsTest.cpp
@@ -193,13 +193,10 @@
 // a write that never returned, and SIGTERM was followed by nothing until the kill.
 TEST_CASE("A reader of the log that does not read holds up neither requests nor the end")
 {
-    const std::string folder = temporaryFolder();
-    const std::string settings = folder + "/settings.conf";
     const Endpoint callers{INADDR_LOOPBACK, freePort()};
     const Endpoint metrics{INADDR_LOOPBACK, freePort()};
-    std::ofstream(settings) << "node_name=front-1\nip=127.0.0.1\nzone=a\ninternal_port_range="
-                            << freePort() << ",65535\nplatform.address=127.0.0.1:1\nlisten.front="
-                            << toText(callers) << "\nlisten.ready=127.0.0.1:" << freePort() << "\n";
+    const std::string settings =
+        writeSettings("front-1", {.store = {INADDR_LOOPBACK, 1}, .callers = callers});
     int pipe[2] = {-1, -1};
     REQUIRE(::pipe2(pipe, O_CLOEXEC) == 0);
     const pid_t child = startProgram(
--- a/Tests/Gateway/StoreOutageTest.cpp
+++ b/Tests/Gateway/StoreOutageTest.cpp
@@ -1,6 +1,5 @@
 #include <csignal>
 #include <fstream>
-#include <sstream>
 
 #include <fcntl.h>
 #include <sys/wait.h>
@@ -21,13 +20,9 @@
 public:
     explicit LoggedGateway(const Endpoint &store)
     {
-        const std::string folder = temporaryFolder();
-        const std::string settings = folder + "/settings.conf";
-        path_ = folder + "/lines";
-        std::ofstream(settings) << "node_name=front-1\nip=127.0.0.1\nzone=a\ninternal_port_range="
-                                << freePort() << ",65535\nplatform.address=" << toText(store)
-                                << "\nlisten.front=" << toText(callers_)
-                                << "\nlisten.ready=127.0.0.1:" << freePort() << "\n";
+        const std::string settings =
+            writeSettings("front-1", {.store = store, .callers = callers_});
+        path_ = settings + ".lines";
         const int output = ::open(path_.c_str(), O_CREAT | O_WRONLY | O_CLOEXEC, 0600);
         child_ = startProgram("wisteria-gateway", settings,
                               {"--metrics-port", std::to_string(freePort())}, output);
@@ -116,9 +111,7 @@
         peer.send(sealed(request, 200, "here"));
     });
     Running gateway;
-    gateway.configure();
-    gateway.addBackend("i-1", "plain", backend);
-    gateway.waitUntilReady();
+    gateway.startWith("i-1", "plain", backend);
     gateway.callUntil(requestFor("/once/x", "a1"), 200);
     const std::size_t readsBefore = gateway.store.readsOf("keyed.op");
     gateway.store.mute(true);
