Stagger all places of the list of leaders, and relay on in the order heard

Cause: beyond the twentieth place all sidecars waited alike, so with a failure domain's 39 first ones gone all others led at once (test: 153 before, at most 4 now). The relays of later stages were the lowest addresses of their branch, alive or not. Change: 25 ms for each further place; a branch keeps the order in which the leader heard of its members.

--- a/Source/Version/LeaderChoice.h
+++ b/Source/Version/LeaderChoice.h
@@ -24,8 +24,10 @@
 constexpr milliseconds leaderSilence{1000};
 /// Each further place in the list waits this much longer, so that one at a time tries.
 constexpr milliseconds leaderStagger{150};
-/// Places beyond this one don't add to the wait.
+/// Places beyond this one wait less longer each, or the last of a large service would wait for half
+/// a minute; still longer than a poll takes to them.
 constexpr std::size_t staggeredPlaces = 20;
+constexpr milliseconds leaderStaggerBeyond{25};
 
 /// Notes a poll from a sidecar further up the list.
 inline void noteSuperior(LeaderChoice &choice, TimePoint now)
@@ -37,8 +39,10 @@
 /// @param place Its place in the list of the service's sidecars, from 0.
 inline bool leads(const LeaderChoice &choice, std::size_t place, TimePoint now)
 {
-    const milliseconds wait =
-        leaderSilence + leaderStagger * static_cast<int>(std::min(place, staggeredPlaces));
+    const std::size_t beyond = place - std::min(place, staggeredPlaces);
+    const milliseconds wait = leaderSilence
+        + leaderStagger * static_cast<int>(std::min(place, staggeredPlaces))
+        + leaderStaggerBeyond * static_cast<int>(beyond);
     const TimePoint from = std::max(choice.heardSuperior, choice.since);
     return now - from >= wait;
 }
--- a/Source/Version/RelayPlan.h
+++ b/Source/Version/RelayPlan.h
@@ -56,8 +56,9 @@
 /// With one stage of relays the leader of 192 ranks had a map, and the counts of all ranks, on its
 /// link for longer than passes take.
 /// @param engines The ones that were heard of last come first. The first of each branch is its
-/// relay, as one that is gone costs its whole branch a resend. Neighbouring addresses, which are
-/// mostly in one failure domain, share a branch.
+/// relay, as one that is gone costs its whole branch a resend; the rest keep their order, by which
+/// the relay chooses the next ones. Neighbouring addresses, which are mostly in one failure domain,
+/// share a branch.
 inline std::vector<RelayBranch> relayPlan(const std::vector<Endpoint> &engines,
                                           std::size_t messageBytes, const RelayLink &link)
 {
@@ -68,16 +69,14 @@
     const std::size_t count = branchCount(engines.size(), messageBytes, link);
     std::vector<RelayBranch> branches;
     for (std::size_t branch = 0; branch < count; ++branch) {
-        const auto begin =
-            byAddress.begin() + static_cast<std::ptrdiff_t>(branch * engines.size() / count);
-        const auto end =
-            byAddress.begin() + static_cast<std::ptrdiff_t>((branch + 1) * engines.size() / count);
-        const auto relay = std::min_element(begin, end);
-        RelayBranch &added = branches.emplace_back(RelayBranch{engines[*relay], {}});
-        for (auto receiver = begin; receiver != end; ++receiver) {
-            if (receiver != relay)
-                added.rest.push_back(engines[*receiver]);
-        }
+        const auto at = [&](std::size_t index) {
+            return byAddress.begin() + static_cast<std::ptrdiff_t>(index * engines.size() / count);
+        };
+        std::vector<std::size_t> members(at(branch), at(branch + 1));
+        std::sort(members.begin(), members.end());
+        RelayBranch &added = branches.emplace_back(RelayBranch{engines[members.front()], {}});
+        for (auto member = members.begin() + 1; member != members.end(); ++member)
+            added.rest.push_back(engines[*member]);
     }
     return branches;
 }
--- a/Tests/Version/DemandPlacementTest.cpp
+++ b/Tests/Version/DemandPlacementTest.cpp
@@ -260,6 +260,8 @@
         REQUIRE(branch.rest.size() == 8);
         for (const Endpoint &other : branch.rest)
             REQUIRE(other.ip < branch.first.ip);
+        // In the order in which they were heard of, for the stages that follow.
+        REQUIRE(std::is_sorted(branch.rest.rbegin(), branch.rest.rend()));
         reached.push_back(branch.first);
         reached.insert(reached.end(), branch.rest.begin(), branch.rest.end());
     }
--- a/Tests/Version/FleetTrafficTest.cpp
+++ b/Tests/Version/FleetTrafficTest.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "Version/KnownEngines.h"
+#include "Version/LeaderChoice.h"
 #include "Version/RelayPlan.h"
 #include "Version/ToldLoad.h"
 
@@ -183,3 +184,35 @@
     constexpr std::size_t smallCounts = 160;
     REQUIRE(spreadOf(15, smallCounts, relayLinkOf(20)).stages == 1);
 }
+
+// A failure domain loses power, and with it the first 39 of the list. All others but the first
+// twenty used to wait for the same time, so 153 sidecars led at once: each asked all ranks for
+// their state and their counts, and prepared maps against the others.
+TEST_CASE("When a whole failure domain is lost few sidecars lead for a moment, then one")
+{
+    constexpr std::size_t lost = 39;
+    constexpr milliseconds pollTakes{40};
+    constexpr milliseconds tick{25};
+    std::vector<LeaderChoice> choices(rankCount, LeaderChoice{.heardSuperior = {}, .since = {}});
+    std::vector<std::pair<TimePoint, std::size_t>> polls;
+    std::size_t mostAtOnce = 0;
+    std::size_t leadingNow = 0;
+    for (TimePoint now{}; now < TimePoint{seconds(12)}; now += tick) {
+        for (const auto &[at, from] : polls) {
+            if (at > now || now - at >= tick)
+                continue;
+            for (std::size_t place = from + 1; place < rankCount; ++place)
+                noteSuperior(choices[place], now);
+        }
+        leadingNow = 0;
+        for (std::size_t place = lost; place < rankCount; ++place) {
+            if (!leads(choices[place], place, now))
+                continue;
+            ++leadingNow;
+            polls.emplace_back(now + pollTakes, place);
+        }
+        mostAtOnce = std::max(mostAtOnce, leadingNow);
+    }
+    REQUIRE(mostAtOnce <= 4);
+    REQUIRE(leadingNow == 1);
+}
