Take the comparison of keys' homes out of the bench

No program on the platform keeps keys: an attempt's id belongs to one attempt, and what may have run is not sent again (docs/design/platform.md, first row of the table). No promise and no test goes.

--- a/Source/Programs/Bench/Main.cpp
+++ b/Source/Programs/Bench/Main.cpp
@@ -5,7 +5,6 @@
 #include <tclap/ArgException.h>
 
 #include "Programs/Bench/ConfigCommand.h"
-#include "Programs/Bench/KeysCommand.h"
 #include "Programs/Bench/LoadCommand.h"
 #include "Programs/Bench/PlacementCommand.h"
 #include "Programs/Bench/Subcommand.h"
@@ -17,9 +16,8 @@
 
 constexpr int usageError = 2;
 
-constexpr std::array<Subcommand, 5> subcommands = {{
+constexpr std::array<Subcommand, 4> subcommands = {{
     {"config", "measures how changes of the configuration spread", runConfigCommand},
-    {"keys", "compares the ways to run a key at most once", runKeysCommand},
     {"load", "sends load to a running system", runLoadCommand},
     {"placement", "replays a load trace against a placement policy", runPlacementCommand},
     {"trace", "generates a load trace from a seed", runTraceCommand},
