--- a/Source/Programs/Gateway/StoreWatch.cpp
+++ b/Source/Programs/Gateway/StoreWatch.cpp
@@ -52,8 +52,8 @@
 void StoreWatch::readLog()
 {
     // A read that waits and gets no answer is given up only after its wait: begun in an outage, it
-    // kept an old version in force for 3.5 s after the store was back. Until the store has answered
-    // once, reads ask for what is there and don't wait.
+    // would keep an old version in force for seconds after the store is back. Until the store has
+    // answered once, reads ask for what is there and don't wait.
     const milliseconds wait = failures_ > 0 ? milliseconds(0) : plan_.wait;
     call(platform::logReadRequest(plan_.topic, next_, wait), wait + storeAnswerTimeout,
          [this](const HttpResponse &response) { takeLog(response); });
--- a/Source/Programs/Sidecar/GroupLeader.cpp
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -24,8 +24,7 @@
 /// lost.
 constexpr milliseconds pollPeriod{200};
 /// The same while a switch is under way; sidecars also tell of each change by themselves. It grows
-/// with the ranks beyond so many, as the answers take the leader's processor:
-/// decoding one takes 0.012 ms of a core, and a VM has 0.15 of one.
+/// with the ranks beyond so many, as decoding the answers takes the leader's share of a core.
 constexpr milliseconds pollPeriodSwitching{60};
 constexpr std::size_t ranksPolledOften = 16;
 /// A rank whose sidecar has not answered for this long is asked itself: a group may be held by the
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -273,7 +273,7 @@
     }
 
     /// Sends one message to the sidecars beside many engines, to itself without the network. It is
-    /// encoded once: for each of 72 ranks by itself, a map took the leader over a second.
+    /// encoded once: for each rank by itself, a map would take the leader of a large group seconds.
     void sendToAll(const std::vector<Endpoint> &engines, const GroupMessage &message)
     {
         const std::string bytes = encodeMessage(message);
--- a/Source/Request/BackendBoard.h
+++ b/Source/Request/BackendBoard.h
@@ -74,8 +74,8 @@
 double paceOf(const BackendState &state, TimePoint now, milliseconds loadLifetime);
 
 /// Pace from which streams are moved off a backend server. In a group of ranks every pass waits for
-/// the slowest: ten streams on a rank at a twelfth of its speed kept 180 others at one event a
-/// second, while moving one costs the reading of its prompt, some tens of milliseconds.
+/// the slowest: a few streams on a slow rank keep all others waiting for their next event, while
+/// moving one costs the reading of its prompt.
 constexpr double moveAtPace = 2.0;
 
 /// How long a rank's first report is waited for before its state counts as unknown. A sidecar
@@ -90,9 +90,8 @@
 /// The part of a backend server's free places that one of several gateways may fill until the next
 /// report. What is left over goes to one of them by chance.
 ///
-/// Each gateway sees the same free places. In a surge to four times the load five gateways filled
-/// each of them five times over within a tenth of a second, and half of the streams waited 0.7 to
-/// 1.0 s at a rank for their first event.
+/// Each gateway sees the same free places. In a surge, between two reports, all of them would fill
+/// each place, and most streams would wait at a rank for their first event.
 /// @param draw A number from 0 to below 1.
 std::uint32_t shareOfFree(std::uint32_t free, std::uint32_t gateways, double draw);
 
@@ -113,8 +112,8 @@
 /// Takes in what an answer tells.
 ///
 /// A rank that refuses work although it has free places belongs to a group that is closed. Taken
-/// for open, the ranks of a group that still formed refused 481 requests after a loss of power,
-/// each of which had used up its two sends.
+/// for open, the ranks of a group that still forms after a loss of power would use up the sends of
+/// each request.
 /// @param inGroup It is a rank of a group.
 /// @param draw A number from 0 to below 1.
 void noteAnswer(BackendState &state, const AnswerTold &answer, bool inGroup, TimePoint now,
--- a/Source/Request/PlaceQueue.h
+++ b/Source/Request/PlaceQueue.h
@@ -36,10 +36,7 @@
 /// that wait already and go before it.
 ///
 /// Answers a surge: all that arrived used to wait for half of their target latency, and most of
-/// them in vain. Told at once, callers can turn elsewhere, and those that wait are served. In
-/// surges to two to five times the load, with 16 ranks and three seeds, 0.449, 0.447 and 0.477 of
-/// the worth was earned instead of 0.422, 0.420 and 0.446, and of the worth that was refused less
-/// than a tenth was so after a wait (2,621 to 208, 2,531 to 240, 2,590 to 292).
+/// them in vain. Told at once, callers can turn elsewhere, and those that wait are served.
 bool waitCanSucceed(const PlaceQueue &queue, std::uint32_t priority, milliseconds wait,
                     TimePoint now);
 
--- a/Source/Request/PlaceWait.h
+++ b/Source/Request/PlaceWait.h
@@ -13,9 +13,9 @@
     /// All places are taken: share of the target latency. Longer, and the answer would come late
     /// even if a place were found.
     double fullShare = 0.5;
-    /// The service's group of ranks is closed. After a loss of power it opens 0.7 s after the first
-    /// gateways take requests; callers that are refused then come back once, all within a second. A
-    /// caller gives up a stream that has no event after two seconds.
+    /// The service's group of ranks is closed. After a loss of power it opens within this time of
+    /// the first requests; callers that are refused then come back once, all together. A caller
+    /// gives up a stream that has no event after two seconds.
     milliseconds closed{1200};
     /// The same, as a share of the time that the request has: one with little time is told soon,
     /// and may try elsewhere.
--- a/Source/Version/CountsCollection.h
+++ b/Source/Version/CountsCollection.h
@@ -34,8 +34,8 @@
 
 /// Takes those out of the list that are due. They are out of it before anybody is told: a sum for
 /// this process itself, asked for while it led and due when it no longer did, was added to the list
-/// that was being gone through. The process crashed, at times after it had told another's sum
-/// 129,700 times, which fills a VM's link of 8 Mbit/s for minutes.
+/// that was being gone through. The process crashed, at times after it had told another's sum so
+/// often that its link was full for minutes.
 std::vector<CountsCollection> takeDue(std::vector<CountsCollection> &collections, TimePoint now);
 
 } // namespace wisteria
--- a/Source/Version/DemandPlacement.cpp
+++ b/Source/Version/DemandPlacement.cpp
@@ -17,11 +17,10 @@
 /// Counts of a set below which its demand is too uncertain to act on: the noise of one expert's
 /// count is then still a tenth of it.
 constexpr double leastCounts = 4000;
-/// Terms that one set's search may evaluate: some 4 ms of a core at full speed.
+/// Terms that one set's search may evaluate: it ends within the time of a pass.
 constexpr std::uint64_t searchTerms = 300000;
-/// Ranks that each step of the search may move experts to. Of 72 ranks the busiest one's work goes
-/// to the idlest anyway: looking at 8 takes two thirds of the work that 12 take, for the same
-/// skew, and 12 took a third of what all of them take.
+/// Ranks that each step of the search may move experts to. The busiest one's work goes to the
+/// idlest anyway; looking at more of them takes longer and leads to the same skew.
 constexpr std::uint32_t searchPartners = 8;
 
 void fade(ExpertDemand &demand, TimePoint now)
--- a/Source/Version/DemandPlacement.h
+++ b/Source/Version/DemandPlacement.h
@@ -36,8 +36,8 @@
 void takeWindow(ExpertDemand &demand, const ExpertDemand &window, TimePoint now);
 
 /// Skew, averaged over the sets, by which the counts of a moment must exceed what is known for
-/// demand to count as shifted. The prompts of one pass of 63 ranks exceed it by 0.3 at times, and a
-/// shift by 1 to 2.
+/// demand to count as shifted. The prompts of one pass of a large group stay below it, and a shift
+/// is far above.
 constexpr double shiftSkew = 0.5;
 
 /// Whether demand has moved away from the map between what is known and the latest counts.
@@ -49,8 +49,7 @@
 struct PlacementBounds
 {
     /// Skew, averaged over the sets, that a change must gain at least. While experts are copied
-    /// each pass takes 15 in 100 longer: changes for less slowed a loaded group down more than they
-    /// gained (share of the worth served under high load: 0.47 at 0.04, 0.72 at 0.25).
+    /// each pass takes longer: changes for less slow a loaded group down more than they gain.
     double leastGain = 0.25;
     /// Skew, averaged over the sets, that each second of copying one expert must gain at least;
     /// halves the memory that is copied.
--- a/Source/Version/GroupDemand.h
+++ b/Source/Version/GroupDemand.h
@@ -8,8 +8,8 @@
 ///
 /// The counts of one question make up a window. When a window shows that demand has shifted, all
 /// that was known is forgotten. A window of several passes is left out as well, as it holds counts
-/// of before and after: a map made for the mixture left a skew of 1.8 and needed another switch,
-/// 0.4 s later, which brought it to 1.25.
+/// of before and after: a map made for the mixture fits neither, and another switch would have to
+/// follow.
 void takeDemand(GroupSwitch &group, const ExpertProfile &profile, const SwitchTiming &timing,
                 const CountsTold &told, TimePoint now);
 
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -146,8 +146,8 @@
 }
 
 /// Bits for each count. Its square root in so many levels keeps the counts of common experts, on
-/// which most ranks' loads rest, as exact in proportion as those of the favourites. As whole
-/// numbers the counts of 192 ranks filled their relays' links for longer than a pass takes.
+/// which most ranks' loads rest, as exact in proportion as those of the favourites. Whole numbers
+/// would fill the links of a large group's relays for longer than a pass takes.
 constexpr unsigned countBits = 5;
 constexpr std::uint64_t countLevels = (1U << countBits) - 1;
 
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -136,7 +136,8 @@
 
 /// A message that the receiver takes itself and passes on to the sidecars of further engines.
 ///
-/// The leader of 72 ranks has a link of 8 Mbit/s: a new map for each of them took 0.15 s of it.
+/// The link of the leader's VM would be busy for longer than a pass takes with a new map for each
+/// rank of a large group.
 struct RelayedMessage
 {
     std::vector<Endpoint> engines;
--- a/Source/Version/LayerSearch.cpp
+++ b/Source/Version/LayerSearch.cpp
@@ -263,8 +263,7 @@
         }
     }
     // Such a step seldom pays, and one that does uses up the busiest rank's room for copies: taken
-    // along with the others, it took 60 in 100 of the work and left 63 ranks at a skew of 1.27
-    // instead of 1.22 after a shift.
+    // along with the others, it takes most of the work and leads to worse maps.
     const bool pays = std::any_of(steps_.begin(), steps_.end(),
                                   [](const SearchStep &step) { return step.change < 0; });
     for (std::size_t slot = 0; slot < map_.ranks[busiest].size() && !pays; ++slot)
--- a/Source/Version/OrderRetry.h
+++ b/Source/Version/OrderRetry.h
@@ -11,8 +11,8 @@
 
 /// An engine on the same VM answers within some milliseconds.
 constexpr milliseconds orderTimeout{40};
-/// Tries while there is no answer. With half of the orders unanswered one of 192 ranks needs eight
-/// or more; then the leader asks again.
+/// Tries while there is no answer; then the leader asks again. The more ranks there are, the more
+/// tries the unluckiest of them needs.
 constexpr int triesOfOrder = 16;
 
 /// Whether an order that got no answer is given once more.
--- a/Source/Version/PlacementSearch.cpp
+++ b/Source/Version/PlacementSearch.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// First steps that the search tries to follow up when no single step pays. Six instead of two took
-/// a third more work for the same skew.
+/// First steps that the search tries to follow up when no single step pays. More take longer for
+/// the same skew.
 constexpr std::size_t lookAheadWidth = 2;
 
 /// Steps that are worth taking together.
--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -42,9 +42,9 @@
 }
 
 /// Pause before a rank is asked for the same order once more. For maps it doubles with each time: a
-/// link that is full of resends delays the answers to all of them, and more resends follow. So a
-/// group of 72 ranks stood still for good, its leader's link seconds behind. The map in force under
-/// another version, which a held group is brought to, is a message without changes.
+/// link that is full of resends delays the answers to all of them, and more resends follow, until a
+/// large group stands still for good. The map in force under another version, which a held group is
+/// brought to, is a message without changes.
 milliseconds pauseBefore(const GroupSwitch &group, const SwitchTiming &timing, const RankView &view,
                          const RankOrder &order, std::uint32_t timesAsked)
 {
--- a/Source/Version/RankSwitch.h
+++ b/Source/Version/RankSwitch.h
@@ -30,7 +30,7 @@
     /// Pause before an order without an effect is asked for again.
     milliseconds resend{50};
     /// The same for a map that the rank is not known to copy yet, which doubles with each time, and
-    /// for one that it copies. Of 72 messages one is easily lost, and the whole group waits for
+    /// for one that it copies. Of many messages one is easily lost, and the whole group waits for
     /// that rank.
     milliseconds resendMap{120};
     milliseconds resendAcceptedMap{1000};
@@ -43,7 +43,7 @@
     /// each engine would add to what its link and its processor are behind with.
     std::size_t orderDirectlyAtMost = 8;
     /// Passes between the last one seen and the one at which the group switches. The hold must
-    /// reach its rank before that pass begins; a pass takes some 30 to 60 ms, an order 5 to 20.
+    /// reach its rank before that pass begins; an order takes less than a pass.
     std::uint64_t passesAhead = 2;
     /// How long orders to arm that are still on their way are waited for before a held group is
     /// brought to another version: mostly they arrive, and nothing has to be undone.
@@ -54,7 +54,8 @@
     /// ones begin a window of their own.
     milliseconds countsWindow{35};
     /// After a look that found nothing, another one waits until the skew has grown by so much, or
-    /// for this long: at 72 ranks a look takes 10 to 30 ms of a core, of which a sidecar has 0.15.
+    /// for this long: looks at a large group's map would take up the share of a core that a sidecar
+    /// has.
     double worthAnotherLook = 0.1;
     milliseconds lookAgain{1000};
 };
@@ -156,8 +157,8 @@
 {
     std::uint32_t rank = 0;
     Endpoint engine;
-    /// Without its map, which is the group's: copying it for each rank at each status took the
-    /// leader of 72 ranks more than its share of a core.
+    /// Without its map, which is the group's: copying it for each rank at each status would take a
+    /// large group's leader more than its share of a core.
     RankOrder order;
     bool direct = false;
     /// For Prepare through a sidecar: it may be sent as changes against the map in force.
