--- a/Source/Request/ComeBack.h
+++ b/Source/Request/ComeBack.h
@@ -15,8 +15,8 @@
     milliseconds standing{1200};
     /// Spread of the latter.
     milliseconds standingSpread{1000};
-    /// Service without any event of any stream for this long, while its places are taken, stands. It
-    /// is several passes.
+    /// Service without any event of any stream for this long, while its places are taken, stands.
+    /// It is several passes.
     milliseconds stalledAfter{500};
 };
 
--- a/Source/Version/LeaderChoice.h
+++ b/Source/Version/LeaderChoice.h
@@ -19,8 +19,8 @@
     TimePoint since;
 };
 
-/// A silent leader is replaced after this time: five of its polls. Sooner, a leader that looks for a
-/// map would be replaced meanwhile, and the two would prepare maps against each other.
+/// A silent leader is replaced after this time: five of its polls. Sooner, a leader that looks for
+/// a map would be replaced meanwhile, and the two would prepare maps against each other.
 constexpr milliseconds leaderSilence{1000};
 /// Each further place in the list waits this much longer, so that one at a time tries.
 constexpr milliseconds leaderStagger{150};
--- a/Source/Version/RelayPlan.h
+++ b/Source/Version/RelayPlan.h
@@ -53,8 +53,8 @@
 /// Splits the receivers of a message into branches. A message of few bytes in all goes to each
 /// receiver directly; the relay of a branch splits it again.
 ///
-/// With one stage of relays a large group's map, and the counts of its ranks, keep the leader's link
-/// busy for longer than a pass takes: statuses and orders between them come late or get lost.
+/// With one stage of relays a large group's map, and the counts of its ranks, keep the leader's
+/// link busy for longer than a pass takes: statuses and orders between them come late or get lost.
 /// @param engines The ones that were heard of last come first. The first of each branch is its
 /// relay, as one that is gone costs its whole branch a resend; the rest keep their order, by which
 /// the relay chooses the next ones. Neighbouring addresses, which are mostly in one failure domain,
