--- a/Tests/Gateway/GatewayUnderTest.h
+++ b/Tests/Gateway/GatewayUnderTest.h
@@ -143,6 +143,9 @@
 
     const Endpoint &callers() const { return *settings_.callers; }
 
+    /// Where it takes messages of other processes of the system.
+    Endpoint messages() const { return {settings_.vm.ip, settings_.firstInternalPort}; }
+
     CallResult call(const std::string &request) const
     {
         return callServer(*settings_.callers, request);
--- a/Tests/Gateway/SidecarTest.cpp
+++ b/Tests/Gateway/SidecarTest.cpp
@@ -1,9 +1,6 @@
-#include <variant>
-
-#include <arpa/inet.h>
 #include <poll.h>
-#include <sys/socket.h>
 
+#include "Gateway/DatagramPeer.h"
 #include "Gateway/GatewayUnderTest.h"
 #include "Programs/Sidecar/Sidecar.h"
 #include "Version/KnownEngines.h"
@@ -66,62 +63,6 @@
     std::future<bool> end_;
 };
 
-/// Another process of the system, as far as the sidecar can tell.
-class Peer
-{
-public:
-    explicit Peer(const Endpoint &sidecar) : descriptor_(::socket(AF_INET, SOCK_DGRAM, 0))
-    {
-        const sockaddr_in own = addressOf({INADDR_LOOPBACK, sidecar.port});
-        const sockaddr_in other = addressOf(sidecar);
-        REQUIRE(::bind(descriptor_, reinterpret_cast<const sockaddr *>(&own), sizeof(own)) == 0);
-        REQUIRE(::connect(descriptor_, reinterpret_cast<const sockaddr *>(&other), sizeof(other))
-                == 0);
-    }
-
-    ~Peer() { ::close(descriptor_); }
-    Peer(const Peer &) = delete;
-    Peer &operator=(const Peer &) = delete;
-
-    void send(const GroupMessage &message) const
-    {
-        const std::string bytes = encodeMessage(message);
-        ::send(descriptor_, bytes.data(), bytes.size(), 0);
-    }
-
-    /// Reads what comes within the time; returns how many messages of a kind were among it.
-    template <typename Message> std::size_t countWithin(milliseconds time) const
-    {
-        std::size_t count = 0;
-        const TimePoint end = monotonicNow() + time;
-        for (TimePoint now = monotonicNow(); now < end; now = monotonicNow()) {
-            pollfd wanted{descriptor_, POLLIN, 0};
-            if (::poll(&wanted, 1, static_cast<int>((end - now) / milliseconds(1)) + 1) <= 0)
-                continue;
-            char bytes[65536];
-            const ssize_t size = ::recv(descriptor_, bytes, sizeof(bytes), 0);
-            if (size <= 0)
-                continue;
-            const auto message = decodeMessage({bytes, static_cast<std::size_t>(size)});
-            if (message.has_value() && std::holds_alternative<Message>(message.value()))
-                ++count;
-        }
-        return count;
-    }
-
-private:
-    static sockaddr_in addressOf(const Endpoint &endpoint)
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(endpoint.port);
-        address.sin_addr.s_addr = htonl(endpoint.ip);
-        return address;
-    }
-
-    int descriptor_;
-};
-
 } // namespace
 
 // Of 805 requests that came fifteen seconds after a loss of power 90 were answered; the streams of
@@ -139,7 +80,7 @@
         },
         sidecarIp);
     const RunningSidecar sidecar(engine);
-    const Peer other(sidecar.address());
+    const DatagramPeer other(INADDR_LOOPBACK, sidecar.address());
     const EngineList list{.profile = {.sets = 1, .expertsPerSet = 4, .expertsPerRank = 2},
                           .engines = {{INADDR_LOOPBACK, 1}, engine.endpoint()}};
     // A rank that answers nobody keeps the sum that is asked for here waiting.
@@ -167,7 +108,7 @@
         [](const SeenRequest &request, ScriptPeer &peer) { answerAsEngine(request, peer, 0); },
         sidecarIp);
     const RunningSidecar sidecar(engine);
-    const Peer gateway(sidecar.address());
+    const DatagramPeer gateway(INADDR_LOOPBACK, sidecar.address());
     const EngineList list{.profile = {.sets = 1, .expertsPerSet = 4, .expertsPerRank = 2},
                           .engines = {{INADDR_LOOPBACK, 1}, engine.endpoint()}};
     const GatewayHello hello{.listDigest = digestOf(list)};
