--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -189,7 +189,7 @@
 
     void sayHelloTo(const std::string &service, const EngineProfile &engine)
     {
-        EngineList list = engineListOf(service, engine);
+        const EngineList list = engineListOf(service, engine);
         const std::string bytes = encodeMessage(GatewayHello{.listDigest = digestOf(list)});
         for (const Endpoint &address : list.engines)
             peers_.send({address.ip, settings_.firstInternalPort}, bytes);
--- a/Source/Programs/Gateway/StorePacing.h
+++ b/Source/Programs/Gateway/StorePacing.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <algorithm>
 #include <chrono>
 
 #include "Process/Time.h"
