Tell in the line of a switch how long ago demand was seen to shift

The lines said how long each phase of a switch took, but not when the shift was seen that it answers, so what a late map cost could not be told from lines alone. Logging only.

--- a/Source/Programs/Sidecar/GroupLeader.cpp
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -324,21 +324,23 @@
 void GroupLeader::noteStep(const GroupSwitch &group, SwitchNote note, TimePoint now)
 {
     countSwitchStep(metrics_, group, note, now);
-    log_.info("map.switch",
-              {{"group", group.group},
-               {"note", noteText(note)},
-               {"phase", phaseName(group.phase)},
-               {"epoch", group.epoch},
-               {"version", group.version},
-               {"step", group.step},
-               {"skew_before", group.proposal.skewBefore},
-               {"skew_after", group.proposal.skewAfter},
-               {"loads", group.proposal.loads},
-               {"searched_terms", group.proposal.searchedTerms},
-               {"preparing_ms", phaseTime(group, SwitchPhase::Preparing)},
-               {"holding_ms", phaseTime(group, SwitchPhase::Holding)},
-               {"arming_ms", phaseTime(group, SwitchPhase::Arming)},
-               {"releasing_ms", phaseTime(group, SwitchPhase::Releasing)}});
+    LogFields fields = {{"group", group.group},
+                        {"note", noteText(note)},
+                        {"phase", phaseName(group.phase)},
+                        {"epoch", group.epoch},
+                        {"version", group.version},
+                        {"step", group.step},
+                        {"skew_before", group.proposal.skewBefore},
+                        {"skew_after", group.proposal.skewAfter},
+                        {"loads", group.proposal.loads},
+                        {"searched_terms", group.proposal.searchedTerms},
+                        {"preparing_ms", phaseTime(group, SwitchPhase::Preparing)},
+                        {"holding_ms", phaseTime(group, SwitchPhase::Holding)},
+                        {"arming_ms", phaseTime(group, SwitchPhase::Arming)},
+                        {"releasing_ms", phaseTime(group, SwitchPhase::Releasing)}};
+    if (group.shiftSeenAt)
+        fields["since_shift_ms"] = remaining(*group.shiftSeenAt, now).count();
+    log_.info("map.switch", fields);
 }
 
 } // namespace wisteria
--- a/Source/Version/GroupDemand.cpp
+++ b/Source/Version/GroupDemand.cpp
@@ -19,8 +19,10 @@
         return;
     const bool shifted = !group.shiftSeen
         && hasShifted(group.demand, window, presentMap(group, profile), pacesOf(group));
-    if (shifted)
+    if (shifted) {
         group.demand = {};
+        group.shiftSeenAt = now;
+    }
     group.shiftSeen = shifted && passes > 1;
     if (group.shiftSeen)
         return;
--- a/Source/Version/RankSwitch.h
+++ b/Source/Version/RankSwitch.h
@@ -124,6 +124,8 @@
     TimePoint windowSince{};
     /// Demand has moved: what was known is forgotten, and the next window is all that is known.
     bool shiftSeen = false;
+    /// When that was last seen.
+    std::optional<TimePoint> shiftSeenAt{};
     SwitchPhase phase = SwitchPhase::Idle;
     TimePoint phaseSince{};
     /// Version that this leader made and brings into force; 0 while it has none.
--- a/Tests/Version/DemandShiftTest.cpp
+++ b/Tests/Version/DemandShiftTest.cpp
@@ -54,6 +54,8 @@
             .note;
     }
 
+    const std::optional<TimePoint> &shiftSeenAt() const { return group_.shiftSeenAt; }
+
     const RankMap &proposed() const { return group_.map; }
 
 private:
@@ -127,10 +129,13 @@
     Group group(settledMap(before));
     for (int i = 0; i < 5; ++i)
         group.window(before);
+    REQUIRE_FALSE(group.shiftSeenAt());
     // No pass began since the last question.
     REQUIRE(group.window(std::vector<std::uint64_t>(before.size(), 0), 0) == SwitchNote::Nothing);
     REQUIRE(group.window(after) == SwitchNote::Preparing);
     REQUIRE(skewUnder(after, group.proposed()) < 1.25);
+    // The line of the switch tells how long ago this was.
+    REQUIRE(group.shiftSeenAt());
 }
 
 TEST_CASE("Counts of some ranks that come late do not hold up the look for a better map")
