Know at once which engines are gone after a restart of all

Callers saw: after a loss of power some 500 requests of two seconds end "not run by any backend server" although the group is up.

Cause: two entries stand at one address and nothing tells which engine is there: entries of this contract don't say when their engine started. The list is read each 1.35 s, so most gateways know only the old entries when sidecars tell that the group is open. 63 dead entries a gateway are found out by sends that end with 421, two a request.

Change: of two entries at one address the one recorded later stands (the start decides where both tell it); a record that is read once more, as after lost history, tells nothing new. When a group opens again, or a server answers for another, the list is read at once, once in 0.1 s at most and not while the store is away; until it has been read, 0.15 s at most, a group that opens gets no work. What sidecars told of an address counts for the engine that took it over. Waiting requests are offered places once a read, not once a record.

--- a/Source/Programs/Gateway/BackendList.cpp
+++ b/Source/Programs/Gateway/BackendList.cpp
@@ -47,6 +47,7 @@
                    {"started", entry.value().startedAt},
                    {"offset", record.offset}});
     }
+    entry.value().recordedAt = record.offset;
     putBackend(board_, entry.value(), now);
 }
 
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -155,6 +155,7 @@
         return;
     if (head_.misdirected) {
         noteReplaced(*backend);
+        context_.listChanged();
         return;
     }
     noteAnswer(*backend, {.load = head_.load, .notExecuted = head_.notExecuted}, inGroup_,
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -89,7 +89,9 @@
                                  .retryBounds = retryBoundsOf(settings_),
                                  .retryShares = {},
                                  .failureDomain = settings_.failureDomain,
-                                 .routes = nullptr},
+                                 .routes = nullptr,
+                                 .listChanged =
+                                     [this] { backendsWatch_->readSoon(monotonicNow()); }},
           list_(board_, log_, backendsPause(settings_.drainTime)),
           callers_(loop_, [this](int descriptor) { acceptCaller(descriptor); }),
           readiness_(
@@ -138,23 +140,22 @@
                                     takeConfiguration(record);
                             },
                         .regained = [] {},
-                        .confirmed = [this](TimePoint at) { context_.routesConfirmedAt = at; }});
+                        .confirmed = [this](TimePoint at) { context_.routesConfirmedAt = at; },
+                        .upToDate = [](TimePoint) {}});
         backendsWatch_ = std::make_unique<StoreWatch>(
             loop_, pool_, log_, metrics_, settings_.store,
             WatchPlan{"backends", platform::backendsTopic, milliseconds(0),
                       backendsPause(settings_.drainTime)},
-            WatchEvents{.record =
-                            [this](const auto &record) {
-                                list_.take(record, monotonicNow());
-                                serveWaiting();
-                            },
-                        .snapshot =
-                            [this](const auto &records) {
-                                list_.takeAll(records, monotonicNow());
-                                serveWaiting();
-                            },
-                        .regained = [this] { list_.storeRegained(monotonicNow()); },
-                        .confirmed = [](TimePoint) {}});
+            WatchEvents{
+                .record = [this](const auto &record) { list_.take(record, monotonicNow()); },
+                .snapshot = [this](const auto &records) { list_.takeAll(records, monotonicNow()); },
+                .regained = [this] { list_.storeRegained(monotonicNow()); },
+                .confirmed = [](TimePoint) {},
+                .upToDate =
+                    [this](TimePoint at) {
+                        noteListRead(board_, at);
+                        serveWaitingSoon();
+                    }});
     }
 
     void takeConfiguration(const platform::KeyedRecord &record)
@@ -241,21 +242,28 @@
 
     void takeLoad(const EngineLoad &load)
     {
+        const LoadTold told{.running = load.running,
+                            .waiting = load.waiting,
+                            .at = monotonicNow(),
+                            .pace = load.pace,
+                            .open = load.open,
+                            .gateways = load.gateways};
         for (auto &[id, state] : board_.backends) {
             if (state.entry.address != load.engine)
                 continue;
-            noteLoad(state,
-                     {.running = load.running,
-                      .waiting = load.waiting,
-                      .at = monotonicNow(),
-                      .pace = load.pace,
-                      .open = load.open,
-                      .gateways = load.gateways},
-                     context_.draw());
+            if (noteOpening(board_, state, told))
+                noteOpeningOf(state.entry.service);
+            noteLoad(state, told, context_.draw());
         }
         serveWaitingSoon();
     }
 
+    void noteOpeningOf(const std::string &service)
+    {
+        log_.info("group.opened", {{"service", service}});
+        backendsWatch_->readSoon(monotonicNow());
+    }
+
     void acceptCaller(int descriptor)
     {
         const std::size_t most = settings_.openFiles > descriptorsKept
--- a/Source/Programs/Gateway/GatewayContext.h
+++ b/Source/Programs/Gateway/GatewayContext.h
@@ -41,6 +41,8 @@
     std::shared_ptr<const RouteTable> routes;
     /// When the store last answered about the configuration; nothing before the first time.
     std::optional<TimePoint> routesConfirmedAt{};
+    /// Asks for the list of backend servers, as an answer told that it has changed.
+    std::function<void()> listChanged;
     std::mt19937_64 random{std::random_device{}()};
 
     /// A number from 0 to below 1.
--- a/Source/Programs/Gateway/StoreWatch.cpp
+++ b/Source/Programs/Gateway/StoreWatch.cpp
@@ -15,6 +15,8 @@
 /// s: a version that was acknowledged as the store came back is to be in force 2 s later.
 constexpr milliseconds longestRetry{400};
 constexpr std::uint32_t mostDoublings = 2;
+/// Time between the beginnings of two reads, at least, however many wishes there are for one.
+constexpr milliseconds leastReadPeriod{100};
 
 } // namespace
 
@@ -33,6 +35,7 @@
 
 void StoreWatch::start()
 {
+    soon_ = false;
     if (synced_) {
         readLog();
         return;
@@ -107,7 +110,7 @@
     next_ = *newestEnd_;
     events_.snapshot(newest_);
     newest_.clear();
-    again(plan_.pause);
+    finishRead(false);
 }
 
 void StoreWatch::takeLog(const HttpResponse &response)
@@ -128,8 +131,34 @@
     next_ = page.value().next;
     for (const platform::KeyedRecord &record : page.value().records)
         events_.record(record);
-    const bool behind = next_ < page.value().end;
-    again(behind ? milliseconds(0) : plan_.pause);
+    finishRead(next_ < page.value().end);
+}
+
+void StoreWatch::finishRead(bool behind)
+{
+    if (behind) {
+        again(milliseconds(0));
+        return;
+    }
+    events_.upToDate(callBegunAt_);
+    again(pauseBeforeRead(monotonicNow()));
+}
+
+milliseconds StoreWatch::pauseBeforeRead(TimePoint now) const
+{
+    if (!soon_)
+        return plan_.pause;
+    return std::max(milliseconds(0), leastReadPeriod - remaining(callBegunAt_, now));
+}
+
+void StoreWatch::readSoon(TimePoint now)
+{
+    if (soon_ || failures_ > 0)
+        return;
+    soon_ = true;
+    // A read that is under way may have been answered before the news; another one follows it.
+    if (!call_)
+        again(pauseBeforeRead(now));
 }
 
 void StoreWatch::succeeded()
--- a/Source/Programs/Gateway/StoreWatch.h
+++ b/Source/Programs/Gateway/StoreWatch.h
@@ -35,6 +35,8 @@
     std::function<void()> regained;
     /// What is known of the topic is as the store had it at this time.
     std::function<void(TimePoint)> confirmed;
+    /// All that the store had at this time has been told.
+    std::function<void(TimePoint)> upToDate;
 };
 
 /// Follows one topic of the platform's store for as long as it lives.
@@ -47,6 +49,10 @@
     StoreWatch(const StoreWatch &) = delete;
     StoreWatch &operator=(const StoreWatch &) = delete;
 
+    /// Reads without the pause between two reads, as there is news. Several wishes close to each
+    /// other are one read, and none is made sooner for them while the store is away.
+    void readSoon(TimePoint now);
+
     /// Gives up a call that has taken too long.
     void checkTime(TimePoint now);
 
@@ -64,6 +70,8 @@
     void succeeded();
     void fail(const std::string &reason, TimePoint now);
     void again(milliseconds after);
+    milliseconds pauseBeforeRead(TimePoint now) const;
+    void finishRead(bool behind);
 
     EventLoop &loop_;
     HttpClientPool &pool_;
@@ -79,6 +87,8 @@
     TimePoint giveUpAt_;
     HttpResponse response_;
     bool synced_ = false;
+    /// The next read is wanted sooner than the plan's pause says.
+    bool soon_ = false;
     std::uint64_t next_ = 0;
     /// Pages of the newest records as they come in.
     std::vector<platform::KeyedRecord> newest_;
--- a/Source/Request/BackendBoard.cpp
+++ b/Source/Request/BackendBoard.cpp
@@ -57,21 +57,45 @@
         std::erase_if(candidates, slow);
 }
 
-/// Marks those at one address that another one has replaced: the last start counts.
-void settleAddress(BackendBoard &board, const Endpoint &address)
+/// Whether one entry is surely younger than another one at its address.
+bool isYounger(const BackendEntry &entry, const BackendEntry &other)
 {
-    std::uint64_t lastStart = 0;
-    for (const auto &[id, state] : board.backends) {
-        if (state.entry.address == address)
-            lastStart = std::max(lastStart, state.entry.startedAt);
-    }
-    for (auto &[id, state] : board.backends) {
-        const bool known = state.entry.startedAt != 0;
-        if (known && state.entry.address == address && state.entry.startedAt < lastStart)
-            state.replaced = true;
+    if (entry.startedAt != 0 && other.startedAt != 0)
+        return entry.startedAt > other.startedAt;
+    return entry.recordedAt && other.recordedAt && *entry.recordedAt > *other.recordedAt;
+}
+
+/// Marks the older of two at one address. What was told of the address is of the one that is there.
+void settleBetween(BackendState &younger, BackendState &older)
+{
+    older.replaced = true;
+    if (younger.told || !older.told)
+        return;
+    younger.told = older.told;
+    younger.told->own = younger.own;
+}
+
+/// Settles between a backend server and those that stand at its address as well.
+void settleAddress(BackendBoard &board, BackendState &state)
+{
+    for (auto &[id, other] : board.backends) {
+        if (&other == &state || other.entry.address != state.entry.address)
+            continue;
+        if (isYounger(state.entry, other.entry))
+            settleBetween(state, other);
+        else if (isYounger(other.entry, state.entry))
+            settleBetween(other, state);
     }
 }
 
+/// Whether a group opened again and may have other engines than the list that is known names.
+bool awaitsList(const BackendBoard &board, const std::string &service, TimePoint now)
+{
+    const auto opened = board.openedAt.find(service);
+    return opened != board.openedAt.end() && board.listReadAt < opened->second
+        && now - opened->second < openingReadWait;
+}
+
 } // namespace
 
 void putBackend(BackendBoard &board, const BackendEntry &entry, TimePoint now)
@@ -85,11 +109,14 @@
         state.own = own;
         state.since = now;
     }
-    const bool settle = restarted || state.replaced;
+    // A record that is read once more, as after lost history, tells nothing new.
+    const bool renewed = !entry.recordedAt || entry.recordedAt != state.entry.recordedAt;
+    const bool settle = restarted || (state.replaced && renewed);
     state.entry = entry;
+    if (!settle)
+        return;
     state.replaced = false;
-    if (settle)
-        settleAddress(board, entry.address);
+    settleAddress(board, state);
 }
 
 void removeBackend(BackendBoard &board, const std::string &id)
@@ -112,6 +139,23 @@
     return fresh ? std::max(1.0, state.told->pace) : 1.0;
 }
 
+void noteListRead(BackendBoard &board, TimePoint at)
+{
+    board.listReadAt = std::max(board.listReadAt, at);
+}
+
+bool noteOpening(BackendBoard &board, const BackendState &state, const LoadTold &told)
+{
+    const bool opens = told.open && state.told && !state.told->open;
+    if (!opens)
+        return false;
+    TimePoint &openedAt = board.openedAt[state.entry.service];
+    if (openedAt != TimePoint() && told.at - openedAt < openingSpread)
+        return false;
+    openedAt = told.at;
+    return true;
+}
+
 bool isOpen(const BackendState &state, bool inGroup, TimePoint now, milliseconds loadLifetime)
 {
     const bool fresh = state.told && now - state.told->at <= loadLifetime;
@@ -170,10 +214,11 @@
 {
     BackendChoice choice{.why = NoBackend::Unknown};
     std::vector<Candidate> candidates;
+    const bool listAwaited = wish.inGroup && awaitsList(board, wish.service, now);
     for (auto &[id, state] : board.backends) {
         if (state.entry.service != wish.service || state.entry.draining || state.replaced)
             continue;
-        if (!isOpen(state, wish.inGroup, now, board.loadLifetime)) {
+        if (listAwaited || !isOpen(state, wish.inGroup, now, board.loadLifetime)) {
             choice.why = NoBackend::NotOpen;
             continue;
         }
--- a/Source/Request/BackendBoard.h
+++ b/Source/Request/BackendBoard.h
@@ -54,13 +54,18 @@
     std::map<std::string, BackendState> backends;
     /// A load that was told longer ago than this says nothing.
     milliseconds loadLifetime{1000};
+    /// The list is known as the store had it at this time.
+    TimePoint listReadAt;
+    /// When the group of each service was first told to be open again.
+    std::map<std::string, TimePoint> openedAt;
 };
 
 /// Takes in what a backend server says of itself; one that started anew is known anew.
 ///
-/// Of two at one address the one that started last is there. After a loss of power all engines of a
-/// group come back under other ids while the old entries stand for seconds: each send to an old one
-/// costs one of the two that a request has.
+/// Of two at one address the one that started last is there or, where that is not told, the one
+/// whose record is the later: a server that is gone writes no more. After a loss of power all
+/// engines of a group come back under other ids while the old entries stand for seconds, and each
+/// send to an old one costs one of the two that a request has.
 void putBackend(BackendBoard &board, const BackendEntry &entry, TimePoint now);
 
 /// Forgets a backend server, or one whose entry says nothing that can be used.
@@ -83,6 +88,21 @@
 /// to ranks of a group that was not formed yet, and used up the sends of a request.
 constexpr milliseconds firstReportWait{400};
 
+/// How long a group that opens again gets no work until the list has been read: its engines may
+/// have started anew and stand in the list under other ids. Longer, and a silent store would keep a
+/// group without work whose engines are the same.
+constexpr milliseconds openingReadWait{150};
+
+/// Ranks of one group that tell within this time that they are open tell of the same opening.
+constexpr milliseconds openingSpread{1000};
+
+/// Notes that all entries are known as the store had them at a moment.
+void noteListRead(BackendBoard &board, TimePoint at);
+
+/// Takes in whether a load, before it is noted, tells that the group opens.
+/// @return Whether the list is to be read for that.
+bool noteOpening(BackendBoard &board, const BackendState &state, const LoadTold &told);
+
 /// Whether a backend server takes work, as far as is known.
 /// @param inGroup It is a rank of a group.
 bool isOpen(const BackendState &state, bool inGroup, TimePoint now, milliseconds loadLifetime);
--- a/Source/Version/BackendEntry.h
+++ b/Source/Version/BackendEntry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "Process/Endpoint.h"
@@ -23,6 +24,8 @@
     milliseconds coldFor{0};
     /// Moment of its start. It may start again under the same id, and knows nothing of before.
     std::uint64_t startedAt = 0;
+    /// Offset of the record that says this, in the log of the list; later ones are higher.
+    std::optional<std::uint64_t> recordedAt{};
 };
 
 } // namespace wisteria
--- a/Tests/Gateway/GatewayTest.cpp
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -155,6 +155,22 @@
     REQUIRE(toOld <= 1);
 }
 
+// Guards against every gateway finding out by sends of its own, until the next read of the list,
+// which engines are gone after a restart.
+TEST_CASE("A refusal by another server at the address has the list read at once")
+{
+    ScriptedServer backend(
+        [](const SeenRequest &request, ScriptPeer &peer) { peer.send(sealed(request, 421, "")); });
+    Running gateway;
+    gateway.startWith("i-old", "plain", backend);
+    const std::size_t before = gateway.store.readsOf("keyed.servers");
+    REQUIRE(eventually([&] { return gateway.store.readsOf("keyed.servers") > before; }));
+    const std::size_t regular = gateway.store.readsOf("keyed.servers");
+    REQUIRE(gateway.call(requestFor("/again/x", "a1", "GET")).status == 503);
+    REQUIRE(eventually([&] { return gateway.store.readsOf("keyed.servers") > regular; },
+                       milliseconds(400)));
+}
+
 TEST_CASE("What a backend server surely did not run is told so, with a time to come back")
 {
     ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
--- a/Tests/Gateway/ScriptedServer.cpp
+++ b/Tests/Gateway/ScriptedServer.cpp
@@ -257,11 +257,11 @@
     descriptor_ = -1;
 }
 
-bool eventually(const std::function<bool()> &condition)
+bool eventually(const std::function<bool()> &condition, milliseconds within)
 {
-    constexpr int tries = 1000;
     constexpr int betweenTries = 10;
-    for (int i = 0; i < tries; ++i) {
+    const auto tries = within.count() / betweenTries;
+    for (std::int64_t i = 0; i < tries; ++i) {
         if (condition())
             return true;
         ::poll(nullptr, 0, betweenTries);
--- a/Tests/Gateway/ScriptedServer.h
+++ b/Tests/Gateway/ScriptedServer.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "Process/Endpoint.h"
+#include "Process/Time.h"
 
 namespace wisteria::gateway_tests {
 
@@ -116,7 +117,7 @@
     int descriptor_ = -1;
 };
 
-/// Asks for a condition again and again, for ten seconds at most.
-bool eventually(const std::function<bool()> &condition);
+/// Asks for a condition again and again until it holds or the time is over.
+bool eventually(const std::function<bool()> &condition, milliseconds within = seconds(10));
 
 } // namespace wisteria::gateway_tests
