--- a/Tests/Gateway/GatewayTest.cpp
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -107,6 +107,28 @@
 
 // A clerk reads another clerk's quotation. A backend server sends an answer late, on a connection
 // that serves the next request by then; only the attempt's id tells whose it is.
+// Guards against a server that fails each request at once, and so always has the least load,
+// drawing most of a service's requests.
+TEST_CASE("A backend server that answers every request with an error is avoided")
+{
+    ScriptedServer failing([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 500, "no"));
+    });
+    ScriptedServer sound([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 200, "here"));
+    });
+    Running gateway;
+    gateway.configure();
+    gateway.addBackend("i-failing", "plain", failing);
+    gateway.addBackend("i-sound", "plain", sound);
+    gateway.waitUntilReady();
+    constexpr int requests = 40;
+    for (int i = 0; i < requests; ++i)
+        gateway.call(requestFor("/once/x", "a" + std::to_string(i)));
+    // Three in a row, and a few tries after each time of avoidance.
+    REQUIRE(failing.seen().size() <= requests / 4);
+}
+
 TEST_CASE("An answer to another attempt never reaches the caller")
 {
     ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
