Count an answer as a server's success only when it is passed on for good

Callers saw: every second quotation failed at once for six seconds, while six of 63 engines failed all that they got.

Cause: each complete answer reset the failures in a row, errors as well, so such an engine was never avoided, and with the least load it drew the requests of all gateways. Ruled out: errors that belong to the requests (all were at six engines), retries used up by something else.

Change: success is noted where the answer is passed on.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -205,8 +205,6 @@
 
 void Exchange::onComplete()
 {
-    if (BackendState *backend = backendNow(); backend != nullptr && !head_.notExecuted)
-        noteSuccess(*backend);
     if (head_.notExecuted) {
         endSend(SendEnd::NotExecuted, "the backend server did not run it");
         return;
@@ -229,9 +227,18 @@
         endSend(SendEnd::ServerError, "the backend server failed");
         return;
     }
+    noteGoodAnswer();
     passOnAnswer();
 }
 
+/// An error is an answer as well, but one that comes at once from a server that fails everything:
+/// it would have the least load and draw the service's requests.
+void Exchange::noteGoodAnswer()
+{
+    if (BackendState *backend = backendNow())
+        noteSuccess(*backend);
+}
+
 void Exchange::completeStream()
 {
     const TimePoint now = monotonicNow();
@@ -244,6 +251,7 @@
         return;
     }
     const int status = head_.status;
+    noteGoodAnswer();
     countSendEnd(context_.metrics, service_, "answered");
     leaveBackend();
     finish(status, "answered", now);
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -72,6 +72,7 @@
     void forwardEvents(std::string_view bytes);
     bool forwardsStream() const;
     void completeStream();
+    void noteGoodAnswer();
     void passOnAnswer();
     void endSend(SendEnd end, const std::string &reason);
     void leaveBackend();
