Share the slack of retries among as many gateways as there are

Callers would see: a service that is sick gets more retries than all gateways together may send. Found while the gateways' constants were gone through: the slack was shared as if there were ten gateways, and the deployments have 13, 16 and 36.

Cause: a constant of the first deployments.

Change: sidecars tell how many gateways they hear of; a quarter more are reckoned with, ten at least, forty until it is told. What is saved is a whole retry at least, which requests earn.

Figures (reckoned with the test's load, a slack of 194 and every request failing for a window): 13 gateways 507 retries where 454 are allowed, 36 gateways 1,404 where 914 are; within the bound now (test).

--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -275,6 +275,7 @@
             return;
         }
         const std::uint64_t id = ++lastSession_;
+        noteGateways(context_.retryBounds, load.gateways);
         sessions_[id] =
             std::make_unique<Session>(context_, descriptor,
                                       SessionEvents{.over = [this, id] { endSession(id); },
@@ -425,6 +426,7 @@
         // here. A request that is taken too late would be cut by the end of the process.
         callers_.close();
         std::vector<std::uint64_t> idle;
+        noteGateways(context_.retryBounds, gateways);
         for (const auto &[id, session] : sessions_) {
             if (session->idle())
                 idle.push_back(id);
--- a/Source/Request/RetryShare.h
+++ b/Source/Request/RetryShare.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 
 #include "Process/Time.h"
 
@@ -14,11 +15,32 @@
     /// Retries besides, of all gateways.
     double slack = 10;
     milliseconds window{10'000};
+    /// Gateways that share the slack, as far as is told; 0 while nothing is.
+    std::uint32_t gatewaysTold = 0;
 };
 
-/// Gateways that may share the slack at once. Twice the five of the larger deployment, as VMs may
-/// be added in the middle of a window. A static share holds in any partition without a message.
-constexpr double gatewaysAtMost = 10;
+/// Gateways that are reckoned with until it is told how many there are, as in a large fleet.
+constexpr double gatewaysUntilTold = 40;
+/// Gateways that are reckoned with at least, and for each one that is told of: VMs may be added in
+/// the middle of a window. A static share holds in any partition without a message.
+constexpr double gatewaysAtLeast = 10;
+constexpr double gatewaysForEach = 1.25;
+
+/// Takes in how many gateways a sidecar hears of. One that is cut off from some hears of fewer, so
+/// the number never falls.
+inline void noteGateways(RetryBounds &bounds, std::uint32_t told)
+{
+    bounds.gatewaysTold = std::max(bounds.gatewaysTold, told);
+}
+
+/// Gateways that the slack is divided by.
+inline double gatewaysReckoned(const RetryBounds &bounds)
+{
+    if (bounds.gatewaysTold == 0)
+        return gatewaysUntilTold;
+    return std::max(gatewaysAtLeast, bounds.gatewaysTold * gatewaysForEach);
+}
+
 /// Starts of one gateway within a window, each of which begins with a full share.
 constexpr double startsAtMost = 2;
 
@@ -34,27 +56,34 @@
 /// Slack that one gateway may hold at a time.
 inline double slackShare(const RetryBounds &bounds)
 {
-    return bounds.slack / gatewaysAtMost / startsAtMost;
+    return bounds.slack / gatewaysReckoned(bounds) / startsAtMost;
+}
+
+/// Most that is saved up: a whole retry at least, or among many gateways none could send any.
+inline double mostSaved(const RetryBounds &bounds)
+{
+    return std::max(1.0, slackShare(bounds));
 }
 
 inline void refill(RetryShare &share, const RetryBounds &bounds, TimePoint now)
 {
-    const double most = slackShare(bounds);
+    const double slack = slackShare(bounds);
     if (!share.started) {
-        share = {.tokens = most, .refilledAt = now, .started = true};
+        share = {.tokens = slack, .refilledAt = now, .started = true};
         return;
     }
     const std::chrono::duration<double> passed = now - share.refilledAt;
     const std::chrono::duration<double> window = bounds.window;
     share.refilledAt = now;
-    share.tokens = std::min(most, share.tokens + most * passed.count() / window.count());
+    share.tokens =
+        std::min(mostSaved(bounds), share.tokens + slack * passed.count() / window.count());
 }
 
 /// Notes a caller's request to the service.
 inline void noteRequest(RetryShare &share, const RetryBounds &bounds, TimePoint now)
 {
     refill(share, bounds, now);
-    share.tokens = std::min(slackShare(bounds), share.tokens + bounds.ratio);
+    share.tokens = std::min(mostSaved(bounds), share.tokens + bounds.ratio);
 }
 
 /// Takes one retry.
--- a/Tests/Gateway/DecisionsTest.cpp
+++ b/Tests/Gateway/DecisionsTest.cpp
@@ -104,6 +104,28 @@
     REQUIRE(taken >= bounds.ratio * requests * 10 * 0.9);
 }
 
+// Guards against the retries of a fleet's gateways adding up to more than all of them may send: the
+// slack was shared as if there were ten of them.
+TEST_CASE("The shares of any number of gateways stay within the bound in any window")
+{
+    const int gateways = GENERATE(5, 13, 36);
+    RetryBounds bounds{.ratio = 0.2, .slack = 194, .window = seconds(10)};
+    noteGateways(bounds, static_cast<std::uint32_t>(gateways));
+    constexpr int requestsEach = 100;
+    double taken = 0;
+    for (int gateway = 0; gateway < gateways; ++gateway) {
+        RetryShare share;
+        constexpr int ticks = 1000;
+        for (int tick = 0; tick < ticks; ++tick) {
+            const TimePoint now = start + milliseconds(10 * tick);
+            if (tick % (ticks / requestsEach) == 0)
+                noteRequest(share, bounds, now);
+            taken += takeRetry(share, bounds, now) ? 1 : 0;
+        }
+    }
+    REQUIRE(taken <= bounds.ratio * requestsEach * gateways + bounds.slack);
+}
+
 TEST_CASE("Only whole events are passed on, and the last id is known")
 {
     EventCutter cutter;
