Let requests wait for the first configuration instead of refusing them at once

Callers saw: all gateways are killed while the store is away; 610 requests of four seconds are refused at once and told to come back after 0.3 s. They come back once, find the store still away, and are lost.

Cause: what a gateway can't judge yet was refused at once, although the store is back within a second of most of them.

Change: a request that comes before a configuration and the list of servers are known waits for them, 1.2 s or a quarter of its time at most; then it is told to come back as for a service that stands. One that does not say how long it waits is refused at once, as before.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -30,18 +30,18 @@
 } // namespace
 
 Exchange::Exchange(GatewayContext &context, AnswerSink &sink, CallerRequest request, Access access,
-                   std::string service, TimePoint now)
+                   std::string service, TimePoint arrived)
     : context_(context), sink_(sink), request_(std::move(request)), routes_(context.routes),
       route_(*access.route), priority_(access.priority()), service_(std::move(service)),
-      arrived_(now), deadline_(now + route_.timeout)
+      arrived_(arrived), deadline_(arrived + route_.timeout)
 {
     if (access.organisation != nullptr)
         organisation_ = access.organisation->name;
     if (request_.timeLeft)
-        deadline_ = std::min(deadline_, now + *request_.timeLeft);
-    waitUntil_ = now;
+        deadline_ = std::min(deadline_, arrived + *request_.timeLeft);
+    waitUntil_ = arrived;
     inGroup_ = isGroup(routes_->configuration(), service_);
-    noteRequest(context_.retryShares[service_], context_.retryBounds, now);
+    noteRequest(context_.retryShares[service_], context_.retryBounds, arrived);
 }
 
 Exchange::~Exchange()
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -36,8 +36,9 @@
 class Exchange
 {
 public:
+    /// @param arrived When the request came; it may have waited for a configuration since.
     Exchange(GatewayContext &context, AnswerSink &sink, CallerRequest request, Access access,
-             std::string service, TimePoint now);
+             std::string service, TimePoint arrived);
     ~Exchange();
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -159,6 +159,7 @@
     }
 
     void takeConfiguration(const platform::KeyedRecord &record)
+                        context_.listKnown = list_.known();
     {
         if (record.key != platform::configurationKey || record.value.empty())
             return;
--- a/Source/Programs/Gateway/GatewayContext.h
+++ b/Source/Programs/Gateway/GatewayContext.h
@@ -41,10 +41,15 @@
     std::shared_ptr<const RouteTable> routes;
     /// When the store last answered about the configuration; nothing before the first time.
     std::optional<TimePoint> routesConfirmedAt{};
+    /// The list of backend servers has been read.
+    bool listKnown = false;
     /// Asks for the list of backend servers, as an answer told that it has changed.
     std::function<void()> listChanged;
     std::mt19937_64 random{std::random_device{}()};
 
+    /// Whether it is known what may be asked for, and who serves it.
+    bool canAdmit() const { return routes && listKnown; }
+
     /// A number from 0 to below 1.
     double draw() { return std::uniform_real_distribution<double>(0, 1)(random); }
 };
--- a/Source/Programs/Gateway/Session.cpp
+++ b/Source/Programs/Gateway/Session.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "Programs/Gateway/GatewayMetrics.h"
+#include "Request/ConfigurationWait.h"
 #include "platform/RequestCodec.h"
 
 namespace wisteria {
@@ -33,7 +34,7 @@
     return 400;
 }
 
-/// When a caller is told to come back while no configuration is known: the time of a read.
+/// When a caller is told to come back where the configuration names no service for its route.
 constexpr milliseconds retryAfterConfiguration{300};
 constexpr const char *unreadableReason = "the request can't be read";
 
@@ -46,6 +47,7 @@
                    .fault = [this](RequestFault fault) { onFault(fault); },
                    .left =
                        [this] {
+                           noteEarlyLeft();
                            over_ = true;
                            events_.over();
                        },
@@ -66,12 +68,43 @@
         answerNow(400, "", milliseconds(0), decoded.error().message.c_str());
         return;
     }
-    CallerRequest &request = decoded.value();
-    const std::string id = request.attemptId;
-    if (!context_.routes) {
-        answerNow(503, id, retryAfterConfiguration, "no configuration is known yet");
+    const TimePoint now = monotonicNow();
+    if (context_.canAdmit())
+        admit(std::move(decoded.value()), now, now);
+    else
+        waitForConfiguration(std::move(decoded.value()), now);
+}
+
+void Session::waitForConfiguration(CallerRequest request, TimePoint now)
+{
+    std::optional<TimePoint> deadline;
+    if (request.timeLeft)
+        deadline = now + *request.timeLeft;
+    early_ = EarlyRequest{.request = std::move(request),
+                          .arrived = now,
+                          .waitUntil = waitsForConfigurationUntil(now, deadline)};
+    checkEarly(now);
+}
+
+void Session::checkEarly(TimePoint now)
+{
+    if (!context_.canAdmit() && now < early_->waitUntil)
+        return;
+    EarlyRequest early = std::move(*early_);
+    early_.reset();
+    if (context_.canAdmit()) {
+        admit(std::move(early.request), early.arrived, now);
         return;
     }
+    // Nothing is known of the time that the store takes, so it is as with a service that stands.
+    const milliseconds retryAfter =
+        comeBackAfter(context_.comeBackTimes, NoBackend::Unknown, milliseconds(0), context_.draw());
+    answerNow(503, early.request.attemptId, retryAfter, "no configuration is known yet");
+}
+
+void Session::admit(CallerRequest request, TimePoint arrived, TimePoint now)
+{
+    const std::string id = request.attemptId;
     const Access access = accessOf(*context_.routes, request.host, request.path(),
                                    request.apiKey ? &*request.apiKey : nullptr);
     if (access.fault == AccessFault::NoRoute) {
@@ -87,13 +120,23 @@
         answerNow(503, id, retryAfterConfiguration, "the route has no service");
         return;
     }
-    const TimePoint now = monotonicNow();
     exchange_ =
-        std::make_unique<Exchange>(context_, *this, std::move(request), access, *service, now);
+        std::make_unique<Exchange>(context_, *this, std::move(request), access, *service, arrived);
     if (!exchange_->tryPlace(now))
         events_.waits();
 }
 
+void Session::noteEarlyLeft()
+{
+    if (!early_)
+        return;
+    context_.log.info("request.abandoned",
+                      {{"id", early_->request.attemptId},
+                       {"backend", ""},
+                       {"reason", "the caller left before a configuration was known"}});
+    early_.reset();
+}
+
 void Session::onFault(RequestFault fault)
 {
     keepAlive_ = false;
@@ -169,6 +212,10 @@
         exchange_->checkTime(now);
         return;
     }
+    if (early_) {
+        checkEarly(now);
+        return;
+    }
     const bool begun = connection_.requestBegun();
     const milliseconds limit = begun ? limits_.headerTimeout : limits_.idleTimeout;
     if (now - connection_.waitingSince() < limit)
--- a/Source/Programs/Gateway/Session.h
+++ b/Source/Programs/Gateway/Session.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "Connection/CallerConnection.h"
 #include "Programs/Gateway/Exchange.h"
@@ -29,13 +30,25 @@
     ~Session() override;
 
     Exchange *exchange() { return exchange_.get(); }
-    bool idle() const { return !exchange_; }
+    bool idle() const { return !exchange_ && !early_; }
     void checkTime(TimePoint now);
     /// Closes a connection on which no request is under way.
     void closeIdle();
 
 private:
+    /// A request that came before a configuration was known.
+    struct EarlyRequest
+    {
+        CallerRequest request;
+        TimePoint arrived;
+        TimePoint waitUntil;
+    };
+
     void begin(HttpRequest request);
+    void waitForConfiguration(CallerRequest request, TimePoint now);
+    void checkEarly(TimePoint now);
+    void noteEarlyLeft();
+    void admit(CallerRequest request, TimePoint arrived, TimePoint now);
     void onFault(RequestFault fault);
     void answerNow(int status, const std::string &attemptId, milliseconds retryAfter,
                    const char *reason);
@@ -53,6 +66,7 @@
     CallerLimits limits_;
     CallerConnection connection_;
     std::unique_ptr<Exchange> exchange_;
+    std::optional<EarlyRequest> early_;
     bool keepAlive_ = true;
     bool over_ = false;
 };
--- a/Tests/Gateway/GatewayTest.cpp
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -43,6 +43,28 @@
     REQUIRE(gateway.call(wrongKey).status == 401);
 }
 
+// Guards against refusals of all that comes in the second after a restart of all gateways, before
+// the store has been read.
+TEST_CASE("A request that comes before a configuration is known waits for it")
+{
+    ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 200, "here"));
+    });
+    Running gateway;
+    gateway.store.away(true);
+    gateway.configure();
+    gateway.addBackend("i-1", "plain", backend);
+    gateway.start();
+    REQUIRE(eventually([&] { return gateway.store.readsOf("keyed.op") == 0; }));
+    auto early = std::async(std::launch::async,
+                            [&] { return gateway.callUntil(requestFor("/once/x", "a1"), 200); });
+    // What is refused with a time to come back is refused later than a read of the store takes.
+    REQUIRE(early.wait_for(milliseconds(300)) == std::future_status::timeout);
+    gateway.store.away(false);
+    REQUIRE(early.get().status == 200);
+    REQUIRE(backend.seen().size() == 1);
+}
+
 // A courier's notice breaks off in the middle of a word. The backend server crashes within an
 // event; the gateway goes on at another one after the last whole event, in the same answer.
 TEST_CASE("A stream that breaks within an event goes on at another backend server")
