Know soon after a restart which ranks are still closed

Callers saw: 1.2 s after a loss of power 110 to 124 requests are refused within a quarter of a second, "not run by any backend server".

Cause, from lines: a rank that nothing was told of for 0.4 s counts as open. A gateway's first hello went out before the sidecars ran, the next came 0.6 s later; and a sidecar whose engine did not answer yet told nothing.

Change: hellos go out each 0.1 s to sidecars that have not answered yet, for 2 s after their engine is known; a sidecar tells that an engine which does not answer takes no work.

--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -27,6 +27,11 @@
 constexpr milliseconds checkPeriod{25};
 /// Pause between two hellos to the sidecars; they stop telling loads after three missed ones.
 constexpr milliseconds helloPeriod{600};
+/// The same to sidecars that have not answered yet: after a loss of power they start within some
+/// tenths of a second of the gateways, and a rank that nothing is told of counts as open soon.
+constexpr milliseconds firstHelloPeriod{100};
+/// For how long after an engine is known its sidecar is asked so often.
+constexpr milliseconds firstHellosFor{2000};
 /// Descriptors kept for the store, the log and files; callers and backend servers share the rest.
 constexpr std::size_t descriptorsKept = 400;
 /// How long a stopping gateway still takes new connections: the platform asks for readiness once a
@@ -154,12 +159,12 @@
                 .upToDate =
                     [this](TimePoint at) {
                         noteListRead(board_, at);
+                        context_.listKnown = list_.known();
                         serveWaitingSoon();
                     }});
     }
 
     void takeConfiguration(const platform::KeyedRecord &record)
-                        context_.listKnown = list_.known();
     {
         if (record.key != platform::configurationKey || record.value.empty())
             return;
@@ -180,23 +185,44 @@
     /// Tells each engine's sidecar that this gateway is there, and which list of engines it has.
     void sayHello(TimePoint now)
     {
-        if (!context_.routes || !list_.known() || now - helloAt_ < helloPeriod)
+        if (!context_.canAdmit())
             return;
-        helloAt_ = now;
+        const bool toAll = now - helloAt_ >= helloPeriod;
+        if (!toAll && now - firstHelloAt_ < firstHelloPeriod)
+            return;
+        firstHelloAt_ = now;
+        if (toAll)
+            helloAt_ = now;
         for (const auto &[name, service] : context_.routes->configuration().services) {
             if (isGroup(service))
-                sayHelloTo(name, *service.engine);
+                sayHelloTo(name, *service.engine, toAll, now);
         }
     }
 
-    void sayHelloTo(const std::string &service, const EngineProfile &engine)
+    /// @param toAll To all sidecars, or to those only that have not answered yet.
+    void sayHelloTo(const std::string &service, const EngineProfile &engine, bool toAll,
+                    TimePoint now)
     {
+        const std::vector<Endpoint> unheard = unheardEngines(service, now);
+        if (!toAll && unheard.empty())
+            return;
         const EngineList list = engineListOf(service, engine);
         const std::string bytes = encodeMessage(GatewayHello{.listDigest = digestOf(list)});
-        for (const Endpoint &address : list.engines)
+        for (const Endpoint &address : toAll ? list.engines : unheard)
             peers_.send({address.ip, settings_.firstInternalPort}, bytes);
     }
 
+    std::vector<Endpoint> unheardEngines(const std::string &service, TimePoint now) const
+    {
+        std::vector<Endpoint> unheard;
+        for (const auto &[id, state] : board_.backends) {
+            const bool awaited = !state.told && now - state.since < firstHellosFor;
+            if (awaited && state.entry.service == service && !state.replaced)
+                unheard.push_back(state.entry.address);
+        }
+        return unheard;
+    }
+
     EngineList engineListOf(const std::string &service, const EngineProfile &engine) const
     {
         EngineList list{.profile = expertProfileOf(engine), .engines = {}};
@@ -249,6 +275,7 @@
                             .pace = load.pace,
                             .open = load.open,
                             .gateways = load.gateways};
+        noteGateways(context_.retryBounds, load.gateways);
         for (auto &[id, state] : board_.backends) {
             if (state.entry.address != load.engine)
                 continue;
@@ -276,7 +303,6 @@
             return;
         }
         const std::uint64_t id = ++lastSession_;
-        noteGateways(context_.retryBounds, load.gateways);
         sessions_[id] =
             std::make_unique<Session>(context_, descriptor,
                                       SessionEvents{.over = [this, id] { endSession(id); },
@@ -398,7 +424,9 @@
             log_.warn("process.reload_refused", {{"reason", read.error().message}});
             return;
         }
+        const std::uint32_t gateways = context_.retryBounds.gatewaysTold;
         context_.retryBounds = retryBoundsOf(read.value());
+        noteGateways(context_.retryBounds, gateways);
         settings_.gracePeriod = read.value().gracePeriod;
         log_.info("process.reload",
                   {{"retry_ratio", context_.retryBounds.ratio},
@@ -427,7 +455,6 @@
         // here. A request that is taken too late would be cut by the end of the process.
         callers_.close();
         std::vector<std::uint64_t> idle;
-        noteGateways(context_.retryBounds, gateways);
         for (const auto &[id, session] : sessions_) {
             if (session->idle())
                 idle.push_back(id);
@@ -466,6 +493,7 @@
     std::vector<std::uint64_t> waiting_;
     std::uint64_t lastSession_ = 0;
     TimePoint helloAt_;
+    TimePoint firstHelloAt_;
     bool servingSoon_ = false;
     bool stopping_ = false;
     TimePoint stopAt_;
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -148,6 +148,7 @@
             reading_ = false;
             if (report.has_error()) {
                 noteEngine(false, report.error().message);
+                tellGateways(awayLoad());
                 return;
             }
             noteEngine(true, "");
@@ -182,7 +183,7 @@
         if (!newMap)
             status.experts = status_->experts;
         status_ = status;
-        tellGateways(report);
+        tellGateways(loadFrom(report));
         if (newMap && report.groupSize > 0 && !readingExperts_)
             readExperts(report);
         if (changed)
@@ -214,9 +215,16 @@
                 .gateways = static_cast<std::uint32_t>(gateways_.size())};
     }
 
-    void tellGateways(const RankReport &report)
+    /// Of an engine that does not answer, as while it starts.
+    EngineLoad awayLoad() const
+    {
+        return {.engine = engine_,
+                .open = false,
+                .gateways = static_cast<std::uint32_t>(gateways_.size())};
+    }
+
+    void tellGateways(const EngineLoad &load)
     {
-        const EngineLoad load = loadFrom(report);
         const TimePoint now = monotonicNow();
         if (!isWorthTelling(toldLoad_, load, now))
             return;
@@ -330,7 +338,9 @@
     {
         const bool isNew = gateways_.insert_or_assign(from, monotonicNow()).second;
         // It sends nothing here before the first report.
-        if (isNew && status_)
+        if (isNew && !engineAnswers_)
+            socket_.send(from, encodeMessage(awayLoad()));
+        else if (isNew && status_)
             socket_.send(from, encodeMessage(loadFrom(status_->report)));
         if (!shouldAskForList(known_, hello.listDigest, monotonicNow()))
             return;
--- a/Tests/Gateway/GroupHelloTest.cpp
+++ b/Tests/Gateway/GroupHelloTest.cpp
@@ -23,6 +23,22 @@
 
 } // namespace
 
+// Guards against requests sent to ranks that are still closed after a loss of power: their sidecars
+// started just after the gateway's first hello and would hear nothing for 0.6 s.
+TEST_CASE("A gateway says hello often until a sidecar that it does not know yet has answered")
+{
+    const ScriptedServer engine([](const SeenRequest &, ScriptPeer &) {}, sidecarIp);
+    Running gateway;
+    gateway.store.put("keyed.op", "config", configurationWithGroup());
+    gateway.addBackend("i-1", "model", engine);
+    const DatagramPeer sidecar(sidecarIp, gateway.messages());
+    gateway.waitUntilReady();
+    REQUIRE(sidecar.countWithin<GatewayHello>(milliseconds(550)) >= 4);
+    sidecar.send(EngineLoad{.engine = engine.endpoint(), .open = false});
+    sidecar.countWithin<GatewayHello>(milliseconds(100));
+    REQUIRE(sidecar.countWithin<GatewayHello>(milliseconds(550)) <= 1);
+}
+
 // After a restart a sidecar knows no other engine: without the list it neither leads its group nor
 // passes maps on, and the group keeps a map that no longer fits. The hello only names the list.
 TEST_CASE("A gateway names its list of engines in each hello, and tells it to a sidecar that asks")
--- a/Tests/Gateway/SidecarTest.cpp
+++ b/Tests/Gateway/SidecarTest.cpp
@@ -35,13 +35,15 @@
 class RunningSidecar
 {
 public:
-    explicit RunningSidecar(const ScriptedServer &engine)
+    explicit RunningSidecar(const ScriptedServer &engine) : RunningSidecar(engine.endpoint()) { }
+
+    explicit RunningSidecar(const Endpoint &engine)
     {
         settings_.vmName = "side-1";
         settings_.failureDomain = "a";
         settings_.vm = {sidecarIp, 0};
         settings_.firstInternalPort = freePort();
-        settings_.engine = engine.endpoint();
+        settings_.engine = engine;
         sidecar_ = std::make_unique<Sidecar>(settings_);
         end_ = std::async(std::launch::async, [this] { return sidecar_->run().has_value(); });
     }
@@ -126,3 +128,20 @@
         gateway.send(GatewayHello{.listDigest = other});
     REQUIRE(gateway.countWithin<EngineListWanted>(milliseconds(200)) == 1);
 }
+
+// Guards against requests sent, and refused, to engines that are still starting after a loss of
+// power: a rank that nothing is told of counts as open after a moment.
+TEST_CASE("A sidecar tells that its engine takes no work while it does not answer")
+{
+    const RunningSidecar sidecar(Endpoint{sidecarIp, freePort()});
+    const DatagramPeer gateway(INADDR_LOOPBACK, sidecar.address());
+    std::vector<EngineLoad> loads;
+    REQUIRE(eventually([&] {
+        gateway.send(GatewayHello{});
+        loads = gateway.receiveWithin<EngineLoad>(milliseconds(50));
+        return !loads.empty();
+    }));
+    REQUIRE_FALSE(loads.front().open);
+    // It is told again, or gateways would take the rank for unknown after a second.
+    REQUIRE_FALSE(gateway.receiveWithin<EngineLoad>(milliseconds(600)).empty());
+}
