Take out the agreement on maps through the group's own stream

A newcomer found two switches of expert maps side by side; nothing on the users' platform calls this one.

Promises: no step on two maps, and a group that is not held for long, are kept by RankSwitch ("Orders that are carried out seconds late never bring a pass on two maps", "Leaders that die at any moment, or go on beside the next one, leave no group held", the model with each guard refuted). A changed or partial map is refused: KeptMapsTest. A rank that stands refuses as not run: "A rank whose group is broken gets no request until it says otherwise". Map fetches from a weight store have no counterpart: engines copy by themselves.

--- a/Source/Process/AgentPeerCalls.cpp
+++ b/Source/Process/AgentPeerCalls.cpp
@@ -4,7 +4,6 @@
 
 #include "Connection/FrameCodec.h"
 #include "Connection/PeerCall.h"
-#include "Connection/PeerGroupLink.h"
 #include "Version/Snapshot.h"
 
 namespace wisteria {
@@ -36,8 +35,6 @@
         return configAsked(stream, content);
     if (path == "/v1/handover")
         return handoverAsked(stream, content);
-    if (path == groupPath)
-        return groupMessageReceived(stream, content);
     server_.abort(stream);
 }
 
@@ -73,15 +70,6 @@
     return heartbeat;
 }
 
-void AgentPeerCalls::groupMessageReceived(PeerStreamId stream, const std::string &content)
-{
-    v1::GroupMessage message;
-    if (!events_.groupMessage || !message.ParseFromString(content))
-        return server_.abort(stream);
-    events_.groupMessage(std::move(message));
-    answer(stream, v1::GroupMessage());
-}
-
 void AgentPeerCalls::fetchConfig(const std::string &address)
 {
     if (address.empty() || std::exchange(fetching_, true))
--- a/Source/Process/AgentPeerCalls.h
+++ b/Source/Process/AgentPeerCalls.h
@@ -40,7 +40,6 @@
 
 private:
     void heartbeatReceived(PeerStreamId stream, const std::string &content);
-    void groupMessageReceived(PeerStreamId stream, const std::string &content);
     void configAsked(PeerStreamId stream, const std::string &content);
     void handoverAsked(PeerStreamId stream, const std::string &content);
     void fetchConfig(const std::string &address);
--- a/Source/Process/AgentProcess.cpp
+++ b/Source/Process/AgentProcess.cpp
@@ -6,7 +6,6 @@
 
 #include "Connection/HttpLogClient.h"
 #include "Connection/MetricsServer.h"
-#include "Process/AgentGroup.h"
 #include "Process/AgentWorker.h"
 #include "Process/ConfigFollower.h"
 #include "Process/ConfigReader.h"
@@ -35,20 +34,12 @@
         : settings_(std::move(settings)), signal_(loop_, [this] { beginShutdown(); }),
           log_(settings_.logUrl), follower_(log_), incarnation_(newIncarnation()),
           worker_(settings_, incarnation_, metrics_,
-                  {.snapshotOffered =
-                       [this](v1::SnapshotRecord snapshot) {
-                           loop_.post([this, snapshot = std::move(snapshot)] {
-                               if (reader_)
-                                   reader_->offer(snapshot);
-                           });
-                       },
-                   .groupMessage =
-                       [this](const v1::GroupMessage &message) {
-                           loop_.post([this, message] {
-                               if (group_)
-                                   group_->deliver(message);
-                           });
-                       }})
+                  {.snapshotOffered = [this](v1::SnapshotRecord snapshot) {
+                      loop_.post([this, snapshot = std::move(snapshot)] {
+                          if (reader_)
+                              reader_->offer(snapshot);
+                      });
+                  }})
     { }
 
     Result<void> run()
@@ -57,14 +48,9 @@
         BOOST_OUTCOME_TRY(peer, worker_.listen(settings_.peerListen));
         worker_.start();
         ConfigReader reader(log_, follower_, [this](std::shared_ptr<const ConfigState> config) {
-            worker_.configure(config);
-            loop_.post([this, config = std::move(config)] {
-                if (group_)
-                    group_->configure(*config);
-            });
+            worker_.configure(std::move(config));
         });
         reader_ = &reader;
-        startGroup();
         std::optional<VmWatcher> vms;
         if (!settings_.vmsUrl.empty())
             vms.emplace(settings_.vmsUrl,
@@ -72,28 +58,15 @@
         std::cout << "ready peer=" << peer << " metrics=" << metrics << std::endl;
         loggerFor("agent")->info("Standing before {} on {}.", settings_.backendUrl, peer);
         loop_.run();
-        group_.reset();
         reader_ = nullptr;
         return boost::outcome_v2::success();
     }
 
 private:
-    void startGroup()
-    {
-        if (!settings_.group)
-            return;
-        group_.emplace(loop_, *settings_.group, settings_.name, settings_.logUrl, incarnation_,
-                       metrics_,
-                       AgentGroupEvents{[this](bool stalled) { worker_.setMapStalled(stalled); },
-                                        [this] { beginShutdown(); }});
-    }
-
     void beginShutdown()
     {
         if (std::exchange(leaving_, true))
             return;
-        if (group_)
-            group_->beginLeaving();
         worker_.leave([this] { loop_.post([this] { loop_.stop(); }); });
     }
 
@@ -108,7 +81,6 @@
     bool leaving_ = false;
     const std::uint64_t incarnation_;
     AgentWorker worker_;
-    std::optional<AgentGroup> group_;
 };
 
 AgentProcess::AgentProcess(AgentSettings settings)
--- a/Source/Process/AgentWorker.cpp
+++ b/Source/Process/AgentWorker.cpp
@@ -129,8 +129,6 @@
         }
     }
 
-    void setMapStalled(bool stalled) { gate_.mapStalled = stalled; }
-
     void leave(std::function<void()> idleCallback)
     {
         logger_->info("Leaving: {} streams are open.", server_.openStreams());
@@ -456,11 +454,6 @@
     private_->loop().post([this, view = std::move(view)] { private_->noteVms(view); });
 }
 
-void AgentWorker::setMapStalled(bool stalled)
-{
-    private_->loop().post([this, stalled] { private_->setMapStalled(stalled); });
-}
-
 void AgentWorker::leave(std::function<void()> idle)
 {
     private_->loop().post([this, idle = std::move(idle)] { private_->leave(idle); });
--- a/Source/Process/AgentWorker.h
+++ b/Source/Process/AgentWorker.h
@@ -41,9 +41,6 @@
     /// Takes in the platform's list of VMs. Any thread may call it.
     void noteVms(VmView view);
 
-    /// Refuses new work while the rank waits for a map switch. Any thread may call it.
-    void setMapStalled(bool stalled);
-
     /// Takes no new work from now on. Any thread may call it.
     /// @param idle Called on the worker's thread once every answer has been taken by its entry.
     void leave(std::function<void()> idle);
--- a/Source/Request/AgentGate.h
+++ b/Source/Request/AgentGate.h
@@ -53,8 +53,6 @@
     bool backendUp = true;
     /// The backend server's process lives, but gives its health check no answer in time.
     bool backendStalled = false;
-    /// The backend server's rank waits for the outcome of a switch of the expert map.
-    bool mapStalled = false;
     /// Deaths of the backend server seen by this process.
     std::uint64_t deaths = 0;
     microseconds serviceTime{0};
--- a/Source/Request/GateAdmission.cpp
+++ b/Source/Request/GateAdmission.cpp
@@ -25,10 +25,6 @@
     // at its own deadline. The health check learns it once for all.
     if (!state.backendUp || state.backendStalled)
         return refuseNotRun(state, run, v1::REASON_BACKEND_DOWN, longGateRetry);
-    // Failure: a rank that holds for a map switch takes work that can't begin, and callers wait
-    // with no word. Refused at once, they may go to another group.
-    if (state.mapStalled)
-        return refuseNotRun(state, run, v1::REASON_MAP_SWITCH, shortGateRetry);
     return std::nullopt;
 }
 
