--- a/Tests/Model/RankSwitch.pml
+++ b/Tests/Model/RankSwitch.pml
@@ -225,8 +225,7 @@
 /* Lets go what the other leader has held here, whatever its own rank is. */
 #define ASK_GO_WITHOUT(h) \
     atomic { \
-        !(gos[h] & BIT(l)) && seen[AT(l, l)] && seenHeld[AT(l, l)] == h && SURELY_UNARMED(l) \
-            && madeStep[l] != h -> \
+        !(gos[h] & BIT(l)) && seen[AT(l, l)] && seenHeld[AT(l, l)] == h && SURELY_UNARMED(l) -> \
         gos[h] = gos[h] | BIT(l) \
     }
 #else
