Tests of held groups in a file of their own, the group in virtual time in a header

New: the sidecar whose rank is held leads after 0.4 s of silence, and not while its leader is heard.

--- /dev/null
+++ b/Tests/Version/HeldGroupTest.cpp
@@ -0,0 +1,60 @@
+#include <catch2/catch.hpp>
+
+#include "Version/RankGroupWorld.h"
+
+using namespace wisteria;
+
+// Guards against a group that stays held for as long as its leader's VM is frozen.
+TEST_CASE("A group whose leader froze after the hold goes on without the leader's rank")
+{
+    int goneOn = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        World world(seed, {.lostMessages = 0.05, .freeze = seconds(4)});
+        world.run(seconds(12));
+        CAPTURE(seed, world.longestHold().count());
+        REQUIRE(world.froze());
+        REQUIRE_FALSE(world.mixed());
+        if (!world.othersArmed())
+            REQUIRE(world.longestHold() <= milliseconds(1200));
+        goneOn += world.othersArmed() ? 0 : 1;
+    }
+    // Mostly nothing is armed yet.
+    REQUIRE(goneOn >= 190);
+}
+
+// Guards against a pass on two maps where a frozen leader had ranks armed, or wakes up beside its
+// successor, and orders are carried out seconds late.
+TEST_CASE("A leader that freezes with a group held, at any moment, never brings a pass on two maps")
+{
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        World world(seed,
+                    {.lateOrders = seed % 3 == 0 ? 0.35 : 0.1,
+                     .lostMessages = 0.1,
+                     .staleStatuses = seed % 5 == 0 ? 0.15 : 0.0,
+                     .freeze = milliseconds(300 + 10 * static_cast<int>(seed)),
+                     .freezeInArming = seed % 2 == 0});
+        world.run(seconds(15));
+        CAPTURE(seed, world.longestHold().count());
+        REQUIRE_FALSE(world.mixed());
+        REQUIRE(world.longestHold() < seconds(8));
+    }
+}
+
+// Guards against a second of silence in which no stream of a held group moves.
+TEST_CASE("The sidecar whose rank holds the group leads soon after its leader fell silent")
+{
+    constexpr TimePoint start{seconds(100)};
+    constexpr std::size_t place = 40;
+    LeaderChoice choice{.heardSuperior = start, .since = start};
+    noteLeader(choice, start + seconds(5));
+    noteSuperior(choice, start + seconds(5));
+    noteHold(choice, true, start + seconds(5));
+    REQUIRE_FALSE(leads(choice, place, start + seconds(5) + milliseconds(350)));
+    REQUIRE(leads(choice, place, start + seconds(5) + leaderSilenceWhileHeld));
+    // A leader that is heard goes on with its switch, however long that takes.
+    noteLeader(choice, start + seconds(6));
+    REQUIRE_FALSE(leads(choice, place, start + seconds(6) + milliseconds(350)));
+    // Once the group goes on, its place in the list counts again.
+    noteHold(choice, false, start + milliseconds(6100));
+    REQUIRE_FALSE(leads(choice, place, start + milliseconds(6500)));
+}
