--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -13,6 +13,7 @@
 #include "Programs/Gateway/BackendList.h"
 #include "Programs/Gateway/GatewayMetrics.h"
 #include "Programs/Gateway/Session.h"
+#include "Programs/Gateway/SidecarHellos.h"
 #include "Programs/Gateway/StorePacing.h"
 #include "Programs/Gateway/StoreWatch.h"
 #include "Version/GroupMessages.h"
@@ -25,13 +26,6 @@
 /// Period of the checks of deadlines. A deadline is met this much late at most; the bound on an
 /// answer after a route's timeout is half a second.
 constexpr milliseconds checkPeriod{25};
-/// Pause between two hellos to the sidecars; they stop telling loads after three missed ones.
-constexpr milliseconds helloPeriod{600};
-/// The same to sidecars that have not answered yet: after a loss of power they start within some
-/// tenths of a second of the gateways, and a rank that nothing is told of counts as open soon.
-constexpr milliseconds firstHelloPeriod{100};
-/// For how long after an engine is known its sidecar is asked so often.
-constexpr milliseconds firstHellosFor{2000};
 /// Descriptors kept for the store, the log and files; callers and backend servers share the rest.
 constexpr std::size_t descriptorsKept = 400;
 /// How long a stopping gateway still takes new connections: the platform asks for readiness once a
@@ -46,20 +40,6 @@
         .ratio = settings.retryRatio, .slack = settings.retrySlack, .window = settings.retryWindow};
 }
 
-ExpertProfile expertProfileOf(const EngineProfile &engine)
-{
-    constexpr double bitsPerByte = 8;
-    constexpr double millisecondsPerSecond = 1000;
-    const double loadSeconds = engine.linkMegabitsPerSecond > 0
-        ? engine.expertMegabytes * bitsPerByte / engine.linkMegabitsPerSecond
-        : 0;
-    return {.sets = engine.expertSets,
-            .expertsPerSet = engine.expertsPerSet,
-            .expertsPerRank = engine.expertsPerRank,
-            .loadsPerMap = engine.loadsPerMap,
-            .loadMilliseconds = loadSeconds * millisecondsPerSecond};
-}
-
 /// The places of each service as this gateway expects them to be taken.
 std::vector<ServicePlaces> placesOf(const BackendBoard &board, TimePoint now)
 {
@@ -106,9 +86,11 @@
                    [this](const HttpRequest &request) {
                        return answerScraper(request, [this] { return metricsText(); });
                    }),
-          peers_(loop_, [this](const Endpoint &from, std::string_view bytes) {
-              receiveMessage(from, bytes);
-          })
+          peers_(loop_,
+                 [this](const Endpoint &from, std::string_view bytes) {
+                     receiveMessage(from, bytes);
+                 }),
+          hellos_(context_, peers_, settings_.firstInternalPort)
     { }
 
     Result<void> run()
@@ -182,77 +164,6 @@
         log_.info("config.in_force", {{"version", version}, {"offset", record.offset}});
     }
 
-    /// Tells each engine's sidecar that this gateway is there, and which list of engines it has.
-    void sayHello(TimePoint now)
-    {
-        if (!context_.canAdmit())
-            return;
-        const bool toAll = now - helloAt_ >= helloPeriod;
-        if (!toAll && now - firstHelloAt_ < firstHelloPeriod)
-            return;
-        firstHelloAt_ = now;
-        if (toAll)
-            helloAt_ = now;
-        for (const auto &[name, service] : context_.routes->configuration().services) {
-            if (isGroup(service))
-                sayHelloTo(name, *service.engine, toAll, now);
-        }
-    }
-
-    /// @param toAll To all sidecars, or to those only that have not answered yet.
-    void sayHelloTo(const std::string &service, const EngineProfile &engine, bool toAll,
-                    TimePoint now)
-    {
-        const std::vector<Endpoint> unheard = unheardEngines(service, now);
-        if (!toAll && unheard.empty())
-            return;
-        const EngineList list = engineListOf(service, engine);
-        const std::string bytes = encodeMessage(GatewayHello{.listDigest = digestOf(list)});
-        for (const Endpoint &address : toAll ? list.engines : unheard)
-            peers_.send({address.ip, settings_.firstInternalPort}, bytes);
-    }
-
-    std::vector<Endpoint> unheardEngines(const std::string &service, TimePoint now) const
-    {
-        std::vector<Endpoint> unheard;
-        for (const auto &[id, state] : board_.backends) {
-            const bool awaited = !state.told && now - state.since < firstHellosFor;
-            if (awaited && state.entry.service == service && !state.replaced)
-                unheard.push_back(state.entry.address);
-        }
-        return unheard;
-    }
-
-    EngineList engineListOf(const std::string &service, const EngineProfile &engine) const
-    {
-        EngineList list{.profile = expertProfileOf(engine), .engines = {}};
-        for (const auto &[id, state] : board_.backends) {
-            if (state.entry.service == service && !state.replaced)
-                list.engines.push_back(state.entry.address);
-        }
-        // In the board's order, that of ids, lists of the same engines would differ.
-        std::sort(list.engines.begin(), list.engines.end());
-        return list;
-    }
-
-    /// Answers a sidecar with the list of its engine's service.
-    void tellList(const Endpoint &sidecar)
-    {
-        if (!context_.routes)
-            return;
-        const auto beside = std::find_if(
-            board_.backends.begin(), board_.backends.end(), [&sidecar](const auto &entry) {
-                return entry.second.entry.address.ip == sidecar.ip && !entry.second.replaced;
-            });
-        if (beside == board_.backends.end())
-            return;
-        const std::string &name = beside->second.entry.service;
-        const auto &services = context_.routes->configuration().services;
-        const auto service = services.find(name);
-        if (service != services.end() && isGroup(service->second))
-            peers_.send(sidecar, encodeMessage(engineListOf(name, *service->second.engine)));
-    }
-
     void receiveMessage(const Endpoint &from, std::string_view bytes)
     {
         const auto message = decodeMessage(bytes);
@@ -264,7 +175,7 @@
         if (const auto *load = std::get_if<EngineLoad>(&message.value()))
             takeLoad(*load);
         else if (std::holds_alternative<EngineListWanted>(message.value()))
-            tellList(from);
+            hellos_.tellList(from);
     }
 
     void takeLoad(const EngineLoad &load)
@@ -407,7 +318,7 @@
             if (found != sessions_.end())
                 found->second->checkTime(now);
         }
-        sayHello(now);
+        hellos_.say(now);
         configurationWatch_->checkTime(now);
         backendsWatch_->checkTime(now);
         list_.checkTime(now);
@@ -487,13 +398,12 @@
     StatusListener readiness_;
     StatusListener scrapes_;
     DatagramSocket peers_;
+    SidecarHellos hellos_;
     std::unique_ptr<StoreWatch> configurationWatch_;
     std::unique_ptr<StoreWatch> backendsWatch_;
     std::map<std::uint64_t, std::unique_ptr<Session>> sessions_;
     std::vector<std::uint64_t> waiting_;
     std::uint64_t lastSession_ = 0;
-    TimePoint helloAt_;
-    TimePoint firstHelloAt_;
     bool servingSoon_ = false;
     bool stopping_ = false;
     TimePoint stopAt_;
--- /dev/null
+++ b/Source/Programs/Gateway/SidecarHellos.cpp
@@ -0,0 +1,109 @@
+#include "Programs/Gateway/SidecarHellos.h"
+
+#include <algorithm>
+
+namespace wisteria {
+
+namespace {
+
+/// Pause between two hellos to the sidecars; they stop telling loads after three missed ones.
+constexpr milliseconds helloPeriod{600};
+/// The same to sidecars that have not answered yet: after a loss of power they start within some
+/// tenths of a second of the gateways, and a rank that nothing is told of counts as open soon.
+constexpr milliseconds firstHelloPeriod{100};
+/// For how long after an engine is known its sidecar is asked so often.
+constexpr milliseconds firstHellosFor{2000};
+
+ExpertProfile expertProfileOf(const EngineProfile &engine)
+{
+    constexpr double bitsPerByte = 8;
+    constexpr double millisecondsPerSecond = 1000;
+    const double loadSeconds = engine.linkMegabitsPerSecond > 0
+        ? engine.expertMegabytes * bitsPerByte / engine.linkMegabitsPerSecond
+        : 0;
+    return {.sets = engine.expertSets,
+            .expertsPerSet = engine.expertsPerSet,
+            .expertsPerRank = engine.expertsPerRank,
+            .loadsPerMap = engine.loadsPerMap,
+            .loadMilliseconds = loadSeconds * millisecondsPerSecond};
+}
+
+} // namespace
+
+SidecarHellos::SidecarHellos(const GatewayContext &context, DatagramSocket &peers,
+                             std::uint16_t port)
+    : context_(context), peers_(peers), port_(port)
+{ }
+
+void SidecarHellos::say(TimePoint now)
+{
+    if (!context_.canAdmit())
+        return;
+    const bool toAll = now - saidToAllAt_ >= helloPeriod;
+    if (!toAll && now - saidAt_ < firstHelloPeriod)
+        return;
+    saidAt_ = now;
+    if (toAll)
+        saidToAllAt_ = now;
+    for (const auto &[name, service] : context_.routes->configuration().services) {
+        if (isGroup(service))
+            sayTo(name, *service.engine, toAll, now);
+    }
+}
+
+/// @param toAll To all sidecars, or to those only that have not answered yet.
+void SidecarHellos::sayTo(const std::string &service, const EngineProfile &engine, bool toAll,
+                          TimePoint now)
+{
+    const std::vector<Endpoint> unheard = unheardEngines(service, now);
+    if (!toAll && unheard.empty())
+        return;
+    const EngineList list = engineListOf(service, engine);
+    const std::string bytes = encodeMessage(GatewayHello{.listDigest = digestOf(list)});
+    for (const Endpoint &address : toAll ? list.engines : unheard)
+        peers_.send({address.ip, port_}, bytes);
+}
+
+std::vector<Endpoint> SidecarHellos::unheardEngines(const std::string &service, TimePoint now) const
+{
+    std::vector<Endpoint> unheard;
+    for (const auto &[id, state] : context_.board.backends) {
+        const bool awaited = !state.told && now - state.since < firstHellosFor;
+        if (awaited && state.entry.service == service && !state.replaced)
+            unheard.push_back(state.entry.address);
+    }
+    return unheard;
+}
+
+EngineList SidecarHellos::engineListOf(const std::string &service,
+                                       const EngineProfile &engine) const
+{
+    EngineList list{.profile = expertProfileOf(engine), .engines = {}};
+    for (const auto &[id, state] : context_.board.backends) {
+        if (state.entry.service == service && !state.replaced)
+            list.engines.push_back(state.entry.address);
+    }
+    // In the board's order, that of ids, lists of the same engines would differ.
+    std::sort(list.engines.begin(), list.engines.end());
+    return list;
+}
+
+void SidecarHellos::tellList(const Endpoint &sidecar)
+{
+    if (!context_.routes)
+        return;
+    const auto beside = std::find_if(context_.board.backends.begin(), context_.board.backends.end(),
+                                     [&sidecar](const auto &entry) {
+                                         return entry.second.entry.address.ip == sidecar.ip
+                                             && !entry.second.replaced;
+                                     });
+    if (beside == context_.board.backends.end())
+        return;
+    const std::string &name = beside->second.entry.service;
+    const auto &services = context_.routes->configuration().services;
+    const auto service = services.find(name);
+    if (service != services.end() && isGroup(service->second))
+        peers_.send(sidecar, encodeMessage(engineListOf(name, *service->second.engine)));
+}
+
+} // namespace wisteria
