A line when a backend server names a limit, or names none any more

Cause: no line of a gateway speaks of the limits that servers name, so the hypotheses of the incident can't be told apart. It decides nothing yet. Ruled out: counting it at each answer, a line a request.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -150,6 +150,7 @@
 {
     head_ = platform::decodeAnswerHead(head);
     lastByteAt_ = monotonicNow();
+    noteLimit();
     BackendState *backend = backendNow();
     if (backend == nullptr)
         return;
@@ -162,6 +163,21 @@
                lastByteAt_, context_.draw());
 }
 
+void Exchange::noteLimit()
+{
+    // A refusal may be another server's, and one that names no limit does not end one.
+    if (head_.notExecuted && !head_.limitPerSecond)
+        return;
+    const LimitWord word{.perSecond = head_.limitPerSecond, .heardAt = lastByteAt_};
+    if (!takeWord(context_.board.limits[backendId_], word))
+        return;
+    context_.log.info("backend.limit",
+                      {{"id", request_.attemptId},
+                       {"backend", backendId_},
+                       {"limited", word.perSecond.has_value()},
+                       {"per_second", word.perSecond.value_or(0)}});
+}
+
 bool Exchange::forwardsStream() const
 {
     return route_.kind == RequestKind::Streaming && head_.success() && head_.eventStream
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -67,6 +67,7 @@
     void send(BackendState &backend, TimePoint now);
     bool acceptsHead(const HttpResponseHead &head) const;
     void onHead(const HttpResponseHead &head);
+    void noteLimit();
     void onBody(std::string_view bytes);
     void onComplete();
     void onFailed(const CallFailure &failure);
--- a/Source/Request/BackendBoard.h
+++ b/Source/Request/BackendBoard.h
@@ -9,6 +9,7 @@
 
 #include "Process/Time.h"
 #include "Request/CallerRequest.h"
+#include "Request/ServerLimit.h"
 #include "Version/BackendEntry.h"
 
 namespace wisteria {
@@ -58,6 +59,9 @@
     TimePoint listReadAt;
     /// When the group of each service was first told to be open again.
     std::map<std::string, TimePoint> openedAt;
+    /// What backend servers said of their limits, by id. It outlasts an entry that lapses for a
+    /// while, as in an outage of the store.
+    std::map<std::string, LimitWord> limits;
 };
 
 /// Takes in what a backend server says of itself; one that started anew is known anew.
--- a/Source/Request/CallerRequest.h
+++ b/Source/Request/CallerRequest.h
@@ -71,6 +71,8 @@
     /// A body encoding that the caller did not ask for.
     bool encoded = false;
     std::optional<PlainLoad> load;
+    /// Requests a second that the backend server takes from all gateways together.
+    std::optional<double> limitPerSecond;
     /// What is passed on to the caller as it came.
     HttpFields passedOn;
 
