--- /dev/null
+++ b/Tests/Gateway/GatewayFleet.cpp
@@ -0,0 +1,145 @@
+#include "Gateway/GatewayFleet.h"
+
+#include <algorithm>
+#include <csignal>
+#include <future>
+#include <stdexcept>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "Gateway/GatewayUnderTest.h"
+
+namespace wisteria::gateway_tests {
+
+GatewayFleet::GatewayFleet(std::size_t gateways)
+{
+    store.put("keyed.op", "config", configurationOf(1));
+    for (std::size_t i = 0; i < gateways; ++i)
+        callers_.push_back({INADDR_LOOPBACK, freePort()});
+}
+
+GatewayFleet::~GatewayFleet()
+{
+    for (const pid_t child : children_)
+        ::kill(child, SIGKILL);
+    for (const pid_t child : children_)
+        ::waitpid(child, nullptr, 0);
+}
+
+void GatewayFleet::addServer(const std::string &id, const ScriptedServer &server)
+{
+    store.put("keyed.servers", id,
+              {{"service", "plain"},
+               {"address", toText(server.endpoint())},
+               {"zone", "a"},
+               {"slot_count", 8},
+               {"state", "ready"}});
+}
+
+void GatewayFleet::start()
+{
+    const int nowhere = ::open("/dev/null", O_WRONLY | O_CLOEXEC);
+    for (std::size_t i = 0; i < callers_.size(); ++i) {
+        const std::string settings = writeSettings(
+            "front-" + std::to_string(i), {.store = store.endpoint(), .callers = callers_[i]});
+        children_.push_back(startProgram("wisteria-gateway", settings, {}, nowhere));
+    }
+    ::close(nowhere);
+    for (const Endpoint &callers : callers_) {
+        constexpr int noRoute = 404;
+        const bool known = eventually([&callers] {
+            return callServer(callers, requestFor("/none/x", "a0")).status == noRoute;
+        });
+        if (!known)
+            throw std::runtime_error("a gateway of the fleet does not start");
+    }
+}
+
+std::vector<CallResult> GatewayFleet::load(const std::string &target, int perSecond,
+                                           milliseconds time) const
+{
+    const TimePoint begin = monotonicNow();
+    const auto count = perSecond * time.count() / 1000;
+    std::vector<std::future<CallResult>> calls;
+    for (std::int64_t i = 0; i < count; ++i) {
+        const TimePoint due = begin + time * i / count;
+        const milliseconds left = remaining(monotonicNow(), due);
+        ::poll(nullptr, 0, static_cast<int>(std::max<std::int64_t>(0, left.count())));
+        const std::size_t gateway = static_cast<std::size_t>(i) % size();
+        const std::string id = "g" + std::to_string(gateway) + "-" + std::to_string(i);
+        calls.push_back(std::async(std::launch::async, [this, gateway, target, id] {
+            return callServer(callers_[gateway], requestFor(target, id));
+        }));
+    }
+    std::vector<CallResult> results;
+    results.reserve(calls.size());
+    for (auto &call : calls)
+        results.push_back(call.get());
+    return results;
+}
+
+std::size_t gatewayOf(const SeenRequest &request)
+{
+    return std::stoul(request.header("Wisteriawind-Attempt-Id").substr(1));
+}
+
+void ArrivalLog::note(const SeenRequest &request, bool told, TimePoint now)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const std::size_t gateway = gatewayOf(request);
+    arrivals_.push_back({gateway, now});
+    toldAt_.resize(std::max(toldAt_.size(), gateway + 1));
+    if (told && toldAt_[gateway] == TimePoint())
+        toldAt_[gateway] = now;
+}
+
+std::vector<Arrival> ArrivalLog::fromTold() const
+{
+    constexpr milliseconds timeToTakeIn{500};
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<Arrival> told;
+    for (const Arrival &arrival : arrivals_) {
+        const TimePoint toldAt = toldAt_[arrival.gateway];
+        if (toldAt != TimePoint() && arrival.at >= toldAt + timeToTakeIn)
+            told.push_back(arrival);
+    }
+    return told;
+}
+
+TimePoint ArrivalLog::firstTold() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    TimePoint first;
+    for (const TimePoint at : toldAt_) {
+        if (at != TimePoint() && (first == TimePoint() || at < first))
+            first = at;
+    }
+    return first;
+}
+
+std::size_t ArrivalLog::count() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return arrivals_.size();
+}
+
+std::size_t mostWithin(const std::vector<Arrival> &arrivals, TimePoint after, milliseconds span)
+{
+    std::size_t most = 0;
+    for (const Arrival &first : arrivals) {
+        if (first.at < after)
+            continue;
+        const auto within = [&](const Arrival &arrival) {
+            return arrival.at >= first.at && arrival.at < first.at + span;
+        };
+        const auto count = std::count_if(arrivals.begin(), arrivals.end(), within);
+        most = std::max(most, static_cast<std::size_t>(count));
+    }
+    return most;
+}
+
+} // namespace wisteria::gateway_tests
--- a/Tests/Gateway/ServerLimitTest.cpp
+++ b/Tests/Gateway/ServerLimitTest.cpp
@@ -1,8 +1,43 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
+#include "Gateway/GatewayFleet.h"
+#include "Gateway/GatewayUnderTest.h"
 #include "platform/RequestCodec.h"
 
 using namespace wisteria;
+using namespace wisteria::gateway_tests;
+
+namespace {
+
+/// From when on a limit that was named binds, and over which span it is counted.
+constexpr milliseconds settled{3000};
+constexpr milliseconds span{4000};
+
+/// Requests that all gateways may send within the span.
+std::size_t allowedWithin(double perSecond)
+{
+    return static_cast<std::size_t>(1.5 * perSecond * secondsOf(span)) + 5;
+}
+
+std::string limited(const SeenRequest &request, const std::string &perSecond)
+{
+    return plainResponse(200,
+                         std::string(seal) + "Server-Limit: " + perSecond
+                             + "\r\nWisteriawind-Attempt-Id: "
+                             + request.header("Wisteriawind-Attempt-Id") + "\r\n",
+                         "here");
+}
+
+std::size_t served(const std::vector<CallResult> &results)
+{
+    return static_cast<std::size_t>(
+        std::count_if(results.begin(), results.end(),
+                      [](const CallResult &result) { return result.status == 200; }));
+}
+
+} // namespace
 
 TEST_CASE("A limit that an answer names is read, and what is no number names none")
 {
@@ -17,3 +52,49 @@
         REQUIRE_FALSE(limitIn(wrong));
     REQUIRE_FALSE(platform::decodeAnswerHead(HttpResponseHead()).limitPerSecond);
 }
+
+// Guards against a server in need getting the limit that it names from each gateway, or more.
+TEST_CASE("Gateways together keep to the limit that a backend server names")
+{
+    const std::size_t gateways = GENERATE(2, 13);
+    ArrivalLog arrivals;
+    ScriptedServer inNeed([&arrivals](const SeenRequest &request, ScriptPeer &peer) {
+        arrivals.note(request, true, monotonicNow());
+        peer.send(limited(request, "1"));
+    });
+    ScriptedServer sound([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 200, "here"));
+    });
+    GatewayFleet fleet(gateways);
+    fleet.addServer("i-1", inNeed);
+    fleet.addServer("i-2", sound);
+    fleet.start();
+    const auto results = fleet.load("/again/x", 24, settled + span + seconds(2));
+    REQUIRE(served(results) == results.size());
+    CAPTURE(gateways);
+    REQUIRE(mostWithin(arrivals.fromTold(), arrivals.firstTold() + settled, span)
+            <= allowedWithin(1));
+}
+
+// Guards against a server that names a limit getting nothing, or more than that, when no other is
+// there, and against callers that wait for long to be told so.
+TEST_CASE("A backend server alone serves as much as the limit that it names")
+{
+    ArrivalLog arrivals;
+    ScriptedServer inNeed([&arrivals](const SeenRequest &request, ScriptPeer &peer) {
+        arrivals.note(request, true, monotonicNow());
+        peer.send(limited(request, "4"));
+    });
+    GatewayFleet fleet(2);
+    fleet.addServer("i-1", inNeed);
+    fleet.start();
+    constexpr int asked = 8;
+    const auto results = fleet.load("/again/x", asked, settled + span + seconds(1));
+    REQUIRE(mostWithin(arrivals.fromTold(), arrivals.firstTold() + settled, span)
+            <= allowedWithin(4));
+    REQUIRE(served(results) >= results.size() * 2 / 5);
+    for (const CallResult &result : results) {
+        if (result.status != 200)
+            REQUIRE_FALSE(result.header("Retry-After").empty());
+    }
+}
