Gateways keep together to the limits that backend servers name

Callers saw nothing yet; a server in need got up to fifty requests in four seconds where it had asked for one a second. Kept by each gateway alone it would be multiplied by their number. Change: a server's limit is kept by one gateway, which grants permits to all; which one follows from the gateways that the store lists (each writes itself down once) and the server's id, so it takes no message to agree on it. What was heard last from a server, limit or none, travels with questions and answers. A request goes elsewhere, waits as for a place, or is refused with the time of the next permit. Limits outlast entries that lapse. Where gateways don't know each other each grants itself its part of as many as there may be. Ways weighed: equal shares (36 gateways with a whole request each are beyond 11, and a share lies idle), a lease in the store for each server (a gateway without it has no part), sidecars as keepers (plain servers have none). In virtual time 1 to 36 gateways, limits of 0.5 to 12, a tenth of datagrams lost, a keeper that stands still.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -22,6 +22,8 @@
 
 const char *refusalReason(NoBackend why, bool mayWait)
 {
+    if (why == NoBackend::AtLimit)
+        return "the limits of all backend servers are used up";
     if (why != NoBackend::AllFull)
         return "no backend server takes work";
     return mayWait ? "all places are taken" : "too many wait for a place";
@@ -73,19 +75,21 @@
         waitsUntil(
             context_.placeWait, choice.why,
             {.arrived = arrived_, .deadline = deadline_, .targetLatency = route_.targetLatency}));
-    const bool mayWait = queued_ || waitIsWorthIt(choice.why, now);
+    const bool mayWait = queued_ || waitIsWorthIt(choice, now);
     if (now < waitUntil_ && mayWait) {
         startWaiting();
         return false;
     }
     stopWaiting();
-    refuse(refusalReason(choice.why, mayWait), choice.why, now);
+    refuse(refusalReason(choice.why, mayWait), choice, now);
     return true;
 }
 
-bool Exchange::waitIsWorthIt(NoBackend why, TimePoint now) const
+bool Exchange::waitIsWorthIt(const BackendChoice &choice, TimePoint now) const
 {
-    return why != NoBackend::AllFull
+    if (choice.freeAt > waitUntil_)
+        return false;
+    return (choice.why != NoBackend::AllFull && choice.why != NoBackend::AtLimit)
         || waitCanSucceed(context_.placeQueues[service_], priority_, remaining(now, waitUntil_),
                           now);
 }
@@ -118,6 +122,7 @@
     backendId_ = backend.entry.id;
     tried_.push_back(backendId_);
     ++backend.own;
+    takePermit(context_.board.limits, backendId_, now);
     sentAt_ = now;
     lastByteAt_ = now;
     head_ = {};
@@ -169,7 +174,7 @@
     if (head_.notExecuted && !head_.limitPerSecond)
         return;
     const LimitWord word{.perSecond = head_.limitPerSecond, .heardAt = lastByteAt_};
-    if (!takeWord(context_.board.limits[backendId_], word))
+    if (!noteWord(context_.board.limits, backendId_, word))
         return;
     context_.log.info("backend.limit",
                       {{"id", request_.attemptId},
@@ -320,8 +325,12 @@
     const bool again = mayRetry(route_, end, history_, left)
         && (end == SendEnd::NeverSent
             || takeRetry(context_.retryShares[service_], context_.retryBounds, now));
+    BackendChoice none{.why =
+                           end == SendEnd::NotExecuted ? NoBackend::AllFull : NoBackend::Unknown};
     if (again) {
         const BackendChoice choice = chooseNext(fullForRetry, now);
+        if (choice.freeAt != TimePoint())
+            none = choice;
         if (choice.backend != nullptr) {
             countRetry(context_.metrics, service_,
                        history_.answerBegun ? RetryCause::Resumed : RetryCause::Failed);
@@ -334,8 +343,7 @@
         passOnAnswer();
         return;
     case NextStep::Refuse:
-        refuse("not run by any backend server",
-               end == SendEnd::NotExecuted ? NoBackend::AllFull : NoBackend::Unknown, now);
+        refuse("not run by any backend server", none, now);
         return;
     case NextStep::BreakOff:
         finish(0, "broken off", now);
@@ -430,11 +438,11 @@
     backendId_.clear();
 }
 
-void Exchange::refuse(const char *reason, NoBackend why, TimePoint now)
+void Exchange::refuse(const char *reason, const BackendChoice &choice, TimePoint now)
 {
     const milliseconds sinceProgress = remaining(context_.progressAt[service_], now);
     const milliseconds retryAfter =
-        comeBackAfter(context_.comeBackTimes, why, sinceProgress, context_.draw());
+        comeBackAfter(context_.comeBackTimes, choice, sinceProgress, now, context_.draw());
     finish(503, reason, now);
     sink_.answer(503, platform::ownAnswerFields(request_.attemptId, retryAfter), "");
 }
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -61,7 +61,7 @@
 
 private:
     milliseconds timeLeft(TimePoint now) const { return remaining(now, deadline_); }
-    bool waitIsWorthIt(NoBackend why, TimePoint now) const;
+    bool waitIsWorthIt(const BackendChoice &choice, TimePoint now) const;
     void startWaiting();
     void stopWaiting();
     void send(BackendState &backend, TimePoint now);
@@ -81,7 +81,7 @@
     void moveOffSlowBackend(TimePoint now);
     BackendChoice chooseNext(double fullAt, TimePoint now);
     BackendState *backendNow();
-    void refuse(const char *reason, NoBackend why, TimePoint now);
+    void refuse(const char *reason, const BackendChoice &choice, TimePoint now);
     void finish(int status, const char *reason, TimePoint now);
     void countEnd(int status, const char *reason, TimePoint now);
 
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -11,7 +11,9 @@
 #include "Connection/TcpConnection.h"
 #include "Process/ShutdownSignal.h"
 #include "Programs/Gateway/BackendList.h"
+#include "Programs/Gateway/GatewayDirectory.h"
 #include "Programs/Gateway/GatewayMetrics.h"
+#include "Programs/Gateway/LimitPermits.h"
 #include "Programs/Gateway/Session.h"
 #include "Programs/Gateway/SidecarHellos.h"
 #include "Programs/Gateway/StorePacing.h"
@@ -107,6 +109,10 @@
                    {"domain", settings_.failureDomain},
                    {"store", toText(settings_.store)}});
         watchStore();
+        directory_ = std::make_unique<GatewayDirectory>(
+            loop_, pool_, log_, metrics_, settings_.store, settings_.vmName,
+            Endpoint{settings_.vm.ip, settings_.firstInternalPort});
+        permits_ = std::make_unique<LimitPermits>(context_, peers_, *directory_);
         scheduleCheck();
         loop_.run();
         log_.info("process.stop", {{"open_requests", busySessions()}});
@@ -176,6 +182,10 @@
             takeLoad(*load);
         else if (std::holds_alternative<EngineListWanted>(message.value()))
             hellos_.tellList(from);
+        else if (const auto *asked = std::get_if<PermitAsked>(&message.value()))
+            permits_->take(from, *asked, monotonicNow());
+        else if (const auto *told = std::get_if<PermitTold>(&message.value()))
+            takePermit(from, *told);
     }
 
     void takeLoad(const EngineLoad &load)
@@ -197,6 +207,12 @@
         serveWaitingSoon();
     }
 
+    void takePermit(const Endpoint &from, const PermitTold &told)
+    {
+        if (permits_->take(from, told, monotonicNow()))
+            serveWaitingSoon();
+    }
+
     void noteOpeningOf(const std::string &service)
     {
         log_.info("group.opened", {{"service", service}});
@@ -280,6 +296,7 @@
              .connections = sessions_.size(),
              .openRequests = busySessions(),
              .waitingRequests = waiting_.size(),
+             .serverLimits = limitsInForce(board_.limits),
              .ready = ready(),
              .droppedLogLines = log_.dropped()});
         for (auto &[service, share] : context_.retryShares) {
@@ -319,6 +336,9 @@
                 found->second->checkTime(now);
         }
         hellos_.say(now);
+        directory_->checkTime(now);
+        if (permits_->ask(now))
+            serveWaitingSoon();
         configurationWatch_->checkTime(now);
         backendsWatch_->checkTime(now);
         list_.checkTime(now);
@@ -350,6 +370,7 @@
             return;
         stopping_ = true;
         stopAt_ = monotonicNow();
+        directory_->leave();
         log_.info("process.stopping", {{"open_requests", busySessions()}});
     }
 
@@ -401,6 +422,8 @@
     SidecarHellos hellos_;
     std::unique_ptr<StoreWatch> configurationWatch_;
     std::unique_ptr<StoreWatch> backendsWatch_;
+    std::unique_ptr<GatewayDirectory> directory_;
+    std::unique_ptr<LimitPermits> permits_;
     std::map<std::uint64_t, std::unique_ptr<Session>> sessions_;
     std::vector<std::uint64_t> waiting_;
     std::uint64_t lastSession_ = 0;
--- /dev/null
+++ b/Source/Programs/Gateway/GatewayDirectory.cpp
@@ -0,0 +1,117 @@
+#include "Programs/Gateway/GatewayDirectory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Programs/Gateway/StorePacing.h"
+
+namespace wisteria {
+
+namespace {
+
+/// How long the store may hold a read that finds no change. Gateways seldom come and go, and each
+/// read is paid for.
+constexpr seconds directoryWait{20};
+/// Pause between two writes of the own entry, doubled up to the longest.
+constexpr milliseconds firstWritePause{1000};
+constexpr milliseconds longestWritePause{8000};
+
+} // namespace
+
+GatewayDirectory::GatewayDirectory(EventLoop &loop, HttpClientPool &pool, EventLog &log,
+                                   Metrics &metrics, const Endpoint &store, std::string self,
+                                   const Endpoint &address)
+    : pool_(pool), log_(log), store_(store), self_(std::move(self)), address_(address),
+      writePause_(firstWritePause),
+      watch_(loop, pool, log, metrics, store,
+             WatchPlan{"gateways", platform::gatewaysTopic, directoryWait, milliseconds(0)},
+             WatchEvents{.record = [this](const auto &record) { take(record); },
+                         .snapshot = [this](const auto &records) { takeAll(records); },
+                         .regained = [] {},
+                         .confirmed = [](TimePoint) {},
+                         .upToDate = [](TimePoint) {}})
+{ }
+
+GatewayDirectory::~GatewayDirectory() = default;
+
+bool GatewayDirectory::listed() const
+{
+    const auto own = gateways_.find(self_);
+    return leaving_ || (own != gateways_.end() && own->second.address == address_);
+}
+
+void GatewayDirectory::take(const platform::KeyedRecord &record)
+{
+    if (record.value.empty()) {
+        gateways_.erase(record.key);
+        return;
+    }
+    const auto address = endpointFromText(record.value);
+    if (address.has_error()) {
+        log_.warn("gateway.bad_entry",
+                  {{"gateway", record.key}, {"reason", address.error().message}});
+        gateways_.erase(record.key);
+        return;
+    }
+    PeerGateway &gateway = gateways_[record.key];
+    if (gateway.address == address.value())
+        return;
+    gateway = {.address = address.value()};
+    log_.info("gateway.entry", {{"gateway", record.key}, {"address", record.value}});
+}
+
+void GatewayDirectory::takeAll(const std::vector<platform::KeyedRecord> &records)
+{
+    std::erase_if(gateways_, [&records](const auto &entry) {
+        return std::none_of(records.begin(), records.end(),
+                            [&entry](const auto &record) { return record.key == entry.first; });
+    });
+    for (const platform::KeyedRecord &record : records)
+        take(record);
+    known_ = true;
+}
+
+void GatewayDirectory::checkTime(TimePoint now)
+{
+    watch_.checkTime(now);
+    if (call_ && now - callBegunAt_ >= storeAnswerTimeout)
+        call_.reset();
+    if (!call_ && known_ && !listed() && now >= writeAgainAt_)
+        write(toText(address_), now);
+}
+
+void GatewayDirectory::leave()
+{
+    if (leaving_ || !listed())
+        return;
+    leaving_ = true;
+    write("", monotonicNow());
+}
+
+void GatewayDirectory::write(const std::string &value, TimePoint now)
+{
+    writeAgainAt_ = now + writePause_;
+    writePause_ = std::min(longestWritePause, writePause_ * 2);
+    callBegunAt_ = now;
+    response_ = {};
+    CallEvents events{
+        .accept = {},
+        .head = [this](const HttpResponseHead &head) { response_.head = head; },
+        .body = [](std::string_view) {},
+        .complete =
+            [this] {
+                call_.reset();
+                const auto taken = platform::decodeAppend(response_);
+                if (taken.has_error())
+                    log_.warn("gateway.not_listed", {{"reason", taken.error().message}});
+            },
+        .failed =
+            [this](const CallFailure &failure) {
+                call_.reset();
+                log_.warn("gateway.not_listed", {{"reason", failure.reason}});
+            }};
+    call_ = pool_.call(store_, platform::appendRequest(platform::gatewaysTopic, self_, value),
+                       ConnectionUse::Fresh, std::move(events), now);
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Programs/Gateway/LimitPermits.cpp
@@ -0,0 +1,113 @@
+#include "Programs/Gateway/LimitPermits.h"
+
+#include <vector>
+
+namespace wisteria {
+
+namespace {
+
+std::uint32_t ageOf(const LimitWord &word, TimePoint now)
+{
+    return static_cast<std::uint32_t>(remaining(word.heardAt, now).count());
+}
+
+LimitWord wordOf(const std::optional<double> &perSecond, std::uint32_t age, TimePoint now)
+{
+    return {.perSecond = perSecond, .heardAt = now - milliseconds(age)};
+}
+
+} // namespace
+
+LimitPermits::LimitPermits(GatewayContext &context, DatagramSocket &peers,
+                           GatewayDirectory &directory)
+    : context_(context), peers_(peers), directory_(directory)
+{ }
+
+bool LimitPermits::ask(TimePoint now)
+{
+    ServerLimits &limits = context_.board.limits;
+    forgetOldLimits(limits, now);
+    std::vector<PermitQuestion> due;
+    for (const auto &[id, limit] : limits) {
+        if (auto question = questionDue(limits, id, now))
+            due.push_back(std::move(*question));
+    }
+    bool permitted = false;
+    for (const PermitQuestion &question : due)
+        permitted = ask(question, now) || permitted;
+    return permitted;
+}
+
+bool LimitPermits::ask(const PermitQuestion &question, TimePoint now)
+{
+    PeerGateways &gateways = directory_.gateways();
+    const auto keeper = keeperOf(gateways, question.server, now);
+    // Without a word of the others, each of as many as there may be grants itself its part.
+    if (!keeper)
+        return answerSelf(question, 1 / gatewaysReckoned(context_.retryBounds), now);
+    if (*keeper == directory_.self())
+        return answerSelf(question, 1, now);
+    send(gateways.at(*keeper), question, now);
+    tryAgain(question, now);
+    return false;
+}
+
+/// Asks silent gateways whether they are back; one that is keeps its limits again.
+void LimitPermits::tryAgain(const PermitQuestion &question, TimePoint now)
+{
+    const PermitQuestion nothing{.server = question.server, .word = question.word};
+    for (auto &[name, gateway] : directory_.gateways()) {
+        if (shouldTryAgain(gateway, now))
+            send(gateway, nothing, now);
+    }
+}
+
+void LimitPermits::send(PeerGateway &gateway, const PermitQuestion &question, TimePoint now)
+{
+    const bool wasSilent = isSilent(gateway, now);
+    noteAsked(gateway, now);
+    if (!wasSilent && isSilent(gateway, now))
+        context_.log.warn("gateway.silent", {{"address", toText(gateway.address)}});
+    peers_.send(gateway.address,
+                encodeMessage(PermitAsked{.server = question.server,
+                                          .wanted = question.wanted,
+                                          .number = question.number,
+                                          .perSecond = question.word.perSecond,
+                                          .ageMilliseconds = ageOf(question.word, now)}));
+}
+
+bool LimitPermits::answerSelf(const PermitQuestion &question, double share, TimePoint now)
+{
+    const PermitAnswer answer = answerQuestion(kept_[question.server], question, share, now);
+    return takeAnswer(context_.board.limits, answer, now);
+}
+
+void LimitPermits::take(const Endpoint &from, const PermitAsked &asked, TimePoint now)
+{
+    const PermitQuestion question{.server = asked.server,
+                                  .wanted = asked.wanted,
+                                  .number = asked.number,
+                                  .word = wordOf(asked.perSecond, asked.ageMilliseconds, now)};
+    const PermitAnswer answer = answerQuestion(kept_[asked.server], question, 1, now);
+    peers_.send(from,
+                encodeMessage(PermitTold{.server = answer.server,
+                                         .number = answer.number,
+                                         .granted = answer.granted,
+                                         .nextInMilliseconds =
+                                             static_cast<std::uint32_t>(answer.nextIn.count()),
+                                         .perSecond = answer.word.perSecond,
+                                         .ageMilliseconds = ageOf(answer.word, now)}));
+}
+
+bool LimitPermits::take(const Endpoint &from, const PermitTold &told, TimePoint now)
+{
+    noteHeard(directory_.gateways(), from);
+    const PermitAnswer answer{.server = told.server,
+                              .number = told.number,
+                              .granted = told.granted,
+                              .nextIn = milliseconds(told.nextInMilliseconds),
+                              .word = wordOf(told.perSecond, told.ageMilliseconds, now)};
+    return takeAnswer(context_.board.limits, answer, now);
+}
+
+} // namespace wisteria
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -372,6 +372,10 @@
 
     void take(const Endpoint &, const EngineLoad &) { }
 
+    void take(const Endpoint &, const PermitAsked &) { }
+
+    void take(const Endpoint &, const PermitTold &) { }
+
     void take(const Endpoint &from, const RankPoll &poll)
     {
         const TimePoint now = monotonicNow();
--- a/Source/Request/BackendBoard.cpp
+++ b/Source/Request/BackendBoard.cpp
@@ -1,6 +1,7 @@
 #include "Request/BackendBoard.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace wisteria {
 
@@ -57,6 +58,57 @@
         std::erase_if(candidates, slow);
 }
 
+/// The best of several; the search begins at a drawn place, so that equals share the work.
+const Candidate *bestOf(const std::vector<Candidate> &candidates, double draw)
+{
+    if (candidates.empty())
+        return nullptr;
+    const auto start = static_cast<std::size_t>(draw * static_cast<double>(candidates.size()));
+    const Candidate *best = &candidates[start % candidates.size()];
+    for (std::size_t i = 1; i < candidates.size(); ++i) {
+        const Candidate &next = candidates[(start + i) % candidates.size()];
+        if (next.before(*best))
+            best = &next;
+    }
+    return best;
+}
+
+/// Takes those at their limit out of the candidates.
+std::vector<Candidate> takeAtLimit(std::vector<Candidate> &candidates, const ServerLimits &limits,
+                                   TimePoint now)
+{
+    const auto firstAtLimit = std::stable_partition(
+        candidates.begin(), candidates.end(), [&](const Candidate &candidate) {
+            return isPermitted(limits, candidate.state->entry.id, now);
+        });
+    std::vector<Candidate> atLimit(firstAtLimit, candidates.end());
+    candidates.erase(firstAtLimit, candidates.end());
+    return atLimit;
+}
+
+/// Has a permit asked for at the best of those at their limit, where a question is due and the
+/// request can't go to a better one.
+void wantPermit(ServerLimits &limits, std::vector<Candidate> atLimit, const Candidate *instead,
+                double draw, TimePoint now)
+{
+    std::erase_if(atLimit, [&](const Candidate &candidate) {
+        const bool worse = instead != nullptr && !candidate.before(*instead);
+        return worse || limits[candidate.state->entry.id].askAgainAt > now;
+    });
+    if (const Candidate *best = bestOf(atLimit, draw))
+        limits[best->state->entry.id].wanted = true;
+}
+
+/// The earliest moment at which a question at one of them may be answered with a permit.
+TimePoint earliestPermit(const ServerLimits &limits, const std::vector<Candidate> &atLimit,
+                         TimePoint now)
+{
+    TimePoint earliest = TimePoint::max();
+    for (const Candidate &candidate : atLimit)
+        earliest = std::min(earliest, limits.at(candidate.state->entry.id).nextPermitAt);
+    return std::max(earliest, now);
+}
+
 /// Whether one entry is surely younger than another one at its address.
 bool isYounger(const BackendEntry &entry, const BackendEntry &other)
 {
@@ -104,6 +156,9 @@
     const bool restarted =
         state.entry.startedAt != entry.startedAt || state.entry.address != entry.address;
     if (restarted) {
+        // The server that starts under an id knows nothing of what the former one said.
+        if (state.entry.startedAt != 0)
+            board.limits.erase(entry.id);
         const std::uint32_t own = state.own;
         state = BackendState{};
         state.own = own;
@@ -233,22 +288,26 @@
     }
     if (candidates.empty())
         return choice;
+    std::vector<Candidate> atLimit = takeAtLimit(candidates, board.limits, now);
     dropSlow(candidates, now, board.loadLifetime);
-    // The search begins at a drawn place, so that equals share the work.
-    const auto start = static_cast<std::size_t>(draw * static_cast<double>(candidates.size()));
-    Candidate best = candidates[start % candidates.size()];
-    for (std::size_t i = 1; i < candidates.size(); ++i) {
-        const Candidate &next = candidates[(start + i) % candidates.size()];
-        if (next.before(best))
-            best = next;
-    }
-    choice.load = best.load;
-    if (best.load > wish.fullAt || best.beyondShare) {
-        choice.why = NoBackend::AllFull;
+    dropSlow(atLimit, now, board.loadLifetime);
+    const auto hasPlace = [&wish](const Candidate &candidate) {
+        return candidate.load <= wish.fullAt && !candidate.beyondShare;
+    };
+    std::erase_if(atLimit, std::not_fn(hasPlace));
+    const Candidate *best = bestOf(candidates, draw);
+    const bool found = best != nullptr && hasPlace(*best);
+    wantPermit(board.limits, atLimit, found ? best : nullptr, draw, now);
+    if (best != nullptr)
+        choice.load = best->load;
+    if (found) {
+        choice.why = NoBackend::None;
+        choice.backend = best->state;
         return choice;
     }
-    choice.why = NoBackend::None;
-    choice.backend = best.state;
+    choice.why = atLimit.empty() ? NoBackend::AllFull : NoBackend::AtLimit;
+    if (!atLimit.empty())
+        choice.freeAt = earliestPermit(board.limits, atLimit, now);
     return choice;
 }
 
--- a/Source/Request/BackendBoard.h
+++ b/Source/Request/BackendBoard.h
@@ -59,9 +59,9 @@
     TimePoint listReadAt;
     /// When the group of each service was first told to be open again.
     std::map<std::string, TimePoint> openedAt;
-    /// What backend servers said of their limits, by id. It outlasts an entry that lapses for a
-    /// while, as in an outage of the store.
-    std::map<std::string, LimitWord> limits;
+    /// Limits that backend servers named. They outlast an entry that lapses for a while, as in an
+    /// outage of the store.
+    ServerLimits limits;
 };
 
 /// Takes in what a backend server says of itself; one that started anew is known anew.
@@ -175,6 +175,7 @@
     AllTried, ///< Each was tried by this request.
     AllFull, ///< Each has as many requests as it can use.
     NotOpen, ///< Each is a rank of a group that does not take work now.
+    AtLimit, ///< Each that has places named a limit, and nothing is permitted there now.
 };
 
 struct BackendChoice
@@ -184,6 +185,8 @@
     NoBackend why = NoBackend::None;
     /// Load that decided.
     double load = 0;
+    /// AtLimit: when a request may be sent again, as far as is known.
+    TimePoint freeAt{};
 };
 
 /// Chooses the backend server with the least expected load in parts of its slots.
--- a/Source/Request/ComeBack.h
+++ b/Source/Request/ComeBack.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+
 #include "Process/Time.h"
 #include "Request/BackendBoard.h"
 
@@ -31,4 +33,15 @@
     return times.standing + std::chrono::duration_cast<milliseconds>(times.standingSpread * draw);
 }
 
+/// The same where it may be known when a backend server takes a request again. No caller comes back
+/// before, and not all come at that moment.
+inline milliseconds comeBackAfter(const ComeBackTimes &times, const BackendChoice &choice,
+                                  milliseconds sinceProgress, TimePoint now, double draw)
+{
+    if (choice.freeAt == TimePoint())
+        return comeBackAfter(times, choice.why, sinceProgress, draw);
+    return std::max(times.full, remaining(now, choice.freeAt))
+        + std::chrono::duration_cast<milliseconds>(times.standingSpread * draw);
+}
+
 } // namespace wisteria
--- a/Source/Request/PlaceWait.h
+++ b/Source/Request/PlaceWait.h
@@ -38,6 +38,7 @@
     };
     switch (why) {
     case NoBackend::AllFull:
+    case NoBackend::AtLimit:
         return request.arrived + part(request.targetLatency, wait.fullShare);
     case NoBackend::NotOpen: {
         const milliseconds time = remaining(request.arrived, request.deadline);
--- /dev/null
+++ b/Source/Request/ServerLimit.cpp
@@ -0,0 +1,149 @@
+#include "Request/ServerLimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wisteria {
+
+namespace {
+
+/// A permit that is not used within this time is lost: one that is kept could be used together
+/// with all that are granted later.
+constexpr milliseconds permitLifetime{500};
+/// Time for an answer of the keeper, after which it is asked again.
+constexpr milliseconds answerTime{100};
+/// Pauses between two questions of one gateway about one server that has no request to grant.
+constexpr milliseconds leastPause{25};
+constexpr milliseconds longestPause{250};
+/// Requests that are granted at once after a time without any.
+constexpr double burst = 2;
+/// Requests a second that are granted whatever the limit: one that is none would never be known to
+/// have ended.
+constexpr double leastPerSecond = 0.2;
+/// A limit of which nothing was heard for this long is the limit of a server that is gone.
+constexpr std::chrono::minutes wordLifetime{5};
+
+bool holdsPermit(const ServerLimit &limit, TimePoint now)
+{
+    return limit.permits > 0 && now < limit.permitsUntil;
+}
+
+void refill(KeptLimit &kept, double perSecond, TimePoint now)
+{
+    if (kept.refilledAt == TimePoint())
+        kept.refilledAt = now;
+    const double passed = std::chrono::duration<double>(now - kept.refilledAt).count();
+    kept.tokens = std::min(burst, kept.tokens + std::max(0.0, passed) * perSecond);
+    kept.refilledAt = now;
+}
+
+milliseconds timeToToken(const KeptLimit &kept, double perSecond)
+{
+    constexpr double millisecondsPerSecond = 1000;
+    return milliseconds(
+        std::lround(std::max(0.0, 1 - kept.tokens) / perSecond * millisecondsPerSecond));
+}
+
+} // namespace
+
+bool takeWord(LimitWord &known, const LimitWord &word)
+{
+    if (word.heardAt < known.heardAt)
+        return false;
+    const bool changes = known.perSecond != word.perSecond;
+    known = word;
+    return changes;
+}
+
+bool noteWord(ServerLimits &limits, const std::string &id, const LimitWord &word)
+{
+    const auto found = limits.find(id);
+    if (found == limits.end() && !word.perSecond)
+        return false;
+    ServerLimit &limit = limits[id];
+    if (!takeWord(limit.word, word))
+        return false;
+    limit.untold = true;
+    return true;
+}
+
+bool isPermitted(const ServerLimits &limits, const std::string &id, TimePoint now)
+{
+    const auto found = limits.find(id);
+    return found == limits.end() || !found->second.word.perSecond
+        || holdsPermit(found->second, now);
+}
+
+void takePermit(ServerLimits &limits, const std::string &id, TimePoint now)
+{
+    const auto found = limits.find(id);
+    if (found != limits.end() && holdsPermit(found->second, now))
+        --found->second.permits;
+}
+
+std::size_t limitsInForce(const ServerLimits &limits)
+{
+    return static_cast<std::size_t>(
+        std::count_if(limits.begin(), limits.end(),
+                      [](const auto &entry) { return entry.second.word.perSecond.has_value(); }));
+}
+
+std::optional<PermitQuestion> questionDue(ServerLimits &limits, const std::string &id,
+                                          TimePoint now)
+{
+    ServerLimit &limit = limits[id];
+    const bool wanted = limit.wanted && limit.word.perSecond && !holdsPermit(limit, now);
+    if ((!wanted || now < limit.askAgainAt) && !limit.untold)
+        return std::nullopt;
+    limit.wanted = false;
+    limit.untold = false;
+    limit.askedAt = now;
+    limit.open = true;
+    limit.askAgainAt = now + answerTime;
+    return PermitQuestion{
+        .server = id, .wanted = wanted, .number = ++limit.asked, .word = limit.word};
+}
+
+bool takeAnswer(ServerLimits &limits, const PermitAnswer &answer, TimePoint now)
+{
+    const auto found = limits.find(answer.server);
+    if (found == limits.end())
+        return false;
+    ServerLimit &limit = found->second;
+    const bool ended = takeWord(limit.word, answer.word) && !limit.word.perSecond;
+    if (!limit.open || answer.number != limit.asked)
+        return ended;
+    limit.open = false;
+    limit.nextPermitAt = now + answer.nextIn;
+    limit.askAgainAt = now + std::clamp(answer.nextIn, leastPause, longestPause);
+    if (answer.granted) {
+        limit.permits = 1;
+        limit.permitsUntil = limit.askedAt + permitLifetime;
+    }
+    return ended || answer.granted;
+}
+
+void forgetOldLimits(ServerLimits &limits, TimePoint now)
+{
+    std::erase_if(limits, [now](const auto &entry) {
+        return now - entry.second.word.heardAt > wordLifetime;
+    });
+}
+
+PermitAnswer answerQuestion(KeptLimit &kept, const PermitQuestion &question, double share,
+                            TimePoint now)
+{
+    takeWord(kept.word, question.word);
+    PermitAnswer answer{.server = question.server, .number = question.number, .word = kept.word};
+    if (!kept.word.perSecond)
+        return answer;
+    const double perSecond = std::max(leastPerSecond, *kept.word.perSecond) * share;
+    refill(kept, perSecond, now);
+    answer.granted = question.wanted && kept.tokens >= 1;
+    if (answer.granted)
+        kept.tokens -= 1;
+    answer.nextIn = timeToToken(kept, perSecond);
+    return answer;
+}
+
+} // namespace wisteria
--- a/Source/Request/ServerLimit.h
+++ b/Source/Request/ServerLimit.h
@@ -1,6 +1,10 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 
 #include "Process/Time.h"
 
@@ -16,13 +20,97 @@
 
 /// Takes in a word, unless a later one is known.
 /// @return Whether that changes the limit.
-inline bool takeWord(LimitWord &known, const LimitWord &word)
+bool takeWord(LimitWord &known, const LimitWord &word);
+
+/// One gateway's part in the limit of a backend server. A plain value.
+///
+/// The limit binds all gateways together, so what one may send of it is permitted by the one
+/// process that keeps it. Shares that are set once leave a server idle that one gateway's callers
+/// need, and a whole request for each of many gateways is more than a small limit allows.
+struct ServerLimit
 {
-    if (word.heardAt < known.heardAt)
-        return false;
-    const bool changes = known.perSecond != word.perSecond;
-    known = word;
-    return changes;
-}
+    LimitWord word;
+    /// Requests that may be sent there, until a moment.
+    std::uint32_t permits = 0;
+    TimePoint permitsUntil;
+    /// A request would have gone there if there had been a permit.
+    bool wanted = false;
+    /// The keeper has not been told the word yet that changed the limit.
+    bool untold = false;
+    /// No further question before this moment.
+    TimePoint askAgainAt;
+    /// When the keeper expects to have a request to grant, for whoever asks first.
+    TimePoint nextPermitAt;
+    /// Questions so far, and whether the last one is unanswered. An answer to an earlier one, or
+    /// one that comes twice, permits nothing.
+    std::uint32_t asked = 0;
+    bool open = false;
+    TimePoint askedAt;
+};
+
+/// Of all backend servers that ever named a limit, by id.
+using ServerLimits = std::map<std::string, ServerLimit>;
+
+/// Takes in what a backend server said with an answer.
+/// @return Whether that changes the limit.
+bool noteWord(ServerLimits &limits, const std::string &id, const LimitWord &word);
+
+/// Whether one more request may be sent to a backend server.
+bool isPermitted(const ServerLimits &limits, const std::string &id, TimePoint now);
+
+/// Uses up a permit for a request that is sent.
+void takePermit(ServerLimits &limits, const std::string &id, TimePoint now);
+
+/// Backend servers that name a limit now.
+std::size_t limitsInForce(const ServerLimits &limits);
+
+/// What a gateway asks the keeper of a limit.
+struct PermitQuestion
+{
+    std::string server;
+    /// One request is to be sent; else only the word is told.
+    bool wanted = false;
+    std::uint32_t number = 0;
+    LimitWord word{};
+};
+
+/// What the keeper answers.
+struct PermitAnswer
+{
+    std::string server;
+    std::uint32_t number = 0;
+    bool granted = false;
+    /// When it is worth asking again.
+    milliseconds nextIn{0};
+    /// The latest word that the keeper knows.
+    LimitWord word{};
+};
+
+/// A question about a backend server, where one is due.
+std::optional<PermitQuestion> questionDue(ServerLimits &limits, const std::string &id,
+                                          TimePoint now);
+
+/// Takes in what the keeper answered.
+/// @return Whether a request may now be sent that could not be before.
+bool takeAnswer(ServerLimits &limits, const PermitAnswer &answer, TimePoint now);
+
+/// Forgets limits of servers that have said nothing for long.
+void forgetOldLimits(ServerLimits &limits, TimePoint now);
+
+/// A limit as its keeper has it. A plain value.
+struct KeptLimit
+{
+    LimitWord word;
+    double tokens = 0;
+    TimePoint refilledAt;
+};
+
+/// Grants requests of all gateways within a limit.
+///
+/// It begins with nothing to grant: the gateways may have gone by another keeper until now, and
+/// both together must not grant more than the limit.
+/// @param share The part of the limit that this keeper grants.
+PermitAnswer answerQuestion(KeptLimit &kept, const PermitQuestion &question, double share,
+                            TimePoint now);
 
 } // namespace wisteria
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -23,7 +23,9 @@
     CountsPoll = 7,
     CountsTold = 8,
     Hello = 9,
-    ListWanted = 10
+    ListWanted = 10,
+    PermitAsked = 11,
+    PermitTold = 12
 };
 
 Json encode(const Endpoint &endpoint)
@@ -281,6 +283,57 @@
             .counts = decodeCounts(json.at(5))};
 }
 
+Json encode(const std::optional<double> &perSecond)
+{
+    return perSecond ? Json(*perSecond) : Json(nullptr);
+}
+
+std::optional<double> decodeLimit(const Json &json)
+{
+    if (json.is_null())
+        return std::nullopt;
+    const auto perSecond = json.get<double>();
+    if (!std::isfinite(perSecond) || perSecond < 0)
+        throw std::out_of_range("a limit that is no number of requests");
+    return perSecond;
+}
+
+Json encode(const PermitAsked &asked)
+{
+    return {MessageKind::PermitAsked, asked.server,         asked.wanted, asked.number,
+            encode(asked.perSecond),  asked.ageMilliseconds};
+}
+
+PermitAsked decodePermitAsked(const Json &json)
+{
+    return {.server = json.at(1).get<std::string>(),
+            .wanted = json.at(2).get<bool>(),
+            .number = json.at(3).get<std::uint32_t>(),
+            .perSecond = decodeLimit(json.at(4)),
+            .ageMilliseconds = json.at(5).get<std::uint32_t>()};
+}
+
+Json encode(const PermitTold &told)
+{
+    return {MessageKind::PermitTold,
+            told.server,
+            told.number,
+            told.granted,
+            told.nextInMilliseconds,
+            encode(told.perSecond),
+            told.ageMilliseconds};
+}
+
+PermitTold decodePermitTold(const Json &json)
+{
+    return {.server = json.at(1).get<std::string>(),
+            .number = json.at(2).get<std::uint32_t>(),
+            .granted = json.at(3).get<bool>(),
+            .nextInMilliseconds = json.at(4).get<std::uint32_t>(),
+            .perSecond = decodeLimit(json.at(5)),
+            .ageMilliseconds = json.at(6).get<std::uint32_t>()};
+}
+
 GroupMessage decodeFields(const Json &json)
 {
     switch (static_cast<MessageKind>(json.at(0).get<int>())) {
@@ -304,6 +357,10 @@
         return CountsPoll{.engines = decodeEndpoints(json.at(1))};
     case MessageKind::CountsTold:
         return decodeCountsTold(json);
+    case MessageKind::PermitAsked:
+        return decodePermitAsked(json);
+    case MessageKind::PermitTold:
+        return decodePermitTold(json);
     }
     throw std::out_of_range("unknown message");
 }
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -145,6 +146,31 @@
     std::string message;
 };
 
+/// A gateway asks the one that keeps a backend server's limit, or tells it what the server said.
+struct PermitAsked
+{
+    std::string server;
+    /// One request is to be sent.
+    bool wanted = false;
+    std::uint32_t number = 0;
+    /// Requests a second that the server named last, and how long ago; nothing when it names none.
+    std::optional<double> perSecond{};
+    std::uint32_t ageMilliseconds = 0;
+};
+
+/// Answers a PermitAsked of the same number.
+struct PermitTold
+{
+    std::string server;
+    std::uint32_t number = 0;
+    bool granted = false;
+    /// When there will be a request to grant.
+    std::uint32_t nextInMilliseconds = 0;
+    /// The latest that any gateway heard from the server.
+    std::optional<double> perSecond{};
+    std::uint32_t ageMilliseconds = 0;
+};
+
 /// The map that groups begin with, version 0: experts in turn.
 RankMap firstRankMap(const ExpertProfile &profile, std::size_t ranks);
 
@@ -155,8 +181,9 @@
 /// @return BadInput when they name a set or rank that the map lacks.
 Result<RankMap> applyChanges(RankMap map, const std::vector<RankMapChange> &changes);
 
-using GroupMessage = std::variant<GatewayHello, EngineListWanted, EngineList, EngineLoad, RankPoll,
-                                  RankStatus, RankCommand, RelayedMessage, CountsPoll, CountsTold>;
+using GroupMessage =
+    std::variant<GatewayHello, EngineListWanted, EngineList, EngineLoad, RankPoll, RankStatus,
+                 RankCommand, RelayedMessage, CountsPoll, CountsTold, PermitAsked, PermitTold>;
 
 /// A message as MessagePack bytes.
 std::string encodeMessage(const GroupMessage &message);
--- /dev/null
+++ b/Tests/Gateway/LimitPermitsTest.cpp
@@ -0,0 +1,324 @@
+#include <algorithm>
+#include <deque>
+#include <random>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "Request/BackendBoard.h"
+#include "Request/LimitKeepers.h"
+#include "Version/GroupMessages.h"
+
+using namespace wisteria;
+
+namespace {
+
+constexpr TimePoint start{seconds(100)};
+constexpr milliseconds tick{5};
+constexpr milliseconds span{4000};
+const std::string server = "i-1";
+
+/// Gateways in virtual time before one server that names a limit; datagrams take a tick and may be
+/// lost.
+class PermitWorld
+{
+public:
+    PermitWorld(std::size_t gateways, double perSecond, double lost)
+        : gateways_(gateways), perSecond_(perSecond), lost_(lost)
+    {
+        for (std::size_t i = 0; i < gateways; ++i)
+            known_["front-" + std::to_string(i)] = {.address = addressOf(i)};
+        for (std::size_t i = 0; i < gateways; ++i) {
+            gateways_[i].known = known_;
+            noteWord(gateways_[i].limits, server, {.perSecond = perSecond, .heardAt = now_});
+        }
+    }
+
+    /// Lets time pass while callers ask for so many requests a second of all gateways.
+    void run(milliseconds time, double asked)
+    {
+        for (const TimePoint end = now_ + time; now_ < end; now_ += tick) {
+            deliver();
+            for (std::size_t i = 0; i < gateways_.size(); ++i)
+                work(i, asked / static_cast<double>(gateways_.size()));
+        }
+    }
+
+    /// From now on the server names no limit.
+    void endLimit() { perSecond_.reset(); }
+    void stand(std::size_t gateway, bool stands) { gateways_[gateway].stands = stands; }
+    std::size_t keeper() const
+    {
+        return std::stoul(keeperOf(known_, server, start)->substr(std::string("front-").size()));
+    }
+
+    std::size_t sent() const { return sentAt_.size(); }
+    std::size_t mostWithinSpan() const
+    {
+        std::size_t most = 0;
+        for (std::size_t first = 0, last = 0; last < sentAt_.size(); ++last) {
+            while (sentAt_[last] - sentAt_[first] >= span)
+                ++first;
+            most = std::max(most, last - first + 1);
+        }
+        return most;
+    }
+    /// Gateways that know of a limit.
+    std::size_t limited() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(gateways_.begin(), gateways_.end(), [](const Peer &peer) {
+                return peer.limits.at(server).word.perSecond.has_value();
+            }));
+    }
+
+private:
+    struct Peer
+    {
+        ServerLimits limits;
+        PeerGateways known;
+        KeptLimit kept;
+        bool stands = false;
+    };
+    struct Datagram
+    {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        std::optional<PermitQuestion> question{};
+        PermitAnswer answer{};
+    };
+
+    static Endpoint addressOf(std::size_t gateway)
+    {
+        return {static_cast<std::uint32_t>(gateway + 1), 7340};
+    }
+
+    double draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+
+    void post(Datagram datagram)
+    {
+        if (draw() >= lost_)
+            posted_.push_back(std::move(datagram));
+    }
+
+    void deliver()
+    {
+        std::deque<Datagram> due;
+        due.swap(posted_);
+        for (const Datagram &datagram : due) {
+            Peer &peer = gateways_[datagram.to];
+            if (peer.stands)
+                continue;
+            if (datagram.question) {
+                post({.from = datagram.to,
+                      .to = datagram.from,
+                      .answer = answerQuestion(peer.kept, *datagram.question, 1, now_)});
+                continue;
+            }
+            noteHeard(peer.known, addressOf(datagram.from));
+            takeAnswer(peer.limits, datagram.answer, now_);
+        }
+    }
+
+    void work(std::size_t index, double asked)
+    {
+        Peer &peer = gateways_[index];
+        if (peer.stands)
+            return;
+        if (draw() < asked * secondsOf(tick))
+            arrive(peer);
+        const auto question = questionDue(peer.limits, server, now_);
+        if (!question)
+            return;
+        ask(index, *question);
+        for (auto &[name, gateway] : peer.known) {
+            if (shouldTryAgain(gateway, now_))
+                askPeer(index, name, {.server = server, .word = question->word});
+        }
+    }
+
+    void ask(std::size_t index, const PermitQuestion &question)
+    {
+        Peer &peer = gateways_[index];
+        const std::string name = *keeperOf(peer.known, server, now_);
+        if (peer.known[name].address == addressOf(index))
+            takeAnswer(peer.limits, answerQuestion(peer.kept, question, 1, now_), now_);
+        else
+            askPeer(index, name, question);
+    }
+
+    void askPeer(std::size_t index, const std::string &name, const PermitQuestion &question)
+    {
+        PeerGateway &to = gateways_[index].known[name];
+        noteAsked(to, now_);
+        post({.from = index, .to = to.address.ip - 1, .question = question});
+    }
+
+    /// A request that would go to the server, and has nowhere else to wait.
+    void arrive(Peer &peer)
+    {
+        if (!isPermitted(peer.limits, server, now_)) {
+            peer.limits[server].wanted = true;
+            return;
+        }
+        takePermit(peer.limits, server, now_);
+        sentAt_.push_back(now_);
+        noteWord(peer.limits, server, {.perSecond = perSecond_, .heardAt = now_});
+    }
+
+    std::vector<Peer> gateways_;
+    PeerGateways known_;
+    std::optional<double> perSecond_;
+    double lost_;
+    TimePoint now_ = start;
+    std::deque<Datagram> posted_;
+    std::vector<TimePoint> sentAt_;
+    std::mt19937_64 random_{17};
+};
+
+std::size_t allowedWithinSpan(double perSecond)
+{
+    return static_cast<std::size_t>(1.5 * perSecond * secondsOf(span)) + 5;
+}
+
+BackendEntry entryOf(const std::string &id, std::uint64_t startedAt = 0)
+{
+    return {.id = id,
+            .service = "s",
+            .address = {1, static_cast<std::uint16_t>(1000 + id.back())},
+            .failureDomain = "a",
+            .slots = 10,
+            .startedAt = startedAt};
+}
+
+} // namespace
+
+// Guards against a small limit that each of many gateways uses by itself, and against one that
+// nobody can use.
+TEST_CASE("Any number of gateways use a limit, and no more than it")
+{
+    const std::size_t gateways = GENERATE(1, 2, 5, 13, 36);
+    const double perSecond = GENERATE(0.5, 1.0, 4.0, 12.0);
+    const double lost = GENERATE(0.0, 0.1);
+    PermitWorld world(gateways, perSecond, lost);
+    world.run(seconds(30), 100);
+    CAPTURE(gateways, perSecond, lost, world.sent());
+    REQUIRE(world.mostWithinSpan() <= allowedWithinSpan(perSecond));
+    REQUIRE(world.sent() >= static_cast<std::size_t>(30 * perSecond * 0.6));
+}
+
+// Guards against callers' requests that come all at once after a quiet time.
+TEST_CASE("A surge at all gateways stays within a limit that nobody used for long")
+{
+    PermitWorld world(36, 1, 0);
+    world.run(seconds(30), 0);
+    world.run(seconds(10), 1000);
+    REQUIRE(world.mostWithinSpan() <= allowedWithinSpan(1));
+}
+
+// Guards against a limit that nobody can use, or two keepers that each grant it, while the gateway
+// that kept it stands still and comes back.
+TEST_CASE("A limit is used and kept although the gateway that keeps it stands still")
+{
+    const double perSecond = GENERATE(1.0, 4.0);
+    PermitWorld world(13, perSecond, 0.02);
+    world.run(seconds(10), 100);
+    const std::size_t before = world.sent();
+    world.stand(world.keeper(), true);
+    world.run(seconds(10), 100);
+    REQUIRE(world.sent() - before >= static_cast<std::size_t>(6 * perSecond));
+    world.stand(world.keeper(), false);
+    world.run(seconds(10), 100);
+    REQUIRE(world.mostWithinSpan() <= allowedWithinSpan(perSecond));
+}
+
+// Guards against a server that is spared for long after its need is over.
+TEST_CASE("All gateways know soon that a limit has ended")
+{
+    PermitWorld world(36, 1, 0);
+    world.run(seconds(10), 100);
+    REQUIRE(world.limited() == 36);
+    world.endLimit();
+    world.run(seconds(3), 100);
+    REQUIRE(world.limited() == 0);
+}
+
+// Guards against a limit that is forgotten when the server's entry is rewritten, or lapses while
+// the store is away.
+TEST_CASE("A limit outlasts changes of the server's entry, but not the server's restart")
+{
+    BackendBoard board;
+    putBackend(board, entryOf(server, 1), start);
+    noteWord(board.limits, server, {.perSecond = 1, .heardAt = start});
+    putBackend(board, entryOf(server, 1), start);
+    removeBackend(board, server);
+    putBackend(board, entryOf(server, 1), start);
+    REQUIRE_FALSE(isPermitted(board.limits, server, start));
+    putBackend(board, entryOf(server, 2), start);
+    REQUIRE(isPermitted(board.limits, server, start));
+}
+
+// Guards against a resumption or retry that takes another way than a first send.
+TEST_CASE(
+    "No wish is served by a server at its limit, and the one there would be best is asked for")
+{
+    BackendBoard board;
+    for (const std::string id : {"i-1", "i-2"})
+        putBackend(board, entryOf(id), start);
+    board.backends["i-2"].own = 5;
+    noteWord(board.limits, server, {.perSecond = 1, .heardAt = start});
+    const BackendWish wish{
+        .service = "s", .tried = {}, .fullAt = GENERATE(1.0, 2.0), .failureDomain = "a"};
+    REQUIRE(chooseBackend(board, wish, start, 0).backend->entry.id == "i-2");
+    REQUIRE(board.limits[server].wanted);
+    noteWord(board.limits, "i-2", {.perSecond = 1, .heardAt = start});
+    const BackendChoice none = chooseBackend(board, wish, start, 0);
+    REQUIRE(none.backend == nullptr);
+    REQUIRE(none.why == NoBackend::AtLimit);
+    const auto question = questionDue(board.limits, server, start);
+    REQUIRE(question->wanted);
+    REQUIRE(takeAnswer(
+        board.limits,
+        {.server = server, .number = question->number, .granted = true, .word = question->word},
+        start));
+    REQUIRE(chooseBackend(board, wish, start, 0).backend->entry.id == server);
+}
+
+// Guards against one permit used twice: datagrams may come twice, and late.
+TEST_CASE("An answer permits one request, once, and not long after the question")
+{
+    ServerLimits limits;
+    noteWord(limits, server, {.perSecond = 1, .heardAt = start});
+    limits[server].wanted = true;
+    const auto question = questionDue(limits, server, start);
+    const PermitAnswer answer{
+        .server = server, .number = question->number, .granted = true, .word = question->word};
+    takeAnswer(limits, answer, start);
+    takePermit(limits, server, start);
+    takeAnswer(limits, answer, start);
+    REQUIRE_FALSE(isPermitted(limits, server, start));
+
+    limits[server].wanted = true;
+    const auto second = questionDue(limits, server, start + seconds(1));
+    takeAnswer(limits,
+               {.server = server, .number = second->number, .granted = true, .word = second->word},
+               start + seconds(2));
+    REQUIRE_FALSE(isPermitted(limits, server, start + seconds(2)));
+}
+
+TEST_CASE("Questions and answers about limits survive the way")
+{
+    const PermitAsked asked{
+        .server = server, .wanted = true, .number = 3, .perSecond = 1.5, .ageMilliseconds = 20};
+    const auto askedBack = decodeMessage(encodeMessage(asked)).value();
+    REQUIRE(std::get<PermitAsked>(askedBack).server == server);
+    REQUIRE(std::get<PermitAsked>(askedBack).wanted);
+    REQUIRE(std::get<PermitAsked>(askedBack).perSecond == 1.5);
+    const PermitTold told{.server = server, .number = 3, .granted = true, .nextInMilliseconds = 7};
+    const auto toldBack = decodeMessage(encodeMessage(told)).value();
+    REQUIRE(std::get<PermitTold>(toldBack).granted);
+    REQUIRE(std::get<PermitTold>(toldBack).nextInMilliseconds == 7);
+    REQUIRE_FALSE(std::get<PermitTold>(toldBack).perSecond);
+    REQUIRE(
+        decodeMessage(encodeMessage(PermitAsked{.server = server, .perSecond = -1})).has_error());
+}
--- a/Tests/Gateway/ServerLimitTest.cpp
+++ b/Tests/Gateway/ServerLimitTest.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 
+#include <poll.h>
+
 #include <catch2/catch.hpp>
 
 #include "Gateway/GatewayFleet.h"
@@ -30,6 +32,14 @@
                          "here");
 }
 
+/// Takes so long that a gateway would rather send to another server.
+void busyServer(const SeenRequest &request, ScriptPeer &peer)
+{
+    constexpr int workMilliseconds = 200;
+    ::poll(nullptr, 0, workMilliseconds);
+    peer.send(sealed(request, 200, "here"));
+}
+
 std::size_t served(const std::vector<CallResult> &results)
 {
     return static_cast<std::size_t>(
@@ -62,9 +72,7 @@
         arrivals.note(request, true, monotonicNow());
         peer.send(limited(request, "1"));
     });
-    ScriptedServer sound([](const SeenRequest &request, ScriptPeer &peer) {
-        peer.send(sealed(request, 200, "here"));
-    });
+    ScriptedServer sound(busyServer);
     GatewayFleet fleet(gateways);
     fleet.addServer("i-1", inNeed);
     fleet.addServer("i-2", sound);
@@ -98,3 +106,43 @@
             REQUIRE_FALSE(result.header("Retry-After").empty());
     }
 }
+
+// Guards against gateways that can't find out about each other each using the whole limit.
+TEST_CASE("Gateways that don't know each other stay within a limit together")
+{
+    ArrivalLog arrivals;
+    ScriptedServer inNeed([&arrivals](const SeenRequest &request, ScriptPeer &peer) {
+        arrivals.note(request, true, monotonicNow());
+        peer.send(limited(request, "1"));
+    });
+    ScriptedServer sound(busyServer);
+    GatewayFleet fleet(13);
+    fleet.store.refuseAppends();
+    fleet.addServer("i-1", inNeed);
+    fleet.addServer("i-2", sound);
+    fleet.start();
+    const auto results = fleet.load("/again/x", 48, settled + span);
+    REQUIRE(served(results) == results.size());
+    REQUIRE(mostWithin(arrivals.fromTold(), arrivals.firstTold() + settled - seconds(1), span)
+            <= allowedWithin(1));
+}
+
+// Guards against limits that hold only while the store answers.
+TEST_CASE("A limit is used and kept while the store is away")
+{
+    ArrivalLog arrivals;
+    ScriptedServer inNeed([&arrivals](const SeenRequest &request, ScriptPeer &peer) {
+        arrivals.note(request, true, monotonicNow());
+        peer.send(limited(request, "2"));
+    });
+    GatewayFleet fleet(4);
+    fleet.addServer("i-1", inNeed);
+    fleet.start();
+    fleet.load("/again/x", 12, seconds(1));
+    fleet.store.mute(true);
+    const auto results = fleet.load("/again/x", 12, settled + span);
+    REQUIRE(mostWithin(arrivals.fromTold(), arrivals.firstTold() + settled, span)
+            <= allowedWithin(2));
+    constexpr double secondsOfLoad = 7;
+    REQUIRE(static_cast<double>(served(results)) >= 2 * secondsOfLoad * 0.6);
+}
--- a/Tests/Gateway/StoreStandIn.cpp
+++ b/Tests/Gateway/StoreStandIn.cpp
@@ -62,7 +62,7 @@
     const bool silentAtArrival = silent_;
     if (mute_ || (silentAtArrival && request.before > 0))
         return;
-    if (away_) {
+    if (away_ || (refusesAppends_ && target.starts_with("/log-append"))) {
         peer.send(plainResponse(503, "", ""));
         return;
     }
@@ -71,12 +71,25 @@
         peer.send(plainResponse(200, "", newest(topic)));
         return;
     }
+    if (target.starts_with("/log-append")) {
+        appendRecord(topic, request.body);
+        peer.send(plainResponse(200, "", "{}"));
+        return;
+    }
     const std::size_t from = std::stoul(number(target, "from"));
     waitForRecord(topic, from, milliseconds(std::stol(number(target, "wait_ms"))));
     if (!dropped(request, silentAtArrival))
         peer.send(plainResponse(200, "", read(topic, from)));
 }
 
+void StoreStandIn::appendRecord(const std::string &topic, const std::string &record)
+{
+    constexpr std::size_t lengthBytes = 4;
+    const std::string content = record.substr(lengthBytes);
+    const std::size_t keyBytes = static_cast<unsigned char>(content.at(0));
+    append(topic, content.substr(1, keyBytes), content.substr(1 + keyBytes));
+}
+
 bool StoreStandIn::dropped(const SeenRequest &request, bool silentAtArrival) const
 {
     const bool connectionFellSilent = silent_ && (!silentAtArrival || request.before > 0);
--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -14,8 +14,8 @@
 
 namespace wisteria::gateway_tests {
 
-/// A stand-in of the platform's store: keyed topics that answer log-newest and log-read. It holds a
-/// read that waits until there is a record.
+/// A stand-in of the platform's store: keyed topics that answer log-newest, log-read and
+/// log-append. It holds a read that waits until there is a record.
 class StoreStandIn
 {
 public:
@@ -35,6 +35,9 @@
     /// Answers 503 to everything from now on, or no longer.
     void away(bool away) { away_ = away; }
 
+    /// Refuses records that clients append.
+    void refuseAppends() { refusesAppends_ = true; }
+
     /// Answers no further request on connections that have had one, as if they had fallen silent.
     void silenceKeptConnections() { silent_ = true; }
 
@@ -57,6 +60,8 @@
     };
 
     void answer(const SeenRequest &request, ScriptPeer &peer);
+    /// Takes one record of a call as a client appends it.
+    void appendRecord(const std::string &topic, const std::string &record);
     /// Whether a request that was not dropped on its arrival is by the end of its wait.
     bool dropped(const SeenRequest &request, bool silentAtArrival) const;
     void waitForRecord(const std::string &topic, std::size_t from, milliseconds wait);
@@ -68,6 +73,7 @@
     bool stopping_ = false;
     std::map<std::string, std::vector<Record>> logs_;
     std::atomic<bool> away_ = false;
+    std::atomic<bool> refusesAppends_ = false;
     std::atomic<bool> silent_ = false;
     std::atomic<bool> mute_ = false;
     ScriptedServer server_;
