--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -156,6 +156,7 @@
     head_ = platform::decodeAnswerHead(head);
     lastByteAt_ = monotonicNow();
     noteLimit();
+    noteRest();
     BackendState *backend = backendNow();
     if (backend == nullptr)
         return;
@@ -183,6 +184,15 @@
                        {"per_second", word.perSecond.value_or(0)}});
 }
 
+void Exchange::noteRest()
+{
+    if (head_.misdirected || head_.rest <= milliseconds(0))
+        return;
+    context_.log.info(
+        "backend.rest",
+        {{"id", request_.attemptId}, {"backend", backendId_}, {"for_s", secondsOf(head_.rest)}});
+}
+
 bool Exchange::forwardsStream() const
 {
     return route_.kind == RequestKind::Streaming && head_.success() && head_.eventStream
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -68,6 +68,7 @@
     bool acceptsHead(const HttpResponseHead &head) const;
     void onHead(const HttpResponseHead &head);
     void noteLimit();
+    void noteRest();
     void onBody(std::string_view bytes);
     void onComplete();
     void onFailed(const CallFailure &failure);
--- a/Source/Request/CallerRequest.h
+++ b/Source/Request/CallerRequest.h
@@ -73,6 +73,9 @@
     std::optional<PlainLoad> load;
     /// Requests a second that the backend server takes from all gateways together.
     std::optional<double> limitPerSecond;
+    /// It turned the request away and wants nothing of this gateway for so long; zero asks for
+    /// none.
+    milliseconds rest{0};
     /// What is passed on to the caller as it came.
     HttpFields passedOn;
 
