--- a/Tests/Gateway/GatewayFleet.cpp
+++ b/Tests/Gateway/GatewayFleet.cpp
@@ -15,6 +15,13 @@
 
 namespace wisteria::gateway_tests {
 
+namespace {
+
+/// Time that a gateway has to act on what a backend server said.
+constexpr milliseconds timeToTakeIn{500};
+
+} // namespace
+
 GatewayFleet::GatewayFleet(std::size_t gateways)
 {
     store.put("keyed.op", "config", configurationOf(1));
@@ -97,9 +104,23 @@
         toldAt_[gateway] = now;
 }
 
+std::size_t ArrivalLog::mostAfterAnswer(milliseconds time) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::size_t most = 0;
+    for (const Arrival &answered : arrivals_) {
+        const auto within = [&answered, time](const Arrival &arrival) {
+            return arrival.gateway == answered.gateway && arrival.at >= answered.at + timeToTakeIn
+                && arrival.at < answered.at + time;
+        };
+        const auto count = std::count_if(arrivals_.begin(), arrivals_.end(), within);
+        most = std::max(most, static_cast<std::size_t>(count));
+    }
+    return most;
+}
+
 std::vector<Arrival> ArrivalLog::fromTold() const
 {
-    constexpr milliseconds timeToTakeIn{500};
     const std::lock_guard<std::mutex> lock(mutex_);
     std::vector<Arrival> told;
     for (const Arrival &arrival : arrivals_) {
--- a/Tests/Gateway/GatewayFleet.h
+++ b/Tests/Gateway/GatewayFleet.h
@@ -57,6 +57,9 @@
     void note(const SeenRequest &request, bool told, TimePoint now);
     /// Arrivals from gateways that were told half a second before or earlier.
     std::vector<Arrival> fromTold() const;
+    /// Most arrivals from one gateway between half a second after an answer to it and the end of a
+    /// time.
+    std::size_t mostAfterAnswer(milliseconds time) const;
     /// When the first answer told anything.
     TimePoint firstTold() const;
     std::size_t count() const;
