Backend servers that asked for rest get it

Callers saw every sixth draft refused for seconds, after two servers each had turned it away. A rank that refuses with places free counted as one of a closed group until its sidecar told it open again, tenths of a second later, and then had the least load. Class: what a server says in its answers was not read, as with limits. Change: a server that asked for rest is no candidate until its end, also where all others are avoided, full or tried: one choice serves first sends, retries, resumptions and moves. The rest is kept by id beside the entries, so it outlasts one that is rewritten or lapses; a restart under the same id ends it. Where all rest, a request waits if a rest ends within its wait, else it is refused at once with the time to the first end. A rank that asks for rest no longer counts as one of a closed group.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -22,6 +22,8 @@
 
 const char *refusalReason(NoBackend why, bool mayWait)
 {
+    if (why == NoBackend::Resting)
+        return "all backend servers asked for rest";
     if (why == NoBackend::AtLimit)
         return "the limits of all backend servers are used up";
     if (why != NoBackend::AllFull)
@@ -68,6 +70,7 @@
         send(*choice.backend, now);
         return true;
     }
+    restEndsAt_ = choice.why == NoBackend::Resting ? choice.freeAt : TimePoint::max();
     // A longer wait that was granted stays: the group that it waited for may open with all places
     // taken at once.
     waitUntil_ = std::max(
@@ -165,8 +168,10 @@
         context_.listChanged();
         return;
     }
-    noteAnswer(*backend, {.load = head_.load, .notExecuted = head_.notExecuted}, inGroup_,
-               lastByteAt_, context_.draw());
+    const AnswerTold told{.load = head_.load,
+                          .notExecuted = head_.notExecuted,
+                          .wantsRest = head_.rest > milliseconds(0)};
+    noteAnswer(*backend, told, inGroup_, lastByteAt_, context_.draw());
 }
 
 void Exchange::noteLimit()
@@ -188,6 +193,7 @@
 {
     if (head_.misdirected || head_.rest <= milliseconds(0))
         return;
+    wisteria::noteRest(context_.board, backendId_, lastByteAt_ + head_.rest, lastByteAt_);
     context_.log.info(
         "backend.rest",
         {{"id", request_.attemptId}, {"backend", backendId_}, {"for_s", secondsOf(head_.rest)}});
@@ -376,7 +382,7 @@
     if (finished_)
         return;
     if (waiting_) {
-        if (now >= waitUntil_ || now >= deadline_)
+        if (now >= std::min({waitUntil_, deadline_, restEndsAt_}))
             tryPlace(now);
         return;
     }
--- a/Source/Request/BackendBoard.cpp
+++ b/Source/Request/BackendBoard.cpp
@@ -148,6 +148,63 @@
         && now - opened->second < openingReadWait;
 }
 
+/// Why backend servers of the service are no candidates.
+struct Unfit
+{
+    bool notOpen = false;
+    bool tried = false;
+    /// When the first rest ends.
+    std::optional<TimePoint> restEnds;
+};
+
+/// Until when a backend server rests; nothing when it does not.
+std::optional<TimePoint> restOf(const BackendBoard &board, const std::string &id, TimePoint now)
+{
+    const auto rest = board.restUntil.find(id);
+    if (rest == board.restUntil.end() || rest->second <= now)
+        return std::nullopt;
+    return rest->second;
+}
+
+std::vector<Candidate> candidatesFor(BackendBoard &board, const BackendWish &wish, TimePoint now,
+                                     Unfit &unfit)
+{
+    std::vector<Candidate> candidates;
+    const bool listAwaited = wish.inGroup && awaitsList(board, wish.service, now);
+    for (auto &[id, state] : board.backends) {
+        if (state.entry.service != wish.service || state.entry.draining || state.replaced)
+            continue;
+        if (const auto restEnds = restOf(board, id, now)) {
+            unfit.restEnds = std::min(unfit.restEnds.value_or(*restEnds), *restEnds);
+            continue;
+        }
+        if (listAwaited || !isOpen(state, wish.inGroup, now, board.loadLifetime)) {
+            unfit.notOpen = true;
+            continue;
+        }
+        if (wasTried(wish, id)) {
+            unfit.tried = true;
+            continue;
+        }
+        candidates.push_back({&state, loadWithOneMore(state, now, board.loadLifetime),
+                              state.avoidUntil > now,
+                              state.entry.failureDomain != wish.failureDomain,
+                              wish.keepsToShare && exceedsShare(state, now, board.loadLifetime)});
+    }
+    return candidates;
+}
+
+BackendChoice choiceOfNone(const Unfit &unfit)
+{
+    if (unfit.notOpen)
+        return {.why = NoBackend::NotOpen};
+    if (unfit.tried)
+        return {.why = NoBackend::AllTried};
+    if (unfit.restEnds)
+        return {.why = NoBackend::Resting, .freeAt = *unfit.restEnds};
+    return {.why = NoBackend::Unknown};
+}
+
 } // namespace
 
 void putBackend(BackendBoard &board, const BackendEntry &entry, TimePoint now)
@@ -157,8 +214,10 @@
         state.entry.startedAt != entry.startedAt || state.entry.address != entry.address;
     if (restarted) {
         // The server that starts under an id knows nothing of what the former one said.
-        if (state.entry.startedAt != 0)
+        if (state.entry.startedAt != 0) {
             board.limits.erase(entry.id);
+            board.restUntil.erase(entry.id);
+        }
         const std::uint32_t own = state.own;
         state = BackendState{};
         state.own = own;
@@ -238,7 +297,7 @@
 void noteAnswer(BackendState &state, const AnswerTold &answer, bool inGroup, TimePoint now,
                 double draw)
 {
-    const bool closable = inGroup && answer.notExecuted;
+    const bool closable = inGroup && answer.notExecuted && !answer.wantsRest;
     if (!answer.load && !closable)
         return;
     LoadTold told = state.told.value_or(LoadTold{});
@@ -251,6 +310,13 @@
     noteLoad(state, told, draw);
 }
 
+void noteRest(BackendBoard &board, const std::string &id, TimePoint until, TimePoint now)
+{
+    std::erase_if(board.restUntil, [now](const auto &entry) { return entry.second <= now; });
+    TimePoint &known = board.restUntil[id];
+    known = std::max(known, until);
+}
+
 bool exceedsShare(const BackendState &state, TimePoint now, milliseconds loadLifetime)
 {
     if (!state.told || now - state.told->at > loadLifetime)
@@ -267,27 +333,11 @@
 BackendChoice chooseBackend(BackendBoard &board, const BackendWish &wish, TimePoint now,
                             double draw)
 {
-    BackendChoice choice{.why = NoBackend::Unknown};
-    std::vector<Candidate> candidates;
-    const bool listAwaited = wish.inGroup && awaitsList(board, wish.service, now);
-    for (auto &[id, state] : board.backends) {
-        if (state.entry.service != wish.service || state.entry.draining || state.replaced)
-            continue;
-        if (listAwaited || !isOpen(state, wish.inGroup, now, board.loadLifetime)) {
-            choice.why = NoBackend::NotOpen;
-            continue;
-        }
-        if (wasTried(wish, id)) {
-            choice.why = choice.why == NoBackend::NotOpen ? choice.why : NoBackend::AllTried;
-            continue;
-        }
-        candidates.push_back({&state, loadWithOneMore(state, now, board.loadLifetime),
-                              state.avoidUntil > now,
-                              state.entry.failureDomain != wish.failureDomain,
-                              wish.keepsToShare && exceedsShare(state, now, board.loadLifetime)});
-    }
+    Unfit unfit;
+    std::vector<Candidate> candidates = candidatesFor(board, wish, now, unfit);
     if (candidates.empty())
-        return choice;
+        return choiceOfNone(unfit);
+    BackendChoice choice;
     std::vector<Candidate> atLimit = takeAtLimit(candidates, board.limits, now);
     dropSlow(candidates, now, board.loadLifetime);
     dropSlow(atLimit, now, board.loadLifetime);
--- a/Source/Request/BackendBoard.h
+++ b/Source/Request/BackendBoard.h
@@ -62,6 +62,9 @@
     /// Limits that backend servers named. They outlast an entry that lapses for a while, as in an
     /// outage of the store.
     ServerLimits limits;
+    /// Until when backend servers asked this gateway for rest, by id. Kept apart from the entries
+    /// for the same reason.
+    std::map<std::string, TimePoint> restUntil;
 };
 
 /// Takes in what a backend server says of itself; one that started anew is known anew.
@@ -131,18 +134,23 @@
     std::optional<PlainLoad> load{};
     /// It refused the request and will not run it.
     bool notExecuted = false;
+    /// It asked for rest.
+    bool wantsRest = false;
 };
 
 /// Takes in what an answer tells.
 ///
-/// A rank that refuses work although it has free places belongs to a group that is closed. Taken
-/// for open, the ranks of a group that still forms after a loss of power would use up the sends of
-/// each request.
+/// A rank that refuses work although it has free places, and asks for no rest, belongs to a group
+/// that is closed. Taken for open, the ranks of a group that still forms after a loss of power
+/// would use up the sends of each request.
 /// @param inGroup It is a rank of a group.
 /// @param draw A number from 0 to below 1.
 void noteAnswer(BackendState &state, const AnswerTold &answer, bool inGroup, TimePoint now,
                 double draw);
 
+/// Takes in that a backend server wants nothing of this gateway until a moment.
+void noteRest(BackendBoard &board, const std::string &id, TimePoint until, TimePoint now);
+
 /// Whether one more request would go beyond this gateway's share of the free places. A request that
 /// ended since the report has left its place to this gateway.
 bool exceedsShare(const BackendState &state, TimePoint now, milliseconds loadLifetime);
@@ -175,6 +183,7 @@
     AllTried, ///< Each was tried by this request.
     AllFull, ///< Each has as many requests as it can use.
     NotOpen, ///< Each is a rank of a group that does not take work now.
+    Resting, ///< Each asked this gateway for rest.
     AtLimit, ///< Each that has places named a limit, and nothing is permitted there now.
 };
 
@@ -185,7 +194,7 @@
     NoBackend why = NoBackend::None;
     /// Load that decided.
     double load = 0;
-    /// AtLimit: when a request may be sent again, as far as is known.
+    /// Resting, AtLimit: when a request may be sent again, as far as is known.
     TimePoint freeAt{};
 };
 
--- a/Source/Request/PlaceWait.h
+++ b/Source/Request/PlaceWait.h
@@ -39,6 +39,7 @@
     switch (why) {
     case NoBackend::AllFull:
     case NoBackend::AtLimit:
+    case NoBackend::Resting:
         return request.arrived + part(request.targetLatency, wait.fullShare);
     case NoBackend::NotOpen: {
         const milliseconds time = remaining(request.arrived, request.deadline);
