--- a/Tests/Gateway/GatewayFleet.cpp
+++ b/Tests/Gateway/GatewayFleet.cpp
@@ -119,6 +119,16 @@
     return most;
 }
 
+std::size_t ArrivalLog::laterThan(milliseconds time) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto late = [this, time](const Arrival &arrival) {
+        const TimePoint toldAt = toldAt_[arrival.gateway];
+        return toldAt != TimePoint() && arrival.at > toldAt + time;
+    };
+    return static_cast<std::size_t>(std::count_if(arrivals_.begin(), arrivals_.end(), late));
+}
+
 std::vector<Arrival> ArrivalLog::fromTold() const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
--- a/Tests/Gateway/GatewayFleet.h
+++ b/Tests/Gateway/GatewayFleet.h
@@ -60,6 +60,8 @@
     /// Most arrivals from one gateway between half a second after an answer to it and the end of a
     /// time.
     std::size_t mostAfterAnswer(milliseconds time) const;
+    /// Arrivals from gateways that were told longer ago.
+    std::size_t laterThan(milliseconds time) const;
     /// When the first answer told anything.
     TimePoint firstTold() const;
     std::size_t count() const;
