Backend servers that say in their answers that they leave get no new work

Callers' requests were cut or failed when such a server ended; only its entry in the store counted, which lags, or can't be read. Change: such a server is no candidate any more, kept by id beside the entries; an entry that says ready, or lapses and comes back, does not bring it back, a new start does. Ruled out: using it as the last resort until the time is over; where it is the last, its successor is already starting, and each request that goes there late breaks the rule.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -160,6 +160,7 @@
     lastByteAt_ = monotonicNow();
     noteLimit();
     noteRest();
+    noteLeaving();
     BackendState *backend = backendNow();
     if (backend == nullptr)
         return;
@@ -199,6 +200,15 @@
         {{"id", request_.attemptId}, {"backend", backendId_}, {"for_s", secondsOf(head_.rest)}});
 }
 
+void Exchange::noteLeaving()
+{
+    if (head_.misdirected || !head_.leaving)
+        return;
+    if (!wisteria::noteLeaving(context_.board, backendId_, lastByteAt_))
+        return;
+    context_.log.info("backend.leaving", {{"id", request_.attemptId}, {"backend", backendId_}});
+}
+
 bool Exchange::forwardsStream() const
 {
     return route_.kind == RequestKind::Streaming && head_.success() && head_.eventStream
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -69,6 +69,7 @@
     void onHead(const HttpResponseHead &head);
     void noteLimit();
     void noteRest();
+    void noteLeaving();
     void onBody(std::string_view bytes);
     void onComplete();
     void onFailed(const CallFailure &failure);
--- a/Source/Request/BackendBoard.cpp
+++ b/Source/Request/BackendBoard.cpp
@@ -21,6 +21,9 @@
 /// on its way.
 constexpr double domainBias = 0.09;
 
+/// A server that left so long ago, and has no entry, is gone.
+constexpr std::chrono::minutes leavingLifetime{10};
+
 bool wasTried(const BackendWish &wish, const std::string &id)
 {
     return std::find(wish.tried.begin(), wish.tried.end(), id) != wish.tried.end();
@@ -172,7 +175,8 @@
     std::vector<Candidate> candidates;
     const bool listAwaited = wish.inGroup && awaitsList(board, wish.service, now);
     for (auto &[id, state] : board.backends) {
-        if (state.entry.service != wish.service || state.entry.draining || state.replaced)
+        const bool ends = state.entry.draining || state.replaced || board.leavingSince.contains(id);
+        if (state.entry.service != wish.service || ends)
             continue;
         if (const auto restEnds = restOf(board, id, now)) {
             unfit.restEnds = std::min(unfit.restEnds.value_or(*restEnds), *restEnds);
@@ -217,6 +221,7 @@
         if (state.entry.startedAt != 0) {
             board.limits.erase(entry.id);
             board.restUntil.erase(entry.id);
+            board.leavingSince.erase(entry.id);
         }
         const std::uint32_t own = state.own;
         state = BackendState{};
@@ -317,6 +322,14 @@
     known = std::max(known, until);
 }
 
+bool noteLeaving(BackendBoard &board, const std::string &id, TimePoint now)
+{
+    std::erase_if(board.leavingSince, [&board, now](const auto &entry) {
+        return now - entry.second > leavingLifetime && !board.backends.contains(entry.first);
+    });
+    return board.leavingSince.try_emplace(id, now).second;
+}
+
 bool exceedsShare(const BackendState &state, TimePoint now, milliseconds loadLifetime)
 {
     if (!state.told || now - state.told->at > loadLifetime)
--- a/Source/Request/BackendBoard.h
+++ b/Source/Request/BackendBoard.h
@@ -65,6 +65,9 @@
     /// Until when backend servers asked this gateway for rest, by id. Kept apart from the entries
     /// for the same reason.
     std::map<std::string, TimePoint> restUntil;
+    /// Backend servers that said in an answer that they leave, and when they first did. No entry
+    /// takes that back, and an address that is used again has another id.
+    std::map<std::string, TimePoint> leavingSince;
 };
 
 /// Takes in what a backend server says of itself; one that started anew is known anew.
@@ -151,6 +154,10 @@
 /// Takes in that a backend server wants nothing of this gateway until a moment.
 void noteRest(BackendBoard &board, const std::string &id, TimePoint until, TimePoint now);
 
+/// Takes in that a backend server said that it leaves.
+/// @return Whether that was not known.
+bool noteLeaving(BackendBoard &board, const std::string &id, TimePoint now);
+
 /// Whether one more request would go beyond this gateway's share of the free places. A request that
 /// ended since the report has left its place to this gateway.
 bool exceedsShare(const BackendState &state, TimePoint now, milliseconds loadLifetime);
--- a/Source/Request/CallerRequest.h
+++ b/Source/Request/CallerRequest.h
@@ -71,6 +71,8 @@
     /// A body encoding that the caller did not ask for.
     bool encoded = false;
     std::optional<PlainLoad> load;
+    /// The backend server will end and wants no new work.
+    bool leaving = false;
     /// Requests a second that the backend server takes from all gateways together.
     std::optional<double> limitPerSecond;
     /// It turned the request away and wants nothing of this gateway for so long; zero asks for
--- a/Tests/Gateway/ServerLeavingTest.cpp
+++ b/Tests/Gateway/ServerLeavingTest.cpp
@@ -1,9 +1,9 @@
-#include <atomic>
-
 #include <catch2/catch.hpp>
 
 #include "Gateway/GatewayFleet.h"
 #include "Gateway/GatewayUnderTest.h"
+#include "Request/BackendBoard.h"
+#include "platform/RequestCodec.h"
 
 using namespace wisteria;
 using namespace wisteria::gateway_tests;
@@ -23,6 +23,42 @@
 
 } // namespace
 
+TEST_CASE("An answer tells that its backend server leaves by one value only")
+{
+    const auto leavingIn = [](const std::string &value) {
+        HttpResponseHead head;
+        head.fields = {{"Server-Leaving", value}};
+        return platform::decodeAnswerHead(head).leaving;
+    };
+    REQUIRE(leavingIn("1"));
+    REQUIRE_FALSE(leavingIn("0"));
+    REQUIRE_FALSE(leavingIn(""));
+    REQUIRE_FALSE(platform::decodeAnswerHead(HttpResponseHead()).leaving);
+}
+
+// Guards against a server that leaves getting work again by an entry that was written before, or
+// that lapses and comes back after an outage of the store.
+TEST_CASE("No entry brings a server back that said that it leaves, but its restart does")
+{
+    constexpr TimePoint start{seconds(100)};
+    BackendBoard board;
+    BackendEntry entry;
+    entry.id = "i-1";
+    entry.service = "s";
+    entry.startedAt = 1;
+    putBackend(board, entry, start);
+    REQUIRE(noteLeaving(board, "i-1", start));
+    REQUIRE_FALSE(noteLeaving(board, "i-1", start));
+    putBackend(board, entry, start);
+    removeBackend(board, "i-1");
+    putBackend(board, entry, start + seconds(10));
+    const BackendWish wish{.service = "s", .tried = {}, .failureDomain = "a"};
+    REQUIRE(chooseBackend(board, wish, start + seconds(10), 0).backend == nullptr);
+    entry.startedAt = 2;
+    putBackend(board, entry, start + seconds(10));
+    REQUIRE(chooseBackend(board, wish, start + seconds(10), 0).backend != nullptr);
+}
+
 // Guards against requests to a server that ends soon, where only its own answers tell so.
 TEST_CASE("A backend server that says in its answers that it leaves gets no new work")
 {
