Gateways that don't know each other save up nothing of a limit

Found by reading: without the store's list each gateway grants itself its part, and saved up to two requests of it in a quiet time. Test first (36 gateways in virtual time, a surge after a minute without a request): 36 in 4 s where 11 are allowed, 72 where 29 are. Change: after a second without a question a gateway begins its turn anew at a drawn moment, and all together use half of the limit. Limits that nobody asked for in five minutes are forgotten by their keeper as well. Conclusion: the test holds; a gateway whose callers come seldom sends nothing to a limited server in that state.

--- a/Source/Programs/Gateway/LimitPermits.cpp
+++ b/Source/Programs/Gateway/LimitPermits.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// The part of a limit that gateways use that don't know each other: their turns fall together by
+/// chance.
+constexpr double usedAlone = 0.5;
+
 std::uint32_t ageOf(const LimitWord &word, TimePoint now)
 {
     return static_cast<std::uint32_t>(remaining(word.heardAt, now).count());
@@ -27,6 +31,7 @@
 {
     ServerLimits &limits = context_.board.limits;
     forgetOldLimits(limits, now);
+    forgetOldLimits(kept_, now);
     std::vector<PermitQuestion> due;
     for (const auto &[id, limit] : limits) {
         if (auto question = questionDue(limits, id, now))
@@ -42,11 +47,14 @@
 {
     PeerGateways &gateways = directory_.gateways();
     const auto keeper = keeperOf(gateways, question.server, now);
+    KeptLimit &kept = kept_[question.server];
     // Without a word of the others, each of as many as there may be grants itself its part.
-    if (!keeper)
-        return answerSelf(question, 1 / gatewaysReckoned(context_.retryBounds), now);
+    if (!keeper) {
+        const double share = usedAlone / gatewaysReckoned(context_.retryBounds);
+        return takeOwn(answerAlone(kept, question, share, context_.draw(), now), now);
+    }
     if (*keeper == directory_.self())
-        return answerSelf(question, 1, now);
+        return takeOwn(answerQuestion(kept, question, now), now);
     send(gateways.at(*keeper), question, now);
     tryAgain(question, now);
     return false;
@@ -76,9 +84,8 @@
                                           .ageMilliseconds = ageOf(question.word, now)}));
 }
 
-bool LimitPermits::answerSelf(const PermitQuestion &question, double share, TimePoint now)
+bool LimitPermits::takeOwn(const PermitAnswer &answer, TimePoint now)
 {
-    const PermitAnswer answer = answerQuestion(kept_[question.server], question, share, now);
     return takeAnswer(context_.board.limits, answer, now);
 }
 
@@ -88,7 +95,7 @@
                                   .wanted = asked.wanted,
                                   .number = asked.number,
                                   .word = wordOf(asked.perSecond, asked.ageMilliseconds, now)};
-    const PermitAnswer answer = answerQuestion(kept_[asked.server], question, 1, now);
+    const PermitAnswer answer = answerQuestion(kept_[asked.server], question, now);
     peers_.send(from,
                 encodeMessage(PermitTold{.server = answer.server,
                                          .number = answer.number,
--- a/Source/Programs/Gateway/LimitPermits.h
+++ b/Source/Programs/Gateway/LimitPermits.h
@@ -28,13 +28,13 @@
     bool ask(const PermitQuestion &question, TimePoint now);
     void tryAgain(const PermitQuestion &question, TimePoint now);
     void send(PeerGateway &gateway, const PermitQuestion &question, TimePoint now);
-    bool answerSelf(const PermitQuestion &question, double share, TimePoint now);
+    bool takeOwn(const PermitAnswer &answer, TimePoint now);
 
     GatewayContext &context_;
     DatagramSocket &peers_;
     GatewayDirectory &directory_;
     /// Limits that this gateway keeps, by backend server.
-    std::map<std::string, KeptLimit> kept_;
+    KeptLimits kept_;
 };
 
 } // namespace wisteria
--- a/Source/Request/ServerLimit.cpp
+++ b/Source/Request/ServerLimit.cpp
@@ -22,6 +22,8 @@
 /// Requests a second that are granted whatever the limit: one that is none would never be known to
 /// have ended.
 constexpr double leastPerSecond = 0.2;
+/// Without a question for this long nobody waits for a permit.
+constexpr milliseconds quietAfter{1000};
 /// A limit of which nothing was heard for this long is the limit of a server that is gone.
 constexpr std::chrono::minutes wordLifetime{5};
 
@@ -39,6 +41,11 @@
     kept.refilledAt = now;
 }
 
+bool isOld(const LimitWord &word, TimePoint now)
+{
+    return now - word.heardAt > wordLifetime;
+}
+
 milliseconds timeToToken(const KeptLimit &kept, double perSecond)
 {
     constexpr double millisecondsPerSecond = 1000;
@@ -46,6 +53,23 @@
         std::lround(std::max(0.0, 1 - kept.tokens) / perSecond * millisecondsPerSecond));
 }
 
+/// @param share The part of the limit that is granted here.
+PermitAnswer answerWithin(KeptLimit &kept, const PermitQuestion &question, double share,
+                          TimePoint now)
+{
+    takeWord(kept.word, question.word);
+    PermitAnswer answer{.server = question.server, .number = question.number, .word = kept.word};
+    if (!kept.word.perSecond)
+        return answer;
+    const double perSecond = std::max(leastPerSecond, *kept.word.perSecond) * share;
+    refill(kept, perSecond, now);
+    answer.granted = question.wanted && kept.tokens >= 1;
+    if (answer.granted)
+        kept.tokens -= 1;
+    answer.nextIn = timeToToken(kept, perSecond);
+    return answer;
+}
+
 } // namespace
 
 bool takeWord(LimitWord &known, const LimitWord &word)
@@ -134,25 +158,29 @@
 
 void forgetOldLimits(ServerLimits &limits, TimePoint now)
 {
-    std::erase_if(limits, [now](const auto &entry) {
-        return now - entry.second.word.heardAt > wordLifetime;
-    });
+    std::erase_if(limits, [now](const auto &entry) { return isOld(entry.second.word, now); });
 }
 
-PermitAnswer answerQuestion(KeptLimit &kept, const PermitQuestion &question, double share,
-                            TimePoint now)
+PermitAnswer answerQuestion(KeptLimit &kept, const PermitQuestion &question, TimePoint now)
 {
-    takeWord(kept.word, question.word);
-    PermitAnswer answer{.server = question.server, .number = question.number, .word = kept.word};
-    if (!kept.word.perSecond)
-        return answer;
-    const double perSecond = std::max(leastPerSecond, *kept.word.perSecond) * share;
-    refill(kept, perSecond, now);
-    answer.granted = question.wanted && kept.tokens >= 1;
-    if (answer.granted)
-        kept.tokens -= 1;
-    answer.nextIn = timeToToken(kept, perSecond);
-    return answer;
+    return answerWithin(kept, question, 1, now);
+}
+
+PermitAnswer answerAlone(KeptLimit &kept, const PermitQuestion &question, double share, double draw,
+                         TimePoint now)
+{
+    // Of what many gateways saved up in a quiet time, each a request, a small limit is exceeded at
+    // once. So nothing is saved, and each begins its turn at a moment of its own.
+    if (now - kept.refilledAt > quietAfter) {
+        kept.tokens = draw;
+        kept.refilledAt = now;
+    }
+    return answerWithin(kept, question, share, now);
+}
+
+void forgetOldLimits(KeptLimits &kept, TimePoint now)
+{
+    std::erase_if(kept, [now](const auto &entry) { return isOld(entry.second.word, now); });
 }
 
 } // namespace wisteria
--- a/Source/Request/ServerLimit.h
+++ b/Source/Request/ServerLimit.h
@@ -109,12 +109,22 @@
     TimePoint refilledAt;
 };
 
+/// The limits that one gateway keeps, by the id of their backend server.
+using KeptLimits = std::map<std::string, KeptLimit>;
+
 /// Grants requests of all gateways within a limit.
 ///
 /// It begins with nothing to grant: the gateways may have gone by another keeper until now, and
 /// both together must not grant more than the limit.
-/// @param share The part of the limit that this keeper grants.
-PermitAnswer answerQuestion(KeptLimit &kept, const PermitQuestion &question, double share,
-                            TimePoint now);
+PermitAnswer answerQuestion(KeptLimit &kept, const PermitQuestion &question, TimePoint now);
+
+/// The same for a gateway that knows no other and grants itself its part of the limit.
+/// @param share Its part.
+/// @param draw A number from 0 to below 1.
+PermitAnswer answerAlone(KeptLimit &kept, const PermitQuestion &question, double share, double draw,
+                         TimePoint now);
+
+/// Forgets limits that nobody asked for in long.
+void forgetOldLimits(KeptLimits &kept, TimePoint now);
 
 } // namespace wisteria
--- a/Tests/Gateway/LimitPermitsTest.cpp
+++ b/Tests/Gateway/LimitPermitsTest.cpp
@@ -18,6 +18,18 @@
 constexpr milliseconds span{4000};
 const std::string server = "i-1";
 
+/// Most of some moments, in order, that lie in one span.
+std::size_t mostWithin(const std::vector<TimePoint> &moments)
+{
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < moments.size(); ++last) {
+        while (moments[last] - moments[first] >= span)
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
 /// Gateways in virtual time before one server that names a limit; datagrams take a tick and may be
 /// lost.
 class PermitWorld
@@ -53,16 +65,7 @@
     }
 
     std::size_t sent() const { return sentAt_.size(); }
-    std::size_t mostWithinSpan() const
-    {
-        std::size_t most = 0;
-        for (std::size_t first = 0, last = 0; last < sentAt_.size(); ++last) {
-            while (sentAt_[last] - sentAt_[first] >= span)
-                ++first;
-            most = std::max(most, last - first + 1);
-        }
-        return most;
-    }
+    std::size_t mostWithinSpan() const { return mostWithin(sentAt_); }
     /// Gateways that know of a limit.
     std::size_t limited() const
     {
@@ -112,7 +115,7 @@
             if (datagram.question) {
                 post({.from = datagram.to,
                       .to = datagram.from,
-                      .answer = answerQuestion(peer.kept, *datagram.question, 1, now_)});
+                      .answer = answerQuestion(peer.kept, *datagram.question, now_)});
                 continue;
             }
             noteHeard(peer.known, addressOf(datagram.from));
@@ -142,7 +145,7 @@
         Peer &peer = gateways_[index];
         const std::string name = *keeperOf(peer.known, server, now_);
         if (peer.known[name].address == addressOf(index))
-            takeAnswer(peer.limits, answerQuestion(peer.kept, question, 1, now_), now_);
+            takeAnswer(peer.limits, answerQuestion(peer.kept, question, now_), now_);
         else
             askPeer(index, name, question);
     }
@@ -323,3 +326,31 @@
     REQUIRE(
         decodeMessage(encodeMessage(PermitAsked{.server = server, .perSecond = -1})).has_error());
 }
+
+// Guards against gateways that don't know each other each saving up a request of a small limit, and
+// sending all of them in one surge.
+TEST_CASE("Gateways that don't know each other stay within a limit in a surge after a quiet time")
+{
+    constexpr std::size_t gateways = 36;
+    constexpr double share = 0.5 / 45;
+    const double perSecond = GENERATE(1.0, 4.0);
+    const unsigned seed = GENERATE(range(1U, 40U));
+    std::mt19937_64 random(seed);
+    std::uniform_real_distribution<double> draw(0, 1);
+    std::vector<KeptLimit> kept(gateways);
+    std::vector<TimePoint> granted;
+    const PermitQuestion question{
+        .server = server, .wanted = true, .word = {.perSecond = perSecond, .heardAt = start}};
+    for (KeptLimit &limit : kept)
+        answerAlone(limit, question, share, draw(random), start);
+    const TimePoint surge = start + seconds(60);
+    for (TimePoint now = surge; now < surge + seconds(60); now += milliseconds(25)) {
+        for (KeptLimit &limit : kept) {
+            if (answerAlone(limit, question, share, draw(random), now).granted)
+                granted.push_back(now);
+        }
+    }
+    CAPTURE(perSecond, seed, granted.size());
+    REQUIRE(mostWithin(granted) <= allowedWithinSpan(perSecond));
+    REQUIRE(granted.size() >= static_cast<std::size_t>(60 * perSecond * 0.25));
+}
