The limit of a server that answers at another one's address is not that one's

Found by reading: a 421 comes from whoever has the address by now, and its Server-Limit was noted for the server that was meant. Test first: wisteria_server_limits 1 after such an answer; now 0.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -195,8 +195,8 @@
 
 void Exchange::noteLimit()
 {
-    // A refusal may be another server's, and one that names no limit does not end one.
-    if (head_.notExecuted && !head_.limitPerSecond)
+    // A refusal that names no limit does not end one.
+    if (head_.misdirected || (head_.notExecuted && !head_.limitPerSecond))
         return;
     const LimitWord word{.perSecond = head_.limitPerSecond, .heardAt = lastByteAt_};
     if (!noteWord(context_.board.limits, backendId_, word))
--- a/Tests/Gateway/ServerLimitTest.cpp
+++ b/Tests/Gateway/ServerLimitTest.cpp
@@ -150,3 +150,20 @@
     constexpr double secondsOfLoad = 7;
     REQUIRE(static_cast<double>(served(results)) >= 2 * secondsOfLoad * 0.6);
 }
+
+// Guards against the limit of a server that has another one's address by now being taken for that
+// one's.
+TEST_CASE("A refusal by another server at the address names no limit of the one that was meant")
+{
+    ScriptedServer other([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(plainResponse(421,
+                                "Server-Limit: 1\r\nWisteriawind-Attempt-Id: "
+                                    + request.header("Wisteriawind-Attempt-Id") + "\r\n",
+                                ""));
+    });
+    Running gateway;
+    gateway.startWith("i-1", "plain", other);
+    REQUIRE(gateway.call(requestFor("/again/x", "a1", "GET")).status == 503);
+    REQUIRE(other.seen().size() == 1);
+    REQUIRE(gateway.metrics().find("wisteria_server_limits 0") != std::string::npos);
+}
