--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -176,9 +176,9 @@
 {
     head_ = platform::decodeAnswerHead(head);
     lastByteAt_ = monotonicNow();
-    noteLimit();
-    noteRest();
-    noteLeaving();
+    takeLimit();
+    takeRest();
+    takeLeaving();
     BackendState *backend = backendNow();
     if (backend == nullptr)
         return;
@@ -193,7 +193,7 @@
     noteAnswer(*backend, told, inGroup_, lastByteAt_, context_.draw());
 }
 
-void Exchange::noteLimit()
+void Exchange::takeLimit()
 {
     // A refusal that names no limit does not end one.
     if (head_.misdirected || (head_.notExecuted && !head_.limitPerSecond))
@@ -208,21 +208,21 @@
                        {"per_second", word.perSecond.value_or(0)}});
 }
 
-void Exchange::noteRest()
+void Exchange::takeRest()
 {
     if (head_.misdirected || head_.rest <= milliseconds(0))
         return;
-    wisteria::noteRest(context_.board, backendId_, lastByteAt_ + head_.rest, lastByteAt_);
+    noteRest(context_.board, backendId_, lastByteAt_ + head_.rest, lastByteAt_);
     context_.log.info(
         "backend.rest",
         {{"id", request_.attemptId}, {"backend", backendId_}, {"for_s", secondsOf(head_.rest)}});
 }
 
-void Exchange::noteLeaving()
+void Exchange::takeLeaving()
 {
     if (head_.misdirected || !head_.leaving)
         return;
-    if (!wisteria::noteLeaving(context_.board, backendId_, lastByteAt_))
+    if (!noteLeaving(context_.board, backendId_, lastByteAt_))
         return;
     context_.log.info("backend.leaving", {{"id", request_.attemptId}, {"backend", backendId_}});
 }
