A server that left and starts again under its id while its entry is gone is a new one

Found by reading: what a server said was forgotten only where its entry still stood when the new start was read, so one whose entry had gone in between would not have been used again. Test first: no backend server was chosen; now it is. A write of the own entry that gets no answer in time leaves a line.

--- a/Source/Programs/Gateway/GatewayDirectory.cpp
+++ b/Source/Programs/Gateway/GatewayDirectory.cpp
@@ -76,8 +76,10 @@
 void GatewayDirectory::checkTime(TimePoint now)
 {
     watch_.checkTime(now);
-    if (call_ && now - callBegunAt_ >= storeAnswerTimeout)
+    if (call_ && now - callBegunAt_ >= storeAnswerTimeout) {
         call_.reset();
+        log_.warn("gateway.not_listed", {{"reason", "no answer in time"}});
+    }
     if (!call_ && known_ && !listed() && now >= writeAgainAt_)
         write(now);
 }
--- a/Source/Request/BackendBoard.cpp
+++ b/Source/Request/BackendBoard.cpp
@@ -151,6 +151,34 @@
         && now - opened->second < openingReadWait;
 }
 
+bool saidAnything(const BackendBoard &board, const std::string &id)
+{
+    return board.limits.contains(id) || board.restUntil.contains(id)
+        || board.leavingSince.contains(id);
+}
+
+/// When the server of an id started, as far as is known; 0 when it is not.
+std::uint64_t knownStart(const BackendBoard &board, const std::string &id)
+{
+    const auto present = board.backends.find(id);
+    if (present != board.backends.end())
+        return present->second.entry.startedAt;
+    const auto lapsed = board.lapsedStarts.find(id);
+    return lapsed == board.lapsedStarts.end() ? 0 : lapsed->second;
+}
+
+/// A server that starts under the id of another knows nothing of what that one said.
+void forgetFormerServer(BackendBoard &board, const BackendEntry &entry)
+{
+    const std::uint64_t start = knownStart(board, entry.id);
+    board.lapsedStarts.erase(entry.id);
+    if (start == 0 || start == entry.startedAt)
+        return;
+    board.limits.erase(entry.id);
+    board.restUntil.erase(entry.id);
+    board.leavingSince.erase(entry.id);
+}
+
 /// Why backend servers of the service are no candidates.
 struct Unfit
 {
@@ -213,16 +241,11 @@
 
 void putBackend(BackendBoard &board, const BackendEntry &entry, TimePoint now)
 {
+    forgetFormerServer(board, entry);
     BackendState &state = board.backends[entry.id];
     const bool restarted =
         state.entry.startedAt != entry.startedAt || state.entry.address != entry.address;
     if (restarted) {
-        // The server that starts under an id knows nothing of what the former one said.
-        if (state.entry.startedAt != 0) {
-            board.limits.erase(entry.id);
-            board.restUntil.erase(entry.id);
-            board.leavingSince.erase(entry.id);
-        }
         const std::uint32_t own = state.own;
         state = BackendState{};
         state.own = own;
@@ -240,7 +263,12 @@
 
 void removeBackend(BackendBoard &board, const std::string &id)
 {
-    board.backends.erase(id);
+    const auto found = board.backends.find(id);
+    if (found == board.backends.end())
+        return;
+    if (saidAnything(board, id))
+        board.lapsedStarts[id] = found->second.entry.startedAt;
+    board.backends.erase(found);
 }
 
 double expectedLoad(const BackendState &state, TimePoint now, milliseconds loadLifetime)
--- a/Source/Request/BackendBoard.h
+++ b/Source/Request/BackendBoard.h
@@ -68,6 +68,9 @@
     /// Backend servers that said in an answer that they leave, and when they first did. No entry
     /// takes that back, and an address that is used again has another id.
     std::map<std::string, TimePoint> leavingSince;
+    /// When servers started whose entry is gone and that said any of this. One that starts again
+    /// under its id is known by it.
+    std::map<std::string, std::uint64_t> lapsedStarts;
 };
 
 /// Takes in what a backend server says of itself; one that started anew is known anew.
--- a/Tests/Gateway/ServerLeavingTest.cpp
+++ b/Tests/Gateway/ServerLeavingTest.cpp
@@ -59,6 +59,27 @@
     REQUIRE(chooseBackend(board, wish, start + seconds(10), 0).backend != nullptr);
 }
 
+// Guards against a server that is never used again as it started under its id while its entry was
+// gone.
+TEST_CASE("A server that left and starts again under its id is a new one")
+{
+    constexpr TimePoint start{seconds(100)};
+    BackendBoard board;
+    BackendEntry entry;
+    entry.id = "i-1";
+    entry.service = "s";
+    entry.startedAt = 1;
+    putBackend(board, entry, start);
+    noteLeaving(board, "i-1", start);
+    noteRest(board, "i-1", start + seconds(100), start);
+    noteWord(board.limits, "i-1", {.perSecond = 1, .heardAt = start});
+    removeBackend(board, "i-1");
+    entry.startedAt = 2;
+    putBackend(board, entry, start + seconds(5));
+    const BackendWish wish{.service = "s", .tried = {}, .failureDomain = "a"};
+    REQUIRE(chooseBackend(board, wish, start + seconds(5), 0).backend != nullptr);
+}
+
 // Guards against requests to a server that ends soon, where only its own answers tell so.
 TEST_CASE("A backend server that says in its answers that it leaves gets no new work")
 {
