--- a/Source/Request/BackendBoard.cpp
+++ b/Source/Request/BackendBoard.cpp
@@ -266,6 +266,8 @@
     const auto found = board.backends.find(id);
     if (found == board.backends.end())
         return;
+    std::erase_if(board.lapsedStarts,
+                  [&board](const auto &entry) { return !saidAnything(board, entry.first); });
     if (saidAnything(board, id))
         board.lapsedStarts[id] = found->second.entry.startedAt;
     board.backends.erase(found);
