--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -19,7 +19,7 @@
 
 SoakFaults::SoakFaults(Fleet &fleet, std::uint64_t seed,
                        std::function<void(const std::string &)> tell)
-    : fleet_(fleet), random_(seed), tell_(std::move(tell))
+    : fleet_(fleet), random_(seed), needsRandom_(~seed), tell_(std::move(tell))
 { }
 
 std::size_t SoakFaults::below(std::size_t bound)
@@ -48,6 +48,8 @@
     });
     for (const Ending &ending : due)
         ending.end();
+    if (now >= nextNeedAt_)
+        putInNeed(now);
     if (now < nextAt_)
         return;
     nextAt_ = now + between(100, 700);
@@ -140,6 +142,22 @@
     });
 }
 
+void SoakFaults::putInNeed(TimePoint now)
+{
+    const auto draw = [this](int low, int high) {
+        return std::uniform_int_distribution<int>(low, high)(needsRandom_);
+    };
+    nextNeedAt_ = now + milliseconds(draw(300, 1500));
+    const auto server =
+        static_cast<std::size_t>(draw(0, static_cast<int>(fleet_.serverLinks().size()) - 1));
+    const milliseconds length{draw(300, 3000)};
+    const bool rests = draw(0, 1) == 0;
+    tell_("server-" + std::to_string(server) + (rests ? " asks for rest" : " names a limit")
+          + " for " + std::to_string(length.count()) + " ms");
+    fleet_.setNeed(server, rests ? Need::Rest : Need::Limit);
+    until(now + length, [this, server] { fleet_.setNeed(server, Need::None); });
+}
+
 void SoakFaults::planWork(TimePoint now)
 {
     const milliseconds length = between(300, 2000);
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -36,13 +36,17 @@
     void harmStore(TimePoint now);
     void harmGateway(TimePoint now);
     void planWork(TimePoint now);
+    void putInNeed(TimePoint now);
     void until(TimePoint at, std::function<void()> end);
 
     Fleet &fleet_;
     std::mt19937_64 random_;
+    /// Needs of servers are drawn apart: the series of the other faults stays that of its seed.
+    std::mt19937_64 needsRandom_;
     std::function<void(const std::string &)> tell_;
     std::vector<Ending> endings_;
     TimePoint nextAt_;
+    TimePoint nextNeedAt_;
 };
 
 } // namespace wisteria::soak
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -19,7 +19,6 @@
 
 constexpr int events = 8;
 constexpr int eventMilliseconds = 25;
-constexpr int serverCount = 4;
 /// Every so many streams a crashing server breaks one off.
 constexpr unsigned crashEvery = 3;
 const std::string seal = "Wisteriawind-Response-Seal: soak\r\n";
@@ -175,9 +174,9 @@
 
 Fleet::Fleet(const std::string &program, const std::string &folder, int gatewayCount)
 {
-    for (int i = 0; i < serverCount; ++i) {
+    for (std::size_t i = 0; i < needs_.size(); ++i) {
         servers_.push_back(std::make_unique<ScriptedServer>(
-            [this](const SeenRequest &request, ScriptPeer &peer) { answer(request, peer); }));
+            [this, i](const SeenRequest &request, ScriptPeer &peer) { answer(i, request, peer); }));
         serverLinks_.push_back(std::make_unique<FaultProxy>(servers_.back()->endpoint()));
         report(servers_.size() - 1, false);
     }
@@ -212,25 +211,36 @@
                 {"state", draining ? "draining" : "ready"}});
 }
 
-void Fleet::answer(const SeenRequest &request, ScriptPeer &peer)
+void Fleet::answer(std::size_t server, const SeenRequest &request, ScriptPeer &peer)
 {
     const std::string id = request.header("Wisteriawind-Attempt-Id");
+    const Need need = needs_.at(server);
+    if (need == Need::Rest) {
+        peer.send(plainResponse(503,
+                                "Wisteriawind-Not-Executed: 1\r\nRetry-After: 0.5\r\n"
+                                "Wisteriawind-Attempt-Id: "
+                                    + id + "\r\n",
+                                ""));
+        return;
+    }
+    const std::string fields =
+        fieldsOf(request) + (need == Need::Limit ? "Server-Limit: 2\r\n" : "");
     book_.noteRun(id, request.target());
     if (!request.header("Authorization").empty())
         book_.noteBroken(id + ": the caller's key reached a backend server");
     if (request.target().starts_with("/stream/")) {
-        stream(request, peer);
+        stream(request, fields, peer);
         return;
     }
-    peer.send(plainResponse(200, fieldsOf(request), "answer to " + id));
+    peer.send(plainResponse(200, fields, "answer to " + id));
 }
 
-void Fleet::stream(const SeenRequest &request, ScriptPeer &peer)
+void Fleet::stream(const SeenRequest &request, const std::string &fields, ScriptPeer &peer)
 {
     const std::string id = request.header("Wisteriawind-Attempt-Id");
     const std::string last = request.header("Last-Event-Id");
     const bool crashes = crashing_ && ++streams_ % crashEvery == 0;
-    peer.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + fieldsOf(request)
+    peer.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + fields
               + "Transfer-Encoding: chunked\r\n\r\n");
     for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= events; ++event) {
         const std::string text =
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <map>
 #include <memory>
@@ -65,6 +66,13 @@
     pid_t pid_ = -1;
 };
 
+/// What a backend server in need says in its answers.
+enum class Need {
+    None,
+    Limit, ///< It names a limit for all gateways together.
+    Rest, ///< It turns requests away and asks for rest.
+};
+
 /// Backend servers, the store, proxies before each of them, and gateways.
 class Fleet
 {
@@ -80,14 +88,18 @@
     void publish(bool withSpareKey);
     /// Whether the backend servers crash every few streams.
     void setCrashing(bool crashing) { crashing_ = crashing; }
+    void setNeed(std::size_t server, Need need) { needs_.at(server) = need; }
     /// A server says that it leaves, or comes back.
     void report(std::size_t server, bool draining);
 
 private:
-    void answer(const gateway_tests::SeenRequest &request, gateway_tests::ScriptPeer &peer);
-    void stream(const gateway_tests::SeenRequest &request, gateway_tests::ScriptPeer &peer);
+    void answer(std::size_t server, const gateway_tests::SeenRequest &request,
+                gateway_tests::ScriptPeer &peer);
+    void stream(const gateway_tests::SeenRequest &request, const std::string &fields,
+                gateway_tests::ScriptPeer &peer);
 
     RunBook book_;
+    std::array<std::atomic<Need>, 4> needs_{};
     std::atomic<bool> crashing_ = false;
     std::atomic<unsigned> streams_ = 0;
     int version_ = 0;
