A limit stands for as long as its server has an entry

Found by reading: a limit was forgotten five minutes after the server was last heard, at all gateways at about the same time, where none of them had reason to send there; a surge would then go to it from all. Now it is forgotten only where the entry is gone too. Test first: permitted an hour later with its entry standing; now not. Entries of the tests of what servers say in one header.

--- a/Source/Programs/Gateway/LimitPermits.cpp
+++ b/Source/Programs/Gateway/LimitPermits.cpp
@@ -30,7 +30,7 @@
 bool LimitPermits::ask(TimePoint now)
 {
     ServerLimits &limits = context_.board.limits;
-    forgetOldLimits(limits, now);
+    forgetOldLimits(context_.board, now);
     forgetOldLimits(kept_, now);
     std::vector<PermitQuestion> due;
     for (const auto &[id, limit] : limits) {
--- a/Source/Request/BackendBoard.cpp
+++ b/Source/Request/BackendBoard.cpp
@@ -345,6 +345,13 @@
     noteLoad(state, told, draw);
 }
 
+void forgetOldLimits(BackendBoard &board, TimePoint now)
+{
+    std::erase_if(board.limits, [&board, now](const auto &entry) {
+        return isOld(entry.second.word, now) && !board.backends.contains(entry.first);
+    });
+}
+
 void noteRest(BackendBoard &board, const std::string &id, TimePoint until, TimePoint now)
 {
     std::erase_if(board.restUntil, [now](const auto &entry) { return entry.second <= now; });
--- a/Source/Request/BackendBoard.h
+++ b/Source/Request/BackendBoard.h
@@ -154,6 +154,9 @@
 void noteAnswer(BackendState &state, const AnswerTold &answer, bool inGroup, TimePoint now,
                 double draw);
 
+/// Forgets limits of servers that have no entry and have said nothing for long.
+void forgetOldLimits(BackendBoard &board, TimePoint now);
+
 /// Takes in that a backend server wants nothing of this gateway until a moment.
 void noteRest(BackendBoard &board, const std::string &id, TimePoint until, TimePoint now);
 
--- a/Source/Request/ServerLimit.cpp
+++ b/Source/Request/ServerLimit.cpp
@@ -24,7 +24,6 @@
 constexpr double leastPerSecond = 0.2;
 /// Without a question for this long nobody waits for a permit.
 constexpr milliseconds quietAfter{1000};
-/// A limit of which nothing was heard for this long is the limit of a server that is gone.
 constexpr std::chrono::minutes wordLifetime{5};
 
 bool holdsPermit(const ServerLimit &limit, TimePoint now)
@@ -41,11 +40,6 @@
     kept.refilledAt = now;
 }
 
-bool isOld(const LimitWord &word, TimePoint now)
-{
-    return now - word.heardAt > wordLifetime;
-}
-
 milliseconds timeToToken(const KeptLimit &kept, double perSecond)
 {
     constexpr double millisecondsPerSecond = 1000;
@@ -156,9 +150,9 @@
     return ended || answer.granted;
 }
 
-void forgetOldLimits(ServerLimits &limits, TimePoint now)
+bool isOld(const LimitWord &word, TimePoint now)
 {
-    std::erase_if(limits, [now](const auto &entry) { return isOld(entry.second.word, now); });
+    return now - word.heardAt > wordLifetime;
 }
 
 PermitAnswer answerQuestion(KeptLimit &kept, const PermitQuestion &question, TimePoint now)
--- a/Source/Request/ServerLimit.h
+++ b/Source/Request/ServerLimit.h
@@ -98,8 +98,9 @@
 /// @return Whether a request may now be sent that could not be before.
 bool takeAnswer(ServerLimits &limits, const PermitAnswer &answer, TimePoint now);
 
-/// Forgets limits of servers that have said nothing for long.
-void forgetOldLimits(ServerLimits &limits, TimePoint now);
+/// Whether a word was heard so long ago that its server is gone, unless something else tells that
+/// it is there.
+bool isOld(const LimitWord &word, TimePoint now);
 
 /// A limit as its keeper has it. A plain value.
 struct KeptLimit
--- a/Tests/Gateway/LimitPermitsTest.cpp
+++ b/Tests/Gateway/LimitPermitsTest.cpp
@@ -5,11 +5,12 @@
 
 #include <catch2/catch.hpp>
 
-#include "Request/BackendBoard.h"
+#include "Gateway/BoardEntries.h"
 #include "Request/LimitKeepers.h"
 #include "Version/GroupMessages.h"
 
 using namespace wisteria;
+using namespace wisteria::gateway_tests;
 
 namespace {
 
@@ -184,16 +185,6 @@
     return static_cast<std::size_t>(1.5 * perSecond * secondsOf(span)) + 5;
 }
 
-BackendEntry entryOf(const std::string &id, std::uint64_t startedAt = 0)
-{
-    return {.id = id,
-            .service = "s",
-            .address = {1, static_cast<std::uint16_t>(1000 + id.back())},
-            .failureDomain = "a",
-            .slots = 10,
-            .startedAt = startedAt};
-}
-
 } // namespace
 
 // Guards against a small limit that each of many gateways uses by itself, and against one that
@@ -354,3 +345,18 @@
     REQUIRE(mostWithin(granted) <= allowedWithinSpan(perSecond));
     REQUIRE(granted.size() >= static_cast<std::size_t>(60 * perSecond * 0.25));
 }
+
+// Guards against all gateways taking a limit for ended at about the same time, as none of them had
+// reason to send there for minutes.
+TEST_CASE("A limit stands for as long as its server, however long ago it was named")
+{
+    BackendBoard board;
+    putBackend(board, entryOf(server), start);
+    noteWord(board.limits, server, {.perSecond = 1, .heardAt = start});
+    const TimePoint later = start + std::chrono::hours(1);
+    forgetOldLimits(board, later);
+    REQUIRE_FALSE(isPermitted(board.limits, server, later));
+    removeBackend(board, server);
+    forgetOldLimits(board, later);
+    REQUIRE(board.limits.empty());
+}
--- a/Tests/Gateway/ServerLeavingTest.cpp
+++ b/Tests/Gateway/ServerLeavingTest.cpp
@@ -1,8 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include "Gateway/BoardEntries.h"
 #include "Gateway/GatewayFleet.h"
 #include "Gateway/GatewayUnderTest.h"
-#include "Request/BackendBoard.h"
 #include "platform/RequestCodec.h"
 
 using namespace wisteria;
@@ -42,21 +42,15 @@
 {
     constexpr TimePoint start{seconds(100)};
     BackendBoard board;
-    BackendEntry entry;
-    entry.id = "i-1";
-    entry.service = "s";
-    entry.startedAt = 1;
-    putBackend(board, entry, start);
+    putBackend(board, entryOf("i-1", 1), start);
     REQUIRE(noteLeaving(board, "i-1", start));
     REQUIRE_FALSE(noteLeaving(board, "i-1", start));
-    putBackend(board, entry, start);
+    putBackend(board, entryOf("i-1", 1), start);
     removeBackend(board, "i-1");
-    putBackend(board, entry, start + seconds(10));
-    const BackendWish wish{.service = "s", .tried = {}, .failureDomain = "a"};
-    REQUIRE(chooseBackend(board, wish, start + seconds(10), 0).backend == nullptr);
-    entry.startedAt = 2;
-    putBackend(board, entry, start + seconds(10));
-    REQUIRE(chooseBackend(board, wish, start + seconds(10), 0).backend != nullptr);
+    putBackend(board, entryOf("i-1", 1), start + seconds(10));
+    REQUIRE(chooseBackend(board, wishOf(), start + seconds(10), 0).backend == nullptr);
+    putBackend(board, entryOf("i-1", 2), start + seconds(10));
+    REQUIRE(chooseBackend(board, wishOf(), start + seconds(10), 0).backend != nullptr);
 }
 
 // Guards against a server that is never used again as it started under its id while its entry was
@@ -65,19 +59,13 @@
 {
     constexpr TimePoint start{seconds(100)};
     BackendBoard board;
-    BackendEntry entry;
-    entry.id = "i-1";
-    entry.service = "s";
-    entry.startedAt = 1;
-    putBackend(board, entry, start);
+    putBackend(board, entryOf("i-1", 1), start);
     noteLeaving(board, "i-1", start);
     noteRest(board, "i-1", start + seconds(100), start);
     noteWord(board.limits, "i-1", {.perSecond = 1, .heardAt = start});
     removeBackend(board, "i-1");
-    entry.startedAt = 2;
-    putBackend(board, entry, start + seconds(5));
-    const BackendWish wish{.service = "s", .tried = {}, .failureDomain = "a"};
-    REQUIRE(chooseBackend(board, wish, start + seconds(5), 0).backend != nullptr);
+    putBackend(board, entryOf("i-1", 2), start + seconds(5));
+    REQUIRE(chooseBackend(board, wishOf(), start + seconds(5), 0).backend != nullptr);
 }
 
 // Guards against requests to a server that ends soon, where only its own answers tell so.
--- a/Tests/Gateway/ServerRestTest.cpp
+++ b/Tests/Gateway/ServerRestTest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "Gateway/BoardEntries.h"
 #include "Gateway/GatewayFleet.h"
 #include "Gateway/GatewayUnderTest.h"
 #include "Request/BackendBoard.h"
@@ -20,21 +21,6 @@
 
 constexpr TimePoint start{seconds(100)};
 
-BackendEntry entryOf(const std::string &id, std::uint64_t startedAt = 0)
-{
-    return {.id = id,
-            .service = "s",
-            .address = {1, static_cast<std::uint16_t>(1000 + id.back())},
-            .failureDomain = "a",
-            .slots = 10,
-            .startedAt = startedAt};
-}
-
-BackendWish wishOf()
-{
-    return {.service = "s", .tried = {}, .failureDomain = "a"};
-}
-
 std::string turnedAway(const SeenRequest &request)
 {
     return plainResponse(503,
