A choice among thousands of servers costs no more than before

Cause: three look-ups for each candidate, and a partition of all of them. Change: candidates are sorted as they are found, and nothing is looked up while no server has said anything.

--- a/Source/Request/BackendBoard.cpp
+++ b/Source/Request/BackendBoard.cpp
@@ -76,19 +76,6 @@
     return best;
 }
 
-/// Takes those at their limit out of the candidates.
-std::vector<Candidate> takeAtLimit(std::vector<Candidate> &candidates, const ServerLimits &limits,
-                                   TimePoint now)
-{
-    const auto firstAtLimit = std::stable_partition(
-        candidates.begin(), candidates.end(), [&](const Candidate &candidate) {
-            return isPermitted(limits, candidate.state->entry.id, now);
-        });
-    std::vector<Candidate> atLimit(firstAtLimit, candidates.end());
-    candidates.erase(firstAtLimit, candidates.end());
-    return atLimit;
-}
-
 /// The best of those at their limit that is better than the one chosen instead. One that was asked
 /// about a moment ago is left out: it has nothing to grant, and another one may.
 std::string wishedOf(const ServerLimits &limits, std::vector<Candidate> atLimit,
@@ -197,16 +184,29 @@
     return rest->second;
 }
 
-std::vector<Candidate> candidatesFor(BackendBoard &board, const BackendWish &wish, TimePoint now,
-                                     Unfit &unfit)
+/// Backend servers that may take a request.
+struct Candidates
+{
+    std::vector<Candidate> free;
+    /// They named a limit, and nothing is permitted there now.
+    std::vector<Candidate> atLimit;
+    Unfit unfit;
+};
+
+Candidates candidatesFor(BackendBoard &board, const BackendWish &wish, TimePoint now)
 {
-    std::vector<Candidate> candidates;
+    Candidates candidates;
+    Unfit &unfit = candidates.unfit;
     const bool listAwaited = wish.inGroup && awaitsList(board, wish.service, now);
+    // Mostly none has said anything, and three look-ups for each of thousands of servers count.
+    const bool anySaid =
+        !board.limits.empty() || !board.restUntil.empty() || !board.leavingSince.empty();
     for (auto &[id, state] : board.backends) {
-        const bool ends = state.entry.draining || state.replaced || board.leavingSince.contains(id);
-        if (state.entry.service != wish.service || ends)
+        if (state.entry.service != wish.service || state.entry.draining || state.replaced)
+            continue;
+        if (anySaid && board.leavingSince.contains(id))
             continue;
-        if (const auto restEnds = restOf(board, id, now)) {
+        if (const auto restEnds = anySaid ? restOf(board, id, now) : std::nullopt) {
             unfit.restEnds = std::min(unfit.restEnds.value_or(*restEnds), *restEnds);
             continue;
         }
@@ -218,10 +218,11 @@
             unfit.tried = true;
             continue;
         }
-        candidates.push_back({&state, loadWithOneMore(state, now, board.loadLifetime),
-                              state.avoidUntil > now,
-                              state.entry.failureDomain != wish.failureDomain,
-                              wish.keepsToShare && exceedsShare(state, now, board.loadLifetime)});
+        const bool permitted = !anySaid || isPermitted(board.limits, id, now);
+        auto &kind = permitted ? candidates.free : candidates.atLimit;
+        kind.push_back({&state, loadWithOneMore(state, now, board.loadLifetime),
+                        state.avoidUntil > now, state.entry.failureDomain != wish.failureDomain,
+                        wish.keepsToShare && exceedsShare(state, now, board.loadLifetime)});
     }
     return candidates;
 }
@@ -383,19 +384,18 @@
 BackendChoice chooseBackend(BackendBoard &board, const BackendWish &wish, TimePoint now,
                             double draw)
 {
-    Unfit unfit;
-    std::vector<Candidate> candidates = candidatesFor(board, wish, now, unfit);
-    if (candidates.empty())
-        return choiceOfNone(unfit);
+    Candidates candidates = candidatesFor(board, wish, now);
+    std::vector<Candidate> &atLimit = candidates.atLimit;
+    if (candidates.free.empty() && atLimit.empty())
+        return choiceOfNone(candidates.unfit);
     BackendChoice choice;
-    std::vector<Candidate> atLimit = takeAtLimit(candidates, board.limits, now);
-    dropSlow(candidates, now, board.loadLifetime);
+    dropSlow(candidates.free, now, board.loadLifetime);
     dropSlow(atLimit, now, board.loadLifetime);
     const auto hasPlace = [&wish](const Candidate &candidate) {
         return candidate.load <= wish.fullAt && !candidate.beyondShare;
     };
     std::erase_if(atLimit, std::not_fn(hasPlace));
-    const Candidate *best = bestOf(candidates, draw);
+    const Candidate *best = bestOf(candidates.free, draw);
     const bool found = best != nullptr && hasPlace(*best);
     choice.wished = wishedOf(board.limits, atLimit, found ? best : nullptr, draw, now);
     if (best != nullptr)
