--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Programs/Gateway/GatewayMetrics.h"
+#include "Programs/Gateway/ServerWords.h"
 #include "platform/RequestCodec.h"
 
 namespace wisteria {
@@ -176,9 +177,7 @@
 {
     head_ = platform::decodeAnswerHead(head);
     lastByteAt_ = monotonicNow();
-    takeLimit();
-    takeRest();
-    takeLeaving();
+    noteServerWords(context_, {backendId_, request_.attemptId, head_}, lastByteAt_);
     BackendState *backend = backendNow();
     if (backend == nullptr)
         return;
@@ -193,40 +192,6 @@
     noteAnswer(*backend, told, inGroup_, lastByteAt_, context_.draw());
 }
 
-void Exchange::takeLimit()
-{
-    // A refusal that names no limit does not end one.
-    if (head_.misdirected || (head_.notExecuted && !head_.limitPerSecond))
-        return;
-    const LimitWord word{.perSecond = head_.limitPerSecond, .heardAt = lastByteAt_};
-    if (!noteWord(context_.board.limits, backendId_, word))
-        return;
-    context_.log.info("backend.limit",
-                      {{"id", request_.attemptId},
-                       {"backend", backendId_},
-                       {"limited", word.perSecond.has_value()},
-                       {"per_second", word.perSecond.value_or(0)}});
-}
-
-void Exchange::takeRest()
-{
-    if (head_.misdirected || head_.rest <= milliseconds(0))
-        return;
-    noteRest(context_.board, backendId_, lastByteAt_ + head_.rest, lastByteAt_);
-    context_.log.info(
-        "backend.rest",
-        {{"id", request_.attemptId}, {"backend", backendId_}, {"for_s", secondsOf(head_.rest)}});
-}
-
-void Exchange::takeLeaving()
-{
-    if (head_.misdirected || !head_.leaving)
-        return;
-    if (!noteLeaving(context_.board, backendId_, lastByteAt_))
-        return;
-    context_.log.info("backend.leaving", {{"id", request_.attemptId}, {"backend", backendId_}});
-}
-
 bool Exchange::forwardsStream() const
 {
     return route_.kind == RequestKind::Streaming && head_.success() && head_.eventStream
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -67,9 +67,6 @@
     void send(BackendState &backend, TimePoint now);
     bool acceptsHead(const HttpResponseHead &head) const;
     void onHead(const HttpResponseHead &head);
-    void takeLimit();
-    void takeRest();
-    void takeLeaving();
     void onBody(std::string_view bytes);
     void onComplete();
     void onFailed(const CallFailure &failure);
