The test of lines in an outage waits until the list of servers is known as well

Red in the whole check beside load: 503 where 404 was expected. Traced from the gateway's lines: the configuration was read 2 ms after the start, the store fell silent before the first read of the list of servers was answered, and a request waits for both (503 "no configuration is known yet" after its wait). The test waited for the configuration only.

--- a/Tests/Gateway/StoreOutageTest.cpp
+++ b/Tests/Gateway/StoreOutageTest.cpp
@@ -83,6 +83,9 @@
     store.put("keyed.op", "config", configurationOf(1));
     const LoggedGateway gateway(store.endpoint());
     REQUIRE_FALSE(gateway.waitForLine("config.in_force", "process", "front-1").is_null());
+    // Until the list of servers has been read as well, requests wait for it.
+    REQUIRE(eventually(
+        [&] { return callServer(gateway.callers(), requestFor("/none/x", "a0")).status == 404; }));
     store.mute(true);
     const nlohmann::json lost = gateway.waitForLine("store.lost", "what", "backends");
     REQUIRE(lost.value("after_s", 0.0) >= 0.7);
