Forget the own map when another leader's armed version is adopted

Cause: a leader that finds all ranks of a held group armed for another leader's version releases the group for it. GroupSwitch::version then names the adopted version while GroupSwitch::map stays this leader's own older map. knownMaps() lists the version, so ranks omit their experts, and the leader fills in those of the older map. Later maps are sent as changes against that wrong base, which could bring a map into force that lacks an expert.

Change: the map is cleared on adoption. Ranks then send their experts.

--- a/Source/Version/HoldRecovery.cpp
+++ b/Source/Version/HoldRecovery.cpp
@@ -84,6 +84,9 @@
     if (const auto common = commonArmedSwitch(group)) {
         group.version = common->version;
         group.pass = common->pass;
+        // The version is another leader's, and its map is not known here. With the older map kept
+        // for it, ranks would be sent later maps as changes against the wrong one.
+        group.map.clear();
         enterPhase(group, SwitchPhase::Releasing, now);
         return;
     }
