Test of direct orders: the leader's own rank is one more, armed last

Cause: the test had the leader beside rank 0 of 192 and required an order to arm for each of the 192. A leader arms the rank beside itself only after all others are armed, so it got 191.

Change: the group has one more rank, the leader's own. The checks stay (192 orders at once; 0, 5, 0 and 0 direct ones). Added: no order to the own rank before, and exactly one, to it, once all others are armed.

--- a/Tests/Version/RankSwitchTest.cpp
+++ b/Tests/Version/RankSwitchTest.cpp
@@ -125,13 +125,16 @@
     "A leader sends direct orders to a few silent ranks, but to none if many ranks are silent")
 {
     constexpr std::uint32_t ranks = 192;
+    // The leader's own rank is one more. It is armed last, so that a leader that finds this VM
+    // frozen can conclude from any unarmed rank that the unreachable one is unarmed too.
+    constexpr std::uint32_t ownRank = ranks;
     const auto directOrders = [ranks](std::uint32_t silent) {
         const TimePoint now{seconds(100)};
         GroupSwitch group{.group = "g", .epoch = 1};
-        for (std::uint32_t rank = 0; rank < ranks; ++rank) {
+        for (std::uint32_t rank = 0; rank <= ownRank; ++rank) {
             RankStatus status{.engine = {rank + 1, 1}};
             status.report = {
-                .group = "g", .epoch = 1, .rank = rank, .groupSize = ranks, .groupOpen = true};
+                .group = "g", .epoch = 1, .rank = rank, .groupSize = ranks + 1, .groupOpen = true};
             status.report.prepared = 7;
             const milliseconds age(rank < silent ? 300 : 20);
             applyStatus(group, status, now - age);
@@ -139,9 +142,20 @@
         group.phase = SwitchPhase::Arming;
         group.version = 7;
         group.pass = 9;
-        const SwitchUpdate update =
-            advanceSwitch(group, profile, {}, SwitchTiming{}, {.rank = 0, .versionTick = 1}, now);
+        const LeaderIdentity leader{.rank = ownRank, .versionTick = 1};
+        const SwitchUpdate update = advanceSwitch(group, profile, {}, SwitchTiming{}, leader, now);
         REQUIRE(update.actions.size() == ranks);
+        const auto isOwn = [](const SwitchAction &action) { return action.rank == ownRank; };
+        REQUIRE(std::none_of(update.actions.begin(), update.actions.end(), isOwn));
+
+        const TimePoint later = now + milliseconds(20);
+        for (std::uint32_t rank = 0; rank < ranks; ++rank) {
+            const RankOrder order{.kind = RankOrderKind::Arm, .epoch = 1, .version = 7, .pass = 9};
+            noteOrderDone(group, rank, order, later);
+        }
+        const SwitchUpdate last = advanceSwitch(group, profile, {}, SwitchTiming{}, leader, later);
+        REQUIRE(last.actions.size() == 1);
+        REQUIRE(isOwn(last.actions.front()));
         return std::count_if(update.actions.begin(), update.actions.end(),
                              [](const SwitchAction &action) { return action.direct; });
     };
