--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -238,8 +238,9 @@
     Json changes = Json::array();
     for (const RankMapChange &change : command.changes)
         changes.push_back(Json::array({change.set, change.rank, change.experts}));
-    return {MessageKind::Command, order.kind, order.epoch,  order.version,
-            order.pass,           order.map,  command.base, std::move(changes)};
+    return {MessageKind::Command, order.kind,         order.epoch,
+            order.version,        order.pass,         order.map,
+            command.base,         std::move(changes), command.group};
 }
 
 RankCommand decodeCommand(const Json &json)
@@ -259,6 +260,8 @@
                                    change.at(1).get<std::uint32_t>(),
                                    change.at(2).get<std::vector<std::uint32_t>>()});
     }
+    if (json.size() > 8)
+        command.group = json.at(8).get<std::string>();
     return command;
 }
 
@@ -336,6 +339,17 @@
             .ageMilliseconds = json.at(6).get<std::uint32_t>()};
 }
 
+/// An earlier version sends neither the group nor the rank.
+RankPoll decodePoll(const Json &json)
+{
+    RankPoll poll{.knownMaps = json.at(1).get<std::vector<std::uint64_t>>()};
+    if (json.size() > 2)
+        poll.group = json.at(2).get<std::string>();
+    if (json.size() > 3)
+        poll.rank = json.at(3).get<std::uint32_t>();
+    return poll;
+}
+
 GroupMessage decodeFields(const Json &json)
 {
     switch (static_cast<MessageKind>(json.at(0).get<int>())) {
@@ -348,7 +362,7 @@
     case MessageKind::Load:
         return decodeLoad(json);
     case MessageKind::Poll:
-        return RankPoll{.knownMaps = json.at(1).get<std::vector<std::uint64_t>>()};
+        return decodePoll(json);
     case MessageKind::Status:
         return decodeStatus(json);
     case MessageKind::Command:
@@ -369,7 +383,7 @@
 
 Json encode(const RankPoll &poll)
 {
-    return Json::array({MessageKind::Poll, poll.knownMaps});
+    return {MessageKind::Poll, poll.knownMaps, poll.group, poll.rank};
 }
 
 Json encode(const CountsPoll &poll)
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -9,6 +9,7 @@
 
 #include "Process/Endpoint.h"
 #include "Process/Error.h"
+#include "Process/Time.h"
 #include "Version/RankReport.h"
 
 namespace wisteria {
@@ -76,6 +77,10 @@
     /// Versions whose complete map the leader has. Statuses of ranks on these maps may omit the
     /// experts, which are most of a status's bytes.
     std::vector<std::uint64_t> knownMaps{};
+    /// Group that the sender leads, and the rank beside it. A poll without a group is from an
+    /// earlier version, whose one leader leads all groups.
+    std::string group{};
+    std::uint32_t rank = 0;
 };
 
 /// Requests from a sidecar how often its rank, and the ranks beside further sidecars, chose each
@@ -106,6 +111,10 @@
 /// few bytes and are left out.
 std::size_t encodedCountsBytes(std::size_t counts);
 
+/// A status that arrives longer than this after another one is not a delayed older one, even if its
+/// read time is earlier: the clock starts again when the VM boots.
+constexpr milliseconds maxReorderingDelay{1000};
+
 /// Status of a rank, as its sidecar last read it.
 struct RankStatus
 {
@@ -141,6 +150,9 @@
     /// large group's leader.
     std::uint64_t base = 0;
     std::vector<RankMapChange> changes{};
+    /// Group of the leader; empty from an earlier version. A rank that has changed its group
+    /// refuses orders of the earlier one only if the epochs differ.
+    std::string group{};
 };
 
 /// A message that the receiver handles itself and forwards to the sidecars of further engines.
--- a/Source/Version/GroupQueries.cpp
+++ b/Source/Version/GroupQueries.cpp
@@ -55,6 +55,11 @@
     return size > 0;
 }
 
+bool allRanksKnown(const GroupSwitch &group)
+{
+    return !group.ranks.empty() && group.ranks.size() >= groupSizeOf(group);
+}
+
 std::uint32_t groupSizeOf(const GroupSwitch &group)
 {
     return group.ranks.empty() ? 0 : group.ranks.begin()->second.status.report.groupSize;
--- a/Source/Version/GroupQueries.h
+++ b/Source/Version/GroupQueries.h
@@ -34,6 +34,9 @@
 bool allRanksCurrentExcept(const GroupSwitch &group, std::uint32_t rank, const SwitchTiming &timing,
                            TimePoint now);
 
+/// Whether a status of every rank of the current epoch is known, however old.
+bool allRanksKnown(const GroupSwitch &group);
+
 /// Returns the number of ranks of the group, as a known rank reports it; 0 while none is known.
 std::uint32_t groupSizeOf(const GroupSwitch &group);
 
--- a/Source/Version/LeaderElection.h
+++ b/Source/Version/LeaderElection.h
@@ -2,20 +2,23 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
+#include <string>
 
 #include "Process/Time.h"
+#include "Version/GroupMessages.h"
 
 namespace wisteria {
 
-/// Election of the sidecar that leads the groups of a service: the first live one of the service's
-/// engine list. A value type without I/O.
+/// Election of the sidecar that leads a group: the one beside the group's first live rank. A value
+/// type without I/O.
 ///
 /// Two sidecars may lead for a moment, for instance when a paused one resumes. The switch of expert
 /// maps tolerates that, so the election needs no lease and works through outages of the store.
 struct LeaderElection
 {
-    /// When the last poll of a leader earlier in the list was received.
+    /// When the last poll of a leader beside a lower rank was received.
     TimePoint higherPriorityHeardAt;
     /// When this process began to receive messages.
     TimePoint listeningSince;
@@ -28,17 +31,17 @@
 /// A silent leader is replaced after this time, five of its polls. With a shorter timeout a leader
 /// would be replaced while it searches for a map, and the two would prepare competing maps.
 constexpr milliseconds leaderTimeout{1000};
-/// Each further position in the list waits this much longer, so that the sidecars become leader one
-/// at a time.
+/// The sidecar beside each further rank waits this much longer, so that the sidecars become leader
+/// one at a time.
 constexpr milliseconds leaderStagger{150};
-/// From this position on each further one adds only leaderStaggerBeyond, or the last sidecar of a
-/// large service would wait for half a minute. A step of leaderStaggerBeyond is close to the time
+/// From this rank on each further one adds only leaderStaggerBeyond, or the last sidecar of a large
+/// group would wait for half a minute. A step of leaderStaggerBeyond is close to the time
 /// that a poll takes to arrive, so few sidecars lead at once.
 constexpr std::size_t staggeredPositions = 20;
 constexpr milliseconds leaderStaggerBeyond{25};
 
 /// The sidecar whose rank holds the group leads after no leader has polled for this long, whatever
-/// its position, because every stream stalls until the hold is released. It is more than two polls
+/// its rank, because every stream stalls until the hold is released. It is more than two polls
 /// during a switch. If the old leader is alive, two leaders for a moment do no harm.
 constexpr milliseconds leaderTimeoutWhileHeld{400};
 
@@ -57,14 +60,14 @@
         election.heldSince = now;
 }
 
-/// Records a poll from a sidecar earlier in the list.
+/// Records a poll from the sidecar beside a lower rank.
 inline void noteHigherPriorityLeader(LeaderElection &election, TimePoint now)
 {
     election.higherPriorityHeardAt = now;
 }
 
 /// Whether this sidecar leads now.
-/// @param position Its position in the list of the service's sidecars, from 0.
+/// @param position Its position among the group's sidecars, from 0: the rank beside it.
 inline bool isLeader(const LeaderElection &election, std::size_t position, TimePoint now)
 {
     const bool heldWithoutLeader = election.heldSince
@@ -80,4 +83,58 @@
     return now - from >= wait;
 }
 
+/// A sidecar as a candidate for the leader of the group that its own engine is a rank of. A value
+/// type without I/O.
+struct GroupCandidate
+{
+    /// Group and rank of the own engine, by its last report; the group is empty before the first
+    /// report and for an engine in no group.
+    std::string group{};
+    std::uint32_t rank = 0;
+    /// When the read of that report began.
+    TimePoint reportedAt{};
+    LeaderElection election{};
+};
+
+/// A sidecar whose own report is older than this does not lead: its engine may be gone, or a rank
+/// of another group.
+constexpr milliseconds maxOwnReportAge{2000};
+
+/// Records a report of the own engine. In another group than before, the sidecar first listens for
+/// that group's leader, as after a start.
+/// @param readAt When the read of the report began.
+inline void noteOwnReport(GroupCandidate &candidate, const RankReport &report, TimePoint readAt,
+                          TimePoint now)
+{
+    if (report.group != candidate.group) {
+        candidate.group = report.group;
+        candidate.election = {.higherPriorityHeardAt = {}, .listeningSince = now};
+    }
+    candidate.rank = report.rank;
+    candidate.reportedAt = readAt;
+    noteHold(candidate.election, report.heldPass.has_value(), readAt);
+}
+
+/// Whether the poll is from a leader of the candidate's group. One without a group, from an earlier
+/// version, counts as such.
+inline bool isOfOwnGroup(const GroupCandidate &candidate, const RankPoll &poll)
+{
+    return poll.group.empty() || poll.group == candidate.group;
+}
+
+/// Records a poll from another sidecar of the candidate's group.
+inline void notePoll(GroupCandidate &candidate, const RankPoll &poll, TimePoint now)
+{
+    if (poll.rank < candidate.rank)
+        noteHigherPriorityLeader(candidate.election, now);
+    noteLeaderPoll(candidate.election, now);
+}
+
+/// Whether this sidecar leads its group now.
+inline bool leadsGroup(const GroupCandidate &candidate, TimePoint now)
+{
+    return !candidate.group.empty() && now - candidate.reportedAt <= maxOwnReportAge
+        && isLeader(candidate.election, candidate.rank, now);
+}
+
 } // namespace wisteria
--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -212,7 +212,6 @@
         group.phaseSince = now;
     }
     const auto known = group.ranks.find(report.rank);
-    constexpr milliseconds maxReorderingDelay{1000};
     if (known != group.ranks.end()
         && known->second.status.readAtMilliseconds > status.readAtMilliseconds
         && now - known->second.receivedAt < maxReorderingDelay)
--- a/Tests/Gateway/CodecTest.cpp
+++ b/Tests/Gateway/CodecTest.cpp
@@ -226,7 +226,30 @@
     REQUIRE(std::get<CountsReply>(replyBack).ranks == 8);
     REQUIRE(std::get<CountsReply>(replyBack).counts == reply.counts);
 
+    const auto rankPoll =
+        decodeMessage(encodeMessage(RankPoll{.knownMaps = {7}, .group = "g", .rank = 3})).value();
+    REQUIRE(std::get<RankPoll>(rankPoll).knownMaps == std::vector<std::uint64_t>{7});
+    REQUIRE(std::get<RankPoll>(rankPoll).group == "g");
+    REQUIRE(std::get<RankPoll>(rankPoll).rank == 3);
+    const RankCommand command{.order = {.epoch = 2}, .group = "g"};
+    REQUIRE(std::get<RankCommand>(decodeMessage(encodeMessage(command)).value()).group == "g");
+
     REQUIRE(decodeMessage("").has_error());
     REQUIRE(decodeMessage("\x93\x63\x01\x02").has_error());
     REQUIRE(decodeMessage(encodeMessage(status).substr(0, 9)).has_error());
 }
+
+// Guards against a fleet of two versions whose sidecars refuse each other's messages while it is
+// updated.
+TEST_CASE("Messages of the version without groups are decoded, also with additional elements")
+{
+    // [3, [7]] and [3, [7], "g", 3, true].
+    const auto earlier = decodeMessage("\x92\x03\x91\x07").value();
+    REQUIRE(std::get<RankPoll>(earlier).group.empty());
+    REQUIRE(std::get<RankPoll>(earlier).rank == 0);
+    const auto later = decodeMessage("\x95\x03\x91\x07\xA1g\x03\xC3").value();
+    REQUIRE(std::get<RankPoll>(later).group == "g");
+    // [5, 3, 1, 0, 9, [], 0, []]
+    const std::string command("\x98\x05\x03\x01\x00\x09\x90\x00\x90", 9);
+    REQUIRE(std::get<RankCommand>(decodeMessage(command).value()).group.empty());
+}
--- a/Tests/Version/RankGroupWorld.h
+++ b/Tests/Version/RankGroupWorld.h
@@ -60,6 +60,73 @@
     std::vector<std::uint64_t> counts = std::vector<std::uint64_t>(expertCount, 0);
 };
 
+/// Executes an order as an engine does.
+/// @param copyTime Called with the experts that the rank is to have; returns how long it copies.
+template <typename CopyTime>
+void executeOrder(Rank &rank, const RankOrder &order, TimePoint now, CopyTime copyTime)
+{
+    RankReport &report = rank.report;
+    const bool begun = order.pass <= report.pass;
+    if (order.epoch != report.epoch)
+        return;
+    switch (order.kind) {
+    case RankOrderKind::Prepare:
+        if (order.version <= rank.highest || report.armed != 0)
+            return;
+        rank.highest = order.version;
+        rank.copyingVersion = order.version;
+        rank.copiedAt = now + copyTime(order.map[0][report.rank]);
+        rank.preparedMap = order.map;
+        report.prepared = 0;
+        return;
+    case RankOrderKind::Arm:
+        if (report.prepared != order.version || begun)
+            return;
+        report.armed = order.version;
+        report.armedPass = order.pass;
+        return;
+    case RankOrderKind::Disarm:
+        if (report.armed == order.version)
+            report.armed = 0;
+        return;
+    case RankOrderKind::Hold:
+        if (!begun && !report.heldPass)
+            report.heldPass = order.pass;
+        return;
+    case RankOrderKind::Release:
+        if (report.heldPass == order.pass)
+            report.heldPass.reset();
+        return;
+    }
+}
+
+/// Finishes the copies of a rank whose time has come.
+inline void finishCopies(Rank &rank, TimePoint now)
+{
+    if (rank.copyingVersion == 0 || now < rank.copiedAt)
+        return;
+    rank.report.prepared = rank.copyingVersion;
+    rank.copyingVersion = 0;
+}
+
+/// Begins a pass at one rank.
+/// @return Whether the rank switched to another map.
+inline bool beginPass(Rank &rank, std::uint64_t pass)
+{
+    rank.report.pass = pass;
+    const std::uint32_t hot = static_cast<std::uint32_t>(pass / 30) % expertCount;
+    for (std::uint32_t expert = 0; expert < expertCount; ++expert)
+        rank.counts[expert] = expert == hot ? 2000 : 300;
+    if (rank.report.armedPass != pass || rank.report.armed == 0)
+        return false;
+    rank.report.map = rank.report.armed;
+    rank.report.armed = 0;
+    rank.report.prepared = 0;
+    rank.mapInForce = rank.preparedMap;
+    rank.experts = rank.preparedMap[0][rank.report.rank];
+    return true;
+}
+
 /// A rank group in virtual time that executes orders as engines do and checks each pass.
 class RankGroupWorld
 {
@@ -230,12 +297,8 @@
 
     void finishCopies()
     {
-        for (Rank &rank : ranks_) {
-            if (rank.copyingVersion == 0 || now_ < rank.copiedAt)
-                continue;
-            rank.report.prepared = rank.copyingVersion;
-            rank.copyingVersion = 0;
-        }
+        for (Rank &rank : ranks_)
+            wisteria::finishCopies(rank, now_);
     }
 
     void beginPass()
@@ -247,30 +310,15 @@
         }
         nextPassAt_ = now_ + randomDelay(30, 60);
         lastPassAt_ = now_;
-        for (Rank &rank : ranks_)
-            beginPass(rank, pass);
+        for (Rank &rank : ranks_) {
+            const bool switched = wisteria::beginPass(rank, pass);
+            switches_ += switched && rank.report.rank == 0 ? 1 : 0;
+        }
         for (const Rank &rank : ranks_)
             beganMixedPass_ = beganMixedPass_ || rank.report.map != ranks_.front().report.map
                 || rank.mapInForce != ranks_.front().mapInForce;
     }
 
-    void beginPass(Rank &rank, std::uint64_t pass)
-    {
-        rank.report.pass = pass;
-        const std::uint32_t hot = static_cast<std::uint32_t>(pass / 30) % expertCount;
-        for (std::uint32_t expert = 0; expert < expertCount; ++expert)
-            rank.counts[expert] = expert == hot ? 2000 : 300;
-        if (rank.report.armedPass != pass || rank.report.armed == 0)
-            return;
-        rank.report.map = rank.report.armed;
-        rank.report.armed = 0;
-        rank.report.prepared = 0;
-        rank.mapInForce = rank.preparedMap;
-        rank.experts = rank.preparedMap[0][rank.report.rank];
-        if (rank.report.rank == 0)
-            ++switches_;
-    }
-
     /// Only experts that are new to the rank are copied.
     milliseconds copyTime(const Rank &rank, const std::vector<std::uint32_t> &wanted)
     {
@@ -279,42 +327,11 @@
         return same ? milliseconds(0) : randomDelay(50, 300);
     }
 
-    /// Executes an order as an engine does.
     void execute(Rank &rank, const RankOrder &order)
     {
-        RankReport &report = rank.report;
-        const bool begun = order.pass <= report.pass;
-        if (order.epoch != report.epoch)
-            return;
-        switch (order.kind) {
-        case RankOrderKind::Prepare:
-            if (order.version <= rank.highest || report.armed != 0)
-                return;
-            rank.highest = order.version;
-            rank.copyingVersion = order.version;
-            rank.copiedAt = now_ + copyTime(rank, order.map[0][report.rank]);
-            rank.preparedMap = order.map;
-            report.prepared = 0;
-            return;
-        case RankOrderKind::Arm:
-            if (report.prepared != order.version || begun)
-                return;
-            report.armed = order.version;
-            report.armedPass = order.pass;
-            return;
-        case RankOrderKind::Disarm:
-            if (report.armed == order.version)
-                report.armed = 0;
-            return;
-        case RankOrderKind::Hold:
-            if (!begun && !report.heldPass)
-                report.heldPass = order.pass;
-            return;
-        case RankOrderKind::Release:
-            if (report.heldPass == order.pass)
-                report.heldPass.reset();
-            return;
-        }
+        executeOrder(rank, order, now_, [this, &rank](const std::vector<std::uint32_t> &wanted) {
+            return copyTime(rank, wanted);
+        });
     }
 
     RankStatus statusOf(const Rank &rank) const
