Each group has a leader: the sidecar beside its first live rank

Cause: the service's one leader changes maps only of its own engine's group.

Change: the sidecar elects within its engine's group, and GroupLeader leads that one group. Only polls of the own group count; those of another get the status without experts. Counts are requested from the own group only. After a change of group the sidecar drops the leader's address, known maps and orders in progress, and refuses commands of the former group, because epochs and versions of two groups can be equal.

--- a/Source/Programs/Sidecar/GroupLeader.cpp
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -20,17 +20,7 @@
 constexpr double countsPeriodFraction = 0.75;
 /// Allowance for replies to one request that arrive later than estimated.
 constexpr milliseconds countsLateness{10};
-/// Interval between two polls of the ranks. A status stays current although one reply is lost.
-constexpr milliseconds pollPeriod{200};
-/// The same during a switch; sidecars also send each change on their own initiative. It is
-/// multiplied by the number of engines divided by the number below, up to pollPeriod, because
-/// decoding the replies uses up the leader's share of a core.
-constexpr milliseconds pollPeriodSwitching{60};
-constexpr std::size_t enginesPerPollPeriod = 16;
-/// After this time without a message from a sidecar the leader reads the rank's state directly from
-/// the engine: the rank beside a dead sidecar may hold the group.
-constexpr milliseconds silenceTimeout{500};
-/// Interval between two rounds of such reads; the platform charges for each read.
+/// Interval between two rounds of direct reads of silent ranks; the platform charges for each read.
 constexpr milliseconds directReadPeriod{400};
 /// Engines that are read in one round. A leader that is itself overloaded considers all others
 /// silent: connections to each of them can keep it busy for a second, and few are answered in time.
@@ -77,125 +67,119 @@
 
 void GroupLeader::setEngines(const std::vector<Endpoint> &engines, const ExpertProfile &profile)
 {
-    engines_ = engines;
+    wisteria::setEngines(members_, engines);
     profile_ = profile;
-    const std::size_t bytes = encodedCountsBytes(std::size_t{profile.sets} * profile.expertsPerSet);
-    const milliseconds gathered = aggregationTime(engines.size(), bytes, bandwidth_);
-    timing_.countsWindow = gathered + countsLateness;
+    // By the size of the whole service, so that more groups cause no more requests per engine.
+    const milliseconds gathered = aggregationTime(engines.size(), countsBytes(), bandwidth_);
     countsPeriod_ = std::max(
         minCountsPeriod, std::chrono::duration_cast<milliseconds>(gathered * countsPeriodFraction));
 }
 
-void GroupLeader::applyStatus(const RankStatus &status, TimePoint now)
+std::size_t GroupLeader::countsBytes() const
 {
-    lastReceivedAt_[status.engine] = now;
-    if (status.report.group.empty())
-        return;
-    wisteria::applyStatus(groups_[status.report.group], status, now);
+    return encodedCountsBytes(std::size_t{profile_.sets} * profile_.expertsPerSet);
 }
 
-void GroupLeader::applyCounts(const CountsReply &reply, TimePoint now)
+void GroupLeader::lead(const std::string &group, std::uint32_t rank)
 {
-    const auto group = groups_.find(reply.group);
-    if (group == groups_.end())
+    if (leading_ && group_.group != group)
+        stop();
+    rank_ = rank;
+    if (leading_)
         return;
-    addDemand(group->second, profile_, timing_, reply, now);
+    leading_ = true;
+    if (group_.group != group)
+        group_ = GroupSwitch{.group = group};
+    resetMembers(members_, group);
+    logLeading("leader.begin");
 }
 
-void GroupLeader::runDueWork(TimePoint now)
+void GroupLeader::stop()
 {
-    if (leadingSince_ == TimePoint())
-        leadingSince_ = now;
-    poll(now);
-    readSilentRanks(now);
-    decide(now);
+    if (!leading_)
+        return;
+    logLeading("leader.end");
+    leading_ = false;
+    leadingSince_ = TimePoint();
+    resetSwitch(group_);
 }
 
-void GroupLeader::decide(TimePoint now)
+void GroupLeader::logLeading(const char *event) const
 {
-    for (auto &[name, group] : groups_)
-        advance(group, now);
+    log_.info(event,
+              {{"group", group_.group}, {"rank", rank_}, {"members", members_.engines.size()}});
 }
 
-void GroupLeader::stop()
+void GroupLeader::applyStatus(const RankStatus &status, TimePoint now)
 {
-    for (auto &[name, group] : groups_)
-        resetSwitch(group);
-    lastReceivedAt_.clear();
-    leadingSince_ = TimePoint();
+    recordStatus(members_, status, now);
+    if (status.report.group == group_.group)
+        wisteria::applyStatus(group_, status, now);
 }
 
-void GroupLeader::poll(TimePoint now)
+void GroupLeader::applyCounts(const CountsReply &reply, TimePoint now)
 {
-    pollRanks(now);
-    if (now - requestedCountsAt_ < countsPeriod_)
-        return;
-    requestedCountsAt_ = now;
-    transport_.requestCounts(mostRecentFirst(engines_));
+    if (reply.group == group_.group)
+        addDemand(group_, profile_, timing_, reply, now);
 }
 
-milliseconds GroupLeader::rankPollPeriod() const
+void GroupLeader::runDueWork(TimePoint now)
 {
-    const bool busy = std::any_of(groups_.begin(), groups_.end(),
-                                  [](const auto &entry) { return isSwitching(entry.second); });
-    if (!busy)
-        return pollPeriod;
-    const auto periodFactor = static_cast<int>(engines_.size() / enginesPerPollPeriod);
-    return std::min(pollPeriodSwitching * std::max(1, periodFactor), pollPeriod);
+    if (leadingSince_ == TimePoint())
+        leadingSince_ = now;
+    pollRanks(now);
+    pollCounts(now);
+    readSilentRanks(now);
+    decide(now);
 }
 
 void GroupLeader::pollRanks(TimePoint now)
 {
-    if (now - polledRanksAt_ < rankPollPeriod())
+    const milliseconds period = rankPollPeriod(members_.engines.size(), isSwitching(group_));
+    const std::vector<Endpoint> engines =
+        takeEnginesToPoll(members_, period, allRanksKnown(group_), now);
+    if (engines.empty())
         return;
-    polledRanksAt_ = now;
-    RankPoll poll;
-    for (const auto &[name, group] : groups_) {
-        const std::vector<std::uint64_t> known = knownMaps(group);
-        poll.knownMaps.insert(poll.knownMaps.end(), known.begin(), known.end());
-    }
-    transport_.sendAll(engines_, poll);
+    transport_.sendAll(
+        engines, RankPoll{.knownMaps = knownMaps(group_), .group = group_.group, .rank = rank_});
 }
 
-/// Sorts the engines by the time of the last message, newest first: the first ones are chosen as
-/// relays, so they should be alive.
-std::vector<Endpoint> GroupLeader::mostRecentFirst(std::vector<Endpoint> engines) const
+void GroupLeader::pollCounts(TimePoint now)
 {
-    const auto lastReceivedAt = [this](const Endpoint &engine) {
-        const auto found = lastReceivedAt_.find(engine);
-        return found == lastReceivedAt_.end() ? TimePoint() : found->second;
-    };
-    std::stable_sort(engines.begin(), engines.end(),
-                     [&lastReceivedAt](const Endpoint &a, const Endpoint &b) {
-                         return lastReceivedAt(a) > lastReceivedAt(b);
-                     });
-    return engines;
+    if (now - requestedCountsAt_ < countsPeriod_)
+        return;
+    requestedCountsAt_ = now;
+    // Relays add the counts up, and those of different groups must not be added.
+    const std::vector<Endpoint> ranks = membersOf(members_);
+    timing_.countsWindow =
+        aggregationTime(ranks.size(), countsBytes(), bandwidth_) + countsLateness;
+    transport_.requestCounts(mostRecentFirst(members_, ranks));
 }
 
-void GroupLeader::advance(GroupSwitch &group, TimePoint now)
+void GroupLeader::decide(TimePoint now)
 {
     const auto own =
-        std::find_if(group.ranks.begin(), group.ranks.end(), [this](const auto &entry) {
+        std::find_if(group_.ranks.begin(), group_.ranks.end(), [this](const auto &entry) {
             return entry.second.status.engine == ownEngine_;
         });
     // The leader's own rank determines its version numbers and which rank holds the group, so
     // nothing is decided without it.
-    if (own == group.ranks.end())
+    if (own == group_.ranks.end())
         return;
     const SwitchUpdate update =
-        advanceSwitch(group, profile_, bounds_, timing_,
+        advanceSwitch(group_, profile_, bounds_, timing_,
                       {.rank = own->first, .versionTick = versionTickNow()}, now);
     if (update.event != SwitchEvent::Nothing)
-        logEvent(group, update.event, now);
-    executeActions(group.group, update.actions);
+        logEvent(update.event, now);
+    executeActions(update.actions);
 }
 
-void GroupLeader::executeActions(const std::string &name, const std::vector<SwitchAction> &actions)
+void GroupLeader::executeActions(const std::vector<SwitchAction> &actions)
 {
     std::vector<Batch> batches;
     for (const SwitchAction &action : actions) {
         if (action.direct) {
-            orderDirectly(name, action);
+            orderDirectly(action);
             continue;
         }
         const auto same =
@@ -206,42 +190,40 @@
         batch.engines.push_back(action.engine);
     }
     for (const Batch &batch : batches)
-        transport_.sendAll(mostRecentFirst(batch.engines), commandFor(name, *batch.first));
+        transport_.sendAll(mostRecentFirst(members_, batch.engines), commandFor(*batch.first));
 }
 
-void GroupLeader::orderDirectly(const std::string &name, const SwitchAction &action)
+void GroupLeader::orderDirectly(const SwitchAction &action)
 {
+    const std::string &name = group_.group;
     log_.info("map.direct_order",
               {{"group", name},
                {"kind", orderName(action.order.kind)},
                {"rank", action.rank},
                {"version", action.order.version},
                {"step", action.order.pass}});
-    const RankOrder order = commandFor(name, action).order;
+    const RankOrder order = commandFor(action).order;
     engineClient_.sendOrder(action.engine, order, [this, name, action](Result<void> result) {
-        const auto group = groups_.find(name);
         if (result.has_error()) {
             log_.info("map.direct_order_failed",
                       {{"rank", action.rank}, {"reason", result.error().message}});
             return;
         }
-        if (group == groups_.end())
-            return;
-        noteOrderDone(group->second, action.rank, action.order, monotonicNow());
+        if (group_.group == name)
+            noteOrderDone(group_, action.rank, action.order, monotonicNow());
     });
 }
 
-RankCommand GroupLeader::commandFor(const std::string &name, const SwitchAction &action) const
+RankCommand GroupLeader::commandFor(const SwitchAction &action) const
 {
-    RankCommand command{.order = action.order};
+    RankCommand command{.order = action.order, .group = group_.group};
     if (action.order.kind != RankOrderKind::Prepare)
         return command;
-    const GroupSwitch &group = groups_.at(name);
     if (action.asChanges) {
-        command.base = group.baseVersion;
-        command.changes = changesBetween(group.base, group.map);
+        command.base = group_.baseVersion;
+        command.changes = changesBetween(group_.base, group_.map);
     } else {
-        command.order.map = group.map;
+        command.order.map = group_.map;
     }
     return command;
 }
@@ -251,7 +233,7 @@
     if (now - leadingSince_ < silenceTimeout || now - directReadRoundAt_ < directReadPeriod)
         return;
     directReadRoundAt_ = now;
-    std::vector<Endpoint> silent = silentEngines(now);
+    std::vector<Endpoint> silent = silentEngines(members_, now);
     noteReachability(silent.size());
     const std::size_t readCount = std::min(silent.size(), maxDirectReads);
     // The least recently read come first, so that engines that never answer don't block the others.
@@ -265,27 +247,17 @@
     }
 }
 
-std::vector<Endpoint> GroupLeader::silentEngines(TimePoint now) const
-{
-    std::vector<Endpoint> silent;
-    for (const Endpoint &engine : engines_) {
-        const auto received = lastReceivedAt_.find(engine);
-        if (received == lastReceivedAt_.end() || now - received->second > silenceTimeout)
-            silent.push_back(engine);
-    }
-    return silent;
-}
-
-/// Logs when more than half of the sidecars become silent, and when they no longer are. While they
-/// are, the leader's own link or processor is overloaded, or all other sidecars have stopped.
+/// Logs when more than half of the sidecars become silent, and when they no longer are; those of
+/// other groups don't count. While they are, the leader's own link or processor is overloaded, or
+/// all other sidecars have stopped.
 void GroupLeader::noteReachability(std::size_t silent)
 {
-    const bool isolated = silent > engines_.size() / 2;
+    const bool isolated = silent > possibleMembers(members_) / 2;
     if (isolated == isolated_)
         return;
     isolated_ = isolated;
     log_.warn(isolated ? "leader.out_of_touch" : "leader.in_touch",
-              {{"members", engines_.size()}, {"silent", silent}});
+              {{"members", possibleMembers(members_)}, {"silent", silent}});
 }
 
 void GroupLeader::readDirectly(const Endpoint &engine)
@@ -296,63 +268,68 @@
                       {{"engine", toText(engine)}, {"reason", report.error().message}});
             return;
         }
-        RankStatus status{.engine = engine, .report = report.value()};
-        const auto group = groups_.find(status.report.group);
-        if (group == groups_.end())
-            return;
-        const auto known = group->second.ranks.find(status.report.rank);
-        const bool expertsKnown = known != group->second.ranks.end()
-            && known->second.status.report.map == status.report.map
-            && !known->second.status.experts.empty();
-        if (!expertsKnown) {
-            readExpertsDirectly(std::move(status));
-            return;
-        }
-        // The read time is of the other VM's clock, which is unknown here. The previous one lets
-        // the sidecar's next status replace this one.
-        status.readAtMilliseconds = known->second.status.readAtMilliseconds;
-        status.experts = known->second.status.experts;
-        wisteria::applyStatus(group->second, status, monotonicNow());
+        if (leading_)
+            applyDirectReport(engine, report.value());
     });
 }
 
+/// Applies a report that was read from the engine, after reading its experts if they are unknown.
+void GroupLeader::applyDirectReport(const Endpoint &engine, const RankReport &report)
+{
+    recordReport(members_, engine, report);
+    if (report.group != group_.group)
+        return;
+    RankStatus status{.engine = engine, .report = report};
+    const auto known = group_.ranks.find(report.rank);
+    const bool expertsKnown = known != group_.ranks.end()
+        && known->second.status.report.map == report.map && !known->second.status.experts.empty();
+    if (!expertsKnown) {
+        readExpertsDirectly(std::move(status));
+        return;
+    }
+    // The read time is of the other VM's clock, which is unknown here. The previous one lets the
+    // sidecar's next status replace this one.
+    status.readAtMilliseconds = known->second.status.readAtMilliseconds;
+    status.experts = known->second.status.experts;
+    wisteria::applyStatus(group_, status, monotonicNow());
+}
+
 void GroupLeader::readExpertsDirectly(RankStatus status)
 {
     const Endpoint engine = status.engine;
     engineClient_.readExperts(
         engine, [this, engine, status = std::move(status)](auto experts) mutable {
-            const auto group = groups_.find(status.report.group);
             if (experts.has_error()) {
                 log_.info("engine.no_experts",
                           {{"engine", toText(engine)}, {"reason", experts.error().message}});
                 return;
             }
-            if (group == groups_.end())
+            if (!leading_ || status.report.group != group_.group)
                 return;
             status.experts = experts.value();
-            wisteria::applyStatus(group->second, status, monotonicNow());
+            wisteria::applyStatus(group_, status, monotonicNow());
         });
 }
 
-void GroupLeader::logEvent(const GroupSwitch &group, SwitchEvent event, TimePoint now)
+void GroupLeader::logEvent(SwitchEvent event, TimePoint now)
 {
-    countSwitchEvent(metrics_, group, event, now);
-    LogFields fields = {{"group", group.group},
+    countSwitchEvent(metrics_, group_, event, now);
+    LogFields fields = {{"group", group_.group},
                         {"note", eventText(event)},
-                        {"phase", phaseName(group.phase)},
-                        {"epoch", group.epoch},
-                        {"version", group.version},
-                        {"step", group.pass},
-                        {"skew_before", group.proposal.skewBefore},
-                        {"skew_after", group.proposal.skewAfter},
-                        {"loads", group.proposal.copies},
-                        {"searched_terms", group.proposal.searchedTerms},
-                        {"preparing_ms", phaseTime(group, SwitchPhase::Preparing)},
-                        {"holding_ms", phaseTime(group, SwitchPhase::Holding)},
-                        {"arming_ms", phaseTime(group, SwitchPhase::Arming)},
-                        {"releasing_ms", phaseTime(group, SwitchPhase::Releasing)}};
-    if (group.demandShiftedAt)
-        fields["since_shift_ms"] = remaining(*group.demandShiftedAt, now).count();
+                        {"phase", phaseName(group_.phase)},
+                        {"epoch", group_.epoch},
+                        {"version", group_.version},
+                        {"step", group_.pass},
+                        {"skew_before", group_.proposal.skewBefore},
+                        {"skew_after", group_.proposal.skewAfter},
+                        {"loads", group_.proposal.copies},
+                        {"searched_terms", group_.proposal.searchedTerms},
+                        {"preparing_ms", phaseTime(group_, SwitchPhase::Preparing)},
+                        {"holding_ms", phaseTime(group_, SwitchPhase::Holding)},
+                        {"arming_ms", phaseTime(group_, SwitchPhase::Arming)},
+                        {"releasing_ms", phaseTime(group_, SwitchPhase::Releasing)}};
+    if (group_.demandShiftedAt)
+        fields["since_shift_ms"] = remaining(*group_.demandShiftedAt, now).count();
     log_.info("map.switch", fields);
 }
 
--- a/Source/Programs/Sidecar/GroupLeader.h
+++ b/Source/Programs/Sidecar/GroupLeader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -8,6 +9,7 @@
 #include "Process/EventLog.h"
 #include "Process/Metrics.h"
 #include "Programs/Sidecar/EngineClient.h"
+#include "Version/GroupMembers.h"
 #include "Version/RankSwitch.h"
 #include "Version/RelayPlan.h"
 
@@ -24,8 +26,9 @@
     std::function<void(const std::vector<Endpoint> &engines)> requestCounts;
 };
 
-/// Polls the ranks of a service's groups, decides on new expert maps and drives the switches to
-/// them. Used by the sidecar that leads the service.
+/// Polls the ranks of one group, decides on new expert maps and drives the switches to them. Used
+/// by the sidecar that leads the group. It also polls engines whose group it does not know, and,
+/// less often, those of other groups, to find all ranks of its own.
 class GroupLeader
 {
 public:
@@ -35,37 +38,40 @@
     /// Sets the engines of the service, as listed by the gateways.
     void setEngines(const std::vector<Endpoint> &engines, const ExpertProfile &profile);
 
-    /// Stores a rank's status.
+    /// Leads a group from now on, or records that the own rank in it has changed.
+    /// @param rank Rank of the own engine.
+    void lead(const std::string &group, std::uint32_t rank);
+
+    /// Stores a rank's status. One of another group is used only to learn the engine's group.
     void applyStatus(const RankStatus &status, TimePoint now);
-    /// Adds the ranks' expert counts to the demand of their group; ignored for an unknown group.
+    /// Adds the ranks' expert counts to the group's demand; ignored for another group.
     void applyCounts(const CountsReply &reply, TimePoint now);
 
-    /// Sends the polls that are due, reads engines of silent sidecars directly and advances all
-    /// switches; called at the sidecar's work interval (25 ms) while this sidecar leads.
+    /// Sends the polls that are due, reads engines of silent sidecars directly and advances the
+    /// switch; called at the sidecar's work interval (25 ms) while this sidecar leads.
     void runDueWork(TimePoint now);
 
-    /// Advances the switches of all groups by the state received so far.
+    /// Advances the group's switch by the state received so far.
     void decide(TimePoint now);
 
-    /// Drops the state of the groups because another sidecar leads, except for their epochs,
-    /// highest versions and last held passes.
+    /// Drops the group's state because this sidecar no longer leads it, except for its epoch,
+    /// highest version and last held pass.
     void stop();
 
 private:
-    void poll(TimePoint now);
     void pollRanks(TimePoint now);
-    milliseconds rankPollPeriod() const;
-    std::vector<Endpoint> mostRecentFirst(std::vector<Endpoint> engines) const;
-    void advance(GroupSwitch &group, TimePoint now);
-    void executeActions(const std::string &name, const std::vector<SwitchAction> &actions);
-    void orderDirectly(const std::string &name, const SwitchAction &action);
-    RankCommand commandFor(const std::string &name, const SwitchAction &action) const;
+    void pollCounts(TimePoint now);
+    std::size_t countsBytes() const;
+    void executeActions(const std::vector<SwitchAction> &actions);
+    void orderDirectly(const SwitchAction &action);
+    RankCommand commandFor(const SwitchAction &action) const;
     void readSilentRanks(TimePoint now);
-    std::vector<Endpoint> silentEngines(TimePoint now) const;
     void noteReachability(std::size_t silent);
     void readDirectly(const Endpoint &engine);
+    void applyDirectReport(const Endpoint &engine, const RankReport &report);
     void readExpertsDirectly(RankStatus status);
-    void logEvent(const GroupSwitch &group, SwitchEvent event, TimePoint now);
+    void logLeading(const char *event) const;
+    void logEvent(SwitchEvent event, TimePoint now);
 
     EngineClient &engineClient_;
     EventLog &log_;
@@ -75,16 +81,16 @@
     Endpoint ownEngine_;
     /// Interval between two requests for the ranks' counts.
     milliseconds countsPeriod_{0};
-    std::vector<Endpoint> engines_;
     ExpertProfile profile_;
     SwitchTiming timing_;
     PlacementBounds bounds_;
-    std::map<std::string, GroupSwitch> groups_;
-    std::map<Endpoint, TimePoint> lastReceivedAt_;
+    bool leading_ = false;
+    std::uint32_t rank_ = 0;
+    GroupSwitch group_;
+    GroupMembers members_;
     std::map<Endpoint, TimePoint> readDirectlyAt_;
     TimePoint directReadRoundAt_;
     bool isolated_ = false;
-    TimePoint polledRanksAt_;
     TimePoint requestedCountsAt_;
     TimePoint leadingSince_;
 };
--- a/Source/Programs/Sidecar/RankOrderExecutor.cpp
+++ b/Source/Programs/Sidecar/RankOrderExecutor.cpp
@@ -27,10 +27,7 @@
                                 const ExpertProfile &profile, std::size_t groupSize)
 {
     RankOrder order = command.order;
-    const bool isInProgress =
-        std::any_of(inProgress_.begin(), inProgress_.end(),
-                    [&order](const RankOrder &other) { return sameOrder(other, order); });
-    if (isInProgress)
+    if (isInProgress(order))
         return;
     if (order.kind == RankOrderKind::Prepare) {
         auto map = resolveMap(mapCache_, profile, groupSize, command);
@@ -47,6 +44,19 @@
     send(order, sender, 0);
 }
 
+void RankOrderExecutor::leaveGroup()
+{
+    mapCache_ = {};
+    inProgress_.clear();
+    acceptedVersion_ = 0;
+}
+
+bool RankOrderExecutor::isInProgress(const RankOrder &order) const
+{
+    return std::any_of(inProgress_.begin(), inProgress_.end(),
+                       [&order](const RankOrder &other) { return sameOrder(other, order); });
+}
+
 /// Sends an order, and resends it while the engine does not answer in time, up to maxOrderAttempts
 /// attempts.
 void RankOrderExecutor::send(const RankOrder &order, const Endpoint &sender, int attemptsDone)
@@ -54,7 +64,7 @@
     engineClient_.sendOrder(
         engine_, order, [this, order, sender, attemptsDone](const Result<void> &result) {
             const bool unanswered = result.has_error() && result.error().kind == ErrorKind::Timeout;
-            if (unanswered && shouldResend(attemptsDone + 1)) {
+            if (unanswered && isInProgress(order) && shouldResend(attemptsDone + 1)) {
                 send(order, sender, attemptsDone + 1);
                 return;
             }
@@ -65,8 +75,10 @@
 void RankOrderExecutor::finish(const RankOrder &order, const Endpoint &sender,
                                const Result<void> &result)
 {
-    std::erase_if(inProgress_,
-                  [&order](const RankOrder &other) { return sameOrder(other, order); });
+    const bool wasInProgress =
+        std::erase_if(inProgress_,
+                      [&order](const RankOrder &other) { return sameOrder(other, order); })
+        > 0;
     countOrder(metrics_, order.kind, result.has_error() ? "failed" : "done");
     if (result.has_error()) {
         log_.info("order.failed",
@@ -75,7 +87,7 @@
                    {"step", order.pass},
                    {"leader", toText(sender)},
                    {"reason", result.error().message}});
-    } else if (order.kind == RankOrderKind::Prepare) {
+    } else if (order.kind == RankOrderKind::Prepare && wasInProgress) {
         acceptedVersion_ = order.version;
     }
     completed_();
--- a/Source/Programs/Sidecar/RankOrderExecutor.h
+++ b/Source/Programs/Sidecar/RankOrderExecutor.h
@@ -26,6 +26,10 @@
     void execute(const RankCommand &command, const Endpoint &sender, const ExpertProfile &profile,
                  std::size_t groupSize);
 
+    /// Drops the known maps and the orders in progress, because the engine is no longer in the
+    /// group that they were for.
+    void leaveGroup();
+
     /// Records the map version in force at the engine.
     void noteInForce(std::uint64_t version) { mapCache_.inForce = version; }
 
@@ -40,6 +44,7 @@
     std::uint64_t acceptedVersion() const { return acceptedVersion_; }
 
 private:
+    bool isInProgress(const RankOrder &order) const;
     void send(const RankOrder &order, const Endpoint &sender, int attemptsDone);
     void finish(const RankOrder &order, const Endpoint &sender, const Result<void> &result);
 
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -1,7 +1,6 @@
 #include "Programs/Sidecar/Sidecar.h"
 
 #include <algorithm>
-#include <map>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -10,15 +9,15 @@
 #include "Connection/MetricsServer.h"
 #include "Process/EventLog.h"
 #include "Process/ShutdownSignal.h"
+#include "Programs/Sidecar/CountsCollector.h"
 #include "Programs/Sidecar/EngineClient.h"
 #include "Programs/Sidecar/GroupLeader.h"
+#include "Programs/Sidecar/LoadReporter.h"
 #include "Programs/Sidecar/RankOrderExecutor.h"
+#include "Programs/Sidecar/SidecarLink.h"
 #include "Programs/Sidecar/SidecarMetrics.h"
-#include "Version/CountsAggregation.h"
 #include "Version/EngineListCache.h"
 #include "Version/LeaderElection.h"
-#include "Version/RelayPlan.h"
-#include "Version/SentLoad.h"
 
 namespace wisteria {
 
@@ -30,19 +29,23 @@
 constexpr milliseconds reportPeriod{loadReportInterval};
 /// The same for a while after an order: the rank takes part in a switch of expert maps.
 constexpr milliseconds reportPeriodAfterOrder{25};
-/// A gateway gets no more load reports after this time without a hello from it, which is longer
-/// than three of its hello intervals.
-constexpr milliseconds gatewayTimeout{2000};
 /// Time for which the leader collects messages before it decides.
 constexpr milliseconds decisionDelay{2};
 /// Time after an order during which the report is read at the shorter interval.
 constexpr milliseconds frequentReportsAfterOrder{400};
 
-/// Whether two reports have the same epoch, versions, hold and openness. Changes of passes and
-/// slowdown cause no additional status.
+/// Whether two reports are of the same group, epoch and map in force. Groups use the same epochs
+/// and versions independently of each other.
+bool sameMap(const RankReport &a, const RankReport &b)
+{
+    return a.group == b.group && a.epoch == b.epoch && a.map == b.map;
+}
+
+/// Whether two reports have the same map, prepared and armed versions, hold and openness. Changes
+/// of passes and slowdown cause no additional status.
 bool sameSwitchState(const RankReport &a, const RankReport &b)
 {
-    return a.epoch == b.epoch && a.map == b.map && a.prepared == b.prepared && a.armed == b.armed
+    return sameMap(a, b) && a.prepared == b.prepared && a.armed == b.armed
         && a.heldPass == b.heldPass && a.groupOpen == b.groupOpen;
 }
 
@@ -68,22 +71,12 @@
         BOOST_OUTCOME_TRYV(Sidecar::check(settings_));
         engine_ = *settings_.engineEndpoint;
         port_ = settings_.firstInternalPort;
-        bandwidth_ = linkBandwidthOf(settings_.linkMegabitsPerSecond);
         BOOST_OUTCOME_TRYV(socket_.open({settings_.vmAddress.ip, port_}));
         if (settings_.metricsEndpoint) {
             BOOST_OUTCOME_TRYV(metricsListener_.listen(*settings_.metricsEndpoint));
         }
-        election_.listeningSince = monotonicNow();
-        leader_ = std::make_unique<GroupLeader>(
-            engineClient_, log_, metrics_,
-            LeaderTransport{
-                .sendAll = [this](const std::vector<Endpoint> &engines,
-                                  const GroupMessage &message) { sendToAll(engines, message); },
-                .requestCounts =
-                    [this](const std::vector<Endpoint> &engines) { requestCounts(engines); }},
-            bandwidth_, engine_);
-        orderExecutor_ = std::make_unique<RankOrderExecutor>(engineClient_, log_, metrics_, engine_,
-                                                             [this] { readReport(); });
+        candidate_.election.listeningSince = monotonicNow();
+        createParts(linkBandwidthOf(settings_.linkMegabitsPerSecond));
         log_.info("process.start", {{"engine", toText(engine_)}, {"port", port_}});
         readReport();
         schedulePeriodicWork();
@@ -93,11 +86,36 @@
     }
 
 private:
+    void createParts(const LinkBandwidth &bandwidth)
+    {
+        loads_ = std::make_unique<LoadReporter>(socket_, engine_);
+        link_ = std::make_unique<SidecarLink>(
+            loop_, socket_, bandwidth, Endpoint{engine_.ip, port_},
+            [this](const Endpoint &from, const GroupMessage &message) { handle(from, message); });
+        counts_ = std::make_unique<CountsCollector>(engineClient_, *link_, bandwidth, engine_,
+                                                    [this](const CountsReply &sum) {
+                                                        if (leading_)
+                                                            applyAsLeader(sum);
+                                                    });
+        leader_ = std::make_unique<GroupLeader>(
+            engineClient_, log_, metrics_,
+            LeaderTransport{
+                .sendAll =
+                    [this](const std::vector<Endpoint> &engines, const GroupMessage &message) {
+                        link_->sendToAll(engines, message);
+                    },
+                .requestCounts =
+                    [this](const std::vector<Endpoint> &engines) { counts_->request(engines); }},
+            bandwidth, engine_);
+        orderExecutor_ = std::make_unique<RankOrderExecutor>(engineClient_, log_, metrics_, engine_,
+                                                             [this] { readReport(); });
+    }
+
     std::string metricsText()
     {
         SidecarState state{.reportAge = remaining(appliedReadBegunAt_, monotonicNow()),
                            .leading = leading_,
-                           .gateways = gateways_.size(),
+                           .gateways = loads_->gateways(),
                            .droppedLogLines = log_.droppedLines()};
         if (status_)
             state.report = status_->report;
@@ -124,25 +142,21 @@
         if (!readingReport_
             && now - readBegunAt_ >= (frequent ? reportPeriodAfterOrder : reportPeriod))
             readReport();
-        std::erase_if(gateways_,
-                      [now](const auto &entry) { return now - entry.second > gatewayTimeout; });
-        sendDueCounts(now);
+        loads_->removeExpired(now);
+        counts_->sendDue(now);
         updateLeadership(now);
+        if (leading_)
+            leader_->runDueWork(now);
     }
 
-    /// Starts or stops leading by the result of the election, then runs the leader's due work.
+    /// Starts or stops leading the own engine's group by the result of the election.
     void updateLeadership(TimePoint now)
     {
-        const auto position = std::find(engines().begin(), engines().end(), engine_);
-        const bool shouldLead = position != engines().end()
-            && isLeader(election_, static_cast<std::size_t>(position - engines().begin()), now);
-        if (shouldLead != leading_)
-            log_.info(shouldLead ? "leader.begin" : "leader.end", {{"members", engines().size()}});
-        if (leading_ && !shouldLead)
-            leader_->stop();
-        leading_ = shouldLead;
+        leading_ = isListed() && leadsGroup(candidate_, now);
         if (leading_)
-            leader_->runDueWork(now);
+            leader_->lead(candidate_.group, candidate_.rank);
+        else
+            leader_->stop();
     }
 
     void readReport()
@@ -154,7 +168,7 @@
                                      readingReport_ = false;
                                      if (report.has_error()) {
                                          noteEngineState(false, report.error().message);
-                                         sendLoad(unavailableLoad());
+                                         loads_->reportUnavailable(monotonicNow());
                                          return;
                                      }
                                      noteEngineState(true, "");
@@ -180,11 +194,11 @@
         if (begunAt < appliedReadBegunAt_)
             return;
         appliedReadBegunAt_ = begunAt;
-        noteHold(election_, report.heldPass.has_value(), begunAt);
+        noteOwnRank(report, begunAt);
         const bool changed = !status_ || !sameSwitchState(status_->report, report)
             || status_->accepted != orderExecutor_->acceptedVersion();
-        const bool expertsOutdated = !status_ || status_->report.map != report.map
-            || status_->report.epoch != report.epoch || status_->experts.empty();
+        const bool expertsOutdated =
+            !status_ || !sameMap(status_->report, report) || status_->experts.empty();
         RankStatus status{
             .engine = engine_, .report = report, .accepted = orderExecutor_->acceptedVersion()};
         status.readAtMilliseconds = static_cast<std::uint64_t>(
@@ -194,22 +208,34 @@
         if (!expertsOutdated)
             status.experts = status_->experts;
         status_ = status;
-        sendLoad(loadFrom(report));
+        loads_->report(report, monotonicNow());
         if (expertsOutdated && report.groupSize > 0 && !readingExperts_)
             readExperts(report);
         if (changed)
             sendStatusToLeader(status);
     }
 
+    /// Records the engine's group and rank. What is known of the leader of another group is
+    /// dropped.
+    void noteOwnRank(const RankReport &report, TimePoint begunAt)
+    {
+        if (report.group != candidate_.group) {
+            leaderAddress_.reset();
+            leaderMaps_.clear();
+            orderExecutor_->leaveGroup();
+        }
+        noteOwnReport(candidate_, report, begunAt, monotonicNow());
+        counts_->setGroup(report.group);
+        updateLeadership(monotonicNow());
+    }
+
     /// Reads the experts of a report's map. Drops the result when the map has changed meanwhile.
     void readExperts(const RankReport &report)
     {
         readingExperts_ = true;
         engineClient_.readExperts(engine_, [this, report](auto experts) {
             readingExperts_ = false;
-            const bool same = status_ && status_->report.map == report.map
-                && status_->report.epoch == report.epoch;
-            if (experts.has_error() || !same)
+            if (experts.has_error() || !status_ || !sameMap(status_->report, report))
                 return;
             status_->experts = experts.value();
             if (!leaderHasMap(report.map))
@@ -217,36 +243,6 @@
         });
     }
 
-    EngineLoad loadFrom(const RankReport &report) const
-    {
-        return {.engine = engine_,
-                .running = report.running,
-                .waiting = report.waiting,
-                .slowdown = report.slowdown,
-                .open = report.groupOpen || report.groupSize == 0,
-                .gateways = static_cast<std::uint32_t>(gateways_.size())};
-    }
-
-    /// The load reported for an engine that does not answer, such as one that is starting.
-    EngineLoad unavailableLoad() const
-    {
-        return {.engine = engine_,
-                .open = false,
-                .gateways = static_cast<std::uint32_t>(gateways_.size())};
-    }
-
-    /// Sends the engine's load to all gateways when it is due.
-    void sendLoad(const EngineLoad &load)
-    {
-        const TimePoint now = monotonicNow();
-        if (!shouldReport(sentLoad_, load, now))
-            return;
-        sentLoad_ = {.load = load, .sentAt = now};
-        const std::string bytes = encodeMessage(load);
-        for (const auto &[gateway, receivedAt] : gateways_)
-            socket_.send(gateway, bytes);
-    }
-
     /// Applies the status here when this sidecar leads; otherwise sends it to the last known
     /// leader.
     void sendStatusToLeader(const RankStatus &status)
@@ -263,7 +259,7 @@
     {
         if (leaderHasMap(status.report.map))
             status.experts.clear();
-        socket_.send(leader, encodeMessage(status));
+        link_->reply(leader, status);
     }
 
     bool leaderHasMap(std::uint64_t version) const
@@ -297,33 +293,6 @@
         });
     }
 
-    /// Sends one message to the sidecars beside many engines, and handles it here without the
-    /// network when this sidecar is among them. It is encoded once: to encode a map for each rank
-    /// would take the leader of a large group seconds.
-    void sendToAll(const std::vector<Endpoint> &engines, const GroupMessage &message)
-    {
-        const std::string bytes = encodeMessage(message);
-        std::vector<Endpoint> others;
-        for (const Endpoint &engine : engines) {
-            if (engine == engine_)
-                loop_.defer([this, message] { handle({engine_.ip, port_}, message); });
-            else
-                others.push_back(engine);
-        }
-        relay(others, bytes);
-    }
-
-    /// Sends an encoded message to sidecars, through relays when copies for all receivers would
-    /// occupy this VM's link for too long.
-    void relay(const std::vector<Endpoint> &engines, const std::string &bytes)
-    {
-        for (const RelayBranch &branch : relayPlan(engines, bytes.size(), bandwidth_)) {
-            const std::string datagram =
-                branch.rest.empty() ? bytes : encodeMessage(RelayedMessage{branch.rest, bytes});
-            socket_.send({branch.first.ip, port_}, datagram);
-        }
-    }
-
     /// Forwards a relayed message and handles it as a message from the sender of the datagram.
     void apply(const Endpoint &from, const RelayedMessage &relayed)
     {
@@ -333,7 +302,7 @@
                       {{"from", toText(from)}, {"reason", "a relayed message can't be used"}});
             return;
         }
-        relay(relayed.engines, relayed.message);
+        link_->relay(relayed.engines, relayed.message);
         handle(from, message.value());
     }
 
@@ -357,13 +326,7 @@
     /// when the hello names another one.
     void apply(const Endpoint &from, const GatewayHello &hello)
     {
-        const bool isNew = gateways_.insert_or_assign(from, monotonicNow()).second;
-        // A new gateway treats this rank as closed until the first load report, but only for a
-        // short time; then it sends requests even if the group is closed.
-        if (isNew && !engineAnswers_)
-            socket_.send(from, encodeMessage(unavailableLoad()));
-        else if (isNew && status_)
-            socket_.send(from, encodeMessage(loadFrom(status_->report)));
+        loads_->noteHello(from, monotonicNow());
         if (!shouldRequestList(listCache_, hello.listDigest, monotonicNow()))
             return;
         noteListRequested(listCache_, monotonicNow());
@@ -379,11 +342,12 @@
         setList(listCache_, list);
         // A newly listed sidecar waits for polls of a current leader before it may lead.
         if (!wasListed && isListed())
-            election_.listeningSince = monotonicNow();
+            candidate_.election.listeningSince = monotonicNow();
+        counts_->setProfile(profile());
         leader_->setEngines(listCache_.list.engines, listCache_.list.profile);
     }
 
-    /// The engine list of the service, whose sidecars are the candidates for leader.
+    /// The engine list of the service, in all its groups.
     const std::vector<Endpoint> &engines() const { return listCache_.list.engines; }
 
     const ExpertProfile &profile() const { return listCache_.list.profile; }
@@ -403,13 +367,13 @@
 
     void apply(const Endpoint &from, const RankPoll &poll)
     {
-        const TimePoint now = monotonicNow();
-        // The engine list is sorted by address, and the first live sidecar in it leads.
+        if (!isOfOwnGroup(candidate_, poll)) {
+            answerOtherGroup(from);
+            return;
+        }
         const bool own = from.ip == engine_.ip;
-        if (!own && from.ip < engine_.ip)
-            noteHigherPriorityLeader(election_, now);
         if (!own) {
-            noteLeaderPoll(election_, now);
+            notePoll(candidate_, poll, monotonicNow());
             leaderAddress_ = from;
         }
         if (!status_)
@@ -421,108 +385,25 @@
             sendStatus(from, *status_);
     }
 
-    /// Requests the counts of the engines' ranks, in as many sums as fit the link's bandwidth.
-    void requestCounts(const std::vector<Endpoint> &engines)
+    /// Answers another group's leader, which only needs to know the group of this sidecar's engine.
+    void answerOtherGroup(const Endpoint &leader)
     {
-        std::vector<Endpoint> others = engines;
-        std::erase(others, engine_);
-        sendTo(engine_, CountsPoll{});
-        requestFromBranches(others);
-    }
-
-    /// @return Number of sidecars that were asked for one sum each.
-    std::size_t requestFromBranches(const std::vector<Endpoint> &engines)
-    {
-        const auto plan = relayPlan(engines, countsBytes(), bandwidth_);
-        for (const RelayBranch &branch : plan)
-            sendTo(branch.first, CountsPoll{branch.rest});
-        return plan.size();
-    }
-
-    /// Size of one reply with the counts of all experts.
-    std::size_t countsBytes() const
-    {
-        return encodedCountsBytes(std::size_t{profile().sets} * profile().expertsPerSet);
-    }
-
-    /// Sends to the sidecar beside an engine, or handles the message here without the network.
-    void sendTo(const Endpoint &engine, const GroupMessage &message)
-    {
-        if (engine == engine_)
-            loop_.defer([this, message] { handle({engine_.ip, port_}, message); });
-        else
-            socket_.send({engine.ip, port_}, encodeMessage(message));
+        if (!status_)
+            return;
+        RankStatus status = *status_;
+        status.experts.clear();
+        link_->reply(leader, status);
     }
 
-    /// Begins an aggregation: requests the counts of the poll's engines and reads those of the own
-    /// engine.
-    void apply(const Endpoint &from, const CountsPoll &poll)
-    {
-        // Ends an earlier aggregation for the same requester; replies that it still lacks are added
-        // to the new one.
-        for (CountsAggregation &earlier : aggregations_) {
-            if (earlier.requester == from)
-                earlier.awaited = 0;
-        }
-        sendDueCounts(monotonicNow());
-        const std::size_t branches = requestFromBranches(poll.engines);
-        aggregations_.push_back(
-            {.requester = from,
-             .since = monotonicNow(),
-             .timeout = aggregationTime(poll.engines.size(), countsBytes(), bandwidth_),
-             .awaited = branches + 1,
-             .sum = {}});
-        engineClient_.readCounts(engine_, [this, from](Result<ExpertCounts> counts) {
-            if (counts.has_error() || !status_)
-                return;
-            CountsReply reply{.group = status_->report.group,
-                              .epoch = counts.value().epoch,
-                              .ranks = 1,
-                              .passes = counts.value().pass
-                                  - std::min(counts.value().pass, counts_.pass)};
-            if (reply.passes > 0)
-                reply.counts = countsSince(counts_.counts, counts.value().counts);
-            counts_ = std::move(counts.value());
-            addToAggregation(from, reply);
-        });
-    }
+    void apply(const Endpoint &from, const CountsPoll &poll) { counts_->begin(from, poll); }
 
     /// Applies the counts as the leader, or adds them to the oldest aggregation in progress.
     void apply(const Endpoint &, const CountsReply &reply)
     {
         if (leading_)
             applyAsLeader(reply);
-        else if (!aggregations_.empty())
-            addToAggregation(aggregations_.front().requester, reply);
-    }
-
-    void addToAggregation(const Endpoint &requester, const CountsReply &reply)
-    {
-        const auto found = std::find_if(aggregations_.begin(), aggregations_.end(),
-                                        [&requester](const CountsAggregation &aggregation) {
-                                            return aggregation.requester == requester;
-                                        });
-        if (found == aggregations_.end())
-            return;
-        addCounts(*found, reply);
-        sendDueCounts(monotonicNow());
-    }
-
-    /// Sends the sums of aggregations that are complete or whose timeout has passed.
-    void sendDueCounts(TimePoint now)
-    {
-        for (const CountsAggregation &aggregation : extractDue(aggregations_, now)) {
-            if (aggregation.sum.ranks > 0)
-                sendCounts(aggregation);
-        }
-    }
-
-    void sendCounts(const CountsAggregation &aggregation)
-    {
-        if (aggregation.requester.ip != engine_.ip)
-            socket_.send(aggregation.requester, encodeMessage(aggregation.sum));
-        else if (leading_)
-            applyAsLeader(aggregation.sum);
+        else
+            counts_->add(reply);
     }
 
     void apply(const Endpoint &, const RankStatus &status)
@@ -533,8 +414,10 @@
 
     void apply(const Endpoint &from, const RankCommand &command)
     {
-        const TimePoint now = monotonicNow();
-        frequentReportsUntil_ = now + frequentReportsAfterOrder;
+        // Epochs of two groups may be equal, so the engine itself would not refuse the order.
+        if (status_ && !command.group.empty() && command.group != candidate_.group)
+            return;
+        frequentReportsUntil_ = monotonicNow() + frequentReportsAfterOrder;
         const std::size_t groupSize = status_ ? status_->report.groupSize : 0;
         orderExecutor_->execute(command, from, profile(), groupSize);
     }
@@ -549,11 +432,13 @@
     EngineClient engineClient_;
     DatagramSocket socket_;
     StatusListener metricsListener_;
+    std::unique_ptr<LoadReporter> loads_;
+    std::unique_ptr<SidecarLink> link_;
+    std::unique_ptr<CountsCollector> counts_;
     std::unique_ptr<GroupLeader> leader_;
     std::unique_ptr<RankOrderExecutor> orderExecutor_;
     Endpoint engine_;
     std::uint16_t port_ = 0;
-    LinkBandwidth bandwidth_;
     std::optional<RankStatus> status_;
     /// Whether the last read of the engine's report succeeded.
     bool engineAnswers_ = true;
@@ -563,22 +448,14 @@
     /// When the read of the applied report began.
     TimePoint appliedReadBegunAt_;
     TimePoint frequentReportsUntil_;
-    /// Aggregations of counts that are in progress, the oldest first.
-    std::vector<CountsAggregation> aggregations_;
-    /// When each gateway's last hello arrived.
-    std::map<Endpoint, TimePoint> gateways_;
-    SentLoad sentLoad_;
     EngineListCache listCache_;
-    LeaderElection election_;
+    GroupCandidate candidate_;
     bool leading_ = false;
     bool decidingSoon_ = false;
-    /// Sender of the last RankPoll from another sidecar. Polls are small enough to arrive directly,
-    /// not through a relay.
+    /// Sender of the last RankPoll from another sidecar of the own group.
     std::optional<Endpoint> leaderAddress_;
     /// Versions of maps that the leader has whole, by its last poll.
     std::vector<std::uint64_t> leaderMaps_;
-    /// The engine's expert counts as last read; a reply holds the difference to them.
-    ExpertCounts counts_;
 };
 
 Result<void> Sidecar::check(const platform::ProcessSettings &settings)
--- a/Source/Programs/Sidecar/Sidecar.h
+++ b/Source/Programs/Sidecar/Sidecar.h
@@ -9,7 +9,7 @@
 namespace wisteria {
 
 /// The process beside a model engine. It sends the engine's load to the gateways and the leader's
-/// orders to the engine. One sidecar of each service leads all groups of the service.
+/// orders to the engine. One sidecar of each group leads the group.
 class Sidecar
 {
 public:
--- a/Source/Programs/Sidecar/SidecarMetrics.cpp
+++ b/Source/Programs/Sidecar/SidecarMetrics.cpp
@@ -44,7 +44,7 @@
                 static_cast<double>(state.report.map));
     metrics.set("wisteria_group_held", "1 while the own rank holds its group",
                 state.report.heldPass ? 1 : 0);
-    metrics.set("wisteria_leader", "1 while this sidecar leads its service's groups",
+    metrics.set("wisteria_leader", "1 while this sidecar leads its engine's group",
                 state.leading ? 1 : 0);
     metrics.set("wisteria_gateways", "Gateways that are told the engine's load",
                 static_cast<double>(state.gateways));
