Test stand-ins: lost history, failure domains, logs of a gateway

Cause: tests of evacuations need a store that has deleted its history, backend servers in several failure domains, and the log of a gateway, which only the tests of store outages could read.

Change: StoreStandIn answers 410 to reads from before forgetHistory(); addBackend() takes the domain; LoggedGateway moves into a header.

--- a/Tests/Gateway/GatewayUnderTest.h
+++ b/Tests/Gateway/GatewayUnderTest.h
@@ -96,12 +96,12 @@
     void configure(int version = 1) { store.put("keyed.op", "config", configurationOf(version)); }
 
     void addBackend(const std::string &id, const std::string &service, const ScriptedServer &server,
-                    const std::string &state = "ready")
+                    const std::string &state = "ready", const std::string &domain = "a")
     {
         store.put("keyed.servers", id,
                   {{"service", service},
                    {"address", toText(server.endpoint())},
-                   {"zone", "a"},
+                   {"zone", domain},
                    {"slot_count", 4},
                    {"state", state}});
     }
--- /dev/null
+++ b/Tests/Gateway/LoggedGateway.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <csignal>
+#include <fstream>
+#include <string>
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "Gateway/GatewayUnderTest.h"
+
+namespace wisteria::gateway_tests {
+
+/// A gateway process that writes its log to a file.
+class LoggedGateway
+{
+public:
+    explicit LoggedGateway(const Endpoint &store)
+    {
+        const std::string settings =
+            writeSettings("front-1", {.store = store, .callers = callers_});
+        path_ = settings + ".lines";
+        const int output = ::open(path_.c_str(), O_CREAT | O_WRONLY | O_CLOEXEC, 0600);
+        child_ = startProgram("wisteria-gateway", settings,
+                              {"--metrics-port", std::to_string(freePort())}, output);
+        ::close(output);
+    }
+
+    ~LoggedGateway()
+    {
+        ::kill(child_, SIGKILL);
+        ::waitpid(child_, nullptr, 0);
+    }
+
+    LoggedGateway(const LoggedGateway &) = delete;
+    LoggedGateway &operator=(const LoggedGateway &) = delete;
+
+    const Endpoint &callers() const { return callers_; }
+
+    /// The first line of an event whose field has this value; null if there is none yet.
+    nlohmann::json line(const std::string &event, const std::string &field,
+                        const std::string &value) const
+    {
+        std::ifstream lines(path_);
+        for (std::string text; std::getline(lines, text);) {
+            const nlohmann::json line = nlohmann::json::parse(text, nullptr, false);
+            if (line.is_object() && line.value("event", "") == event
+                && line.value(field, "") == value)
+                return line;
+        }
+        return nullptr;
+    }
+
+    /// Waits for such a line.
+    /// @return The line; null if none came in time.
+    nlohmann::json waitForLine(const std::string &event, const std::string &field,
+                               const std::string &value) const
+    {
+        nlohmann::json found;
+        eventually([&] {
+            found = line(event, field, value);
+            return !found.is_null();
+        });
+        return found;
+    }
+
+private:
+    Endpoint callers_{INADDR_LOOPBACK, freePort()};
+    std::string path_;
+    pid_t child_ = -1;
+};
+
+} // namespace wisteria::gateway_tests
--- a/Tests/Gateway/StoreStandIn.cpp
+++ b/Tests/Gateway/StoreStandIn.cpp
@@ -56,6 +56,13 @@
     appended_.notify_all();
 }
 
+void StoreStandIn::forgetHistory()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto &[topic, log] : logs_)
+        oldest_[topic] = log.size();
+}
+
 void StoreStandIn::answer(const SeenRequest &request, ScriptPeer &peer)
 {
     const std::string target = request.target();
@@ -79,7 +86,7 @@
     const std::size_t from = std::stoul(queryValue(target, "from"));
     waitForRecord(topic, from, milliseconds(std::stol(queryValue(target, "wait_ms"))));
     if (!isDropped(request, silentAtArrival))
-        peer.send(plainResponse(200, "", read(topic, from)));
+        peer.send(read(topic, from));
 }
 
 void StoreStandIn::appendRecord(const std::string &topic, const std::string &record)
@@ -122,12 +129,14 @@
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     const std::vector<Record> &log = logs_[topic];
-    std::string bytes = bigEndian(log.size(), 8) + bigEndian(0, 8);
+    if (from < oldest_[topic])
+        return plainResponse(410, "", "");
+    std::string bytes = bigEndian(log.size(), 8) + bigEndian(oldest_[topic], 8);
     for (std::size_t i = from; i < log.size(); ++i) {
         const std::string content = bigEndian(log[i].key.size(), 1) + log[i].key + log[i].value;
         bytes += bigEndian(content.size(), 4) + content;
     }
-    return bytes;
+    return plainResponse(200, "", bytes);
 }
 
 } // namespace wisteria::gateway_tests
--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -32,6 +32,10 @@
     /// Appends a record. An empty value removes the key.
     void append(const std::string &topic, const std::string &key, const std::string &value);
 
+    /// Deletes the records' history and keeps the newest record of each key. A read from an earlier
+    /// offset is answered with 410.
+    void forgetHistory();
+
     /// Sets whether every request from now on is answered with 503.
     void setUnavailable(bool unavailable) { unavailable_ = unavailable; }
 
@@ -68,12 +72,15 @@
     bool isDropped(const SeenRequest &request, bool silentAtArrival) const;
     void waitForRecord(const std::string &topic, std::size_t from, milliseconds wait);
     std::string newest(const std::string &topic);
+    /// Returns the answer to a read of the log.
     std::string read(const std::string &topic, std::size_t from);
 
     std::mutex mutex_;
     std::condition_variable appended_;
     bool stopping_ = false;
     std::map<std::string, std::vector<Record>> logs_;
+    /// Oldest offset of each topic that can still be read.
+    std::map<std::string, std::size_t> oldest_;
     std::atomic<bool> unavailable_ = false;
     std::atomic<bool> refusesAppends_ = false;
     std::atomic<bool> keptConnectionsSilent_ = false;
