Evacuate failure domains by records of the operator

Cause: the operator could take a failure domain out of use only by draining each of its backend servers.

Change: the gateway applies records with the key evacuate/DOMAIN from its watch of the operator's topic (OperatorRecords, which takes over the configuration from Gateway). The evacuated domains are part of the BackendRegistry (EvacuatedDomains), and chooseBackend() excludes their servers. Requests that only these servers could take are refused at once, also those that wait already (NoBackendReason::Evacuated). When evacuations change, waiting requests are dispatched again. New log lines domain.*, and metrics for the number of evacuated domains and the age of each evacuation.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -38,17 +38,6 @@
     }
 }
 
-const char *refusalReason(NoBackendReason reason, bool mayWait)
-{
-    if (reason == NoBackendReason::BackingOff)
-        return "all backend servers asked for rest";
-    if (reason == NoBackendReason::AtLimit)
-        return "the limits of all backend servers are used up";
-    if (reason != NoBackendReason::AllFull)
-        return "no backend server takes work";
-    return mayWait ? "all places are taken" : "too many wait for a place";
-}
-
 } // namespace
 
 Exchange::Exchange(GatewayContext &context, AnswerSink &sink, GatewayRequest request, Access access,
@@ -97,7 +86,9 @@
         queueTimeoutAt(
             context_.admissionTimeouts, choice.reason,
             {.arrived = arrived_, .deadline = deadline_, .targetLatency = route_.targetLatency}));
-    const bool mayWait = countedInQueue_ || shouldWait(choice, now);
+    // An evacuation may last for hours, so a request that waits already is refused at once too.
+    const bool mayWait =
+        choice.reason != NoBackendReason::Evacuated && (countedInQueue_ || shouldWait(choice, now));
     if (now < waitUntil_ && mayWait) {
         markPermitWanted(context_.registry.limits, choice.preferredAtLimit, now);
         joinAdmissionQueue();
@@ -344,7 +335,7 @@
                                    : NoBackendReason::NoneAvailable};
     if (retry) {
         const BackendChoice choice = chooseNext(maxLoadAfterFailure, now);
-        if (choice.retryAt != TimePoint())
+        if (choice.retryAt != TimePoint() || choice.reason == NoBackendReason::Evacuated)
             refusalCause = choice;
         if (choice.backend != nullptr) {
             countRetry(context_.metrics, service_,
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -14,12 +14,12 @@
 #include "Programs/Gateway/GatewayDirectory.h"
 #include "Programs/Gateway/GatewayMetrics.h"
 #include "Programs/Gateway/LimitPermits.h"
+#include "Programs/Gateway/OperatorRecords.h"
 #include "Programs/Gateway/Session.h"
 #include "Programs/Gateway/SidecarHellos.h"
 #include "Programs/Gateway/StorePolling.h"
 #include "Programs/Gateway/StoreWatch.h"
 #include "Version/GroupMessages.h"
-#include "platform/ConfigurationCodec.h"
 
 namespace wisteria {
 
@@ -81,6 +81,7 @@
                                  .routes = nullptr,
                                  .rereadBackends =
                                      [this] { backendsWatch_->readSoon(monotonicNow()); }},
+          operatorRecords_(context_, [this] { scheduleDispatch(); }),
           backendList_(registry_, log_, backendsPollInterval(settings_.drainTime)),
           callerListener_(loop_, [this](int descriptor) { acceptCaller(descriptor); }),
           readinessListener_(
@@ -129,15 +130,16 @@
             loop_, pool_, log_, metrics_, settings_.storeEndpoint,
             WatchPlan{"configuration", platform::operatorTopic,
                       configurationLongPollTime(settings_.configurationApplyTime), milliseconds(0)},
-            WatchEvents{.record = [this](const auto &record) { applyConfiguration(record); },
-                        .snapshot =
-                            [this](const auto &records) {
-                                for (const auto &record : records)
-                                    applyConfiguration(record);
-                            },
-                        .reconnected = [] {},
-                        .answered = [this](TimePoint at) { context_.configurationReadAt = at; },
-                        .upToDate = [](TimePoint) {}});
+            WatchEvents{
+                .record =
+                    [this](const auto &record) { operatorRecords_.apply(record, monotonicNow()); },
+                .snapshot =
+                    [this](const auto &records) {
+                        operatorRecords_.applyAll(records, monotonicNow());
+                    },
+                .reconnected = [] {},
+                .answered = [this](TimePoint at) { context_.configurationReadAt = at; },
+                .upToDate = [](TimePoint) {}});
         backendsWatch_ = std::make_unique<StoreWatch>(
             loop_, pool_, log_, metrics_, settings_.storeEndpoint,
             WatchPlan{"backends", platform::backendsTopic, milliseconds(0),
@@ -153,29 +155,11 @@
                     [this](TimePoint at) {
                         noteListRead(registry_, at);
                         context_.backendsKnown = backendList_.known();
+                        operatorRecords_.logUnknownDomains();
                         scheduleDispatch();
                     }});
     }
 
-    void applyConfiguration(const platform::KeyedRecord &record)
-    {
-        if (record.key != platform::configurationKey || record.value.empty())
-            return;
-        auto decoded = platform::decodeConfiguration(record.value);
-        if (decoded.has_error()) {
-            log_.warn("config.refused", {{"reason", decoded.error().message}});
-            return;
-        }
-        const std::uint64_t version = decoded.value().version;
-        // If the store no longer has the next record, the newest records are read again. They must
-        // not restore an older version.
-        if (context_.routes && version <= context_.routes->configuration().version)
-            return;
-        context_.routes = std::make_shared<const RouteTable>(
-            std::make_shared<const ServiceConfiguration>(std::move(decoded.value())));
-        log_.info("config.in_force", {{"version", version}, {"offset", record.offset}});
-    }
-
     void receiveMessage(const Endpoint &from, std::string_view bytes)
     {
         const auto message = decodeMessage(bytes);
@@ -314,6 +298,7 @@
         }
         for (const ServiceSlots &slots : slotsOf(registry_, now))
             setSlots(metrics_, slots);
+        operatorRecords_.updateMetrics(now);
         updateStoreAge("configuration", *configurationWatch_, now);
         updateStoreAge("backends", *backendsWatch_, now);
         return metrics_.text();
@@ -424,6 +409,7 @@
     HttpClientPool pool_;
     BackendRegistry registry_;
     GatewayContext context_;
+    OperatorRecords operatorRecords_;
     BackendList backendList_;
     TcpListener callerListener_;
     StatusListener readinessListener_;
--- a/Source/Programs/Gateway/GatewayMetrics.cpp
+++ b/Source/Programs/Gateway/GatewayMetrics.cpp
@@ -105,6 +105,19 @@
                 retries, {{"service", service}});
 }
 
+void setEvacuatedDomains(Metrics &metrics, std::size_t domains)
+{
+    metrics.set("wisteria_evacuated_domains", "Failure domains that get no requests",
+                static_cast<double>(domains));
+}
+
+void setEvacuationAge(Metrics &metrics, const std::string &domain, milliseconds age)
+{
+    metrics.set("wisteria_evacuation_age_seconds",
+                "Since the gateway learned that a failure domain is evacuated; 0 after the end",
+                secondsOf(age), {{"domain", domain}});
+}
+
 void setGatewayState(Metrics &metrics, const GatewayState &state)
 {
     metrics.set("wisteria_configuration_version", "Version of the configuration in force; 0: none",
--- a/Source/Programs/Gateway/GatewayMetrics.h
+++ b/Source/Programs/Gateway/GatewayMetrics.h
@@ -62,6 +62,9 @@
 void setStoreAge(Metrics &metrics, const std::string &what, milliseconds sinceAnswer);
 void setSlots(Metrics &metrics, const ServiceSlots &slots);
 void setRetriesLeft(Metrics &metrics, const std::string &service, double retries);
+void setEvacuatedDomains(Metrics &metrics, std::size_t domains);
+/// @param age Since this gateway learned of the evacuation; 0 after its end.
+void setEvacuationAge(Metrics &metrics, const std::string &domain, milliseconds age);
 
 /// State of the whole gateway at the time of a scrape.
 struct GatewayState
--- a/Source/Request/AdmissionTimeouts.h
+++ b/Source/Request/AdmissionTimeouts.h
@@ -51,6 +51,7 @@
     case NoBackendReason::None:
     case NoBackendReason::NoneAvailable:
     case NoBackendReason::AllTried:
+    case NoBackendReason::Evacuated:
         return request.arrived;
     }
     return request.arrived;
--- a/Source/Request/BackendRegistry.cpp
+++ b/Source/Request/BackendRegistry.cpp
@@ -179,6 +179,7 @@
 {
     bool notOpen = false;
     bool tried = false;
+    bool evacuated = false;
     /// Earliest end of a backoff.
     std::optional<TimePoint> backoffEnds;
 };
@@ -212,11 +213,16 @@
     // expensive.
     const bool anySignals = !registry.limits.empty() || !registry.backoffUntil.empty()
         || !registry.drainingSince.empty();
+    const bool anyEvacuated = !registry.evacuatedDomains.empty();
     for (auto &[id, state] : registry.backends) {
         if (state.entry.service != criteria.service || state.entry.draining || state.replaced)
             continue;
         if (anySignals && registry.drainingSince.contains(id))
             continue;
+        if (anyEvacuated && registry.evacuatedDomains.contains(state.entry.failureDomain)) {
+            exclusions.evacuated = true;
+            continue;
+        }
         if (const auto backoffEnds = anySignals ? backoffOf(registry, id, now) : std::nullopt) {
             exclusions.backoffEnds =
                 std::min(exclusions.backoffEnds.value_or(*backoffEnds), *backoffEnds);
@@ -248,6 +254,8 @@
         return {.reason = NoBackendReason::AllTried};
     if (exclusions.backoffEnds)
         return {.reason = NoBackendReason::BackingOff, .retryAt = *exclusions.backoffEnds};
+    if (exclusions.evacuated)
+        return {.reason = NoBackendReason::Evacuated};
     return {.reason = NoBackendReason::NoneAvailable};
 }
 
--- a/Source/Request/BackendRegistry.h
+++ b/Source/Request/BackendRegistry.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Process/Time.h"
+#include "Request/EvacuatedDomains.h"
 #include "Request/GatewayRequest.h"
 #include "Request/ServerLimit.h"
 #include "Version/BackendEntry.h"
@@ -77,6 +78,8 @@
     /// Start times of servers whose entry is gone but that have a limit, a backoff or a draining
     /// state above. They reveal a restart under the same id.
     std::map<std::string, std::uint64_t> expiredStartTimes;
+    /// Failure domains whose backend servers get no requests.
+    EvacuatedDomains evacuatedDomains;
 };
 
 /// Adds or updates a backend server from its entry in the store. A restarted server begins with
@@ -208,7 +211,7 @@
 };
 
 /// Why no backend server was chosen. Without a candidate, the first that applies of NotOpen,
-/// AllTried, BackingOff and NoneAvailable is the reason.
+/// AllTried, BackingOff, Evacuated and NoneAvailable is the reason.
 enum class NoBackendReason {
     None, ///< A backend server was chosen.
     NoneAvailable, ///< The service has no backend server, or all are draining or replaced.
@@ -217,6 +220,7 @@
     NotOpen, ///< No candidate is left; some are not open, see isOpen().
     BackingOff, ///< No candidate is left; some asked this gateway for backoff.
     AtLimit, ///< Each with a free slot has a rate limit, and this gateway has no permit for it.
+    Evacuated, ///< No candidate is left; some are in failure domains that are evacuated.
 };
 
 /// Result of chooseBackend().
@@ -236,6 +240,8 @@
 
 /// Chooses a backend server for a request.
 ///
+/// Servers in evacuated failure domains are never chosen, whatever the request is sent for.
+///
 /// Slow servers are dropped unless all are slow; this applies separately to the servers that are at
 /// their rate limit and to the others. Servers over `maxLoad` or, with `withinFreeShare`, over this
 /// gateway's share of free slots are never chosen. Of the rest, those that are not avoided come
--- a/Tests/Gateway/MetricsTest.cpp
+++ b/Tests/Gateway/MetricsTest.cpp
@@ -106,6 +106,8 @@
     setStoreAge(metrics, "t", milliseconds(1));
     setSlots(metrics, {.service = "s"});
     setRetriesLeft(metrics, "s", 1);
+    setEvacuatedDomains(metrics, 1);
+    setEvacuationAge(metrics, "a", milliseconds(1));
     setGatewayState(metrics, {});
     GroupSwitch group;
     group.heldSince = TimePoint(seconds(1));
