Soak: evacuations of failure domains

Cause: the soak had one failure domain and no evacuations, so nothing showed whether requests reach an evacuated domain under faults.

Change: the servers are in two domains. Evacuations begin and end at random, from a generator of their own, so that seeds keep their other faults. They also begin while the gateways can't reach the store. A request that arrives in an evacuated domain is a violation 5 s after the record was written, or after the store was reachable again if it was cut off in these 5 s. After the faults one domain is evacuated for the recovery time, requests must be served by the other one, and arrive in it again after the evacuation; then all is verified as before.

--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -15,11 +15,15 @@
     {LinkFault::AnswersBlocked, "blocked towards the client"},
 }};
 
+/// Makes the generator of evacuations independent of those of neighbouring seeds.
+constexpr std::uint64_t evacuationSeedOffset = 0x9E3779B97F4A7C15;
+
 } // namespace
 
 SoakFaults::SoakFaults(Fleet &fleet, std::uint64_t seed,
                        std::function<void(const std::string &)> log)
-    : fleet_(fleet), random_(seed), signalRandom_(~seed), log_(std::move(log))
+    : fleet_(fleet), random_(seed), signalRandom_(~seed),
+      evacuationRandom_(seed + evacuationSeedOffset), log_(std::move(log))
 { }
 
 std::size_t SoakFaults::randomBelow(std::size_t bound)
@@ -50,6 +54,8 @@
         ending.end();
     if (now >= nextSignalAt_)
         startServerSignal(now);
+    if (now >= nextEvacuationAt_)
+        startEvacuation(now);
     if (now < nextAt_)
         return;
     nextAt_ = now + randomDuration(100, 700);
@@ -104,18 +110,18 @@
     switch (randomBelow(3)) {
     case 0:
         log_("link of the store is reset");
-        fleet_.storeLink().resetConnections();
+        fleet_.resetStoreLink();
         return;
     case 1:
         log_("the store is unavailable" + times);
-        fleet_.store().setUnavailable(true);
-        scheduleEnd(now + length, [this] { fleet_.store().setUnavailable(false); });
+        fleet_.setStoreUnavailable(true);
+        scheduleEnd(now + length, [this] { fleet_.setStoreUnavailable(false); });
         return;
     default:
         const auto &[fault, description] = linkFaults.at(randomBelow(linkFaults.size()));
         log_("link of the store is " + std::string(description) + times);
-        fleet_.storeLink().setFault(fault);
-        scheduleEnd(now + length, [this] { fleet_.storeLink().setFault(LinkFault::None); });
+        fleet_.setStoreLinkFault(fault);
+        scheduleEnd(now + length, [this] { fleet_.setStoreLinkFault(LinkFault::None); });
         return;
     }
 }
@@ -159,6 +165,20 @@
     scheduleEnd(now + length, [this, server] { fleet_.setSignal(server, ServerSignal::None); });
 }
 
+/// Some evacuations last longer than the bound, some overlap, and some domains are evacuated twice.
+void SoakFaults::startEvacuation(TimePoint now)
+{
+    const auto randomInt = [this](int low, int high) {
+        return std::uniform_int_distribution<int>(low, high)(evacuationRandom_);
+    };
+    nextEvacuationAt_ = now + milliseconds(randomInt(1000, 5000));
+    const std::string &domain = Fleet::domains().at(static_cast<std::size_t>(randomInt(0, 1)));
+    const milliseconds length{randomInt(500, 9000)};
+    log_("domain " + domain + " is evacuated for " + std::to_string(length.count()) + " ms");
+    fleet_.setEvacuated(domain, true);
+    scheduleEnd(now + length, [this, domain] { fleet_.setEvacuated(domain, false); });
+}
+
 void SoakFaults::injectOperationalEvent(TimePoint now)
 {
     const milliseconds length = randomDuration(300, 2000);
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -23,6 +23,12 @@
 constexpr unsigned abortEvery = 3;
 const std::string seal = "Wisteriawind-Response-Seal: soak\r\n";
 
+/// Failure domain of a backend server.
+const std::string &domainOf(std::size_t server)
+{
+    return Fleet::domains().at(server % Fleet::domains().size());
+}
+
 std::uint16_t freePort()
 {
     const ScriptedServer server([](const SeenRequest &, ScriptPeer &) {});
@@ -207,14 +213,59 @@
     store_.put("keyed.servers", "server-" + std::to_string(server),
                {{"service", "all"},
                 {"address", toText(serverLinks_[server]->endpoint())},
-                {"zone", "a"},
+                {"zone", domainOf(server)},
                 {"slot_count", 16},
                 {"state", draining ? "draining" : "ready"}});
 }
 
+const std::array<std::string, 2> &Fleet::domains()
+{
+    static const std::array<std::string, 2> domains = {"a", "b"};
+    return domains;
+}
+
+void Fleet::setEvacuated(const std::string &domain, bool evacuated)
+{
+    if (!evacuated)
+        evacuations_.end(domain);
+    store_.append("keyed.op", "evacuate/" + domain, evacuated ? "{}" : "");
+    if (evacuated)
+        evacuations_.begin(domain, monotonicNow());
+}
+
+void Fleet::setStoreUnavailable(bool unavailable)
+{
+    store_.setUnavailable(unavailable);
+    evacuations_.setStoreCut("unavailable", unavailable, monotonicNow());
+}
+
+void Fleet::setStoreLinkFault(LinkFault fault)
+{
+    storeLink_->setFault(fault);
+    const bool cut = fault != LinkFault::None && fault != LinkFault::Delayed;
+    evacuations_.setStoreCut("link", cut, monotonicNow());
+}
+
+std::size_t Fleet::arrivalsIn(const std::string &domain) const
+{
+    std::size_t sum = 0;
+    for (std::size_t server = 0; server < arrivals_.size(); ++server)
+        sum += domainOf(server) == domain ? arrivals_.at(server).load() : 0;
+    return sum;
+}
+
+void Fleet::noteArrival(std::size_t server, const std::string &id)
+{
+    ++arrivals_.at(server);
+    if (evacuations_.forbids(domainOf(server), monotonicNow()))
+        recorder_.noteViolation(id + " arrived at server-" + std::to_string(server)
+                                + " in an evacuated domain");
+}
+
 void Fleet::answer(std::size_t server, const SeenRequest &request, ScriptPeer &peer)
 {
     const std::string id = request.header("Wisteriawind-Attempt-Id");
+    noteArrival(server, id);
     const ServerSignal serverSignal = signals_.at(server);
     if (serverSignal == ServerSignal::Backoff) {
         peer.send(plainResponse(503,
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -12,6 +12,7 @@
 #include <sys/types.h>
 
 #include "Gateway/StoreStandIn.h"
+#include "Soak/EvacuationCheck.h"
 #include "Soak/FaultProxy.h"
 
 namespace wisteria::soak {
@@ -84,8 +85,10 @@
     RunRecorder &recorder() { return recorder_; }
     std::vector<std::unique_ptr<GatewayProcess>> &gateways() { return gateways_; }
     std::vector<std::unique_ptr<FaultProxy>> &serverLinks() { return serverLinks_; }
-    FaultProxy &storeLink() { return *storeLink_; }
-    gateway_tests::StoreStandIn &store() { return store_; }
+    /// Sets whether the store answers all calls with 503.
+    void setStoreUnavailable(bool unavailable);
+    void setStoreLinkFault(LinkFault fault);
+    void resetStoreLink() { storeLink_->resetConnections(); }
     /// Publishes a new configuration version, with or without the organisation "spare".
     void publish(bool withSpareOrganisation);
     /// Sets whether the backend servers abort some of the streams.
@@ -96,8 +99,16 @@
     }
     /// Writes a server's record in the configuration store as draining or ready.
     void setDraining(std::size_t server, bool draining);
+    /// Writes or deletes the operator's record that evacuates a failure domain. This also works
+    /// while the gateways can't reach the store.
+    void setEvacuated(const std::string &domain, bool evacuated);
+    /// Failure domains of the backend servers; the gateways are in the first one.
+    static const std::array<std::string, 2> &domains();
+    /// Number of requests that have arrived in a failure domain.
+    std::size_t arrivalsIn(const std::string &domain) const;
 
 private:
+    void noteArrival(std::size_t server, const std::string &id);
     void answer(std::size_t server, const gateway_tests::SeenRequest &request,
                 gateway_tests::ScriptPeer &peer);
     void stream(const gateway_tests::SeenRequest &request, const std::string &fields,
@@ -105,6 +116,8 @@
 
     RunRecorder recorder_;
     std::array<std::atomic<ServerSignal>, 4> signals_{};
+    std::array<std::atomic<std::size_t>, 4> arrivals_{};
+    EvacuationCheck evacuations_;
     std::atomic<bool> abortingStreams_ = false;
     std::atomic<unsigned> streams_ = 0;
     int version_ = 0;
--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -57,6 +57,36 @@
     return false;
 }
 
+/// Counts the requests of a while without faults and checks that they are served.
+SoakCounts verifyServed(Fleet &fleet, SoakClients &clients, const std::string &phase)
+{
+    clients.takeCounts();
+    sleepFor(verificationTime);
+    const SoakCounts counts = clients.takeCounts();
+    const double servedFraction = static_cast<double>(counts.complete)
+        / static_cast<double>(std::max<std::size_t>(1, counts.sent));
+    if (servedFraction < minServedFraction)
+        fleet.recorder().noteViolation(phase + " " + std::to_string(counts.complete) + " of "
+                                       + std::to_string(counts.sent)
+                                       + " requests got a complete answer");
+    return counts;
+}
+
+/// Checks that requests arrive in a domain within the bound after the end of its evacuation.
+void checkUsedAgain(Fleet &fleet, const std::string &domain)
+{
+    const std::size_t before = fleet.arrivalsIn(domain);
+    const TimePoint end = monotonicNow() + evacuationBound;
+    while (fleet.arrivalsIn(domain) == before) {
+        if (monotonicNow() >= end) {
+            fleet.recorder().noteViolation("no request arrives in domain " + domain
+                                           + " after its evacuation");
+            return;
+        }
+        sleepFor(milliseconds(10));
+    }
+}
+
 void checkRefusedRequests(Fleet &fleet, const SoakClients &clients)
 {
     for (const std::string &id : clients.refusedIds()) {
@@ -100,17 +130,15 @@
     }
     faults.endAll();
     const SoakCounts underFaults = clients.takeCounts();
-    sleepFor(recoveryTime);
-    clients.takeCounts();
-    sleepFor(verificationTime);
-    const SoakCounts afterRecovery = clients.takeCounts();
+    // Without a cut of the store the bound of this evacuation is checked in each run.
+    const std::string &domain = Fleet::domains().at(seed % Fleet::domains().size());
+    fleet.setEvacuated(domain, true);
+    sleepFor(std::max(recoveryTime, evacuationBound));
+    verifyServed(fleet, clients, "during an evacuation");
+    fleet.setEvacuated(domain, false);
+    checkUsedAgain(fleet, domain);
+    const SoakCounts afterRecovery = verifyServed(fleet, clients, "after recovery");
     clients.stop();
-    const double servedFraction = static_cast<double>(afterRecovery.complete)
-        / static_cast<double>(std::max<std::size_t>(1, afterRecovery.sent));
-    if (servedFraction < minServedFraction)
-        fleet.recorder().noteViolation("after recovery " + std::to_string(afterRecovery.complete)
-                                       + " of " + std::to_string(afterRecovery.sent)
-                                       + " requests got a complete answer");
     checkRefusedRequests(fleet, clients);
     stopAll(fleet);
     const std::vector<std::string> violations = fleet.recorder().violations();
