Poll engines of other groups less often where there are more groups

Cause: the leader of each group polls the engines of all others every 2 s, so with nine groups an engine got 9 polls a second instead of 5.

Change: the interval is multiplied by the number of other groups. An engine gets half a poll a second more, however many groups there are (worked out).

--- a/Source/Version/GroupMembers.cpp
+++ b/Source/Version/GroupMembers.cpp
@@ -1,6 +1,8 @@
 #include "Version/GroupMembers.h"
 
 #include <algorithm>
+#include <set>
+#include <string>
 
 namespace wisteria {
 
@@ -23,6 +25,17 @@
     return engines;
 }
 
+/// Returns the number of groups other than the leader's.
+std::size_t otherGroups(const GroupMembers &members)
+{
+    std::set<std::string> groups;
+    for (const auto &[engine, membership] : members.engines) {
+        if (inOtherGroup(members, membership))
+            groups.insert(membership.group);
+    }
+    return groups.size();
+}
+
 } // namespace
 
 milliseconds rankPollPeriod(std::size_t engines, bool switching)
@@ -91,7 +104,9 @@
     if (now - members.polledAt < period)
         return {};
     members.polledAt = now;
-    const bool all = !allRanksAreKnown || now - members.polledOthersAt >= otherGroupsPollPeriod;
+    const milliseconds othersPeriod =
+        otherGroupsPollPeriod * static_cast<int>(std::max<std::size_t>(otherGroups(members), 1));
+    const bool all = !allRanksAreKnown || now - members.polledOthersAt >= othersPeriod;
     if (all)
         members.polledOthersAt = now;
     return enginesWhere(members, [&members, all](const EngineMembership &engine) {
--- a/Source/Version/GroupMembers.h
+++ b/Source/Version/GroupMembers.h
@@ -42,8 +42,9 @@
 /// because decoding the replies uses up the leader's share of a core.
 constexpr milliseconds pollPeriodSwitching{60};
 constexpr std::size_t enginesPerPollPeriod = 16;
-/// Interval between two polls of the engines of other groups, which may come back in this group.
-/// Each leader polls all of them, so their number of polls grows with the number of groups.
+/// Interval between two polls of the engines of other groups, which may come back in this group,
+/// for each other group: the leaders of all groups poll an engine, and together they must not add
+/// more polls when there are more groups.
 constexpr milliseconds otherGroupsPollPeriod{2000};
 /// After this time without a message from a sidecar the leader reads the rank's state directly from
 /// the engine: the rank beside a dead sidecar may hold the group.
