Limit the requests to cold backend servers

Cause: a backend server of a service with a cold rate crashes if it gets requests well above that rate after a start, and it may be cold before any gateway knows.

Change: a gateway sends a server of such a service no more than its share of the bound in any second, whether the server is known to be cold or not. A cold phase that an entry or an answer states is a second source of ServerLimit beside the advertised limit: the cold rate, then a slow start. Permit requests carry the rate as additional elements, for an owner that does not know of the phase. Warm servers are chosen before cold ones. The ranking of candidates moves to BackendRanking. A limit owner keeps the bucket of a limit that was advertised long ago while permits are requested; it was removed before a permit was due, so that the limit could not be used again.

--- a/Source/Programs/Gateway/BackendList.cpp
+++ b/Source/Programs/Gateway/BackendList.cpp
@@ -50,7 +50,30 @@
                    {"offset", record.offset}});
     }
     entry.value().recordOffset = record.offset;
+    const bool wasCold = isCold(registry_.cold, record.key, now);
     putBackend(registry_, entry.value(), now);
+    logColdPhase(entry.value(), wasCold, now);
+}
+
+void BackendList::logColdPhase(const BackendEntry &entry, bool wasCold, TimePoint now)
+{
+    const bool cold = isCold(registry_.cold, entry.id, now);
+    const double perSecond = coldRateOf(registry_.cold, entry.service);
+    if (cold && !wasCold) {
+        const milliseconds time = remaining(now, registry_.cold.phases.at(entry.id).until);
+        log_.info("backend.cold",
+                  {{"backend", entry.id}, {"for_s", secondsOf(time)}, {"per_second", perSecond}});
+    }
+    std::string problem = entry.coldProblem;
+    if (problem.empty() && cold && registry_.cold.configured && perSecond == 0) {
+        problem = "the server is cold, but its service has no 'cold_per_s' above 0, so its rate is "
+                  "not limited; add it to the configuration";
+    }
+    // Each record of a server repeats the problem, often with another number.
+    if (problem.empty())
+        badColdTimes_.erase(entry.id);
+    else if (badColdTimes_.insert(entry.id).second)
+        log_.warn("backend.bad_cold_time", {{"backend", entry.id}, {"reason", problem}});
 }
 
 void BackendList::applyAll(const std::vector<platform::KeyedRecord> &records, TimePoint now)
@@ -84,11 +107,14 @@
         return;
     }
     log_.info("backend.gone", {{"backend", id}});
+    badColdTimes_.erase(id);
     removeBackend(registry_, id);
 }
 
 void BackendList::checkTimeouts(TimePoint now)
 {
+    for (const std::string &id : endColdPhases(registry_.cold, now))
+        log_.info("backend.warm", {{"backend", id}});
     for (auto entry = missing_.begin(); entry != missing_.end();) {
         if (now < entry->second) {
             ++entry;
--- a/Source/Programs/Gateway/BackendList.h
+++ b/Source/Programs/Gateway/BackendList.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,7 +28,7 @@
     void applyAll(const std::vector<platform::KeyedRecord> &records, TimePoint now);
     /// Starts the time for which missing servers are kept, as the store answers again.
     void storeReconnected(TimePoint now);
-    /// Removes servers that are still missing after that time.
+    /// Removes servers that are still missing after that time, and ends cold phases.
     void checkTimeouts(TimePoint now);
 
     /// Whether the whole list has been read once.
@@ -35,6 +36,8 @@
 
 private:
     void remove(const std::string &id, TimePoint now);
+    /// Logs that a server became cold, and a wrong cold time in its entry.
+    void logColdPhase(const BackendEntry &entry, bool wasCold, TimePoint now);
 
     BackendRegistry &registry_;
     EventLog &log_;
@@ -44,6 +47,8 @@
     TimePoint keepMissingUntil_;
     /// Servers that are missing after an outage, and until when they are kept.
     std::map<std::string, TimePoint> missing_;
+    /// Servers with a wrong cold time in their entry, which has been logged.
+    std::set<std::string> badColdTimes_;
 };
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -146,7 +146,7 @@
     backendId_ = backend.entry.id;
     tried_.push_back(backendId_);
     ++backend.ownInFlight;
-    consumePermit(context_.registry.limits, backendId_, now);
+    noteSend(context_.registry, backend, now);
     sentAt_ = now;
     pauseBegunAt_ = now;
     head_ = {};
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -95,7 +95,9 @@
                              receiveMessage(from, bytes);
                          }),
           hellos_(context_, messageSocket_, settings_.firstInternalPort)
-    { }
+    {
+        registry_.cold.bounds = {settings_.coldOvershoot, settings_.coldSlack};
+    }
 
     Result<void> run()
     {
@@ -173,6 +175,8 @@
             return;
         context_.routes = std::make_shared<const RouteTable>(
             std::make_shared<const ServiceConfiguration>(std::move(decoded.value())));
+        setColdServices(registry_.cold, registry_.limits, context_.routes->configuration().services,
+                        monotonicNow());
         log_.info("config.in_force", {{"version", version}, {"offset", record.offset}});
     }
 
@@ -203,6 +207,7 @@
                                    .open = load.open,
                                    .gateways = load.gateways};
         noteGateways(context_.retryQuota, load.gateways);
+        registry_.cold.gateways = assumedGateways(context_.retryQuota);
         for (auto &[id, state] : registry_.backends) {
             if (state.entry.address != load.engine)
                 continue;
@@ -306,6 +311,7 @@
              .openRequests = busySessions(),
              .waitingRequests = waiting_.size(),
              .serverLimits = activeLimitCount(registry_.limits),
+             .coldServers = coldServerCount(registry_.cold, now),
              .ready = ready(),
              .droppedLogLines = log_.droppedLines()});
         for (auto &[service, bucket] : context_.retryBuckets) {
--- a/Source/Programs/Gateway/GatewayMetrics.cpp
+++ b/Source/Programs/Gateway/GatewayMetrics.cpp
@@ -118,6 +118,8 @@
     metrics.set("wisteria_server_limits",
                 "Backend servers that name a limit for all gateways together",
                 static_cast<double>(state.serverLimits));
+    metrics.set("wisteria_cold_servers", "Backend servers that are known to be cold",
+                static_cast<double>(state.coldServers));
     metrics.set("wisteria_ready", "1 while the gateway takes callers", state.ready ? 1 : 0);
     metrics.set("wisteria_log_lines_dropped", "Log lines that nobody read in time, since the start",
                 static_cast<double>(state.droppedLogLines));
--- a/Source/Programs/Gateway/GatewayMetrics.h
+++ b/Source/Programs/Gateway/GatewayMetrics.h
@@ -71,6 +71,7 @@
     std::size_t openRequests = 0;
     std::size_t waitingRequests = 0;
     std::size_t serverLimits = 0;
+    std::size_t coldServers = 0;
     bool ready = false;
     std::uint64_t droppedLogLines = 0;
 };
--- a/Source/Programs/Gateway/LimitPermits.cpp
+++ b/Source/Programs/Gateway/LimitPermits.cpp
@@ -1,5 +1,6 @@
 #include "Programs/Gateway/LimitPermits.h"
 
+#include <limits>
 #include <vector>
 
 namespace wisteria {
@@ -10,14 +11,21 @@
 /// 1 because their uncoordinated requests may coincide.
 constexpr double shareWhileNotListed = 0.5;
 
+/// Age of a limit that was never advertised, which is the case for a server that is only cold.
+constexpr std::uint32_t neverAdvertised = std::numeric_limits<std::uint32_t>::max();
+
 std::uint32_t ageOf(const AdvertisedLimit &advertised, TimePoint now)
 {
+    if (advertised.receivedAt == TimePoint())
+        return neverAdvertised;
     return static_cast<std::uint32_t>(remaining(advertised.receivedAt, now).count());
 }
 
 AdvertisedLimit advertisedLimitOf(const std::optional<double> &perSecond, std::uint32_t age,
                                   TimePoint now)
 {
+    if (age == neverAdvertised)
+        return {};
     return {.perSecond = perSecond, .receivedAt = now - milliseconds(age)};
 }
 
@@ -78,13 +86,17 @@
     noteRequestSent(gateway, now);
     if (!wasUnresponsive && isUnresponsive(gateway, now))
         context_.log.warn("gateway.silent", {{"address", toText(gateway.address)}});
+    const auto coldRate = rateOf(request.cold, now);
+    const auto coldTime = static_cast<std::uint32_t>(remaining(now, request.cold.until).count());
     socket_.send(
         gateway.address,
         encodeMessage(PermitRequestMessage{.server = request.server,
                                            .wanted = request.wanted,
                                            .number = request.number,
                                            .perSecond = request.advertised.perSecond,
-                                           .ageMilliseconds = ageOf(request.advertised, now)}));
+                                           .ageMilliseconds = ageOf(request.advertised, now),
+                                           .coldPerSecond = coldRate,
+                                           .coldMilliseconds = coldRate ? coldTime : 0}));
 }
 
 bool LimitPermits::applyOwnReply(const PermitReply &reply, TimePoint now)
@@ -94,12 +106,21 @@
 
 void LimitPermits::receive(const Endpoint &from, const PermitRequestMessage &message, TimePoint now)
 {
-    const PermitRequest request{
-        .server = message.server,
-        .wanted = message.wanted,
-        .number = message.number,
-        .advertised = advertisedLimitOf(message.perSecond, message.ageMilliseconds, now)};
-    const PermitReply reply = answerPermitRequest(ownedLimits_[message.server], request, now);
+    PermitRequest request{.server = message.server,
+                          .wanted = message.wanted,
+                          .number = message.number,
+                          .advertised =
+                              advertisedLimitOf(message.perSecond, message.ageMilliseconds, now)};
+    if (message.coldPerSecond) {
+        request.cold = {.perSecond = *message.coldPerSecond,
+                        .until = now + milliseconds(message.coldMilliseconds)};
+    }
+    OwnedLimit &owned = ownedLimits_[message.server];
+    // The other gateway may not know yet that the server is cold.
+    const auto own = context_.registry.limits.find(message.server);
+    if (own != context_.registry.limits.end())
+        noteColdLimit(owned, currentLimit(own->second.cold, now), now);
+    const PermitReply reply = answerPermitRequest(owned, request, now);
     socket_.send(from,
                  encodeMessage(PermitReplyMessage{
                      .server = reply.server,
--- a/Source/Programs/Gateway/ServerSignals.cpp
+++ b/Source/Programs/Gateway/ServerSignals.cpp
@@ -19,6 +19,25 @@
                       {"per_second", advertised.perSecond.value_or(0)}});
 }
 
+void applyCold(GatewayContext &context, const BackendAnswer &answer, TimePoint now)
+{
+    BackendRegistry &registry = context.registry;
+    const auto backend = registry.backends.find(answer.backend);
+    if (answer.head.coldRemaining <= milliseconds(0) || backend == registry.backends.end())
+        return;
+    const bool wasCold = isCold(registry.cold, answer.backend, now);
+    const std::string &service = backend->second.entry.service;
+    beginColdPhase(registry.cold, registry.limits, answer.backend,
+                   {.service = service, .until = now + answer.head.coldRemaining});
+    if (wasCold)
+        return;
+    context.log.info("backend.cold",
+                     {{"id", answer.attempt},
+                      {"backend", answer.backend},
+                      {"for_s", secondsOf(answer.head.coldRemaining)},
+                      {"per_second", coldRateOf(registry.cold, service)}});
+}
+
 void applyBackoff(GatewayContext &context, const BackendAnswer &answer, TimePoint now)
 {
     const milliseconds retryAfter = answer.head.retryAfter;
@@ -44,6 +63,7 @@
     if (answer.head.misdirected)
         return;
     applyLimit(context, answer, now);
+    applyCold(context, answer, now);
     applyBackoff(context, answer, now);
     applyDraining(context, answer, now);
 }
--- a/Source/Programs/Gateway/ServerSignals.h
+++ b/Source/Programs/Gateway/ServerSignals.h
@@ -14,8 +14,9 @@
     const BackendAnswerHead &head;
 };
 
-/// Applies the server signals of an answer: the advertised limit, the backoff and the draining
-/// state of the backend server. They apply to all later sends. The load is applied elsewhere.
+/// Applies the server signals of an answer: the advertised limit, the cold phase, the backoff and
+/// the draining state of the backend server. They apply to all later sends. The load is applied
+/// elsewhere.
 void noteServerSignals(GatewayContext &context, const BackendAnswer &answer, TimePoint now);
 
 } // namespace wisteria
--- /dev/null
+++ b/Source/Request/BackendRanking.cpp
@@ -0,0 +1,69 @@
+#include "Request/BackendRanking.h"
+
+#include <algorithm>
+
+namespace wisteria {
+
+namespace {
+
+/// Loads that differ by less than this fraction of the slots count as equal.
+constexpr double tieTolerance = 0.02;
+/// Cost of using another failure domain, as a fraction of the slots: about one request at a server
+/// with eleven slots. Traffic between domains is expensive and adds latency.
+constexpr double crossDomainPenalty = 0.09;
+
+} // namespace
+
+double RankedBackend::cost() const
+{
+    return load + (otherDomain ? crossDomainPenalty : 0);
+}
+
+bool RankedBackend::isBetterThan(const RankedBackend &other) const
+{
+    if (overFreeShare != other.overFreeShare)
+        return !overFreeShare;
+    if (avoided != other.avoided)
+        return !avoided;
+    if (cold != other.cold)
+        return !cold;
+    return cost() < other.cost() - tieTolerance;
+}
+
+void dropSlow(std::vector<RankedBackend> &candidates, TimePoint now, milliseconds loadLifetime)
+{
+    const auto slow = [&](const RankedBackend &candidate) {
+        return slowdownOf(*candidate.state, now, loadLifetime) >= moveAtSlowdown;
+    };
+    if (!std::all_of(candidates.begin(), candidates.end(), slow))
+        std::erase_if(candidates, slow);
+}
+
+void dropFullBesideCold(std::vector<RankedBackend> &candidates, double maxLoad)
+{
+    const auto coldWithSlot = [maxLoad](const RankedBackend &candidate) {
+        return candidate.cold && !candidate.avoided && candidate.hasSlot(maxLoad);
+    };
+    if (std::none_of(candidates.begin(), candidates.end(), coldWithSlot))
+        return;
+    std::erase_if(candidates, [maxLoad](const RankedBackend &candidate) {
+        return !candidate.hasSlot(maxLoad);
+    });
+}
+
+const RankedBackend *bestOf(const std::vector<RankedBackend> &candidates, double randomUnit)
+{
+    if (candidates.empty())
+        return nullptr;
+    const auto start =
+        static_cast<std::size_t>(randomUnit * static_cast<double>(candidates.size()));
+    const RankedBackend *best = &candidates[start % candidates.size()];
+    for (std::size_t i = 1; i < candidates.size(); ++i) {
+        const RankedBackend &next = candidates[(start + i) % candidates.size()];
+        if (next.isBetterThan(*best))
+            best = &next;
+    }
+    return best;
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Request/BackendRanking.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <vector>
+
+#include "Process/Time.h"
+#include "Request/BackendRegistry.h"
+
+namespace wisteria {
+
+/// A backend server that may get the request, with the properties that rank it.
+struct RankedBackend
+{
+    BackendState *state = nullptr;
+    double load = 0;
+    bool avoided = false;
+    bool otherDomain = false;
+    bool overFreeShare = false;
+    bool cold = false;
+    /// When this gateway's share of requests allows the next one; see nextSendAt().
+    TimePoint shareFreeAt{};
+
+    /// Returns the load plus a penalty for another failure domain.
+    double cost() const;
+    bool hasSlot(double maxLoad) const { return load <= maxLoad && !overFreeShare; }
+    bool isBetterThan(const RankedBackend &other) const;
+};
+
+/// Drops the slow ones of `candidates` unless all of them are slow, even if the others are full: a
+/// single request on a slow rank slows down the passes of its whole group.
+void dropSlow(std::vector<RankedBackend> &candidates, TimePoint now, milliseconds loadLifetime);
+
+/// Drops the candidates without a slot if a cold one has a slot: warm ones rank before it even if
+/// they are full.
+void dropFullBesideCold(std::vector<RankedBackend> &candidates, double maxLoad);
+
+/// Returns the best candidate, or null when there is none. The search begins at a random index, so
+/// that equal candidates share the work.
+/// @param randomUnit Uniform random number in [0, 1).
+const RankedBackend *bestOf(const std::vector<RankedBackend> &candidates, double randomUnit);
+
+} // namespace wisteria
--- a/Source/Request/BackendRegistry.cpp
+++ b/Source/Request/BackendRegistry.cpp
@@ -1,7 +1,8 @@
 #include "Request/BackendRegistry.h"
 
 #include <algorithm>
-#include <functional>
+
+#include "Request/BackendRanking.h"
 
 namespace wisteria {
 
@@ -16,11 +17,6 @@
 /// server that fails some requests at random rarely reaches this number and keeps its share of the
 /// work.
 constexpr std::uint32_t failuresBeforeAvoidance = 3;
-/// Loads that differ by less than this fraction of the slots count as equal.
-constexpr double tieTolerance = 0.02;
-/// Cost of using another failure domain, as a fraction of the slots: about one request at a server
-/// with eleven slots. Traffic between domains is expensive and adds latency.
-constexpr double crossDomainPenalty = 0.09;
 
 /// A server without a store entry counts as gone this long after it announced that it drains.
 constexpr std::chrono::minutes drainingLifetime{10};
@@ -30,55 +26,6 @@
     return std::find(criteria.tried.begin(), criteria.tried.end(), id) != criteria.tried.end();
 }
 
-/// A backend server that may get the request, with the properties that rank it.
-struct RankedBackend
-{
-    BackendState *state = nullptr;
-    double load = 0;
-    bool avoided = false;
-    bool otherDomain = false;
-    bool overFreeShare = false;
-
-    double cost() const { return load + (otherDomain ? crossDomainPenalty : 0); }
-
-    bool isBetterThan(const RankedBackend &other) const
-    {
-        if (overFreeShare != other.overFreeShare)
-            return !overFreeShare;
-        if (avoided != other.avoided)
-            return !avoided;
-        return cost() < other.cost() - tieTolerance;
-    }
-};
-
-/// Drops the slow ones of `candidates` unless all of them are slow, even if the others are full: a
-/// single request on a slow rank slows down the passes of its whole group.
-void dropSlow(std::vector<RankedBackend> &candidates, TimePoint now, milliseconds loadLifetime)
-{
-    const auto slow = [&](const RankedBackend &candidate) {
-        return slowdownOf(*candidate.state, now, loadLifetime) >= moveAtSlowdown;
-    };
-    if (!std::all_of(candidates.begin(), candidates.end(), slow))
-        std::erase_if(candidates, slow);
-}
-
-/// Returns the best candidate, or null when there is none. The search begins at a random index, so
-/// that equal candidates share the work.
-const RankedBackend *bestOf(const std::vector<RankedBackend> &candidates, double randomUnit)
-{
-    if (candidates.empty())
-        return nullptr;
-    const auto start =
-        static_cast<std::size_t>(randomUnit * static_cast<double>(candidates.size()));
-    const RankedBackend *best = &candidates[start % candidates.size()];
-    for (std::size_t i = 1; i < candidates.size(); ++i) {
-        const RankedBackend &next = candidates[(start + i) % candidates.size()];
-        if (next.isBetterThan(*best))
-            best = &next;
-    }
-    return best;
-}
-
 /// Returns the id of the best backend server at its limit that is better than the chosen one; empty
 /// when there is none. A server is skipped until its next permit request is due: its limit owner
 /// has just had nothing to grant, and another server's may have.
@@ -87,19 +34,24 @@
 {
     std::erase_if(atLimit, [&](const RankedBackend &candidate) {
         const bool worse = chosen != nullptr && !candidate.isBetterThan(*chosen);
-        return worse || limits.at(candidate.state->entry.id).nextRequestAt > now;
+        return worse || candidate.shareFreeAt > now
+            || limits.at(candidate.state->entry.id).nextRequestAt > now;
     });
     const RankedBackend *best = bestOf(atLimit, randomUnit);
     return best == nullptr ? std::string() : best->state->entry.id;
 }
 
-/// Returns the earliest time at which a permit may be granted for one of the candidates.
+/// Returns the earliest time at which a request may be sent to one of the candidates: this
+/// gateway's share allows it, and a permit may be granted.
 TimePoint earliestPermit(const ServerLimits &limits, const std::vector<RankedBackend> &atLimit,
                          TimePoint now)
 {
     TimePoint earliest = TimePoint::max();
-    for (const RankedBackend &candidate : atLimit)
-        earliest = std::min(earliest, limits.at(candidate.state->entry.id).nextPermitAt);
+    for (const RankedBackend &candidate : atLimit) {
+        const auto limit = limits.find(candidate.state->entry.id);
+        const TimePoint permitAt = limit == limits.end() ? TimePoint() : limit->second.nextPermitAt;
+        earliest = std::min(earliest, std::max(permitAt, candidate.shareFreeAt));
+    }
     return std::max(earliest, now);
 }
 
@@ -196,9 +148,10 @@
 /// Backend servers that may get a request.
 struct Candidates
 {
-    /// They have no rate limit, or this gateway holds a permit for it.
+    /// This gateway's share allows a request, and they have no rate limit or this gateway holds a
+    /// permit for it.
     std::vector<RankedBackend> eligible;
-    /// They have a rate limit, and this gateway holds no permit for it.
+    /// The others.
     std::vector<RankedBackend> atLimit;
     Exclusions exclusions;
 };
@@ -212,6 +165,7 @@
     // expensive.
     const bool anySignals = !registry.limits.empty() || !registry.backoffUntil.empty()
         || !registry.drainingSince.empty();
+    const auto share = sendShareOf(registry.cold, criteria.service);
     for (auto &[id, state] : registry.backends) {
         if (state.entry.service != criteria.service || state.entry.draining || state.replaced)
             continue;
@@ -231,11 +185,13 @@
             continue;
         }
         const bool permitted = !anySignals || isPermitted(registry.limits, id, now);
-        auto &kind = permitted ? candidates.eligible : candidates.atLimit;
+        const TimePoint shareFreeAt = share ? nextSendAt(registry.cold, *share, id) : TimePoint();
+        auto &kind = permitted && shareFreeAt <= now ? candidates.eligible : candidates.atLimit;
         kind.push_back(
             {&state, loadWithOneMore(state, now, registry.loadLifetime), state.avoidUntil > now,
              state.entry.failureDomain != criteria.failureDomain,
-             criteria.withinFreeShare && exceedsFreeShare(state, now, registry.loadLifetime)});
+             criteria.withinFreeShare && exceedsFreeShare(state, now, registry.loadLifetime),
+             isCold(registry.cold, id, now), shareFreeAt});
     }
     return candidates;
 }
@@ -256,6 +212,7 @@
 void putBackend(BackendRegistry &registry, const BackendEntry &entry, TimePoint now)
 {
     discardStaleSignals(registry, entry);
+    noteColdEntry(registry.cold, registry.limits, entry, now);
     BackendState &state = registry.backends[entry.id];
     const bool isNewServer =
         state.entry.startedAt != entry.startedAt || state.entry.address != entry.address;
@@ -360,11 +317,21 @@
     noteLoad(state, load, randomUnit);
 }
 
+void noteSend(BackendRegistry &registry, const BackendState &state, TimePoint now)
+{
+    consumePermit(registry.limits, state.entry.id, now);
+    noteSend(registry.cold, state.entry.service, state.entry.id, now);
+}
+
 void removeExpiredLimits(BackendRegistry &registry, TimePoint now)
 {
     std::erase_if(registry.limits, [&registry, now](const auto &item) {
-        return isExpired(item.second.advertised, now) && !registry.backends.contains(item.first);
+        const auto &[id, limit] = item;
+        return isObsolete(limit, now)
+            || (isExpired(limit.advertised, now) && !rateOf(limit.cold, now)
+                && !registry.backends.contains(id));
     });
+    removeOldSends(registry.cold, now);
 }
 
 void noteBackoff(BackendRegistry &registry, const std::string &id, TimePoint until, TimePoint now)
@@ -406,12 +373,12 @@
     BackendChoice choice;
     dropSlow(candidates.eligible, now, registry.loadLifetime);
     dropSlow(atLimit, now, registry.loadLifetime);
-    const auto hasSlot = [&criteria](const RankedBackend &candidate) {
-        return candidate.load <= criteria.maxLoad && !candidate.overFreeShare;
-    };
-    std::erase_if(atLimit, std::not_fn(hasSlot));
+    dropFullBesideCold(candidates.eligible, criteria.maxLoad);
+    std::erase_if(atLimit, [&criteria](const RankedBackend &candidate) {
+        return !candidate.hasSlot(criteria.maxLoad);
+    });
     const RankedBackend *best = bestOf(candidates.eligible, randomUnit);
-    const bool found = best != nullptr && hasSlot(*best);
+    const bool found = best != nullptr && best->hasSlot(criteria.maxLoad);
     choice.preferredAtLimit =
         preferredAtLimitOf(registry.limits, atLimit, found ? best : nullptr, randomUnit, now);
     if (best != nullptr)
--- a/Source/Request/BackendRegistry.h
+++ b/Source/Request/BackendRegistry.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Process/Time.h"
+#include "Request/ColdServers.h"
 #include "Request/GatewayRequest.h"
 #include "Request/ServerLimit.h"
 #include "Version/BackendEntry.h"
@@ -67,6 +68,8 @@
     /// Limits that backend servers advertised. They outlast a store entry that expires temporarily,
     /// for example in an outage of the store.
     ServerLimits limits;
+    /// Cold phases and this gateway's recent sends; see ColdServers.
+    ColdServers cold;
     /// End of the backoff that each backend server asked this gateway for, by id. Separate from the
     /// entries for the same reason.
     std::map<std::string, TimePoint> backoffUntil;
@@ -168,7 +171,11 @@
 void noteAnswer(BackendState &state, const AnswerFeedback &feedback, bool inGroup, TimePoint now,
                 double randomUnit);
 
-/// Removes expired limits of servers that have no store entry.
+/// Records that a request is sent to a backend server: uses up a permit, and a part of this
+/// gateway's share if the server may be cold.
+void noteSend(BackendRegistry &registry, const BackendState &state, TimePoint now);
+
+/// Removes limits that are obsolete, and expired limits of servers that have no store entry.
 void removeExpiredLimits(BackendRegistry &registry, TimePoint now);
 
 /// Records that this gateway sends nothing to a backend server before `until`. An earlier end never
@@ -216,7 +223,8 @@
     AllFull, ///< Each would exceed the allowed load or this gateway's share of free slots.
     NotOpen, ///< No candidate is left; some are not open, see isOpen().
     BackingOff, ///< No candidate is left; some asked this gateway for backoff.
-    AtLimit, ///< Each with a free slot has a rate limit, and this gateway has no permit for it.
+    AtLimit, ///< Each with a free slot has a rate limit for which this gateway has no permit, or
+             ///< has got this gateway's share of requests; see sendShareOf().
 };
 
 /// Result of chooseBackend().
@@ -239,8 +247,8 @@
 /// Slow servers are dropped unless all are slow; this applies separately to the servers that are at
 /// their rate limit and to the others. Servers over `maxLoad` or, with `withinFreeShare`, over this
 /// gateway's share of free slots are never chosen. Of the rest, those that are not avoided come
-/// first, then the one with the lowest cost: loadWithOneMore() plus a penalty for another failure
-/// domain.
+/// first, then those that are not cold, then the one with the lowest cost: loadWithOneMore() plus a
+/// penalty for another failure domain.
 ///
 /// The counts of one gateway suffice for evenly spread arrivals. Bursts from several gateways at
 /// once are balanced by the load reports, which are normally at most 0.1 s old.
--- a/Source/Request/GatewayRequest.h
+++ b/Source/Request/GatewayRequest.h
@@ -76,6 +76,8 @@
     bool draining = false;
     /// Requests per second that the backend server accepts from all gateways together.
     std::optional<double> limitPerSecond;
+    /// How much longer the backend server is cold; zero when it does not state that it is.
+    milliseconds coldRemaining{0};
     /// The backend server refused the request, and this gateway sends nothing there for this long;
     /// zero when it asks for no backoff.
     milliseconds retryAfter{0};
--- a/Source/Request/ServerLimit.cpp
+++ b/Source/Request/ServerLimit.cpp
@@ -24,6 +24,9 @@
 constexpr double minPerSecond = 0.2;
 /// Without permit requests for this long, no request is waiting for a permit.
 constexpr milliseconds idleAfter{1000};
+/// How long a limit owner uses a rate of the slow start: the rate rises, and each permit request
+/// brings the current one.
+constexpr milliseconds slowStartStep{250};
 /// Age from which an advertised limit counts as expired; see isExpired().
 constexpr std::chrono::minutes advertisedLimitLifetime{5};
 
@@ -32,6 +35,12 @@
     return limit.permits > 0 && now < limit.permitsUntil;
 }
 
+std::optional<double> lowerOf(const std::optional<double> &first,
+                              const std::optional<double> &second)
+{
+    return first && second ? std::min(first, second) : (first ? first : second);
+}
+
 void refill(OwnedLimit &owned, double perSecond, TimePoint now)
 {
     if (owned.refilledAt == TimePoint())
@@ -44,8 +53,21 @@
 milliseconds timeToNextToken(const OwnedLimit &owned, double perSecond)
 {
     constexpr double millisecondsPerSecond = 1000;
-    return milliseconds(
-        std::lround(std::max(0.0, 1 - owned.tokens) / perSecond * millisecondsPerSecond));
+    if (owned.tokens >= 1)
+        return milliseconds(0);
+    // Never zero, which would mean that the owner knows no limit; see isUnknownToOwner().
+    return std::max(
+        milliseconds(1),
+        milliseconds(std::lround((1 - owned.tokens) / perSecond * millisecondsPerSecond)));
+}
+
+/// Returns whether a reply shows that the owner knows no limit, although the server is cold. An
+/// owner of an earlier version knows no cold rates and never grants a permit for one; then the
+/// bound relies on this gateway's share of requests.
+bool isUnknownToOwner(const ServerLimit &limit, const PermitReply &reply, TimePoint now)
+{
+    return !reply.granted && reply.nextIn == milliseconds(0) && !reply.advertised.perSecond
+        && rateOf(limit.cold, now) && now < limit.wantedUntil;
 }
 
 /// @param share Fraction of the limit that is granted here.
@@ -53,11 +75,13 @@
                              TimePoint now)
 {
     updateLimit(owned.advertised, request.advertised);
+    noteColdLimit(owned, request.cold, now);
     PermitReply reply{
         .server = request.server, .number = request.number, .advertised = owned.advertised};
-    if (!owned.advertised.perSecond)
+    const auto limit = lowerOf(owned.advertised.perSecond, rateOf(owned.cold, now));
+    if (!limit)
         return reply;
-    const double perSecond = std::max(minPerSecond, *owned.advertised.perSecond) * share;
+    const double perSecond = std::max(minPerSecond, *limit) * share;
     refill(owned, perSecond, now);
     reply.granted = request.wanted && owned.tokens >= 1;
     if (reply.granted)
@@ -68,6 +92,32 @@
 
 } // namespace
 
+std::optional<double> rateOf(const ColdLimit &limit, TimePoint now)
+{
+    if (now < limit.until)
+        return limit.perSecond;
+    if (now >= limit.until + limit.slowStart)
+        return std::nullopt;
+    const std::chrono::duration<double> passed = now - limit.until;
+    const std::chrono::duration<double> slowStart = limit.slowStart;
+    return limit.perSecond
+        + (limit.fullPerSecond - limit.perSecond) * (passed.count() / slowStart.count());
+}
+
+ColdLimit currentLimit(const ColdLimit &limit, TimePoint now)
+{
+    const auto perSecond = rateOf(limit, now);
+    if (!perSecond)
+        return {};
+    const TimePoint until = now < limit.until ? limit.until : now + slowStartStep;
+    return {.perSecond = *perSecond, .until = until};
+}
+
+std::optional<double> limitAt(const ServerLimit &limit, TimePoint now)
+{
+    return lowerOf(limit.advertised.perSecond, rateOf(limit.cold, now));
+}
+
 bool updateLimit(AdvertisedLimit &known, const AdvertisedLimit &advertised)
 {
     if (advertised.receivedAt < known.receivedAt)
@@ -81,7 +131,9 @@
                          const AdvertisedLimit &advertised)
 {
     const auto found = limits.find(id);
-    if (found == limits.end() && !advertised.perSecond)
+    const bool neverAdvertised =
+        found == limits.end() || found->second.advertised.receivedAt == TimePoint();
+    if (neverAdvertised && !advertised.perSecond)
         return false;
     ServerLimit &limit = limits[id];
     if (!updateLimit(limit.advertised, advertised))
@@ -93,8 +145,7 @@
 bool isPermitted(const ServerLimits &limits, const std::string &id, TimePoint now)
 {
     const auto found = limits.find(id);
-    return found == limits.end() || !found->second.advertised.perSecond
-        || holdsPermit(found->second, now);
+    return found == limits.end() || !limitAt(found->second, now) || holdsPermit(found->second, now);
 }
 
 void consumePermit(ServerLimits &limits, const std::string &id, TimePoint now)
@@ -123,8 +174,7 @@
                                                TimePoint now)
 {
     ServerLimit &limit = limits[id];
-    const bool wanted =
-        now < limit.wantedUntil && limit.advertised.perSecond && !holdsPermit(limit, now);
+    const bool wanted = now < limit.wantedUntil && limitAt(limit, now) && !holdsPermit(limit, now);
     if ((!wanted || now < limit.nextRequestAt) && !limit.ownerNotInformed)
         return std::nullopt;
     limit.ownerNotInformed = false;
@@ -134,7 +184,8 @@
     return PermitRequest{.server = id,
                          .wanted = wanted,
                          .number = ++limit.requestNumber,
-                         .advertised = limit.advertised};
+                         .advertised = limit.advertised,
+                         .cold = currentLimit(limit.cold, now)};
 }
 
 bool applyPermitReply(ServerLimits &limits, const PermitReply &reply, TimePoint now)
@@ -143,19 +194,19 @@
     if (found == limits.end())
         return false;
     ServerLimit &limit = found->second;
-    const bool limitEnded =
-        updateLimit(limit.advertised, reply.advertised) && !limit.advertised.perSecond;
+    const bool limitEnded = updateLimit(limit.advertised, reply.advertised) && !limitAt(limit, now);
     if (!limit.awaitingReply || reply.number != limit.requestNumber)
         return limitEnded;
     limit.awaitingReply = false;
     limit.nextPermitAt = now + reply.nextIn;
     limit.nextRequestAt = now + std::clamp(reply.nextIn, minRequestInterval, maxRequestInterval);
-    if (reply.granted) {
+    const bool granted = reply.granted || isUnknownToOwner(limit, reply, now);
+    if (granted) {
         limit.permits = 1;
         limit.wantedUntil = TimePoint();
         limit.permitsUntil = limit.requestedAt + permitLifetime;
     }
-    return limitEnded || reply.granted;
+    return limitEnded || granted;
 }
 
 bool isExpired(const AdvertisedLimit &advertised, TimePoint now)
@@ -163,6 +214,22 @@
     return now - advertised.receivedAt > advertisedLimitLifetime;
 }
 
+bool isObsolete(const ServerLimit &limit, TimePoint now)
+{
+    return limit.advertised.receivedAt == TimePoint() && !rateOf(limit.cold, now);
+}
+
+void noteColdLimit(OwnedLimit &owned, const ColdLimit &reported, TimePoint now)
+{
+    if (!rateOf(reported, now))
+        return;
+    const auto known = rateOf(owned.cold, now);
+    if (!known || reported.perSecond < *known)
+        owned.cold = reported;
+    else if (reported.perSecond == *known)
+        owned.cold.until = std::max(owned.cold.until, reported.until);
+}
+
 PermitReply answerPermitRequest(OwnedLimit &owned, const PermitRequest &request, TimePoint now)
 {
     return answerFromBucket(owned, request, 1, now);
@@ -183,8 +250,12 @@
 
 void removeExpiredLimits(OwnedLimits &owned, TimePoint now)
 {
-    std::erase_if(owned,
-                  [now](const auto &item) { return isExpired(item.second.advertised, now); });
+    // The age of the advertised limit alone does not suffice: if a bucket is removed while permits
+    // are requested, the next one starts empty and grants nothing.
+    std::erase_if(owned, [now](const auto &item) {
+        return isExpired(item.second.advertised, now)
+            && now - item.second.refilledAt > advertisedLimitLifetime;
+    });
 }
 
 } // namespace wisteria
--- a/Source/Request/ServerLimit.h
+++ b/Source/Request/ServerLimit.h
@@ -22,6 +22,26 @@
 /// @return Whether the rate changed.
 bool updateLimit(AdvertisedLimit &known, const AdvertisedLimit &advertised);
 
+/// Rate limit of a cold backend server, for all gateways together.
+struct ColdLimit
+{
+    /// Requests per second until the end of the cold phase.
+    double perSecond = 0;
+    TimePoint until{};
+    /// Slow start: within this time after `until` the rate rises linearly to `fullPerSecond`, and
+    /// then the limit ends. Without it, a failure domain that comes back would get all waiting
+    /// requests at once.
+    milliseconds slowStart{0};
+    double fullPerSecond = 0;
+};
+
+/// Returns the rate in requests per second; nothing when the limit has ended.
+std::optional<double> rateOf(const ColdLimit &limit, TimePoint now);
+
+/// Returns the limit as it is now, without a slow start, to be sent to a limit owner. A rate of the
+/// slow start applies only for a short time.
+ColdLimit currentLimit(const ColdLimit &limit, TimePoint now);
+
 /// One gateway's state for the rate limit of a backend server. A value type without I/O.
 ///
 /// The limit covers all gateways together, so one process, the limit owner, grants permits for it.
@@ -30,6 +50,8 @@
 struct ServerLimit
 {
     AdvertisedLimit advertised;
+    /// Limit of the server's cold phase. The lower one of both limits applies.
+    ColdLimit cold;
     /// Requests that may be sent to the server, and when these permits expire.
     std::uint32_t permits = 0;
     TimePoint permitsUntil;
@@ -48,9 +70,12 @@
     TimePoint requestedAt;
 };
 
-/// Limits of all backend servers that ever advertised one, by server id.
+/// Limits of all backend servers that advertised one or are cold, by server id.
 using ServerLimits = std::map<std::string, ServerLimit>;
 
+/// Returns the limit that applies now, in requests per second; nothing when there is none.
+std::optional<double> limitAt(const ServerLimit &limit, TimePoint now);
+
 /// Stores the limit that an answer of a backend server advertised.
 /// @return Whether the rate changed.
 bool noteAdvertisedLimit(ServerLimits &limits, const std::string &id,
@@ -68,7 +93,7 @@
 /// unused and be lost to all gateways.
 void markPermitWanted(ServerLimits &limits, const std::string &id, TimePoint now);
 
-/// Returns the number of backend servers that have a limit now.
+/// Returns the number of backend servers that advertise a limit now.
 std::size_t activeLimitCount(const ServerLimits &limits);
 
 /// Request of a gateway to a limit owner.
@@ -79,6 +104,8 @@
     bool wanted = false;
     std::uint32_t number = 0;
     AdvertisedLimit advertised{};
+    /// Result of currentLimit(); the owner may not know yet that the server is cold.
+    ColdLimit cold{};
 };
 
 /// Reply of a limit owner.
@@ -106,10 +133,16 @@
 /// gone. A gateway keeps the limit nonetheless while the server has an entry.
 bool isExpired(const AdvertisedLimit &advertised, TimePoint now);
 
+/// Returns whether a limit contains no information any more, because the server never advertised a
+/// limit and its cold phase and slow start are over.
+bool isObsolete(const ServerLimit &limit, TimePoint now);
+
 /// Token bucket of a limit at its owner. A value type without I/O.
 struct OwnedLimit
 {
     AdvertisedLimit advertised;
+    /// Lowest limit of a cold phase that a gateway reported and that has not ended.
+    ColdLimit cold;
     double tokens = 0;
     TimePoint refilledAt;
 };
@@ -117,6 +150,9 @@
 /// Limits that one gateway owns, by server id.
 using OwnedLimits = std::map<std::string, OwnedLimit>;
 
+/// Records the limit of a cold phase as a gateway knows it; see currentLimit().
+void noteColdLimit(OwnedLimit &owned, const ColdLimit &reported, TimePoint now);
+
 /// Answers a permit request from any gateway within the whole limit.
 ///
 /// The bucket starts empty: until now the gateways may have used another limit owner, and both
@@ -130,7 +166,8 @@
 PermitReply answerWithoutPeers(OwnedLimit &owned, const PermitRequest &request, double share,
                                double randomUnit, TimePoint now);
 
-/// Removes owned limits whose advertised limit is expired.
+/// Removes owned limits whose advertised limit is expired and for which no gateway requests permits
+/// any more.
 void removeExpiredLimits(OwnedLimits &owned, TimePoint now);
 
 } // namespace wisteria
--- a/Source/Version/BackendEntry.h
+++ b/Source/Version/BackendEntry.h
@@ -20,8 +20,11 @@
     std::uint32_t slots = 1;
     /// It takes no new work and will shut down.
     bool draining = false;
-    /// Remaining time of its slow phase after a start.
-    milliseconds coldRemaining{0};
+    /// Remaining time of its cold phase, as of when the entry was written; nothing when the entry
+    /// does not state it.
+    std::optional<milliseconds> coldRemaining{};
+    /// Why the stated cold time could not be used as it is, and the remedy; empty normally.
+    std::string coldProblem{};
     /// Start time. It may restart under the same id, and then keeps no state.
     std::uint64_t startedAt = 0;
     /// Offset of this entry's record in the log of the list; later records have higher offsets.
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -302,17 +302,28 @@
 
 Json encode(const PermitRequestMessage &message)
 {
-    return {MessageKind::PermitRequest, message.server,         message.wanted, message.number,
-            encode(message.perSecond),  message.ageMilliseconds};
+    Json json = {MessageKind::PermitRequest, message.server,         message.wanted, message.number,
+                 encode(message.perSecond),  message.ageMilliseconds};
+    if (message.coldPerSecond) {
+        json.push_back(*message.coldPerSecond);
+        json.push_back(message.coldMilliseconds);
+    }
+    return json;
 }
 
 PermitRequestMessage decodePermitRequest(const Json &json)
 {
-    return {.server = json.at(1).get<std::string>(),
-            .wanted = json.at(2).get<bool>(),
-            .number = json.at(3).get<std::uint32_t>(),
-            .perSecond = decodeLimit(json.at(4)),
-            .ageMilliseconds = json.at(5).get<std::uint32_t>()};
+    PermitRequestMessage message{.server = json.at(1).get<std::string>(),
+                                 .wanted = json.at(2).get<bool>(),
+                                 .number = json.at(3).get<std::uint32_t>(),
+                                 .perSecond = decodeLimit(json.at(4)),
+                                 .ageMilliseconds = json.at(5).get<std::uint32_t>()};
+    constexpr std::size_t sizeWithCold = 8;
+    if (json.size() >= sizeWithCold && !json.at(6).is_null()) {
+        message.coldPerSecond = decodeLimit(json.at(6));
+        message.coldMilliseconds = json.at(7).get<std::uint32_t>();
+    }
+    return message;
 }
 
 Json encode(const PermitReplyMessage &message)
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -166,6 +166,10 @@
     std::optional<double> perSecond{};
     /// Time since that limit was received.
     std::uint32_t ageMilliseconds = 0;
+    /// Rate of the server's cold phase, in requests per second, and how much longer it applies;
+    /// empty for none. Encoded only if it is present, at the end.
+    std::optional<double> coldPerSecond{};
+    std::uint32_t coldMilliseconds = 0;
 };
 
 /// Reply to the PermitRequestMessage of the same number.
--- a/Source/Version/ServiceConfiguration.h
+++ b/Source/Version/ServiceConfiguration.h
@@ -88,6 +88,10 @@
     std::string healthPath;
     /// Maximum connections that one backend server accepts from all callers; 0 when not configured.
     std::uint32_t maxConnections = 0;
+    /// How long a backend server is cold after a start, and how many requests per second it can
+    /// handle in that time; 0 when its servers are never cold.
+    milliseconds coldDuration{0};
+    double coldPerSecond = 0;
     std::optional<EngineProfile> engine;
 };
 
