Soak: servers that become cold

Cause: the soak had no backend servers that are cold, and no check of the requests that one server gets from all gateways in any second.

Change: the fleet gets a service with a cold rate, with two servers and its own callers. Its servers become cold at random, which their entries state up to 1.2 s later, or restart under their id with an entry that states no cold time. More requests to one server in any second than the bound are a violation, and so is a service that serves nothing after recovery. A separate random generator keeps the other faults of a seed.

--- a/Tests/Soak/SoakClients.cpp
+++ b/Tests/Soak/SoakClients.cpp
@@ -13,12 +13,15 @@
 
 constexpr int events = 8;
 constexpr int pauseMilliseconds = 15;
+/// Pause of a caller of the service "cold", most of whose requests are refused.
+constexpr int coldPauseMilliseconds = 30;
 /// Routes of the fleet: "once" is not idempotent, "again" is idempotent.
 const std::array<std::string, 3> kinds = {"once", "again", "stream"};
+const std::string coldKind = "cold";
 
 std::string requestFor(const std::string &kind, const std::string &id)
 {
-    const std::string method = kind == "again" ? "GET" : "POST";
+    const std::string method = kind == "again" || kind == coldKind ? "GET" : "POST";
     return method + " /" + kind
         + "/x HTTP/1.1\r\nHost: soak.example\r\nAuthorization: Token key1\r\n"
           "Wisteriawind-Attempt-Id: "
@@ -38,10 +41,12 @@
 
 } // namespace
 
-SoakClients::SoakClients(Fleet &fleet, int clients) : fleet_(fleet)
+SoakClients::SoakClients(Fleet &fleet, int clients, int coldClients) : fleet_(fleet)
 {
     for (int client = 0; client < clients; ++client)
         threads_.emplace_back([this, client] { run(client); });
+    for (int client = 0; client < coldClients; ++client)
+        threads_.emplace_back([this, client] { runCold(client); });
 }
 
 SoakClients::~SoakClients()
@@ -81,6 +86,21 @@
     }
 }
 
+void SoakClients::runCold(int client)
+{
+    Callers callers;
+    for (const auto &gateway : fleet_.gateways())
+        callers.push_back(std::make_unique<KeepAliveCaller>(gateway->callers()));
+    for (int number = 0; !stopping_; ++number) {
+        const std::string id =
+            coldKind + "-" + std::to_string(client) + "-" + std::to_string(number);
+        KeepAliveCaller &caller =
+            *callers[static_cast<std::size_t>(client + number) % callers.size()];
+        checkAnswer(id, coldKind, caller.call(requestFor(coldKind, id)));
+        ::poll(nullptr, 0, coldPauseMilliseconds);
+    }
+}
+
 void SoakClients::sendRequest(Callers &callers, int client, int number)
 {
     const std::string &kind = kinds.at(static_cast<std::size_t>(number) % kinds.size());
@@ -107,6 +127,10 @@
         fleet_.recorder().noteViolation(id + ": unexpected status "
                                         + std::to_string(answer.status));
     const std::lock_guard<std::mutex> lock(mutex_);
+    if (kind == coldKind) {
+        counts_.servedCold += success && answer.whole ? 1 : 0;
+        return;
+    }
     ++counts_.sent;
     if (success && answer.whole)
         ++counts_.complete;
--- a/Tests/Soak/SoakClients.h
+++ b/Tests/Soak/SoakClients.h
@@ -20,13 +20,16 @@
     std::size_t refused = 0; ///< 503.
     std::size_t failed = 0; ///< Other 5xx.
     std::size_t truncated = 0; ///< Incomplete or without an answer.
+    std::size_t servedCold = 0; ///< 2xx of the service "cold", whose requests count nowhere else.
 };
 
 /// Callers that send all kinds of requests to all gateways and check each answer.
 class SoakClients
 {
 public:
-    SoakClients(Fleet &fleet, int clients);
+    /// @param clients Callers of the service "all".
+    /// @param coldClients Callers of the service "cold".
+    SoakClients(Fleet &fleet, int clients, int coldClients);
     ~SoakClients();
     SoakClients(const SoakClients &) = delete;
     SoakClients &operator=(const SoakClients &) = delete;
@@ -42,6 +45,7 @@
 
 private:
     void run(int client);
+    void runCold(int client);
     using Callers = std::vector<std::unique_ptr<KeepAliveCaller>>;
     void sendRequest(Callers &callers, int client, int number);
     void checkAnswer(const std::string &id, const std::string &kind,
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -19,7 +19,8 @@
 
 SoakFaults::SoakFaults(Fleet &fleet, std::uint64_t seed,
                        std::function<void(const std::string &)> log)
-    : fleet_(fleet), random_(seed), signalRandom_(~seed), log_(std::move(log))
+    : fleet_(fleet), random_(seed), signalRandom_(~seed), coldRandom_(seed ^ 0xC01DULL),
+      log_(std::move(log))
 { }
 
 std::size_t SoakFaults::randomBelow(std::size_t bound)
@@ -50,6 +51,8 @@
         ending.end();
     if (now >= nextSignalAt_)
         startServerSignal(now);
+    if (now >= nextColdAt_)
+        startColdPhase(now);
     if (now < nextAt_)
         return;
     nextAt_ = now + randomDuration(100, 700);
@@ -159,6 +162,28 @@
     scheduleEnd(now + length, [this, server] { fleet_.setSignal(server, ServerSignal::None); });
 }
 
+void SoakFaults::startColdPhase(TimePoint now)
+{
+    const auto randomInt = [this](int low, int high) {
+        return std::uniform_int_distribution<int>(low, high)(coldRandom_);
+    };
+    nextColdAt_ = now + milliseconds(randomInt(500, 2000));
+    const auto server =
+        static_cast<std::size_t>(randomInt(0, static_cast<int>(coldServerCount) - 1));
+    const std::string name = "cold-" + std::to_string(server);
+    if (randomInt(0, 3) == 0) {
+        log_(name + " restarts");
+        fleet_.restartColdServer(server);
+        return;
+    }
+    const milliseconds length{randomInt(1000, 3000)};
+    const milliseconds unknownFor{randomInt(0, 1200)};
+    log_(name + " is cold for " + std::to_string(length.count()) + " ms; its entry states it after "
+         + std::to_string(unknownFor.count()) + " ms");
+    fleet_.setColdUntil(server, now + length);
+    scheduleEnd(now + unknownFor, [this, server] { fleet_.putColdServer(server); });
+}
+
 void SoakFaults::injectOperationalEvent(TimePoint now)
 {
     const milliseconds length = randomDuration(300, 2000);
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -38,16 +38,20 @@
     void injectGatewayFault(TimePoint now);
     void injectOperationalEvent(TimePoint now);
     void startServerSignal(TimePoint now);
+    void startColdPhase(TimePoint now);
     void scheduleEnd(TimePoint at, std::function<void()> end);
 
     Fleet &fleet_;
     std::mt19937_64 random_;
     /// Separate generator for server signals, so that they don't change a seed's other faults.
     std::mt19937_64 signalRandom_;
+    /// Separate generator for cold phases, for the same reason.
+    std::mt19937_64 coldRandom_;
     std::function<void(const std::string &)> log_;
     std::vector<ScheduledEnd> scheduledEnds_;
     TimePoint nextAt_;
     TimePoint nextSignalAt_;
+    TimePoint nextColdAt_;
 };
 
 } // namespace wisteria::soak
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -21,6 +21,12 @@
 constexpr int eventMilliseconds = 25;
 /// One in this many streams is reset while the servers abort streams.
 constexpr unsigned abortEvery = 3;
+/// Cold rate and bounds of the service "cold". The bound is below the rate at which callers send,
+/// and above the sum of the gateways' shares, which are for a fleet of unknown size.
+constexpr double coldPerSecond = 1;
+constexpr double coldOvershoot = 40;
+constexpr double coldSlack = 40;
+constexpr std::size_t coldBound = 80;
 const std::string seal = "Wisteriawind-Response-Seal: soak\r\n";
 
 std::uint16_t freePort()
@@ -49,6 +55,14 @@
             {"public", false}};
 }
 
+nlohmann::json coldRoute()
+{
+    nlohmann::json route = routeOf("/cold/", "idempotent");
+    route["service"] = "cold";
+    route["target_latency_ms"] = 200;
+    return route;
+}
+
 bool pollUntil(int milliseconds, const std::function<bool()> &condition)
 {
     constexpr int step = 20;
@@ -93,6 +107,15 @@
     return violations_;
 }
 
+std::size_t ArrivalRate::note(TimePoint now)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    arrivals_.push_back(now);
+    while (now - arrivals_.front() >= seconds(1))
+        arrivals_.pop_front();
+    return arrivals_.size();
+}
+
 GatewayProcess::GatewayProcess(std::string program, const std::string &folder, int number,
                                const Endpoint &store)
     : program_(std::move(program)), callers_{INADDR_LOOPBACK, freePort()}, readiness_{
@@ -107,7 +130,9 @@
                              << "\nlisten.ready=" << toText(readiness_)
                              << "\ninternal_port_range=" << freePort()
                              << ",65535\nplatform.address=" << toText(store)
-                             << "\nbounds.budget_slack=400\nbounds.grace_period_s=6\n";
+                             << "\nbounds.budget_slack=400\nbounds.grace_period_s=6"
+                             << "\nbounds.cold_overshoot=" << coldOvershoot
+                             << "\nbounds.cold_slack=" << coldSlack << "\n";
 }
 
 GatewayProcess::~GatewayProcess()
@@ -181,6 +206,13 @@
         serverLinks_.push_back(std::make_unique<FaultProxy>(servers_.back()->endpoint()));
         setDraining(servers_.size() - 1, false);
     }
+    for (std::size_t i = 0; i < coldServerCount; ++i) {
+        coldServers_.push_back(std::make_unique<ScriptedServer>(
+            [this, i](const SeenRequest &request, ScriptPeer &peer) {
+                answerCold(i, request, peer);
+            }));
+        restartColdServer(i);
+    }
     publish(true);
     storeLink_ = std::make_unique<FaultProxy>(store_.endpoint());
     for (int i = 0; i < gatewayCount; ++i)
@@ -197,8 +229,8 @@
                {{"version", ++version_},
                 {"routes",
                  {routeOf("/once/", "non_idempotent"), routeOf("/again/", "idempotent"),
-                  routeOf("/stream/", "streaming")}},
-                {"services", nlohmann::json::array()},
+                  routeOf("/stream/", "streaming"), coldRoute()}},
+                {"services", {{{"name", "cold"}, {"cold_s", 2}, {"cold_per_s", coldPerSecond}}}},
                 {"tenants", organisations}});
 }
 
@@ -212,6 +244,45 @@
                 {"state", draining ? "draining" : "ready"}});
 }
 
+void Fleet::putColdEntry(std::size_t server, nlohmann::json fields)
+{
+    fields.update({{"service", "cold"},
+                   {"address", toText(coldServers_[server]->endpoint())},
+                   {"zone", "a"},
+                   {"slot_count", 16},
+                   {"state", "ready"},
+                   {"born", coldStartedAt_.at(server)}});
+    store_.put("keyed.servers", "cold-" + std::to_string(server), fields);
+}
+
+void Fleet::putColdServer(std::size_t server)
+{
+    const milliseconds left = remaining(monotonicNow(), coldUntil_.at(server));
+    putColdEntry(server, {{"cold_remaining_ms", left.count()}});
+}
+
+void Fleet::restartColdServer(std::size_t server)
+{
+    ++coldStartedAt_.at(server);
+    putColdEntry(server, nlohmann::json::object());
+}
+
+void Fleet::answerCold(std::size_t server, const SeenRequest &request, ScriptPeer &peer)
+{
+    const TimePoint now = monotonicNow();
+    const std::size_t arrivals = coldArrivals_.at(server).note(now);
+    if (arrivals > coldBound)
+        recorder_.noteViolation("cold-" + std::to_string(server) + " got "
+                                + std::to_string(arrivals) + " requests within a second");
+    const std::string id = request.header("Wisteriawind-Attempt-Id");
+    recorder_.noteRun(id, request.target());
+    const milliseconds left = remaining(now, coldUntil_.at(server));
+    const std::string cold = left > milliseconds(0)
+        ? "Wisteriawind-Cold-Ms: " + std::to_string(left.count()) + "\r\n"
+        : "";
+    peer.send(plainResponse(200, fieldsOf(request) + cold, "answer to " + id));
+}
+
 void Fleet::answer(std::size_t server, const SeenRequest &request, ScriptPeer &peer)
 {
     const std::string id = request.header("Wisteriawind-Attempt-Id");
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <atomic>
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -75,6 +76,22 @@
     Backoff, ///< It refuses requests with a Retry-After header.
 };
 
+/// Requests to one backend server within the last second. Thread-safe.
+class ArrivalRate
+{
+public:
+    /// Records an arrival.
+    /// @return Number of arrivals within the second that ends now.
+    std::size_t note(TimePoint now);
+
+private:
+    std::mutex mutex_;
+    std::deque<TimePoint> arrivals_;
+};
+
+/// Number of servers of the service "cold", whose servers may be cold.
+inline constexpr std::size_t coldServerCount = 2;
+
 /// Backend servers and the configuration store, each behind a fault proxy, and the gateways.
 class Fleet
 {
@@ -96,8 +113,17 @@
     }
     /// Writes a server's record in the configuration store as draining or ready.
     void setDraining(std::size_t server, bool draining);
+    /// Sets until when a server of the service "cold" states in its answers that it is cold.
+    void setColdUntil(std::size_t server, TimePoint until) { coldUntil_.at(server) = until; }
+    /// Writes the record of a server of the service "cold", with the rest of its cold time.
+    void putColdServer(std::size_t server);
+    /// A server of the service "cold" restarts under its id; its record states no cold time.
+    void restartColdServer(std::size_t server);
 
 private:
+    void putColdEntry(std::size_t server, nlohmann::json fields);
+    void answerCold(std::size_t server, const gateway_tests::SeenRequest &request,
+                    gateway_tests::ScriptPeer &peer);
     void answer(std::size_t server, const gateway_tests::SeenRequest &request,
                 gateway_tests::ScriptPeer &peer);
     void stream(const gateway_tests::SeenRequest &request, const std::string &fields,
@@ -109,6 +135,10 @@
     std::atomic<unsigned> streams_ = 0;
     int version_ = 0;
     gateway_tests::StoreStandIn store_;
+    std::array<ArrivalRate, coldServerCount> coldArrivals_;
+    std::array<std::atomic<TimePoint>, coldServerCount> coldUntil_{};
+    std::array<std::uint64_t, coldServerCount> coldStartedAt_{};
+    std::vector<std::unique_ptr<gateway_tests::ScriptedServer>> coldServers_;
     std::vector<std::unique_ptr<gateway_tests::ScriptedServer>> servers_;
     std::vector<std::unique_ptr<FaultProxy>> serverLinks_;
     std::unique_ptr<FaultProxy> storeLink_;
--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -22,6 +22,7 @@
 
 constexpr int gatewayCount = 2;
 constexpr int clientCount = 12;
+constexpr int coldClientCount = 8;
 /// Time after the last fault until gateways have dropped unresponsive connections and reconnected
 /// to the store.
 constexpr milliseconds recoveryTime{5000};
@@ -93,7 +94,7 @@
         faultLog.push_back(std::to_string(remaining(begun, monotonicNow()).count()) + " ms "
                            + what);
     });
-    SoakClients clients(fleet, clientCount);
+    SoakClients clients(fleet, clientCount, coldClientCount);
     while (monotonicNow() - begun < plan.length) {
         faults.advance(monotonicNow());
         sleepFor(milliseconds(10));
@@ -111,6 +112,9 @@
         fleet.recorder().noteViolation("after recovery " + std::to_string(afterRecovery.complete)
                                        + " of " + std::to_string(afterRecovery.sent)
                                        + " requests got a complete answer");
+    if (afterRecovery.servedCold == 0)
+        fleet.recorder().noteViolation(
+            "after recovery no request of the service \"cold\" is served");
     checkRefusedRequests(fleet, clients);
     stopAll(fleet);
     const std::vector<std::string> violations = fleet.recorder().violations();
@@ -118,7 +122,8 @@
               << " requests under faults, " << underFaults.complete << " complete, "
               << underFaults.refused << " refused, " << underFaults.failed << " failed, "
               << underFaults.truncated << " truncated; after recovery " << afterRecovery.complete
-              << " of " << afterRecovery.sent << " complete; " << violations.size() << " violations"
+              << " of " << afterRecovery.sent << " complete; " << underFaults.servedCold
+              << " served by servers that may be cold; " << violations.size() << " violations"
               << std::endl;
     for (const std::string &what : violations)
         std::cout << "  violation: " << what << '\n';
