--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -96,7 +96,9 @@
                              receiveMessage(from, bytes);
                          }),
           hellos_(context_, messageSocket_, settings_.firstInternalPort)
-    { }
+    {
+        registry_.cold.bounds = {settings_.coldOvershoot, settings_.coldSlack};
+    }
 
     Result<void> run()
     {
@@ -187,6 +189,7 @@
                                    .open = load.open,
                                    .gateways = load.gateways};
         noteGateways(context_.retryQuota, load.gateways);
+        registry_.cold.gateways = assumedGateways(context_.retryQuota);
         for (auto &[id, state] : registry_.backends) {
             if (state.entry.address != load.engine)
                 continue;
@@ -290,6 +293,7 @@
              .openRequests = busySessions(),
              .waitingRequests = waiting_.size(),
              .serverLimits = activeLimitCount(registry_.limits),
+             .coldServers = coldServerCount(registry_.cold, now),
              .ready = ready(),
              .droppedLogLines = log_.droppedLines()});
         for (auto &[service, bucket] : context_.retryBuckets) {
--- a/Source/Programs/Gateway/OperatorRecords.cpp
+++ b/Source/Programs/Gateway/OperatorRecords.cpp
@@ -60,11 +60,11 @@
 {
     if (const auto evacuation = platform::decodeEvacuation(record))
         return applyEvacuation(*evacuation, record, now);
-    applyConfiguration(record);
+    applyConfiguration(record, now);
     return false;
 }
 
-void OperatorRecords::applyConfiguration(const platform::KeyedRecord &record)
+void OperatorRecords::applyConfiguration(const platform::KeyedRecord &record, TimePoint now)
 {
     if (record.key != platform::configurationKey || record.value.empty())
         return;
@@ -80,6 +80,8 @@
         return;
     context_.routes = std::make_shared<const RouteTable>(
         std::make_shared<const ServiceConfiguration>(std::move(decoded.value())));
+    setColdServices(context_.registry.cold, context_.registry.limits,
+                    context_.routes->configuration().services, now);
     context_.log.info("config.in_force", {{"version", version}, {"offset", record.offset}});
 }
 
--- a/Source/Programs/Gateway/OperatorRecords.h
+++ b/Source/Programs/Gateway/OperatorRecords.h
@@ -29,7 +29,7 @@
 
 private:
     bool applyRecord(const platform::KeyedRecord &record, TimePoint now);
-    void applyConfiguration(const platform::KeyedRecord &record);
+    void applyConfiguration(const platform::KeyedRecord &record, TimePoint now);
     bool applyEvacuation(const platform::EvacuationRecord &evacuation,
                          const platform::KeyedRecord &record, TimePoint now);
     void noteRestored(const RestoredDomain &restored);
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -23,7 +23,8 @@
 SoakFaults::SoakFaults(Fleet &fleet, std::uint64_t seed,
                        std::function<void(const std::string &)> log)
     : fleet_(fleet), random_(seed), signalRandom_(~seed),
-      evacuationRandom_(seed + evacuationSeedOffset), log_(std::move(log))
+      evacuationRandom_(seed + evacuationSeedOffset), coldRandom_(seed ^ 0xC01DULL),
+      log_(std::move(log))
 { }
 
 std::size_t SoakFaults::randomBelow(std::size_t bound)
@@ -56,6 +57,8 @@
         startServerSignal(now);
     if (now >= nextEvacuationAt_)
         startEvacuation(now);
+    if (now >= nextColdAt_)
+        startColdPhase(now);
     if (now < nextAt_)
         return;
     nextAt_ = now + randomDuration(100, 700);
@@ -179,6 +182,28 @@
     scheduleEnd(now + length, [this, domain] { fleet_.setEvacuated(domain, false); });
 }
 
+void SoakFaults::startColdPhase(TimePoint now)
+{
+    const auto randomInt = [this](int low, int high) {
+        return std::uniform_int_distribution<int>(low, high)(coldRandom_);
+    };
+    nextColdAt_ = now + milliseconds(randomInt(500, 2000));
+    const auto server =
+        static_cast<std::size_t>(randomInt(0, static_cast<int>(coldServerCount) - 1));
+    const std::string name = "cold-" + std::to_string(server);
+    if (randomInt(0, 3) == 0) {
+        log_(name + " restarts");
+        fleet_.restartColdServer(server);
+        return;
+    }
+    const milliseconds length{randomInt(1000, 3000)};
+    const milliseconds unknownFor{randomInt(0, 1200)};
+    log_(name + " is cold for " + std::to_string(length.count()) + " ms; its entry states it after "
+         + std::to_string(unknownFor.count()) + " ms");
+    fleet_.setColdUntil(server, now + length);
+    scheduleEnd(now + unknownFor, [this, server] { fleet_.putColdServer(server); });
+}
+
 void SoakFaults::injectOperationalEvent(TimePoint now)
 {
     const milliseconds length = randomDuration(300, 2000);
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -39,6 +39,7 @@
     void injectOperationalEvent(TimePoint now);
     void startServerSignal(TimePoint now);
     void startEvacuation(TimePoint now);
+    void startColdPhase(TimePoint now);
     void scheduleEnd(TimePoint at, std::function<void()> end);
 
     Fleet &fleet_;
@@ -47,11 +48,14 @@
     std::mt19937_64 signalRandom_;
     /// The same for evacuations.
     std::mt19937_64 evacuationRandom_;
+    /// Separate generator for cold phases, for the same reason.
+    std::mt19937_64 coldRandom_;
     std::function<void(const std::string &)> log_;
     std::vector<ScheduledEnd> scheduledEnds_;
     TimePoint nextAt_;
     TimePoint nextSignalAt_;
     TimePoint nextEvacuationAt_;
+    TimePoint nextColdAt_;
 };
 
 } // namespace wisteria::soak
