--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -292,6 +292,8 @@
     if (evacuations_.forbids(domainOf(server), monotonicNow()))
         recorder_.noteViolation(id + " arrived at server-" + std::to_string(server)
                                 + " in an evacuated domain");
+}
+
 void Fleet::putColdEntry(std::size_t server, nlohmann::json fields)
 {
     fields.update({{"service", "cold"},
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -123,9 +123,6 @@
     static const std::array<std::string, 2> &domains();
     /// Number of requests that have arrived in a failure domain.
     std::size_t arrivalsIn(const std::string &domain) const;
-
-private:
-    void noteArrival(std::size_t server, const std::string &id);
     /// Sets until when a server of the service "cold" states in its answers that it is cold.
     void setColdUntil(std::size_t server, TimePoint until) { coldUntil_.at(server) = until; }
     /// Writes the record of a server of the service "cold", with the rest of its cold time.
@@ -134,6 +131,7 @@
     void restartColdServer(std::size_t server);
 
 private:
+    void noteArrival(std::size_t server, const std::string &id);
     void putColdEntry(std::size_t server, nlohmann::json fields);
     void answerCold(std::size_t server, const gateway_tests::SeenRequest &request,
                     gateway_tests::ScriptPeer &peer);
