Contracts in the settings and the priority header of a send

Cause: a gateway does not know which optional rules the platform asks for, and an engine with a queue does not know which requests are urgent. Change: the setting 'contracts' is decoded, and SendOptions has a priority that is sent as Wisteriawind-Request-Priority. Nothing uses them yet. Result: the codec tests pass.

--- a/Source/Request/GatewayRequest.h
+++ b/Source/Request/GatewayRequest.h
@@ -44,6 +44,8 @@
     /// request.
     std::string expectedBackend{};
     std::string organisation{};
+    /// 0 (most urgent) to 9; empty to send none.
+    std::optional<std::uint32_t> priority{};
     milliseconds timeLeft{0};
     /// A resumed stream continues after this event.
     std::optional<std::uint64_t> lastEventId{};
--- a/Tests/Gateway/CodecTest.cpp
+++ b/Tests/Gateway/CodecTest.cpp
@@ -47,6 +47,14 @@
     REQUIRE(parseProcessSettings(goodSettings + "something.new=1\nnonsense\n").has_value());
 }
 
+// Guards against a platform's request for a rule that is overlooked because of spaces or others.
+TEST_CASE("Contracts in the settings are names separated by commas")
+{
+    REQUIRE(parseProcessSettings(goodSettings).value().contracts.empty());
+    const auto settings = parseProcessSettings(goodSettings + "contracts=other, pressure\n");
+    REQUIRE(settings.value().contracts == std::set<std::string>{"other", "pressure"});
+}
+
 TEST_CASE("A backend entry with a missing or wrong field is refused")
 {
     const std::string good =
@@ -182,6 +190,7 @@
                       {"Authorization", "Token k"},
                       {"Wisteriawind-Attempt-Id", "a1"},
                       {"Wisteriawind-Tenant", "forged"},
+                      {"Wisteriawind-Request-Priority", "0"},
                       {"Connection", "X-Hop"},
                       {"X-Hop", "1"},
                       {"X-Kept", "2"}};
@@ -192,7 +201,7 @@
     const std::string sent =
         encodeBackendRequest(decoded, {.expectedBackend = "i-1", .timeLeft = milliseconds(5)});
     REQUIRE(sent.find("X-Kept: 2") != std::string::npos);
-    for (const char *absent : {"X-Hop", "Token k", "forged", "Connection"})
+    for (const char *absent : {"X-Hop", "Token k", "forged", "Connection", "Priority"})
         REQUIRE(sent.find(absent) == std::string::npos);
     request.fields.pop_back();
     request.fields.push_back({"Wisteriawind-Deadline-Ms", "soon"});
