Slots by priority, starvation bound and fair order of organisations

Cause: a surge of the least urgent requests takes all slots of a service whose routes have different priorities, a large organisation's surge fills the queue, and refused callers retry while urgent requests arrive. Change: a first send stays within the limit of its priority, unless the priority is starved. With the contract 'pressure', waiting requests of one priority take turns by their organisations' recent starts. A refusal by a limit has its own reason and a longer Retry-After, and engines are told the priority. The end-of-request log, the place in the admission queue and the order of dispatch are in files of their own.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "Programs/Gateway/GatewayMetrics.h"
+#include "Programs/Gateway/RequestEndLog.h"
 #include "Programs/Gateway/ServerSignals.h"
 #include "platform/RequestCodec.h"
 
@@ -16,10 +16,9 @@
 constexpr milliseconds connectTimeout{400};
 /// Bytes queued for a caller above which reading from its backend server pauses.
 constexpr std::size_t callerQueueBytes = 262144;
-/// Maximum load of a backend server, as a fraction of its slots: for a first send or a move off a
-/// slow server, and for a retry after a failure. The latter may use more, because its request has
-/// cost work already and its caller waits for the rest.
-constexpr double maxLoadForFirstSend = 1.0;
+/// Maximum load of a backend server for a retry after a failure, as a fraction of its slots. It is
+/// above that for a first send, because its request has cost work already and its caller waits for
+/// the rest.
 constexpr double maxLoadAfterFailure = 2.0;
 /// Interval after which a request that waits for a permit requests one again, possibly for another
 /// backend server.
@@ -38,27 +37,16 @@
     }
 }
 
-const char *refusalReason(NoBackendReason reason, bool mayWait)
-{
-    if (reason == NoBackendReason::BackingOff)
-        return "all backend servers asked for rest";
-    if (reason == NoBackendReason::AtLimit)
-        return "the limits of all backend servers are used up";
-    if (reason != NoBackendReason::AllFull)
-        return "no backend server takes work";
-    return mayWait ? "all places are taken" : "too many wait for a place";
-}
-
 } // namespace
 
 Exchange::Exchange(GatewayContext &context, AnswerSink &sink, GatewayRequest request, Access access,
                    std::string service, TimePoint arrived)
     : context_(context), sink_(sink), request_(std::move(request)), routes_(context.routes),
-      route_(*access.route), priority_(access.priority()), service_(std::move(service)),
+      route_(*access.route), service_(std::move(service)),
+      admission_(context, routes_->priorityLimitsOf(service_), service_, access.priority(),
+                 access.organisation != nullptr ? access.organisation->name : std::string()),
       arrived_(arrived), deadline_(arrived + route_.timeout)
 {
-    if (access.organisation != nullptr)
-        organisation_ = access.organisation->name;
     if (request_.timeLeft)
         deadline_ = std::min(deadline_, arrived + *request_.timeLeft);
     waitUntil_ = arrived;
@@ -74,17 +62,23 @@
             {{"id", request_.attemptId}, {"backend", backendId_}, {"reason", "the caller left"}});
     }
     if (!finished_)
-        countEnd(0, "the caller left", monotonicNow());
-    endWait();
+        countRequestEnd(context_.metrics, endOf(0, "the caller left", monotonicNow()));
+    endWait(monotonicNow());
     releaseBackend();
 }
 
 bool Exchange::tryDispatch(TimePoint now)
 {
-    const BackendChoice choice = chooseNext(maxLoadForFirstSend, now);
+    const BackendChoice choice = chooseNext(admission_.maxLoad(now), now);
+    if (choice.backend != nullptr && letsOthersFirst(now)) {
+        waitUntil_ = waitTimeout(NoBackendReason::AllFull);
+        admission_.joinQueue(now);
+        context_.dispatchSoon();
+        return false;
+    }
     if (choice.backend != nullptr) {
-        endWait();
-        noteDispatched(context_.admissionQueues[service_], now);
+        admission_.noteStart(now);
+        endWait(now);
         markPermitWanted(context_.registry.limits, choice.preferredAtLimit, now);
         send(*choice.backend, now);
         return true;
@@ -92,52 +86,50 @@
     nextDispatchAt_ = nextDispatchTime(choice, now);
     // The timeout never becomes earlier: a request that waited for a closed group keeps its longer
     // timeout if all slots are taken as soon as the group opens.
-    waitUntil_ = std::max(
-        waitUntil_,
-        queueTimeoutAt(
-            context_.admissionTimeouts, choice.reason,
-            {.arrived = arrived_, .deadline = deadline_, .targetLatency = route_.targetLatency}));
-    const bool mayWait = countedInQueue_ || shouldWait(choice, now);
+    waitUntil_ = std::max(waitUntil_, waitTimeout(choice.reason));
+    const bool mayWait = admission_.queued() || shouldWait(choice, now);
     if (now < waitUntil_ && mayWait) {
         markPermitWanted(context_.registry.limits, choice.preferredAtLimit, now);
-        joinAdmissionQueue();
+        admission_.joinQueue(now);
         return false;
     }
-    endWait();
     refuse(refusalReason(choice.reason, mayWait), choice, now);
     return true;
 }
 
+TimePoint Exchange::waitTimeout(NoBackendReason reason) const
+{
+    return queueTimeoutAt(
+        context_.admissionTimeouts, reason,
+        {.arrived = arrived_, .deadline = deadline_, .targetLatency = route_.targetLatency});
+}
+
+/// A request that arrives between the event that freed a slot and the dispatch of the waiting
+/// requests must not take the slot of one that is served before it.
+bool Exchange::letsOthersFirst(TimePoint now) const
+{
+    return now < waitTimeout(NoBackendReason::AllFull) && admission_.othersFirst(now);
+}
+
 bool Exchange::shouldWait(const BackendChoice &choice, TimePoint now) const
 {
     if (choice.retryAt > waitUntil_)
         return false;
     return (choice.reason != NoBackendReason::AllFull && choice.reason != NoBackendReason::AtLimit)
-        || waitCanSucceed(context_.admissionQueues[service_], priority_, remaining(now, waitUntil_),
-                          now);
-}
-
-void Exchange::joinAdmissionQueue()
-{
-    if (countedInQueue_)
-        return;
-    joinQueue(context_.admissionQueues[service_], priority_);
-    countedInQueue_ = true;
+        || admission_.waitCanSucceed(remaining(now, waitUntil_), now);
 }
 
-void Exchange::endWait()
+void Exchange::endWait(TimePoint now)
 {
     waiting_ = false;
-    if (!countedInQueue_)
-        return;
-    leaveQueue(context_.admissionQueues[service_], priority_);
-    countedInQueue_ = false;
+    admission_.leave(now);
 }
 
 void Exchange::send(BackendState &backend, TimePoint now)
 {
     SendOptions options{.expectedBackend = backend.entry.id,
-                        .organisation = organisation_,
+                        .organisation = admission_.organisation(),
+                        .priority = admission_.enginePriority(),
                         .timeLeft = timeLeft(now),
                         .lastEventId =
                             splitter_.lastId() ? splitter_.lastId() : request_.lastEventId};
@@ -409,7 +401,7 @@
     historyAfterMove.mayHaveRun = true;
     if (!mayRetry(route_, SendOutcome::Incomplete, historyAfterMove, timeLeft(now)))
         return;
-    const BackendChoice choice = chooseNext(maxLoadForFirstSend, now);
+    const BackendChoice choice = chooseNext(PriorityAdmission::maxLoadForFirstSend, now);
     const bool better = choice.backend != nullptr
         && slowdownOf(*choice.backend, now, context_.registry.loadLifetime) < moveAtSlowdown;
     if (!better || !takeRetryToken(context_.retryBuckets[service_], context_.retryQuota, now))
@@ -456,8 +448,16 @@
 void Exchange::refuse(const char *reason, const BackendChoice &choice, TimePoint now)
 {
     const milliseconds sinceProgress = remaining(context_.lastProgressAt[service_], now);
-    const milliseconds retryAfter =
+    milliseconds retryAfter =
         retryAfterFor(context_.retryAfterPolicy, choice, sinceProgress, now, context_.randomUnit());
+    const bool atPriorityLimit = waiting_ && choice.reason == NoBackendReason::AllFull
+        && admission_.limited(now)
+        && chooseNext(PriorityAdmission::maxLoadForFirstSend, now).backend != nullptr;
+    if (atPriorityLimit) {
+        reason = "too many of this priority";
+        retryAfter = retryAfterAtLimit(context_.retryAfterPolicy, admission_.step(), sinceProgress,
+                                       context_.randomUnit());
+    }
     finish(503, reason, now);
     sink_.answer(503, platform::ownAnswerFields(request_.attemptId, retryAfter), "");
 }
@@ -465,23 +465,17 @@
 void Exchange::finish(int status, const char *reason, TimePoint now)
 {
     finished_ = true;
-    endWait();
-    LogFields fields = {
-        {"id", request_.attemptId}, {"status", status},
-        {"reason", reason},         {"route", route_.name},
-        {"service", service_},      {"config", routes_->configuration().version},
-        {"tried", tried_},          {"took_s", secondsOf(remaining(arrived_, now))}};
-    if (history_.answerBegun) {
-        fields["first_event_s"] = secondsOf(remaining(arrived_, firstEventAt_));
-        fields["longest_pause_s"] = secondsOf(longestPause_);
-    }
-    constexpr int firstClientError = 400;
-    const bool logAsInfo = status != 0 && status < firstClientError;
-    context_.log.write(logAsInfo ? LogLevel::Info : LogLevel::Warning, "request.end", fields);
-    countEnd(status, reason, now);
+    endWait(now);
+    logRequestEnd(context_,
+                  {.end = endOf(status, reason, now),
+                   .id = request_.attemptId,
+                   .route = route_.name,
+                   .configurationVersion = routes_->configuration().version,
+                   .priority = admission_.priority(),
+                   .tried = tried_});
 }
 
-void Exchange::countEnd(int status, const char *reason, TimePoint now)
+RequestEnd Exchange::endOf(int status, const char *reason, TimePoint now) const
 {
     RequestEnd ended{.service = service_,
                      .status = status,
@@ -491,7 +485,7 @@
         ended.firstEvent = remaining(arrived_, firstEventAt_);
         ended.longestPause = longestPause_;
     }
-    countRequestEnd(context_.metrics, ended);
+    return ended;
 }
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "Programs/Gateway/GatewayContext.h"
+#include "Programs/Gateway/GatewayMetrics.h"
+#include "Programs/Gateway/PriorityAdmission.h"
 #include "Request/EventSplitter.h"
 #include "Request/GatewayRequest.h"
 #include "Request/RetryDecision.h"
@@ -59,15 +61,17 @@
     /// Whether the first send is still pending.
     bool waiting() const { return waiting_; }
     bool finished() const { return finished_; }
-    std::uint32_t priority() const { return priority_; }
+    /// Its urgency and its place in the admission queue.
+    const PriorityAdmission &admission() const { return admission_; }
     TimePoint arrived() const { return arrived_; }
     const std::string &service() const { return service_; }
 
 private:
     milliseconds timeLeft(TimePoint now) const { return remaining(now, deadline_); }
     bool shouldWait(const BackendChoice &choice, TimePoint now) const;
-    void joinAdmissionQueue();
-    void endWait();
+    TimePoint waitTimeout(NoBackendReason reason) const;
+    bool letsOthersFirst(TimePoint now) const;
+    void endWait(TimePoint now);
     void send(BackendState &backend, TimePoint now);
     bool acceptsHead(const HttpResponseHead &head) const;
     void onHead(const HttpResponseHead &head);
@@ -86,7 +90,7 @@
     BackendState *currentBackend();
     void refuse(const char *reason, const BackendChoice &choice, TimePoint now);
     void finish(int status, const char *reason, TimePoint now);
-    void countEnd(int status, const char *reason, TimePoint now);
+    RequestEnd endOf(int status, const char *reason, TimePoint now) const;
 
     GatewayContext &context_;
     AnswerSink &sink_;
@@ -94,9 +98,8 @@
     /// Keeps the route of the request alive when a new configuration replaces it.
     std::shared_ptr<const RouteTable> routes_;
     const RouteRule &route_;
-    std::string organisation_;
-    std::uint32_t priority_ = 0;
     std::string service_;
+    PriorityAdmission admission_;
     TimePoint arrived_;
     TimePoint deadline_;
     /// Whether the service's backend servers are ranks of groups.
@@ -106,8 +109,6 @@
     /// When the request looks for a slot again even if none has become free.
     TimePoint nextDispatchAt_ = TimePoint::max();
     bool waiting_ = true;
-    /// Whether the request is counted in the service's admission queue.
-    bool countedInQueue_ = false;
     bool finished_ = false;
     SendHistory history_;
     std::vector<std::string> tried_;
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -11,6 +11,7 @@
 #include "Connection/TcpConnection.h"
 #include "Process/ShutdownSignal.h"
 #include "Programs/Gateway/BackendList.h"
+#include "Programs/Gateway/DispatchOrder.h"
 #include "Programs/Gateway/GatewayDirectory.h"
 #include "Programs/Gateway/GatewayMetrics.h"
 #include "Programs/Gateway/LimitPermits.h"
@@ -70,17 +71,19 @@
         : settings_(std::move(settings)), shutdown_(
                                               loop_, [this] { stop(); }, [this] { reload(); }),
           log_(settings_.vmName, log),
-          pool_(loop_), context_{.loop = loop_,
-                                 .log = log_,
-                                 .metrics = metrics_,
-                                 .pool = pool_,
-                                 .registry = registry_,
-                                 .retryQuota = retryQuotaOf(settings_),
-                                 .retryBuckets = {},
-                                 .failureDomain = settings_.failureDomain,
-                                 .routes = nullptr,
-                                 .rereadBackends =
-                                     [this] { backendsWatch_->readSoon(monotonicNow()); }},
+          pool_(loop_), context_{
+                            .loop = loop_,
+                            .log = log_,
+                            .metrics = metrics_,
+                            .pool = pool_,
+                            .registry = registry_,
+                            .retryQuota = retryQuotaOf(settings_),
+                            .retryBuckets = {},
+                            .failureDomain = settings_.failureDomain,
+                            .fairQueueing = settings_.contracts.contains("pressure"),
+                            .routes = nullptr,
+                            .rereadBackends = [this] { backendsWatch_->readSoon(monotonicNow()); },
+                            .dispatchSoon = [this] { scheduleDispatch(); }},
           backendList_(registry_, log_, backendsPollInterval(settings_.drainTime)),
           callerListener_(loop_, [this](int descriptor) { acceptCaller(descriptor); }),
           readinessListener_(
@@ -266,20 +269,22 @@
         loop_.defer([this] { dispatchWaiting(); });
     }
 
-    /// Tries to dispatch the waiting requests: the most urgent first, which have the lowest
-    /// priority number, and then in order of arrival.
+    /// Tries to dispatch the waiting requests; see dispatchOrder().
     void dispatchWaiting()
     {
         dispatchScheduled_ = false;
         std::erase_if(waiting_,
                       [this](std::uint64_t id) { return waitingExchange(id) == nullptr; });
-        std::stable_sort(waiting_.begin(), waiting_.end(),
-                         [this](std::uint64_t a, std::uint64_t b) {
-                             return waitingExchange(a)->priority() < waitingExchange(b)->priority();
-                         });
         const TimePoint now = monotonicNow();
-        const std::vector<std::uint64_t> order = waiting_;
-        for (const std::uint64_t id : order) {
+        std::vector<WaitingRequest> waiting;
+        waiting.reserve(waiting_.size());
+        for (const std::uint64_t id : waiting_) {
+            const PriorityAdmission &admission = waitingExchange(id)->admission();
+            waiting.push_back({id, admission.dispatchPriority(now), admission.organisation()});
+        }
+        const OrganisationShares *shares =
+            context_.fairQueueing ? &context_.organisationShares : nullptr;
+        for (const std::uint64_t id : dispatchOrder(waiting, shares, now)) {
             if (Exchange *exchange = waitingExchange(id))
                 exchange->tryDispatch(now);
         }
@@ -314,11 +319,22 @@
         }
         for (const ServiceSlots &slots : slotsOf(registry_, now))
             setSlots(metrics_, slots);
+        updatePriorityLimits();
         updateStoreAge("configuration", *configurationWatch_, now);
         updateStoreAge("backends", *backendsWatch_, now);
         return metrics_.text();
     }
 
+    void updatePriorityLimits()
+    {
+        if (!context_.routes)
+            return;
+        for (const auto &[service, limits] : context_.routes->priorityLimits()) {
+            for (std::size_t step = 0; step < limits.limits.size(); ++step)
+                setPriorityLimit(metrics_, service, limits.priorities[step], limits.limits[step]);
+        }
+    }
+
     void updateStoreAge(const std::string &watchName, const StoreWatch &watch, TimePoint now)
     {
         if (watch.answeredAt())
--- a/Source/Programs/Gateway/GatewayContext.h
+++ b/Source/Programs/Gateway/GatewayContext.h
@@ -14,6 +14,8 @@
 #include "Request/AdmissionQueue.h"
 #include "Request/AdmissionTimeouts.h"
 #include "Request/BackendRegistry.h"
+#include "Request/OrganisationShares.h"
+#include "Request/PriorityLimits.h"
 #include "Request/RetryAfterPolicy.h"
 #include "Request/RetryTokenBucket.h"
 #include "Request/RouteTable.h"
@@ -35,6 +37,11 @@
     AdmissionTimeouts admissionTimeouts{};
     /// Requests that wait for a slot, by service.
     std::map<std::string, AdmissionQueue> admissionQueues{};
+    /// Requests of services whose routes have more than one priority, by service.
+    std::map<std::string, PriorityCounts> priorityCounts{};
+    /// Whether waiting requests of one priority are served in the order of `organisationShares`.
+    bool fairQueueing = false;
+    OrganisationShares organisationShares{};
     /// When each service last sent an answer or an event of a stream.
     std::map<std::string, TimePoint> lastProgressAt{};
     /// Null until the first configuration is known.
@@ -45,6 +52,8 @@
     bool backendsKnown = false;
     /// Reads the list of backend servers again, after an answer showed that it has changed.
     std::function<void()> rereadBackends;
+    /// Tries to dispatch the waiting requests at the end of the event loop's round.
+    std::function<void()> dispatchSoon{};
     std::mt19937_64 random{std::random_device{}()};
 
     /// Whether routes and backend servers are known, so that requests can be routed.
--- a/Source/Programs/Gateway/GatewayMetrics.cpp
+++ b/Source/Programs/Gateway/GatewayMetrics.cpp
@@ -64,6 +64,27 @@
                            {{"service", service}});
 }
 
+void countPriorityStart(Metrics &metrics, const std::string &service, std::uint32_t priority,
+                        bool starved)
+{
+    const MetricLabels labels = {{"service", service}, {"priority", std::to_string(priority)}};
+    metrics.count("wisteria_priority_starts_total", "First sends by priority", labels);
+    if (starved) {
+        metrics.count("wisteria_starvation_total",
+                      "First sends at the limit of the most urgent priority, because the own one "
+                      "starts too few requests",
+                      labels);
+    }
+}
+
+void setPriorityLimit(Metrics &metrics, const std::string &service, std::uint32_t priority,
+                      std::uint32_t limit)
+{
+    metrics.set("wisteria_priority_limit",
+                "Requests at one backend server below which a request of the priority may start",
+                limit, {{"service", service}, {"priority", std::to_string(priority)}});
+}
+
 void countSendEnd(Metrics &metrics, const std::string &service, const std::string &outcome)
 {
     metrics.count("wisteria_sends_total", "Sends to backend servers by how they ended",
--- a/Source/Programs/Gateway/GatewayMetrics.h
+++ b/Source/Programs/Gateway/GatewayMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -50,6 +51,16 @@
 /// @param waited From the arrival to the first send.
 void countFirstSend(Metrics &metrics, const std::string &service, milliseconds waited);
 
+/// Counts a first send of a service whose routes have more than one priority.
+/// @param starved The request started at the limit of the most urgent priority because its own is
+/// starved; see isStarved().
+void countPriorityStart(Metrics &metrics, const std::string &service, std::uint32_t priority,
+                        bool starved);
+
+/// @param limit Requests at one backend server, see PriorityLimits.
+void setPriorityLimit(Metrics &metrics, const std::string &service, std::uint32_t priority,
+                      std::uint32_t limit);
+
 /// @param outcome "answered", "moved", or the name of a `SendOutcome`.
 void countSendEnd(Metrics &metrics, const std::string &service, const std::string &outcome);
 
--- /dev/null
+++ b/Source/Programs/Gateway/RequestEndLog.cpp
@@ -0,0 +1,38 @@
+#include "Programs/Gateway/RequestEndLog.h"
+
+namespace wisteria {
+
+const char *refusalReason(NoBackendReason reason, bool mayWait)
+{
+    if (reason == NoBackendReason::BackingOff)
+        return "all backend servers asked for rest";
+    if (reason == NoBackendReason::AtLimit)
+        return "the limits of all backend servers are used up";
+    if (reason != NoBackendReason::AllFull)
+        return "no backend server takes work";
+    return mayWait ? "all places are taken" : "too many wait for a place";
+}
+
+void logRequestEnd(GatewayContext &context, const EndedRequest &request)
+{
+    const RequestEnd &end = request.end;
+    LogFields fields = {{"id", request.id},
+                        {"status", end.status},
+                        {"reason", end.reason},
+                        {"route", request.route},
+                        {"service", end.service},
+                        {"priority", request.priority},
+                        {"config", request.configurationVersion},
+                        {"tried", request.tried},
+                        {"took_s", secondsOf(end.duration)}};
+    if (end.firstEvent)
+        fields["first_event_s"] = secondsOf(*end.firstEvent);
+    if (end.longestPause)
+        fields["longest_pause_s"] = secondsOf(*end.longestPause);
+    constexpr int firstClientError = 400;
+    const bool logAsInfo = end.status != 0 && end.status < firstClientError;
+    context.log.write(logAsInfo ? LogLevel::Info : LogLevel::Warning, "request.end", fields);
+    countRequestEnd(context.metrics, end);
+}
+
+} // namespace wisteria
--- a/Source/Request/AdmissionQueue.cpp
+++ b/Source/Request/AdmissionQueue.cpp
@@ -16,16 +16,12 @@
     return queue.recentSends * std::exp(-(passed / window));
 }
 
-/// Returns the number of queued requests that are served before a new one: those of higher or equal
-/// priority.
-std::size_t countAhead(const AdmissionQueue &queue, std::uint32_t priority)
+std::size_t sumOf(const OrganisationCounts &waiting)
 {
-    std::size_t ahead = 0;
-    for (const auto &[other, waiting] : queue.waiting) {
-        if (other <= priority)
-            ahead += waiting;
-    }
-    return ahead;
+    std::size_t sum = 0;
+    for (const auto &[organisation, count] : waiting)
+        sum += count;
+    return sum;
 }
 
 } // namespace
@@ -36,26 +32,51 @@
     queue.decayedAt = now;
 }
 
-void joinQueue(AdmissionQueue &queue, std::uint32_t priority)
+void joinQueue(AdmissionQueue &queue, std::uint32_t priority, const std::string &organisation)
 {
-    ++queue.waiting[priority];
+    ++queue.waiting[priority][organisation];
 }
 
-void leaveQueue(AdmissionQueue &queue, std::uint32_t priority)
+void leaveQueue(AdmissionQueue &queue, std::uint32_t priority, const std::string &organisation)
 {
-    const auto found = queue.waiting.find(priority);
-    if (found == queue.waiting.end())
+    const auto samePriority = queue.waiting.find(priority);
+    if (samePriority == queue.waiting.end())
+        return;
+    const auto found = samePriority->second.find(organisation);
+    if (found == samePriority->second.end())
         return;
     if (--found->second == 0)
-        queue.waiting.erase(found);
+        samePriority->second.erase(found);
+    if (samePriority->second.empty())
+        queue.waiting.erase(samePriority);
+}
+
+std::size_t countAhead(const AdmissionQueue &queue, std::uint32_t priority,
+                       const OrganisationShares *shares, const std::string &organisation,
+                       TimePoint now)
+{
+    std::size_t ahead = 0;
+    for (const auto &[other, waiting] : queue.waiting) {
+        if (other < priority || (other == priority && shares == nullptr))
+            ahead += sumOf(waiting);
+        else if (other == priority)
+            ahead += requestsAhead(*shares, waiting, organisation, now);
+    }
+    return ahead;
 }
 
 bool waitCanSucceed(const AdmissionQueue &queue, std::uint32_t priority, milliseconds wait,
                     TimePoint now)
+{
+    return waitCanSucceedAfter(queue, countAhead(queue, priority, nullptr, {}, now), wait, now);
+}
+
+bool waitCanSucceedAfter(const AdmissionQueue &queue, std::size_t ahead, milliseconds wait,
+                         TimePoint now)
 {
     const std::chrono::duration<double> window = dispatchRateWindow;
     const double dispatchesInTime = decayedSends(queue, now) * (wait / window);
-    const double needed = static_cast<double>(countAhead(queue, priority)) + 1;
+    const double needed = static_cast<double>(ahead) + 1;
     return needed <= std::max(minQueueLength, dispatchesInTime);
 }
 
--- a/Source/Request/AdmissionQueue.h
+++ b/Source/Request/AdmissionQueue.h
@@ -3,8 +3,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string>
 
 #include "Process/Time.h"
+#include "Request/OrganisationShares.h"
 
 namespace wisteria {
 
@@ -24,15 +26,24 @@
     /// Count of first sends, decayed exponentially with the time constant `dispatchRateWindow`.
     double recentSends = 0;
     TimePoint decayedAt;
-    /// Number of waiting requests by priority; the lowest priority number is served first.
-    std::map<std::uint32_t, std::size_t> waiting;
+    /// Number of waiting requests by priority and organisation; the lowest priority number is
+    /// served first.
+    std::map<std::uint32_t, OrganisationCounts> waiting;
 };
 
 /// Records that a request got a slot for its first send.
 void noteDispatched(AdmissionQueue &queue, TimePoint now);
 
-void joinQueue(AdmissionQueue &queue, std::uint32_t priority);
-void leaveQueue(AdmissionQueue &queue, std::uint32_t priority);
+void joinQueue(AdmissionQueue &queue, std::uint32_t priority, const std::string &organisation = {});
+void leaveQueue(AdmissionQueue &queue, std::uint32_t priority,
+                const std::string &organisation = {});
+
+/// Returns the number of queued requests that are served before a new one: those of higher priority
+/// and, of its own priority, all or those that its organisation's recent starts put ahead of it.
+/// @param shares Null to serve the requests of one priority in order of arrival.
+std::size_t countAhead(const AdmissionQueue &queue, std::uint32_t priority,
+                       const OrganisationShares *shares, const std::string &organisation,
+                       TimePoint now);
 
 /// Returns whether a request that finds all slots busy is likely to get one within `wait`, after
 /// the queued requests of higher or equal priority.
@@ -44,4 +55,8 @@
 bool waitCanSucceed(const AdmissionQueue &queue, std::uint32_t priority, milliseconds wait,
                     TimePoint now);
 
+/// The same after a known number of queued requests; see countAhead().
+bool waitCanSucceedAfter(const AdmissionQueue &queue, std::size_t ahead, milliseconds wait,
+                         TimePoint now);
+
 } // namespace wisteria
--- a/Source/Request/RetryAfterPolicy.h
+++ b/Source/Request/RetryAfterPolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 
 #include "Process/Time.h"
 #include "Request/BackendRegistry.h"
@@ -23,6 +24,11 @@
     /// A service whose slots are busy counts as stalled without any answer or stream event for this
     /// long, which is several forward passes.
     milliseconds stalledAfter{500};
+    /// Addition for each priority step, if the limit of its priority refused the request.
+    milliseconds perPriorityStep{1000};
+    /// Upper bound of that sum before the random addition `stalledJitter`: callers of the least
+    /// urgent requests accept about a third of their time.
+    milliseconds maxAtLimit{2400};
 };
 
 /// Returns the Retry-After value for a refused request.
@@ -38,6 +44,22 @@
         + std::chrono::duration_cast<milliseconds>(policy.stalledJitter * randomUnit);
 }
 
+/// Returns the Retry-After value for a request that the limit of its priority refused: longer than
+/// that of the most urgent priority, and spread out, because the retries of a surge of the least
+/// urgent requests would meet the urgent ones.
+/// @param step Position of its priority among those of the service; 0 is the most urgent.
+/// @param randomUnit Uniform random number in [0, 1).
+inline milliseconds retryAfterAtLimit(const RetryAfterPolicy &policy, std::size_t step,
+                                      milliseconds sinceProgress, double randomUnit)
+{
+    const milliseconds mostUrgent =
+        sinceProgress < policy.stalledAfter ? policy.busy : policy.stalled;
+    const milliseconds longer =
+        mostUrgent + policy.perPriorityStep * static_cast<milliseconds::rep>(step);
+    return std::min(policy.maxAtLimit, longer)
+        + std::chrono::duration_cast<milliseconds>(policy.stalledJitter * randomUnit);
+}
+
 /// Returns the Retry-After value for a refused request. If it is known when a backend server
 /// accepts a request again, no caller retries before that time, and the retries are spread after
 /// it.
--- a/Source/Request/RouteTable.cpp
+++ b/Source/Request/RouteTable.cpp
@@ -5,7 +5,8 @@
 namespace wisteria {
 
 RouteTable::RouteTable(std::shared_ptr<const ServiceConfiguration> configuration)
-    : configuration_(std::move(configuration))
+    : configuration_(std::move(configuration)),
+      priorityLimits_(wisteria::priorityLimitsOf(*configuration_))
 {
     for (const RouteRule &route : configuration_->routes)
         byHost_[route.host].push_back(&route);
@@ -28,6 +29,12 @@
     return nullptr;
 }
 
+const PriorityLimits *RouteTable::priorityLimitsOf(const std::string &service) const
+{
+    const auto found = priorityLimits_.find(service);
+    return found == priorityLimits_.end() ? nullptr : &found->second;
+}
+
 Access accessOf(const RouteTable &table, std::string_view host, std::string_view path,
                 const std::string *apiKey)
 {
--- a/Source/Request/RouteTable.h
+++ b/Source/Request/RouteTable.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "Request/PriorityLimits.h"
 #include "Version/ServiceConfiguration.h"
 
 namespace wisteria {
@@ -22,9 +24,15 @@
 
     const ServiceConfiguration &configuration() const { return *configuration_; }
 
+    /// Limits of the services whose routes have more than one priority, by service.
+    const std::map<std::string, PriorityLimits> &priorityLimits() const { return priorityLimits_; }
+    /// Returns the limits of a service; null if its routes have one priority.
+    const PriorityLimits *priorityLimitsOf(const std::string &service) const;
+
 private:
     std::shared_ptr<const ServiceConfiguration> configuration_;
     std::unordered_map<std::string, std::vector<const RouteRule *>> byHost_;
+    std::map<std::string, PriorityLimits> priorityLimits_;
 };
 
 /// Why a request is denied.
--- /dev/null
+++ b/Tests/Gateway/PriorityTest.cpp
@@ -0,0 +1,285 @@
+#include <array>
+#include <sstream>
+
+#include <malloc.h>
+
+#include <catch2/catch.hpp>
+
+#include "Gateway/GatewayUnderTest.h"
+#include "Gateway/PriorityFleet.h"
+#include "Programs/Gateway/DispatchOrder.h"
+#include "Request/RetryAfterPolicy.h"
+#include "Request/RouteTable.h"
+
+using namespace wisteria;
+using namespace wisteria::gateway_tests;
+
+namespace {
+
+constexpr TimePoint start{seconds(100)};
+
+/// Share of the requests of each priority that started, and that were on time.
+struct FleetResult
+{
+    std::array<double, 3> arrived{};
+    std::array<double, 3> started{};
+    std::array<double, 3> onTime{};
+    double value = 0;
+    int starvedStarts = 0;
+
+    double startRatio(std::size_t priority) const { return started[priority] / arrived[priority]; }
+    double onTimeRatio(std::size_t priority) const { return onTime[priority] / arrived[priority]; }
+    std::string text() const
+    {
+        std::ostringstream text;
+        for (std::size_t i = 0; i < 3; ++i)
+            text << onTimeRatio(i) << " on time, " << startRatio(i) << " started; ";
+        text << "value " << value << ", " << starvedStarts << " starved starts";
+        return text.str();
+    }
+};
+
+FleetResult runFleet(const FleetSetup &setup)
+{
+    constexpr std::array<double, 3> valueOnTime = {3.1, 1.6, 0.8};
+    PriorityFleet fleet(setup);
+    FleetResult result;
+    for (const FleetRequest &request : fleet.run()) {
+        result.arrived[request.priority] += 1;
+        result.started[request.priority] += request.started ? 1 : 0;
+        result.onTime[request.priority] += request.onTime ? 1 : 0;
+        result.value += request.onTime ? valueOnTime[request.priority] : 0;
+    }
+    result.starvedStarts = fleet.starvedStarts();
+    return result;
+}
+
+/// A surge of the least urgent requests to 2.5 times, then one of the most urgent beside it.
+FleetSetup surge(std::uint64_t seed, std::size_t engines = 64)
+{
+    FleetSetup setup;
+    setup.seed = seed;
+    setup.engines = engines;
+    setup.demand = [engines](std::uint32_t priority, milliseconds at) {
+        const auto within = [at](seconds from, seconds to) { return at >= from && at < to; };
+        const double perEngine = static_cast<double>(engines) * 1.9;
+        if (priority == 2)
+            return perEngine * (within(seconds(2), seconds(8)) ? 1.5 * 2.5 : 1.5);
+        return perEngine * (priority == 0 && within(seconds(5), seconds(8)) ? 2 : 1);
+    };
+    return setup;
+}
+
+RouteRule ruleOf(const std::string &service, std::uint32_t priority,
+                 std::optional<milliseconds> gap)
+{
+    RouteRule route;
+    route.priority = priority;
+    route.targetGap = gap;
+    route.shares = {{service, 1}};
+    return route;
+}
+
+} // namespace
+
+// Guards against limits that waste slots, or with which the passes after a shift are too long.
+TEST_CASE("Limits follow from the pass time after a shift, the smallest gap and the priorities")
+{
+    const EngineProfile &engine = PriorityFleet::profile();
+    REQUIRE(passTimeAfterShift(engine, 6) <= milliseconds(100));
+    REQUIRE(passTimeAfterShift(engine, 7) > milliseconds(100));
+    ServiceConfiguration configuration;
+    configuration.routes = {ruleOf("s", 5, milliseconds(150)), ruleOf("s", 0, milliseconds(100)),
+                            ruleOf("s", 2, std::nullopt), ruleOf("one", 3, milliseconds(100))};
+    configuration.services["s"].engine = engine;
+    configuration.services["one"].engine = engine;
+    const RouteTable table(std::make_shared<const ServiceConfiguration>(configuration));
+    REQUIRE(table.priorityLimitsOf("one") == nullptr);
+    const PriorityLimits &limits = *table.priorityLimitsOf("s");
+    REQUIRE(limits.limits == std::vector<std::uint32_t>{10, 8, 6});
+    REQUIRE(maxLoadOf(limits, 2) == 0.6);
+    REQUIRE(priorityStepOf(limits, 4) == 2);
+    REQUIRE(priorityStepOf(limits, 1) == 0);
+    REQUIRE(priorityStepOf(limits, 9) == 2);
+    REQUIRE(priorityLimitsOf({0, 1}, engine, milliseconds(10)).limits.back() == 5);
+    REQUIRE(priorityLimitsOf({0, 1}, engine, std::nullopt).limits.back() == 10);
+    REQUIRE(maxLoadOf(priorityLimitsOf({0, 1}, std::nullopt, milliseconds(10)), 1) == 1);
+}
+
+// Guards against a low limit that lasts after a pause, and against one request that ends a bound.
+TEST_CASE("A priority is starved below half of the ratio of all requests, as long as it has some")
+{
+    PriorityCounts counts;
+    for (int i = 0; i < 20; ++i)
+        noteDecided(counts, 0, true, start);
+    REQUIRE_FALSE(isStarved(counts, 2, start));
+    noteDecided(counts, 2, false, start);
+    REQUIRE(isStarved(counts, 2, start));
+    noteDecided(counts, 2, true, start);
+    REQUIRE_FALSE(isStarved(counts, 2, start));
+    noteDecided(counts, 2, false, start);
+    noteDecided(counts, 2, false, start);
+    REQUIRE(isStarved(counts, 2, start + seconds(10)));
+    REQUIRE_FALSE(isStarved(counts, 2, start + seconds(60)));
+}
+
+// Guards against retries of the least urgent requests that meet the urgent ones, or come too late.
+TEST_CASE("Retry-After at a limit is 1 s longer for each step, at most 2.4 s before the addition")
+{
+    const RetryAfterPolicy policy;
+    REQUIRE(retryAfterAtLimit(policy, 1, milliseconds(0), 0) == milliseconds(1400));
+    REQUIRE(retryAfterAtLimit(policy, 2, milliseconds(0), 0) == milliseconds(2400));
+    REQUIRE(retryAfterAtLimit(policy, 2, seconds(1), 0.5) == milliseconds(2900));
+}
+
+// Guards against urgent requests that are late because less urgent ones started before them.
+TEST_CASE("In a surge of the least urgent, the most urgent are on time at all gateways together")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        const FleetResult limited = runFleet(surge(seed));
+        FleetSetup unlimited = surge(seed);
+        unlimited.limits = unlimited.starvationBound = false;
+        const FleetResult before = runFleet(unlimited);
+        INFO("seed " << seed << ": " << limited.text() << "; without limits: " << before.text());
+        CHECK(limited.onTimeRatio(0) > 0.95);
+        CHECK(limited.value > before.value);
+    }
+}
+
+// Guards against an order of priorities that is inverted under some load.
+TEST_CASE("Without the starvation bound no priority is on time more often than a more urgent one")
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        FleetSetup setup = surge(seed, 12);
+        setup.gateways = 4;
+        setup.starvationBound = false;
+        const FleetResult result = runFleet(setup);
+        INFO("seed " << seed << ": " << result.text());
+        CHECK(result.onTimeRatio(1) <= result.onTimeRatio(0) + 0.05);
+        CHECK(result.onTimeRatio(2) <= result.onTimeRatio(1) + 0.05);
+    }
+}
+
+// Guards against priorities that get nothing for as long as urgent demand exceeds the capacity.
+TEST_CASE("With urgent demand above the capacity each priority starts half as often as all")
+{
+    FleetSetup setup;
+    setup.gateways = 8;
+    setup.engines = 24;
+    setup.duration = seconds(20);
+    setup.demand = [](std::uint32_t priority, milliseconds) { return priority == 0 ? 400 : 20; };
+    const FleetResult result = runFleet(setup);
+    const double all = (result.started[0] + result.started[1] + result.started[2])
+        / (result.arrived[0] + result.arrived[1] + result.arrived[2]);
+    INFO(result.text());
+    REQUIRE(all < 0.7);
+    REQUIRE(result.startRatio(1) >= 0.5 * all);
+    REQUIRE(result.startRatio(2) >= 0.5 * all);
+    REQUIRE(result.starvedStarts > 0);
+}
+
+// Guards against a large organisation, or immediate retries, that push out a small one's requests.
+// About 28 slots become free per second, so that 6 of 100 requests find none within their wait of
+// 0.1 s even when they are always first.
+TEST_CASE("An organisation with 1 request per second is served beside one with 50")
+{
+    FleetSetup setup;
+    setup.gateways = 1;
+    setup.engines = 4;
+    setup.duration = seconds(300);
+    setup.immediateRetries = 1;
+    setup.demand = [](std::uint32_t priority, milliseconds) { return priority == 1 ? 51 : 0; };
+    setup.organisation = [](double uniform) { return uniform < 1.0 / 51 ? "small" : "large"; };
+    const auto startRatio = [&setup](bool fairQueueing, const std::string &organisation) {
+        setup.fairQueueing = fairQueueing;
+        PriorityFleet fleet(setup);
+        double arrived = 0;
+        double started = 0;
+        for (const FleetRequest &request : fleet.run()) {
+            arrived += request.organisation == organisation ? 1 : 0;
+            started += request.organisation == organisation && request.started ? 1 : 0;
+        }
+        return started / arrived;
+    };
+    CHECK(startRatio(true, "small") >= 0.9);
+    CHECK(startRatio(true, "large") < 0.7);
+    CHECK(startRatio(false, "small") < 0.7);
+}
+
+// Guards against a burst of one organisation that is dispatched before a request of another one.
+TEST_CASE("Waiting requests of one priority take turns by their organisations' recent starts")
+{
+    OrganisationShares shares;
+    noteOrganisationStart(shares, "b", start);
+    const std::vector<WaitingRequest> waiting = {
+        {1, 1, "a"}, {2, 1, "a"}, {3, 1, "a"}, {4, 1, "b"}, {5, 0, "b"}};
+    REQUIRE(dispatchOrder(waiting, &shares, start) == std::vector<std::uint64_t>{5, 1, 2, 4, 3});
+    REQUIRE(dispatchOrder(waiting, nullptr, start) == std::vector<std::uint64_t>{5, 1, 2, 3, 4});
+    REQUIRE(requestsAhead(shares, {{"b", 40}}, "a", start) == 0);
+    REQUIRE(requestsAhead(shares, {{"a", 3}, {"b", 40}}, "b", start) == 43);
+}
+
+// Guards against state that grows with each organisation that ever called.
+TEST_CASE("10,000 organisations take under 1 MB, and are dropped when their starts have decayed")
+{
+    const std::size_t before = ::mallinfo2().uordblks;
+    OrganisationShares shares;
+    for (int i = 0; i < 10'000; ++i)
+        noteOrganisationStart(shares, "organisation-" + std::to_string(i), start);
+    REQUIRE(shares.byOrganisation.size() == 10'000);
+    REQUIRE(::mallinfo2().uordblks - before < 1'000'000);
+    noteOrganisationStart(shares, "other", start + seconds(10));
+    REQUIRE(shares.byOrganisation.size() == 1);
+}
+
+// Guards against a gateway that, with its counts lost, fills the slots of the most urgent.
+TEST_CASE("The most urgent stay on time when gateways restart during a surge")
+{
+    FleetSetup setup = surge(1);
+    setup.restarts = [](std::size_t gateway, milliseconds at) {
+        return gateway % 10 == 0 && at == seconds(4);
+    };
+    const FleetResult result = runFleet(setup);
+    INFO(result.text());
+    REQUIRE(result.onTimeRatio(0) > 0.95);
+}
+
+// Guards against slots of the most urgent that less urgent requests occupy, against an early retry
+// of these, and against an engine that does not learn the priority.
+TEST_CASE("A gateway refuses a request above its priority's limit and tells the engine priorities")
+{
+    std::atomic<bool> finish = false;
+    ScriptedServer model([&finish](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(streamHead(request) + chunk(eventText(1)));
+        eventually([&finish] { return finish.load(); });
+        peer.send("0\r\n\r\n");
+    });
+    GatewayUnderTest gateway;
+    nlohmann::json configuration = configurationOf(1);
+    configuration["routes"].push_back(routeOf("/urgent/", "streaming", "model", true));
+    configuration["routes"].back()["priority"] = 0;
+    configuration["routes"].back()["gap_aim_ms"] = 10;
+    configuration["services"] = {
+        {{"name", "model"}, {"engine", {{"slot_count", 4}, {"step_ms", 20}, {"per_seq_ms", 1}}}}};
+    gateway.store.put("keyed.op", "config", configuration);
+    gateway.addBackend("m-1", "model", model);
+    gateway.waitUntilReady();
+    const OpenCall first(gateway.callers(), requestFor("/stream/x", "a1"));
+    const OpenCall second(gateway.callers(), requestFor("/stream/x", "a2"));
+    REQUIRE(eventually([&] { return model.count("/stream/") == 2; }));
+    const CallResult refused = gateway.call(requestFor("/stream/x", "a3"));
+    REQUIRE(refused.status == 503);
+    REQUIRE(std::stod(refused.header("Retry-After")) >= 1.4);
+    const OpenCall urgent(gateway.callers(), requestFor("/urgent/x", "a4"));
+    REQUIRE(eventually([&] { return model.count("/urgent/") == 1; }));
+    REQUIRE(model.seen().front().header("Wisteriawind-Request-Priority") == "1");
+    REQUIRE(model.seen().back().header("Wisteriawind-Request-Priority") == "0");
+    const std::string metrics = gateway.metrics();
+    for (const char *series :
+         {"reason=\"too many of this priority\",service=\"model\"} 1",
+          "wisteria_priority_limit{priority=\"1\",service=\"model\"} 2",
+          "wisteria_priority_limit{priority=\"0\",service=\"model\"} 4",
+          "wisteria_priority_starts_total{priority=\"1\",service=\"model\"} 2"})
+        REQUIRE(metrics.find(series) != std::string::npos);
+    finish = true;
+}
