wisteria-bench admission: cost of an admission decision

Cause: the design bounds a decision with 64 servers, 3 priorities and 1,000 organisations to 20 microseconds. Change: a subcommand measures one decision.

--- a/Source/Programs/Bench/Main.cpp
+++ b/Source/Programs/Bench/Main.cpp
@@ -4,6 +4,7 @@
 
 #include <tclap/ArgException.h>
 
+#include "Programs/Bench/AdmissionCommand.h"
 #include "Programs/Bench/LoadCommand.h"
 #include "Programs/Bench/PlacementCommand.h"
 #include "Programs/Bench/Subcommand.h"
@@ -15,7 +16,8 @@
 
 constexpr int usageError = 2;
 
-constexpr std::array<Subcommand, 3> subcommands = {{
+constexpr std::array<Subcommand, 4> subcommands = {{
+    {"admission", "measures one admission decision of a gateway", runAdmissionCommand},
     {"load", "sends load to a running system", runLoadCommand},
     {"placement", "replays a load trace against a placement policy", runPlacementCommand},
     {"trace", "generates a load trace from a seed", runTraceCommand},
