Bound the copies of one map change to 170 ms a rank

Cause: after a shift of demand, all streams of a group are late until the new map is in force, and preparing took 0.32 to 0.34 s of the 0.4 to 0.5 s for experts of 420 MB: with copies of 37 ms each, the bound of 340 ms allowed nine in a row at one rank. The worst sets come first, so the last copies gain least: skew after a change was 1.28 with either bound.

Change: PlacementBounds::copyTime 340 ms to 170 ms.

--- a/Source/Version/DemandPlacement.h
+++ b/Source/Version/DemandPlacement.h
@@ -59,7 +59,7 @@
     double minGainPerCopySecond = 0.045;
     /// Maximum time that one rank may copy for one change, over all sets: a rank copies one expert
     /// after the other, and the switch waits for the slowest rank.
-    milliseconds copyTime{340};
+    milliseconds copyTime{170};
 };
 
 /// A map that suits the current demand better than the one in force.
