--- a/Source/Programs/Bench/AdmissionCommand.h
+++ b/Source/Programs/Bench/AdmissionCommand.h
@@ -8,8 +8,9 @@
 
 namespace wisteria {
 
-/// `wisteria-bench admission`: measures one admission decision of a gateway: the order of waiting
-/// requests, the limit of a priority and the choice of a backend server.
+/// `wisteria-bench admission`: measures one admission decision of a gateway: the limit of a
+/// priority, the choice of a backend server and the number of queued requests ahead. The dispatch
+/// order of the whole queue is not part of it.
 Result<void> runAdmissionCommand(std::vector<std::string> arguments, std::ostream &out);
 
 } // namespace wisteria
