RankOrderExecutor: drop results of orders of a former group

Groups use the same epochs and versions, so the late result of an order of the former group could end an equal order of the new group and count as its acceptance. Orders now carry a membership counter.

--- a/Source/Programs/Sidecar/RankOrderExecutor.cpp
+++ b/Source/Programs/Sidecar/RankOrderExecutor.cpp
@@ -48,6 +48,7 @@
 {
     mapCache_ = {};
     inProgress_.clear();
+    ++membership_;
     acceptedVersion_ = 0;
 }
 
@@ -62,23 +63,25 @@
 void RankOrderExecutor::send(const RankOrder &order, const Endpoint &sender, int attemptsDone)
 {
     engineClient_.sendOrder(
-        engine_, order, [this, order, sender, attemptsDone](const Result<void> &result) {
+        engine_, order,
+        [this, order, sender, attemptsDone, membership = membership_](const Result<void> &result) {
             const bool unanswered = result.has_error() && result.error().kind == ErrorKind::Timeout;
-            if (unanswered && isInProgress(order) && shouldResend(attemptsDone + 1)) {
+            if (unanswered && membership == membership_ && isInProgress(order)
+                && shouldResend(attemptsDone + 1)) {
                 send(order, sender, attemptsDone + 1);
                 return;
             }
-            finish(order, sender, result);
+            finish(order, sender, membership, result);
         });
 }
 
 void RankOrderExecutor::finish(const RankOrder &order, const Endpoint &sender,
-                               const Result<void> &result)
+                               std::uint64_t membership, const Result<void> &result)
 {
-    const bool wasInProgress =
-        std::erase_if(inProgress_,
-                      [&order](const RankOrder &other) { return sameOrder(other, order); })
-        > 0;
+    const bool wasInProgress = membership == membership_
+        && std::erase_if(inProgress_,
+                         [&order](const RankOrder &other) { return sameOrder(other, order); })
+            > 0;
     countOrder(metrics_, order.kind, result.has_error() ? "failed" : "done");
     if (result.has_error()) {
         log_.info("order.failed",
--- a/Source/Programs/Sidecar/RankOrderExecutor.h
+++ b/Source/Programs/Sidecar/RankOrderExecutor.h
@@ -46,7 +46,8 @@
 private:
     bool isInProgress(const RankOrder &order) const;
     void send(const RankOrder &order, const Endpoint &sender, int attemptsDone);
-    void finish(const RankOrder &order, const Endpoint &sender, const Result<void> &result);
+    void finish(const RankOrder &order, const Endpoint &sender, std::uint64_t membership,
+                const Result<void> &result);
 
     EngineClient &engineClient_;
     EventLog &log_;
@@ -55,6 +56,9 @@
     std::function<void()> completed_;
     ExpertMapCache mapCache_;
     std::vector<RankOrder> inProgress_;
+    /// Incremented when the engine leaves its group: groups use the same epochs and versions, so an
+    /// order of the former group may equal one of the new group.
+    std::uint64_t membership_ = 0;
     std::uint64_t acceptedVersion_ = 0;
 };
 
