Group members: one test for a delayed status, ranks in the election

The test stood twice, in GroupMembers.cpp and RankSwitch.cpp; isDelayed() replaces both. The election's position is the rank, so names say rank.

--- a/Source/Version/GroupMembers.cpp
+++ b/Source/Version/GroupMembers.cpp
@@ -71,9 +71,7 @@
     if (found == members.engines.end())
         return;
     EngineMembership &known = found->second;
-    const bool delayed = known.readAtMilliseconds > status.readAtMilliseconds
-        && now - known.receivedAt < maxReorderingDelay;
-    if (!delayed)
+    if (!isDelayed(status, known.readAtMilliseconds, known.receivedAt, now))
         known = {status.report.group, now, status.readAtMilliseconds};
 }
 
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -133,6 +133,15 @@
     std::vector<std::vector<std::uint32_t>> experts{};
 };
 
+/// Whether a status is a delayed older one, which must not replace the known one.
+/// @param knownReadAtMilliseconds Read time of the known status.
+inline bool isDelayed(const RankStatus &status, std::uint64_t knownReadAtMilliseconds,
+                      TimePoint knownReceivedAt, TimePoint now)
+{
+    return knownReadAtMilliseconds > status.readAtMilliseconds
+        && now - knownReceivedAt < maxReorderingDelay;
+}
+
 /// New list of the experts of one set at one rank.
 struct RankMapChange
 {
--- a/Source/Version/LeaderElection.h
+++ b/Source/Version/LeaderElection.h
@@ -37,7 +37,7 @@
 /// From this rank on each further one adds only leaderStaggerBeyond, or the last sidecar of a large
 /// group would wait for half a minute. A step of leaderStaggerBeyond is close to the time
 /// that a poll takes to arrive, so few sidecars lead at once.
-constexpr std::size_t staggeredPositions = 20;
+constexpr std::size_t staggeredRanks = 20;
 constexpr milliseconds leaderStaggerBeyond{25};
 
 /// The sidecar whose rank holds the group leads after no leader has polled for this long, whatever
@@ -67,17 +67,17 @@
 }
 
 /// Whether this sidecar leads now.
-/// @param position Its position among the group's sidecars, from 0: the rank beside it.
-inline bool isLeader(const LeaderElection &election, std::size_t position, TimePoint now)
+/// @param rank The rank beside it.
+inline bool isLeader(const LeaderElection &election, std::size_t rank, TimePoint now)
 {
     const bool heldWithoutLeader = election.heldSince
         && now - std::max({*election.heldSince, election.leaderHeardAt, election.listeningSince})
             >= leaderTimeoutWhileHeld;
     if (heldWithoutLeader)
         return true;
-    const std::size_t beyond = position - std::min(position, staggeredPositions);
+    const std::size_t beyond = rank - std::min(rank, staggeredRanks);
     const milliseconds wait = leaderTimeout
-        + leaderStagger * static_cast<int>(std::min(position, staggeredPositions))
+        + leaderStagger * static_cast<int>(std::min(rank, staggeredRanks))
         + leaderStaggerBeyond * static_cast<int>(beyond);
     const TimePoint from = std::max(election.higherPriorityHeardAt, election.listeningSince);
     return now - from >= wait;
@@ -96,8 +96,8 @@
     LeaderElection election{};
 };
 
-/// A sidecar whose own report is older than this does not lead: its engine may be gone, or a rank
-/// of another group.
+/// A sidecar whose own report is older than this does not lead. Reports are read every 0.1 s, so
+/// the engine is gone, stuck, or perhaps a rank of another group.
 constexpr milliseconds maxOwnReportAge{2000};
 
 /// Records a report of the own engine. In another group than before, the sidecar first listens for
--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -213,8 +213,8 @@
     }
     const auto known = group.ranks.find(report.rank);
     if (known != group.ranks.end()
-        && known->second.status.readAtMilliseconds > status.readAtMilliseconds
-        && now - known->second.receivedAt < maxReorderingDelay)
+        && isDelayed(status, known->second.status.readAtMilliseconds, known->second.receivedAt,
+                     now))
         return;
     group.highestVersion =
         std::max({group.highestVersion, report.map, report.prepared, report.armed});
