Sidecar: state of a term ends with it, ignored orders and failed reads are logged

stop() left isolated_, the time of the last round and the direct reads, so that the next term logged a false leader.in_touch or missed leader.out_of_touch. A command of another group was ignored without a line (order.refused), as were failed reads of experts (engine.no_experts) and counts (engine.no_counts, the first failure after a success). Names: sendToEngine/sendToAddress, requestCounts, beginAggregation, addReply, createComponents; only GroupLeader knows whether it leads.

--- a/Source/Programs/Sidecar/CountsCollector.cpp
+++ b/Source/Programs/Sidecar/CountsCollector.cpp
@@ -8,18 +8,18 @@
 
 namespace wisteria {
 
-CountsCollector::CountsCollector(EngineClient &engineClient, SidecarLink &link,
+CountsCollector::CountsCollector(EngineClient &engineClient, EventLog &log, SidecarLink &link,
                                  const LinkBandwidth &bandwidth, Endpoint ownEngine,
                                  std::function<void(const CountsReply &)> completed)
-    : engineClient_(engineClient), link_(link), bandwidth_(bandwidth), ownEngine_(ownEngine),
-      completed_(std::move(completed))
+    : engineClient_(engineClient), log_(log), link_(link), bandwidth_(bandwidth),
+      ownEngine_(ownEngine), completed_(std::move(completed))
 { }
 
-void CountsCollector::request(const std::vector<Endpoint> &engines)
+void CountsCollector::requestCounts(const std::vector<Endpoint> &engines)
 {
     std::vector<Endpoint> others = engines;
     std::erase(others, ownEngine_);
-    link_.sendTo(ownEngine_, CountsPoll{});
+    link_.sendToEngine(ownEngine_, CountsPoll{});
     requestFromBranches(others);
 }
 
@@ -28,7 +28,7 @@
 {
     const auto plan = relayPlan(engines, countsBytes(), bandwidth_);
     for (const RelayBranch &branch : plan)
-        link_.sendTo(branch.first, CountsPoll{branch.rest});
+        link_.sendToEngine(branch.first, CountsPoll{branch.rest});
     return plan.size();
 }
 
@@ -38,7 +38,8 @@
     return encodedCountsBytes(std::size_t{profile_.sets} * profile_.expertsPerSet);
 }
 
-void CountsCollector::begin(const Endpoint &requester, const CountsPoll &poll)
+void CountsCollector::beginAggregation(const Endpoint &requester, const CountsPoll &poll,
+                                       TimePoint now)
 {
     // Ends an earlier aggregation for the same requester; replies that it still lacks are added
     // to the new one.
@@ -46,21 +47,32 @@
         if (earlier.requester == requester)
             earlier.awaited = 0;
     }
-    sendDue(monotonicNow());
+    sendDue(now);
     const std::size_t branches = requestFromBranches(poll.engines);
     aggregations_.push_back(
         {.requester = requester,
-         .since = monotonicNow(),
+         .since = now,
          .timeout = aggregationTime(poll.engines.size(), countsBytes(), bandwidth_),
          .awaited = branches + 1,
          .sum = {}});
     engineClient_.readCounts(ownEngine_, [this, requester](Result<ExpertCounts> counts) {
+        noteReadResult(counts);
         if (!counts.has_error() && group_)
-            addOwn(requester, std::move(counts.value()));
+            addOwn(requester, std::move(counts.value()), monotonicNow());
     });
 }
 
-void CountsCollector::addOwn(const Endpoint &requester, ExpertCounts counts)
+/// Logs the first failure after a success; counts are read up to 20 times a second.
+void CountsCollector::noteReadResult(const Result<ExpertCounts> &counts)
+{
+    if (counts.has_error() && !readFailed_) {
+        log_.info("engine.no_counts",
+                  {{"engine", toText(ownEngine_)}, {"reason", counts.error().message}});
+    }
+    readFailed_ = counts.has_error();
+}
+
+void CountsCollector::addOwn(const Endpoint &requester, ExpertCounts counts, TimePoint now)
 {
     CountsReply reply{.group = *group_,
                       .epoch = counts.epoch,
@@ -69,16 +81,16 @@
     if (reply.passes > 0)
         reply.counts = countsSince(counts_.counts, counts.counts);
     counts_ = std::move(counts);
-    addTo(requester, reply);
+    addTo(requester, reply, now);
 }
 
-void CountsCollector::add(const CountsReply &reply)
+void CountsCollector::addReply(const CountsReply &reply, TimePoint now)
 {
     if (!aggregations_.empty())
-        addTo(aggregations_.front().requester, reply);
+        addTo(aggregations_.front().requester, reply, now);
 }
 
-void CountsCollector::addTo(const Endpoint &requester, const CountsReply &reply)
+void CountsCollector::addTo(const Endpoint &requester, const CountsReply &reply, TimePoint now)
 {
     const auto found = std::find_if(aggregations_.begin(), aggregations_.end(),
                                     [&requester](const CountsAggregation &aggregation) {
@@ -87,7 +99,7 @@
     if (found == aggregations_.end())
         return;
     addCounts(*found, reply);
-    sendDue(monotonicNow());
+    sendDue(now);
 }
 
 void CountsCollector::sendDue(TimePoint now)
@@ -98,7 +110,7 @@
         if (aggregation.requester.ip == ownEngine_.ip)
             completed_(aggregation.sum);
         else
-            link_.reply(aggregation.requester, aggregation.sum);
+            link_.sendToAddress(aggregation.requester, aggregation.sum);
     }
 }
 
--- a/Source/Programs/Sidecar/CountsCollector.h
+++ b/Source/Programs/Sidecar/CountsCollector.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "Process/EventLog.h"
 #include "Programs/Sidecar/EngineClient.h"
 #include "Programs/Sidecar/SidecarLink.h"
 #include "Version/CountsAggregation.h"
@@ -17,8 +18,9 @@
 {
 public:
     /// @param completed Called with each sum that this sidecar requested itself, as the leader.
-    CountsCollector(EngineClient &engineClient, SidecarLink &link, const LinkBandwidth &bandwidth,
-                    Endpoint ownEngine, std::function<void(const CountsReply &)> completed);
+    CountsCollector(EngineClient &engineClient, EventLog &log, SidecarLink &link,
+                    const LinkBandwidth &bandwidth, Endpoint ownEngine,
+                    std::function<void(const CountsReply &)> completed);
 
     void setProfile(const ExpertProfile &profile) { profile_ = profile; }
 
@@ -27,14 +29,14 @@
 
     /// Requests the counts of the engines' ranks and of the own one, in as many sums as fit the
     /// link's bandwidth.
-    void request(const std::vector<Endpoint> &engines);
+    void requestCounts(const std::vector<Endpoint> &engines);
 
     /// Begins an aggregation: requests the counts of the poll's engines and reads those of the own
     /// engine.
-    void begin(const Endpoint &requester, const CountsPoll &poll);
+    void beginAggregation(const Endpoint &requester, const CountsPoll &poll, TimePoint now);
 
     /// Adds a reply of another sidecar to the oldest aggregation in progress.
-    void add(const CountsReply &reply);
+    void addReply(const CountsReply &reply, TimePoint now);
 
     /// Sends the sums of aggregations that are complete or whose timeout has passed.
     void sendDue(TimePoint now);
@@ -42,10 +44,12 @@
 private:
     std::size_t requestFromBranches(const std::vector<Endpoint> &engines);
     std::size_t countsBytes() const;
-    void addOwn(const Endpoint &requester, ExpertCounts counts);
-    void addTo(const Endpoint &requester, const CountsReply &reply);
+    void noteReadResult(const Result<ExpertCounts> &counts);
+    void addOwn(const Endpoint &requester, ExpertCounts counts, TimePoint now);
+    void addTo(const Endpoint &requester, const CountsReply &reply, TimePoint now);
 
     EngineClient &engineClient_;
+    EventLog &log_;
     SidecarLink &link_;
     LinkBandwidth bandwidth_;
     Endpoint ownEngine_;
@@ -56,6 +60,8 @@
     std::vector<CountsAggregation> aggregations_;
     /// The engine's expert counts as last read; a reply holds the difference to them.
     ExpertCounts counts_;
+    /// Whether the last read of the own engine's counts failed.
+    bool readFailed_ = false;
 };
 
 } // namespace wisteria
--- a/Source/Programs/Sidecar/GroupLeader.cpp
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -68,6 +68,8 @@
 void GroupLeader::setEngines(const std::vector<Endpoint> &engines, const ExpertProfile &profile)
 {
     wisteria::setEngines(members_, engines);
+    std::erase_if(readDirectlyAt_,
+                  [this](const auto &read) { return !members_.engines.contains(read.first); });
     profile_ = profile;
     // By the size of the whole service, so that more groups cause no more requests per engine.
     const milliseconds gathered = aggregationTime(engines.size(), countsBytes(), bandwidth_);
@@ -101,6 +103,9 @@
     logLeading("leader.end");
     leading_ = false;
     leadingSince_ = TimePoint();
+    directReadRoundAt_ = TimePoint();
+    readDirectlyAt_.clear();
+    isolated_ = false;
     resetSwitch(group_);
 }
 
@@ -237,8 +242,12 @@
     noteReachability(silent.size());
     const std::size_t readCount = std::min(silent.size(), maxDirectReads);
     // The least recently read come first, so that engines that never answer don't block the others.
-    const auto readEarlier = [this](const Endpoint &a, const Endpoint &b) {
-        return readDirectlyAt_[a] < readDirectlyAt_[b];
+    const auto lastReadAt = [this](const Endpoint &engine) {
+        const auto found = readDirectlyAt_.find(engine);
+        return found == readDirectlyAt_.end() ? TimePoint() : found->second;
+    };
+    const auto readEarlier = [&lastReadAt](const Endpoint &a, const Endpoint &b) {
+        return lastReadAt(a) < lastReadAt(b);
     };
     std::stable_sort(silent.begin(), silent.end(), readEarlier);
     for (std::size_t i = 0; i < readCount; ++i) {
--- a/Source/Programs/Sidecar/GroupLeader.h
+++ b/Source/Programs/Sidecar/GroupLeader.h
@@ -42,6 +42,8 @@
     /// @param rank Rank of the own engine.
     void lead(const std::string &group, std::uint32_t rank);
 
+    bool leading() const { return leading_; }
+
     /// Stores a rank's status. One of another group is used only to learn the engine's group.
     void applyStatus(const RankStatus &status, TimePoint now);
     /// Adds the ranks' expert counts to the group's demand; ignored for another group.
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -76,25 +76,25 @@
             BOOST_OUTCOME_TRYV(metricsListener_.listen(*settings_.metricsEndpoint));
         }
         candidate_.election.listeningSince = monotonicNow();
-        createParts(linkBandwidthOf(settings_.linkMegabitsPerSecond));
+        createComponents(linkBandwidthOf(settings_.linkMegabitsPerSecond));
         log_.info("process.start", {{"engine", toText(engine_)}, {"port", port_}});
         readReport();
         schedulePeriodicWork();
         loop_.run();
-        log_.info("process.stop", {{"leading", leading_}});
+        log_.info("process.stop", {{"leading", leader_->leading()}});
         return boost::outcome_v2::success();
     }
 
 private:
-    void createParts(const LinkBandwidth &bandwidth)
+    void createComponents(const LinkBandwidth &bandwidth)
     {
         loads_ = std::make_unique<LoadReporter>(socket_, engine_);
         link_ = std::make_unique<SidecarLink>(
             loop_, socket_, bandwidth, Endpoint{engine_.ip, port_},
             [this](const Endpoint &from, const GroupMessage &message) { handle(from, message); });
-        counts_ = std::make_unique<CountsCollector>(engineClient_, *link_, bandwidth, engine_,
+        counts_ = std::make_unique<CountsCollector>(engineClient_, log_, *link_, bandwidth, engine_,
                                                     [this](const CountsReply &sum) {
-                                                        if (leading_)
+                                                        if (leader_->leading())
                                                             applyAsLeader(sum);
                                                     });
         leader_ = std::make_unique<GroupLeader>(
@@ -105,7 +105,9 @@
                         link_->sendToAll(engines, message);
                     },
                 .requestCounts =
-                    [this](const std::vector<Endpoint> &engines) { counts_->request(engines); }},
+                    [this](const std::vector<Endpoint> &engines) {
+                        counts_->requestCounts(engines);
+                    }},
             bandwidth, engine_);
         orderExecutor_ = std::make_unique<RankOrderExecutor>(engineClient_, log_, metrics_, engine_,
                                                              [this] { readReport(); });
@@ -114,7 +116,7 @@
     std::string metricsText()
     {
         SidecarState state{.reportAge = remaining(appliedReadBegunAt_, monotonicNow()),
-                           .leading = leading_,
+                           .leading = leader_->leading(),
                            .gateways = loads_->gateways(),
                            .droppedLogLines = log_.droppedLines()};
         if (status_)
@@ -145,15 +147,14 @@
         loads_->removeExpired(now);
         counts_->sendDue(now);
         updateLeadership(now);
-        if (leading_)
+        if (leader_->leading())
             leader_->runDueWork(now);
     }
 
     /// Starts or stops leading the own engine's group by the result of the election.
     void updateLeadership(TimePoint now)
     {
-        leading_ = isListed() && leadsGroup(candidate_, now);
-        if (leading_)
+        if (isListed() && leadsGroup(candidate_, now))
             leader_->lead(candidate_.group, candidate_.rank);
         else
             leader_->stop();
@@ -230,11 +231,17 @@
     }
 
     /// Reads the experts of a report's map. Drops the result when the map has changed meanwhile.
+    /// Logs the first failure after a success, because a failed read is repeated with each report.
     void readExperts(const RankReport &report)
     {
         readingExperts_ = true;
         engineClient_.readExperts(engine_, [this, report](auto experts) {
             readingExperts_ = false;
+            if (experts.has_error() && !expertsReadFailed_) {
+                log_.info("engine.no_experts",
+                          {{"engine", toText(engine_)}, {"reason", experts.error().message}});
+            }
+            expertsReadFailed_ = experts.has_error();
             if (experts.has_error() || !status_ || !sameMap(status_->report, report))
                 return;
             status_->experts = experts.value();
@@ -247,7 +254,7 @@
     /// leader.
     void sendStatusToLeader(const RankStatus &status)
     {
-        if (leading_)
+        if (leader_->leading())
             applyAsLeader(status);
         else if (leaderAddress_)
             sendStatus(*leaderAddress_, status);
@@ -259,7 +266,7 @@
     {
         if (leaderHasMap(status.report.map))
             status.experts.clear();
-        link_->reply(leader, status);
+        link_->sendToAddress(leader, status);
     }
 
     bool leaderHasMap(std::uint64_t version) const
@@ -288,7 +295,7 @@
         decidingSoon_ = true;
         loop_.runAfter(decisionDelay, [this] {
             decidingSoon_ = false;
-            if (leading_)
+            if (leader_->leading())
                 leader_->decide(monotonicNow());
         });
     }
@@ -392,31 +399,39 @@
             return;
         RankStatus status = *status_;
         status.experts.clear();
-        link_->reply(leader, status);
+        link_->sendToAddress(leader, status);
     }
 
-    void apply(const Endpoint &from, const CountsPoll &poll) { counts_->begin(from, poll); }
+    void apply(const Endpoint &from, const CountsPoll &poll)
+    {
+        counts_->beginAggregation(from, poll, monotonicNow());
+    }
 
     /// Applies the counts as the leader, or adds them to the oldest aggregation in progress.
     void apply(const Endpoint &, const CountsReply &reply)
     {
-        if (leading_)
+        if (leader_->leading())
             applyAsLeader(reply);
         else
-            counts_->add(reply);
+            counts_->addReply(reply, monotonicNow());
     }
 
     void apply(const Endpoint &, const RankStatus &status)
     {
-        if (leading_)
+        if (leader_->leading())
             applyAsLeader(status);
     }
 
     void apply(const Endpoint &from, const RankCommand &command)
     {
         // Epochs of two groups may be equal, so the engine itself would not refuse the order.
-        if (status_ && !command.group.empty() && command.group != candidate_.group)
+        if (status_ && !command.group.empty() && command.group != candidate_.group) {
+            log_.info("order.refused",
+                      {{"leader", toText(from)},
+                       {"group", command.group},
+                       {"reason", "the engine is in another group"}});
             return;
+        }
         frequentReportsUntil_ = monotonicNow() + frequentReportsAfterOrder;
         const std::size_t groupSize = status_ ? status_->report.groupSize : 0;
         orderExecutor_->execute(command, from, profile(), groupSize);
@@ -444,13 +459,14 @@
     bool engineAnswers_ = true;
     bool readingReport_ = false;
     bool readingExperts_ = false;
+    /// Whether the last read of the engine's experts failed.
+    bool expertsReadFailed_ = false;
     TimePoint readBegunAt_;
     /// When the read of the applied report began.
     TimePoint appliedReadBegunAt_;
     TimePoint frequentReportsUntil_;
     EngineListCache listCache_;
     GroupCandidate candidate_;
-    bool leading_ = false;
     bool decidingSoon_ = false;
     /// Sender of the last RankPoll from another sidecar of the own group.
     std::optional<Endpoint> leaderAddress_;
--- a/Source/Programs/Sidecar/SidecarLink.cpp
+++ b/Source/Programs/Sidecar/SidecarLink.cpp
@@ -11,7 +11,7 @@
       handle_(std::move(handle))
 { }
 
-void SidecarLink::sendTo(const Endpoint &engine, const GroupMessage &message)
+void SidecarLink::sendToEngine(const Endpoint &engine, const GroupMessage &message)
 {
     if (engine.ip == ownAddress_.ip)
         handleHere(message);
@@ -36,9 +36,9 @@
     relay(others, bytes);
 }
 
-void SidecarLink::reply(const Endpoint &to, const GroupMessage &message)
+void SidecarLink::sendToAddress(const Endpoint &address, const GroupMessage &message)
 {
-    socket_.send(to, encodeMessage(message));
+    socket_.send(address, encodeMessage(message));
 }
 
 void SidecarLink::relay(const std::vector<Endpoint> &engines, const std::string &bytes)
--- a/Source/Programs/Sidecar/SidecarLink.h
+++ b/Source/Programs/Sidecar/SidecarLink.h
@@ -24,14 +24,14 @@
                 Endpoint ownAddress, Handler handle);
 
     /// Sends a message to the sidecar beside an engine.
-    void sendTo(const Endpoint &engine, const GroupMessage &message);
+    void sendToEngine(const Endpoint &engine, const GroupMessage &message);
 
     /// Sends one message to the sidecars beside many engines. It is encoded once: to encode a map
     /// for each rank would take the leader of a large group seconds.
     void sendToAll(const std::vector<Endpoint> &engines, const GroupMessage &message);
 
-    /// Sends a message to an address from which one was received.
-    void reply(const Endpoint &to, const GroupMessage &message);
+    /// Sends a message to the address of a process, from which one was received.
+    void sendToAddress(const Endpoint &address, const GroupMessage &message);
 
     /// Sends an encoded message to sidecars, through relays when copies for all receivers would
     /// occupy this VM's link for too long.
