Sidecar tests: an order of the former group, and a leader of rank 1 that yields

The check that a poll of another group does not end a term could not fail at rank 0, which never yields; it is now also made at rank 1, and a poll of the own group must end the term.

--- a/Tests/Gateway/GroupLeadersTest.cpp
+++ b/Tests/Gateway/GroupLeadersTest.cpp
@@ -163,6 +163,13 @@
     pid_t child_;
 };
 
+/// Discards what has arrived. No leader polls again within the short time, and it is long enough to
+/// read a full receive buffer.
+void discardReceived(const DatagramPeer &peer)
+{
+    while (peer.countWithin<RankPoll>(milliseconds(20)) > 0) { }
+}
+
 /// Groups whose leaders have polled within the time.
 std::set<std::string> pollingGroups(const DatagramPeer &peer, milliseconds time)
 {
@@ -205,18 +212,22 @@
     }));
     REQUIRE_FALSE(first.beganMixedPass());
     REQUIRE_FALSE(second.beganMixedPass());
-    // Polls and requests of the past seconds.
+    // Discards what arrived during the start.
     for (const auto &peer : peers)
-        peer->countWithin<RankPoll>(milliseconds(1));
+        discardReceived(*peer);
 
-    // A leader of another group gets the status without experts, and does not end the first one's
-    // term; a leader of the own group does.
+    // A leader of another group gets the status without experts, and its poll does not
+    // end the term.
     const milliseconds twoPolls = milliseconds(500);
     REQUIRE(pollingGroups(*peers[0], twoPolls) == std::set<std::string>{"a"});
     REQUIRE(pollingGroups(*peers[1], twoPolls).empty());
     REQUIRE(pollingGroups(*peers[2], twoPolls) == std::set<std::string>{"b"});
     peers[0]->send(RankPoll{.group = "b", .rank = 0});
-    const auto statuses = peers[0]->receiveWithin<RankStatus>(milliseconds(100));
+    std::vector<RankStatus> statuses;
+    REQUIRE(eventually([&] {
+        statuses = peers[0]->receiveWithin<RankStatus>(milliseconds(20));
+        return !statuses.empty();
+    }));
     REQUIRE(statuses.size() == 1);
     REQUIRE(statuses.front().report.group == "a");
     REQUIRE(statuses.front().experts.empty());
@@ -228,4 +239,16 @@
         [&] { return pollingGroups(*peers[1], milliseconds(100)) == std::set<std::string>{"a"}; }));
     REQUIRE(pollingGroups(*peers[2], twoPolls) == std::set<std::string>{"b"});
     REQUIRE(pollingGroups(*peers[3], twoPolls).empty());
+
+    // The leader beside rank 1 yields to lower ranks of its own group only.
+    peers[1]->send(RankPoll{.group = "b", .rank = 0});
+    REQUIRE(
+        eventually([&] { return !peers[1]->receiveWithin<RankStatus>(milliseconds(20)).empty(); }));
+    discardReceived(*peers[1]);
+    REQUIRE(pollingGroups(*peers[1], twoPolls) == std::set<std::string>{"a"});
+    peers[1]->send(RankPoll{.group = "a", .rank = 0});
+    REQUIRE(
+        eventually([&] { return !peers[1]->receiveWithin<RankStatus>(milliseconds(20)).empty(); }));
+    discardReceived(*peers[1]);
+    REQUIRE(pollingGroups(*peers[1], twoPolls).empty());
 }
--- a/Tests/Gateway/SidecarTest.cpp
+++ b/Tests/Gateway/SidecarTest.cpp
@@ -144,3 +144,51 @@
     // it.
     REQUIRE_FALSE(gateway.receiveWithin<EngineLoad>(milliseconds(600)).empty());
 }
+
+// Guards against an order of the engine's former group that is sent again, and whose result is
+// taken for that of an equal order of the new group: groups use the same epochs and versions.
+TEST_CASE("A sidecar does not send an order of the engine's former group again")
+{
+    const RankMap formerMap{{{0, 1}, {2, 3}}};
+    const RankMap newMap{{{2, 3}, {0, 1}}};
+    std::atomic<bool> inNewGroup = false;
+    ScriptedServer engine(
+        [&inNewGroup](const SeenRequest &request, ScriptPeer &peer) {
+            if (request.target() == "/order") {
+                // Orders get no answer, so that they are sent again.
+                inNewGroup = true;
+            } else if (request.target() == "/report" && inNewGroup) {
+                peer.send(plainResponse(200, "",
+                                        R"({"step":9,"map":0,"prepared":0,"size":2,"group":)"
+                                        R"({"name":"h","epoch":1,"rank":1,"state":"open"}})"));
+            } else {
+                answerAsEngine(request, peer, 0);
+            }
+        },
+        sidecarIp);
+    const RunningSidecar sidecar(engine);
+    const DatagramPeer leader(INADDR_LOOPBACK, sidecar.address());
+    const auto commandOf = [](const std::string &group, const RankMap &map) {
+        return RankCommand{
+            .order = {.kind = RankOrderKind::Prepare, .epoch = 1, .version = 5, .map = map},
+            .group = group};
+    };
+    REQUIRE(eventually([&] {
+        leader.send(commandOf("g", formerMap));
+        ::poll(nullptr, 0, 5);
+        return inNewGroup.load();
+    }));
+    // The sidecar refuses the command until it has read the report with the new group.
+    for (int i = 0; i < 100; ++i) {
+        leader.send(commandOf("h", newMap));
+        ::poll(nullptr, 0, 2);
+    }
+    std::vector<RankMap> sent;
+    for (const SeenRequest &request : engine.seen()) {
+        if (request.target() == "/order")
+            sent.push_back(nlohmann::json::parse(request.body).at("map"));
+    }
+    const auto firstNew = std::find(sent.begin(), sent.end(), newMap);
+    REQUIRE(firstNew != sent.end());
+    REQUIRE(std::find(firstNew, sent.end(), formerMap) == sent.end());
+}
