Let a rank copy three experts for one map change however long a copy takes

Cause: the bound of 170 ms allows one copy at a rank where a copy takes 111 ms.

Change: PlacementBounds::minCopiesPerRank.

--- a/Source/Version/DemandPlacement.cpp
+++ b/Source/Version/DemandPlacement.cpp
@@ -159,7 +159,8 @@
         return maxCopies;
     const double copiesInTime =
         static_cast<double>(bounds.copyTime.count()) / profile.copyMilliseconds;
-    return std::clamp(static_cast<std::uint32_t>(std::min(copiesInTime, 1e6)), 1U,
+    const auto copies = static_cast<std::uint32_t>(std::min(copiesInTime, 1e6));
+    return std::clamp(copies, std::min(bounds.minCopiesPerRank, maxCopies),
                       std::max(1U, maxCopies));
 }
 
--- a/Source/Version/DemandPlacement.h
+++ b/Source/Version/DemandPlacement.h
@@ -58,8 +58,12 @@
     /// avoids copies that gain little.
     double minGainPerCopySecond = 0.045;
     /// Maximum time that one rank may copy for one change, over all sets: a rank copies one expert
-    /// after the other, and the switch waits for the slowest rank.
+    /// after the other, and the switch waits for the slowest rank. Until then all streams of the
+    /// group are late after a shift of demand.
     milliseconds copyTime{170};
+    /// Number of experts that one rank may copy however long a copy takes: with fewer, a group
+    /// whose copies are slow stays unbalanced after several changes.
+    std::uint32_t minCopiesPerRank = 3;
 };
 
 /// A map that suits the current demand better than the one in force.
