Soak: check recovery with all servers first, then an evacuation with an outage

Cause: 97 % served at 5 s after the last fault was measured with half of the servers evacuated, which weakened an existing check. The evacuations under faults are in force in a small part of the time, because each store cut restarts the time until a gateway must know them.

Change: the check at recoveryTime has all servers again, with its bound unchanged. The evacuation follows it; once it is in force, the store is unavailable for 4.5 s, in which nothing may arrive in the domain.

--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -27,6 +27,8 @@
 /// to the store.
 constexpr milliseconds recoveryTime{5000};
 constexpr milliseconds verificationTime{1500};
+/// How long the store is unavailable during the evacuation after the faults.
+constexpr milliseconds outageTime{3000};
 /// Fraction of requests that must get a complete answer after recovery.
 constexpr double minServedFraction = 0.97;
 
@@ -58,7 +60,7 @@
     return false;
 }
 
-/// Counts the requests of a while without faults and checks that they are served.
+/// Counts the requests of a period without faults and checks that they are served.
 SoakCounts verifyServed(Fleet &fleet, SoakClients &clients, const std::string &phase)
 {
     clients.takeCounts();
@@ -88,6 +90,28 @@
     }
 }
 
+/// Evacuates a domain after the faults. The store is not cut off before the evacuation is in force,
+/// so each run checks its bound; and then during an outage of the store.
+void checkEvacuation(Fleet &fleet, SoakClients &clients, const std::string &domain)
+{
+    fleet.setEvacuated(domain, true);
+    sleepFor(evacuationBound);
+    const std::size_t before = fleet.arrivalsIn(domain);
+    verifyServed(fleet, clients, "during an evacuation");
+    fleet.setStoreUnavailable(true);
+    // Ends the reads that the store holds, so that the gateways notice the outage at once.
+    fleet.resetStoreLink();
+    sleepFor(outageTime);
+    verifyServed(fleet, clients, "during an evacuation and an outage of the store");
+    if (const std::size_t arrivals = fleet.arrivalsIn(domain) - before; arrivals > 0)
+        fleet.recorder().noteViolation(std::to_string(arrivals) + " requests arrived in domain "
+                                       + domain + " during its evacuation");
+    fleet.setStoreUnavailable(false);
+    fleet.setEvacuated(domain, false);
+    checkUsedAgain(fleet, domain);
+    verifyServed(fleet, clients, "after an evacuation");
+}
+
 void checkRefusedRequests(Fleet &fleet, const SoakClients &clients)
 {
     for (const std::string &id : clients.refusedIds()) {
@@ -131,14 +155,9 @@
     }
     faults.endAll();
     const SoakCounts underFaults = clients.takeCounts();
-    // Without a cut of the store the bound of this evacuation is checked in each run.
-    const std::string &domain = Fleet::domains().at(seed % Fleet::domains().size());
-    fleet.setEvacuated(domain, true);
-    sleepFor(std::max(recoveryTime, evacuationBound));
-    verifyServed(fleet, clients, "during an evacuation");
-    fleet.setEvacuated(domain, false);
-    checkUsedAgain(fleet, domain);
+    sleepFor(recoveryTime);
     const SoakCounts afterRecovery = verifyServed(fleet, clients, "after recovery");
+    checkEvacuation(fleet, clients, Fleet::domains().at(seed % Fleet::domains().size()));
     clients.stop();
     if (afterRecovery.servedCold == 0)
         fleet.recorder().noteViolation(
