Soak: rarer evacuations, and cold servers checked against the gateways' shares

Cause: at least one domain was evacuated most of the time, so other faults met less traffic. The cold bound of 80 a second is far above the two requests a second and server that a correct gateway sends.

Change: odd seeds have no evacuations, the others have 3 to 8 s between them. Arrivals at a cold server within 800 ms are at most one share per gateway, and one more per restart or continuation of a gateway in the last second; the stated bound stays.

--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -1,5 +1,6 @@
 #include "Soak/SoakFaults.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <utility>
@@ -18,6 +19,11 @@
 /// Makes the generator of evacuations independent of those of neighbouring seeds.
 constexpr std::uint64_t evacuationSeedOffset = 0x9E3779B97F4A7C15;
 
+int randomInt(std::mt19937_64 &random, int low, int high)
+{
+    return std::uniform_int_distribution<int>(low, high)(random);
+}
+
 } // namespace
 
 SoakFaults::SoakFaults(Fleet &fleet, std::uint64_t seed,
@@ -25,7 +31,13 @@
     : fleet_(fleet), random_(seed), signalRandom_(~seed),
       evacuationRandom_(seed + evacuationSeedOffset), coldRandom_(seed ^ 0xC01DULL),
       log_(std::move(log))
-{ }
+{
+    // Evacuated servers get no traffic, and faults of their links then have no effect: every second
+    // seed has no evacuations, the others have seconds without any.
+    nextEvacuationAt_ = seed % 2 == 0
+        ? monotonicNow() + milliseconds(randomInt(evacuationRandom_, 0, 4000))
+        : TimePoint::max();
+}
 
 std::size_t SoakFaults::randomBelow(std::size_t bound)
 {
@@ -34,7 +46,7 @@
 
 milliseconds SoakFaults::randomDuration(int low, int high)
 {
-    return milliseconds(std::uniform_int_distribution<int>(low, high)(random_));
+    return milliseconds(randomInt(random_, low, high));
 }
 
 void SoakFaults::scheduleEnd(TimePoint at, std::function<void()> end)
@@ -140,27 +152,29 @@
     if (randomBelow(2) == 0) {
         log_(name + " is suspended for " + std::to_string(length.count()) + " ms");
         gateway.signal(SIGSTOP);
-        scheduleEnd(now + length, [&gateway] { gateway.signal(SIGCONT); });
+        scheduleEnd(now + length, [this, &gateway] {
+            fleet_.noteGatewayBegin();
+            gateway.signal(SIGCONT);
+        });
         return;
     }
     log_(name + " is killed, and restarted after " + std::to_string(length.count()) + " ms");
     gateway.kill();
-    scheduleEnd(now + length, [&gateway] {
-        if (!gateway.running())
-            gateway.start();
+    scheduleEnd(now + length, [this, &gateway] {
+        if (gateway.running())
+            return;
+        fleet_.noteGatewayBegin();
+        gateway.start();
     });
 }
 
 void SoakFaults::startServerSignal(TimePoint now)
 {
-    const auto randomInt = [this](int low, int high) {
-        return std::uniform_int_distribution<int>(low, high)(signalRandom_);
-    };
-    nextSignalAt_ = now + milliseconds(randomInt(300, 1500));
-    const auto server =
-        static_cast<std::size_t>(randomInt(0, static_cast<int>(fleet_.serverLinks().size()) - 1));
-    const milliseconds length{randomInt(300, 3000)};
-    const bool backoff = randomInt(0, 1) == 0;
+    nextSignalAt_ = now + milliseconds(randomInt(signalRandom_, 300, 1500));
+    const auto server = static_cast<std::size_t>(
+        randomInt(signalRandom_, 0, static_cast<int>(fleet_.serverLinks().size()) - 1));
+    const milliseconds length{randomInt(signalRandom_, 300, 3000)};
+    const bool backoff = randomInt(signalRandom_, 0, 1) == 0;
     log_("server-" + std::to_string(server)
          + (backoff ? " asks for backoff" : " advertises a limit") + " for "
          + std::to_string(length.count()) + " ms");
@@ -168,36 +182,37 @@
     scheduleEnd(now + length, [this, server] { fleet_.setSignal(server, ServerSignal::None); });
 }
 
-/// Some evacuations last longer than the bound, some overlap, and some domains are evacuated twice.
+/// Some evacuations last longer than the bound. One in four is of both domains, or of one domain
+/// twice; these are short, because all requests are refused while both domains are evacuated.
 void SoakFaults::startEvacuation(TimePoint now)
 {
-    const auto randomInt = [this](int low, int high) {
-        return std::uniform_int_distribution<int>(low, high)(evacuationRandom_);
-    };
-    nextEvacuationAt_ = now + milliseconds(randomInt(1000, 5000));
-    const std::string &domain = Fleet::domains().at(static_cast<std::size_t>(randomInt(0, 1)));
-    const milliseconds length{randomInt(500, 9000)};
-    log_("domain " + domain + " is evacuated for " + std::to_string(length.count()) + " ms");
-    fleet_.setEvacuated(domain, true);
-    scheduleEnd(now + length, [this, domain] { fleet_.setEvacuated(domain, false); });
+    const int records = randomInt(evacuationRandom_, 0, 3) == 0 ? 2 : 1;
+    TimePoint lastEnd = now;
+    for (int i = 0; i < records; ++i) {
+        const std::string &domain =
+            Fleet::domains().at(static_cast<std::size_t>(randomInt(evacuationRandom_, 0, 1)));
+        const milliseconds length{randomInt(evacuationRandom_, 500, records == 1 ? 9000 : 1500)};
+        log_("domain " + domain + " is evacuated for " + std::to_string(length.count()) + " ms");
+        fleet_.setEvacuated(domain, true);
+        scheduleEnd(now + length, [this, domain] { fleet_.setEvacuated(domain, false); });
+        lastEnd = std::max(lastEnd, now + length);
+    }
+    nextEvacuationAt_ = lastEnd + milliseconds(randomInt(evacuationRandom_, 3000, 8000));
 }
 
 void SoakFaults::startColdPhase(TimePoint now)
 {
-    const auto randomInt = [this](int low, int high) {
-        return std::uniform_int_distribution<int>(low, high)(coldRandom_);
-    };
-    nextColdAt_ = now + milliseconds(randomInt(500, 2000));
+    nextColdAt_ = now + milliseconds(randomInt(coldRandom_, 500, 2000));
     const auto server =
-        static_cast<std::size_t>(randomInt(0, static_cast<int>(coldServerCount) - 1));
+        static_cast<std::size_t>(randomInt(coldRandom_, 0, static_cast<int>(coldServerCount) - 1));
     const std::string name = "cold-" + std::to_string(server);
-    if (randomInt(0, 3) == 0) {
+    if (randomInt(coldRandom_, 0, 3) == 0) {
         log_(name + " restarts");
         fleet_.restartColdServer(server);
         return;
     }
-    const milliseconds length{randomInt(1000, 3000)};
-    const milliseconds unknownFor{randomInt(0, 1200)};
+    const milliseconds length{randomInt(coldRandom_, 1000, 3000)};
+    const milliseconds unknownFor{randomInt(coldRandom_, 0, 1200)};
     log_(name + " is cold for " + std::to_string(length.count()) + " ms; its entry states it after "
          + std::to_string(unknownFor.count()) + " ms");
     fleet_.setColdUntil(server, now + length);
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -1,5 +1,6 @@
 #include "Soak/SoakFleet.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -11,6 +12,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "Request/RetryTokenBucket.h"
+
 namespace wisteria::soak {
 
 using namespace gateway_tests;
@@ -27,6 +30,12 @@
 constexpr double coldOvershoot = 40;
 constexpr double coldSlack = 40;
 constexpr std::size_t coldBound = 80;
+/// Most requests that one gateway sends to one server of the service "cold" in any second. There
+/// are no sidecars that report the number of gateways, so each assumes the default.
+constexpr auto coldShare = static_cast<std::size_t>(coldBound / defaultGateways);
+/// Time in which arrivals are compared with the sum of the shares. It is less than the second of
+/// the shares, because requests take different times from the gateway's decision to their arrival.
+constexpr milliseconds coldShareTime{800};
 const std::string seal = "Wisteriawind-Response-Seal: soak\r\n";
 
 /// Failure domain of a backend server.
@@ -113,13 +122,19 @@
     return violations_;
 }
 
-std::size_t ArrivalRate::note(TimePoint now)
+void RecentEvents::note(TimePoint now)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    events_.push_back(now);
+    while (now - events_.front() >= seconds(1))
+        events_.pop_front();
+}
+
+std::size_t RecentEvents::count(TimePoint now, milliseconds within) const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    arrivals_.push_back(now);
-    while (now - arrivals_.front() >= seconds(1))
-        arrivals_.pop_front();
-    return arrivals_.size();
+    return static_cast<std::size_t>(std::count_if(events_.begin(), events_.end(),
+                                                  [&](TimePoint at) { return now - at < within; }));
 }
 
 GatewayProcess::GatewayProcess(std::string program, const std::string &folder, int number,
@@ -205,6 +220,7 @@
 }
 
 Fleet::Fleet(const std::string &program, const std::string &folder, int gatewayCount)
+    : gatewayCount_(static_cast<std::size_t>(gatewayCount))
 {
     for (std::size_t i = 0; i < signals_.size(); ++i) {
         servers_.push_back(std::make_unique<ScriptedServer>(
@@ -318,13 +334,27 @@
     putColdEntry(server, nlohmann::json::object());
 }
 
+/// Checks the stated bound, and that each gateway keeps to its share. A gateway that has restarted
+/// does not know what it sent before; one that continues may send what it chose before.
+void Fleet::noteColdArrival(std::size_t server, TimePoint now)
+{
+    RecentEvents &arrivals = coldArrivals_.at(server);
+    arrivals.note(now);
+    const std::string name = "cold-" + std::to_string(server);
+    if (const std::size_t count = arrivals.count(now); count > coldBound)
+        recorder_.noteViolation(name + " got " + std::to_string(count)
+                                + " requests within a second");
+    const std::size_t shares = (gatewayCount_ + gatewayBegins_.count(now)) * coldShare;
+    if (const std::size_t count = arrivals.count(now, coldShareTime); count > shares)
+        recorder_.noteViolation(name + " got " + std::to_string(count) + " requests within "
+                                + std::to_string(coldShareTime.count())
+                                + " ms; the gateways' shares are " + std::to_string(shares));
+}
+
 void Fleet::answerCold(std::size_t server, const SeenRequest &request, ScriptPeer &peer)
 {
     const TimePoint now = monotonicNow();
-    const std::size_t arrivals = coldArrivals_.at(server).note(now);
-    if (arrivals > coldBound)
-        recorder_.noteViolation("cold-" + std::to_string(server) + " got "
-                                + std::to_string(arrivals) + " requests within a second");
+    noteColdArrival(server, now);
     const std::string id = request.header("Wisteriawind-Attempt-Id");
     recorder_.noteRun(id, request.target());
     const milliseconds left = remaining(now, coldUntil_.at(server));
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -77,17 +77,18 @@
     Backoff, ///< It refuses requests with a Retry-After header.
 };
 
-/// Requests to one backend server within the last second. Thread-safe.
-class ArrivalRate
+/// Events within the last second. Thread-safe.
+class RecentEvents
 {
 public:
-    /// Records an arrival.
-    /// @return Number of arrivals within the second that ends now.
-    std::size_t note(TimePoint now);
+    void note(TimePoint now);
+    /// @param within At most a second.
+    /// @return Number of events within the time that ends now.
+    std::size_t count(TimePoint now, milliseconds within = seconds(1)) const;
 
 private:
-    std::mutex mutex_;
-    std::deque<TimePoint> arrivals_;
+    mutable std::mutex mutex_;
+    std::deque<TimePoint> events_;
 };
 
 /// Number of servers of the service "cold", whose servers may be cold.
@@ -127,11 +128,14 @@
     void setColdUntil(std::size_t server, TimePoint until) { coldUntil_.at(server) = until; }
     /// Writes the record of a server of the service "cold", with the rest of its cold time.
     void putColdServer(std::size_t server);
+    /// Records that a gateway is about to start again, or to continue after it was suspended.
+    void noteGatewayBegin() { gatewayBegins_.note(monotonicNow()); }
     /// A server of the service "cold" restarts under its id; its record states no cold time.
     void restartColdServer(std::size_t server);
 
 private:
     void noteArrival(std::size_t server, const std::string &id);
+    void noteColdArrival(std::size_t server, TimePoint now);
     void putColdEntry(std::size_t server, nlohmann::json fields);
     void answerCold(std::size_t server, const gateway_tests::SeenRequest &request,
                     gateway_tests::ScriptPeer &peer);
@@ -148,7 +152,9 @@
     std::atomic<unsigned> streams_ = 0;
     int version_ = 0;
     gateway_tests::StoreStandIn store_;
-    std::array<ArrivalRate, coldServerCount> coldArrivals_;
+    const std::size_t gatewayCount_;
+    RecentEvents gatewayBegins_;
+    std::array<RecentEvents, coldServerCount> coldArrivals_;
     std::array<std::atomic<TimePoint>, coldServerCount> coldUntil_{};
     std::array<std::uint64_t, coldServerCount> coldStartedAt_{};
     std::vector<std::unique_ptr<gateway_tests::ScriptedServer>> coldServers_;
