--- a/Source/Request/BackendRegistry.h
+++ b/Source/Request/BackendRegistry.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "Process/Time.h"
-#include "Request/EvacuatedDomains.h"
 #include "Request/ColdServers.h"
+#include "Request/EvacuatedDomains.h"
 #include "Request/GatewayRequest.h"
 #include "Request/ServerLimit.h"
 #include "Version/BackendEntry.h"
