Dispatch in order when a wait interval ends, bound bursts, keep limits on moves

Cause: a queued request looked for a slot by itself when a permit interval or send share ended, whatever was ahead of it. A request that found a free slot while others waited joined the queue without waitCanSucceed(). Queued requests were counted under the dispatch priority of their arrival. Moves off a slow server used all slots. The gauge of a removed priority limit kept its value. An empty list of priorities looped without an end.

Change: such a request asks for a dispatch; an arrival that finds a slot has those ahead dispatched first and chooses again, so that it is refused or starts at once; counts follow dispatchPriority() at each dispatch; moves stay within the limit; PriorityLimitGauges sets removed series to the slots or 0. One waitCanSucceed() without default arguments; startTagOf(), DispatchKey, maxRequests, recordRequestEnd(), RequestEndLine, refusalReason() beside it.

The fleet of the priority tests no longer lets requests from before a restart lower the counts of the restarted gateway.

--- a/Source/Programs/Bench/AdmissionCommand.cpp
+++ b/Source/Programs/Bench/AdmissionCommand.cpp
@@ -87,7 +87,7 @@
     if (choice.backend != nullptr && ahead == 0)
         noteOrganisationStart(state.shares, organisation, start);
     noteDecided(state.counts, priority, choice.backend != nullptr, start);
-    return choice.backend != nullptr || waitCanSucceedAfter(state.queue, ahead, wait, start);
+    return choice.backend != nullptr || waitCanSucceed(state.queue, ahead, wait, start);
 }
 
 } // namespace
--- a/Source/Programs/Gateway/DispatchOrder.h
+++ b/Source/Programs/Gateway/DispatchOrder.h
@@ -20,7 +20,7 @@
 };
 
 /// Returns the ids of waiting requests in the order of dispatch: the most urgent first; of one
-/// priority, by the turns of their organisations (see turnOf()), then in order of arrival.
+/// priority, by their start tags (see startTagOf()), then in order of arrival.
 /// @param waiting In order of arrival.
 /// @param shares Null to serve the requests of one priority in order of arrival.
 std::vector<std::uint64_t> dispatchOrder(const std::vector<WaitingRequest> &waiting,
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -69,12 +69,12 @@
 
 bool Exchange::tryDispatch(TimePoint now)
 {
-    const BackendChoice choice = chooseNext(admission_.maxLoad(now), now);
-    if (choice.backend != nullptr && letsOthersFirst(now)) {
-        waitUntil_ = waitTimeout(NoBackendReason::AllFull);
-        admission_.joinQueue(now);
-        context_.dispatchSoon();
-        return false;
+    BackendChoice choice = chooseNext(admission_.maxLoad(now), now);
+    // The slot may have become free just before this request arrived. Those ahead get it first;
+    // then this request starts, waits or is refused as if it had arrived after their dispatch.
+    if (choice.backend != nullptr && admission_.othersFirst(now)) {
+        context_.dispatchNow();
+        choice = chooseNext(admission_.maxLoad(now), now);
     }
     if (choice.backend != nullptr) {
         admission_.noteStart(now);
@@ -106,13 +106,6 @@
         {.arrived = arrived_, .deadline = deadline_, .targetLatency = route_.targetLatency});
 }
 
-/// A request that arrives between the event that freed a slot and the dispatch of the waiting
-/// requests must not take the slot of one that is served before it.
-bool Exchange::letsOthersFirst(TimePoint now) const
-{
-    return now < waitTimeout(NoBackendReason::AllFull) && admission_.othersFirst(now);
-}
-
 bool Exchange::shouldWait(const BackendChoice &choice, TimePoint now) const
 {
     if (choice.retryAt > waitUntil_)
@@ -375,8 +368,12 @@
     if (finished_)
         return;
     if (waiting_) {
-        if (now >= std::min({waitUntil_, deadline_, nextDispatchAt_}))
+        // Other requests may be ahead of this one, so it does not look for a slot by itself before
+        // its wait ends.
+        if (now >= std::min(waitUntil_, deadline_))
             tryDispatch(now);
+        else if (now >= nextDispatchAt_)
+            context_.dispatchSoon();
         return;
     }
     if (!call_)
@@ -403,7 +400,7 @@
     historyAfterMove.mayHaveRun = true;
     if (!mayRetry(route_, SendOutcome::Incomplete, historyAfterMove, timeLeft(now)))
         return;
-    const BackendChoice choice = chooseNext(PriorityAdmission::maxLoadForFirstSend, now);
+    const BackendChoice choice = chooseNext(admission_.maxLoad(now), now);
     const bool better = choice.backend != nullptr
         && slowdownOf(*choice.backend, now, context_.registry.loadLifetime) < moveAtSlowdown;
     if (!better || !takeRetryToken(context_.retryBuckets[service_], context_.retryQuota, now))
@@ -454,7 +451,7 @@
         retryAfterFor(context_.retryAfterPolicy, choice, sinceProgress, now, context_.randomUnit());
     const bool atPriorityLimit = waiting_ && choice.reason == NoBackendReason::AllFull
         && admission_.limited(now)
-        && chooseNext(PriorityAdmission::maxLoadForFirstSend, now).backend != nullptr;
+        && chooseNext(PriorityAdmission::allSlots, now).backend != nullptr;
     if (atPriorityLimit) {
         reason = "too many of this priority";
         retryAfter = retryAfterAtLimit(context_.retryAfterPolicy, admission_.step(), sinceProgress,
@@ -468,13 +465,13 @@
 {
     finished_ = true;
     endWait(now);
-    logRequestEnd(context_,
-                  {.end = endOf(status, reason, now),
-                   .id = request_.attemptId,
-                   .route = route_.name,
-                   .configurationVersion = routes_->configuration().version,
-                   .priority = admission_.priority(),
-                   .tried = tried_});
+    recordRequestEnd(context_,
+                     {.end = endOf(status, reason, now),
+                      .id = request_.attemptId,
+                      .route = route_.name,
+                      .configurationVersion = routes_->configuration().version,
+                      .priority = admission_.priority(),
+                      .tried = tried_});
 }
 
 RequestEnd Exchange::endOf(int status, const char *reason, TimePoint now) const
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -63,6 +63,7 @@
     bool finished() const { return finished_; }
     /// Its urgency and its place in the admission queue.
     const PriorityAdmission &admission() const { return admission_; }
+    PriorityAdmission &admission() { return admission_; }
     TimePoint arrived() const { return arrived_; }
     const std::string &service() const { return service_; }
 
@@ -70,7 +71,6 @@
     milliseconds timeLeft(TimePoint now) const { return remaining(now, deadline_); }
     bool shouldWait(const BackendChoice &choice, TimePoint now) const;
     TimePoint waitTimeout(NoBackendReason reason) const;
-    bool letsOthersFirst(TimePoint now) const;
     void endWait(TimePoint now);
     void send(BackendState &backend, TimePoint now);
     bool acceptsHead(const HttpResponseHead &head) const;
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -16,6 +16,7 @@
 #include "Programs/Gateway/GatewayMetrics.h"
 #include "Programs/Gateway/LimitPermits.h"
 #include "Programs/Gateway/OperatorRecords.h"
+#include "Programs/Gateway/PriorityLimitGauges.h"
 #include "Programs/Gateway/Session.h"
 #include "Programs/Gateway/SidecarHellos.h"
 #include "Programs/Gateway/StorePolling.h"
@@ -83,7 +84,8 @@
                             .fairQueueing = settings_.fairQueueing,
                             .routes = nullptr,
                             .rereadBackends = [this] { backendsWatch_->readSoon(monotonicNow()); },
-                            .dispatchSoon = [this] { scheduleDispatch(); }},
+                            .dispatchSoon = [this] { scheduleDispatch(); },
+                            .dispatchNow = [this] { dispatchWaiting(); }},
           operatorRecords_(context_, [this] { scheduleDispatch(); }),
           backendList_(registry_, log_, backendsPollInterval(settings_.drainTime)),
           callerListener_(loop_, [this](int descriptor) { acceptCaller(descriptor); }),
@@ -253,20 +255,23 @@
         if (dispatchScheduled_ || waiting_.empty())
             return;
         dispatchScheduled_ = true;
-        loop_.defer([this] { dispatchWaiting(); });
+        loop_.defer([this] {
+            dispatchScheduled_ = false;
+            dispatchWaiting();
+        });
     }
 
     /// Tries to dispatch the waiting requests; see dispatchOrder().
     void dispatchWaiting()
     {
-        dispatchScheduled_ = false;
         std::erase_if(waiting_,
                       [this](std::uint64_t id) { return waitingExchange(id) == nullptr; });
         const TimePoint now = monotonicNow();
         std::vector<WaitingRequest> waiting;
         waiting.reserve(waiting_.size());
         for (const std::uint64_t id : waiting_) {
-            const PriorityAdmission &admission = waitingExchange(id)->admission();
+            PriorityAdmission &admission = waitingExchange(id)->admission();
+            admission.updateQueuedPriority(now);
             waiting.push_back({id, admission.dispatchPriority(now), admission.organisation()});
         }
         const OrganisationShares *shares =
@@ -277,13 +282,14 @@
         }
     }
 
+    /// Returns the session's request if it is in the admission queue, otherwise null.
     Exchange *waitingExchange(std::uint64_t id)
     {
         const auto found = sessions_.find(id);
         if (found == sessions_.end() || found->second->idle())
             return nullptr;
         Exchange *exchange = found->second->exchange();
-        return exchange->waiting() ? exchange : nullptr;
+        return exchange->waiting() && exchange->admission().queued() ? exchange : nullptr;
     }
 
     bool ready() const { return !stopping_ && context_.routes && backendList_.known(); }
@@ -316,12 +322,8 @@
 
     void updatePriorityLimits()
     {
-        if (!context_.routes)
-            return;
-        for (const auto &[service, limits] : context_.routes->priorityLimits()) {
-            for (std::size_t step = 0; step < limits.limits.size(); ++step)
-                setPriorityLimit(metrics_, service, limits.priorities[step], limits.limits[step]);
-        }
+        if (context_.routes)
+            priorityLimitGauges_.update(metrics_, *context_.routes, registry_);
     }
 
     void updateStoreAge(const std::string &watchName, const StoreWatch &watch, TimePoint now)
@@ -430,6 +432,7 @@
     BackendRegistry registry_;
     GatewayContext context_;
     OperatorRecords operatorRecords_;
+    PriorityLimitGauges priorityLimitGauges_;
     BackendList backendList_;
     TcpListener callerListener_;
     StatusListener readinessListener_;
--- a/Source/Programs/Gateway/GatewayContext.h
+++ b/Source/Programs/Gateway/GatewayContext.h
@@ -54,6 +54,8 @@
     std::function<void()> rereadBackends;
     /// Tries to dispatch the waiting requests at the end of the event loop's round.
     std::function<void()> dispatchSoon{};
+    /// Tries to dispatch the queued requests before it returns.
+    std::function<void()> dispatchNow{};
     std::mt19937_64 random{std::random_device{}()};
 
     /// Whether routes and backend servers are known, so that requests can be routed.
--- a/Source/Programs/Gateway/PriorityAdmission.cpp
+++ b/Source/Programs/Gateway/PriorityAdmission.cpp
@@ -47,7 +47,7 @@
 double PriorityAdmission::maxLoad(TimePoint now) const
 {
     if (limits_ == nullptr)
-        return maxLoadForFirstSend;
+        return allSlots;
     return maxLoadOf(*limits_, starved(now) ? 0 : step_);
 }
 
@@ -65,7 +65,7 @@
 
 bool PriorityAdmission::waitCanSucceed(milliseconds wait, TimePoint now) const
 {
-    return waitCanSucceedAfter(queue(), ahead(now), wait, now);
+    return wisteria::waitCanSucceed(queue(), ahead(now), wait, now);
 }
 
 void PriorityAdmission::joinQueue(TimePoint now)
@@ -77,6 +77,16 @@
     queued_ = true;
 }
 
+void PriorityAdmission::updateQueuedPriority(TimePoint now)
+{
+    const std::uint32_t current = dispatchPriority(now);
+    if (!queued_ || current == queuedPriority_)
+        return;
+    leaveQueue(queue(), queuedPriority_, organisation_);
+    queuedPriority_ = current;
+    wisteria::joinQueue(queue(), queuedPriority_, organisation_);
+}
+
 void PriorityAdmission::noteStart(TimePoint now)
 {
     noteDispatched(queue(), now);
--- a/Source/Programs/Gateway/PriorityAdmission.h
+++ b/Source/Programs/Gateway/PriorityAdmission.h
@@ -30,10 +30,10 @@
     /// The priority that determines the order of dispatch; that of the most urgent requests while
     /// its own is starved.
     std::uint32_t dispatchPriority(TimePoint now) const;
-    /// Fraction of an engine's slots that a first send may use.
+    /// Fraction of an engine's slots that a first send, or a move off a slow server, may use.
     double maxLoad(TimePoint now) const;
     /// Whether the limit of the priority is below all slots now.
-    bool limited(TimePoint now) const { return maxLoad(now) < maxLoadForFirstSend; }
+    bool limited(TimePoint now) const { return maxLoad(now) < allSlots; }
 
     /// Whether waiting requests are served before this one, which has just arrived.
     bool othersFirst(TimePoint now) const;
@@ -42,14 +42,17 @@
 
     bool queued() const { return queued_; }
     void joinQueue(TimePoint now);
+    /// Counts a queued request under its current dispatch priority, which changes when its priority
+    /// becomes starved or is no longer so. Requests that arrive compare theirs with these counts.
+    void updateQueuedPriority(TimePoint now);
     /// Records that the request got a slot for its first send.
     void noteStart(TimePoint now);
     /// Leaves the queue. Without a start, the request counts as not served.
     void leave(TimePoint now);
 
-    /// Maximum load of a backend server for a first send or a move off a slow server, as a fraction
-    /// of its slots.
-    static constexpr double maxLoadForFirstSend = 1.0;
+    /// Maximum load of a backend server for a request of the most urgent priority, as a fraction of
+    /// its slots.
+    static constexpr double allSlots = 1.0;
 
 private:
     AdmissionQueue &queue() const { return context_.admissionQueues[service_]; }
@@ -62,7 +65,7 @@
     std::uint32_t priority_;
     std::string organisation_;
     std::size_t step_ = 0;
-    /// The priority and organisation that it is counted with in the admission queue.
+    /// The priority that it is counted under in the admission queue.
     std::uint32_t queuedPriority_ = 0;
     bool queued_ = false;
     /// Whether it is known that the request started or will not start.
--- a/Source/Programs/Gateway/RequestEndLog.cpp
+++ b/Source/Programs/Gateway/RequestEndLog.cpp
@@ -2,17 +2,30 @@
 
 namespace wisteria {
 
-void logRequestEnd(GatewayContext &context, const EndedRequest &request)
+const char *refusalReason(NoBackendReason reason, bool mayWait)
 {
-    const RequestEnd &end = request.end;
-    LogFields fields = {{"id", request.id},
+    if (reason == NoBackendReason::BackingOff)
+        return "all backend servers asked for rest";
+    if (reason == NoBackendReason::AtLimit)
+        return "the limits of all backend servers are used up";
+    if (reason == NoBackendReason::Evacuated)
+        return "the domains of all backend servers are evacuated";
+    if (reason != NoBackendReason::AllFull)
+        return "no backend server takes work";
+    return mayWait ? "all places are taken" : "too many wait for a place";
+}
+
+void recordRequestEnd(GatewayContext &context, const RequestEndLine &line)
+{
+    const RequestEnd &end = line.end;
+    LogFields fields = {{"id", line.id},
                         {"status", end.status},
                         {"reason", end.reason},
-                        {"route", request.route},
+                        {"route", line.route},
                         {"service", end.service},
-                        {"priority", request.priority},
-                        {"config", request.configurationVersion},
-                        {"tried", request.tried},
+                        {"priority", line.priority},
+                        {"config", line.configurationVersion},
+                        {"tried", line.tried},
                         {"took_s", secondsOf(end.duration)}};
     if (end.firstEvent)
         fields["first_event_s"] = secondsOf(*end.firstEvent);
--- a/Source/Programs/Gateway/RequestEndLog.h
+++ b/Source/Programs/Gateway/RequestEndLog.h
@@ -9,8 +9,8 @@
 
 namespace wisteria {
 
-/// A request that ended, as its log line describes it.
-struct EndedRequest
+/// Fields of the log line `request.end`.
+struct RequestEndLine
 {
     RequestEnd end;
     std::string id;
@@ -21,7 +21,12 @@
     std::vector<std::string> tried{};
 };
 
+/// Returns why a request without a backend server is refused, for its log line and metrics.
+/// @param mayWait Whether the request could have waited, so that only its time limit ended the
+/// wait.
+const char *refusalReason(NoBackendReason reason, bool mayWait);
+
 /// Writes the log line `request.end` and counts the request.
-void logRequestEnd(GatewayContext &context, const EndedRequest &request);
+void recordRequestEnd(GatewayContext &context, const RequestEndLine &line);
 
 } // namespace wisteria
--- a/Source/Request/AdmissionQueue.cpp
+++ b/Source/Request/AdmissionQueue.cpp
@@ -65,14 +65,8 @@
     return ahead;
 }
 
-bool waitCanSucceed(const AdmissionQueue &queue, std::uint32_t priority, milliseconds wait,
+bool waitCanSucceed(const AdmissionQueue &queue, std::size_t ahead, milliseconds wait,
                     TimePoint now)
-{
-    return waitCanSucceedAfter(queue, countAhead(queue, priority, nullptr, {}, now), wait, now);
-}
-
-bool waitCanSucceedAfter(const AdmissionQueue &queue, std::size_t ahead, milliseconds wait,
-                         TimePoint now)
 {
     const std::chrono::duration<double> window = dispatchRateWindow;
     const double dispatchesInTime = decayedSends(queue, now) * (wait / window);
--- a/Source/Request/AdmissionQueue.h
+++ b/Source/Request/AdmissionQueue.h
@@ -14,9 +14,9 @@
 /// a surge within its first second.
 constexpr milliseconds dispatchRateWindow{500};
 
-/// A request may always queue if it and the queued requests of higher or equal priority are no more
-/// than this number: a service that was briefly stalled, or that gets few
-/// requests, has no meaningful dispatch rate.
+/// A request may always queue if it and the queued requests ahead of it are no more than this
+/// number: a service that was briefly stalled, or that gets few requests, has no meaningful
+/// dispatch rate.
 constexpr double minQueueLength = 2;
 
 /// Requests of one gateway that wait for a slot of a service, and its recent dispatch rate. A value
@@ -34,9 +34,9 @@
 /// Records that a request got a slot for its first send.
 void noteDispatched(AdmissionQueue &queue, TimePoint now);
 
-void joinQueue(AdmissionQueue &queue, std::uint32_t priority, const std::string &organisation = {});
-void leaveQueue(AdmissionQueue &queue, std::uint32_t priority,
-                const std::string &organisation = {});
+/// @param organisation Empty when the request has none.
+void joinQueue(AdmissionQueue &queue, std::uint32_t priority, const std::string &organisation);
+void leaveQueue(AdmissionQueue &queue, std::uint32_t priority, const std::string &organisation);
 
 /// Returns the number of queued requests that are served before a new one: those of higher priority
 /// and, of its own priority, all or those that its organisation's recent starts put ahead of it.
@@ -46,17 +46,13 @@
                        TimePoint now);
 
 /// Returns whether a request that finds all slots busy is likely to get one within `wait`, after
-/// the queued requests of higher or equal priority.
+/// the queued requests ahead of it.
 ///
 /// Without this check, all requests of a surge wait for half of their target latency, and most of
 /// them in vain. Callers that are refused at once can try elsewhere, and those that wait are
 /// served.
-/// @param priority 0 is the most urgent.
-bool waitCanSucceed(const AdmissionQueue &queue, std::uint32_t priority, milliseconds wait,
+/// @param ahead See countAhead().
+bool waitCanSucceed(const AdmissionQueue &queue, std::size_t ahead, milliseconds wait,
                     TimePoint now);
 
-/// The same after a known number of queued requests; see countAhead().
-bool waitCanSucceedAfter(const AdmissionQueue &queue, std::size_t ahead, milliseconds wait,
-                         TimePoint now);
-
 } // namespace wisteria
--- a/Source/Request/OrganisationShares.cpp
+++ b/Source/Request/OrganisationShares.cpp
@@ -51,8 +51,8 @@
     return starts < minStarts ? 0 : starts;
 }
 
-double turnOf(const OrganisationShares &shares, const std::string &organisation,
-              std::size_t ownAhead, TimePoint now)
+double startTagOf(const OrganisationShares &shares, const std::string &organisation,
+                  std::size_t ownAhead, TimePoint now)
 {
     return recentStarts(shares, organisation, now) + static_cast<double>(ownAhead);
 }
@@ -63,14 +63,14 @@
     const auto own = waiting.find(organisation);
     const std::size_t ownAhead = own == waiting.end() ? 0 : own->second;
     const double ownStarts = recentStarts(shares, organisation, now);
-    const double turn = turnOf(shares, organisation, ownAhead, now);
+    const double startTag = startTagOf(shares, organisation, ownAhead, now);
     std::size_t ahead = ownAhead;
     for (const auto &[other, count] : waiting) {
         const double starts = recentStarts(shares, other, now);
         if (other == organisation || starts > ownStarts)
             continue;
-        // The requests of one organisation take their turns at `starts`, `starts` + 1 and so on.
-        const auto earlier = static_cast<std::size_t>(std::floor(turn - starts)) + 1;
+        // The requests of one organisation have the start tags `starts`, `starts` + 1 and so on.
+        const auto earlier = static_cast<std::size_t>(std::floor(startTag - starts)) + 1;
         ahead += std::min(count, earlier);
     }
     return ahead;
--- a/Source/Request/OrganisationShares.h
+++ b/Source/Request/OrganisationShares.h
@@ -6,9 +6,10 @@
 
 #include "Process/Time.h"
 
-/// Fair shares of scarce slots for the organisations that call through one gateway. Answers the
-/// surge of a large organisation, and callers that retry immediately, which would fill the queue
-/// ahead of a small organisation's requests.
+// Fair shares of scarce slots for the organisations that call through one gateway. The load that
+// this answers: a surge of a large organisation, and callers that retry immediately, which would
+// fill the queue ahead of a small organisation's requests.
+
 namespace wisteria {
 
 /// Time constant of the decay of an organisation's starts: an organisation that pauses this long
@@ -42,11 +43,12 @@
 double recentStarts(const OrganisationShares &shares, const std::string &organisation,
                     TimePoint now);
 
-/// Turn of a waiting request among those of its priority, lowest first: the organisation's recent
-/// starts by the time that its requests ahead have started.
+/// Returns the start tag of a waiting request, as in start-time fair queueing: the number of recent
+/// starts that its organisation will have when the organisation's earlier requests have started. Of
+/// the waiting requests of one priority, the one with the lowest start tag is dispatched first.
 /// @param ownAhead Waiting requests of the same organisation that arrived earlier.
-double turnOf(const OrganisationShares &shares, const std::string &organisation,
-              std::size_t ownAhead, TimePoint now);
+double startTagOf(const OrganisationShares &shares, const std::string &organisation,
+                  std::size_t ownAhead, TimePoint now);
 
 /// Returns how many waiting requests of one priority get a slot before a new request of an
 /// organisation. Requests of an organisation with more recent starts are never among them.
--- a/Source/Request/PriorityLimits.cpp
+++ b/Source/Request/PriorityLimits.cpp
@@ -68,8 +68,8 @@
 {
     std::sort(priorities.begin(), priorities.end());
     priorities.erase(std::unique(priorities.begin(), priorities.end()), priorities.end());
-    PriorityLimits limits{.priorities = std::move(priorities), .limits = {}, .slots = 0};
-    if (!engine || engine->slots == 0)
+    PriorityLimits limits{.priorities = std::move(priorities), .maxRequests = {}, .slots = 0};
+    if (limits.priorities.empty() || !engine || engine->slots == 0)
         return limits;
     limits.slots = engine->slots;
     const double reserved = limits.slots - lowestLimit(*engine, smallestGap);
@@ -77,7 +77,7 @@
     for (std::size_t step = 0; step <= lastStep; ++step) {
         const double part =
             lastStep == 0 ? 0 : static_cast<double>(step) / static_cast<double>(lastStep);
-        limits.limits.push_back(
+        limits.maxRequests.push_back(
             static_cast<std::uint32_t>(std::lround(limits.slots - reserved * part)));
     }
     return limits;
@@ -113,9 +113,9 @@
 
 double maxLoadOf(const PriorityLimits &limits, std::size_t step)
 {
-    if (limits.limits.empty())
+    if (limits.maxRequests.empty())
         return 1;
-    return static_cast<double>(limits.limits[step]) / limits.slots;
+    return static_cast<double>(limits.maxRequests[step]) / limits.slots;
 }
 
 void noteDecided(PriorityCounts &counts, std::uint32_t priority, bool started, TimePoint now)
--- a/Source/Request/PriorityLimits.h
+++ b/Source/Request/PriorityLimits.h
@@ -10,9 +10,10 @@
 #include "Process/Time.h"
 #include "Version/ServiceConfiguration.h"
 
-/// Slots of model engines for requests of different priority. Answers a surge of less urgent
-/// requests that would occupy all slots before urgent ones arrive, and a steady surplus of urgent
-/// requests that would shut out all others.
+// Slots of model engines for requests of different priority. The load that this answers: a surge of
+// less urgent requests, which would occupy all slots before urgent ones arrive, and urgent requests
+// that exceed the capacity for long, which would shut out all others.
+
 namespace wisteria {
 
 /// Load of the busiest rank of a group relative to the mean, for half a second after a shift of
@@ -30,9 +31,9 @@
     /// The priorities of the service's routes, distinct, most urgent (lowest) first. A position in
     /// this list is a priority step.
     std::vector<std::uint32_t> priorities;
-    /// Limit of each step in requests at one engine. Empty without an engine profile; then all
-    /// priorities may use all slots.
-    std::vector<std::uint32_t> limits;
+    /// Limit of each step in requests at one engine. Empty without priorities or an engine profile;
+    /// then all priorities may use all slots.
+    std::vector<std::uint32_t> maxRequests;
     /// Slots of one engine.
     std::uint32_t slots = 0;
 };
--- a/Source/Request/RetryAfterPolicy.h
+++ b/Source/Request/RetryAfterPolicy.h
@@ -8,21 +8,6 @@
 
 namespace wisteria {
 
-/// Returns why a request without a backend server is refused, for its log line and metrics.
-/// @param mayWait False if too many other requests wait already.
-inline const char *refusalReason(NoBackendReason reason, bool mayWait)
-{
-    if (reason == NoBackendReason::BackingOff)
-        return "all backend servers asked for rest";
-    if (reason == NoBackendReason::AtLimit)
-        return "the limits of all backend servers are used up";
-    if (reason == NoBackendReason::Evacuated)
-        return "the domains of all backend servers are evacuated";
-    if (reason != NoBackendReason::AllFull)
-        return "no backend server takes work";
-    return mayWait ? "all places are taken" : "too many wait for a place";
-}
-
 /// Retry-After values for callers. A caller retries once: its request is lost if it retries too
 /// early, and callers that retry at the same moment are refused together.
 struct RetryAfterPolicy
--- a/Tests/Gateway/PriorityFleet.cpp
+++ b/Tests/Gateway/PriorityFleet.cpp
@@ -82,6 +82,8 @@
             if (setup_.restarts(i, at)) {
                 for (FleetRequest *request : gateways_[i]->waiting)
                     request->onTime = false;
+                for (FleetRequest &request : requests_)
+                    request.gatewayRestarted = request.gatewayRestarted || request.gateway == i;
                 gateways_[i] = newGateway();
             }
             dispatch(*gateways_[i], now);
@@ -125,7 +127,7 @@
         const std::size_t ahead = aheadOf(gateway, request, now);
         if (ahead == 0 && tryStart(gateway, request, now))
             return;
-        if (waitCanSucceedAfter(gateway.queue, ahead, targetLatency / 2, now)) {
+        if (waitCanSucceed(gateway.queue, ahead, targetLatency / 2, now)) {
             joinQueue(gateway.queue, request.priority, request.organisation);
             gateway.waiting.push_back(&request);
             return;
@@ -194,9 +196,8 @@
             request->lastEvent = now;
             if (--request->passesLeft > 0)
                 continue;
-            BackendState &state =
-                gateways_[request->gateway]->registry.backends.at(std::to_string(i));
-            state.ownInFlight -= std::min(state.ownInFlight, 1U);
+            if (!request->gatewayRestarted)
+                --gateways_[request->gateway]->registry.backends.at(std::to_string(i)).ownInFlight;
             request = nullptr;
         }
         std::erase(engine.running, nullptr);
--- a/Tests/Gateway/PriorityFleet.h
+++ b/Tests/Gateway/PriorityFleet.h
@@ -22,13 +22,15 @@
     std::string organisation{};
     TimePoint arrived{};
     bool started = false;
+    /// Its gateway has restarted since it arrived, so the gateway does not count it.
+    bool gatewayRestarted = false;
     int passesLeft = 0;
     TimePoint lastEvent{};
     /// Its first event and all gaps are within the targets so far.
     bool onTime = true;
 };
 
-/// What one run of the fleet is about.
+/// Parameters of one run.
 struct FleetSetup
 {
     std::size_t gateways = 20;
@@ -49,7 +51,9 @@
     std::uint64_t seed = 1;
 };
 
-/// Gateways that use the real decisions in front of engines with slots and passes, in virtual time.
+/// Gateways in front of engines with slots and passes, in virtual time. They use the functions of
+/// `Source/Request` and dispatchOrder(), but not Exchange and PriorityAdmission, whose admission
+/// steps are written again here: a fault in those classes does not show.
 /// The engines form two groups; a pass of a group takes as long as that of its busiest rank.
 class PriorityFleet
 {
