--- a/Tests/Gateway/PriorityTest.cpp
+++ b/Tests/Gateway/PriorityTest.cpp
@@ -81,6 +81,19 @@
     return route;
 }
 
+/// The gateways from this one on have the most requests: a third of all.
+constexpr std::size_t firstRestarted = 16;
+
+/// A surge in which the last gateways, those with the most requests, restart at 4 s.
+FleetSetup surgeWithRestarts(std::uint64_t seed)
+{
+    FleetSetup setup = surge(seed);
+    setup.restarts = [](std::size_t gateway, milliseconds at) {
+        return gateway >= firstRestarted && at == seconds(4);
+    };
+    return setup;
+}
+
 } // namespace
 
 // Guards against limits that waste slots, or with which the passes after a shift are too long, and
@@ -273,17 +286,17 @@
 // Guards against a gateway that, with its counts lost, fills the slots of the most urgent.
 TEST_CASE("The most urgent stay on time when gateways restart during a surge")
 {
-    // The last gateways have the most requests: these four a third of all.
-    constexpr std::size_t firstRestarted = 16;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+        REQUIRE(runFleet(surgeWithRestarts(seed)).onTimeRatio(0) > 0.95);
+}
+
+// Guards against the same at the restarted gateways themselves.
+TEST_CASE("The most urgent stay on time at the gateways that restart during a surge")
+{
     double arrived = 0;
     double onTime = 0;
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-        FleetSetup setup = surge(seed);
-        setup.restarts = [](std::size_t gateway, milliseconds at) {
-            return gateway >= firstRestarted && at == seconds(4);
-        };
-        CHECK(runFleet(setup).onTimeRatio(0) > 0.95);
-        PriorityFleet fleet(setup);
+        PriorityFleet fleet(surgeWithRestarts(seed));
         for (const FleetRequest &request : fleet.run()) {
             if (request.gateway < firstRestarted || request.priority != 0
                 || request.arrived < start + seconds(4))
@@ -294,8 +307,7 @@
     }
     INFO(onTime << " of " << arrived << " on time at the restarted gateways");
     REQUIRE(arrived > 1500);
-    // Measured: 0.949; 0.977 without a restart and about 0.72 without limits.
-    REQUIRE(onTime > 0.9 * arrived);
+    REQUIRE(onTime > 0.95 * arrived);
 }
 
 // Guards against slots of the most urgent that less urgent requests occupy, against an early retry
--- a/Tests/Gateway/ServerBackoffTest.cpp
+++ b/Tests/Gateway/ServerBackoffTest.cpp
@@ -101,14 +101,14 @@
     fleet.addServer("i-1", first.server());
     fleet.addServer("i-2", second.server());
     fleet.start();
+    const TimePoint begunAt = monotonicNow();
     fleet.sendAtRate("/again/x", 24, milliseconds(500));
-    const TimePoint allInformedAt = monotonicNow();
     const auto results = fleet.sendAtRate("/again/x", 24, milliseconds(1500));
     REQUIRE(first.maxWithinBackoff() <= allowedWithinBackoff);
     REQUIRE(second.maxWithinBackoff() <= allowedWithinBackoff);
     REQUIRE(countOf(results, 503) == results.size());
-    const milliseconds backoffLeft =
-        backoff - remaining(allInformedAt, monotonicNow()) - milliseconds(500);
+    // No gateway learned of the backoff before the first request was sent.
+    const milliseconds backoffLeft = backoff - remaining(begunAt, monotonicNow());
     for (const CallResult &result : results)
         REQUIRE(std::stod(result.header("Retry-After")) >= secondsOf(backoffLeft));
 }
