Set a version and its map in one place; adopted versions keep no search result

A later map could come into force that lacks an expert or does not fit the demand.

Cause: GroupSwitch::version and ::map were set one by one in five places. Evidence, each place read: an adoption kept the proposal of this leader's own last search, so map.switch and the skew gauges gave another map's figures; and knownMaps() never listed an adopted version, so each status had all experts until the next switch. Maps sent as changes are not affected: their base comes from the ranks' own experts.

Change: setVersion() is the only function that sets a version, always with its map, and clears the proposal. Log fields and gauges of a search are absent where there was none. knownMaps() lists the version in force once all experts are known. The fleet's statuses omit known experts, and its leaders' views are checked in all its tests.

--- a/Source/Programs/Sidecar/GroupLeader.cpp
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -329,14 +329,16 @@
                         {"epoch", group_.epoch},
                         {"version", group_.version},
                         {"step", group_.pass},
-                        {"skew_before", group_.proposal.skewBefore},
-                        {"skew_after", group_.proposal.skewAfter},
-                        {"loads", group_.proposal.copies},
-                        {"searched_terms", group_.proposal.searchedTerms},
                         {"preparing_ms", phaseTime(group_, SwitchPhase::Preparing)},
                         {"holding_ms", phaseTime(group_, SwitchPhase::Holding)},
                         {"arming_ms", phaseTime(group_, SwitchPhase::Arming)},
                         {"releasing_ms", phaseTime(group_, SwitchPhase::Releasing)}};
+    if (hasProposal(group_)) {
+        fields["skew_before"] = group_.proposal.skewBefore;
+        fields["skew_after"] = group_.proposal.skewAfter;
+        fields["loads"] = group_.proposal.copies;
+        fields["searched_terms"] = group_.proposal.searchedTerms;
+    }
     if (group_.demandShiftedAt)
         fields["since_shift_ms"] = remaining(*group_.demandShiftedAt, now).count();
     log_.info("map.switch", fields);
--- a/Source/Programs/Sidecar/SidecarMetrics.cpp
+++ b/Source/Programs/Sidecar/SidecarMetrics.cpp
@@ -1,5 +1,7 @@
 #include "Programs/Sidecar/SidecarMetrics.h"
 
+#include "Version/GroupQueries.h"
+
 namespace wisteria {
 
 void countSwitchEvent(Metrics &metrics, const GroupSwitch &group, SwitchEvent event, TimePoint now)
@@ -9,10 +11,12 @@
     const bool inForce = event == SwitchEvent::InForce;
     if (event != SwitchEvent::Preparing && !inForce)
         return;
-    metrics.set("wisteria_map_skew_before", "Step-time skew that the last proposed map found",
-                group.proposal.skewBefore, {{"group", group.group}});
-    metrics.set("wisteria_map_skew_after", "Step-time skew that the last proposed map leaves",
-                group.proposal.skewAfter, {{"group", group.group}});
+    if (hasProposal(group)) {
+        metrics.set("wisteria_map_skew_before", "Step-time skew that the last proposed map found",
+                    group.proposal.skewBefore, {{"group", group.group}});
+        metrics.set("wisteria_map_skew_after", "Step-time skew that the last proposed map leaves",
+                    group.proposal.skewAfter, {{"group", group.group}});
+    }
     if (inForce && group.heldSince != TimePoint()) {
         metrics.observeSeconds("wisteria_map_held_seconds",
                                "For how long a switch of maps kept a group from its passes",
--- a/Source/Version/GroupQueries.cpp
+++ b/Source/Version/GroupQueries.cpp
@@ -132,6 +132,11 @@
     return currentMap(whole, profile);
 }
 
+bool hasProposal(const GroupSwitch &group)
+{
+    return !group.proposal.map.empty();
+}
+
 std::vector<std::uint64_t> knownMaps(const GroupSwitch &group)
 {
     std::vector<std::uint64_t> versions;
@@ -145,7 +150,8 @@
                            const RankStatus &status = entry.second.status;
                            return status.report.map == first.map && !status.experts.empty();
                        });
-    if (whole && first.map != group.version)
+    const bool listed = !versions.empty() && versions.front() == first.map;
+    if (whole && !listed)
         versions.push_back(first.map);
     return versions;
 }
--- a/Source/Version/GroupQueries.h
+++ b/Source/Version/GroupQueries.h
@@ -59,6 +59,9 @@
 /// Empty when two or more are unknown.
 RankMap currentMapInferringOne(const GroupSwitch &group, const ExpertProfile &profile);
 
+/// Whether this leader's search chose the map of the current version, so that its skew is known.
+bool hasProposal(const GroupSwitch &group);
+
 /// Returns the versions whose complete map the leader has, so that ranks on them may omit their
 /// experts.
 std::vector<std::uint64_t> knownMaps(const GroupSwitch &group);
--- a/Source/Version/HoldRecovery.cpp
+++ b/Source/Version/HoldRecovery.cpp
@@ -28,8 +28,7 @@
     if (current.empty())
         return false;
     setBase(group, profile, current);
-    group.map = std::move(current);
-    group.version = newVersion(group, leader);
+    setVersion(group, newVersion(group, leader), std::move(current));
     group.recoveredHolds = holds;
     // Restarts the phase's time, which from here on only affects the recorded phase times.
     group.phaseSince = now;
@@ -73,7 +72,7 @@
 void takeOver(GroupSwitch &group, SwitchUpdate &update, TimePoint now)
 {
     group.heldSince = now;
-    group.version = 0;
+    setVersion(group, 0, {});
     update.event = SwitchEvent::TookOver;
     enterPhase(group, SwitchPhase::Recovering, now);
 }
@@ -82,11 +81,8 @@
                      const LeaderIdentity &leader, SwitchUpdate &update, TimePoint now)
 {
     if (const auto common = commonArmedSwitch(group)) {
-        group.version = common->version;
+        setVersion(group, common->version, {});
         group.pass = common->pass;
-        // The version is another leader's, and its map is not known here. With the older map kept
-        // for it, ranks would be sent later maps as changes against the wrong one.
-        group.map.clear();
         enterPhase(group, SwitchPhase::Releasing, now);
         return;
     }
--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -51,10 +51,9 @@
         return;
     }
     group.failedSearchSkew = 0;
-    group.proposal = std::move(*proposal);
     setBase(group, profile, current);
-    group.map = group.proposal.map;
-    group.version = newVersion(group, leader);
+    setVersion(group, newVersion(group, leader), proposal->map);
+    group.proposal = std::move(*proposal);
     update.event = SwitchEvent::Preparing;
     enterPhase(group, SwitchPhase::Preparing, now);
 }
@@ -149,7 +148,7 @@
     }
     if (anyHasSuperseded(group, group.version)) {
         update.event = SwitchEvent::VersionLost;
-        group.version = 0;
+        setVersion(group, 0, {});
         enterPhase(group, SwitchPhase::Recovering, now);
     }
 }
--- a/Source/Version/RankSwitch.h
+++ b/Source/Version/RankSwitch.h
@@ -178,7 +178,7 @@
     /// version refuses all versions that those holds were for; a later hold may be for a higher
     /// one.
     std::vector<GroupHold> recoveredHolds{};
-    /// Map that this leader last chose, of the version that it created last.
+    /// Map of `version`; empty while that is 0 or another leader's.
     RankMap map{};
     /// Map in force, the base for sending `map` as changes; empty if some sidecar might lack it.
     RankMap base{};
@@ -199,6 +199,8 @@
     TimePoint heldSince{};
     /// Duration of each phase since Preparing was last entered, and of the Idle phase before it.
     std::array<milliseconds, switchPhaseCount> phaseTimes{};
+    /// Result of the search that chose `map`; empty if no search did, as for a recovery version or
+    /// another leader's version.
     PlacementProposal proposal{};
 };
 
--- a/Source/Version/SwitchOrders.cpp
+++ b/Source/Version/SwitchOrders.cpp
@@ -66,6 +66,13 @@
     return version;
 }
 
+void setVersion(GroupSwitch &group, std::uint64_t version, RankMap map)
+{
+    group.version = version;
+    group.map = std::move(map);
+    group.proposal = {};
+}
+
 void requestOrder(GroupSwitch &group, SwitchUpdate &update, const SwitchTiming &timing,
                   std::uint32_t rank, RankOrder order, TimePoint now)
 {
--- a/Tests/Gateway/MetricsTest.cpp
+++ b/Tests/Gateway/MetricsTest.cpp
@@ -113,6 +113,7 @@
     setGatewayState(metrics, {});
     GroupSwitch group;
     group.heldSince = TimePoint(seconds(1));
+    group.proposal.map = {{{0}}};
     countSwitchEvent(metrics, group, SwitchEvent::InForce, TimePoint(seconds(2)));
     countOrder(metrics, RankOrderKind::Arm, "done");
     setSidecarState(metrics, {});
--- a/Tests/Version/GroupFleetWorld.h
+++ b/Tests/Version/GroupFleetWorld.h
@@ -34,6 +34,8 @@
     milliseconds maxPassInterval{0};
     bool beganMixedPass = false;
     std::uint32_t switches = 0;
+    /// Whether a leader assigned experts to a rank that the rank does not have in that version.
+    bool leaderHadWrongMap = false;
     /// Whether one version number was used for two maps.
     bool reusedVersion = false;
     std::map<std::uint64_t, RankMap> mapOfVersion{};
@@ -44,9 +46,8 @@
 ///
 /// The election, the members and the switch are the real ones. runSidecar(), runLeader(),
 /// receivePoll() and readSilent() are a simplified copy of Sidecar and GroupLeader: reports are
-/// current, statuses always contain the experts and are sent only as replies to polls, there are no
-/// relays, counts arrive at once, direct reads are neither limited nor delayed, and each order is
-/// sent once.
+/// current, statuses are sent only as replies to polls, there are no relays, counts arrive at once,
+/// direct reads are neither limited nor delayed, and each order is sent once.
 class GroupFleetWorld
 {
 public:
@@ -193,7 +194,8 @@
     void runLeader(FleetVm &vm)
     {
         const milliseconds period = rankPollPeriod(vms_.size(), isSwitching(vm.group));
-        const RankPoll poll{.knownMaps = {}, .group = vm.group.group, .rank = vm.candidate.rank};
+        const RankPoll poll{
+            .knownMaps = knownMaps(vm.group), .group = vm.group.group, .rank = vm.candidate.rank};
         for (const Endpoint &engine :
              takeEnginesToPoll(vm.members, period, allRanksKnown(vm.group), now_)) {
             deliver(milliseconds(3), [&, engine, poll] { receivePoll(vmOf(engine), vm, poll); });
@@ -210,16 +212,38 @@
             return;
         if (&vm != &leader && isOfOwnGroup(vm.candidate, poll))
             notePoll(vm.candidate, poll, now_);
-        deliver(milliseconds(3), [&, status = statusOf(vm)] { receiveStatus(leader, status); });
+        const RankStatus whole = statusOf(vm);
+        RankStatus sent = whole;
+        const auto &known = poll.knownMaps;
+        if (std::find(known.begin(), known.end(), sent.report.map) != known.end())
+            sent.experts.clear();
+        deliver(milliseconds(3), [&, sent, whole] { receiveStatus(leader, sent, whole); });
     }
 
-    void receiveStatus(FleetVm &leader, const RankStatus &status)
+    void receiveStatus(FleetVm &leader, const RankStatus &sent, const RankStatus &whole)
     {
         if (!leader.sidecarRuns || !leader.leading)
             return;
-        recordStatus(leader.members, status, now_);
-        if (status.report.group == leader.group.group)
-            applyStatus(leader.group, status, now_);
+        recordStatus(leader.members, sent, now_);
+        if (sent.report.group != leader.group.group)
+            return;
+        applyStatus(leader.group, sent, now_);
+        checkView(leader.group, whole);
+    }
+
+    /// Compares the leader's view of a rank with that rank's whole status. A view without experts
+    /// is incomplete, not wrong.
+    void checkView(const GroupSwitch &leader, const RankStatus &whole)
+    {
+        const auto known = leader.ranks.find(whole.report.rank);
+        if (known == leader.ranks.end())
+            return;
+        const RankStatus &view = known->second.status;
+        const bool wrong = view.report.epoch == whole.report.epoch
+            && view.report.map == whole.report.map && !view.experts.empty()
+            && view.experts != whole.experts;
+        FleetGroup &group = groups_.at(leader.group);
+        group.leaderHadWrongMap = group.leaderHadWrongMap || wrong;
     }
 
     void readSilent(FleetVm &leader)
--- a/Tests/Version/GroupMembersTest.cpp
+++ b/Tests/Version/GroupMembersTest.cpp
@@ -26,6 +26,7 @@
 {
     REQUIRE_FALSE(group.beganMixedPass);
     REQUIRE_FALSE(group.reusedVersion);
+    REQUIRE_FALSE(group.leaderHadWrongMap);
 }
 
 /// The sidecar that leads a group; requires that there is one.
