End a release whose version another leader has superseded

Callers saw: a group that keeps its map for as long as one sidecar lives; after the next shift of demand most of its streams are late. Not seen on the platform so far, provoked in virtual time.

Cause: a leader that releases a group waits until all ranks have its version. If another leader brings a later one into force first, no rank ever has it again. Every other phase ends when a rank has superseded the version. Found while the places that set a version were read.

Change: without a hold, the release ends when a rank has superseded the version. All ranks were seen armed, so that happens only after the pass at which all switched.

--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -171,9 +171,12 @@
     const bool done = std::all_of(group.ranks.begin(), group.ranks.end(), [&](const auto &entry) {
         return entry.second.status.report.map == group.version;
     });
-    if (held || !done)
+    // Another leader brought a later version into force, which can happen only after all ranks
+    // switched to this one. Without this, a leader whose statuses arrive late waits for ever.
+    const bool overtaken = anyHasSuperseded(group, group.version);
+    if (held || (!done && !overtaken))
         return;
-    update.event = SwitchEvent::InForce;
+    update.event = overtaken ? SwitchEvent::Superseded : SwitchEvent::InForce;
     group.lastSwitchAt = now;
     enterPhase(group, SwitchPhase::Idle, now);
 }
--- a/Tests/Version/RankGroupWorld.h
+++ b/Tests/Version/RankGroupWorld.h
@@ -172,6 +172,8 @@
     bool leaderAdopted() const { return leaderAdopted_; }
     /// Whether a leader assigned experts to a rank that the rank does not have in that version.
     bool leaderHadWrongMap() const { return leaderHadWrongMap_; }
+    /// Whether a leader waited for its own version long after a later one was in force.
+    bool waitedForOldVersion() const { return waitedForOldVersion_; }
     /// Number of switches that came into force.
     std::uint32_t switches() const { return switches_; }
 
@@ -417,10 +419,22 @@
                                              * static_cast<double>(faults_.maxQueueDelay.count())));
     }
 
+    /// Whether a leader releases the group, and all ranks have had a later version than its own for
+    /// longer than any status takes to arrive.
+    bool waitsForOldVersion(const GroupSwitch &group) const
+    {
+        return group.phase == SwitchPhase::Releasing
+            && now_ - group.phaseSince > faults_.maxQueueDelay + seconds(1)
+            && std::all_of(ranks_.begin(), ranks_.end(), [&group](const Rank &rank) {
+                   return rank.report.map > group.version;
+               });
+    }
+
     void advance(Leader &leader)
     {
         if (leader.frozen(now_))
             return;
+        waitedForOldVersion_ = waitedForOldVersion_ || waitsForOldVersion(leader.group);
         const auto tick = static_cast<std::uint64_t>(remaining(TimePoint(), now_).count() / 100);
         const SwitchUpdate update = advanceSwitch(leader.group, profile, bounds_, SwitchTiming{},
                                                   {.rank = leader.rank, .versionTick = tick}, now_);
@@ -461,6 +475,7 @@
     bool beganMixedPass_ = false;
     bool leaderAdopted_ = false;
     bool leaderHadWrongMap_ = false;
+    bool waitedForOldVersion_ = false;
     std::uint32_t lastLeader_ = 0;
     bool leaderFroze_ = false;
     bool allOthersArmed_ = false;
--- a/Tests/Version/RankSwitchTest.cpp
+++ b/Tests/Version/RankSwitchTest.cpp
@@ -85,6 +85,51 @@
     }
 }
 
+// Guards against a leader that changes no map any more. Its VM froze while it released the group,
+// its successor brought a later version into force, and it waits for its own one for ever.
+TEST_CASE("A leader that finds a later version in force while it releases ends its switch")
+{
+    constexpr std::uint64_t version = ranksPerVersionTick;
+    GroupSwitch group{.group = "g", .epoch = 1, .phase = SwitchPhase::Releasing};
+    group.version = version;
+    group.pass = 9;
+    const TimePoint now{seconds(100)};
+    const auto applyStatuses = [&](std::uint64_t map, std::optional<std::uint64_t> heldPass) {
+        for (std::uint32_t rank = 0; rank < rankCount; ++rank) {
+            RankStatus status{.engine = {rank + 1, 1}, .experts = {{rank}}};
+            status.report = {
+                .group = "g", .epoch = 1, .rank = rank, .groupSize = rankCount, .groupOpen = true};
+            status.report.map = map;
+            status.report.heldPass = rank == 1 ? heldPass : std::nullopt;
+            applyStatus(group, status, now);
+        }
+        return advanceSwitch(group, profile, {}, SwitchTiming{}, {}, now);
+    };
+    // A hold is released first, whatever is in force.
+    const SwitchUpdate held = applyStatuses(version + 1, 9);
+    REQUIRE(held.actions.size() == 1);
+    REQUIRE(group.phase == SwitchPhase::Releasing);
+    REQUIRE(applyStatuses(version + 1, std::nullopt).event == SwitchEvent::Superseded);
+    REQUIRE(group.phase == SwitchPhase::Idle);
+}
+
+// Guards against the same in whole runs, with two leaders whose links are seconds behind.
+TEST_CASE("A leader whose link is seconds behind does not wait for a version that is superseded")
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        RankGroupWorld world(seed,
+                             {.lateOrders = 0.1,
+                              .lostMessages = 0.1,
+                              .maxQueueDelay = seconds(3),
+                              .leaderLifetime = seconds(9),
+                              .overlap = seconds(8)});
+        world.run(seconds(20));
+        CAPTURE(seed);
+        REQUIRE_FALSE(world.beganMixedPass());
+        REQUIRE_FALSE(world.waitedForOldVersion());
+    }
+}
+
 TEST_CASE("A hold without a live leader is released within a second")
 {
     RankGroupWorld world(7, {});
