--- a/Tests/Version/AdoptedVersionTest.cpp
+++ b/Tests/Version/AdoptedVersionTest.cpp
@@ -143,8 +143,7 @@
         GroupFleetWorld world(2, seed);
         world.run(seconds(3));
         for (std::uint32_t freeze = 0; freeze < 4; ++freeze) {
-            const auto phase =
-                freeze % 2 == 0 ? SwitchPhase::Arming : SwitchPhase::Releasing;
+            const auto phase = freeze % 2 == 0 ? SwitchPhase::Arming : SwitchPhase::Releasing;
             const auto leaders = world.leadersOf("g0");
             REQUIRE_FALSE(leaders.empty());
             FleetVm &frozen = *leaders.front();
--- a/Tests/Version/RankGroupWorld.h
+++ b/Tests/Version/RankGroupWorld.h
@@ -425,9 +425,8 @@
     {
         return group.phase == SwitchPhase::Releasing
             && now_ - group.phaseSince > faults_.maxQueueDelay + seconds(1)
-            && std::all_of(ranks_.begin(), ranks_.end(), [&group](const Rank &rank) {
-                   return rank.report.map > group.version;
-               });
+            && std::all_of(ranks_.begin(), ranks_.end(),
+                           [&group](const Rank &rank) { return rank.report.map > group.version; });
     }
 
     void advance(Leader &leader)
