Log how long a switch waits for the leader's own rank alone

Cause: map.switch gave the time of arming as a whole, so what the rule that the leader's own rank is armed last costs callers could not be told.

Change: arming_own_rank_ms, from the moment at which all other ranks were seen armed. No decision changes.

--- a/Source/Programs/Sidecar/GroupLeader.cpp
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -332,6 +332,7 @@
                         {"preparing_ms", phaseTime(group_, SwitchPhase::Preparing)},
                         {"holding_ms", phaseTime(group_, SwitchPhase::Holding)},
                         {"arming_ms", phaseTime(group_, SwitchPhase::Arming)},
+                        {"arming_own_rank_ms", group_.ownRankArmingTime.count()},
                         {"releasing_ms", phaseTime(group_, SwitchPhase::Releasing)}};
     if (hasProposal(group_)) {
         fields["skew_before"] = group_.proposal.skewBefore;
--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -97,6 +97,7 @@
     if (report.heldPass && isOwnHold(group, {group.holder, *report.heldPass})) {
         group.pass = *report.heldPass;
         group.heldSince = now;
+        group.othersArmedAt.reset();
         enterPhase(group, SwitchPhase::Arming, now);
         return;
     }
@@ -124,9 +125,13 @@
             unarmed.push_back(rank);
     }
     if (unarmed.empty()) {
+        group.ownRankArmingTime = remaining(group.othersArmedAt.value_or(now), now);
         enterPhase(group, SwitchPhase::Releasing, now);
         return;
     }
+    const bool onlyOwn = unarmed.size() == 1 && unarmed.front() == group.ownRank;
+    if (onlyOwn && !group.othersArmedAt)
+        group.othersArmedAt = now;
     // The rank beside this leader is armed last. If this VM freezes, another leader that can't
     // reach it concludes from an unarmed other rank that it is unarmed too.
     if (unarmed.size() > 1)
