--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -97,7 +97,6 @@
     if (report.heldPass && isOwnHold(group, {group.holder, *report.heldPass})) {
         group.pass = *report.heldPass;
         group.heldSince = now;
-        group.othersArmedAt.reset();
         enterPhase(group, SwitchPhase::Arming, now);
         return;
     }
--- a/Source/Version/RankSwitch.h
+++ b/Source/Version/RankSwitch.h
@@ -197,9 +197,9 @@
     TimePoint failedSearchAt{};
     /// When this leader first saw the group held in the current switch.
     TimePoint heldSince{};
-    /// When, in the current Arming phase, all ranks but the leader's own were seen armed.
+    /// When all ranks but the leader's own were first seen armed for the version.
     std::optional<TimePoint> othersArmedAt{};
-    /// How long the last switch then waited for the leader's own rank.
+    /// How long the switch then waited for the leader's own rank.
     milliseconds ownRankArmingTime{0};
     /// Duration of each phase since Preparing was last entered, and of the Idle phase before it.
     std::array<milliseconds, switchPhaseCount> phaseTimes{};
--- a/Source/Version/SwitchOrders.cpp
+++ b/Source/Version/SwitchOrders.cpp
@@ -71,6 +71,8 @@
     group.version = version;
     group.map = std::move(map);
     group.proposal = {};
+    group.othersArmedAt.reset();
+    group.ownRankArmingTime = {};
 }
 
 void requestOrder(GroupSwitch &group, SwitchUpdate &update, const SwitchTiming &timing,
--- a/Source/Version/SwitchOrders.h
+++ b/Source/Version/SwitchOrders.h
@@ -17,9 +17,9 @@
 /// both maps.
 std::uint64_t newVersion(GroupSwitch &group, const LeaderIdentity &leader);
 
-/// Sets the version that the leader brings into force together with its map, and clears the
-/// proposal. A map or proposal that stayed from the version before would be taken for the new
-/// one's.
+/// Sets the version that the leader brings into force together with its map, and clears what is
+/// known of the version before. A map, proposal or time that stayed would be taken for the new
+/// version's.
 /// @param map Empty for version 0 and for another leader's version, whose map is not known here.
 void setVersion(GroupSwitch &group, std::uint64_t version, RankMap map);
 
