--- a/Tests/Gateway/ColdFleet.cpp
+++ b/Tests/Gateway/ColdFleet.cpp
@@ -156,7 +156,7 @@
     }
 }
 
-void ColdFleet::sendDatagram(Datagram datagram)
+void ColdFleet::sendDatagram(PermitDatagram datagram)
 {
     if (datagram.from % groups_ == datagram.to % groups_ && randomUnit() >= lossRate_)
         inTransit_.push_back(std::move(datagram));
@@ -164,9 +164,9 @@
 
 void ColdFleet::deliver()
 {
-    std::deque<Datagram> due;
+    std::deque<PermitDatagram> due;
     due.swap(inTransit_);
-    for (const Datagram &datagram : due) {
+    for (const PermitDatagram &datagram : due) {
         Peer &peer = gateways_[datagram.to];
         if (peer.suspended)
             continue;
--- a/Tests/Gateway/ColdFleet.h
+++ b/Tests/Gateway/ColdFleet.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "Gateway/PermitDatagram.h"
 #include "Request/BackendRegistry.h"
 #include "Request/LimitOwners.h"
 
@@ -57,17 +58,10 @@
         OwnedLimits owned;
         bool suspended = false;
     };
-    struct Datagram
-    {
-        std::size_t from = 0;
-        std::size_t to = 0;
-        std::optional<PermitRequest> request{};
-        PermitReply reply{};
-    };
 
     double randomUnit() { return std::uniform_real_distribution<double>(0, 1)(random_); }
     Peer newPeer() const;
-    void sendDatagram(Datagram datagram);
+    void sendDatagram(PermitDatagram datagram);
     void deliver();
     void handleRequest(Peer &peer);
     void requestPermits(std::size_t index);
@@ -82,7 +76,7 @@
     std::size_t groups_ = 1;
     std::uint64_t lastOffset_ = 0;
     TimePoint now_ = start;
-    std::deque<Datagram> inTransit_;
+    std::deque<PermitDatagram> inTransit_;
     std::mt19937_64 random_;
 };
 
--- a/Tests/Gateway/LimitPermitsTest.cpp
+++ b/Tests/Gateway/LimitPermitsTest.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "Gateway/PermitDatagram.h"
 #include "Gateway/RegistryEntries.h"
 #include "Request/LimitOwners.h"
 #include "Version/GroupMessages.h"
@@ -90,13 +91,6 @@
         OwnedLimit owned;
         bool suspended = false;
     };
-    struct Datagram
-    {
-        std::size_t from = 0;
-        std::size_t to = 0;
-        std::optional<PermitRequest> request{};
-        PermitReply reply{};
-    };
 
     static Endpoint addressOf(std::size_t gateway)
     {
@@ -105,7 +99,7 @@
 
     double randomUnit() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
-    void sendDatagram(Datagram datagram)
+    void sendDatagram(PermitDatagram datagram)
     {
         if (randomUnit() >= lossRate_)
             inTransit_.push_back(std::move(datagram));
@@ -113,9 +107,9 @@
 
     void deliver()
     {
-        std::deque<Datagram> due;
+        std::deque<PermitDatagram> due;
         due.swap(inTransit_);
-        for (const Datagram &datagram : due) {
+        for (const PermitDatagram &datagram : due) {
             Peer &peer = gateways_[datagram.to];
             if (peer.suspended)
                 continue;
@@ -181,7 +175,7 @@
     std::optional<double> perSecond_;
     double lossRate_;
     TimePoint now_ = start;
-    std::deque<Datagram> inTransit_;
+    std::deque<PermitDatagram> inTransit_;
     std::vector<TimePoint> sentAt_;
     std::mt19937_64 random_{17};
 };
