--- a/Tests/Version/RankSwitchTest.cpp
+++ b/Tests/Version/RankSwitchTest.cpp
@@ -85,8 +85,8 @@
     }
 }
 
-// Guards against a leader that changes no map any more. Its VM froze while it released the group,
-// its successor brought a later version into force, and it waits for its own one for ever.
+// Guards against a leader that changes no map any more. Another leader brought a later version into
+// force before it saw its own one in force, and it waits for that one for ever.
 TEST_CASE("A leader that finds a later version in force while it releases ends its switch")
 {
     constexpr std::uint64_t version = ranksPerVersionTick;
