Tell crashes of backend servers from ended connections, and repeats of a request by a fingerprint

What callers saw: requests that ended with 'the connection was reset' or '... was closed', which a crash, a failing server and a link all cause. Cause: lines and metrics could not tell the hypotheses of the incident apart: attempts of one request have different ids, and nothing says whether a server ended. Change: after a connection ends, its server's address is probed by a connection that sends nothing; if nothing listens, or the entry has another start time afterwards, the line backend.crashed names the requests that were in flight there, by a fingerprint of method, host, path, organisation and body. request.send_failed has it too. Counter wisteria_server_crashes_total. No decision changes.

--- a/Source/Connection/HttpClientPool.cpp
+++ b/Source/Connection/HttpClientPool.cpp
@@ -210,10 +210,12 @@
 
     void onEnded(TcpEnd end)
     {
-        if (end == TcpEnd::NotEstablished || !sent_) {
+        refused_ = end == TcpEnd::Refused;
+        if (refused_ || end == TcpEnd::NotEstablished || !sent_) {
             fail("the connection was refused");
             return;
         }
+        connectionEnded_ = true;
         if (end == TcpEnd::Closed && headReceived_) {
             const auto destroyed = destroyed_;
             reader_->feedEnd();
@@ -228,7 +230,11 @@
         if (!callbacks_)
             return;
         closeConnection();
-        const CallFailure failure{!sent_, headReceived_, std::move(reason)};
+        const CallFailure failure{.neverSent = !sent_,
+                                  .refused = refused_,
+                                  .headReceived = headReceived_,
+                                  .connectionEnded = connectionEnded_,
+                                  .reason = std::move(reason)};
         const auto failed = events_.failed;
         failed(failure);
     }
@@ -264,6 +270,8 @@
     std::shared_ptr<bool> destroyed_ = std::make_shared<bool>(false);
     bool sent_ = false;
     bool headReceived_ = false;
+    bool refused_ = false;
+    bool connectionEnded_ = false;
     bool skippingAnswer_ = false;
     bool answerSkipped_ = false;
 };
--- a/Source/Connection/HttpClientPool.h
+++ b/Source/Connection/HttpClientPool.h
@@ -18,8 +18,13 @@
 {
     /// No byte of the request was sent, so the server has not run it.
     bool neverSent = false;
+    /// Nothing listens at the server's address; implies `neverSent`.
+    bool refused = false;
     /// The head of the answer was received.
     bool headReceived = false;
+    /// The connection ended after the request was sent. False for an answer that can't be used
+    /// although the connection holds.
+    bool connectionEnded = false;
     std::string reason;
 };
 
--- a/Source/Connection/TcpConnection.cpp
+++ b/Source/Connection/TcpConnection.cpp
@@ -34,6 +34,12 @@
     return ACE_INET_Addr(endpoint.port, endpoint.ip);
 }
 
+/// Returns why no connection was established, from the error of the kernel.
+TcpEnd failedConnect(int error)
+{
+    return error == ECONNREFUSED ? TcpEnd::Refused : TcpEnd::NotEstablished;
+}
+
 void setOptions(ACE_SOCK_Stream &stream, milliseconds userTimeout)
 {
     stream.enable(ACE_NONBLOCK);
@@ -58,7 +64,8 @@
         const int result = connector.connect(stream_, address, &ACE_Time_Value::zero);
         if (result == -1 && errno != EWOULDBLOCK && errno != EINPROGRESS && errno != ETIME) {
             // The owner doesn't hold the connection yet, so the callback runs after this call.
-            loop_.defer([self = shared_from_this()] { self->end(TcpEnd::NotEstablished); });
+            loop_.defer(
+                [self = shared_from_this(), reason = failedConnect(errno)] { self->end(reason); });
             return;
         }
         setOptions(stream_, serverUserTimeout);
@@ -104,7 +111,7 @@
         int length = sizeof(error);
         stream_.get_option(SOL_SOCKET, SO_ERROR, &error, &length);
         if (error != 0) {
-            end(TcpEnd::NotEstablished);
+            end(failedConnect(error));
             return;
         }
         connecting_ = false;
--- a/Source/Connection/TcpConnection.h
+++ b/Source/Connection/TcpConnection.h
@@ -16,6 +16,7 @@
     Closed, ///< The peer closed it (FIN): everything that the peer sent has arrived.
     Reset, ///< It was reset or timed out: bytes may be missing.
     NotEstablished, ///< It was never established, so nothing has been sent.
+    Refused, ///< Like NotEstablished; nothing listens at the peer's address.
 };
 
 /// Callbacks of a connection. The owner may destroy the connection within any of them.
@@ -33,8 +34,8 @@
 class TcpConnection
 {
 public:
-    /// Starts to connect. On success `connected` is called, on failure
-    /// `ended(TcpEnd::NotEstablished)`.
+    /// Starts to connect. On success `connected` is called, on failure `ended` with
+    /// TcpEnd::Refused or TcpEnd::NotEstablished.
     static std::unique_ptr<TcpConnection> connect(EventLoop &loop, const Endpoint &to,
                                                   TcpEvents events);
     /// Wraps an accepted descriptor and becomes its owner.
--- a/Source/Programs/Gateway/BackendList.cpp
+++ b/Source/Programs/Gateway/BackendList.cpp
@@ -1,6 +1,7 @@
 #include "Programs/Gateway/BackendList.h"
 
 #include <set>
+#include <utility>
 
 #include "platform/ConfigurationCodec.h"
 
@@ -26,8 +27,9 @@
               {"per_second", coldRateOf(coldServers, phase.service)}});
 }
 
-BackendList::BackendList(BackendRegistry &registry, EventLog &log, milliseconds pollInterval)
-    : registry_(registry), log_(log),
+BackendList::BackendList(BackendRegistry &registry, EventLog &log, milliseconds pollInterval,
+                         EntryChanged entryChanged)
+    : registry_(registry), log_(log), entryChanged_(std::move(entryChanged)),
       keepMissingFor_(maxReappearanceTime + pollInterval + readAllowance)
 { }
 
@@ -60,6 +62,8 @@
                    {"started", entry.value().startedAt},
                    {"offset", record.offset}});
     }
+    if (changed)
+        entryChanged_(record.key, entry.value().startedAt, now);
     entry.value().recordOffset = record.offset;
     const bool wasCold = isCold(registry_.coldServers, record.key, now);
     putBackend(registry_, entry.value(), now);
--- a/Source/Programs/Gateway/BackendList.h
+++ b/Source/Programs/Gateway/BackendList.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -23,8 +24,14 @@
 class BackendList
 {
 public:
+    /// Called with each server's id and start time, when its entry is new or has changed.
+    using EntryChanged =
+        std::function<void(const std::string &id, std::uint64_t startedAt, TimePoint now)>;
+
     /// @param pollInterval Interval between two reads of the list.
-    BackendList(BackendRegistry &registry, EventLog &log, milliseconds pollInterval);
+    BackendList(
+        BackendRegistry &registry, EventLog &log, milliseconds pollInterval,
+        EntryChanged entryChanged = [](const std::string &, std::uint64_t, TimePoint) {});
 
     /// Applies one entry of the list.
     void apply(const platform::KeyedRecord &record, TimePoint now);
@@ -45,6 +52,7 @@
 
     BackendRegistry &registry_;
     EventLog &log_;
+    EntryChanged entryChanged_;
     bool known_ = false;
     /// How long a missing server is kept after an outage of the store.
     milliseconds keepMissingFor_;
--- /dev/null
+++ b/Source/Programs/Gateway/CrashDetector.cpp
@@ -0,0 +1,164 @@
+#include "Programs/Gateway/CrashDetector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteria {
+
+namespace {
+
+/// Time between the first probe of a server that still listened and the second one. A crashing
+/// process may close its connections some milliseconds before its listening socket.
+constexpr milliseconds secondProbeAfter{50};
+/// A refused connection shows a crash to which sends that ended at most this long before belong.
+constexpr milliseconds refusalWindow{1000};
+/// A restart shows a crash to which sends that ended at most this long before belong: some seconds
+/// until the server is back, and until the list has its new entry.
+constexpr milliseconds restartWindow{8000};
+/// A server that crashed at most this long ago is found down because of it.
+constexpr milliseconds knownDownTime{30000};
+
+} // namespace
+
+CrashDetector::CrashDetector(EventLoop &loop, const BackendRegistry &registry, Crashed crashed)
+    : registry_(registry), crashed_(std::move(crashed)), probes_(loop)
+{ }
+
+const BackendEntry *CrashDetector::stayingEntry(const std::string &server) const
+{
+    const auto known = registry_.backends.find(server);
+    const bool leaves = known == registry_.backends.end() || known->second.entry.draining
+        || registry_.drainingSince.contains(server);
+    return leaves ? nullptr : &known->second.entry;
+}
+
+CrashDetector::BrokenServer *CrashDetector::recordUnanswered(const UnansweredSend &send,
+                                                             TimePoint now)
+{
+    // A server that leaves ends its connections without a crash.
+    const BackendEntry *entry = stayingEntry(send.server);
+    if (entry == nullptr)
+        return nullptr;
+    BrokenServer &broken = broken_[send.server];
+    if (broken.startedAt != entry->startedAt)
+        broken = {};
+    broken.address = entry->address;
+    broken.startedAt = entry->startedAt;
+    broken.service = entry->service;
+    if (broken.sends.size() >= maxRunningPerCrash)
+        broken.sends.erase(broken.sends.begin());
+    broken.sends.push_back({send.request, now});
+    return &broken;
+}
+
+void CrashDetector::noteConnectionEnded(const UnansweredSend &send, TimePoint now,
+                                        std::function<void()> checked)
+{
+    const BrokenServer *broken = recordUnanswered(send, now);
+    if (broken == nullptr) {
+        checked();
+        return;
+    }
+    probes_.probe(
+        broken->address,
+        [this, server = send.server, checked = std::move(checked)](ProbeResult result) {
+            finishProbe(server, result, true);
+            checked();
+        },
+        now);
+}
+
+void CrashDetector::noteGivenUp(const UnansweredSend &send, TimePoint now)
+{
+    recordUnanswered(send, now);
+}
+
+void CrashDetector::finishProbe(const std::string &server, ProbeResult result, bool first)
+{
+    const TimePoint now = monotonicNow();
+    if (result == ProbeResult::Refused)
+        confirm(server, refusalWindow, now);
+    else if (const auto found = broken_.find(server); first && found != broken_.end())
+        found->second.probeAgainAt = now + secondProbeAfter;
+}
+
+void CrashDetector::noteRefused(const std::string &server, TimePoint now)
+{
+    if (broken_.contains(server)) {
+        confirm(server, refusalWindow, now);
+        return;
+    }
+    const BackendEntry *entry = stayingEntry(server);
+    const auto crashedAt = crashedAt_.find(server);
+    const bool knownDown = crashedAt != crashedAt_.end() && now - crashedAt->second < knownDownTime;
+    if (entry == nullptr || knownDown)
+        return;
+    report({.server = server,
+            .startedAt = entry->startedAt,
+            .service = entry->service,
+            .at = now,
+            .servers = countServers(entry->service)},
+           now);
+}
+
+void CrashDetector::noteStartTime(const std::string &server, std::uint64_t startedAt, TimePoint now)
+{
+    const auto broken = broken_.find(server);
+    if (broken != broken_.end() && broken->second.startedAt != startedAt)
+        confirm(server, restartWindow, now);
+}
+
+void CrashDetector::confirm(const std::string &server, milliseconds within, TimePoint now)
+{
+    const auto found = broken_.find(server);
+    if (found == broken_.end())
+        return;
+    const BrokenServer broken = std::move(found->second);
+    broken_.erase(found);
+    ServerCrash crash{.server = server,
+                      .startedAt = broken.startedAt,
+                      .service = broken.service,
+                      .servers = countServers(broken.service)};
+    for (const BrokenServer::Send &send : broken.sends) {
+        if (now - send.at > within)
+            continue;
+        crash.at = std::max(crash.at, send.at);
+        crash.running.push_back(send.request);
+    }
+    if (!crash.running.empty())
+        report(std::move(crash), now);
+}
+
+void CrashDetector::report(ServerCrash crash, TimePoint now)
+{
+    crashedAt_[crash.server] = now;
+    crashed_(crash);
+}
+
+void CrashDetector::checkTimeouts(TimePoint now)
+{
+    probes_.checkTimeouts(now);
+    std::erase_if(broken_, [now](const auto &item) {
+        return now - item.second.sends.back().at > restartWindow;
+    });
+    std::erase_if(crashedAt_,
+                  [now](const auto &item) { return now - item.second > knownDownTime; });
+    for (auto &[server, broken] : broken_) {
+        if (now < broken.probeAgainAt)
+            continue;
+        broken.probeAgainAt = TimePoint::max();
+        probes_.probe(
+            broken.address,
+            [this, id = server](ProbeResult result) { finishProbe(id, result, false); }, now);
+    }
+}
+
+std::uint32_t CrashDetector::countServers(const std::string &service) const
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        registry_.backends.begin(), registry_.backends.end(), [&service](const auto &entry) {
+            return entry.second.entry.service == service && !entry.second.replaced;
+        }));
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Programs/Gateway/CrashDetector.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Process/EventLoop.h"
+#include "Programs/Gateway/ServerProbes.h"
+#include "Request/BackendRegistry.h"
+#include "Request/ServerCrash.h"
+
+namespace wisteria {
+
+/// A send whose connection ended before the answer was complete, or that was given up.
+struct UnansweredSend
+{
+    std::string server;
+    RequestFingerprint request;
+};
+
+/// Detects that backend servers crash, and which of this gateway's requests were in flight there.
+///
+/// A connection that ends shows no crash: servers and links reset connections too. It is one if
+/// nothing listens at the server's address right after, or if the server has started again.
+class CrashDetector
+{
+public:
+    using Crashed = std::function<void(const ServerCrash &)>;
+
+    CrashDetector(EventLoop &loop, const BackendRegistry &registry, Crashed crashed);
+    CrashDetector(const CrashDetector &) = delete;
+    CrashDetector &operator=(const CrashDetector &) = delete;
+
+    /// Records a send whose connection ended, and finds out whether its server crashed.
+    /// @param checked Called when that is known, within `probeTimeout`.
+    void noteConnectionEnded(const UnansweredSend &send, TimePoint now,
+                             std::function<void()> checked);
+    /// Records a send that this gateway gave up. The server may go on running the request for a
+    /// moment and crash.
+    void noteGivenUp(const UnansweredSend &send, TimePoint now);
+    /// Records that nothing listens at a server's address.
+    void noteRefused(const std::string &server, TimePoint now);
+    /// Records a server's start time. If it has started again after its connections ended, it
+    /// crashed.
+    void noteStartTime(const std::string &server, std::uint64_t startedAt, TimePoint now);
+    /// Probes servers once more where that is due, and forgets old sends.
+    void checkTimeouts(TimePoint now);
+
+private:
+    /// Sends to one server process that got no complete answer, while it is unknown whether it
+    /// crashed.
+    struct BrokenServer
+    {
+        struct Send
+        {
+            RequestFingerprint request;
+            TimePoint at;
+        };
+
+        Endpoint address;
+        std::uint64_t startedAt = 0;
+        std::string service;
+        std::vector<Send> sends;
+        /// When the server is probed once more, because it still listened at the first time.
+        TimePoint probeAgainAt = TimePoint::max();
+    };
+
+    BrokenServer *recordUnanswered(const UnansweredSend &send, TimePoint now);
+    void finishProbe(const std::string &server, ProbeResult result, bool first);
+    void confirm(const std::string &server, milliseconds within, TimePoint now);
+    void report(ServerCrash crash, TimePoint now);
+    /// Returns the entry of a server that does not leave; otherwise null.
+    const BackendEntry *stayingEntry(const std::string &server) const;
+    std::uint32_t countServers(const std::string &service) const;
+
+    const BackendRegistry &registry_;
+    Crashed crashed_;
+    ServerProbes probes_;
+    std::map<std::string, BrokenServer> broken_;
+    /// When each server was last found to have crashed.
+    std::map<std::string, TimePoint> crashedAt_;
+};
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Programs/Gateway/CrashLog.cpp
@@ -0,0 +1,24 @@
+#include "Programs/Gateway/CrashLog.h"
+
+#include <algorithm>
+
+namespace wisteria {
+
+void logCrash(EventLog &log, Metrics &metrics, const ServerCrash &crash)
+{
+    constexpr std::size_t maxListed = 16;
+    std::vector<std::string> listed;
+    for (std::size_t i = 0; i < std::min(crash.running.size(), maxListed); ++i)
+        listed.push_back(toText(crash.running[i]));
+    log.warn("backend.crashed",
+             {{"backend", crash.server},
+              {"service", crash.service},
+              {"servers", crash.servers},
+              {"in_flight", crash.running.size()},
+              {"fingerprints", listed}});
+    metrics.count("wisteria_server_crashes_total",
+                  "Crashes of backend servers that this gateway detected",
+                  {{"service", crash.service}});
+}
+
+} // namespace wisteria
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -57,6 +57,7 @@
 Exchange::~Exchange()
 {
     if (call_) {
+        noteUnansweredSend();
         context_.log.info(
             "request.abandoned",
             {{"id", request_.attemptId}, {"backend", backendId_}, {"reason", "the caller left"}});
@@ -293,6 +294,11 @@
 
 void Exchange::onFailed(const CallFailure &failure)
 {
+    const TimePoint now = monotonicNow();
+    if (failure.refused)
+        context_.crashes.noteRefused(backendId_, now);
+    if (failure.connectionEnded)
+        context_.crashes.noteConnectionEnded({backendId_, fingerprint()}, now, [] {});
     if (failure.neverSent) {
         endSend(SendOutcome::NeverSent, failure.reason);
         return;
@@ -313,14 +319,16 @@
     if (BackendState *backend = currentBackend())
         noteFailure(*backend, outcome == SendOutcome::NeverSent, now);
     const milliseconds left = timeLeft(now);
-    context_.log.warn("request.send_failed",
-                      {{"id", request_.attemptId},
-                       {"backend", backendId_},
-                       {"reason", reason},
-                       {"after_s", secondsOf(remaining(sentAt_, now))},
-                       {"arrivals", history_.delivered},
-                       {"may_have_run", history_.mayHaveRun},
-                       {"left_s", secondsOf(left)}});
+    LogFields fields = {{"id", request_.attemptId},
+                        {"backend", backendId_},
+                        {"reason", reason},
+                        {"after_s", secondsOf(remaining(sentAt_, now))},
+                        {"arrivals", history_.delivered},
+                        {"may_have_run", history_.mayHaveRun},
+                        {"left_s", secondsOf(left)}};
+    if (fingerprint_)
+        fields["fingerprint"] = toText(*fingerprint_);
+    context_.log.warn("request.send_failed", fields);
     countSendEnd(context_.metrics, service_, nameOf(outcome));
     releaseBackend();
     const bool retry = mayRetry(route_, outcome, history_, left)
@@ -379,6 +387,7 @@
     if (!call_)
         return;
     if (now >= deadline_) {
+        noteUnansweredSend();
         endSend(call_->sent() ? SendOutcome::TimedOut : SendOutcome::NeverSent, "out of time");
         return;
     }
@@ -410,6 +419,7 @@
                        {"from", backendId_},
                        {"pace", slow->reportedLoad->slowdown},
                        {"to", choice.backend->entry.id}});
+    noteUnansweredSend();
     history_ = historyAfterMove;
     countSendEnd(context_.metrics, service_, "moved");
     countRetry(context_.metrics, service_, RetryCause::Moved);
@@ -435,6 +445,20 @@
     return found == context_.registry.backends.end() ? nullptr : &found->second;
 }
 
+const RequestFingerprint &Exchange::fingerprint()
+{
+    if (!fingerprint_)
+        fingerprint_ = fingerprintOf(request_, admission_.organisation());
+    return *fingerprint_;
+}
+
+/// Records that this gateway gives up a send, so that a crash right after it can be traced.
+void Exchange::noteUnansweredSend()
+{
+    if (call_ && call_->sent())
+        context_.crashes.noteGivenUp({backendId_, fingerprint()}, monotonicNow());
+}
+
 void Exchange::releaseBackend()
 {
     if (backendId_.empty())
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -12,6 +12,7 @@
 #include "Programs/Gateway/PriorityAdmission.h"
 #include "Request/EventSplitter.h"
 #include "Request/GatewayRequest.h"
+#include "Request/RequestFingerprint.h"
 #include "Request/RetryDecision.h"
 
 namespace wisteria {
@@ -84,6 +85,8 @@
     void noteAnswerWithoutServerError();
     void forwardAnswer();
     void endSend(SendOutcome outcome, const std::string &reason);
+    const RequestFingerprint &fingerprint();
+    void noteUnansweredSend();
     void releaseBackend();
     void moveOffSlowBackend(TimePoint now);
     BackendChoice chooseNext(double maxLoad, TimePoint now);
@@ -112,6 +115,8 @@
     bool finished_ = false;
     SendHistory history_;
     std::vector<std::string> tried_;
+    /// Computed when it is first needed.
+    std::optional<RequestFingerprint> fingerprint_;
     std::unique_ptr<HttpCall> call_;
     std::string backendId_;
     TimePoint sentAt_;
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -11,6 +11,7 @@
 #include "Connection/TcpConnection.h"
 #include "Process/ShutdownSignal.h"
 #include "Programs/Gateway/BackendList.h"
+#include "Programs/Gateway/CrashLog.h"
 #include "Programs/Gateway/DispatchOrder.h"
 #include "Programs/Gateway/GatewayDirectory.h"
 #include "Programs/Gateway/GatewayMetrics.h"
@@ -71,23 +72,27 @@
     Private(platform::ProcessSettings settings, const LogSettings &log)
         : settings_(std::move(settings)), shutdown_(
                                               loop_, [this] { stop(); }, [this] { reload(); }),
-          log_(settings_.vmName, log),
-          pool_(loop_), context_{
-                            .loop = loop_,
-                            .log = log_,
-                            .metrics = metrics_,
-                            .pool = pool_,
-                            .registry = registry_,
-                            .retryQuota = retryQuotaOf(settings_),
-                            .retryBuckets = {},
-                            .failureDomain = settings_.failureDomain,
-                            .fairQueueing = settings_.fairQueueing,
-                            .routes = nullptr,
-                            .rereadBackends = [this] { backendsWatch_->readSoon(monotonicNow()); },
-                            .dispatchSoon = [this] { scheduleDispatch(); },
-                            .dispatchNow = [this] { dispatchWaiting(); }},
+          log_(settings_.vmName, log), pool_(loop_),
+          crashDetector_(loop_, registry_, [this](const ServerCrash &crash) { noteCrash(crash); }),
+          context_{.loop = loop_,
+                   .log = log_,
+                   .metrics = metrics_,
+                   .pool = pool_,
+                   .registry = registry_,
+                   .crashes = crashDetector_,
+                   .retryQuota = retryQuotaOf(settings_),
+                   .retryBuckets = {},
+                   .failureDomain = settings_.failureDomain,
+                   .fairQueueing = settings_.fairQueueing,
+                   .routes = nullptr,
+                   .rereadBackends = [this] { backendsWatch_->readSoon(monotonicNow()); },
+                   .dispatchSoon = [this] { scheduleDispatch(); },
+                   .dispatchNow = [this] { dispatchWaiting(); }},
           operatorRecords_(context_, [this] { scheduleDispatch(); }),
-          backendList_(registry_, log_, backendsPollInterval(settings_.drainTime)),
+          backendList_(registry_, log_, backendsPollInterval(settings_.drainTime),
+                       [this](const std::string &id, std::uint64_t startedAt, TimePoint now) {
+                           crashDetector_.noteStartTime(id, startedAt, now);
+                       }),
           callerListener_(loop_, [this](int descriptor) { acceptCaller(descriptor); }),
           readinessListener_(
               loop_,
@@ -205,6 +210,8 @@
         scheduleDispatch();
     }
 
+    void noteCrash(const ServerCrash &crash) { logCrash(log_, metrics_, crash); }
+
     void receivePermitReply(const Endpoint &from, const PermitReplyMessage &message)
     {
         if (permits_->receive(from, message, monotonicNow()))
@@ -358,6 +365,7 @@
         configurationWatch_->checkTimeouts(now);
         backendsWatch_->checkTimeouts(now);
         backendList_.checkTimeouts(now);
+        crashDetector_.checkTimeouts(now);
         pool_.closeExpired(now);
         if (stopping_)
             checkStop(now);
@@ -430,6 +438,7 @@
     Metrics metrics_;
     HttpClientPool pool_;
     BackendRegistry registry_;
+    CrashDetector crashDetector_;
     GatewayContext context_;
     OperatorRecords operatorRecords_;
     PriorityLimitGauges priorityLimitGauges_;
--- a/Source/Programs/Gateway/GatewayContext.h
+++ b/Source/Programs/Gateway/GatewayContext.h
@@ -11,6 +11,7 @@
 #include "Process/EventLog.h"
 #include "Process/EventLoop.h"
 #include "Process/Metrics.h"
+#include "Programs/Gateway/CrashDetector.h"
 #include "Request/AdmissionQueue.h"
 #include "Request/AdmissionTimeouts.h"
 #include "Request/BackendRegistry.h"
@@ -30,6 +31,7 @@
     Metrics &metrics;
     HttpClientPool &pool;
     BackendRegistry &registry;
+    CrashDetector &crashes;
     RetryQuota retryQuota;
     std::map<std::string, RetryTokenBucket> retryBuckets;
     std::string failureDomain;
--- /dev/null
+++ b/Source/Request/RequestFingerprint.cpp
@@ -0,0 +1,91 @@
+#include "Request/RequestFingerprint.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <memory>
+
+#include <openssl/evp.h>
+
+namespace wisteria {
+
+namespace {
+
+/// A hash of several texts in which no two different lists of texts have the same input.
+class TextHash
+{
+public:
+    TextHash() : context_(EVP_MD_CTX_new(), &EVP_MD_CTX_free)
+    {
+        EVP_DigestInit_ex(context_.get(), EVP_sha256(), nullptr);
+    }
+
+    void add(std::string_view text)
+    {
+        const std::uint64_t size = text.size();
+        EVP_DigestUpdate(context_.get(), &size, sizeof(size));
+        EVP_DigestUpdate(context_.get(), text.data(), text.size());
+    }
+
+    RequestFingerprint finish()
+    {
+        std::array<std::uint8_t, EVP_MAX_MD_SIZE> digest{};
+        EVP_DigestFinal_ex(context_.get(), digest.data(), nullptr);
+        RequestFingerprint fingerprint;
+        std::copy_n(digest.begin(), fingerprint.bytes.size(), fingerprint.bytes.begin());
+        return fingerprint;
+    }
+
+private:
+    std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context_;
+};
+
+/// Host names are the same in lower and upper case.
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return lower;
+}
+
+} // namespace
+
+RequestFingerprint fingerprintOf(const GatewayRequest &request, std::string_view organisation)
+{
+    TextHash hash;
+    hash.add(request.method);
+    hash.add(lowerCase(request.host));
+    hash.add(request.target);
+    hash.add(organisation);
+    hash.add(request.body);
+    return hash.finish();
+}
+
+std::string toText(const RequestFingerprint &fingerprint)
+{
+    constexpr const char *digits = "0123456789abcdef";
+    std::string text;
+    for (const std::uint8_t byte : fingerprint.bytes) {
+        text += digits[byte >> 4];
+        text += digits[byte & 0xF];
+    }
+    return text;
+}
+
+std::optional<RequestFingerprint> fingerprintFromText(std::string_view text)
+{
+    RequestFingerprint fingerprint;
+    if (text.size() != 2 * fingerprint.bytes.size())
+        return std::nullopt;
+    constexpr int hexadecimal = 16;
+    for (std::size_t i = 0; i < fingerprint.bytes.size(); ++i) {
+        const char *begin = text.data() + 2 * i;
+        const auto parsed = std::from_chars(begin, begin + 2, fingerprint.bytes[i], hexadecimal);
+        if (parsed.ec != std::errc() || parsed.ptr != begin + 2)
+            return std::nullopt;
+    }
+    return fingerprint;
+}
+
+} // namespace wisteria
--- a/Tests/Gateway/ExchangeTest.cpp
+++ b/Tests/Gateway/ExchangeTest.cpp
@@ -78,6 +78,7 @@
     Metrics metrics;
     HttpClientPool pool{loop};
     BackendRegistry registry;
+    CrashDetector crashes{loop, registry, [](const ServerCrash &) {}};
     StatusSink sink;
     int dispatchesSoon = 0;
     GatewayContext context{.loop = loop,
@@ -85,6 +86,7 @@
                            .metrics = metrics,
                            .pool = pool,
                            .registry = registry,
+                           .crashes = crashes,
                            .retryQuota = {.ratio = 1, .baseRetries = 100, .window = seconds(10)},
                            .retryBuckets = {},
                            .failureDomain = "a",
