Failing test: a poison request crashes one backend server after the other

What callers see: stand-ins of 12 servers, four gateways, a poison request each 0.3 s for 9 s. Idempotent: 45 crashes, 27 sends later than 3 s after the third, 0.60 of the proper requests served in the second half; not idempotent: 30 crashes, 17 later sends, 0.94 served. Beside them what must not be paid for it: popular requests under crashes in turn, all at once and reset connections, and long requests; these pass.

--- /dev/null
+++ b/Tests/Gateway/CrashingServer.cpp
@@ -0,0 +1,219 @@
+#include "Gateway/CrashingServer.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "Gateway/GatewayUnderTest.h"
+
+namespace wisteria::gateway_tests {
+
+namespace {
+
+constexpr milliseconds crashAfter{60};
+constexpr milliseconds downTime{2000};
+constexpr int pollMilliseconds = 5;
+
+void resetConnection(int descriptor)
+{
+    const linger now{1, 0};
+    ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    ::close(descriptor);
+}
+
+} // namespace
+
+void CrashHistory::merge(const CrashHistory &other)
+{
+    poisonArrivals.insert(poisonArrivals.end(), other.poisonArrivals.begin(),
+                          other.poisonArrivals.end());
+    crashes.insert(crashes.end(), other.crashes.begin(), other.crashes.end());
+    std::sort(poisonArrivals.begin(), poisonArrivals.end());
+    std::sort(crashes.begin(), crashes.end());
+}
+
+std::size_t CrashHistory::arrivalsAfterThirdCrash(milliseconds time) const
+{
+    constexpr std::size_t third = 2;
+    if (crashes.size() <= third)
+        return 0;
+    return static_cast<std::size_t>(
+        std::count_if(poisonArrivals.begin(), poisonArrivals.end(),
+                      [&](TimePoint at) { return at > crashes[third] + time; }));
+}
+
+CrashingServer::CrashingServer(StoreStandIn &store, std::string id, std::uint32_t ip,
+                               CrashingServerPlan plan)
+    : store_(store), id_(std::move(id)), plan_(std::move(plan)), endpoint_{ip, 0}
+{
+    listen();
+    announce();
+    thread_ = std::thread([this] { run(); });
+}
+
+CrashingServer::~CrashingServer()
+{
+    stopping_ = true;
+    thread_.join();
+    for (const auto &[descriptor, connection] : connections_)
+        ::close(descriptor);
+    if (listener_ >= 0)
+        ::close(listener_);
+}
+
+CrashHistory CrashingServer::history() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return history_;
+}
+
+void CrashingServer::listen()
+{
+    listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint_.port);
+    address.sin_addr.s_addr = htonl(endpoint_.ip);
+    socklen_t size = sizeof(address);
+    if (::bind(listener_, reinterpret_cast<sockaddr *>(&address), size) != 0
+        || ::listen(listener_, 64) != 0)
+        throw std::runtime_error("the crashing server can't listen on loopback");
+    ::getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size);
+    endpoint_.port = ntohs(address.sin_port);
+}
+
+void CrashingServer::announce()
+{
+    store_.put("keyed.servers", id_,
+               {{"service", plan_.service},
+                {"address", toText(endpoint_)},
+                {"zone", "a"},
+                {"slot_count", 8},
+                {"state", "ready"},
+                {"born", startedAt_}});
+}
+
+void CrashingServer::run()
+{
+    while (!stopping_) {
+        std::vector<pollfd> polled;
+        if (listener_ >= 0)
+            polled.push_back({listener_, POLLIN, 0});
+        for (const auto &[descriptor, connection] : connections_)
+            polled.push_back({descriptor, POLLIN, 0});
+        ::poll(polled.data(), polled.size(), pollMilliseconds);
+        const TimePoint now = monotonicNow();
+        for (const pollfd &ready : polled) {
+            if (ready.revents == 0)
+                continue;
+            if (ready.fd == listener_)
+                acceptOne();
+            else
+                read(ready.fd, now);
+        }
+        finishDue(now);
+        if (crashNow_.exchange(false))
+            crashAll(now);
+        if (listener_ < 0 && now >= restartAt_) {
+            ++startedAt_;
+            listen();
+            announce();
+        }
+    }
+}
+
+void CrashingServer::acceptOne()
+{
+    const int descriptor = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+    if (descriptor >= 0)
+        connections_[descriptor];
+}
+
+void CrashingServer::read(int descriptor, TimePoint now)
+{
+    char bytes[4096];
+    const ssize_t count = ::recv(descriptor, bytes, sizeof(bytes), 0);
+    if (count <= 0) {
+        ::close(descriptor);
+        connections_.erase(descriptor);
+        return;
+    }
+    Connection &connection = connections_[descriptor];
+    connection.received.append(bytes, static_cast<std::size_t>(count));
+    begin(descriptor, connection, now);
+}
+
+void CrashingServer::begin(int descriptor, Connection &connection, TimePoint now)
+{
+    const std::size_t end = connection.received.find("\r\n\r\n");
+    if (end == std::string::npos || connection.endsAt != TimePoint::max())
+        return;
+    SeenRequest request;
+    request.head = connection.received.substr(0, end + 2);
+    const std::string length = request.header("Content-Length");
+    const std::size_t size = length.empty() ? 0 : std::stoul(length);
+    if (connection.received.size() < end + 4 + size)
+        return;
+    request.body = connection.received.substr(end + 4, size);
+    connection.received.erase(0, end + 4 + size);
+    connection.poison = request.body.starts_with(poisonMark);
+    connection.resets = !connection.poison && (++requests_ * 37) % 100 < plan_.resetsOfHundred;
+    connection.endsAt = now + (connection.poison ? crashAfter : plan_.workTime);
+    if (connection.poison) {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        history_.poisonArrivals.push_back(now);
+    }
+    if (!plan_.streams) {
+        connection.answer = sealed(request, 200, "done");
+        return;
+    }
+    const std::string first = streamHead(request) + chunk(eventText(0));
+    ::send(descriptor, first.data(), first.size(), MSG_NOSIGNAL);
+    connection.answer = chunk(eventText(1)) + "0\r\n\r\n";
+}
+
+void CrashingServer::finishDue(TimePoint now)
+{
+    std::vector<int> due;
+    for (const auto &[descriptor, connection] : connections_) {
+        if (connection.endsAt <= now)
+            due.push_back(descriptor);
+    }
+    for (const int descriptor : due) {
+        Connection &connection = connections_[descriptor];
+        if (connection.poison) {
+            crashAll(now);
+            return;
+        }
+        if (connection.resets) {
+            resetConnection(descriptor);
+            connections_.erase(descriptor);
+            continue;
+        }
+        ::send(descriptor, connection.answer.data(), connection.answer.size(), MSG_NOSIGNAL);
+        connection.endsAt = TimePoint::max();
+        begin(descriptor, connection, now);
+    }
+}
+
+void CrashingServer::crashAll(TimePoint now)
+{
+    if (listener_ < 0)
+        return;
+    for (const auto &[descriptor, connection] : connections_)
+        resetConnection(descriptor);
+    connections_.clear();
+    ::close(listener_);
+    listener_ = -1;
+    restartAt_ = now + downTime;
+    const std::lock_guard<std::mutex> lock(mutex_);
+    history_.crashes.push_back(now);
+}
+
+} // namespace wisteria::gateway_tests
--- /dev/null
+++ b/Tests/Gateway/CrashingServer.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "Gateway/StoreStandIn.h"
+#include "Process/Endpoint.h"
+#include "Process/Time.h"
+
+namespace wisteria::gateway_tests {
+
+/// How a crashing server behaves.
+struct CrashingServerPlan
+{
+    std::string service = "plain";
+    /// Answers events of a stream instead of a plain answer.
+    bool streams = false;
+    milliseconds workTime{30};
+    /// Resets this many of each hundred requests instead of answering them.
+    int resetsOfHundred = 0;
+};
+
+/// What poison requests and crashes did to a number of servers.
+struct CrashHistory
+{
+    std::vector<TimePoint> poisonArrivals;
+    std::vector<TimePoint> crashes;
+
+    void merge(const CrashHistory &other);
+    /// Number of poison requests that arrived later than `time` after the third crash.
+    std::size_t arrivalsAfterThirdCrash(milliseconds time) const;
+};
+
+/// The body of a poison request begins with this.
+inline constexpr const char *poisonMark = "poison";
+
+/// A backend server that crashes some time after it has begun to run a poison request: all its
+/// connections are reset, none is accepted until it has restarted under the same id, with a new
+/// start time in the store's list.
+class CrashingServer
+{
+public:
+    CrashingServer(StoreStandIn &store, std::string id, std::uint32_t ip, CrashingServerPlan plan);
+    ~CrashingServer();
+    CrashingServer(const CrashingServer &) = delete;
+    CrashingServer &operator=(const CrashingServer &) = delete;
+
+    /// Crashes the server from outside, with whatever it runs.
+    void crash() { crashNow_ = true; }
+
+    CrashHistory history() const;
+
+private:
+    /// A request that runs, or a connection without one.
+    struct Connection
+    {
+        std::string received;
+        TimePoint endsAt = TimePoint::max();
+        std::string answer;
+        bool poison = false;
+        bool resets = false;
+    };
+
+    void run();
+    void listen();
+    void announce();
+    void acceptOne();
+    void read(int descriptor, TimePoint now);
+    void begin(int descriptor, Connection &connection, TimePoint now);
+    void finishDue(TimePoint now);
+    void crashAll(TimePoint now);
+
+    StoreStandIn &store_;
+    std::string id_;
+    CrashingServerPlan plan_;
+    Endpoint endpoint_;
+    int listener_ = -1;
+    TimePoint restartAt_;
+    std::uint64_t startedAt_ = 1;
+    int requests_ = 0;
+    std::map<int, Connection> connections_;
+    std::atomic<bool> stopping_ = false;
+    std::atomic<bool> crashNow_ = false;
+    mutable std::mutex mutex_;
+    CrashHistory history_;
+    std::thread thread_;
+};
+
+} // namespace wisteria::gateway_tests
--- a/Tests/Gateway/GatewayFleet.cpp
+++ b/Tests/Gateway/GatewayFleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <fstream>
 #include <future>
 #include <stdexcept>
 
@@ -50,15 +51,22 @@
                {"state", "ready"}});
 }
 
-void GatewayFleet::start()
+pid_t GatewayFleet::startGateway(const std::string &settings)
 {
     const int devNull = ::open("/dev/null", O_WRONLY | O_CLOEXEC);
+    const pid_t child = startProgram("wisteria-gateway", settings, {}, devNull);
+    ::close(devNull);
+    return child;
+}
+
+void GatewayFleet::start(const std::string &moreSettings)
+{
     for (std::size_t i = 0; i < callers_.size(); ++i) {
-        const std::string settings = writeSettings(
-            "front-" + std::to_string(i), {.store = store.endpoint(), .callers = callers_[i]});
-        children_.push_back(startProgram("wisteria-gateway", settings, {}, devNull));
+        settings_.push_back(writeSettings("front-" + std::to_string(i),
+                                          {.store = store.endpoint(), .callers = callers_[i]}));
+        std::ofstream(settings_.back(), std::ios::app) << moreSettings;
+        children_.push_back(startGateway(settings_.back()));
     }
-    ::close(devNull);
     for (const Endpoint &callers : callers_) {
         constexpr int noRoute = 404;
         const bool known = eventually([&callers] {
@@ -69,6 +77,13 @@
     }
 }
 
+void GatewayFleet::restart(std::size_t gateway)
+{
+    ::kill(children_[gateway], SIGKILL);
+    ::waitpid(children_[gateway], nullptr, 0);
+    children_[gateway] = startGateway(settings_[gateway]);
+}
+
 std::vector<CallResult> GatewayFleet::sendAtRate(const std::string &target, int perSecond,
                                                  milliseconds time) const
 {
--- a/Tests/Gateway/GatewayFleet.h
+++ b/Tests/Gateway/GatewayFleet.h
@@ -24,9 +24,14 @@
     /// Adds a backend server of the service "plain" to the store's list.
     void addServer(const std::string &id, const ScriptedServer &server);
     /// Starts the gateways and waits until all know the configuration.
-    void start();
+    /// @param moreSettings Lines that are added to their settings.
+    void start(const std::string &moreSettings = {});
 
     std::size_t size() const { return callers_.size(); }
+    /// Where a gateway takes callers.
+    const Endpoint &callers(std::size_t gateway) const { return callers_[gateway]; }
+    /// Kills a gateway and starts it again.
+    void restart(std::size_t gateway);
 
     /// Sends requests at a rate, to the gateways in turn, and waits for all answers. The attempt id
     /// of each request contains its gateway; see `gatewayOf`.
@@ -36,7 +41,10 @@
     StoreStandIn store;
 
 private:
+    static pid_t startGateway(const std::string &settings);
+
     std::vector<Endpoint> callers_;
+    std::vector<std::string> settings_;
     std::vector<pid_t> children_;
 };
 
--- /dev/null
+++ b/Tests/Gateway/PoisonRequestTest.cpp
@@ -0,0 +1,268 @@
+#include <algorithm>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <poll.h>
+
+#include <catch2/catch.hpp>
+
+#include "Gateway/CrashingServer.h"
+#include "Gateway/GatewayFleet.h"
+#include "Gateway/GatewayUnderTest.h"
+
+using namespace wisteria;
+using namespace wisteria::gateway_tests;
+
+namespace {
+
+constexpr std::size_t serverCount = 12;
+/// A poison request takes down three backend servers, hardly more.
+constexpr std::size_t maxCrashes = 4;
+/// Sends that may follow later than `settleTime` after the third crash.
+constexpr std::size_t maxLaterSends = 3;
+constexpr milliseconds settleTime{3000};
+constexpr milliseconds runTime{9000};
+constexpr milliseconds poisonInterval{300};
+constexpr double minServed = 0.99;
+const std::string retrySettings =
+    "bounds.retry_budget_ratio=0.2\nbounds.budget_window_s=10\nbounds.budget_slack=400\n";
+
+/// Backend servers that may crash, behind several gateways.
+class CrashingFleet
+{
+public:
+    CrashingFleet(std::size_t gateways, const CrashingServerPlan &plan) : gateways_(gateways)
+    {
+        constexpr std::uint32_t firstServerAddress = INADDR_LOOPBACK + 1024;
+        for (std::uint32_t i = 0; i < serverCount; ++i) {
+            servers_.push_back(std::make_unique<CrashingServer>(
+                gateways_.store, "i-" + std::to_string(i), firstServerAddress + i, plan));
+        }
+        gateways_.start(retrySettings);
+    }
+
+    GatewayFleet &gateways() { return gateways_; }
+    CrashingServer &server(std::size_t index) { return *servers_[index]; }
+
+    CrashHistory history() const
+    {
+        CrashHistory all;
+        for (const auto &server : servers_)
+            all.merge(server->history());
+        return all;
+    }
+
+private:
+    GatewayFleet gateways_;
+    std::vector<std::unique_ptr<CrashingServer>> servers_;
+};
+
+void sleepUntil(TimePoint due)
+{
+    const milliseconds left = remaining(monotonicNow(), due);
+    ::poll(nullptr, 0, static_cast<int>(left.count()));
+}
+
+std::string requestWithBody(const std::string &target, const std::string &id,
+                            const std::string &body)
+{
+    std::string request = requestFor(target, id);
+    const std::string none = "Content-Length: 0";
+    request.replace(request.find(none), none.size(),
+                    "Content-Length: " + std::to_string(body.size()));
+    return request + body;
+}
+
+/// Sends a request with this body to the gateways in turn until the end.
+std::vector<CallResult> repeatUntil(TimePoint end, const GatewayFleet &gateways,
+                                    const std::string &target, const std::string &body)
+{
+    std::vector<std::future<CallResult>> calls;
+    for (TimePoint due = monotonicNow(); due < end; due += poisonInterval) {
+        sleepUntil(due);
+        const std::size_t gateway = calls.size() % gateways.size();
+        const std::string id = "p" + std::to_string(calls.size()) + body;
+        calls.push_back(std::async(std::launch::async, [&gateways, gateway, target, id, body] {
+            return callServer(gateways.callers(gateway), requestWithBody(target, id, body));
+        }));
+    }
+    std::vector<CallResult> results;
+    results.reserve(calls.size());
+    for (auto &call : calls)
+        results.push_back(call.get());
+    return results;
+}
+
+double servedShare(const std::vector<CallResult> &results, double lastShare)
+{
+    const auto skipped =
+        static_cast<std::ptrdiff_t>(static_cast<double>(results.size()) * (1 - lastShare));
+    const auto served =
+        std::count_if(results.begin() + skipped, results.end(),
+                      [](const CallResult &result) { return result.status == 200; });
+    return static_cast<double>(served)
+        / static_cast<double>(results.end() - results.begin() - skipped);
+}
+
+std::size_t countRejected(const std::vector<CallResult> &results)
+{
+    return static_cast<std::size_t>(
+        std::count_if(results.begin(), results.end(), [](const CallResult &result) {
+            return result.status >= 400 && result.status < 500;
+        }));
+}
+
+struct PoisonScenario
+{
+    std::string target = "/again/x";
+    CrashingServerPlan plan{};
+    std::size_t gateways = 4;
+    std::size_t poisonRequests = 1;
+    bool restartsGateways = false;
+    bool storeSilent = false;
+};
+
+/// Checks that each gateway answers the poison requests with a status that callers take as final.
+void checkFinalAnswers(const PoisonScenario &scenario, const GatewayFleet &gateways)
+{
+    constexpr int final = 400;
+    constexpr milliseconds startTime{1000};
+    for (std::size_t i = 0; i < scenario.poisonRequests * gateways.size(); ++i) {
+        const std::string body = poisonMark + std::to_string(i % scenario.poisonRequests);
+        const Endpoint &callers = gateways.callers(i / scenario.poisonRequests);
+        // A gateway that has just been started refuses connections at first.
+        const auto isFinal = [&] {
+            return callServer(callers, requestWithBody(scenario.target, "final", body)).status
+                == final;
+        };
+        CHECK(eventually(isFinal, startTime));
+    }
+}
+
+void checkPoisonBound(const PoisonScenario &scenario)
+{
+    CrashingFleet fleet(scenario.gateways, scenario.plan);
+    GatewayFleet &gateways = fleet.gateways();
+    const TimePoint end = monotonicNow() + runTime;
+    auto proper = std::async(std::launch::async,
+                             [&] { return gateways.sendAtRate(scenario.target, 40, runTime); });
+    gateways.store.setSilent(scenario.storeSilent);
+    std::vector<std::future<std::vector<CallResult>>> poison;
+    for (std::size_t i = 0; i < scenario.poisonRequests; ++i) {
+        poison.push_back(std::async(std::launch::async, [&, i] {
+            return repeatUntil(end, gateways, scenario.target, poisonMark + std::to_string(i));
+        }));
+    }
+    constexpr milliseconds restartInterval{1500};
+    for (std::size_t i = 0; scenario.restartsGateways && monotonicNow() < end; ++i) {
+        sleepUntil(monotonicNow() + restartInterval);
+        gateways.restart(i % gateways.size());
+    }
+    for (auto &caller : poison)
+        caller.get();
+    const std::vector<CallResult> results = proper.get();
+    const CrashHistory history = fleet.history();
+    CAPTURE(history.crashes.size(), history.poisonArrivals.size());
+    CHECK(history.crashes.size() <= maxCrashes * scenario.poisonRequests);
+    CHECK(history.arrivalsAfterThirdCrash(settleTime) <= maxLaterSends * scenario.poisonRequests);
+    CHECK(countRejected(results) == 0);
+    // A gateway that is killed loses the requests that it holds.
+    if (!scenario.restartsGateways)
+        CHECK(servedShare(results, 0.5) >= minServed);
+    checkFinalAnswers(scenario, gateways);
+}
+
+} // namespace
+
+// Guards against a request that crashes one backend server after the other, as its repeats come
+// under new ids and at other gateways.
+TEST_CASE("A poison request crashes hardly more than three backend servers")
+{
+    SECTION("idempotent")
+    checkPoisonBound({});
+    SECTION("not idempotent, one body among many on its path")
+    checkPoisonBound({.target = "/once/x"});
+    SECTION("within a stream")
+    checkPoisonBound({.target = "/stream/x", .plan = {.service = "model", .streams = true}});
+}
+
+// Guards against counts of crashes that a fault or another poison request resets or hides.
+TEST_CASE("A poison request crashes hardly more servers under faults and at many gateways")
+{
+    SECTION("gateways are killed and started in turn")
+    checkPoisonBound({.restartsGateways = true});
+    SECTION("the store is silent")
+    checkPoisonBound({.storeSilent = true});
+    SECTION("two poison requests at once")
+    checkPoisonBound({.poisonRequests = 2});
+    SECTION("thirty gateways")
+    checkPoisonBound({.gateways = 30});
+}
+
+// Guards against a request that is taken for poison because it was in flight at each crash.
+TEST_CASE("A popular request is served while servers crash in turn under it")
+{
+    CrashingFleet fleet(4, {});
+    auto popular = std::async(std::launch::async, [&] {
+        return fleet.gateways().sendAtRate("/again/popular", 100, runTime);
+    });
+    constexpr milliseconds crashInterval{700};
+    for (std::size_t i = 0; i < 8; ++i) {
+        sleepUntil(monotonicNow() + crashInterval);
+        fleet.server(i).crash();
+    }
+    const std::vector<CallResult> results = popular.get();
+    CHECK(countRejected(results) == 0);
+    CHECK(servedShare(results, 0.2) >= minServed);
+}
+
+// Guards against the same when one loss of power ends all servers.
+TEST_CASE("A popular request is served after all servers crashed at once three times")
+{
+    CrashingFleet fleet(4, {});
+    auto popular = std::async(std::launch::async, [&] {
+        return fleet.gateways().sendAtRate("/again/popular", 100, runTime);
+    });
+    constexpr milliseconds crashInterval{2200};
+    for (std::size_t i = 0; i < 3; ++i) {
+        for (std::size_t server = 0; server < serverCount; ++server)
+            fleet.server(server).crash();
+        sleepUntil(monotonicNow() + crashInterval);
+    }
+    const std::vector<CallResult> results = popular.get();
+    CHECK(countRejected(results) == 0);
+    CHECK(servedShare(results, 0.15) >= minServed);
+}
+
+// Guards against reset connections that are taken for crashes.
+TEST_CASE("A popular request is served while servers reset connections without crashing")
+{
+    CrashingFleet fleet(4, {.resetsOfHundred = 20});
+    const std::vector<CallResult> results =
+        fleet.gateways().sendAtRate("/again/popular", 60, seconds(6));
+    CHECK(countRejected(results) == 0);
+    CHECK(servedShare(results, 0.5) >= 0.9);
+}
+
+// Guards against long requests that are taken for poison after several coincidences.
+TEST_CASE("Long requests are not turned away when servers crash in turn")
+{
+    CrashingFleet fleet(4, {.workTime = milliseconds(900)});
+    std::vector<std::future<std::vector<CallResult>>> callers;
+    const TimePoint end = monotonicNow() + runTime;
+    for (int i = 0; i < 8; ++i) {
+        callers.push_back(std::async(std::launch::async, [&, i] {
+            return repeatUntil(end, fleet.gateways(), "/again/x", "long" + std::to_string(i));
+        }));
+    }
+    for (std::size_t i = 0; i < 12; ++i) {
+        sleepUntil(monotonicNow() + milliseconds(500));
+        fleet.server(i).crash();
+    }
+    for (auto &caller : callers)
+        CHECK(countRejected(caller.get()) == 0);
+}
