--- a/Source/Programs/Gateway/CrashDetector.cpp
+++ b/Source/Programs/Gateway/CrashDetector.cpp
@@ -108,6 +108,18 @@
         confirm(server, restartWindow, now);
 }
 
+void CrashDetector::noteReported(const CrashReport &report, TimePoint now)
+{
+    const milliseconds age{report.ageMilliseconds};
+    TimePoint &crashedAt = crashedAt_[report.server];
+    crashedAt = std::max(crashedAt, now - age);
+    if (age >= refusalWindow)
+        return;
+    const auto broken = broken_.find(report.server);
+    if (broken != broken_.end() && broken->second.startedAt == report.startedAt)
+        confirm(report.server, refusalWindow, now);
+}
+
 void CrashDetector::confirm(const std::string &server, milliseconds within, TimePoint now)
 {
     const auto found = broken_.find(server);
--- a/Source/Programs/Gateway/CrashDetector.h
+++ b/Source/Programs/Gateway/CrashDetector.h
@@ -9,6 +9,7 @@
 #include "Programs/Gateway/ServerProbes.h"
 #include "Request/BackendRegistry.h"
 #include "Request/ServerCrash.h"
+#include "Version/CrashMessages.h"
 
 namespace wisteria {
 
@@ -44,6 +45,10 @@
     /// Records a server's start time. If it has started again after its connections ended, it
     /// crashed.
     void noteStartTime(const std::string &server, std::uint64_t startedAt, TimePoint now);
+    /// Records that another gateway has detected a crash. If connections of this gateway to the
+    /// same process ended, it was for that.
+    void noteReported(const CrashReport &report, TimePoint now);
+
     /// Probes servers once more where that is due, and forgets old sends.
     void checkTimeouts(TimePoint now);
 
--- a/Source/Programs/Gateway/CrashLog.cpp
+++ b/Source/Programs/Gateway/CrashLog.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Programs/Gateway/GatewayMetrics.h"
+
 namespace wisteria {
 
 void logCrash(EventLog &log, Metrics &metrics, const ServerCrash &crash)
@@ -16,9 +18,7 @@
               {"servers", crash.servers},
               {"in_flight", crash.running.size()},
               {"fingerprints", listed}});
-    metrics.count("wisteria_server_crashes_total",
-                  "Crashes of backend servers that this gateway detected",
-                  {{"service", crash.service}});
+    countServerCrash(metrics, crash.service);
 }
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -24,6 +24,11 @@
 /// backend server.
 constexpr milliseconds permitRetryInterval{50};
 
+/// Body of the answer to a quarantined request.
+constexpr const char *quarantineText =
+    "This request was running on several backend servers when each of them crashed, so it is not "
+    "sent to any more of them. Change the request, or ask the operators to release it.\n";
+
 /// When a waiting request looks for a slot again even if none has become free.
 TimePoint nextDispatchTime(const BackendChoice &choice, TimePoint now)
 {
@@ -45,6 +50,7 @@
       route_(*access.route), service_(std::move(service)),
       admission_(context, routes_->priorityLimitsOf(service_), service_, access.priority(),
                  access.organisation != nullptr ? access.organisation->name : std::string()),
+      suspicion_(context.crashes, context.poison, request_, admission_.organisation()),
       arrived_(arrived), deadline_(arrived + route_.timeout)
 {
     if (request_.timeLeft)
@@ -70,6 +76,12 @@
 
 bool Exchange::tryDispatch(TimePoint now)
 {
+    if (suspicion_.level(now) == Suspicion::Quarantined) {
+        refuseQuarantined(now);
+        return true;
+    }
+    if (const auto mayRunAt = suspicion_.mayRunAt(now); mayRunAt > now)
+        return waitForOtherCopies(mayRunAt, now);
     BackendChoice choice = chooseNext(admission_.maxLoad(now), now);
     // The slot may have become free just before this request arrived. Those ahead get it first;
     // then this request starts, waits or is refused as if it had arrived after their dispatch.
@@ -100,6 +112,20 @@
     return true;
 }
 
+/// Queues a suspect request while another copy of it runs, or has just crashed a backend server.
+/// @return As for tryDispatch().
+bool Exchange::waitForOtherCopies(TimePoint mayRunAt, TimePoint now)
+{
+    if (timeLeft(now) <= minTimeForSend) {
+        refuse("another copy of it runs", {.reason = NoBackendReason::AllFull}, now);
+        return true;
+    }
+    nextDispatchAt_ = mayRunAt;
+    waitUntil_ = deadline_ - minTimeForSend;
+    admission_.joinQueue(now);
+    return false;
+}
+
 TimePoint Exchange::waitTimeout(NoBackendReason reason) const
 {
     return queueTimeoutAt(
@@ -134,6 +160,7 @@
     backendId_ = backend.entry.id;
     tried_.push_back(backendId_);
     ++backend.ownInFlight;
+    suspicion_.beginRun(now);
     noteSend(context_.registry, backend, now);
     sentAt_ = now;
     pauseBegunAt_ = now;
@@ -166,6 +193,7 @@
 void Exchange::onHead(const HttpResponseHead &head)
 {
     head_ = platform::decodeAnswerHead(head);
+    answerMarksEnd_ = head.selfDelimited;
     pauseBegunAt_ = monotonicNow();
     noteServerSignals(context_, {backendId_, request_.attemptId, head_}, pauseBegunAt_);
     BackendState *backend = currentBackend();
@@ -230,6 +258,7 @@
         return;
     }
     history_.mayHaveRun = true;
+    noteCompleteAnswer();
     if (forwardsStream()) {
         completeStream();
         return;
@@ -294,16 +323,10 @@
 
 void Exchange::onFailed(const CallFailure &failure)
 {
-    const TimePoint now = monotonicNow();
     if (failure.refused)
-        context_.crashes.noteRefused(backendId_, now);
-    if (failure.connectionEnded)
-        context_.crashes.noteConnectionEnded({backendId_, fingerprint()}, now, [] {});
-    if (failure.neverSent) {
-        endSend(SendOutcome::NeverSent, failure.reason);
-        return;
-    }
-    endSend(SendOutcome::Incomplete, failure.reason);
+        context_.crashes.noteRefused(backendId_, monotonicNow());
+    connectionEnded_ = failure.connectionEnded;
+    endSend(failure.neverSent ? SendOutcome::NeverSent : SendOutcome::Incomplete, failure.reason);
 }
 
 void Exchange::endSend(SendOutcome outcome, const std::string &reason)
@@ -318,37 +341,49 @@
         history_.mayHaveRun = true;
     if (BackendState *backend = currentBackend())
         noteFailure(*backend, outcome == SendOutcome::NeverSent, now);
-    const milliseconds left = timeLeft(now);
+    const bool connectionEnded = std::exchange(connectionEnded_, false);
     LogFields fields = {{"id", request_.attemptId},
                         {"backend", backendId_},
                         {"reason", reason},
                         {"after_s", secondsOf(remaining(sentAt_, now))},
                         {"arrivals", history_.delivered},
                         {"may_have_run", history_.mayHaveRun},
-                        {"left_s", secondsOf(left)}};
-    if (fingerprint_)
-        fields["fingerprint"] = toText(*fingerprint_);
+                        {"left_s", secondsOf(timeLeft(now))}};
+    if (connectionEnded)
+        fields["fingerprint"] = toText(suspicion_.fingerprint());
     context_.log.warn("request.send_failed", fields);
     countSendEnd(context_.metrics, service_, nameOf(outcome));
+    const std::string backend = backendId_;
     releaseBackend();
-    const bool retry = mayRetry(route_, outcome, history_, left)
-        && (outcome == SendOutcome::NeverSent
-            || takeRetryToken(context_.retryBuckets[service_], context_.retryQuota, now));
+    if (connectionEnded) {
+        undecided_ = outcome;
+        suspicion_.noteConnectionEnded(backend, now,
+                                       [this, outcome] { continueAfter(outcome, monotonicNow()); });
+        return;
+    }
+    // The server may just have crashed under another copy of the request.
+    if (outcome == SendOutcome::NeverSent && suspicion_.level(now) != Suspicion::None) {
+        undecided_ = outcome;
+        decideAt_ = std::min(deadline_, now + reportSettleTime);
+        return;
+    }
+    continueAfter(outcome, now);
+}
+
+void Exchange::continueAfter(SendOutcome outcome, TimePoint now)
+{
+    undecided_.reset();
+    decideAt_ = TimePoint::max();
     BackendChoice refusalCause{.reason = outcome == SendOutcome::NotExecuted
                                    ? NoBackendReason::AllFull
                                    : NoBackendReason::NoneAvailable};
-    if (retry) {
-        const BackendChoice choice = chooseNext(maxLoadAfterFailure, now);
-        if (choice.retryAt != TimePoint() || choice.reason == NoBackendReason::Evacuated)
-            refusalCause = choice;
-        if (choice.backend != nullptr) {
-            countRetry(context_.metrics, service_,
-                       history_.answerBegun ? RetryCause::Resumed : RetryCause::Failed);
-            send(*choice.backend, now);
-            return;
-        }
+    if (suspicion_.level(now) == Suspicion::Quarantined && !history_.answerBegun) {
+        refuseQuarantined(now);
+        return;
     }
-    switch (finalDecision(outcome, history_, left)) {
+    if (sendAgain(outcome, refusalCause, now))
+        return;
+    switch (finalDecision(outcome, history_, timeLeft(now))) {
     case RetryDecision::Forward:
         forwardAnswer();
         return;
@@ -371,6 +406,32 @@
     }
 }
 
+/// Sends the request to another backend server if that is allowed and one has a slot.
+/// @param refusalCause Set to why none was chosen, if the caller should know.
+bool Exchange::sendAgain(SendOutcome outcome, BackendChoice &refusalCause, TimePoint now)
+{
+    if (!mayRetry(route_, outcome, history_, timeLeft(now)))
+        return false;
+    // Nine of ten requests that were in flight at a crash did not cause it, so one more server is
+    // risked for them, but not a second one.
+    const Suspicion suspected = suspicion_.level(now);
+    if (suspected == Suspicion::Quarantined
+        || (suspected == Suspicion::RepeatedSuspect && history_.mayHaveRun))
+        return false;
+    if (outcome != SendOutcome::NeverSent
+        && !takeRetryToken(context_.retryBuckets[service_], context_.retryQuota, now))
+        return false;
+    const BackendChoice choice = chooseNext(maxLoadAfterFailure, now);
+    if (choice.retryAt != TimePoint() || choice.reason == NoBackendReason::Evacuated)
+        refusalCause = choice;
+    if (choice.backend == nullptr)
+        return false;
+    countRetry(context_.metrics, service_,
+               history_.answerBegun ? RetryCause::Resumed : RetryCause::Failed);
+    send(*choice.backend, now);
+    return true;
+}
+
 void Exchange::checkTimeouts(TimePoint now)
 {
     if (finished_)
@@ -384,6 +445,10 @@
             context_.dispatchSoon();
         return;
     }
+    if (undecided_ && now >= decideAt_) {
+        continueAfter(*undecided_, now);
+        return;
+    }
     if (!call_)
         return;
     if (now >= deadline_) {
@@ -402,6 +467,7 @@
 {
     const BackendState *slow = currentBackend();
     if (route_.kind != RequestKind::Streaming || slow == nullptr
+        || suspicion_.level(now) != Suspicion::None
         || slowdownOf(*slow, now, context_.registry.loadLifetime) < moveAtSlowdown)
         return;
     SendHistory historyAfterMove = history_;
@@ -435,7 +501,8 @@
                                    .withinFreeShare = tried_.empty(),
                                    .mayExceedFreeShare = admission_.mayExceedFreeShare(now),
                                    .inGroup = inGroup_,
-                                   .failureDomain = context_.failureDomain};
+                                   .failureDomain = context_.failureDomain,
+                                   .suspectHash = suspicion_.hashIfSuspect(now)};
     return chooseBackend(context_.registry, criteria, now, context_.randomUnit());
 }
 
@@ -445,18 +512,27 @@
     return found == context_.registry.backends.end() ? nullptr : &found->second;
 }
 
-const RequestFingerprint &Exchange::fingerprint()
+/// Records that a backend server ran the request to the end of its answer. An answer that ends with
+/// its connection may have been cut short by a crash.
+void Exchange::noteCompleteAnswer()
+{
+    if (answerMarksEnd_ && head_.sealed)
+        suspicion_.noteCompleted(monotonicNow());
+}
+
+void Exchange::refuseQuarantined(TimePoint now)
 {
-    if (!fingerprint_)
-        fingerprint_ = fingerprintOf(request_, admission_.organisation());
-    return *fingerprint_;
+    suspicion_.noteRefused(now);
+    finish(400, "it crashes backend servers", now);
+    sink_.answer(400, platform::ownAnswerFields(request_.attemptId, milliseconds(0)),
+                 quarantineText);
 }
 
 /// Records that this gateway gives up a send, so that a crash right after it can be traced.
 void Exchange::noteUnansweredSend()
 {
     if (call_ && call_->sent())
-        context_.crashes.noteGivenUp({backendId_, fingerprint()}, monotonicNow());
+        suspicion_.noteGivenUp(backendId_, monotonicNow());
 }
 
 void Exchange::releaseBackend()
@@ -464,6 +540,7 @@
     if (backendId_.empty())
         return;
     call_.reset();
+    suspicion_.endRun();
     if (BackendState *backend = currentBackend(); backend != nullptr && backend->ownInFlight > 0)
         --backend->ownInFlight;
     backendId_.clear();
@@ -496,7 +573,8 @@
                       .route = route_.name,
                       .configurationVersion = routes_->configuration().version,
                       .priority = admission_.priority(),
-                      .tried = tried_});
+                      .tried = tried_,
+                      .fingerprint = suspicion_.fingerprintIfKnown()});
 }
 
 RequestEnd Exchange::endOf(int status, const char *reason, TimePoint now) const
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -10,9 +10,9 @@
 #include "Programs/Gateway/GatewayContext.h"
 #include "Programs/Gateway/GatewayMetrics.h"
 #include "Programs/Gateway/PriorityAdmission.h"
+#include "Programs/Gateway/RequestSuspicion.h"
 #include "Request/EventSplitter.h"
 #include "Request/GatewayRequest.h"
-#include "Request/RequestFingerprint.h"
 #include "Request/RetryDecision.h"
 
 namespace wisteria {
@@ -85,8 +85,12 @@
     void noteAnswerWithoutServerError();
     void forwardAnswer();
     void endSend(SendOutcome outcome, const std::string &reason);
-    const RequestFingerprint &fingerprint();
+    void continueAfter(SendOutcome outcome, TimePoint now);
+    bool sendAgain(SendOutcome outcome, BackendChoice &refusalCause, TimePoint now);
+    bool waitForOtherCopies(TimePoint mayRunAt, TimePoint now);
     void noteUnansweredSend();
+    void noteCompleteAnswer();
+    void refuseQuarantined(TimePoint now);
     void releaseBackend();
     void moveOffSlowBackend(TimePoint now);
     BackendChoice chooseNext(double maxLoad, TimePoint now);
@@ -103,6 +107,7 @@
     const RouteRule &route_;
     std::string service_;
     PriorityAdmission admission_;
+    RequestSuspicion suspicion_;
     TimePoint arrived_;
     TimePoint deadline_;
     /// Whether the service's backend servers are ranks of groups.
@@ -115,8 +120,12 @@
     bool finished_ = false;
     SendHistory history_;
     std::vector<std::string> tried_;
-    /// Computed when it is first needed.
-    std::optional<RequestFingerprint> fingerprint_;
+    /// A send has ended and it is not decided yet what follows: it is being found out whether the
+    /// server crashed, or reports about that are awaited until `decideAt_`.
+    std::optional<SendOutcome> undecided_;
+    TimePoint decideAt_ = TimePoint::max();
+    /// Whether the connection of the last send ended.
+    bool connectionEnded_ = false;
     std::unique_ptr<HttpCall> call_;
     std::string backendId_;
     TimePoint sentAt_;
@@ -124,6 +133,8 @@
     TimePoint firstEventAt_;
     milliseconds longestPause_{0};
     BackendAnswerHead head_;
+    /// The answer marks its own end, so that a complete one is told from one that was cut short.
+    bool answerMarksEnd_ = false;
     std::string body_;
     EventSplitter splitter_;
 };
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -11,12 +11,12 @@
 #include "Connection/TcpConnection.h"
 #include "Process/ShutdownSignal.h"
 #include "Programs/Gateway/BackendList.h"
-#include "Programs/Gateway/CrashLog.h"
 #include "Programs/Gateway/DispatchOrder.h"
 #include "Programs/Gateway/GatewayDirectory.h"
 #include "Programs/Gateway/GatewayMetrics.h"
 #include "Programs/Gateway/LimitPermits.h"
 #include "Programs/Gateway/OperatorRecords.h"
+#include "Programs/Gateway/PoisonProtection.h"
 #include "Programs/Gateway/PriorityLimitGauges.h"
 #include "Programs/Gateway/Session.h"
 #include "Programs/Gateway/SidecarHellos.h"
@@ -73,13 +73,14 @@
         : settings_(std::move(settings)), shutdown_(
                                               loop_, [this] { stop(); }, [this] { reload(); }),
           log_(settings_.vmName, log), pool_(loop_),
-          crashDetector_(loop_, registry_, [this](const ServerCrash &crash) { noteCrash(crash); }),
+          poisonProtection_(loop_, log_, metrics_, registry_, [this] { scheduleDispatch(); }),
           context_{.loop = loop_,
                    .log = log_,
                    .metrics = metrics_,
                    .pool = pool_,
                    .registry = registry_,
-                   .crashes = crashDetector_,
+                   .crashes = poisonProtection_.crashes(),
+                   .poison = poisonProtection_.guard(),
                    .retryQuota = retryQuotaOf(settings_),
                    .retryBuckets = {},
                    .failureDomain = settings_.failureDomain,
@@ -91,7 +92,7 @@
           operatorRecords_(context_, [this] { scheduleDispatch(); }),
           backendList_(registry_, log_, backendsPollInterval(settings_.drainTime),
                        [this](const std::string &id, std::uint64_t startedAt, TimePoint now) {
-                           crashDetector_.noteStartTime(id, startedAt, now);
+                           poisonProtection_.crashes().noteStartTime(id, startedAt, now);
                        }),
           callerListener_(loop_, [this](int descriptor) { acceptCaller(descriptor); }),
           readinessListener_(
@@ -124,10 +125,14 @@
                   {{"callers", toText(*settings_.callerEndpoint)},
                    {"domain", settings_.failureDomain},
                    {"store", toText(settings_.storeEndpoint)}});
-        watchStore();
         directory_ = std::make_unique<GatewayDirectory>(
             loop_, pool_, log_, metrics_, settings_.storeEndpoint, settings_.vmName,
-            Endpoint{settings_.vmAddress.ip, settings_.firstInternalPort});
+            Endpoint{settings_.vmAddress.ip, settings_.firstInternalPort},
+            [this](const Endpoint &peer) {
+                messageSocket_.send(peer, encodeMessage(GatewayPresence{settings_.vmName}));
+            });
+        watchStore();
+        poisonProtection_.start(messageSocket_, *directory_, pool_, settings_.storeEndpoint);
         permits_ = std::make_unique<LimitPermits>(context_, messageSocket_, *directory_);
         scheduleCheck();
         loop_.run();
@@ -188,6 +193,12 @@
             permits_->receive(from, *permitRequest, monotonicNow());
         else if (const auto *permitReply = std::get_if<PermitReplyMessage>(&message.value()))
             receivePermitReply(from, *permitReply);
+        else if (const auto *crash = std::get_if<CrashReport>(&message.value()))
+            poisonProtection_.receive(*crash, monotonicNow());
+        else if (const auto *completion = std::get_if<CompletionReport>(&message.value()))
+            poisonProtection_.receive(*completion, monotonicNow());
+        else if (const auto *presence = std::get_if<GatewayPresence>(&message.value()))
+            directory_->notePresence(presence->gateway, from);
     }
 
     void applyLoad(const EngineLoad &load)
@@ -210,8 +221,6 @@
         scheduleDispatch();
     }
 
-    void noteCrash(const ServerCrash &crash) { logCrash(log_, metrics_, crash); }
-
     void receivePermitReply(const Endpoint &from, const PermitReplyMessage &message)
     {
         if (permits_->receive(from, message, monotonicNow()))
@@ -321,6 +330,7 @@
         for (const ServiceSlots &slots : slotsOf(registry_, now))
             setSlots(metrics_, slots);
         operatorRecords_.updateMetrics(now);
+        poisonProtection_.guard().updateMetrics(metrics_);
         updatePriorityLimits();
         updateStoreAge("configuration", *configurationWatch_, now);
         updateStoreAge("backends", *backendsWatch_, now);
@@ -365,7 +375,7 @@
         configurationWatch_->checkTimeouts(now);
         backendsWatch_->checkTimeouts(now);
         backendList_.checkTimeouts(now);
-        crashDetector_.checkTimeouts(now);
+        poisonProtection_.checkTimeouts(now);
         pool_.closeExpired(now);
         if (stopping_)
             checkStop(now);
@@ -438,7 +448,7 @@
     Metrics metrics_;
     HttpClientPool pool_;
     BackendRegistry registry_;
-    CrashDetector crashDetector_;
+    PoisonProtection poisonProtection_;
     GatewayContext context_;
     OperatorRecords operatorRecords_;
     PriorityLimitGauges priorityLimitGauges_;
--- a/Source/Programs/Gateway/GatewayContext.h
+++ b/Source/Programs/Gateway/GatewayContext.h
@@ -12,6 +12,7 @@
 #include "Process/EventLoop.h"
 #include "Process/Metrics.h"
 #include "Programs/Gateway/CrashDetector.h"
+#include "Programs/Gateway/PoisonGuard.h"
 #include "Request/AdmissionQueue.h"
 #include "Request/AdmissionTimeouts.h"
 #include "Request/BackendRegistry.h"
@@ -32,6 +33,7 @@
     HttpClientPool &pool;
     BackendRegistry &registry;
     CrashDetector &crashes;
+    PoisonGuard &poison;
     RetryQuota retryQuota;
     std::map<std::string, RetryTokenBucket> retryBuckets;
     std::string failureDomain;
--- a/Source/Programs/Gateway/GatewayDirectory.cpp
+++ b/Source/Programs/Gateway/GatewayDirectory.cpp
@@ -17,17 +17,15 @@
 constexpr seconds directoryReadInterval{2};
 /// Maximum backoff after failed reads. It is long because the list of gateways rarely changes.
 constexpr seconds directoryMaxBackoff{5};
-/// Backoff between two writes of this gateway's entry, doubled up to the maximum.
-constexpr milliseconds initialWriteBackoff{1000};
-constexpr milliseconds maxWriteBackoff{8000};
 
 } // namespace
 
 GatewayDirectory::GatewayDirectory(EventLoop &loop, HttpClientPool &pool, EventLog &log,
                                    Metrics &metrics, const Endpoint &store, std::string self,
-                                   const Endpoint &address)
-    : pool_(pool), log_(log), store_(store), self_(std::move(self)), address_(address),
-      writeBackoff_(initialWriteBackoff),
+                                   const Endpoint &address,
+                                   std::function<void(const Endpoint &)> introduce)
+    : log_(log), self_(std::move(self)), address_(address), introduce_(std::move(introduce)),
+      appender_(pool, store, platform::gatewaysTopic),
       watch_(loop, pool, log, metrics, store,
              WatchPlan{"gateways", platform::gatewaysTopic, directoryReadWait,
                        directoryReadInterval, directoryMaxBackoff},
@@ -46,6 +44,16 @@
     return own != gateways_.end() && own->second.address == address_;
 }
 
+std::vector<Endpoint> GatewayDirectory::peers() const
+{
+    std::vector<Endpoint> peers;
+    for (const auto &[name, gateway] : gateways_) {
+        if (name != self_)
+            peers.push_back(gateway.address);
+    }
+    return peers;
+}
+
 void GatewayDirectory::apply(const platform::KeyedRecord &record)
 {
     if (record.value.empty()) {
@@ -59,11 +67,24 @@
         gateways_.erase(record.key);
         return;
     }
-    PeerGateway &gateway = gateways_[record.key];
-    if (gateway.address == address.value())
+    put(record.key, address.value());
+}
+
+void GatewayDirectory::put(const std::string &name, const Endpoint &address)
+{
+    PeerGateway &gateway = gateways_[name];
+    if (gateway.address == address)
         return;
-    gateway = {.address = address.value()};
-    log_.info("gateway.entry", {{"gateway", record.key}, {"address", record.value}});
+    gateway = {.address = address};
+    log_.info("gateway.entry", {{"gateway", name}, {"address", toText(address)}});
+    if (name != self_)
+        introduce_(address);
+}
+
+void GatewayDirectory::notePresence(const std::string &name, const Endpoint &address)
+{
+    if (name != self_)
+        put(name, address);
 }
 
 void GatewayDirectory::applyAll(const std::vector<platform::KeyedRecord> &records)
@@ -75,50 +96,26 @@
     for (const platform::KeyedRecord &record : records)
         apply(record);
     snapshotReceived_ = true;
+    writeIfMissing(monotonicNow());
 }
 
 void GatewayDirectory::checkTimeouts(TimePoint now)
 {
     watch_.checkTimeouts(now);
-    if (call_ && now - callBegunAt_ >= storeAnswerTimeout) {
-        call_.reset();
-        log_.warn("gateway.not_listed", {{"reason", "no answer in time"}});
-    }
-    if (!call_ && snapshotReceived_ && !isListed() && now >= nextWriteAt_)
-        write(now);
-}
-
-void GatewayDirectory::write(TimePoint now)
-{
-    nextWriteAt_ = now + writeBackoff_;
-    writeBackoff_ = std::min(maxWriteBackoff, writeBackoff_ * 2);
-    callBegunAt_ = now;
-    response_ = {};
-    CallEvents events{.accept = {},
-                      .head = [this](const HttpResponseHead &head) { response_.head = head; },
-                      .body = [](std::string_view) {},
-                      .complete =
-                          [this] {
-                              call_.reset();
-                              handleWriteReply();
-                          },
-                      .failed =
-                          [this](const CallFailure &failure) {
-                              call_.reset();
-                              log_.warn("gateway.not_listed", {{"reason", failure.reason}});
-                          }};
-    call_ = pool_.call(store_,
-                       platform::appendRequest(platform::gatewaysTopic, self_, toText(address_)),
-                       ConnectionUse::Fresh, std::move(events), now);
+    appender_.checkTimeouts(now);
+    writeIfMissing(now);
 }
 
-void GatewayDirectory::handleWriteReply()
+void GatewayDirectory::writeIfMissing(TimePoint now)
 {
-    const auto appended = platform::decodeAppend(response_);
-    if (appended.has_error())
-        log_.warn("gateway.not_listed", {{"reason", appended.error().message}});
-    else
-        watch_.readSoon(monotonicNow());
+    if (!snapshotReceived_ || isListed() || !appender_.ready(now))
+        return;
+    appender_.append(self_, toText(address_), now, [this](const Result<void> &appended) {
+        if (appended.has_error())
+            log_.warn("gateway.not_listed", {{"reason", appended.error().message}});
+        else
+            watch_.readNow();
+    });
 }
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/GatewayMetrics.cpp
+++ b/Source/Programs/Gateway/GatewayMetrics.cpp
@@ -107,6 +107,22 @@
                   {{"what", what}, {"result", result}});
 }
 
+void countServerCrash(Metrics &metrics, const std::string &service)
+{
+    metrics.count("wisteria_server_crashes_total",
+                  "Crashes of backend servers that this gateway detected", {{"service", service}});
+}
+
+void setPoisonState(Metrics &metrics, std::size_t quarantinedRequests, std::size_t recentCrashes)
+{
+    metrics.set("wisteria_quarantined_requests",
+                "Requests that are refused because they crash backend servers",
+                static_cast<double>(quarantinedRequests));
+    metrics.set("wisteria_recent_crashes",
+                "Crashes of backend servers that may count against requests",
+                static_cast<double>(recentCrashes));
+}
+
 void setStoreAge(Metrics &metrics, const std::string &what, milliseconds sinceAnswer)
 {
     metrics.set("wisteria_store_age_seconds",
--- a/Source/Programs/Gateway/GatewayMetrics.h
+++ b/Source/Programs/Gateway/GatewayMetrics.h
@@ -76,6 +76,11 @@
 /// @param result "answered", "failed" or "history lost".
 void countStoreCall(Metrics &metrics, const std::string &what, const std::string &result);
 
+void countServerCrash(Metrics &metrics, const std::string &service);
+
+/// @param recentCrashes Crashes that may count against requests.
+void setPoisonState(Metrics &metrics, std::size_t quarantinedRequests, std::size_t recentCrashes);
+
 void setStoreAge(Metrics &metrics, const std::string &what, milliseconds sinceAnswer);
 void setSlots(Metrics &metrics, const ServiceSlots &slots);
 void setRetriesLeft(Metrics &metrics, const std::string &service, double retries);
--- /dev/null
+++ b/Source/Programs/Gateway/PoisonProtection.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+
+#include "Connection/DatagramSocket.h"
+#include "Programs/Gateway/CrashDetector.h"
+#include "Programs/Gateway/GatewayDirectory.h"
+#include "Programs/Gateway/PoisonGuard.h"
+#include "Programs/Gateway/QuarantineRecords.h"
+
+namespace wisteria {
+
+/// All parts of a gateway that protect backend servers from poison requests, connected with each
+/// other, the other gateways and the platform's store.
+class PoisonProtection
+{
+public:
+    /// @param changed Called when waiting requests may be sent or have to be refused.
+    PoisonProtection(EventLoop &loop, EventLog &log, Metrics &metrics,
+                     const BackendRegistry &registry, std::function<void()> changed);
+    ~PoisonProtection();
+    PoisonProtection(const PoisonProtection &) = delete;
+    PoisonProtection &operator=(const PoisonProtection &) = delete;
+
+    CrashDetector &crashes() { return detector_; }
+    PoisonGuard &guard() { return guard_; }
+
+    /// Connects the parts to the other gateways and to the store, before the event loop runs.
+    void start(DatagramSocket &socket, GatewayDirectory &directory, HttpClientPool &pool,
+               const Endpoint &store);
+
+    /// Applies messages of other gateways.
+    void receive(const CrashReport &report, TimePoint now);
+    void receive(const CompletionReport &report, TimePoint now);
+
+    void checkTimeouts(TimePoint now);
+
+private:
+    PoisonGuardLinks links();
+    void noteCrash(const ServerCrash &crash);
+    void send(const Endpoint &to, const GroupMessage &message);
+    void sendToOne(const GroupMessage &message);
+    void keepQuarantine(const RequestFingerprint &request, std::uint32_t crashes, bool foundHere);
+
+    EventLoop &loop_;
+    EventLog &log_;
+    Metrics &metrics_;
+    std::function<void()> changed_;
+    CrashDetector detector_;
+    PoisonGuard guard_;
+    /// Null until start().
+    DatagramSocket *socket_ = nullptr;
+    GatewayDirectory *directory_ = nullptr;
+    std::unique_ptr<QuarantineRecords> records_;
+    std::mt19937_64 random_{std::random_device{}()};
+};
+
+} // namespace wisteria
--- a/Source/Programs/Gateway/RequestEndLog.cpp
+++ b/Source/Programs/Gateway/RequestEndLog.cpp
@@ -27,6 +27,8 @@
                         {"config", line.configurationVersion},
                         {"tried", line.tried},
                         {"took_s", secondsOf(end.duration)}};
+    if (!line.fingerprint.empty())
+        fields["fingerprint"] = line.fingerprint;
     if (end.firstEvent)
         fields["first_event_s"] = secondsOf(*end.firstEvent);
     if (end.longestPause)
--- a/Source/Programs/Gateway/RequestEndLog.h
+++ b/Source/Programs/Gateway/RequestEndLog.h
@@ -19,6 +19,8 @@
     std::uint32_t priority = 0;
     /// Ids of the backend servers that it was sent to.
     std::vector<std::string> tried{};
+    /// Fingerprint of the request; empty if it does not matter for its end.
+    std::string fingerprint{};
 };
 
 /// Returns why a request without a backend server is refused, for its log line and metrics.
--- /dev/null
+++ b/Source/Programs/Gateway/RequestSuspicion.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "Programs/Gateway/CrashDetector.h"
+#include "Programs/Gateway/PoisonGuard.h"
+
+namespace wisteria {
+
+/// One request as the protection against poison requests sees it.
+class RequestSuspicion
+{
+public:
+    /// @param request Must outlive this object.
+    RequestSuspicion(CrashDetector &crashes, PoisonGuard &poison, const GatewayRequest &request,
+                     std::string organisation);
+    ~RequestSuspicion();
+    RequestSuspicion(const RequestSuspicion &) = delete;
+    RequestSuspicion &operator=(const RequestSuspicion &) = delete;
+
+    const RequestFingerprint &fingerprint();
+    /// Text of the fingerprint; empty if there was no need to compute it.
+    std::string fingerprintIfKnown() const;
+    /// How suspect the request is. Computes its fingerprint only if any request is suspect.
+    Suspicion level(TimePoint now);
+    /// When the request may be sent as far as other copies of it are concerned.
+    TimePoint mayRunAt(TimePoint now);
+    /// See BackendCriteria::suspectHash.
+    std::optional<std::uint64_t> hashIfSuspect(TimePoint now);
+
+    /// Records that the request is sent, and that the send has ended.
+    void beginRun(TimePoint now);
+    void endRun();
+
+    /// Records that the connection of a send ended.
+    /// @param checked Called when it is known whether the server crashed, unless this object is
+    /// destroyed before.
+    void noteConnectionEnded(const std::string &server, TimePoint now,
+                             std::function<void()> checked);
+    /// Records that the gateway gives up a send, so that a crash right after it can be traced.
+    void noteGivenUp(const std::string &server, TimePoint now);
+    /// Records that a backend server ran the request to its end.
+    void noteCompleted(TimePoint now);
+    /// Records that the request is refused because it is quarantined.
+    void noteRefused(TimePoint now);
+
+private:
+    CrashDetector &crashes_;
+    PoisonGuard &poison_;
+    const GatewayRequest &request_;
+    std::string organisation_;
+    std::optional<RequestFingerprint> fingerprint_;
+    /// The current send counts as a run of a suspect request.
+    bool suspectRun_ = false;
+    /// Cleared by the destructor, for callbacks that may come later.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace wisteria
--- a/Source/Programs/Gateway/StoreWatch.cpp
+++ b/Source/Programs/Gateway/StoreWatch.cpp
@@ -157,6 +157,12 @@
         scheduleRead(delayBeforeRead(now));
 }
 
+void StoreWatch::readNow()
+{
+    if (!call_)
+        scheduleRead(milliseconds(0));
+}
+
 void StoreWatch::succeeded()
 {
     if (failures_ > 0) {
--- a/Source/Programs/Gateway/StoreWatch.h
+++ b/Source/Programs/Gateway/StoreWatch.h
@@ -57,6 +57,9 @@
     /// to each other cause one read. After a failed read, the backoff still applies.
     void readSoon(TimePoint now);
 
+    /// Reads the topic at once if no read is under way. Only for rare events.
+    void readNow();
+
     /// Ends a call that has timed out.
     void checkTimeouts(TimePoint now);
 
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -371,6 +371,9 @@
     void apply(const Endpoint &, const PermitRequestMessage &) { }
 
     void apply(const Endpoint &, const PermitReplyMessage &) { }
+    void apply(const Endpoint &, const CrashReport &) { }
+    void apply(const Endpoint &, const CompletionReport &) { }
+    void apply(const Endpoint &, const GatewayPresence &) { }
 
     void apply(const Endpoint &from, const RankPoll &poll)
     {
--- a/Source/Request/BackendRanking.cpp
+++ b/Source/Request/BackendRanking.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <boost/container_hash/hash.hpp>
+
 namespace wisteria {
 
 namespace {
@@ -74,6 +76,27 @@
     return suitable[std::min(index, suitable.size() - 1)];
 }
 
+const RankedBackend *designatedOf(const std::vector<RankedBackend> &candidates, std::uint64_t hash,
+                                  double maxLoad)
+{
+    const RankedBackend *designated = nullptr;
+    std::size_t highest = 0;
+    for (const RankedBackend &candidate : candidates) {
+        if (!candidate.hasSlot(maxLoad))
+            continue;
+        std::size_t score = 0;
+        boost::hash_combine(score, hash);
+        boost::hash_combine(score, candidate.state->entry.id);
+        const bool better = designated == nullptr
+            || (candidate.avoided == designated->avoided ? score > highest : !candidate.avoided);
+        if (!better)
+            continue;
+        designated = &candidate;
+        highest = score;
+    }
+    return designated;
+}
+
 const RankedBackend *bestOf(const std::vector<RankedBackend> &candidates, double randomUnit)
 {
     if (candidates.empty())
--- a/Source/Request/BackendRanking.h
+++ b/Source/Request/BackendRanking.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <vector>
 
 #include "Process/Time.h"
@@ -48,6 +49,12 @@
                                         double maxLoad, TimePoint now, milliseconds loadLifetime,
                                         double randomUnit);
 
+/// Returns the candidate with a slot that rendezvous hashing gives a request, or null when none has
+/// a slot. Gateways that know the same servers with slots choose the same one. Avoided servers are
+/// chosen only if all are.
+const RankedBackend *designatedOf(const std::vector<RankedBackend> &candidates, std::uint64_t hash,
+                                  double maxLoad);
+
 /// Returns the best candidate, or null when there is none. The search begins at a random index, so
 /// that equal candidates share the work.
 /// @param randomUnit Uniform random number in [0, 1).
--- a/Source/Request/BackendRegistry.cpp
+++ b/Source/Request/BackendRegistry.cpp
@@ -389,7 +389,9 @@
     std::erase_if(atLimit, [&criteria](const RankedBackend &candidate) {
         return !candidate.hasSlot(criteria.maxLoad);
     });
-    const RankedBackend *best = bestOf(candidates.eligible, randomUnit);
+    const RankedBackend *best = criteria.suspectHash
+        ? designatedOf(candidates.eligible, *criteria.suspectHash, criteria.maxLoad)
+        : bestOf(candidates.eligible, randomUnit);
     bool found = best != nullptr && best->hasSlot(criteria.maxLoad);
     if (!found && criteria.mayExceedFreeShare) {
         const RankedBackend *beyondShare = anyBeyondFreeShare(
--- a/Source/Request/BackendRegistry.h
+++ b/Source/Request/BackendRegistry.h
@@ -218,6 +218,9 @@
     /// Failure domain of the gateway. Servers in it are preferred, which saves traffic between
     /// domains.
     std::string failureDomain;
+    /// Hash of a request that may crash backend servers; nothing for others. All gateways choose
+    /// the same server for the same hash, so that copies that they send at once crash one server.
+    std::optional<std::uint64_t> suspectHash{};
 };
 
 /// Why no backend server was chosen. Without a candidate, the first that applies of NotOpen,
--- a/Source/Request/RequestFingerprint.cpp
+++ b/Source/Request/RequestFingerprint.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <memory>
 
+#include <boost/endian/conversion.hpp>
 #include <openssl/evp.h>
 
 namespace wisteria {
@@ -62,6 +63,11 @@
     return hash.finish();
 }
 
+std::uint64_t hashOf(const RequestFingerprint &fingerprint)
+{
+    return boost::endian::load_little_u64(fingerprint.bytes.data());
+}
+
 std::string toText(const RequestFingerprint &fingerprint)
 {
     constexpr const char *digits = "0123456789abcdef";
--- a/Source/Request/RequestFingerprint.h
+++ b/Source/Request/RequestFingerprint.h
@@ -28,6 +28,9 @@
 /// @param organisation Name of the caller's organisation; empty if the route needs no API key.
 RequestFingerprint fingerprintOf(const GatewayRequest &request, std::string_view organisation);
 
+/// Returns a hash of the fingerprint, the same in all gateways.
+std::uint64_t hashOf(const RequestFingerprint &fingerprint);
+
 /// Formats the fingerprint as 32 hexadecimal digits.
 std::string toText(const RequestFingerprint &fingerprint);
 
--- /dev/null
+++ b/Source/Version/CrashMessages.cpp
@@ -0,0 +1,68 @@
+#include "Version/CrashMessages.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace wisteria {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// All fingerprints in one string of bytes: as a list, each would take two bytes more.
+Json encodeFingerprints(const std::vector<FingerprintBytes> &fingerprints)
+{
+    std::vector<std::uint8_t> bytes;
+    for (const FingerprintBytes &fingerprint : fingerprints)
+        bytes.insert(bytes.end(), fingerprint.begin(), fingerprint.end());
+    return Json::binary(std::move(bytes));
+}
+
+std::vector<FingerprintBytes> decodeFingerprints(const Json &json)
+{
+    const Json::binary_t &bytes = json.get_binary();
+    constexpr std::size_t size = std::tuple_size_v<FingerprintBytes>;
+    if (bytes.size() % size != 0)
+        throw std::out_of_range("a fingerprint is truncated");
+    std::vector<FingerprintBytes> fingerprints(bytes.size() / size);
+    for (std::size_t i = 0; i < fingerprints.size(); ++i)
+        std::copy_n(bytes.begin() + static_cast<std::ptrdiff_t>(i * size), size,
+                    fingerprints[i].begin());
+    return fingerprints;
+}
+
+} // namespace
+
+void appendFields(Json &message, const CrashReport &report)
+{
+    message.push_back(report.server);
+    message.push_back(report.startedAt);
+    message.push_back(report.service);
+    message.push_back(report.servers);
+    message.push_back(report.ageMilliseconds);
+    message.push_back(encodeFingerprints(report.running));
+}
+
+void appendFields(Json &message, const CompletionReport &report)
+{
+    message.push_back(report.ageMilliseconds);
+    message.push_back(encodeFingerprints(report.requests));
+}
+
+CrashReport decodeCrashReport(const Json &message)
+{
+    return {.server = message.at(1).get<std::string>(),
+            .startedAt = message.at(2).get<std::uint64_t>(),
+            .service = message.at(3).get<std::string>(),
+            .servers = message.at(4).get<std::uint32_t>(),
+            .ageMilliseconds = message.at(5).get<std::uint32_t>(),
+            .running = decodeFingerprints(message.at(6))};
+}
+
+CompletionReport decodeCompletionReport(const Json &message)
+{
+    return {.ageMilliseconds = message.at(1).get<std::uint32_t>(),
+            .requests = decodeFingerprints(message.at(2))};
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Version/CrashMessages.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace wisteria {
+
+/// Bytes of a request's fingerprint.
+using FingerprintBytes = std::array<std::uint8_t, 16>;
+
+/// Report of a gateway to another one about the crash of a backend server.
+struct CrashReport
+{
+    std::string server;
+    /// Start time of the crashed process; 0 when unknown.
+    std::uint64_t startedAt = 0;
+    std::string service;
+    /// Backend servers of the service, the crashed one included.
+    std::uint32_t servers = 1;
+    /// Time since the crash.
+    std::uint32_t ageMilliseconds = 0;
+    /// Requests that were in flight there.
+    std::vector<FingerprintBytes> running;
+};
+
+/// Report of a gateway to another one that backend servers completed requests, so that earlier
+/// crashes do not count against them.
+struct CompletionReport
+{
+    /// Time since the completions.
+    std::uint32_t ageMilliseconds = 0;
+    std::vector<FingerprintBytes> requests;
+};
+
+/// Encode a message's fields after its kind, and decode them. Decoding throws an exception derived
+/// from std::exception for fields that are missing or have another type.
+void appendFields(nlohmann::json &message, const CrashReport &report);
+void appendFields(nlohmann::json &message, const CompletionReport &report);
+CrashReport decodeCrashReport(const nlohmann::json &message);
+CompletionReport decodeCompletionReport(const nlohmann::json &message);
+
+} // namespace wisteria
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -26,7 +26,10 @@
     Hello = 9,
     ListRequest = 10,
     PermitRequest = 11,
-    PermitReply = 12
+    PermitReply = 12,
+    CrashReport = 13,
+    CompletionReport = 14,
+    GatewayPresence = 15
 };
 
 Json encode(const Endpoint &endpoint)
@@ -350,6 +353,25 @@
             .ageMilliseconds = json.at(6).get<std::uint32_t>()};
 }
 
+Json encode(const CrashReport &report)
+{
+    Json json = Json::array({MessageKind::CrashReport});
+    appendFields(json, report);
+    return json;
+}
+
+Json encode(const GatewayPresence &presence)
+{
+    return Json::array({MessageKind::GatewayPresence, presence.gateway});
+}
+
+Json encode(const CompletionReport &report)
+{
+    Json json = Json::array({MessageKind::CompletionReport});
+    appendFields(json, report);
+    return json;
+}
+
 /// An earlier version sends neither the group nor the rank.
 RankPoll decodePoll(const Json &json)
 {
@@ -388,6 +410,12 @@
         return decodePermitRequest(json);
     case MessageKind::PermitReply:
         return decodePermitReply(json);
+    case MessageKind::CrashReport:
+        return decodeCrashReport(json);
+    case MessageKind::CompletionReport:
+        return decodeCompletionReport(json);
+    case MessageKind::GatewayPresence:
+        return GatewayPresence{.gateway = json.at(1).get<std::string>()};
     }
     throw std::out_of_range("unknown kind of message");
 }
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -11,6 +11,7 @@
 #include "Process/Endpoint.h"
 #include "Process/Error.h"
 #include "Process/Time.h"
+#include "Version/CrashMessages.h"
 #include "Version/RankReport.h"
 
 namespace wisteria {
@@ -213,6 +214,13 @@
     std::uint32_t ageMilliseconds = 0;
 };
 
+/// Tells another gateway that the sender exists, and its address is where the message comes from.
+struct GatewayPresence
+{
+    /// Name of the sender's VM.
+    std::string gateway;
+};
+
 /// Returns the initial map of a group, version 0: experts are assigned to ranks round-robin. Spare
 /// slots stay empty, unlike in initialLayerMap().
 RankMap firstRankMap(const ExpertProfile &profile, std::size_t ranks);
@@ -224,9 +232,10 @@
 /// @return BadInput when a change names a set or rank that is not in the map.
 Result<RankMap> applyChanges(RankMap map, const std::vector<RankMapChange> &changes);
 
-using GroupMessage = std::variant<GatewayHello, EngineListRequest, EngineList, EngineLoad, RankPoll,
-                                  RankStatus, RankCommand, RelayedMessage, CountsPoll, CountsReply,
-                                  PermitRequestMessage, PermitReplyMessage>;
+using GroupMessage =
+    std::variant<GatewayHello, EngineListRequest, EngineList, EngineLoad, RankPoll, RankStatus,
+                 RankCommand, RelayedMessage, CountsPoll, CountsReply, PermitRequestMessage,
+                 PermitReplyMessage, CrashReport, CompletionReport, GatewayPresence>;
 
 /// Returns the message as MessagePack bytes.
 std::string encodeMessage(const GroupMessage &message);
--- /dev/null
+++ b/Tests/Gateway/CrashEvidenceTest.cpp
@@ -0,0 +1,228 @@
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "Request/CrashEvidence.h"
+
+using namespace wisteria;
+
+namespace {
+
+constexpr TimePoint start{seconds(100)};
+constexpr std::uint32_t serverCount = 12;
+
+RequestFingerprint request(std::uint8_t number)
+{
+    RequestFingerprint fingerprint;
+    fingerprint.bytes[0] = number;
+    return fingerprint;
+}
+
+/// Crashes of a service's servers in virtual time.
+struct Crashes
+{
+    /// A server crashes; some requests are in flight there.
+    void crash(const std::string &server, milliseconds at, std::vector<RequestFingerprint> running)
+    {
+        noteCrash(evidence,
+                  {.server = server,
+                   .startedAt = ++lastStart,
+                   .service = "s",
+                   .at = start + at,
+                   .servers = serverCount,
+                   .running = std::move(running)},
+                  start + at);
+        for (const RequestFingerprint &found : newPoisonRequests(evidence, start + at))
+            quarantine(evidence, found, start + at + quarantineTime);
+    }
+
+    Suspicion of(const RequestFingerprint &asked, milliseconds at) const
+    {
+        return suspicionOf(evidence, asked, start + at);
+    }
+
+    CrashEvidence evidence;
+    std::uint64_t lastStart = 0;
+};
+
+const RequestFingerprint poison = request(1);
+const RequestFingerprint innocent = request(2);
+
+} // namespace
+
+// Guards against a poison request that goes on after three crashes, and the requests beside it.
+TEST_CASE("A request in flight at three crashes in a row is quarantined, those beside it are not")
+{
+    Crashes crashes;
+    crashes.crash("a", milliseconds(0), {poison, innocent});
+    REQUIRE(crashes.of(poison, milliseconds(1)) == Suspicion::Suspect);
+    REQUIRE(crashes.of(innocent, milliseconds(1)) == Suspicion::Suspect);
+    crashes.crash("b", milliseconds(1000), {poison, innocent});
+    REQUIRE(crashes.of(poison, milliseconds(1001)) == Suspicion::RepeatedSuspect);
+    crashes.crash("c", milliseconds(2000), {poison, request(3)});
+    REQUIRE(crashes.of(poison, milliseconds(2001)) == Suspicion::Quarantined);
+    REQUIRE(crashes.of(innocent, milliseconds(2001)) == Suspicion::RepeatedSuspect);
+    REQUIRE(crashes.of(request(4), milliseconds(2001)) == Suspicion::None);
+}
+
+// Guards against a popular request that is refused because it is in flight everywhere.
+TEST_CASE(
+    "A complete run clears a request of the crashes before it, also if their reports are late")
+{
+    Crashes crashes;
+    for (int i = 0; i < 8; ++i) {
+        crashes.crash("s" + std::to_string(i), milliseconds(1000 * i), {innocent, poison});
+        noteCompletion(crashes.evidence, innocent, start + milliseconds(1000 * i + 50),
+                       start + milliseconds(1000 * i + 50));
+        REQUIRE(crashes.of(innocent, milliseconds(1000 * i + 60)) == Suspicion::None);
+    }
+    REQUIRE(crashes.of(poison, milliseconds(7060)) == Suspicion::Quarantined);
+    crashes.crash("late", milliseconds(6990), {innocent});
+    REQUIRE(crashes.of(innocent, milliseconds(7060)) == Suspicion::None);
+    noteCompletion(crashes.evidence, poison, start + seconds(8), start + seconds(8));
+    REQUIRE(crashes.of(poison, milliseconds(8001)) == Suspicion::None);
+}
+
+// Guards against requests that are refused because all servers lost power at once, again and again.
+TEST_CASE("Crashes of all servers at once do not count against the requests in flight there")
+{
+    Crashes crashes;
+    for (int loss = 0; loss < 6; ++loss) {
+        for (std::uint32_t i = 0; i < serverCount; ++i) {
+            crashes.crash("s" + std::to_string(i), milliseconds(3000 * loss + i),
+                          {request(static_cast<std::uint8_t>(10 + i))});
+        }
+    }
+    for (std::uint32_t i = 0; i < serverCount; ++i)
+        REQUIRE(crashes.of(request(static_cast<std::uint8_t>(10 + i)), seconds(16))
+                == Suspicion::None);
+}
+
+// Guards against the same when most servers were idle and are found down only later.
+TEST_CASE("Servers that are found down show that a crash was one of many")
+{
+    Crashes crashes;
+    for (int loss = 0; loss < 6; ++loss) {
+        crashes.crash("busy", milliseconds(3000 * loss), {innocent});
+        for (std::uint32_t i = 1; i < serverCount; ++i)
+            crashes.crash("s" + std::to_string(i), milliseconds(3000 * loss + 100 * i), {});
+    }
+    REQUIRE(crashes.of(innocent, seconds(17)) == Suspicion::None);
+}
+
+// Guards against two poison requests whose crashes hide each other.
+TEST_CASE("Poison requests that crash servers by turns or at once are quarantined all the same")
+{
+    const auto [distance, maxCrashes] =
+        GENERATE(table<int, int>({{150, 4}, {0, 4}, {60, 4}, {1000, 4}}));
+    CAPTURE(distance);
+    const RequestFingerprint other = request(9);
+    Crashes crashes;
+    int first = 0;
+    int second = 0;
+    for (int round = 0; round < 8; ++round) {
+        const milliseconds at(2000 * round);
+        const std::string name = std::to_string(round);
+        if (crashes.of(poison, at) != Suspicion::Quarantined) {
+            crashes.crash("a" + name, at, {poison, request(static_cast<std::uint8_t>(20 + round))});
+            ++first;
+        }
+        if (crashes.of(other, at + milliseconds(distance)) != Suspicion::Quarantined) {
+            crashes.crash("b" + name, at + milliseconds(distance), {other});
+            ++second;
+        }
+    }
+    REQUIRE(first <= maxCrashes);
+    REQUIRE(second <= maxCrashes);
+}
+
+// Guards against requests that are refused after coincidences while something else crashes servers.
+TEST_CASE("While servers crash for another reason, three crashes do not suffice")
+{
+    Crashes crashes;
+    crashes.crash("x", milliseconds(0), {request(3)});
+    for (int i = 1; i <= 4; ++i) {
+        crashes.crash("s" + std::to_string(i), milliseconds(1000 * i), {innocent});
+        REQUIRE(crashes.of(innocent, milliseconds(1000 * i + 1)) != Suspicion::Quarantined);
+    }
+    crashes.crash("s5", seconds(5), {innocent});
+    REQUIRE(crashes.of(innocent, milliseconds(5001)) == Suspicion::Quarantined);
+}
+
+// Guards against one crash that counts as several because several gateways report it, or twice.
+TEST_CASE("Reports about one crash are merged in any order")
+{
+    CrashEvidence evidence;
+    const ServerCrash seen{.server = "a",
+                           .startedAt = 1,
+                           .service = "s",
+                           .at = start,
+                           .servers = serverCount,
+                           .running = {poison}};
+    ServerCrash reported = seen;
+    reported.at = start + milliseconds(40);
+    reported.running = {innocent};
+    REQUIRE(noteCrash(evidence, reported, start));
+    REQUIRE_FALSE(noteCrash(evidence, seen, start));
+    REQUIRE_FALSE(noteCrash(evidence, reported, start));
+    REQUIRE(crashRecordOf(evidence, poison, start).crashes == 1);
+    REQUIRE(crashRecordOf(evidence, innocent, start).crashes == 1);
+    ServerCrash next = seen;
+    next.startedAt = 2;
+    REQUIRE(noteCrash(evidence, next, start + milliseconds(500)));
+    REQUIRE(crashRecordOf(evidence, poison, start).crashes == 2);
+}
+
+// Guards against a caller that makes gateways forget a poison request by crashing with many others.
+TEST_CASE("Many other suspects do not push out the record of a repeated one")
+{
+    Crashes crashes;
+    crashes.crash("a", milliseconds(0), {poison});
+    crashes.crash("b", milliseconds(500), {poison});
+    for (std::uint32_t i = 0; i < 2 * maxCrashes; ++i) {
+        RequestFingerprint other;
+        other.bytes = {3, static_cast<std::uint8_t>(i), static_cast<std::uint8_t>(i >> 8)};
+        crashes.crash("o" + std::to_string(i), milliseconds(1000 + i), {other});
+    }
+    REQUIRE(crashes.evidence.crashes.size() <= maxCrashes);
+    REQUIRE(crashes.of(poison, seconds(4)) == Suspicion::RepeatedSuspect);
+}
+
+// Guards against requests that stay refused, or are forgotten while their caller goes on.
+TEST_CASE("A quarantine ends after its time, or by release, and forgets the crashes")
+{
+    Crashes crashes;
+    for (int i = 0; i < 3; ++i)
+        crashes.crash("s" + std::to_string(i), seconds(i), {poison});
+    const TimePoint end = start + seconds(2) + quarantineTime;
+    REQUIRE(removeExpired(crashes.evidence, end - seconds(1)).empty());
+    quarantine(crashes.evidence, poison, end + seconds(5));
+    REQUIRE(removeExpired(crashes.evidence, end + seconds(1)).empty());
+    REQUIRE(removeExpired(crashes.evidence, end + seconds(6)).size() == 1);
+    Crashes released;
+    for (int i = 0; i < 3; ++i)
+        released.crash("s" + std::to_string(i), seconds(i), {poison});
+    release(released.evidence, poison, start + seconds(3));
+    REQUIRE(released.of(poison, seconds(4)) == Suspicion::None);
+}
+
+// Guards against somebody else's request with the same text in other fields, and against repeats
+// that are not recognised.
+TEST_CASE("A fingerprint holds for a request's repeats and for no other request")
+{
+    GatewayRequest asked;
+    asked.method = "POST";
+    asked.target = "/a?b=1";
+    asked.host = "h";
+    asked.body = "text";
+    const RequestFingerprint first = fingerprintOf(asked, "acme");
+    asked.attemptId = "another";
+    asked.host = "H";
+    REQUIRE(fingerprintOf(asked, "acme") == first);
+    REQUIRE(fingerprintOf(asked, "other") != first);
+    REQUIRE(fingerprintFromText(toText(first)) == first);
+    REQUIRE_FALSE(fingerprintFromText("not a fingerprint"));
+    asked.target = "/a?b=";
+    asked.body = "1text";
+    REQUIRE(fingerprintOf(asked, "acme") != first);
+}
--- a/Tests/Gateway/ExchangeTest.cpp
+++ b/Tests/Gateway/ExchangeTest.cpp
@@ -79,6 +79,7 @@
     HttpClientPool pool{loop};
     BackendRegistry registry;
     CrashDetector crashes{loop, registry, [](const ServerCrash &) {}};
+    PoisonGuard poison{log, {}};
     StatusSink sink;
     int dispatchesSoon = 0;
     GatewayContext context{.loop = loop,
@@ -87,6 +88,7 @@
                            .pool = pool,
                            .registry = registry,
                            .crashes = crashes,
+                           .poison = poison,
                            .retryQuota = {.ratio = 1, .baseRetries = 100, .window = seconds(10)},
                            .retryBuckets = {},
                            .failureDomain = "a",
--- a/Tests/Gateway/MetricsTest.cpp
+++ b/Tests/Gateway/MetricsTest.cpp
@@ -103,6 +103,8 @@
     countSendEnd(metrics, "s", "answered");
     countRetry(metrics, "s", RetryCause::Moved);
     countStoreCall(metrics, "t", "answered");
+    countServerCrash(metrics, "s");
+    setPoisonState(metrics, 1, 1);
     setStoreAge(metrics, "t", milliseconds(1));
     setSlots(metrics, {.service = "s"});
     setRetriesLeft(metrics, "s", 1);
