--- a/Source/Programs/Sidecar/CountsCollector.cpp
+++ b/Source/Programs/Sidecar/CountsCollector.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Process/Time.h"
+#include "Version/CountsEncoding.h"
 #include "Version/DemandPlacement.h"
 
 namespace wisteria {
--- a/Source/Programs/Sidecar/GroupLeader.cpp
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Programs/Sidecar/SidecarMetrics.h"
+#include "Version/CountsEncoding.h"
 #include "Version/GroupDemand.h"
 #include "Version/GroupQueries.h"
 
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -109,10 +109,6 @@
     std::vector<std::uint64_t> counts{};
 };
 
-/// Returns the bytes that this many counts take in a message. The other fields of the message add
-/// few bytes and are left out.
-std::size_t encodedCountsBytes(std::size_t counts);
-
 /// A status that arrives longer than this after another one is not a delayed older one, even if its
 /// read time is earlier: the clock starts again when the VM boots.
 constexpr milliseconds maxReorderingDelay{1000};
