An operator's removal of a quarantine is not undone by an extension under way

What an operator saw: the record of a quarantined request removed, and the request refused again for an hour. Cause: a gateway that refuses the request extends the record when half of its time is over; an extension that was decided before the removal was read was written after it. Change: records are written only if the log still ends where the gateway has read to; otherwise it reads first, and the removal withdraws the extension. One function of the exchange writes its own answers.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -395,13 +395,11 @@
         sink_.abort();
         return;
     case RetryDecision::TimeOut:
-        finish(504, "out of time", now);
-        sink_.answer(504, platform::ownAnswerFields(request_.attemptId, milliseconds(0)), "");
+        answerItself({.status = 504, .reason = "out of time"}, now);
         return;
     case RetryDecision::Fail:
     case RetryDecision::Retry:
-        finish(502, "the outcome is unknown", now);
-        sink_.answer(502, platform::ownAnswerFields(request_.attemptId, milliseconds(0)), "");
+        answerItself({.status = 502, .reason = "the outcome is unknown"}, now);
         return;
     }
 }
@@ -523,9 +521,8 @@
 void Exchange::refuseQuarantined(TimePoint now)
 {
     suspicion_.noteRefused(now);
-    finish(400, "it crashes backend servers", now);
-    sink_.answer(400, platform::ownAnswerFields(request_.attemptId, milliseconds(0)),
-                 quarantineText);
+    answerItself({.status = 400, .reason = "it crashes backend servers", .body = quarantineText},
+                 now);
 }
 
 /// Records that this gateway gives up a send, so that a crash right after it can be traced.
@@ -559,8 +556,14 @@
         retryAfter = retryAfterAtLimit(context_.retryAfterPolicy, admission_.step(), sinceProgress,
                                        context_.randomUnit());
     }
-    finish(503, reason, now);
-    sink_.answer(503, platform::ownAnswerFields(request_.attemptId, retryAfter), "");
+    answerItself({.status = 503, .reason = reason, .retryAfter = retryAfter}, now);
+}
+
+void Exchange::answerItself(const OwnAnswer &answer, TimePoint now)
+{
+    finish(answer.status, answer.reason, now);
+    sink_.answer(answer.status, platform::ownAnswerFields(request_.attemptId, answer.retryAfter),
+                 answer.body);
 }
 
 void Exchange::finish(int status, const char *reason, TimePoint now)
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -69,6 +69,16 @@
     const std::string &service() const { return service_; }
 
 private:
+    /// An answer of the gateway instead of a backend server's.
+    struct OwnAnswer
+    {
+        int status = 0;
+        /// For the log line and metrics.
+        const char *reason = "";
+        milliseconds retryAfter{0};
+        const char *body = "";
+    };
+
     milliseconds timeLeft(TimePoint now) const { return remaining(now, deadline_); }
     bool shouldWait(const BackendChoice &choice, TimePoint now) const;
     TimePoint waitTimeout(NoBackendReason reason) const;
@@ -96,6 +106,7 @@
     BackendChoice chooseNext(double maxLoad, TimePoint now);
     BackendState *currentBackend();
     void refuse(const char *reason, const BackendChoice &choice, TimePoint now);
+    void answerItself(const OwnAnswer &answer, TimePoint now);
     void finish(int status, const char *reason, TimePoint now);
     RequestEnd endOf(int status, const char *reason, TimePoint now) const;
 
--- a/Source/Programs/Gateway/GatewayDirectory.cpp
+++ b/Source/Programs/Gateway/GatewayDirectory.cpp
@@ -110,7 +110,7 @@
 {
     if (!snapshotReceived_ || isListed() || !appender_.ready(now))
         return;
-    appender_.append(self_, toText(address_), now, [this](const Result<void> &appended) {
+    appender_.append(self_, toText(address_), {}, now, [this](const Result<void> &appended) {
         if (appended.has_error())
             log_.warn("gateway.not_listed", {{"reason", appended.error().message}});
         else
--- a/Source/Programs/Gateway/QuarantineRecords.cpp
+++ b/Source/Programs/Gateway/QuarantineRecords.cpp
@@ -100,7 +100,7 @@
 {
     watch_.checkTimeouts(now);
     appender_.checkTimeouts(now);
-    if (unwritten_.empty() || !appender_.ready(now))
+    if (unwritten_.empty() || !appender_.ready(now) || !watch_.reportedUpTo())
         return;
     const auto due = std::find_if(unwritten_.begin(), unwritten_.end(), [now](const auto &change) {
         return change.second.notBefore <= now;
@@ -113,20 +113,28 @@
                               TimePoint now)
 {
     const std::string value = change.record ? platform::encodeQuarantine(*change.record) : "";
-    appender_.append(
-        toText(request), value, now,
-        [this, request, written = change.record](const Result<void> &appended) {
-            if (appended.has_error()) {
-                log_.warn("request.quarantine_not_written",
-                          {{"fingerprint", toText(request)}, {"reason", appended.error().message}});
-                return;
-            }
-            appender_.resetBackoff();
-            const auto own = unwritten_.find(request);
-            if (own != unwritten_.end() && own->second.record == written)
-                unwritten_.erase(own);
-            watch_.readSoon(monotonicNow());
-        });
+    // A record that an operator has just removed must not come back.
+    const auto at = watch_.reportedUpTo();
+    appender_.append(toText(request), value, at, now,
+                     [this, request, written = change.record](const Result<void> &appended) {
+                         finishWrite(request, written, appended);
+                     });
+}
+
+void QuarantineRecords::finishWrite(const RequestFingerprint &request,
+                                    const std::optional<platform::QuarantineRecord> &written,
+                                    const Result<void> &appended)
+{
+    watch_.readSoon(monotonicNow());
+    if (appended.has_error()) {
+        log_.warn("request.quarantine_not_written",
+                  {{"fingerprint", toText(request)}, {"reason", appended.error().message}});
+        return;
+    }
+    appender_.resetBackoff();
+    const auto own = unwritten_.find(request);
+    if (own != unwritten_.end() && own->second.record == written)
+        unwritten_.erase(own);
 }
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/QuarantineRecords.h
+++ b/Source/Programs/Gateway/QuarantineRecords.h
@@ -52,6 +52,9 @@
     };
 
     void write(const RequestFingerprint &request, const Change &change, TimePoint now);
+    void finishWrite(const RequestFingerprint &request,
+                     const std::optional<platform::QuarantineRecord> &written,
+                     const Result<void> &appended);
 
     EventLog &log_;
     QuarantineEvents events_;
--- a/Source/Programs/Gateway/StoreAppender.cpp
+++ b/Source/Programs/Gateway/StoreAppender.cpp
@@ -22,8 +22,8 @@
 
 StoreAppender::~StoreAppender() = default;
 
-void StoreAppender::append(const std::string &key, const std::string &value, TimePoint now,
-                           Done done)
+void StoreAppender::append(const std::string &key, const std::string &value,
+                           std::optional<std::uint64_t> at, TimePoint now, Done done)
 {
     nextAt_ = now + backoff_;
     backoff_ = std::min(maxBackoff, backoff_ * 2);
@@ -43,8 +43,8 @@
                               call_.reset();
                               done_(failure(ErrorKind::Unavailable, failed.reason));
                           }};
-    call_ = pool_.call(store_, platform::appendRequest(topic_, key, value), ConnectionUse::Fresh,
-                       std::move(events), now);
+    call_ = pool_.call(store_, platform::appendRequest(topic_, key, value, at),
+                       ConnectionUse::Fresh, std::move(events), now);
 }
 
 void StoreAppender::resetBackoff()
--- a/Source/Programs/Gateway/StoreAppender.h
+++ b/Source/Programs/Gateway/StoreAppender.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "Connection/HttpClientPool.h"
@@ -27,7 +28,9 @@
     /// Whether an append may begin now.
     bool ready(TimePoint now) const { return !call_ && now >= nextAt_; }
     /// Appends a record; an empty value removes the key. Call it only if ready().
-    void append(const std::string &key, const std::string &value, TimePoint now, Done done);
+    /// @param at See platform::appendRequest().
+    void append(const std::string &key, const std::string &value, std::optional<std::uint64_t> at,
+                TimePoint now, Done done);
     /// Starts with the shortest backoff again, after everything has been written.
     void resetBackoff();
     /// Ends an append that has timed out.
--- a/Source/Programs/Gateway/StoreWatch.h
+++ b/Source/Programs/Gateway/StoreWatch.h
@@ -63,6 +63,12 @@
     /// Ends a call that has timed out.
     void checkTimeouts(TimePoint now);
 
+    /// Offset after the last record that was reported; nothing before the first snapshot.
+    std::optional<std::uint64_t> reportedUpTo() const
+    {
+        return synced_ ? std::optional(nextOffset_) : std::nullopt;
+    }
+
     /// When the store last answered; empty before its first answer.
     std::optional<TimePoint> answeredAt() const { return answeredAt_; }
 
--- /dev/null
+++ b/Tests/Gateway/QuarantineTest.cpp
@@ -0,0 +1,99 @@
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "Gateway/GatewayUnderTest.h"
+#include "Request/RequestFingerprint.h"
+#include "Version/GroupMessages.h"
+#include "platform/StoreCodec.h"
+
+using namespace wisteria;
+using namespace wisteria::gateway_tests;
+
+namespace {
+
+/// Fingerprint of requestFor("/once/x", ...).
+std::string fingerprintText()
+{
+    GatewayRequest request;
+    request.method = "POST";
+    request.host = "h.example";
+    request.target = "/once/x";
+    return toText(fingerprintOf(request, "acme"));
+}
+
+std::string recordUntil(WallTime until)
+{
+    return platform::encodeQuarantine({.crashes = 3, .until = until});
+}
+
+constexpr const char *topic = platform::quarantineTopic;
+
+} // namespace
+
+// Guards against restarts that grant a poison request more crashes, and against a quarantine that
+// an operator cannot end.
+TEST_CASE("A gateway that starts refuses quarantined requests until their record is removed")
+{
+    ScriptedServer server([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 200, "done"));
+    });
+    GatewayUnderTest gateway;
+    gateway.store.append(topic, fingerprintText(), recordUntil(wallNow() + seconds(600)));
+    gateway.startWithBackend("i-1", "plain", server);
+    const CallResult refused = gateway.callUntil(requestFor("/once/x", "a1"), 400);
+    REQUIRE(refused.status == 400);
+    REQUIRE(refused.header("Retry-After").empty());
+    REQUIRE(refused.body.find("ask the operators") != std::string::npos);
+    REQUIRE(gateway.call(requestFor("/once/other", "a2")).status == 200);
+    REQUIRE(server.count("/once/x") == 0);
+    gateway.store.append(topic, fingerprintText(), "");
+    REQUIRE(gateway.callUntil(requestFor("/once/x", "a3"), 200).status == 200);
+}
+
+// Guards against records that refuse requests for ever or that nobody wrote.
+TEST_CASE("Expired and unreadable quarantine records refuse nothing")
+{
+    ScriptedServer server([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 200, "done"));
+    });
+    GatewayUnderTest gateway;
+    gateway.store.append(topic, fingerprintText(), recordUntil(wallNow() - seconds(1)));
+    gateway.store.append(topic, "not a fingerprint", "{}");
+    gateway.store.append(topic, std::string(32, 'a'), "no JSON");
+    gateway.startWithBackend("i-1", "plain", server);
+    REQUIRE(gateway.call(requestFor("/once/x", "a1")).status == 200);
+    REQUIRE(gateway.callUntil(requestFor("/once/x", "a2"), 200).status == 200);
+}
+
+TEST_CASE("Quarantine records survive encoding and decoding, and malformed ones are refused")
+{
+    const platform::QuarantineRecord record{.crashes = 3, .until = WallTime(milliseconds(1234))};
+    REQUIRE(platform::decodeQuarantine(platform::encodeQuarantine(record)).value() == record);
+    REQUIRE(platform::decodeQuarantine("{}").has_error());
+    REQUIRE(platform::decodeQuarantine("[1]").has_error());
+    REQUIRE(platform::decodeQuarantine(R"({"until_ms":"soon"})").has_error());
+}
+
+TEST_CASE("Messages about crashes survive encoding and decoding, and truncated ones are refused")
+{
+    const CrashReport report{.server = "i-1",
+                             .startedAt = 7,
+                             .service = "s",
+                             .servers = 12,
+                             .ageMilliseconds = 40,
+                             .running = {FingerprintBytes{1, 2}, FingerprintBytes{3}}};
+    const auto decoded = decodeMessage(encodeMessage(report)).value();
+    const auto &same = std::get<CrashReport>(decoded);
+    REQUIRE(same.server == report.server);
+    REQUIRE(same.startedAt == report.startedAt);
+    REQUIRE(same.servers == report.servers);
+    REQUIRE(same.ageMilliseconds == report.ageMilliseconds);
+    REQUIRE(same.running == report.running);
+    const CompletionReport completion{.ageMilliseconds = 5, .requests = {FingerprintBytes{9}}};
+    const auto completed = decodeMessage(encodeMessage(completion)).value();
+    REQUIRE(std::get<CompletionReport>(completed).requests == completion.requests);
+    std::string bytes = encodeMessage(completion);
+    bytes.pop_back();
+    REQUIRE(decodeMessage(bytes).has_error());
+}
--- a/Tests/Gateway/StoreStandIn.cpp
+++ b/Tests/Gateway/StoreStandIn.cpp
@@ -4,11 +4,13 @@
 
 namespace {
 
-std::string queryValue(const std::string &target, const std::string &name)
+std::string queryValue(const std::string &target, const std::string &name,
+                       const std::string &otherwise = "0")
 {
     const std::size_t at = target.find(name + "=");
     const std::size_t begin = at + name.size() + 1;
-    return at == std::string::npos ? "0" : target.substr(begin, target.find('&', begin) - begin);
+    return at == std::string::npos ? otherwise
+                                   : target.substr(begin, target.find('&', begin) - begin);
 }
 
 std::string bigEndian(std::uint64_t value, int size)
@@ -79,8 +81,8 @@
         return;
     }
     if (target.starts_with("/log-append")) {
-        appendRecord(topic, request.body);
-        peer.send(plainResponse(200, "", "{}"));
+        const bool appended = appendRecord(topic, request.body, queryValue(target, "at", ""));
+        peer.send(appended ? plainResponse(200, "", "{}") : plainResponse(412, "", ""));
         return;
     }
     const std::size_t from = std::stoul(queryValue(target, "from"));
@@ -89,12 +91,19 @@
         peer.send(read(topic, from));
 }
 
-void StoreStandIn::appendRecord(const std::string &topic, const std::string &record)
+bool StoreStandIn::appendRecord(const std::string &topic, const std::string &record,
+                                const std::string &at)
 {
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (!at.empty() && std::stoul(at) != logs_[topic].size())
+            return false;
+    }
     constexpr std::size_t lengthBytes = 4;
     const std::string content = record.substr(lengthBytes);
     const std::size_t keyBytes = static_cast<unsigned char>(content.at(0));
     append(topic, content.substr(1, keyBytes), content.substr(1 + keyBytes));
+    return true;
 }
 
 bool StoreStandIn::isDropped(const SeenRequest &request, bool silentAtArrival) const
--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -67,7 +67,9 @@
 
     void answer(const SeenRequest &request, ScriptPeer &peer);
     /// Appends a record in the format of a client's call.
-    void appendRecord(const std::string &topic, const std::string &record);
+    /// @param at Offset at which the log must end; empty for any.
+    /// @return Whether it ended there.
+    bool appendRecord(const std::string &topic, const std::string &record, const std::string &at);
     /// Whether a request that was held is left without an answer at the end of its wait.
     bool isDropped(const SeenRequest &request, bool silentAtArrival) const;
     void waitForRecord(const std::string &topic, std::size_t from, milliseconds wait);
