--- a/Source/Programs/Gateway/CrashDetector.cpp
+++ b/Source/Programs/Gateway/CrashDetector.cpp
@@ -138,10 +138,10 @@
         crash.running.push_back(send.request);
     }
     if (!crash.running.empty())
-        report(std::move(crash), now);
+        report(crash, now);
 }
 
-void CrashDetector::report(ServerCrash crash, TimePoint now)
+void CrashDetector::report(const ServerCrash &crash, TimePoint now)
 {
     crashedAt_[crash.server] = now;
     crashed_(crash);
--- a/Source/Programs/Gateway/CrashDetector.h
+++ b/Source/Programs/Gateway/CrashDetector.h
@@ -74,7 +74,7 @@
     BrokenServer *recordUnanswered(const UnansweredSend &send, TimePoint now);
     void finishProbe(const std::string &server, ProbeResult result, bool first);
     void confirm(const std::string &server, milliseconds within, TimePoint now);
-    void report(ServerCrash crash, TimePoint now);
+    void report(const ServerCrash &crash, TimePoint now);
     /// Returns the entry of a server that does not leave; otherwise null.
     const BackendEntry *stayingEntry(const std::string &server) const;
     std::uint32_t countServers(const std::string &service) const;
--- a/Tests/Gateway/CrashEvidenceTest.cpp
+++ b/Tests/Gateway/CrashEvidenceTest.cpp
@@ -113,7 +113,7 @@
 // Guards against two poison requests whose crashes hide each other.
 TEST_CASE("Poison requests that crash servers by turns or at once are quarantined all the same")
 {
-    const auto [distance, maxCrashes] =
+    const auto [distance, mostCrashes] =
         GENERATE(table<int, int>({{150, 4}, {0, 4}, {60, 4}, {1000, 4}}));
     CAPTURE(distance);
     const RequestFingerprint other = request(9);
@@ -132,8 +132,8 @@
             ++second;
         }
     }
-    REQUIRE(first <= maxCrashes);
-    REQUIRE(second <= maxCrashes);
+    REQUIRE(first <= mostCrashes);
+    REQUIRE(second <= mostCrashes);
 }
 
 // Guards against requests that are refused after coincidences while something else crashes servers.
