Tell the shared prompt parts of requests in flight at a crash

The lines could not tell whether crashes that come under requests no two alike have something in common: the field that lists the parts of a prompt was read nowhere. Now it is decoded (ids only; the last part is the request's own), backend.crashed lists the fingerprints of the parts in flight, request.send_failed those of its request with the ids, and reports between gateways carry them, in a field that earlier versions ignore. The fingerprint type serves requests and parts, so it loses the request in its name. No decision changes.

--- a/Source/Programs/Gateway/CrashDetector.h
+++ b/Source/Programs/Gateway/CrashDetector.h
@@ -17,7 +17,7 @@
 struct UnansweredSend
 {
     std::string server;
-    RequestFingerprint request;
+    RequestIdentity request;
 };
 
 /// Detects that backend servers crash, and which of this gateway's requests were in flight there.
@@ -59,7 +59,7 @@
     {
         struct Send
         {
-            RequestFingerprint request;
+            RequestIdentity request;
             TimePoint at;
         };
 
--- a/Source/Programs/Gateway/CrashLog.cpp
+++ b/Source/Programs/Gateway/CrashLog.cpp
@@ -1,6 +1,7 @@
 #include "Programs/Gateway/CrashLog.h"
 
 #include <algorithm>
+#include <set>
 
 #include "Programs/Gateway/GatewayMetrics.h"
 
@@ -10,14 +11,19 @@
 {
     constexpr std::size_t maxListed = 16;
     std::vector<std::string> listed;
-    for (std::size_t i = 0; i < std::min(crash.running.size(), maxListed); ++i)
-        listed.push_back(toText(crash.running[i]));
+    std::set<std::string> parts;
+    for (std::size_t i = 0; i < std::min(crash.running.size(), maxListed); ++i) {
+        listed.push_back(toText(crash.running[i].request));
+        for (const Fingerprint &part : crash.running[i].parts)
+            parts.insert(toText(part));
+    }
     log.warn("backend.crashed",
              {{"backend", crash.server},
               {"service", crash.service},
               {"servers", crash.servers},
               {"in_flight", crash.running.size()},
-              {"fingerprints", listed}});
+              {"fingerprints", listed},
+              {"parts", parts}});
     countServerCrash(metrics, crash.service);
 }
 
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -50,7 +50,7 @@
       route_(*access.route), service_(std::move(service)),
       admission_(context, routes_->priorityLimitsOf(service_), service_, access.priority(),
                  access.organisation != nullptr ? access.organisation->name : std::string()),
-      suspicion_(context.crashes, context.poison, request_, admission_.organisation()),
+      suspicion_(context.crashes, context.poison, request_, admission_.organisation(), service_),
       arrived_(arrived), deadline_(arrived + route_.timeout)
 {
     if (request_.timeLeft)
@@ -349,8 +349,10 @@
                         {"arrivals", history_.delivered},
                         {"may_have_run", history_.mayHaveRun},
                         {"left_s", secondsOf(timeLeft(now))}};
-    if (connectionEnded)
+    if (connectionEnded) {
         fields["fingerprint"] = toText(suspicion_.fingerprint());
+        fields["parts"] = suspicion_.partFingerprints();
+    }
     context_.log.warn("request.send_failed", fields);
     countSendEnd(context_.metrics, service_, nameOf(outcome));
     const std::string backend = backendId_;
--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -21,6 +21,22 @@
 /// A peer's report about a time longer ago than this is not used.
 constexpr milliseconds maxReportAge = crashLifetime;
 
+RunningRequest encode(const RequestIdentity &identity)
+{
+    RunningRequest running{.request = identity.request.bytes};
+    for (const Fingerprint &part : identity.parts)
+        running.parts.push_back(part.bytes);
+    return running;
+}
+
+RequestIdentity decode(const RunningRequest &running)
+{
+    RequestIdentity identity{.request = {running.request}};
+    for (const FingerprintBytes &part : running.parts)
+        identity.parts.push_back({part});
+    return identity;
+}
+
 /// Returns reports about a crash, each small enough for one packet.
 std::vector<CrashReport> reportsOf(const ServerCrash &crash, TimePoint now)
 {
@@ -34,9 +50,11 @@
                            .ageMilliseconds =
                                static_cast<std::uint32_t>(remaining(crash.at, now).count()),
                            .running = {}};
-        for (; next < crash.running.size() && report.running.size() < maxFingerprintsPerMessage;
-             ++next)
-            report.running.push_back(crash.running[next].bytes);
+        std::size_t fingerprints = 0;
+        for (; next < crash.running.size() && fingerprints < maxFingerprintsPerMessage; ++next) {
+            report.running.push_back(encode(crash.running[next]));
+            fingerprints += 1 + crash.running[next].parts.size();
+        }
         reports.push_back(std::move(report));
     } while (next < crash.running.size());
     return reports;
@@ -48,12 +66,12 @@
     : log_(log), links_(std::move(links))
 { }
 
-Suspicion PoisonGuard::suspicionOf(const RequestFingerprint &request, TimePoint now) const
+Suspicion PoisonGuard::suspicionOf(const Fingerprint &request, TimePoint now) const
 {
     return wisteria::suspicionOf(evidence_, request, now);
 }
 
-TimePoint PoisonGuard::mayRunAt(const RequestFingerprint &request, TimePoint now) const
+TimePoint PoisonGuard::mayRunAt(const Fingerprint &request, TimePoint now) const
 {
     const Suspicion suspicion = suspicionOf(request, now);
     if (suspicion == Suspicion::None)
@@ -65,12 +83,12 @@
     return std::max(now, crashRecordOf(evidence_, request, now).lastAt + reportSettleTime);
 }
 
-void PoisonGuard::noteRunBegin(const RequestFingerprint &request)
+void PoisonGuard::noteRunBegin(const Fingerprint &request)
 {
     ++running_[request];
 }
 
-void PoisonGuard::noteRunEnd(const RequestFingerprint &request)
+void PoisonGuard::noteRunEnd(const Fingerprint &request)
 {
     const auto found = running_.find(request);
     if (found == running_.end())
@@ -95,7 +113,7 @@
 {
     for (auto found = newPoisonRequests(evidence_, now); !found.empty();
          found = newPoisonRequests(evidence_, now)) {
-        for (const RequestFingerprint &request : found) {
+        for (const Fingerprint &request : found) {
             const CrashRecord record = crashRecordOf(evidence_, request, now);
             quarantine(evidence_, request, now + quarantineTime);
             log_.warn("request.quarantined",
@@ -108,7 +126,7 @@
     }
 }
 
-void PoisonGuard::noteCompleted(const RequestFingerprint &request, TimePoint now)
+void PoisonGuard::noteCompleted(const Fingerprint &request, TimePoint now)
 {
     const bool wasQuarantined = evidence_.quarantinedUntil.contains(request);
     if (!wasQuarantined && crashRecordOf(evidence_, request, now).crashes == 0)
@@ -121,7 +139,7 @@
     links_.changed();
 }
 
-void PoisonGuard::noteRefusal(const RequestFingerprint &request, TimePoint now)
+void PoisonGuard::noteRefusal(const Fingerprint &request, TimePoint now)
 {
     const auto found = evidence_.quarantinedUntil.find(request);
     if (found == evidence_.quarantinedUntil.end() || found->second - now > quarantineTime / 2)
@@ -130,7 +148,7 @@
     links_.quarantined(request, crashRecordOf(evidence_, request, now).crashes, true);
 }
 
-void PoisonGuard::applyQuarantine(const RequestFingerprint &request,
+void PoisonGuard::applyQuarantine(const Fingerprint &request,
                                   std::optional<milliseconds> left, TimePoint now)
 {
     const bool known = evidence_.quarantinedUntil.contains(request);
@@ -154,8 +172,8 @@
                       .service = report.service,
                       .at = now - milliseconds(report.ageMilliseconds),
                       .servers = report.servers};
-    for (const FingerprintBytes &request : report.running)
-        crash.running.push_back({request});
+    for (const RunningRequest &running : report.running)
+        crash.running.push_back(decode(running));
     if (wisteria::noteCrash(evidence_, std::move(crash), now)) {
         log_.info("backend.crashed",
                   {{"backend", report.server},
@@ -221,7 +239,7 @@
         return;
     nextUpkeepAt_ = now + upkeepInterval;
     gossip(now);
-    for (const RequestFingerprint &request : removeExpired(evidence_, now))
+    for (const Fingerprint &request : removeExpired(evidence_, now))
         links_.released(request);
 }
 
--- a/Source/Programs/Gateway/PoisonGuard.h
+++ b/Source/Programs/Gateway/PoisonGuard.h
@@ -28,10 +28,10 @@
     std::function<void()> changed;
     /// The store has to keep, or to extend, the quarantine of a request.
     /// @param foundHere Whether the last of its crashes was seen by this gateway.
-    std::function<void(const RequestFingerprint &, std::uint32_t crashes, bool foundHere)>
+    std::function<void(const Fingerprint &, std::uint32_t crashes, bool foundHere)>
         quarantined;
     /// The quarantine of a request has ended.
-    std::function<void(const RequestFingerprint &)> released;
+    std::function<void(const Fingerprint &)> released;
 };
 
 /// Keeps poison requests, which crash each backend server that runs them, from taking down more
@@ -46,7 +46,7 @@
 
     /// Whether a request may be suspect, so that it is worth computing its fingerprint.
     bool hasSuspects() const { return wisteria::hasSuspects(evidence_); }
-    Suspicion suspicionOf(const RequestFingerprint &request, TimePoint now) const;
+    Suspicion suspicionOf(const Fingerprint &request, TimePoint now) const;
 
     /// When a suspect request may be sent, if a backend server has a slot for it; TimePoint::max()
     /// while it runs somewhere for this gateway. Requests that are not suspect may be sent at once.
@@ -54,19 +54,19 @@
     /// One copy runs at a time, and after a repeated crash the next one waits until the other
     /// gateways' reports have arrived. Otherwise a caller that sends a poison request many times at
     /// once would crash a server with each copy.
-    TimePoint mayRunAt(const RequestFingerprint &request, TimePoint now) const;
-    void noteRunBegin(const RequestFingerprint &request);
-    void noteRunEnd(const RequestFingerprint &request);
+    TimePoint mayRunAt(const Fingerprint &request, TimePoint now) const;
+    void noteRunBegin(const Fingerprint &request);
+    void noteRunEnd(const Fingerprint &request);
 
     /// Adds a crash that this gateway detected, and reports it to the others.
     void noteCrash(const ServerCrash &crash, TimePoint now);
     /// Records that a backend server ran a request to its end.
-    void noteCompleted(const RequestFingerprint &request, TimePoint now);
+    void noteCompleted(const Fingerprint &request, TimePoint now);
     /// Records that a caller sent a quarantined request again.
-    void noteRefusal(const RequestFingerprint &request, TimePoint now);
+    void noteRefusal(const Fingerprint &request, TimePoint now);
 
     /// Applies a record of the store: the request is quarantined for this time, or no longer.
-    void applyQuarantine(const RequestFingerprint &request, std::optional<milliseconds> left,
+    void applyQuarantine(const Fingerprint &request, std::optional<milliseconds> left,
                          TimePoint now);
 
     void receive(const CrashReport &report, TimePoint now);
@@ -94,7 +94,7 @@
     PoisonGuardLinks links_;
     CrashEvidence evidence_;
     /// Copies of suspect requests that run for this gateway.
-    std::map<RequestFingerprint, std::uint32_t> running_;
+    std::map<Fingerprint, std::uint32_t> running_;
     std::vector<RepeatedMessage> repeats_;
     TimePoint nextUpkeepAt_;
 };
--- a/Source/Programs/Gateway/PoisonProtection.cpp
+++ b/Source/Programs/Gateway/PoisonProtection.cpp
@@ -33,7 +33,7 @@
     records_ = std::make_unique<QuarantineRecords>(
         loop_, pool, log_, metrics_, store,
         QuarantineEvents{
-            .changed = [this](const RequestFingerprint &request, std::optional<milliseconds> left) {
+            .changed = [this](const Fingerprint &request, std::optional<milliseconds> left) {
                 guard_.applyQuarantine(request, left, monotonicNow());
             }});
 }
@@ -47,9 +47,9 @@
                 },
             .sendToOne = [this](const GroupMessage &message) { sendToOne(message); },
             .changed = [this] { changed_(); },
-            .quarantined = [this](const RequestFingerprint &request, std::uint32_t crashes,
+            .quarantined = [this](const Fingerprint &request, std::uint32_t crashes,
                                   bool foundHere) { keepQuarantine(request, crashes, foundHere); },
-            .released = [this](const RequestFingerprint &request) { records_->remove(request); }};
+            .released = [this](const Fingerprint &request) { records_->remove(request); }};
 }
 
 void PoisonProtection::send(const Endpoint &to, const GroupMessage &message)
@@ -66,7 +66,7 @@
     send(peers[anyPeer(random_)], message);
 }
 
-void PoisonProtection::keepQuarantine(const RequestFingerprint &request, std::uint32_t crashes,
+void PoisonProtection::keepQuarantine(const Fingerprint &request, std::uint32_t crashes,
                                       bool foundHere)
 {
     std::uniform_int_distribution<std::int64_t> delay(minOtherWrites.count(),
--- a/Source/Programs/Gateway/PoisonProtection.h
+++ b/Source/Programs/Gateway/PoisonProtection.h
@@ -42,7 +42,7 @@
     void noteCrash(const ServerCrash &crash);
     void send(const Endpoint &to, const GroupMessage &message);
     void sendToOne(const GroupMessage &message);
-    void keepQuarantine(const RequestFingerprint &request, std::uint32_t crashes, bool foundHere);
+    void keepQuarantine(const Fingerprint &request, std::uint32_t crashes, bool foundHere);
 
     EventLoop &loop_;
     EventLog &log_;
--- a/Source/Programs/Gateway/QuarantineRecords.cpp
+++ b/Source/Programs/Gateway/QuarantineRecords.cpp
@@ -36,7 +36,7 @@
                          .upToDate = [](TimePoint) {}})
 { }
 
-void QuarantineRecords::add(const RequestFingerprint &request, std::uint32_t crashes,
+void QuarantineRecords::add(const Fingerprint &request, std::uint32_t crashes,
                             milliseconds quarantineTime, TimePoint notBefore)
 {
     if (unwritten_.size() >= maxUnwritten && !unwritten_.contains(request))
@@ -46,7 +46,7 @@
     unwritten_[request] = {.record = record, .notBefore = notBefore};
 }
 
-void QuarantineRecords::remove(const RequestFingerprint &request)
+void QuarantineRecords::remove(const Fingerprint &request)
 {
     unwritten_.erase(request);
     if (recorded_.contains(request))
@@ -87,10 +87,10 @@
 
 void QuarantineRecords::applyAll(const std::vector<platform::KeyedRecord> &records)
 {
-    const std::set<RequestFingerprint> before = std::exchange(recorded_, {});
+    const std::set<Fingerprint> before = std::exchange(recorded_, {});
     for (const platform::KeyedRecord &record : records)
         apply(record);
-    for (const RequestFingerprint &request : before) {
+    for (const Fingerprint &request : before) {
         if (!recorded_.contains(request))
             events_.changed(request, std::nullopt);
     }
@@ -109,7 +109,7 @@
         write(due->first, due->second, now);
 }
 
-void QuarantineRecords::write(const RequestFingerprint &request, const Change &change,
+void QuarantineRecords::write(const Fingerprint &request, const Change &change,
                               TimePoint now)
 {
     const std::string value = change.record ? platform::encodeQuarantine(*change.record) : "";
@@ -121,7 +121,7 @@
                      });
 }
 
-void QuarantineRecords::finishWrite(const RequestFingerprint &request,
+void QuarantineRecords::finishWrite(const Fingerprint &request,
                                     const std::optional<platform::QuarantineRecord> &written,
                                     const Result<void> &appended)
 {
--- a/Source/Programs/Gateway/QuarantineRecords.h
+++ b/Source/Programs/Gateway/QuarantineRecords.h
@@ -8,7 +8,7 @@
 
 #include "Programs/Gateway/StoreAppender.h"
 #include "Programs/Gateway/StoreWatch.h"
-#include "Request/RequestFingerprint.h"
+#include "Request/Fingerprint.h"
 
 namespace wisteria {
 
@@ -16,7 +16,7 @@
 struct QuarantineEvents
 {
     /// A request is quarantined for this time, or no longer if there is none.
-    std::function<void(const RequestFingerprint &, std::optional<milliseconds> left)> changed;
+    std::function<void(const Fingerprint &, std::optional<milliseconds> left)> changed;
 };
 
 /// The quarantined requests in the platform's store. They outlast restarts of the gateways, and
@@ -32,10 +32,10 @@
     /// Writes or extends the record of a request as soon as the store takes it.
     /// @param crashes Number of crashes that it is quarantined for, for the operator.
     /// @param notBefore Later than now if another gateway probably writes the same record.
-    void add(const RequestFingerprint &request, std::uint32_t crashes, milliseconds quarantineTime,
+    void add(const Fingerprint &request, std::uint32_t crashes, milliseconds quarantineTime,
              TimePoint notBefore);
     /// Removes the record of a request as soon as the store takes it.
-    void remove(const RequestFingerprint &request);
+    void remove(const Fingerprint &request);
 
     /// Checks the timeouts of calls, and writes what the store lacks.
     void checkTimeouts(TimePoint now);
@@ -51,17 +51,17 @@
         TimePoint notBefore;
     };
 
-    void write(const RequestFingerprint &request, const Change &change, TimePoint now);
-    void finishWrite(const RequestFingerprint &request,
+    void write(const Fingerprint &request, const Change &change, TimePoint now);
+    void finishWrite(const Fingerprint &request,
                      const std::optional<platform::QuarantineRecord> &written,
                      const Result<void> &appended);
 
     EventLog &log_;
     QuarantineEvents events_;
     /// Requests that have a record.
-    std::set<RequestFingerprint> recorded_;
+    std::set<Fingerprint> recorded_;
     /// Records that are to be written or removed.
-    std::map<RequestFingerprint, Change> unwritten_;
+    std::map<Fingerprint, Change> unwritten_;
     StoreAppender appender_;
     StoreWatch watch_;
 };
--- a/Source/Programs/Gateway/RequestSuspicion.cpp
+++ b/Source/Programs/Gateway/RequestSuspicion.cpp
@@ -5,8 +5,10 @@
 namespace wisteria {
 
 RequestSuspicion::RequestSuspicion(CrashDetector &crashes, PoisonGuard &poison,
-                                   const GatewayRequest &request, std::string organisation)
-    : crashes_(crashes), poison_(poison), request_(request), organisation_(std::move(organisation))
+                                   const GatewayRequest &request, std::string organisation,
+                                   std::string service)
+    : crashes_(crashes), poison_(poison), request_(request), organisation_(std::move(organisation)),
+      service_(std::move(service))
 { }
 
 RequestSuspicion::~RequestSuspicion()
@@ -14,16 +16,24 @@
     *alive_ = false;
 }
 
-const RequestFingerprint &RequestSuspicion::fingerprint()
+const RequestIdentity &RequestSuspicion::identity()
 {
-    if (!fingerprint_)
-        fingerprint_ = fingerprintOf(request_, organisation_);
-    return *fingerprint_;
+    if (!identity_)
+        identity_ = identityOf(request_, organisation_, service_);
+    return *identity_;
 }
 
 std::string RequestSuspicion::fingerprintIfKnown() const
 {
-    return fingerprint_ ? toText(*fingerprint_) : std::string();
+    return identity_ ? toText(identity_->request) : std::string();
+}
+
+std::map<std::string, std::string> RequestSuspicion::partFingerprints()
+{
+    std::map<std::string, std::string> fingerprints;
+    for (std::size_t i = 0; i < request_.sharedPromptParts.size(); ++i)
+        fingerprints[request_.sharedPromptParts[i]] = toText(identity().parts[i]);
+    return fingerprints;
 }
 
 Suspicion RequestSuspicion::level(TimePoint now)
@@ -59,7 +69,7 @@
 void RequestSuspicion::noteConnectionEnded(const std::string &server, TimePoint now,
                                            std::function<void()> checked)
 {
-    crashes_.noteConnectionEnded({server, fingerprint()}, now,
+    crashes_.noteConnectionEnded({server, identity()}, now,
                                  [alive = alive_, checked = std::move(checked)] {
                                      if (*alive)
                                          checked();
@@ -68,7 +78,7 @@
 
 void RequestSuspicion::noteGivenUp(const std::string &server, TimePoint now)
 {
-    crashes_.noteGivenUp({server, fingerprint()}, now);
+    crashes_.noteGivenUp({server, identity()}, now);
 }
 
 void RequestSuspicion::noteCompleted(TimePoint now)
--- a/Source/Programs/Gateway/RequestSuspicion.h
+++ b/Source/Programs/Gateway/RequestSuspicion.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -17,14 +18,17 @@
 public:
     /// @param request Must outlive this object.
     RequestSuspicion(CrashDetector &crashes, PoisonGuard &poison, const GatewayRequest &request,
-                     std::string organisation);
+                     std::string organisation, std::string service);
     ~RequestSuspicion();
     RequestSuspicion(const RequestSuspicion &) = delete;
     RequestSuspicion &operator=(const RequestSuspicion &) = delete;
 
-    const RequestFingerprint &fingerprint();
+    const RequestIdentity &identity();
+    const Fingerprint &fingerprint() { return identity().request; }
     /// Text of the fingerprint; empty if there was no need to compute it.
     std::string fingerprintIfKnown() const;
+    /// Fingerprints of the shared parts of the prompt, by the parts' ids.
+    std::map<std::string, std::string> partFingerprints();
     /// How suspect the request is. Computes its fingerprint only if any request is suspect.
     Suspicion level(TimePoint now);
     /// When the request may be sent as far as other copies of it are concerned.
@@ -53,7 +57,8 @@
     PoisonGuard &poison_;
     const GatewayRequest &request_;
     std::string organisation_;
-    std::optional<RequestFingerprint> fingerprint_;
+    std::string service_;
+    std::optional<RequestIdentity> identity_;
     /// The current send counts as a run of a suspect request.
     bool suspectRun_ = false;
     /// Cleared by the destructor, for callbacks that may come later.
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 
 namespace wisteria {
 
@@ -25,14 +24,15 @@
 constexpr double suspectWeight = 0.5;
 constexpr double repeatedWeight = 1.2;
 
-bool wasRunning(const ServerCrash &crash, const RequestFingerprint &request)
+bool wasRunning(const ServerCrash &crash, const Fingerprint &request)
 {
-    return std::binary_search(crash.running.begin(), crash.running.end(), request);
+    return std::any_of(crash.running.begin(), crash.running.end(),
+                       [&request](const auto &running) { return running.request == request; });
 }
 
 /// Whether a crash counts against a request.
 bool countsAgainst(const CrashEvidence &evidence, const ServerCrash &crash,
-                   const RequestFingerprint &request, TimePoint now)
+                   const Fingerprint &request, TimePoint now)
 {
     if (now - crash.at > crashLifetime || !wasRunning(crash, request))
         return false;
@@ -40,7 +40,7 @@
     return completed == evidence.completedAt.end() || completed->second < crash.at;
 }
 
-std::uint32_t countCrashes(const CrashEvidence &evidence, const RequestFingerprint &request,
+std::uint32_t countCrashes(const CrashEvidence &evidence, const Fingerprint &request,
                            TimePoint now)
 {
     return static_cast<std::uint32_t>(
@@ -63,7 +63,7 @@
 /// 0 if all servers of the service did, and between them by the logarithm of their number, which is
 /// the information in the fact that the request was at one of them.
 double weightOf(const CrashEvidence &evidence, const ServerCrash &crash,
-                const RequestFingerprint &request)
+                const Fingerprint &request)
 {
     const auto others =
         std::count_if(evidence.crashes.begin(), evidence.crashes.end(), [&](const auto &other) {
@@ -81,9 +81,9 @@
 bool isExplained(const CrashEvidence &evidence, const ServerCrash &crash, std::uint32_t crashes,
                  TimePoint now)
 {
-    return std::any_of(crash.running.begin(), crash.running.end(), [&](const auto &request) {
-        return evidence.quarantinedUntil.contains(request)
-            || countCrashes(evidence, request, now) >= crashes;
+    return std::any_of(crash.running.begin(), crash.running.end(), [&](const auto &running) {
+        return evidence.quarantinedUntil.contains(running.request)
+            || countCrashes(evidence, running.request, now) >= crashes;
     });
 }
 
@@ -94,7 +94,7 @@
     return std::max(minPoisonCrashes, crashes - 1);
 }
 
-bool showsOtherCause(const CrashEvidence &evidence, const RequestFingerprint &request,
+bool showsOtherCause(const CrashEvidence &evidence, const Fingerprint &request,
                      std::uint32_t crashes, TimePoint now)
 {
     return std::any_of(evidence.crashes.begin(), evidence.crashes.end(), [&](const auto &crash) {
@@ -116,20 +116,19 @@
     evidence.crashes.erase(minor == evidence.crashes.end() ? evidence.crashes.begin() : minor);
 }
 
-void evictEarliest(std::map<RequestFingerprint, TimePoint> &times)
+void evictEarliest(std::map<Fingerprint, TimePoint> &times)
 {
     times.erase(std::min_element(times.begin(), times.end(),
                                  [](const auto &a, const auto &b) { return a.second < b.second; }));
 }
 
-void mergeRunning(ServerCrash &crash, const std::vector<RequestFingerprint> &running)
+void mergeRunning(ServerCrash &crash, const std::vector<RequestIdentity> &running)
 {
-    std::set<RequestFingerprint> merged(crash.running.begin(), crash.running.end());
-    for (const RequestFingerprint &request : running) {
-        if (merged.size() < maxRunningPerCrash)
-            merged.insert(request);
+    for (const RequestIdentity &request : running) {
+        const bool known = wasRunning(crash, request.request);
+        if (!known && crash.running.size() < maxRunningPerCrash)
+            crash.running.push_back(request);
     }
-    crash.running.assign(merged.begin(), merged.end());
 }
 
 } // namespace
@@ -149,14 +148,14 @@
     if (evidence.crashes.size() >= maxCrashes)
         evictCrash(evidence, now);
     ServerCrash added = std::move(crash);
-    const std::vector<RequestFingerprint> running = std::move(added.running);
+    const std::vector<RequestIdentity> running = std::move(added.running);
     added.running.clear();
     mergeRunning(added, running);
     evidence.crashes.push_back(std::move(added));
     return true;
 }
 
-bool noteCompletion(CrashEvidence &evidence, const RequestFingerprint &request, TimePoint at,
+bool noteCompletion(CrashEvidence &evidence, const Fingerprint &request, TimePoint at,
                     TimePoint now)
 {
     const bool counted = countCrashes(evidence, request, now) > 0;
@@ -176,7 +175,7 @@
     });
 }
 
-CrashRecord crashRecordOf(const CrashEvidence &evidence, const RequestFingerprint &request,
+CrashRecord crashRecordOf(const CrashEvidence &evidence, const Fingerprint &request,
                           TimePoint now)
 {
     CrashRecord record;
@@ -198,7 +197,7 @@
         && record.weight >= (record.otherCause ? poisonWeightWithOtherCause : poisonWeight);
 }
 
-Suspicion suspicionOf(const CrashEvidence &evidence, const RequestFingerprint &request,
+Suspicion suspicionOf(const CrashEvidence &evidence, const Fingerprint &request,
                       TimePoint now)
 {
     const auto quarantined = evidence.quarantinedUntil.find(request);
@@ -210,7 +209,7 @@
     return record.weight >= suspectWeight ? Suspicion::Suspect : Suspicion::None;
 }
 
-void quarantine(CrashEvidence &evidence, const RequestFingerprint &request, TimePoint until)
+void quarantine(CrashEvidence &evidence, const Fingerprint &request, TimePoint until)
 {
     if (!evidence.quarantinedUntil.contains(request)
         && evidence.quarantinedUntil.size() >= maxQuarantined)
@@ -219,19 +218,19 @@
     quarantinedUntil = std::max(quarantinedUntil, until);
 }
 
-void release(CrashEvidence &evidence, const RequestFingerprint &request, TimePoint now)
+void release(CrashEvidence &evidence, const Fingerprint &request, TimePoint now)
 {
     noteCompletion(evidence, request, now, now);
 }
 
-std::vector<RequestFingerprint> newPoisonRequests(const CrashEvidence &evidence, TimePoint now)
+std::vector<Fingerprint> newPoisonRequests(const CrashEvidence &evidence, TimePoint now)
 {
-    std::map<RequestFingerprint, std::uint32_t> counts;
+    std::map<Fingerprint, std::uint32_t> counts;
     for (const ServerCrash &crash : evidence.crashes) {
-        for (const RequestFingerprint &request : crash.running)
-            ++counts[request];
+        for (const RequestIdentity &running : crash.running)
+            ++counts[running.request];
     }
-    std::vector<RequestFingerprint> found;
+    std::vector<Fingerprint> found;
     for (const auto &[request, count] : counts) {
         if (count >= minPoisonCrashes && !evidence.quarantinedUntil.contains(request)
             && isPoison(crashRecordOf(evidence, request, now)))
@@ -242,8 +241,8 @@
 
 bool isOpen(const CrashEvidence &evidence, const ServerCrash &crash, TimePoint now)
 {
-    return std::any_of(crash.running.begin(), crash.running.end(), [&](const auto &request) {
-        return countsAgainst(evidence, crash, request, now);
+    return std::any_of(crash.running.begin(), crash.running.end(), [&](const auto &running) {
+        return countsAgainst(evidence, crash, running.request, now);
     });
 }
 
@@ -254,19 +253,19 @@
                        [](const ServerCrash &crash) { return !crash.running.empty(); });
 }
 
-std::vector<RequestFingerprint> removeExpired(CrashEvidence &evidence, TimePoint now)
+std::vector<Fingerprint> removeExpired(CrashEvidence &evidence, TimePoint now)
 {
     std::erase_if(evidence.crashes, [&](const ServerCrash &crash) {
         return now - crash.at > otherCauseTime + sameCrashTime && !isOpen(evidence, crash, now);
     });
     std::erase_if(evidence.completedAt,
                   [now](const auto &item) { return now - item.second > crashLifetime; });
-    std::vector<RequestFingerprint> released;
+    std::vector<Fingerprint> released;
     for (const auto &[request, until] : evidence.quarantinedUntil) {
         if (until <= now)
             released.push_back(request);
     }
-    for (const RequestFingerprint &request : released)
+    for (const Fingerprint &request : released)
         evidence.quarantinedUntil.erase(request);
     return released;
 }
--- a/Source/Request/CrashEvidence.h
+++ b/Source/Request/CrashEvidence.h
@@ -19,14 +19,13 @@
 /// request was in flight at each of them and never completes.
 struct CrashEvidence
 {
-    /// Crashes of the last `crashLifetime`, in the order in which they became known. The requests
-    /// in flight are sorted.
+    /// Crashes of the last `crashLifetime`, in the order in which they became known.
     std::vector<ServerCrash> crashes;
     /// When requests were last completed by any backend server. A crash before that does not count
     /// against a request.
-    std::map<RequestFingerprint, TimePoint> completedAt;
+    std::map<Fingerprint, TimePoint> completedAt;
     /// Requests that are sent to no backend server, and until when.
-    std::map<RequestFingerprint, TimePoint> quarantinedUntil;
+    std::map<Fingerprint, TimePoint> quarantinedUntil;
 };
 
 /// How long a crash counts against the requests that were in flight there.
@@ -70,7 +69,7 @@
 /// Records that a backend server completed a request, so that the crashes before `at` do not count
 /// against it. Ends its quarantine.
 /// @return Whether any crash counted against it until now.
-bool noteCompletion(CrashEvidence &evidence, const RequestFingerprint &request, TimePoint at,
+bool noteCompletion(CrashEvidence &evidence, const Fingerprint &request, TimePoint at,
                     TimePoint now);
 
 /// Whether a crash of the server became known within the last `span`.
@@ -78,7 +77,7 @@
                    TimePoint now);
 
 /// Returns the crashes that count against a request.
-CrashRecord crashRecordOf(const CrashEvidence &evidence, const RequestFingerprint &request,
+CrashRecord crashRecordOf(const CrashEvidence &evidence, const Fingerprint &request,
                           TimePoint now);
 
 /// Whether the evidence suffices to quarantine a request: three crashes that it alone explains, or
@@ -87,17 +86,17 @@
 bool isPoison(const CrashRecord &record);
 
 /// Returns how suspect a request is now.
-Suspicion suspicionOf(const CrashEvidence &evidence, const RequestFingerprint &request,
+Suspicion suspicionOf(const CrashEvidence &evidence, const Fingerprint &request,
                       TimePoint now);
 
 /// Quarantines a request, or extends its quarantine.
-void quarantine(CrashEvidence &evidence, const RequestFingerprint &request, TimePoint until);
+void quarantine(CrashEvidence &evidence, const Fingerprint &request, TimePoint until);
 
 /// Ends the quarantine of a request and forgets its crashes: an operator's order.
-void release(CrashEvidence &evidence, const RequestFingerprint &request, TimePoint now);
+void release(CrashEvidence &evidence, const Fingerprint &request, TimePoint now);
 
 /// Returns the requests that are to be quarantined and are not yet.
-std::vector<RequestFingerprint> newPoisonRequests(const CrashEvidence &evidence, TimePoint now);
+std::vector<Fingerprint> newPoisonRequests(const CrashEvidence &evidence, TimePoint now);
 
 /// Whether any request that was in flight at the crash is still suspect because of it.
 bool isOpen(const CrashEvidence &evidence, const ServerCrash &crash, TimePoint now);
@@ -107,6 +106,6 @@
 
 /// Removes what has expired.
 /// @return Requests whose quarantine has ended.
-std::vector<RequestFingerprint> removeExpired(CrashEvidence &evidence, TimePoint now);
+std::vector<Fingerprint> removeExpired(CrashEvidence &evidence, TimePoint now);
 
 } // namespace wisteria
--- a/Source/Request/RequestFingerprint.cpp
+++ b/Source/Request/Fingerprint.cpp
@@ -1,10 +1,10 @@
-#include "Request/RequestFingerprint.h"
+#include "Request/Fingerprint.h"
 
 #include <algorithm>
-#include <cctype>
 #include <charconv>
 #include <memory>
 
+#include <boost/algorithm/string.hpp>
 #include <boost/endian/conversion.hpp>
 #include <openssl/evp.h>
 
@@ -28,11 +28,11 @@
         EVP_DigestUpdate(context_.get(), text.data(), text.size());
     }
 
-    RequestFingerprint finish()
+    Fingerprint finish()
     {
         std::array<std::uint8_t, EVP_MAX_MD_SIZE> digest{};
         EVP_DigestFinal_ex(context_.get(), digest.data(), nullptr);
-        RequestFingerprint fingerprint;
+        Fingerprint fingerprint;
         std::copy_n(digest.begin(), fingerprint.bytes.size(), fingerprint.bytes.begin());
         return fingerprint;
     }
@@ -41,34 +41,45 @@
     std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context_;
 };
 
-/// Host names are the same in lower and upper case.
-std::string lowerCase(std::string_view text)
-{
-    std::string lower(text);
-    std::transform(lower.begin(), lower.end(), lower.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return lower;
-}
-
 } // namespace
 
-RequestFingerprint fingerprintOf(const GatewayRequest &request, std::string_view organisation)
+Fingerprint fingerprintOf(const GatewayRequest &request, std::string_view organisation)
 {
     TextHash hash;
     hash.add(request.method);
-    hash.add(lowerCase(request.host));
+    // Host names are the same in lower and upper case.
+    hash.add(boost::algorithm::to_lower_copy(request.host));
     hash.add(request.target);
     hash.add(organisation);
     hash.add(request.body);
     return hash.finish();
 }
 
-std::uint64_t hashOf(const RequestFingerprint &fingerprint)
+Fingerprint fingerprintOfPart(std::string_view service, std::string_view partId)
+{
+    TextHash hash;
+    // No method of a request has a blank, so that no request has the fingerprint of a part.
+    hash.add("prompt part");
+    hash.add(service);
+    hash.add(partId);
+    return hash.finish();
+}
+
+RequestIdentity identityOf(const GatewayRequest &request, std::string_view organisation,
+                           std::string_view service)
+{
+    RequestIdentity identity{.request = fingerprintOf(request, organisation), .parts = {}};
+    for (const std::string &part : request.sharedPromptParts)
+        identity.parts.push_back(fingerprintOfPart(service, part));
+    return identity;
+}
+
+std::uint64_t hashOf(const Fingerprint &fingerprint)
 {
     return boost::endian::load_little_u64(fingerprint.bytes.data());
 }
 
-std::string toText(const RequestFingerprint &fingerprint)
+std::string toText(const Fingerprint &fingerprint)
 {
     constexpr const char *digits = "0123456789abcdef";
     std::string text;
@@ -79,9 +90,9 @@
     return text;
 }
 
-std::optional<RequestFingerprint> fingerprintFromText(std::string_view text)
+std::optional<Fingerprint> fingerprintFromText(std::string_view text)
 {
-    RequestFingerprint fingerprint;
+    Fingerprint fingerprint;
     if (text.size() != 2 * fingerprint.bytes.size())
         return std::nullopt;
     constexpr int hexadecimal = 16;
--- a/Source/Request/GatewayRequest.h
+++ b/Source/Request/GatewayRequest.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "Connection/HttpMessage.h"
 #include "Process/Time.h"
@@ -28,6 +29,9 @@
     std::uint32_t maxAnswerTokens = 0;
     /// The caller's estimate of the answer's length in tokens; accurate only at the median.
     std::optional<std::uint32_t> likelyAnswerTokens;
+    /// Ids of the parts of the prompt that other requests may share, each once: all but the last
+    /// part, which belongs to this request or its session.
+    std::vector<std::string> sharedPromptParts{};
     /// Header fields that are forwarded unchanged.
     HttpFields forwardedFields;
     std::string body;
--- a/Source/Request/ServerCrash.h
+++ b/Source/Request/ServerCrash.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "Process/Time.h"
-#include "Request/RequestFingerprint.h"
+#include "Request/Fingerprint.h"
 
 namespace wisteria {
 
@@ -21,7 +21,7 @@
     std::uint32_t servers = 1;
     /// Requests that were in flight there. Empty if nothing was: then the server was found down,
     /// and may have crashed earlier.
-    std::vector<RequestFingerprint> running{};
+    std::vector<RequestIdentity> running{};
 };
 
 /// Requests of one crash that are recorded; a bound on the memory that callers can make a gateway
--- a/Source/Version/CrashMessages.cpp
+++ b/Source/Version/CrashMessages.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace wisteria {
 
@@ -40,7 +41,14 @@
     message.push_back(report.service);
     message.push_back(report.servers);
     message.push_back(report.ageMilliseconds);
-    message.push_back(encodeFingerprints(report.running));
+    std::vector<FingerprintBytes> requests;
+    Json parts = Json::array();
+    for (const RunningRequest &running : report.running) {
+        requests.push_back(running.request);
+        parts.push_back(encodeFingerprints(running.parts));
+    }
+    message.push_back(encodeFingerprints(requests));
+    message.push_back(std::move(parts));
 }
 
 void appendFields(Json &message, const CompletionReport &report)
@@ -51,12 +59,20 @@
 
 CrashReport decodeCrashReport(const Json &message)
 {
-    return {.server = message.at(1).get<std::string>(),
-            .startedAt = message.at(2).get<std::uint64_t>(),
-            .service = message.at(3).get<std::string>(),
-            .servers = message.at(4).get<std::uint32_t>(),
-            .ageMilliseconds = message.at(5).get<std::uint32_t>(),
-            .running = decodeFingerprints(message.at(6))};
+    CrashReport report{.server = message.at(1).get<std::string>(),
+                       .startedAt = message.at(2).get<std::uint64_t>(),
+                       .service = message.at(3).get<std::string>(),
+                       .servers = message.at(4).get<std::uint32_t>(),
+                       .ageMilliseconds = message.at(5).get<std::uint32_t>(),
+                       .running = {}};
+    for (const FingerprintBytes &request : decodeFingerprints(message.at(6)))
+        report.running.push_back({.request = request});
+    constexpr std::size_t partsField = 7;
+    const std::size_t withParts =
+        message.size() > partsField ? message.at(partsField).size() : std::size_t{0};
+    for (std::size_t i = 0; i < std::min(withParts, report.running.size()); ++i)
+        report.running[i].parts = decodeFingerprints(message.at(partsField).at(i));
+    return report;
 }
 
 CompletionReport decodeCompletionReport(const Json &message)
--- a/Source/Version/CrashMessages.h
+++ b/Source/Version/CrashMessages.h
@@ -12,6 +12,16 @@
 /// Bytes of a request's fingerprint.
 using FingerprintBytes = std::array<std::uint8_t, 16>;
 
+/// A request that was in flight at a crash.
+struct RunningRequest
+{
+    FingerprintBytes request{};
+    /// Parts of its prompt that other requests may share.
+    std::vector<FingerprintBytes> parts{};
+
+    bool operator==(const RunningRequest &) const = default;
+};
+
 /// Report of a gateway to another one about the crash of a backend server.
 struct CrashReport
 {
@@ -23,8 +33,8 @@
     std::uint32_t servers = 1;
     /// Time since the crash.
     std::uint32_t ageMilliseconds = 0;
-    /// Requests that were in flight there.
-    std::vector<FingerprintBytes> running;
+    /// Requests that were in flight there. Earlier versions send and read no parts.
+    std::vector<RunningRequest> running;
 };
 
 /// Report of a gateway to another one that backend servers completed requests, so that earlier
--- a/Tests/Gateway/CodecTest.cpp
+++ b/Tests/Gateway/CodecTest.cpp
@@ -264,3 +264,21 @@
     const std::string command("\x98\x05\x03\x01\x00\x09\x90\x00\x90", 9);
     REQUIRE(std::get<RankCommand>(decodeMessage(command).value()).group.empty());
 }
+
+// Guards against parts of prompts that are told apart by their case or tokens, and against the last
+// part, which is the request's own, counting as shared.
+TEST_CASE("The shared parts of a prompt are decoded without the last part and without token counts")
+{
+    const auto partsOf = [](const std::string &value) {
+        HttpRequest request;
+        request.method = "POST";
+        request.fields = {{"Wisteriawind-Attempt-Id", "a1"}, {"Wisteriawind-Prompt-Prefix", value}};
+        return decodeCallerRequest(std::move(request)).value().sharedPromptParts;
+    };
+    using Parts = std::vector<std::string>;
+    REQUIRE(partsOf("5c1e07A2:800,91bd3f06:410,e4402b7d:250") == Parts{"5c1e07a2", "91bd3f06"});
+    REQUIRE(partsOf("a1:7, b2:9,A1:3,c3:1") == Parts{"a1", "b2"});
+    REQUIRE(partsOf("e4402b7d:250").empty());
+    REQUIRE(partsOf(",,:5,").empty());
+    REQUIRE(partsOf("a1,b2") == Parts{"a1"});
+}
--- a/Tests/Gateway/CrashEvidenceTest.cpp
+++ b/Tests/Gateway/CrashEvidenceTest.cpp
@@ -11,9 +11,9 @@
 constexpr TimePoint start{seconds(100)};
 constexpr std::uint32_t serverCount = 12;
 
-RequestFingerprint request(std::uint8_t number)
+Fingerprint request(std::uint8_t number)
 {
-    RequestFingerprint fingerprint;
+    Fingerprint fingerprint;
     fingerprint.bytes[0] = number;
     return fingerprint;
 }
@@ -22,21 +22,24 @@
 struct Crashes
 {
     /// A server crashes; some requests are in flight there.
-    void crash(const std::string &server, milliseconds at, std::vector<RequestFingerprint> running)
+    void crash(const std::string &server, milliseconds at, const std::vector<Fingerprint> &running)
     {
+        std::vector<RequestIdentity> requests;
+        for (const Fingerprint &request : running)
+            requests.push_back({.request = request});
         noteCrash(evidence,
                   {.server = server,
                    .startedAt = ++lastStart,
                    .service = "s",
                    .at = start + at,
                    .servers = serverCount,
-                   .running = std::move(running)},
+                   .running = std::move(requests)},
                   start + at);
-        for (const RequestFingerprint &found : newPoisonRequests(evidence, start + at))
+        for (const Fingerprint &found : newPoisonRequests(evidence, start + at))
             quarantine(evidence, found, start + at + quarantineTime);
     }
 
-    Suspicion of(const RequestFingerprint &asked, milliseconds at) const
+    Suspicion of(const Fingerprint &asked, milliseconds at) const
     {
         return suspicionOf(evidence, asked, start + at);
     }
@@ -45,8 +48,8 @@
     std::uint64_t lastStart = 0;
 };
 
-const RequestFingerprint poison = request(1);
-const RequestFingerprint innocent = request(2);
+const Fingerprint poison = request(1);
+const Fingerprint innocent = request(2);
 
 } // namespace
 
@@ -116,7 +119,7 @@
     const auto [distance, mostCrashes] =
         GENERATE(table<int, int>({{150, 4}, {0, 4}, {60, 4}, {1000, 4}}));
     CAPTURE(distance);
-    const RequestFingerprint other = request(9);
+    const Fingerprint other = request(9);
     Crashes crashes;
     int first = 0;
     int second = 0;
@@ -158,10 +161,10 @@
                            .service = "s",
                            .at = start,
                            .servers = serverCount,
-                           .running = {poison}};
+                           .running = {{.request = poison}}};
     ServerCrash reported = seen;
     reported.at = start + milliseconds(40);
-    reported.running = {innocent};
+    reported.running = {{.request = innocent}};
     REQUIRE(noteCrash(evidence, reported, start));
     REQUIRE_FALSE(noteCrash(evidence, seen, start));
     REQUIRE_FALSE(noteCrash(evidence, reported, start));
@@ -180,7 +183,7 @@
     crashes.crash("a", milliseconds(0), {poison});
     crashes.crash("b", milliseconds(500), {poison});
     for (std::uint32_t i = 0; i < 2 * maxCrashes; ++i) {
-        RequestFingerprint other;
+        Fingerprint other;
         other.bytes = {3, static_cast<std::uint8_t>(i), static_cast<std::uint8_t>(i >> 8)};
         crashes.crash("o" + std::to_string(i), milliseconds(1000 + i), {other});
     }
@@ -215,7 +218,7 @@
     asked.target = "/a?b=1";
     asked.host = "h";
     asked.body = "text";
-    const RequestFingerprint first = fingerprintOf(asked, "acme");
+    const Fingerprint first = fingerprintOf(asked, "acme");
     asked.attemptId = "another";
     asked.host = "H";
     REQUIRE(fingerprintOf(asked, "acme") == first);
--- a/Tests/Gateway/QuarantineTest.cpp
+++ b/Tests/Gateway/QuarantineTest.cpp
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "Gateway/GatewayUnderTest.h"
-#include "Request/RequestFingerprint.h"
+#include "Request/Fingerprint.h"
 #include "Version/GroupMessages.h"
 #include "platform/StoreCodec.h"
 
@@ -82,7 +82,9 @@
                              .service = "s",
                              .servers = 12,
                              .ageMilliseconds = 40,
-                             .running = {FingerprintBytes{1, 2}, FingerprintBytes{3}}};
+                             .running = {{.request = FingerprintBytes{1, 2}},
+                                         {.request = FingerprintBytes{3},
+                                          .parts = {FingerprintBytes{4}, FingerprintBytes{5}}}}};
     const auto decoded = decodeMessage(encodeMessage(report)).value();
     const auto &same = std::get<CrashReport>(decoded);
     REQUIRE(same.server == report.server);
