Failing test: a prompt part crashes one backend server after the other

Callers see their prompts cut off or refused while requests with one bad part in common crash servers one after the other. Own stand-ins: 12 servers, 4 gateways, 40 sound requests a second, a request with the part each 0.3 s for 9 s, no two alike.

--- a/Tests/Gateway/CrashingServer.cpp
+++ b/Tests/Gateway/CrashingServer.cpp
@@ -17,6 +17,9 @@
 constexpr milliseconds crashAfter{60};
 constexpr milliseconds downTime{2000};
 constexpr int pollMilliseconds = 5;
+/// How long a group's requests stall after a crash, and how long it takes no work.
+constexpr milliseconds stallTime{300};
+constexpr milliseconds closedTime{1200};
 
 void resetConnection(int descriptor)
 {
@@ -36,14 +39,28 @@
     std::sort(crashes.begin(), crashes.end());
 }
 
-std::size_t CrashHistory::arrivalsAfterThirdCrash(milliseconds time) const
+std::size_t CrashHistory::arrivalsAfterCrash(std::size_t crash, milliseconds time) const
 {
-    constexpr std::size_t third = 2;
-    if (crashes.size() <= third)
+    if (crashes.size() < crash)
         return 0;
     return static_cast<std::size_t>(
         std::count_if(poisonArrivals.begin(), poisonArrivals.end(),
-                      [&](TimePoint at) { return at > crashes[third] + time; }));
+                      [&](TimePoint at) { return at > crashes[crash - 1] + time; }));
+}
+
+void CrashingGroup::close(TimePoint now)
+{
+    closedAt_ = now;
+}
+
+bool CrashingGroup::stalled(TimePoint now) const
+{
+    return now - closedAt_.load() < stallTime;
+}
+
+bool CrashingGroup::closed(TimePoint now) const
+{
+    return now - closedAt_.load() < closedTime;
 }
 
 CrashingServer::CrashingServer(StoreStandIn &store, std::string id, std::uint32_t ip,
@@ -162,13 +179,17 @@
         return;
     request.body = connection.received.substr(end + 4, size);
     connection.received.erase(0, end + 4 + size);
-    connection.poison = request.body.starts_with(poisonMark);
+    connection.attemptId = request.header("Wisteriawind-Attempt-Id");
+    connection.poison = request.body.starts_with(poisonMark)
+        || request.header("Wisteriawind-Prompt-Prefix").find(poisonPartMark) != std::string::npos;
     connection.resets = !connection.poison && (++requests_ * 37) % 100 < plan_.resetsOfHundred;
     connection.endsAt = now + (connection.poison ? crashAfter : plan_.workTime);
     if (connection.poison) {
         const std::lock_guard<std::mutex> lock(mutex_);
         history_.poisonArrivals.push_back(now);
     }
+    if (plan_.group && plan_.group->closed(now))
+        return;
     if (!plan_.streams) {
         connection.answer = sealed(request, 200, "done");
         return;
@@ -178,8 +199,32 @@
     connection.answer = chunk(eventText(1)) + "0\r\n\r\n";
 }
 
+/// Ends the requests of a group that has closed: those that have begun are cut off, the others are
+/// refused.
+void CrashingServer::endStalled(TimePoint now)
+{
+    if (plan_.group->stalled(now))
+        return;
+    for (auto &[descriptor, connection] : connections_) {
+        if (connection.endsAt == TimePoint::max())
+            continue;
+        connection.poison = false;
+        connection.resets = plan_.streams && !connection.answer.empty();
+        connection.answer = plainResponse(503,
+                                          "Wisteriawind-Not-Executed: 1\r\nWisteriawind-Attempt-Id: "
+                                              + connection.attemptId + "\r\n",
+                                          "");
+        connection.endsAt = now;
+    }
+}
+
 void CrashingServer::finishDue(TimePoint now)
 {
+    if (plan_.group && plan_.group->closed(now)) {
+        endStalled(now);
+        if (plan_.group->stalled(now))
+            return;
+    }
     std::vector<int> due;
     for (const auto &[descriptor, connection] : connections_) {
         if (connection.endsAt <= now)
@@ -212,6 +257,8 @@
     ::close(listener_);
     listener_ = -1;
     restartAt_ = now + downTime;
+    if (plan_.group)
+        plan_.group->close(now);
     const std::lock_guard<std::mutex> lock(mutex_);
     history_.crashes.push_back(now);
 }
--- a/Tests/Gateway/CrashingServer.h
+++ b/Tests/Gateway/CrashingServer.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -14,6 +15,21 @@
 
 namespace wisteria::gateway_tests {
 
+/// Backend servers that run all work together, so that each crash stops all of them for a while.
+class CrashingGroup
+{
+public:
+    /// Closes the group because one of its servers has crashed.
+    void close(TimePoint now);
+    /// Whether requests are still held, while the crash is not noticed by the others.
+    bool stalled(TimePoint now) const;
+    /// Whether the group takes no work.
+    bool closed(TimePoint now) const;
+
+private:
+    std::atomic<TimePoint> closedAt_{TimePoint{}};
+};
+
 /// How a crashing server behaves.
 struct CrashingServerPlan
 {
@@ -23,6 +39,8 @@
     milliseconds workTime{30};
     /// Resets this many of each hundred requests instead of answering them.
     int resetsOfHundred = 0;
+    /// The server is one of a group; null if it works alone.
+    std::shared_ptr<CrashingGroup> group{};
 };
 
 /// What poison requests and crashes did to a number of servers.
@@ -32,12 +50,14 @@
     std::vector<TimePoint> crashes;
 
     void merge(const CrashHistory &other);
-    /// Number of poison requests that arrived later than `time` after the third crash.
-    std::size_t arrivalsAfterThirdCrash(milliseconds time) const;
+    /// Number of poison requests that arrived later than `time` after a crash, counted from 1.
+    std::size_t arrivalsAfterCrash(std::size_t crash, milliseconds time) const;
 };
 
 /// The body of a poison request begins with this.
 inline constexpr const char *poisonMark = "poison";
+/// The id of a prompt part that crashes servers begins with this.
+inline constexpr const char *poisonPartMark = "badbad";
 
 /// A backend server that crashes some time after it has begun to run a poison request: all its
 /// connections are reset, none is accepted until it has restarted under the same id, with a new
@@ -64,6 +84,7 @@
         std::string answer;
         bool poison = false;
         bool resets = false;
+        std::string attemptId;
     };
 
     void run();
@@ -73,6 +94,7 @@
     void read(int descriptor, TimePoint now);
     void begin(int descriptor, Connection &connection, TimePoint now);
     void finishDue(TimePoint now);
+    void endStalled(TimePoint now);
     void crashAll(TimePoint now);
 
     StoreStandIn &store_;
--- a/Tests/Gateway/GatewayFleet.cpp
+++ b/Tests/Gateway/GatewayFleet.cpp
@@ -84,20 +84,22 @@
     children_[gateway] = startGateway(settings_[gateway]);
 }
 
-std::vector<CallResult> GatewayFleet::sendAtRate(const std::string &target, int perSecond,
+std::vector<CallResult> GatewayFleet::sendAtRate(const RequestMaker &maker, double perSecond,
                                                  milliseconds time) const
 {
     const TimePoint begin = monotonicNow();
-    const auto count = perSecond * time.count() / 1000;
+    const auto count =
+        static_cast<std::size_t>(perSecond * static_cast<double>(time.count()) / 1000);
     std::vector<std::future<CallResult>> calls;
-    for (std::int64_t i = 0; i < count; ++i) {
+    for (std::size_t i = 0; i < count; ++i) {
         const TimePoint due = begin + time * i / count;
         const milliseconds left = remaining(monotonicNow(), due);
         ::poll(nullptr, 0, static_cast<int>(std::max<std::int64_t>(0, left.count())));
-        const std::size_t gateway = static_cast<std::size_t>(i) % size();
-        const std::string id = "g" + std::to_string(gateway) + "-" + std::to_string(i);
-        calls.push_back(std::async(std::launch::async, [this, gateway, target, id] {
-            return callServer(callers_[gateway], requestFor(target, id));
+        const std::size_t gateway = i % size();
+        const std::string request =
+            maker("g" + std::to_string(gateway) + "-" + std::to_string(i), i);
+        calls.push_back(std::async(std::launch::async, [this, gateway, request] {
+            return callServer(callers_[gateway], request);
         }));
     }
     std::vector<CallResult> results;
@@ -107,6 +109,15 @@
     return results;
 }
 
+std::vector<CallResult> GatewayFleet::sendAtRate(const std::string &target, int perSecond,
+                                                 milliseconds time) const
+{
+    const auto maker = [&target](const std::string &id, std::size_t) {
+        return requestFor(target, id);
+    };
+    return sendAtRate(maker, perSecond, time);
+}
+
 std::size_t gatewayOf(const SeenRequest &request)
 {
     return std::stoul(request.header("Wisteriawind-Attempt-Id").substr(1));
--- a/Tests/Gateway/GatewayFleet.h
+++ b/Tests/Gateway/GatewayFleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -33,8 +34,13 @@
     /// Kills a gateway and starts it again.
     void restart(std::size_t gateway);
 
+    /// Makes the request of a number, with this attempt id.
+    using RequestMaker = std::function<std::string(const std::string &id, std::size_t number)>;
+
     /// Sends requests at a rate, to the gateways in turn, and waits for all answers. The attempt id
     /// of each request contains its gateway; see `gatewayOf`.
+    std::vector<CallResult> sendAtRate(const RequestMaker &maker, double perSecond,
+                                       milliseconds time) const;
     std::vector<CallResult> sendAtRate(const std::string &target, int perSecond,
                                        milliseconds time) const;
 
--- a/Tests/Gateway/PoisonRequestTest.cpp
+++ b/Tests/Gateway/PoisonRequestTest.cpp
@@ -1,17 +1,11 @@
 #include <algorithm>
 #include <future>
-#include <memory>
 #include <string>
-#include <thread>
 #include <vector>
 
-#include <arpa/inet.h>
-#include <poll.h>
-
 #include <catch2/catch.hpp>
 
-#include "Gateway/CrashingServer.h"
-#include "Gateway/GatewayFleet.h"
+#include "Gateway/CrashingFleet.h"
 #include "Gateway/GatewayUnderTest.h"
 
 using namespace wisteria;
@@ -19,7 +13,7 @@
 
 namespace {
 
-constexpr std::size_t serverCount = 12;
+constexpr std::size_t serverCount = CrashingFleet::serverCount;
 /// A poison request takes down three backend servers, hardly more.
 constexpr std::size_t maxCrashes = 4;
 /// Sends that may follow later than `settleTime` after the third crash.
@@ -28,45 +22,6 @@
 constexpr milliseconds runTime{9000};
 constexpr milliseconds poisonInterval{300};
 constexpr double minServed = 0.99;
-const std::string retrySettings =
-    "bounds.retry_budget_ratio=0.2\nbounds.budget_window_s=10\nbounds.budget_slack=400\n";
-
-/// Backend servers that may crash, behind several gateways.
-class CrashingFleet
-{
-public:
-    CrashingFleet(std::size_t gateways, const CrashingServerPlan &plan) : gateways_(gateways)
-    {
-        constexpr std::uint32_t firstServerAddress = INADDR_LOOPBACK + 1024;
-        for (std::uint32_t i = 0; i < serverCount; ++i) {
-            servers_.push_back(std::make_unique<CrashingServer>(
-                gateways_.store, "i-" + std::to_string(i), firstServerAddress + i, plan));
-        }
-        gateways_.start(retrySettings);
-    }
-
-    GatewayFleet &gateways() { return gateways_; }
-    CrashingServer &server(std::size_t index) { return *servers_[index]; }
-
-    CrashHistory history() const
-    {
-        CrashHistory all;
-        for (const auto &server : servers_)
-            all.merge(server->history());
-        return all;
-    }
-
-private:
-    GatewayFleet gateways_;
-    std::vector<std::unique_ptr<CrashingServer>> servers_;
-};
-
-void sleepUntil(TimePoint due)
-{
-    const milliseconds left = remaining(monotonicNow(), due);
-    ::poll(nullptr, 0, static_cast<int>(left.count()));
-}
-
 std::string requestWithBody(const std::string &target, const std::string &id,
                             const std::string &body)
 {
@@ -97,25 +52,6 @@
     return results;
 }
 
-double servedShare(const std::vector<CallResult> &results, double lastShare)
-{
-    const auto skipped =
-        static_cast<std::ptrdiff_t>(static_cast<double>(results.size()) * (1 - lastShare));
-    const auto served =
-        std::count_if(results.begin() + skipped, results.end(),
-                      [](const CallResult &result) { return result.status == 200; });
-    return static_cast<double>(served)
-        / static_cast<double>(results.end() - results.begin() - skipped);
-}
-
-std::size_t countRejected(const std::vector<CallResult> &results)
-{
-    return static_cast<std::size_t>(
-        std::count_if(results.begin(), results.end(), [](const CallResult &result) {
-            return result.status >= 400 && result.status < 500;
-        }));
-}
-
 struct PoisonScenario
 {
     std::string target = "/again/x";
@@ -168,7 +104,7 @@
     const CrashHistory history = fleet.history();
     CAPTURE(history.crashes.size(), history.poisonArrivals.size());
     CHECK(history.crashes.size() <= maxCrashes * scenario.poisonRequests);
-    CHECK(history.arrivalsAfterThirdCrash(settleTime) <= maxLaterSends * scenario.poisonRequests);
+    CHECK(history.arrivalsAfterCrash(3, settleTime) <= maxLaterSends * scenario.poisonRequests);
     CHECK(countRejected(results) == 0);
     // A gateway that is killed loses the requests that it holds.
     if (!scenario.restartsGateways)
@@ -229,8 +165,7 @@
     });
     constexpr milliseconds crashInterval{2200};
     for (std::size_t i = 0; i < 3; ++i) {
-        for (std::size_t server = 0; server < serverCount; ++server)
-            fleet.server(server).crash();
+        fleet.crashAtOnce(serverCount);
         sleepUntil(monotonicNow() + crashInterval);
     }
     const std::vector<CallResult> results = popular.get();
