--- /dev/null
+++ b/Source/Programs/Gateway/EvidenceSharing.cpp
@@ -0,0 +1,180 @@
+#include "Programs/Gateway/EvidenceSharing.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteria {
+
+namespace {
+
+/// Datagrams get lost, so each one is sent a second time after this.
+constexpr milliseconds repeatAfter{150};
+constexpr milliseconds gossipTime{30000};
+constexpr std::size_t maxGossipCrashes = 4;
+/// How long a gateway waits before it tells what has been completed before a crash: until all have
+/// reported it, and by chance up to so much longer, so that one or a few of them tell it.
+constexpr milliseconds minProofDelay{100};
+constexpr milliseconds moreProofDelay{250};
+/// How long what one gateway told need not be told by others.
+constexpr milliseconds proofLifetime{1000};
+/// Fingerprints in one message, so that it fits into a packet.
+constexpr std::size_t maxFingerprintsPerMessage = 64;
+
+RunningRequest encode(const RequestIdentity &identity)
+{
+    RunningRequest running{.request = identity.request.bytes};
+    for (const Fingerprint &part : identity.parts)
+        running.parts.push_back(part.bytes);
+    return running;
+}
+
+/// Returns reports about a crash, each small enough for one packet.
+std::vector<CrashReport> reportsOf(const ServerCrash &crash, TimePoint now)
+{
+    std::vector<CrashReport> reports;
+    std::size_t next = 0;
+    do {
+        CrashReport report{.server = crash.server,
+                           .startedAt = crash.startedAt,
+                           .service = crash.service,
+                           .servers = crash.servers,
+                           .ageMilliseconds =
+                               static_cast<std::uint32_t>(remaining(crash.at, now).count()),
+                           .running = {}};
+        std::size_t fingerprints = 0;
+        for (; next < crash.running.size() && fingerprints < maxFingerprintsPerMessage; ++next) {
+            report.running.push_back(encode(crash.running[next]));
+            fingerprints += 1 + crash.running[next].parts.size();
+        }
+        reports.push_back(std::move(report));
+    } while (next < crash.running.size());
+    return reports;
+}
+
+/// Returns reports about completions, each small enough for one packet. They state the earliest
+/// time of all, so that none clears more crashes than it may.
+std::vector<CompletionReport> reportsOf(const CrashEvidence &evidence,
+                                        const std::vector<Fingerprint> &completed, TimePoint now)
+{
+    std::vector<CompletionReport> reports;
+    for (const Fingerprint &one : completed) {
+        const auto at = lastCompletion(evidence.completions, one);
+        if (!at)
+            continue;
+        if (reports.empty() || reports.back().requests.size() >= maxFingerprintsPerMessage)
+            reports.emplace_back();
+        CompletionReport &report = reports.back();
+        const auto age = static_cast<std::uint32_t>(remaining(*at, now).count());
+        report.ageMilliseconds = std::max(report.ageMilliseconds, age);
+        report.requests.push_back(one.bytes);
+    }
+    return reports;
+}
+
+} // namespace
+
+EvidenceSharing::EvidenceSharing(const CrashEvidence &evidence, EvidenceLinks links)
+    : evidence_(evidence), links_(std::move(links))
+{ }
+
+void EvidenceSharing::reportCrash(const ServerCrash &crash, TimePoint now)
+{
+    for (const CrashReport &report : reportsOf(crash, now))
+        sendToAllTwice(report, now);
+}
+
+void EvidenceSharing::reportCompletion(const std::vector<Fingerprint> &completed, TimePoint now)
+{
+    for (const CompletionReport &report : reportsOf(evidence_, completed, now))
+        sendToAllTwice(report, now);
+}
+
+void EvidenceSharing::noteCrash(TimePoint now, double randomUnit)
+{
+    const auto delay =
+        std::chrono::duration_cast<milliseconds>(minProofDelay + moreProofDelay * randomUnit);
+    proofsDueAt_ = std::min(proofsDueAt_, now + delay);
+}
+
+void EvidenceSharing::noteReported(const std::vector<Fingerprint> &completed, TimePoint now)
+{
+    if (toldAt_.size() >= maxCompletionsPerPeriod)
+        toldAt_.clear();
+    for (const Fingerprint &one : completed)
+        toldAt_[one] = now;
+}
+
+void EvidenceSharing::sendToAllTwice(const Report &report, TimePoint now)
+{
+    std::visit([this](const auto &message) { links_.sendToAll(message); }, report);
+    repeats_.push_back({now, report});
+}
+
+void EvidenceSharing::sendRepeats(TimePoint now)
+{
+    const auto isDue = [now](const RepeatedReport &repeat) {
+        return now - repeat.firstSentAt >= repeatAfter;
+    };
+    for (RepeatedReport &repeat : repeats_) {
+        if (!isDue(repeat))
+            continue;
+        const auto passed = static_cast<std::uint32_t>(remaining(repeat.firstSentAt, now).count());
+        const auto sendOlder = [this, passed](auto &report) {
+            report.ageMilliseconds += passed;
+            links_.sendToAll(report);
+        };
+        std::visit(sendOlder, repeat.report);
+    }
+    std::erase_if(repeats_, isDue);
+}
+
+void EvidenceSharing::sendProofs(TimePoint now)
+{
+    if (now < proofsDueAt_)
+        return;
+    proofsDueAt_ = TimePoint::max();
+    std::erase_if(toldAt_, [now](const auto &told) { return now - told.second > proofLifetime; });
+    std::vector<Fingerprint> proven;
+    for (const ServerCrash &crash : evidence_.crashes) {
+        if (now - crash.at > proofLifetime)
+            continue;
+        for (const Fingerprint &one : provenSoundAt(evidence_, crash)) {
+            if (toldAt_.emplace(one, now).second)
+                proven.push_back(one);
+        }
+    }
+    for (const CompletionReport &report : reportsOf(evidence_, proven, now))
+        links_.sendToAll(report);
+}
+
+void EvidenceSharing::checkTimeouts(TimePoint now)
+{
+    sendRepeats(now);
+    sendProofs(now);
+}
+
+void EvidenceSharing::gossip(TimePoint now)
+{
+    if (const std::vector<GroupMessage> reports = latestReports(now); !reports.empty())
+        links_.sendToOne(reports);
+}
+
+std::vector<GroupMessage> EvidenceSharing::latestReports(TimePoint now) const
+{
+    std::vector<GroupMessage> reports;
+    std::size_t crashes = 0;
+    for (auto crash = evidence_.crashes.rbegin();
+         crash != evidence_.crashes.rend() && crashes < maxGossipCrashes; ++crash) {
+        if (now - crash->at > gossipTime || !isOpen(evidence_, *crash, now))
+            continue;
+        ++crashes;
+        // A gateway that knows of a crash but not of what is sound would suspect too much.
+        for (CompletionReport &report : reportsOf(evidence_, provenSoundAt(evidence_, *crash), now))
+            reports.emplace_back(std::move(report));
+        for (CrashReport &report : reportsOf(*crash, now))
+            reports.emplace_back(std::move(report));
+    }
+    return reports;
+}
+
+} // namespace wisteria
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -24,10 +24,10 @@
 /// backend server.
 constexpr milliseconds permitRetryInterval{50};
 
-/// Body of the answer to a quarantined request.
-constexpr const char *quarantineText =
-    "This request was running on several backend servers when each of them crashed, so it is not "
-    "sent to any more of them. Change the request, or ask the operators to release it.\n";
+/// Longest wait of a suspect request, or of its retry, until it may be sent.
+constexpr milliseconds maxSuspectWait{2000};
+/// Interval between two looks whether the retry of a suspect request may be sent.
+constexpr milliseconds suspectRetryInterval{50};
 
 /// When a waiting request looks for a slot again even if none has become free.
 TimePoint nextDispatchTime(const BackendChoice &choice, TimePoint now)
@@ -80,8 +80,8 @@
         refuseQuarantined(now);
         return true;
     }
-    if (const auto mayRunAt = suspicion_.mayRunAt(now); mayRunAt > now)
-        return waitForOtherCopies(mayRunAt, now);
+    if (const auto mayRunAt = suspicion_.mayRunAt(groupOpenedAt(), now); mayRunAt > now)
+        return waitForOtherRuns(mayRunAt, now);
     BackendChoice choice = chooseNext(admission_.maxLoad(now), now);
     // The slot may have become free just before this request arrived. Those ahead get it first;
     // then this request starts, waits or is refused as if it had arrived after their dispatch.
@@ -90,6 +90,8 @@
         choice = chooseNext(admission_.maxLoad(now), now);
     }
     if (choice.backend != nullptr) {
+        if (const auto mayRunAt = suspicion_.claimRun(now); mayRunAt > now)
+            return waitForOtherRuns(mayRunAt, now);
         admission_.noteStart(choice.beyondFreeShare, now);
         endWait(now);
         markPermitWanted(context_.registry.limits, choice.preferredAtLimit, now);
@@ -112,20 +114,31 @@
     return true;
 }
 
-/// Queues a suspect request while another copy of it runs, or has just crashed a backend server.
+/// Queues a suspect request while another run of what it is suspect for goes on, or has just
+/// crashed a backend server.
 /// @return As for tryDispatch().
-bool Exchange::waitForOtherCopies(TimePoint mayRunAt, TimePoint now)
-{
-    if (timeLeft(now) <= minTimeForSend) {
-        refuse("another copy of it runs", {.reason = NoBackendReason::AllFull}, now);
+bool Exchange::waitForOtherRuns(TimePoint mayRunAt, TimePoint now)
+{
+    if (suspectWaitUntil_ == TimePoint())
+        suspectWaitUntil_ = std::min(deadline_ - minTimeForSend, now + maxSuspectWait);
+    waitUntil_ = suspectWaitUntil_;
+    if (now >= waitUntil_) {
+        refuse("another run of what it is suspect for goes on",
+               {.reason = NoBackendReason::AllFull}, now);
         return true;
     }
     nextDispatchAt_ = mayRunAt;
-    waitUntil_ = deadline_ - minTimeForSend;
     admission_.joinQueue(now);
     return false;
 }
 
+/// When the service's group opened last.
+TimePoint Exchange::groupOpenedAt() const
+{
+    const auto opened = context_.registry.openedAt.find(service_);
+    return opened == context_.registry.openedAt.end() ? TimePoint() : opened->second;
+}
+
 TimePoint Exchange::waitTimeout(NoBackendReason reason) const
 {
     return queueTimeoutAt(
@@ -332,6 +345,7 @@
 void Exchange::endSend(SendOutcome outcome, const std::string &reason)
 {
     const TimePoint now = monotonicNow();
+    sendEndedAt_ = now;
     if (outcome == SendOutcome::NeverSent)
         ++history_.refusedConnections;
     else
@@ -383,7 +397,7 @@
         refuseQuarantined(now);
         return;
     }
-    if (sendAgain(outcome, refusalCause, now))
+    if (holdRetry(outcome, now) || sendAgain(outcome, refusalCause, now))
         return;
     switch (finalDecision(outcome, history_, timeLeft(now))) {
     case RetryDecision::Forward:
@@ -406,6 +420,24 @@
     }
 }
 
+/// Holds the retry of a suspect request until it may be sent: at once, each request with a poison
+/// part would crash one more server.
+/// @return Whether it is decided later what follows.
+bool Exchange::holdRetry(SendOutcome outcome, TimePoint now)
+{
+    if (suspicion_.level(now) == Suspicion::None
+        || !mayRetry(route_, outcome, history_, timeLeft(now)))
+        return false;
+    if (suspicion_.mayRunAt(groupOpenedAt(), now) <= now && suspicion_.claimRun(now) <= now)
+        return false;
+    const TimePoint heldUntil = std::min(deadline_ - minTimeForSend, sendEndedAt_ + maxSuspectWait);
+    if (now >= heldUntil)
+        return false;
+    undecided_ = outcome;
+    decideAt_ = now + suspectRetryInterval;
+    return true;
+}
+
 /// Sends the request to another backend server if that is allowed and one has a slot.
 /// @param refusalCause Set to why none was chosen, if the caller should know.
 bool Exchange::sendAgain(SendOutcome outcome, BackendChoice &refusalCause, TimePoint now)
@@ -418,6 +450,9 @@
     if (suspected == Suspicion::Quarantined
         || (suspected == Suspicion::RepeatedSuspect && history_.mayHaveRun))
         return false;
+    // Another run of what it is suspect for has lasted for the whole wait.
+    if (suspected != Suspicion::None && suspicion_.claimRun(now) > now)
+        return false;
     if (outcome != SendOutcome::NeverSent
         && !takeRetryToken(context_.retryBuckets[service_], context_.retryQuota, now))
         return false;
@@ -523,7 +558,9 @@
 void Exchange::refuseQuarantined(TimePoint now)
 {
     suspicion_.noteRefused(now);
-    answerItself({.status = 400, .reason = "it crashes backend servers", .body = quarantineText},
+    answerItself({.status = 400,
+                  .reason = "it crashes backend servers",
+                  .body = suspicion_.refusalText(now)},
                  now);
 }
 
@@ -539,7 +576,7 @@
     if (backendId_.empty())
         return;
     call_.reset();
-    suspicion_.endRun();
+    suspicion_.endRun(monotonicNow());
     if (BackendState *backend = currentBackend(); backend != nullptr && backend->ownInFlight > 0)
         --backend->ownInFlight;
     backendId_.clear();
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -76,7 +76,7 @@
         /// For the log line and metrics.
         const char *reason = "";
         milliseconds retryAfter{0};
-        const char *body = "";
+        std::string body{};
     };
 
     milliseconds timeLeft(TimePoint now) const { return remaining(now, deadline_); }
@@ -97,7 +97,9 @@
     void endSend(SendOutcome outcome, const std::string &reason);
     void continueAfter(SendOutcome outcome, TimePoint now);
     bool sendAgain(SendOutcome outcome, BackendChoice &refusalCause, TimePoint now);
-    bool waitForOtherCopies(TimePoint mayRunAt, TimePoint now);
+    bool waitForOtherRuns(TimePoint mayRunAt, TimePoint now);
+    TimePoint groupOpenedAt() const;
+    bool holdRetry(SendOutcome outcome, TimePoint now);
     void noteUnansweredSend();
     void noteCompleteAnswer();
     void refuseQuarantined(TimePoint now);
@@ -125,6 +127,8 @@
     bool inGroup_ = false;
     /// When a request that still waits for its first slot is refused.
     TimePoint waitUntil_;
+    /// The same for a suspect request that waits for another run, from its first such wait on.
+    TimePoint suspectWaitUntil_;
     /// When the request looks for a slot again even if none has become free.
     TimePoint nextDispatchAt_ = TimePoint::max();
     bool waiting_ = true;
@@ -140,6 +144,7 @@
     std::unique_ptr<HttpCall> call_;
     std::string backendId_;
     TimePoint sentAt_;
+    TimePoint sendEndedAt_;
     TimePoint pauseBegunAt_;
     TimePoint firstEventAt_;
     milliseconds longestPause_{0};
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -197,8 +197,16 @@
             poisonProtection_.receive(*crash, monotonicNow());
         else if (const auto *completion = std::get_if<CompletionReport>(&message.value()))
             poisonProtection_.receive(*completion, monotonicNow());
+        else if (const auto *claim = std::get_if<ClaimMessage>(&message.value()))
+            poisonProtection_.receive(*claim, monotonicNow());
         else if (const auto *presence = std::get_if<GatewayPresence>(&message.value()))
-            directory_->notePresence(presence->gateway, from);
+            notePresence(presence->gateway, from);
+    }
+
+    void notePresence(const std::string &gateway, const Endpoint &from)
+    {
+        directory_->notePresence(gateway, from);
+        poisonProtection_.introduce(from, monotonicNow());
     }
 
     void applyLoad(const EngineLoad &load)
--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -9,25 +9,17 @@
 
 namespace {
 
-/// Datagrams get lost, so each one is sent a second time after this.
-constexpr milliseconds repeatAfter{150};
-/// Interval between the messages to one other gateway that repeat what became known of late. They
-/// reach gateways that were cut off, or have started since.
+/// How long no request with a suspect part runs after a crash, if the part was in flight at one
+/// crash and if at more. Meanwhile sound requests that share it with the crashes may complete.
+constexpr milliseconds partPause{300};
+constexpr milliseconds repeatedPartPause{1000};
+/// Interval between two messages to one other gateway that repeat what became known of late, and
+/// between renewals of claims.
 constexpr milliseconds upkeepInterval{1000};
-constexpr milliseconds gossipTime{30000};
-constexpr std::size_t maxGossipCrashes = 8;
-/// Fingerprints in one message, so that it fits into a packet.
-constexpr std::size_t maxFingerprintsPerMessage = 64;
+/// Interval between two looks for verdicts that have become due.
+constexpr milliseconds judgeInterval{100};
 /// A peer's report about a time longer ago than this is not used.
-constexpr milliseconds maxReportAge = crashLifetime;
-
-RunningRequest encode(const RequestIdentity &identity)
-{
-    RunningRequest running{.request = identity.request.bytes};
-    for (const Fingerprint &part : identity.parts)
-        running.parts.push_back(part.bytes);
-    return running;
-}
+constexpr milliseconds maxReportAge = 2 * completionPeriod;
 
 RequestIdentity decode(const RunningRequest &running)
 {
@@ -37,135 +29,246 @@
     return identity;
 }
 
-/// Returns reports about a crash, each small enough for one packet.
-std::vector<CrashReport> reportsOf(const ServerCrash &crash, TimePoint now)
-{
-    std::vector<CrashReport> reports;
-    std::size_t next = 0;
-    do {
-        CrashReport report{.server = crash.server,
-                           .startedAt = crash.startedAt,
-                           .service = crash.service,
-                           .servers = crash.servers,
-                           .ageMilliseconds =
-                               static_cast<std::uint32_t>(remaining(crash.at, now).count()),
-                           .running = {}};
-        std::size_t fingerprints = 0;
-        for (; next < crash.running.size() && fingerprints < maxFingerprintsPerMessage; ++next) {
-            report.running.push_back(encode(crash.running[next]));
-            fingerprints += 1 + crash.running[next].parts.size();
-        }
-        reports.push_back(std::move(report));
-    } while (next < crash.running.size());
-    return reports;
+std::vector<Fingerprint> decode(const std::vector<FingerprintBytes> &encoded)
+{
+    std::vector<Fingerprint> fingerprints;
+    for (const FingerprintBytes &bytes : encoded)
+        fingerprints.push_back({bytes});
+    return fingerprints;
 }
 
 } // namespace
 
 PoisonGuard::PoisonGuard(EventLog &log, PoisonGuardLinks links)
-    : log_(log), links_(std::move(links))
+    : log_(log), links_(std::move(links)), sharing_(evidence_, links_.evidence)
 { }
 
-Suspicion PoisonGuard::suspicionOf(const Fingerprint &request, TimePoint now) const
+Suspicion PoisonGuard::suspicionOf(const RequestIdentity &request, TimePoint now) const
 {
     return wisteria::suspicionOf(evidence_, request, now);
 }
 
-TimePoint PoisonGuard::mayRunAt(const Fingerprint &request, TimePoint now) const
+std::optional<Fingerprint> PoisonGuard::quarantineReason(const RequestIdentity &request,
+                                                         TimePoint now) const
+{
+    return wisteria::quarantineReason(evidence_, request, now);
+}
+
+std::optional<std::uint64_t> PoisonGuard::serverHash(const RequestIdentity &request,
+                                                     TimePoint now) const
+{
+    if (suspicionOf(request, now) == Suspicion::None)
+        return std::nullopt;
+    const std::vector<Fingerprint> exclusive = exclusiveSuspects(evidence_, request, now);
+    return hashOf(exclusive.empty() ? request.request : exclusive.front());
+}
+
+TimePoint PoisonGuard::mayRunAt(const RequestIdentity &request, TimePoint openedAt,
+                                TimePoint now) const
 {
     const Suspicion suspicion = suspicionOf(request, now);
     if (suspicion == Suspicion::None)
         return now;
-    if (suspicion == Suspicion::Quarantined || running_.contains(request))
+    if (suspicion == Suspicion::Quarantined || runsHere(request.request))
         return TimePoint::max();
-    if (suspicion == Suspicion::Suspect)
+    TimePoint at = now;
+    for (const Fingerprint &suspect : exclusiveSuspects(evidence_, request, now)) {
+        if (runsHere(suspect))
+            return TimePoint::max();
+        const bool repeated =
+            wisteria::suspicionOf(evidence_, suspect, now) == Suspicion::RepeatedSuspect;
+        const CrashRecord record = crashRecordOf(evidence_, suspect, now);
+        at = std::max({at, record.lastAt + (repeated ? repeatedPartPause : partPause),
+                       openedAt + repeatedPartPause});
+        if (isPoison(record) && !evidence_.quarantined.contains(suspect))
+            at = std::max(at, verdictTime(record) + judgeInterval);
+    }
+    const bool repeated =
+        wisteria::suspicionOf(evidence_, request.request, now) == Suspicion::RepeatedSuspect;
+    const CrashRecord record = crashRecordOf(evidence_, request.request, now);
+    if (repeated)
+        at = std::max(at, record.lastAt + reportSettleTime);
+    if (isPoison(record) && !evidence_.quarantined.contains(request.request))
+        at = std::max(at, verdictTime(record) + judgeInterval);
+    return at;
+}
+
+TimePoint PoisonGuard::claimRun(const RequestIdentity &request, TimePoint now)
+{
+    const std::vector<Fingerprint> exclusive = exclusiveSuspects(evidence_, request, now);
+    if (exclusive.empty())
         return now;
-    return std::max(now, crashRecordOf(evidence_, request, now).lastAt + reportSettleTime);
+    if (const TimePoint until = claimedByOthersUntil(claims_, exclusive, now); until > now)
+        return until;
+    tellClaims(claim(claims_, exclusive, random_(), now), claimTime);
+    return claimsHoldAt(claims_, exclusive, now);
 }
 
-void PoisonGuard::noteRunBegin(const Fingerprint &request)
+void PoisonGuard::tellClaims(const std::vector<Fingerprint> &suspects, milliseconds holds)
 {
-    ++running_[request];
+    for (const Fingerprint &suspect : suspects) {
+        links_.evidence.sendToAll(
+            ClaimMessage{.ticket = claims_.bySuspect[suspect].ticket,
+                         .holdsMilliseconds = static_cast<std::uint32_t>(holds.count()),
+                         .suspect = suspect.bytes});
+    }
 }
 
-void PoisonGuard::noteRunEnd(const Fingerprint &request)
+void PoisonGuard::receive(const ClaimMessage &message, TimePoint now)
 {
-    const auto found = running_.find(request);
-    if (found == running_.end())
-        return;
-    if (--found->second == 0)
-        running_.erase(found);
+    const Fingerprint suspect{message.suspect};
+    const bool applied =
+        applyClaim(claims_, suspect, message.ticket, milliseconds(message.holdsMilliseconds),
+                   runsHere(suspect), now);
+    if (!applied)
+        tellClaims({suspect}, claimTime);
+    noteTrial(evidence_, suspect, now);
     links_.changed();
 }
 
+std::vector<Fingerprint> PoisonGuard::noteRunBegin(const RequestIdentity &request, TimePoint now)
+{
+    if (suspicionOf(request, now) == Suspicion::None)
+        return {};
+    std::vector<Fingerprint> suspects = exclusiveSuspects(evidence_, request, now);
+    for (const Fingerprint &suspect : suspects) {
+        if (noteTrial(evidence_, suspect, now)) {
+            log_.info("request.tried", {{"fingerprint", toText(suspect)}});
+            keep(suspect, true, now);
+        }
+    }
+    if (std::find(suspects.begin(), suspects.end(), request.request) == suspects.end())
+        suspects.push_back(request.request);
+    for (const Fingerprint &suspect : suspects)
+        ++running_[suspect];
+    return suspects;
+}
+
+void PoisonGuard::noteRunEnd(const std::vector<Fingerprint> &suspects, TimePoint now)
+{
+    for (const Fingerprint &suspect : suspects) {
+        const auto found = running_.find(suspect);
+        if (found == running_.end())
+            continue;
+        if (--found->second == 0)
+            running_.erase(found);
+        const auto claim = claims_.bySuspect.find(suspect);
+        if (claim == claims_.bySuspect.end() || !claim->second.own)
+            continue;
+        setOwnClaim(claims_, suspect, claimAfterRun, now);
+        tellClaims({suspect}, claimAfterRun);
+    }
+    if (!suspects.empty())
+        links_.changed();
+}
+
 void PoisonGuard::noteCrash(const ServerCrash &crash, TimePoint now)
 {
-    wisteria::noteCrash(evidence_, crash, now);
-    for (const CrashReport &report : reportsOf(crash, now))
-        sendToAllTwice(report, now);
-    judge(true, now);
+    lastCrashSeenHere_ = true;
+    addCrash(crash, now);
+    sharing_.reportCrash(crash, now);
     links_.changed();
 }
 
-/// Quarantines requests until no further one is found: each one explains crashes that spoke against
+void PoisonGuard::addCrash(const ServerCrash &crash, TimePoint now)
+{
+    judgeUntil_ = now + foundDownTime + 2 * judgeInterval;
+    if (wisteria::noteCrash(evidence_, crash, now))
+        sharing_.noteCrash(now, std::uniform_real_distribution<double>(0, 1)(random_));
+}
+
+/// Quarantines suspects until no further one is found: each one explains crashes that spoke against
 /// the quarantine of others.
-void PoisonGuard::judge(bool crashSeenHere, TimePoint now)
-{
-    for (auto found = newPoisonRequests(evidence_, now); !found.empty();
-         found = newPoisonRequests(evidence_, now)) {
-        for (const Fingerprint &request : found) {
-            const CrashRecord record = crashRecordOf(evidence_, request, now);
-            quarantine(evidence_, request, now + quarantineTime);
-            log_.warn("request.quarantined",
-                      {{"fingerprint", toText(request)},
-                       {"crashes", record.crashes},
-                       {"weight", record.weight},
-                       {"other_cause", record.otherCause}});
-            links_.quarantined(request, record.crashes, crashSeenHere);
-        }
+void PoisonGuard::judge(TimePoint now)
+{
+    nextJudgementAt_ = now + judgeInterval;
+    while (const auto found = newPoison(evidence_, true, now)) {
+        const CrashRecord record = crashRecordOf(evidence_, *found, now);
+        quarantine(evidence_, *found, now + quarantineTime, now);
+        log_.warn("request.quarantined",
+                  {{"fingerprint", toText(*found)},
+                   {"crashes", record.crashes},
+                   {"moments", record.moments},
+                   {"weight", record.weight},
+                   {"only_with", evidence_.quarantined.at(*found).with.size()},
+                   {"completed_before", record.provenSound},
+                   {"other_cause", record.otherCause}});
+        keep(*found, lastCrashSeenHere_, now);
+        links_.changed();
     }
 }
 
-void PoisonGuard::noteCompleted(const Fingerprint &request, TimePoint now)
+/// Has the store keep a quarantine as it is now.
+void PoisonGuard::keep(const Fingerprint &suspect, bool foundHere, TimePoint now)
+{
+    const auto found = evidence_.quarantined.find(suspect);
+    if (found == evidence_.quarantined.end())
+        return;
+    const Quarantine &quarantine = found->second;
+    links_.quarantined(suspect,
+                       {.crashes = crashRecordOf(evidence_, suspect, now).crashes,
+                        .left = remaining(now, quarantine.until),
+                        .with = quarantine.with,
+                        .trials = quarantine.trials},
+                       foundHere);
+}
+
+void PoisonGuard::noteCompleted(const RequestIdentity &request, const std::string &service,
+                                TimePoint now)
 {
-    const bool wasQuarantined = evidence_.quarantinedUntil.contains(request);
-    if (!wasQuarantined && crashRecordOf(evidence_, request, now).crashes == 0)
+    countCompletion(evidence_, service);
+    std::vector<Fingerprint> suspects = request.parts;
+    suspects.push_back(request.request);
+    std::vector<Fingerprint> cleared;
+    for (const Fingerprint &suspect : suspects) {
+        const bool wasQuarantined = evidence_.quarantined.contains(suspect);
+        const bool counted = noteCompletion(evidence_, suspect, now, now);
+        if (!counted && !wasQuarantined)
+            continue;
+        cleared.push_back(suspect);
+        log_.info("request.cleared", {{"fingerprint", toText(suspect)}});
+        if (wasQuarantined)
+            links_.released(suspect);
+    }
+    if (cleared.empty())
         return;
-    noteCompletion(evidence_, request, now, now);
-    log_.info("request.cleared", {{"fingerprint", toText(request)}});
-    if (wasQuarantined)
-        links_.released(request);
-    sendToAllTwice(CompletionReport{.ageMilliseconds = 0, .requests = {request.bytes}}, now);
+    sharing_.reportCompletion(cleared, now);
     links_.changed();
 }
 
-void PoisonGuard::noteRefusal(const Fingerprint &request, TimePoint now)
+void PoisonGuard::noteRefusal(const Fingerprint &reason, TimePoint now)
 {
-    const auto found = evidence_.quarantinedUntil.find(request);
-    if (found == evidence_.quarantinedUntil.end() || found->second - now > quarantineTime / 2)
+    const auto found = evidence_.quarantined.find(reason);
+    if (found == evidence_.quarantined.end() || found->second.until - now > quarantineTime / 2)
         return;
-    quarantine(evidence_, request, now + quarantineTime);
-    links_.quarantined(request, crashRecordOf(evidence_, request, now).crashes, true);
+    quarantine(evidence_, reason, now + quarantineTime, now);
+    keep(reason, true, now);
 }
 
-void PoisonGuard::applyQuarantine(const Fingerprint &request,
-                                  std::optional<milliseconds> left, TimePoint now)
+void PoisonGuard::applyQuarantine(const Fingerprint &suspect,
+                                  const std::optional<KeptQuarantine> &kept, TimePoint now)
 {
-    const bool known = evidence_.quarantinedUntil.contains(request);
-    if (left)
-        quarantine(evidence_, request, now + std::min<milliseconds>(*left, quarantineTime));
-    else if (known)
-        release(evidence_, request, now);
-    if (known == left.has_value())
+    const bool known = evidence_.quarantined.contains(suspect);
+    if (kept) {
+        quarantine(evidence_, suspect, now + std::min<milliseconds>(kept->left, quarantineTime),
+                   now);
+        Quarantine &quarantine = evidence_.quarantined.at(suspect);
+        quarantine.trials = std::max(quarantine.trials, kept->trials);
+        if (!known)
+            quarantine.with = kept->with;
+    } else if (known) {
+        release(evidence_, suspect, now);
+    }
+    if (known == kept.has_value())
         return;
-    log_.info(left ? "request.quarantine_read" : "request.released",
-              {{"fingerprint", toText(request)}});
+    log_.info(kept ? "request.quarantine_read" : "request.released",
+              {{"fingerprint", toText(suspect)}});
     links_.changed();
 }
 
 void PoisonGuard::receive(const CrashReport &report, TimePoint now)
 {
-    if (milliseconds(report.ageMilliseconds) > maxReportAge)
+    if (milliseconds(report.ageMilliseconds) > crashLifetime)
         return;
     ServerCrash crash{.server = report.server,
                       .startedAt = report.startedAt,
@@ -174,78 +277,61 @@
                       .servers = report.servers};
     for (const RunningRequest &running : report.running)
         crash.running.push_back(decode(running));
-    if (wisteria::noteCrash(evidence_, std::move(crash), now)) {
+    const std::size_t known = evidence_.crashes.size();
+    addCrash(crash, now);
+    if (evidence_.crashes.size() > known) {
+        lastCrashSeenHere_ = false;
         log_.info("backend.crashed",
                   {{"backend", report.server},
                    {"service", report.service},
                    {"source", "another gateway"},
                    {"requests", report.running.size()}});
     }
-    judge(false, now);
     links_.changed();
 }
 
 void PoisonGuard::receive(const CompletionReport &report, TimePoint now)
 {
-    if (milliseconds(report.ageMilliseconds) > maxReportAge)
+    const milliseconds age(report.ageMilliseconds);
+    if (age > maxReportAge)
         return;
-    for (const FingerprintBytes &request : report.requests)
-        noteCompletion(evidence_, {request}, now - milliseconds(report.ageMilliseconds), now);
+    const std::vector<Fingerprint> completed = decode(report.requests);
+    for (const Fingerprint &one : completed)
+        noteCompletion(evidence_, one, now - age, now);
+    sharing_.noteReported(completed, now);
     links_.changed();
 }
 
-void PoisonGuard::sendToAllTwice(const std::variant<CrashReport, CompletionReport> &message,
-                                 TimePoint now)
-{
-    std::visit([this](const auto &report) { links_.sendToAll(report); }, message);
-    repeats_.push_back({now, message});
-}
-
-void PoisonGuard::sendRepeats(TimePoint now)
-{
-    const auto isDue = [now](const RepeatedMessage &repeat) {
-        return now - repeat.firstSentAt >= repeatAfter;
-    };
-    for (RepeatedMessage &repeat : repeats_) {
-        if (!isDue(repeat))
-            continue;
-        const auto passed = static_cast<std::uint32_t>(remaining(repeat.firstSentAt, now).count());
-        const auto sendOlder = [this, passed](auto &report) {
-            report.ageMilliseconds += passed;
-            links_.sendToAll(report);
-        };
-        std::visit(sendOlder, repeat.message);
-    }
-    std::erase_if(repeats_, isDue);
-}
-
-void PoisonGuard::gossip(TimePoint now)
+/// Tells the other gateways of runs that go on.
+void PoisonGuard::renewClaims(TimePoint now)
 {
-    std::size_t sent = 0;
-    for (auto crash = evidence_.crashes.rbegin();
-         crash != evidence_.crashes.rend() && sent < maxGossipCrashes; ++crash) {
-        if (now - crash->at > gossipTime || !isOpen(evidence_, *crash, now))
+    for (const auto &[suspect, runs] : running_) {
+        const auto claim = claims_.bySuspect.find(suspect);
+        if (claim == claims_.bySuspect.end() || !claim->second.own)
             continue;
-        ++sent;
-        for (const CrashReport &report : reportsOf(*crash, now))
-            links_.sendToOne(report);
+        setOwnClaim(claims_, suspect, claimTime, now);
+        tellClaims({suspect}, claimTime);
     }
+    removeExpired(claims_, now);
 }
 
 void PoisonGuard::checkTimeouts(TimePoint now)
 {
-    sendRepeats(now);
+    sharing_.checkTimeouts(now);
+    if (now < judgeUntil_ && now >= nextJudgementAt_)
+        judge(now);
     if (now < nextUpkeepAt_)
         return;
     nextUpkeepAt_ = now + upkeepInterval;
-    gossip(now);
-    for (const Fingerprint &request : removeExpired(evidence_, now))
-        links_.released(request);
+    sharing_.gossip(now);
+    renewClaims(now);
+    for (const Fingerprint &suspect : wisteria::removeExpired(evidence_, now))
+        links_.released(suspect);
 }
 
 void PoisonGuard::updateMetrics(Metrics &metrics) const
 {
-    setPoisonState(metrics, evidence_.quarantinedUntil.size(), evidence_.crashes.size());
+    setPoisonState(metrics, evidence_.quarantined.size(), evidence_.crashes.size());
 }
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/PoisonGuard.h
+++ b/Source/Programs/Gateway/PoisonGuard.h
@@ -3,13 +3,15 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
-#include <variant>
 #include <vector>
 
 #include "Process/EventLog.h"
 #include "Process/Metrics.h"
+#include "Programs/Gateway/EvidenceSharing.h"
 #include "Request/CrashEvidence.h"
+#include "Request/RunClaims.h"
 #include "Version/GroupMessages.h"
 
 namespace wisteria {
@@ -17,26 +19,33 @@
 /// How long a gateway waits for other gateways' reports about a crash: a probe and a message.
 constexpr milliseconds reportSettleTime{150};
 
+/// What the store keeps of a quarantine.
+struct KeptQuarantine
+{
+    /// Crashes that led to it, for the operator.
+    std::uint32_t crashes = 0;
+    milliseconds left{0};
+    /// See Quarantine.
+    std::vector<Fingerprint> with{};
+    std::uint32_t trials = 0;
+};
+
 /// What a PoisonGuard needs of the gateway around it.
 struct PoisonGuardLinks
 {
-    /// Sends a message to all other gateways that are known.
-    std::function<void(const GroupMessage &)> sendToAll;
-    /// Sends a message to one of them, chosen at random.
-    std::function<void(const GroupMessage &)> sendToOne;
+    EvidenceLinks evidence;
     /// Requests that wait may now be sent, or have to be refused.
     std::function<void()> changed;
-    /// The store has to keep, or to extend, the quarantine of a request.
+    /// The store has to keep, or to extend, a quarantine.
     /// @param foundHere Whether the last of its crashes was seen by this gateway.
-    std::function<void(const Fingerprint &, std::uint32_t crashes, bool foundHere)>
-        quarantined;
-    /// The quarantine of a request has ended.
+    std::function<void(const Fingerprint &, const KeptQuarantine &, bool foundHere)> quarantined;
+    /// A quarantine has ended.
     std::function<void(const Fingerprint &)> released;
 };
 
-/// Keeps poison requests, which crash each backend server that runs them, from taking down more
-/// than a few: exchanges crashes with the other gateways, and tells which requests are suspect or
-/// quarantined. The decisions are those of CrashEvidence.
+/// Keeps poison requests and prompt parts, which crash each backend server that runs them, from
+/// taking down more than a few: exchanges crashes with the other gateways, and tells which requests
+/// are suspect or quarantined. The decisions are those of CrashEvidence and RunClaims.
 class PoisonGuard
 {
 public:
@@ -44,33 +53,53 @@
     PoisonGuard(const PoisonGuard &) = delete;
     PoisonGuard &operator=(const PoisonGuard &) = delete;
 
-    /// Whether a request may be suspect, so that it is worth computing its fingerprint.
+    /// Whether a request may be suspect, so that it is worth computing its fingerprints.
     bool hasSuspects() const { return wisteria::hasSuspects(evidence_); }
-    Suspicion suspicionOf(const Fingerprint &request, TimePoint now) const;
+    Suspicion suspicionOf(const RequestIdentity &request, TimePoint now) const;
+    /// What a request is quarantined for; see wisteria::quarantineReason().
+    std::optional<Fingerprint> quarantineReason(const RequestIdentity &request,
+                                                TimePoint now) const;
+    /// Hash by which all gateways choose the same backend server for a suspect request; nothing for
+    /// other requests.
+    std::optional<std::uint64_t> serverHash(const RequestIdentity &request, TimePoint now) const;
 
     /// When a suspect request may be sent, if a backend server has a slot for it; TimePoint::max()
-    /// while it runs somewhere for this gateway. Requests that are not suspect may be sent at once.
+    /// while a copy, or another request with a suspect part of it, runs for this gateway. Requests
+    /// that are not suspect may be sent at once.
     ///
     /// One copy runs at a time, and after a repeated crash the next one waits until the other
     /// gateways' reports have arrived. Otherwise a caller that sends a poison request many times at
     /// once would crash a server with each copy.
-    TimePoint mayRunAt(const Fingerprint &request, TimePoint now) const;
-    void noteRunBegin(const Fingerprint &request);
-    void noteRunEnd(const Fingerprint &request);
+    /// @param openedAt When the service's group of backend servers opened last.
+    TimePoint mayRunAt(const RequestIdentity &request, TimePoint openedAt, TimePoint now) const;
+    /// Claims the run of a request that may be sent now, if its suspects may run only once over all
+    /// gateways.
+    /// @return When it may be sent; not after `now` if at once.
+    TimePoint claimRun(const RequestIdentity &request, TimePoint now);
+    /// Records that a request is sent.
+    /// @return Its suspects, which have to be passed to noteRunEnd().
+    std::vector<Fingerprint> noteRunBegin(const RequestIdentity &request, TimePoint now);
+    void noteRunEnd(const std::vector<Fingerprint> &suspects, TimePoint now);
 
     /// Adds a crash that this gateway detected, and reports it to the others.
     void noteCrash(const ServerCrash &crash, TimePoint now);
-    /// Records that a backend server ran a request to its end.
-    void noteCompleted(const Fingerprint &request, TimePoint now);
+    /// Records that a backend server of the service ran a request to its end.
+    void noteCompleted(const RequestIdentity &request, const std::string &service, TimePoint now);
     /// Records that a caller sent a quarantined request again.
-    void noteRefusal(const Fingerprint &request, TimePoint now);
+    void noteRefusal(const Fingerprint &reason, TimePoint now);
 
-    /// Applies a record of the store: the request is quarantined for this time, or no longer.
-    void applyQuarantine(const Fingerprint &request, std::optional<milliseconds> left,
+    /// Applies a record of the store: a quarantine, or its end.
+    void applyQuarantine(const Fingerprint &suspect, const std::optional<KeptQuarantine> &kept,
                          TimePoint now);
 
     void receive(const CrashReport &report, TimePoint now);
     void receive(const CompletionReport &report, TimePoint now);
+    void receive(const ClaimMessage &message, TimePoint now);
+    /// Reports for a gateway that has just started.
+    std::vector<GroupMessage> latestReports(TimePoint now) const
+    {
+        return sharing_.latestReports(now);
+    }
 
     /// Repeats messages, and forgets what has expired.
     void checkTimeouts(TimePoint now);
@@ -78,25 +107,27 @@
     void updateMetrics(Metrics &metrics) const;
 
 private:
-    /// A message that was sent once and is sent again.
-    struct RepeatedMessage
-    {
-        TimePoint firstSentAt;
-        std::variant<CrashReport, CompletionReport> message;
-    };
-
-    void judge(bool crashSeenHere, TimePoint now);
-    void sendToAllTwice(const std::variant<CrashReport, CompletionReport> &message, TimePoint now);
-    void sendRepeats(TimePoint now);
-    void gossip(TimePoint now);
+    bool runsHere(const Fingerprint &suspect) const { return running_.contains(suspect); }
+    void addCrash(const ServerCrash &crash, TimePoint now);
+    void judge(TimePoint now);
+    void keep(const Fingerprint &suspect, bool foundHere, TimePoint now);
+    void tellClaims(const std::vector<Fingerprint> &suspects, milliseconds holds);
+    void renewClaims(TimePoint now);
 
     EventLog &log_;
     PoisonGuardLinks links_;
     CrashEvidence evidence_;
-    /// Copies of suspect requests that run for this gateway.
+    EvidenceSharing sharing_;
+    RunClaims claims_;
+    /// Runs of suspects for this gateway.
     std::map<Fingerprint, std::uint32_t> running_;
-    std::vector<RepeatedMessage> repeats_;
     TimePoint nextUpkeepAt_;
+    /// Verdicts about the last crashes become due until then.
+    TimePoint judgeUntil_;
+    TimePoint nextJudgementAt_;
+    /// Whether this gateway detected the last crash.
+    bool lastCrashSeenHere_ = false;
+    std::mt19937_64 random_{std::random_device{}()};
 };
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/PoisonProtection.cpp
+++ b/Source/Programs/Gateway/PoisonProtection.cpp
@@ -32,24 +32,20 @@
     directory_ = &directory;
     records_ = std::make_unique<QuarantineRecords>(
         loop_, pool, log_, metrics_, store,
-        QuarantineEvents{
-            .changed = [this](const Fingerprint &request, std::optional<milliseconds> left) {
-                guard_.applyQuarantine(request, left, monotonicNow());
-            }});
+        QuarantineEvents{.changed = [this](const Fingerprint &suspect,
+                                           const std::optional<KeptQuarantine> &kept) {
+            guard_.applyQuarantine(suspect, kept, monotonicNow());
+        }});
 }
 
 PoisonGuardLinks PoisonProtection::links()
 {
-    return {.sendToAll =
-                [this](const GroupMessage &message) {
-                    for (const Endpoint &peer : directory_->peers())
-                        send(peer, message);
-                },
-            .sendToOne = [this](const GroupMessage &message) { sendToOne(message); },
+    return {.evidence = {.sendToAll = [this](const GroupMessage &message) { sendToAll(message); },
+                         .sendToOne = [this](const auto &messages) { sendToOne(messages); }},
             .changed = [this] { changed_(); },
-            .quarantined = [this](const Fingerprint &request, std::uint32_t crashes,
-                                  bool foundHere) { keepQuarantine(request, crashes, foundHere); },
-            .released = [this](const Fingerprint &request) { records_->remove(request); }};
+            .quarantined = [this](const Fingerprint &suspect, const KeptQuarantine &kept,
+                                  bool foundHere) { keepQuarantine(suspect, kept, foundHere); },
+            .released = [this](const Fingerprint &suspect) { records_->remove(suspect); }};
 }
 
 void PoisonProtection::send(const Endpoint &to, const GroupMessage &message)
@@ -57,22 +53,36 @@
     socket_->send(to, encodeMessage(message));
 }
 
-void PoisonProtection::sendToOne(const GroupMessage &message)
+void PoisonProtection::sendToAll(const GroupMessage &message)
+{
+    for (const Endpoint &peer : directory_->peers())
+        send(peer, message);
+}
+
+void PoisonProtection::sendToOne(const std::vector<GroupMessage> &messages)
 {
     const std::vector<Endpoint> peers = directory_->peers();
     if (peers.empty())
         return;
     std::uniform_int_distribution<std::size_t> anyPeer(0, peers.size() - 1);
-    send(peers[anyPeer(random_)], message);
+    const Endpoint &peer = peers[anyPeer(random_)];
+    for (const GroupMessage &message : messages)
+        send(peer, message);
 }
 
-void PoisonProtection::keepQuarantine(const Fingerprint &request, std::uint32_t crashes,
+void PoisonProtection::introduce(const Endpoint &peer, TimePoint now)
+{
+    for (const GroupMessage &report : guard_.latestReports(now))
+        send(peer, report);
+}
+
+void PoisonProtection::keepQuarantine(const Fingerprint &suspect, const KeptQuarantine &kept,
                                       bool foundHere)
 {
     std::uniform_int_distribution<std::int64_t> delay(minOtherWrites.count(),
                                                       maxOtherWrites.count());
     const milliseconds waits = foundHere ? milliseconds(0) : milliseconds(delay(random_));
-    records_->add(request, crashes, quarantineTime, monotonicNow() + waits);
+    records_->add(suspect, kept, monotonicNow() + waits);
 }
 
 void PoisonProtection::noteCrash(const ServerCrash &crash)
@@ -92,6 +102,11 @@
     guard_.receive(report, now);
 }
 
+void PoisonProtection::receive(const ClaimMessage &claim, TimePoint now)
+{
+    guard_.receive(claim, now);
+}
+
 void PoisonProtection::checkTimeouts(TimePoint now)
 {
     detector_.checkTimeouts(now);
--- a/Source/Programs/Gateway/PoisonProtection.h
+++ b/Source/Programs/Gateway/PoisonProtection.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <vector>
 
 #include "Connection/DatagramSocket.h"
 #include "Programs/Gateway/CrashDetector.h"
@@ -34,6 +35,9 @@
     /// Applies messages of other gateways.
     void receive(const CrashReport &report, TimePoint now);
     void receive(const CompletionReport &report, TimePoint now);
+    void receive(const ClaimMessage &claim, TimePoint now);
+    /// Tells a gateway that has just started of the latest crashes.
+    void introduce(const Endpoint &peer, TimePoint now);
 
     void checkTimeouts(TimePoint now);
 
@@ -41,8 +45,9 @@
     PoisonGuardLinks links();
     void noteCrash(const ServerCrash &crash);
     void send(const Endpoint &to, const GroupMessage &message);
-    void sendToOne(const GroupMessage &message);
-    void keepQuarantine(const Fingerprint &request, std::uint32_t crashes, bool foundHere);
+    void sendToAll(const GroupMessage &message);
+    void sendToOne(const std::vector<GroupMessage> &messages);
+    void keepQuarantine(const Fingerprint &suspect, const KeptQuarantine &kept, bool foundHere);
 
     EventLoop &loop_;
     EventLog &log_;
--- a/Source/Programs/Gateway/QuarantineRecords.cpp
+++ b/Source/Programs/Gateway/QuarantineRecords.cpp
@@ -36,14 +36,16 @@
                          .upToDate = [](TimePoint) {}})
 { }
 
-void QuarantineRecords::add(const Fingerprint &request, std::uint32_t crashes,
-                            milliseconds quarantineTime, TimePoint notBefore)
+void QuarantineRecords::add(const Fingerprint &suspect, const KeptQuarantine &kept,
+                            TimePoint notBefore)
 {
-    if (unwritten_.size() >= maxUnwritten && !unwritten_.contains(request))
+    if (unwritten_.size() >= maxUnwritten && !unwritten_.contains(suspect))
         return;
-    const platform::QuarantineRecord record{.crashes = crashes,
-                                            .until = wallNow() + quarantineTime};
-    unwritten_[request] = {.record = record, .notBefore = notBefore};
+    platform::QuarantineRecord record{
+        .crashes = kept.crashes, .until = wallNow() + kept.left, .with = {}, .trials = kept.trials};
+    for (const Fingerprint &other : kept.with)
+        record.with.push_back(toText(other));
+    unwritten_[suspect] = {.record = std::move(record), .notBefore = notBefore};
 }
 
 void QuarantineRecords::remove(const Fingerprint &request)
@@ -78,11 +80,19 @@
     // Another gateway wrote the record meanwhile.
     const auto own = unwritten_.find(*request);
     if (own != unwritten_.end() && own->second.record
-        && own->second.record->until <= value.value().until + clockTolerance)
+        && own->second.record->until <= value.value().until + clockTolerance
+        && own->second.record->trials <= value.value().trials)
         unwritten_.erase(own);
-    const milliseconds left = value.value().until - wallNow();
-    if (left > milliseconds(0))
-        events_.changed(*request, left);
+    KeptQuarantine kept{.crashes = value.value().crashes,
+                        .left = value.value().until - wallNow(),
+                        .with = {},
+                        .trials = value.value().trials};
+    for (const std::string &other : value.value().with) {
+        if (const auto fingerprint = fingerprintFromText(other))
+            kept.with.push_back(*fingerprint);
+    }
+    if (kept.left > milliseconds(0))
+        events_.changed(*request, kept);
 }
 
 void QuarantineRecords::applyAll(const std::vector<platform::KeyedRecord> &records)
@@ -109,8 +119,7 @@
         write(due->first, due->second, now);
 }
 
-void QuarantineRecords::write(const Fingerprint &request, const Change &change,
-                              TimePoint now)
+void QuarantineRecords::write(const Fingerprint &request, const Change &change, TimePoint now)
 {
     const std::string value = change.record ? platform::encodeQuarantine(*change.record) : "";
     // A record that an operator has just removed must not come back.
--- a/Source/Programs/Gateway/QuarantineRecords.h
+++ b/Source/Programs/Gateway/QuarantineRecords.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "Programs/Gateway/PoisonGuard.h"
 #include "Programs/Gateway/StoreAppender.h"
 #include "Programs/Gateway/StoreWatch.h"
 #include "Request/Fingerprint.h"
@@ -15,12 +16,13 @@
 /// What the store's records change.
 struct QuarantineEvents
 {
-    /// A request is quarantined for this time, or no longer if there is none.
-    std::function<void(const Fingerprint &, std::optional<milliseconds> left)> changed;
+    /// A request or part is quarantined, or no longer if there is nothing.
+    std::function<void(const Fingerprint &, const std::optional<KeptQuarantine> &)> changed;
 };
 
-/// The quarantined requests in the platform's store. They outlast restarts of the gateways, and
-/// reach gateways that a message did not reach. Removing a record there ends the quarantine.
+/// The quarantined requests and prompt parts in the platform's store. They outlast restarts of the
+/// gateways, and reach gateways that a message did not reach. Removing a record there ends the
+/// quarantine.
 class QuarantineRecords
 {
 public:
@@ -29,13 +31,11 @@
     QuarantineRecords(const QuarantineRecords &) = delete;
     QuarantineRecords &operator=(const QuarantineRecords &) = delete;
 
-    /// Writes or extends the record of a request as soon as the store takes it.
-    /// @param crashes Number of crashes that it is quarantined for, for the operator.
+    /// Writes or extends a record as soon as the store takes it.
     /// @param notBefore Later than now if another gateway probably writes the same record.
-    void add(const Fingerprint &request, std::uint32_t crashes, milliseconds quarantineTime,
-             TimePoint notBefore);
-    /// Removes the record of a request as soon as the store takes it.
-    void remove(const Fingerprint &request);
+    void add(const Fingerprint &suspect, const KeptQuarantine &kept, TimePoint notBefore);
+    /// Removes a record as soon as the store takes it.
+    void remove(const Fingerprint &suspect);
 
     /// Checks the timeouts of calls, and writes what the store lacks.
     void checkTimeouts(TimePoint now);
@@ -58,7 +58,7 @@
 
     EventLog &log_;
     QuarantineEvents events_;
-    /// Requests that have a record.
+    /// Suspects that have a record.
     std::set<Fingerprint> recorded_;
     /// Records that are to be written or removed.
     std::map<Fingerprint, Change> unwritten_;
--- a/Source/Programs/Gateway/RequestSuspicion.cpp
+++ b/Source/Programs/Gateway/RequestSuspicion.cpp
@@ -1,5 +1,6 @@
 #include "Programs/Gateway/RequestSuspicion.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace wisteria {
@@ -38,32 +39,54 @@
 
 Suspicion RequestSuspicion::level(TimePoint now)
 {
-    return poison_.hasSuspects() ? poison_.suspicionOf(fingerprint(), now) : Suspicion::None;
+    return poison_.hasSuspects() ? poison_.suspicionOf(identity(), now) : Suspicion::None;
 }
 
-TimePoint RequestSuspicion::mayRunAt(TimePoint now)
+TimePoint RequestSuspicion::mayRunAt(TimePoint openedAt, TimePoint now)
 {
-    return poison_.hasSuspects() ? poison_.mayRunAt(fingerprint(), now) : now;
+    return poison_.hasSuspects() ? poison_.mayRunAt(identity(), openedAt, now) : now;
+}
+
+TimePoint RequestSuspicion::claimRun(TimePoint now)
+{
+    return poison_.hasSuspects() ? poison_.claimRun(identity(), now) : now;
 }
 
 std::optional<std::uint64_t> RequestSuspicion::hashIfSuspect(TimePoint now)
 {
-    if (level(now) == Suspicion::None)
-        return std::nullopt;
-    return hashOf(fingerprint());
+    return poison_.hasSuspects() ? poison_.serverHash(identity(), now) : std::nullopt;
+}
+
+std::string RequestSuspicion::refusalText(TimePoint now)
+{
+    const auto reason = poison_.quarantineReason(identity(), now);
+    if (!reason)
+        return {};
+    const auto part = std::find(identity().parts.begin(), identity().parts.end(), *reason);
+    if (part == identity().parts.end()) {
+        return "This request was running on several backend servers when each of them crashed, so "
+               "it is not sent to any more of them. Change the request, or ask the operators to "
+               "release "
+            + toText(*reason) + ".\n";
+    }
+    const auto index = static_cast<std::size_t>(part - identity().parts.begin());
+    return "This request has not run: the part of its prompt with the id "
+        + request_.sharedPromptParts[index]
+        + " was running on several backend servers when each of them crashed, in other requests "
+          "too, so no request with it is sent to them. Leave the part out or change it, or ask the "
+          "operators to release "
+        + toText(*reason) + ".\n";
 }
 
 void RequestSuspicion::beginRun(TimePoint now)
 {
-    suspectRun_ = level(now) != Suspicion::None;
-    if (suspectRun_)
-        poison_.noteRunBegin(fingerprint());
+    if (poison_.hasSuspects())
+        running_ = poison_.noteRunBegin(identity(), now);
 }
 
-void RequestSuspicion::endRun()
+void RequestSuspicion::endRun(TimePoint now)
 {
-    if (std::exchange(suspectRun_, false))
-        poison_.noteRunEnd(fingerprint());
+    poison_.noteRunEnd(std::exchange(running_, {}), now);
 }
 
 void RequestSuspicion::noteConnectionEnded(const std::string &server, TimePoint now,
@@ -83,13 +106,13 @@
 
 void RequestSuspicion::noteCompleted(TimePoint now)
 {
-    if (poison_.hasSuspects())
-        poison_.noteCompleted(fingerprint(), now);
+    poison_.noteCompleted(identity(), service_, now);
 }
 
 void RequestSuspicion::noteRefused(TimePoint now)
 {
-    poison_.noteRefusal(fingerprint(), now);
+    if (const auto reason = poison_.quarantineReason(identity(), now))
+        poison_.noteRefusal(*reason, now);
 }
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/RequestSuspicion.h
+++ b/Source/Programs/Gateway/RequestSuspicion.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "Programs/Gateway/CrashDetector.h"
 #include "Programs/Gateway/PoisonGuard.h"
@@ -29,16 +30,21 @@
     std::string fingerprintIfKnown() const;
     /// Fingerprints of the shared parts of the prompt, by the parts' ids.
     std::map<std::string, std::string> partFingerprints();
-    /// How suspect the request is. Computes its fingerprint only if any request is suspect.
+    /// How suspect the request is. Computes its fingerprints only if any request is suspect.
     Suspicion level(TimePoint now);
-    /// When the request may be sent as far as other copies of it are concerned.
-    TimePoint mayRunAt(TimePoint now);
+    /// When the request may be sent as far as other runs of its suspects are concerned.
+    /// @param openedAt When the service's group opened last.
+    TimePoint mayRunAt(TimePoint openedAt, TimePoint now);
+    /// See PoisonGuard::claimRun().
+    TimePoint claimRun(TimePoint now);
     /// See BackendCriteria::suspectHash.
     std::optional<std::uint64_t> hashIfSuspect(TimePoint now);
+    /// Why the request is refused, for its caller; empty if it is not quarantined.
+    std::string refusalText(TimePoint now);
 
     /// Records that the request is sent, and that the send has ended.
     void beginRun(TimePoint now);
-    void endRun();
+    void endRun(TimePoint now);
 
     /// Records that the connection of a send ended.
     /// @param checked Called when it is known whether the server crashed, unless this object is
@@ -59,8 +65,8 @@
     std::string organisation_;
     std::string service_;
     std::optional<RequestIdentity> identity_;
-    /// The current send counts as a run of a suspect request.
-    bool suspectRun_ = false;
+    /// Suspects of the current send.
+    std::vector<Fingerprint> running_;
     /// Cleared by the destructor, for callbacks that may come later.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -374,6 +374,7 @@
     void apply(const Endpoint &, const CrashReport &) { }
     void apply(const Endpoint &, const CompletionReport &) { }
     void apply(const Endpoint &, const GatewayPresence &) { }
+    void apply(const Endpoint &, const ClaimMessage &) { }
 
     void apply(const Endpoint &from, const RankPoll &poll)
     {
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -1,105 +1,131 @@
 #include "Request/CrashEvidence.h"
 
 #include <algorithm>
-#include <cmath>
+#include <utility>
+
+#include "Request/CrashMoments.h"
 
 namespace wisteria {
 
 namespace {
 
-/// Crashes that became known within this time of each other happened together: a probe's timeout
-/// plus a message between gateways.
-constexpr milliseconds togetherTime{200};
-/// A server that was idle is found down only when the next request is sent there.
-constexpr milliseconds foundDownTime{1500};
 /// How far back crashes without a request count as signs of another cause.
 constexpr seconds otherCauseTime{10};
-/// Least sum of weights for a quarantine, without and with signs of another cause: three crashes,
-/// also if one other of a dozen servers crashes each time, and five.
+/// Least number of moments and sum of weights for a quarantine: three crashes, also if one other of
+/// a dozen servers crashes each time, and five.
+constexpr std::uint32_t minPoisonMoments = 3;
 constexpr double poisonWeight = 2.1;
-constexpr double poisonWeightWithOtherCause = 4.5;
-constexpr std::uint32_t minPoisonCrashes = 3;
-/// Least sums of weights of a suspect and of a repeated one: one and two crashes, each together
-/// with another one of a dozen servers.
-constexpr double suspectWeight = 0.5;
+constexpr std::uint32_t minPoisonMomentsOtherwise = 5;
+constexpr double poisonWeightOtherwise = 4.4;
+/// Least sums of weights of a suspect and of a repeated one: half of a dozen servers crashed at
+/// once, and two crashes, each together with another one of a dozen servers.
+constexpr double suspectWeight = 0.25;
 constexpr double repeatedWeight = 1.2;
 
-bool wasRunning(const ServerCrash &crash, const Fingerprint &request)
+/// Whether a quarantined suspect explains a crash, so that it does not count for a verdict on
+/// another one.
+bool explains(const ServerCrash &crash, const Fingerprint &quarantined,
+              const Quarantine &quarantine)
 {
-    return std::any_of(crash.running.begin(), crash.running.end(),
-                       [&request](const auto &running) { return running.request == request; });
+    return std::any_of(crash.running.begin(), crash.running.end(), [&](const auto &running) {
+        return contains(running, quarantined) && containsAll(running, quarantine.with);
+    });
 }
 
-/// Whether a crash counts against a request.
-bool countsAgainst(const CrashEvidence &evidence, const ServerCrash &crash,
-                   const Fingerprint &request, TimePoint now)
+void indexCrashes(CrashEvidence &evidence)
 {
-    if (now - crash.at > crashLifetime || !wasRunning(crash, request))
-        return false;
-    const auto completed = evidence.completedAt.find(request);
-    return completed == evidence.completedAt.end() || completed->second < crash.at;
+    evidence.crashesOf.clear();
+    for (std::size_t i = 0; i < evidence.crashes.size(); ++i) {
+        for (const RequestIdentity &running : evidence.crashes[i].running) {
+            for (const Fingerprint &suspect : suspectsOf(running)) {
+                std::vector<std::size_t> &positions = evidence.crashesOf[suspect];
+                if (positions.empty() || positions.back() != i)
+                    positions.push_back(i);
+            }
+        }
+    }
 }
 
-std::uint32_t countCrashes(const CrashEvidence &evidence, const Fingerprint &request,
-                           TimePoint now)
+bool isProvenSound(const CrashEvidence &evidence, const Fingerprint &suspect)
 {
-    return static_cast<std::uint32_t>(
-        std::count_if(evidence.crashes.begin(), evidence.crashes.end(), [&](const auto &crash) {
-            return countsAgainst(evidence, crash, request, now);
-        }));
+    return lastCompletion(evidence.completions, suspect).has_value();
 }
 
-/// Whether two crashes of a service happened together, as by a loss of power.
-bool together(const ServerCrash &crash, const ServerCrash &other)
+/// CrashList before this time do not count against a suspect.
+TimePoint clearedUntil(const CrashEvidence &evidence, const Fingerprint &suspect)
 {
-    if (crash.service != other.service)
-        return false;
-    const auto after = other.at - crash.at;
-    const milliseconds before = togetherTime;
-    return after >= -before && after <= (other.running.empty() ? foundDownTime : togetherTime);
+    const TimePoint completed =
+        lastCompletion(evidence.completions, suspect).value_or(TimePoint::min());
+    const auto released = evidence.releasedAt.find(suspect);
+    return released == evidence.releasedAt.end() ? completed
+                                                 : std::max(completed, released->second);
 }
 
-/// How much a crash says about a request that was in flight there: 1 if this server crashed alone,
-/// 0 if all servers of the service did, and between them by the logarithm of their number, which is
-/// the information in the fact that the request was at one of them.
-double weightOf(const CrashEvidence &evidence, const ServerCrash &crash,
-                const Fingerprint &request)
+/// Returns the crashes that count against a suspect, the earliest first.
+CrashList countedCrashes(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now)
 {
-    const auto others =
-        std::count_if(evidence.crashes.begin(), evidence.crashes.end(), [&](const auto &other) {
-            return together(crash, other) && !wasRunning(other, request);
-        });
-    if (others == 0)
-        return 1;
-    const double crashed = 1 + static_cast<double>(others);
-    const double servers = std::max<double>(crash.servers, crashed);
-    return 1 - std::log(crashed) / std::log(servers);
+    CrashList counted;
+    const auto positions = evidence.crashesOf.find(suspect);
+    if (positions == evidence.crashesOf.end())
+        return counted;
+    const TimePoint cleared = clearedUntil(evidence, suspect);
+    for (const std::size_t position : positions->second) {
+        const ServerCrash &crash = evidence.crashes[position];
+        if (now - crash.at <= crashLifetime && crash.at > cleared)
+            counted.push_back(&crash);
+    }
+    std::sort(counted.begin(), counted.end(),
+              [](const auto *a, const auto *b) { return a->at < b->at; });
+    return counted;
 }
 
-/// Whether a request in flight at a crash explains it: it is quarantined, or at least so many
-/// crashes count against it.
-bool isExplained(const CrashEvidence &evidence, const ServerCrash &crash, std::uint32_t crashes,
+/// Leaves out the crashes that something quarantined explains.
+CrashList withoutExplained(const CrashEvidence &evidence, CrashList crashes,
+                           const Fingerprint &suspect)
+{
+    std::erase_if(crashes, [&](const ServerCrash *crash) {
+        return std::any_of(
+            evidence.quarantined.begin(), evidence.quarantined.end(), [&](const auto &item) {
+                return item.first != suspect && explains(*crash, item.first, item.second);
+            });
+    });
+    return crashes;
+}
+
+std::uint32_t countMoments(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now)
+{
+    return static_cast<std::uint32_t>(momentsOf(countedCrashes(evidence, suspect, now)).size());
+}
+
+/// Whether something in flight at a crash explains it: it is quarantined, or it has never completed
+/// and at least so many moments count against it.
+bool isExplained(const CrashEvidence &evidence, const ServerCrash &crash, std::uint32_t moments,
                  TimePoint now)
 {
+    const auto isCause = [&](const Fingerprint &suspect) {
+        return evidence.quarantined.contains(suspect)
+            || (!isProvenSound(evidence, suspect)
+                && countMoments(evidence, suspect, now) >= moments);
+    };
     return std::any_of(crash.running.begin(), crash.running.end(), [&](const auto &running) {
-        return evidence.quarantinedUntil.contains(running.request)
-            || countCrashes(evidence, running.request, now) >= crashes;
+        const std::vector<Fingerprint> suspects = suspectsOf(running);
+        return std::any_of(suspects.begin(), suspects.end(), isCause);
     });
 }
 
-/// Crashes from which a request explains them to one against which `crashes` count: about as many.
+/// Moments from which a request explains them to one against which `moments` count: about as many.
 /// Two poison requests crash servers by turns, so that one is always a crash ahead.
-std::uint32_t explainingCrashes(std::uint32_t crashes)
+std::uint32_t explainingMoments(std::uint32_t moments)
 {
-    return std::max(minPoisonCrashes, crashes - 1);
+    return std::max(minPoisonMoments, moments - 1);
 }
 
-bool showsOtherCause(const CrashEvidence &evidence, const Fingerprint &request,
-                     std::uint32_t crashes, TimePoint now)
+bool showsOtherCause(const CrashEvidence &evidence, const Fingerprint &suspect,
+                     std::uint32_t moments, TimePoint now)
 {
     return std::any_of(evidence.crashes.begin(), evidence.crashes.end(), [&](const auto &crash) {
-        return now - crash.at <= otherCauseTime && !wasRunning(crash, request)
-            && !isExplained(evidence, crash, explainingCrashes(crashes), now);
+        return now - crash.at <= otherCauseTime && !wasRunning(crash, suspect)
+            && !isExplained(evidence, crash, explainingMoments(moments), now);
     });
 }
 
@@ -116,10 +142,82 @@
     evidence.crashes.erase(minor == evidence.crashes.end() ? evidence.crashes.begin() : minor);
 }
 
-void evictEarliest(std::map<Fingerprint, TimePoint> &times)
+/// Removes the item with the earliest time.
+template <typename Map, typename TimeOf> void evictEarliest(Map &items, TimeOf timeOf)
 {
-    times.erase(std::min_element(times.begin(), times.end(),
-                                 [](const auto &a, const auto &b) { return a.second < b.second; }));
+    items.erase(std::min_element(items.begin(), items.end(), [&](const auto &a, const auto &b) {
+        return timeOf(a.second) < timeOf(b.second);
+    }));
+}
+
+/// Returns the record of the crashes at which a suspect was in flight.
+CrashRecord recordOf(const CrashEvidence &evidence, const CrashList &crashes,
+                     const Fingerprint &suspect, TimePoint now)
+{
+    CrashRecord record{.crashes = static_cast<std::uint32_t>(crashes.size()),
+                       .provenSound = isProvenSound(evidence, suspect)};
+    if (crashes.empty())
+        return record;
+    std::vector<CrashMoment> moments = momentsOf(crashes);
+    if (record.provenSound)
+        dropWithoutProgress(moments);
+    record.moments = static_cast<std::uint32_t>(moments.size());
+    for (const CrashMoment &moment : moments)
+        record.weight += weightOf(evidence.crashes, moment);
+    record.lastAt = crashes.back()->at;
+    if (record.moments >= minPoisonMoments)
+        record.otherCause = showsOtherCause(evidence, suspect, record.moments, now);
+    return record;
+}
+
+/// Returns what was, at each crash, in a request together with the suspect and never completed
+/// since, so that it explains the crashes as well.
+std::vector<Fingerprint> companionsOf(const CrashEvidence &evidence, const CrashList &crashes,
+                                      const Fingerprint &suspect)
+{
+    std::vector<Fingerprint> companions;
+    for (const RequestIdentity &running : crashes.front()->running) {
+        if (!contains(running, suspect))
+            continue;
+        for (const Fingerprint &other : suspectsOf(running)) {
+            const bool alike = other != suspect && !isProvenSound(evidence, other)
+                && std::all_of(crashes.begin(), crashes.end(), [&](const auto *crash) {
+                                   return crash->at > clearedUntil(evidence, other)
+                                       && ranTogether(*crash, suspect, other);
+                               });
+            if (alike && std::find(companions.begin(), companions.end(), other) == companions.end())
+                companions.push_back(other);
+        }
+    }
+    return companions;
+}
+
+/// Uses a crash to tell quarantined suspects from their companions: drops the companions that were
+/// not there, and the quarantines of suspects that were not there beside a companion.
+void narrowQuarantines(CrashEvidence &evidence, const ServerCrash &crash)
+{
+    std::erase_if(evidence.quarantined, [&crash](const auto &item) {
+        const auto ranWithout = [&](const Fingerprint &other) {
+            return std::any_of(
+                crash.running.begin(), crash.running.end(), [&](const auto &running) {
+                    return contains(running, other) && !contains(running, item.first);
+                });
+        };
+        return !wasRunning(crash, item.first)
+            && std::any_of(item.second.with.begin(), item.second.with.end(), ranWithout);
+    });
+    for (auto &[suspect, quarantine] : evidence.quarantined) {
+        if (!wasRunning(crash, suspect))
+            continue;
+        std::erase_if(quarantine.with, [&, &cause = suspect](const Fingerprint &other) {
+            return !ranTogether(crash, cause, other);
+        });
+    }
+}
+
+bool isTrialDue(const Quarantine &quarantine, TimePoint now)
+{
+    return quarantine.trials < maxTrials && now >= quarantine.nextTrialAt;
 }
 
 void mergeRunning(ServerCrash &crash, const std::vector<RequestIdentity> &running)
@@ -135,6 +233,7 @@
 
 bool noteCrash(CrashEvidence &evidence, ServerCrash crash, TimePoint now)
 {
+    narrowQuarantines(evidence, crash);
     const auto isSame = [&crash](const ServerCrash &known) {
         return known.server == crash.server && known.startedAt == crash.startedAt
             && std::chrono::abs(known.at - crash.at) < sameCrashTime;
@@ -143,30 +242,40 @@
     if (known != evidence.crashes.end()) {
         mergeRunning(*known, crash.running);
         known->servers = std::max(known->servers, crash.servers);
+        indexCrashes(evidence);
         return false;
     }
     if (evidence.crashes.size() >= maxCrashes)
         evictCrash(evidence, now);
     ServerCrash added = std::move(crash);
-    const std::vector<RequestIdentity> running = std::move(added.running);
-    added.running.clear();
+    const std::vector<RequestIdentity> running = std::exchange(added.running, {});
     mergeRunning(added, running);
+    added.completedBefore = evidence.completedRequests[added.service];
     evidence.crashes.push_back(std::move(added));
+    indexCrashes(evidence);
     return true;
 }
 
-bool noteCompletion(CrashEvidence &evidence, const Fingerprint &request, TimePoint at,
+bool noteCompletion(CrashEvidence &evidence, const Fingerprint &suspect, TimePoint at,
                     TimePoint now)
 {
-    const bool counted = countCrashes(evidence, request, now) > 0;
-    if (!evidence.completedAt.contains(request) && evidence.completedAt.size() >= maxCompleted)
-        evictEarliest(evidence.completedAt);
-    TimePoint &completedAt = evidence.completedAt[request];
-    completedAt = std::max(completedAt, at);
-    evidence.quarantinedUntil.erase(request);
+    const bool counted = !countedCrashes(evidence, suspect, now).empty();
+    noteCompletionTime(evidence.completions, suspect, at, now);
+    const bool cleared = counted && countedCrashes(evidence, suspect, now).empty();
+    const auto known = evidence.quarantined.find(suspect);
+    // An old completion may become known late; it is no reason to end a quarantine.
+    if (known != evidence.quarantined.end() && (cleared || at > known->second.since))
+        evidence.quarantined.erase(known);
+    for (auto &[quarantined, quarantine] : evidence.quarantined)
+        std::erase(quarantine.with, suspect);
     return counted;
 }
 
+void countCompletion(CrashEvidence &evidence, const std::string &service)
+{
+    ++evidence.completedRequests[service];
+}
+
 bool crashedWithin(const CrashEvidence &evidence, const std::string &server, milliseconds span,
                    TimePoint now)
 {
@@ -175,80 +284,156 @@
     });
 }
 
-CrashRecord crashRecordOf(const CrashEvidence &evidence, const Fingerprint &request,
-                          TimePoint now)
+CrashRecord crashRecordOf(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now)
 {
-    CrashRecord record;
-    for (const ServerCrash &crash : evidence.crashes) {
-        if (!countsAgainst(evidence, crash, request, now))
-            continue;
-        ++record.crashes;
-        record.weight += weightOf(evidence, crash, request);
-        record.lastAt = std::max(record.lastAt, crash.at);
-    }
-    if (record.crashes >= minPoisonCrashes)
-        record.otherCause = showsOtherCause(evidence, request, record.crashes, now);
-    return record;
+    return recordOf(evidence, countedCrashes(evidence, suspect, now), suspect, now);
 }
 
 bool isPoison(const CrashRecord &record)
 {
-    return record.crashes >= minPoisonCrashes
-        && record.weight >= (record.otherCause ? poisonWeightWithOtherCause : poisonWeight);
+    if (record.otherCause || record.provenSound)
+        return record.moments >= minPoisonMomentsOtherwise
+            && record.weight >= poisonWeightOtherwise;
+    return record.moments >= minPoisonMoments && record.weight >= poisonWeight;
 }
 
-Suspicion suspicionOf(const CrashEvidence &evidence, const Fingerprint &request,
-                      TimePoint now)
+Suspicion suspicionOf(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now)
 {
-    const auto quarantined = evidence.quarantinedUntil.find(request);
-    if (quarantined != evidence.quarantinedUntil.end() && quarantined->second > now)
-        return Suspicion::Quarantined;
-    const CrashRecord record = crashRecordOf(evidence, request, now);
+    if (!evidence.crashesOf.contains(suspect) || isProvenSound(evidence, suspect))
+        return Suspicion::None;
+    const CrashRecord record = crashRecordOf(evidence, suspect, now);
     if (record.weight >= repeatedWeight)
         return Suspicion::RepeatedSuspect;
     return record.weight >= suspectWeight ? Suspicion::Suspect : Suspicion::None;
 }
 
-void quarantine(CrashEvidence &evidence, const Fingerprint &request, TimePoint until)
+std::optional<Fingerprint> quarantineReason(const CrashEvidence &evidence,
+                                            const RequestIdentity &request, TimePoint now)
 {
-    if (!evidence.quarantinedUntil.contains(request)
-        && evidence.quarantinedUntil.size() >= maxQuarantined)
-        evictEarliest(evidence.quarantinedUntil);
-    TimePoint &quarantinedUntil = evidence.quarantinedUntil[request];
-    quarantinedUntil = std::max(quarantinedUntil, until);
+    if (evidence.quarantined.empty())
+        return std::nullopt;
+    for (const Fingerprint &suspect : suspectsOf(request)) {
+        const auto found = evidence.quarantined.find(suspect);
+        if (found != evidence.quarantined.end() && found->second.until > now
+            && containsAll(request, found->second.with))
+            return suspect;
+    }
+    return std::nullopt;
 }
 
-void release(CrashEvidence &evidence, const Fingerprint &request, TimePoint now)
+Suspicion suspicionOf(const CrashEvidence &evidence, const RequestIdentity &request, TimePoint now)
 {
-    noteCompletion(evidence, request, now, now);
+    if (const auto reason = quarantineReason(evidence, request, now)) {
+        const bool tried = isTrialDue(evidence.quarantined.at(*reason), now);
+        return tried ? Suspicion::RepeatedSuspect : Suspicion::Quarantined;
+    }
+    Suspicion highest = Suspicion::None;
+    for (const Fingerprint &suspect : suspectsOf(request))
+        highest = std::max(highest, suspicionOf(evidence, suspect, now));
+    return highest;
 }
 
-std::vector<Fingerprint> newPoisonRequests(const CrashEvidence &evidence, TimePoint now)
+std::vector<Fingerprint> exclusiveSuspects(const CrashEvidence &evidence,
+                                           const RequestIdentity &request, TimePoint now)
 {
-    std::map<Fingerprint, std::uint32_t> counts;
-    for (const ServerCrash &crash : evidence.crashes) {
-        for (const RequestIdentity &running : crash.running)
-            ++counts[running.request];
+    std::vector<Fingerprint> exclusive;
+    for (const Fingerprint &part : request.parts) {
+        if (suspicionOf(evidence, part, now) != Suspicion::None)
+            exclusive.push_back(part);
     }
-    std::vector<Fingerprint> found;
-    for (const auto &[request, count] : counts) {
-        if (count >= minPoisonCrashes && !evidence.quarantinedUntil.contains(request)
-            && isPoison(crashRecordOf(evidence, request, now)))
-            found.push_back(request);
+    const auto reason = quarantineReason(evidence, request, now);
+    if (reason && std::find(exclusive.begin(), exclusive.end(), *reason) == exclusive.end())
+        exclusive.push_back(*reason);
+    return exclusive;
+}
+
+void quarantine(CrashEvidence &evidence, const Fingerprint &suspect, TimePoint until, TimePoint now)
+{
+    const auto known = evidence.quarantined.find(suspect);
+    if (known != evidence.quarantined.end()) {
+        known->second.until = std::max(known->second.until, until);
+        return;
+    }
+    if (evidence.quarantined.size() >= maxQuarantined)
+        evictEarliest(evidence.quarantined, [](const Quarantine &item) { return item.until; });
+    Quarantine added{.since = now, .until = until, .nextTrialAt = now + trialInterval};
+    const CrashList crashes =
+        withoutExplained(evidence, countedCrashes(evidence, suspect, now), suspect);
+    if (!crashes.empty())
+        added.with = companionsOf(evidence, crashes, suspect);
+    evidence.quarantined[suspect] = std::move(added);
+}
+
+bool noteTrial(CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now)
+{
+    const auto known = evidence.quarantined.find(suspect);
+    if (known == evidence.quarantined.end())
+        return false;
+    Quarantine &quarantine = known->second;
+    if (isTrialDue(quarantine, now))
+        ++quarantine.trials;
+    quarantine.nextTrialAt = now + (quarantine.trials + 1) * trialInterval;
+    return true;
+}
+
+void release(CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now)
+{
+    if (!evidence.releasedAt.contains(suspect) && evidence.releasedAt.size() >= maxQuarantined)
+        evictEarliest(evidence.releasedAt, [](TimePoint at) { return at; });
+    evidence.releasedAt[suspect] = now;
+    evidence.quarantined.erase(suspect);
+}
+
+std::optional<Fingerprint> newPoison(const CrashEvidence &evidence, bool settled, TimePoint now)
+{
+    std::optional<Fingerprint> found;
+    CrashRecord strongest;
+    for (const auto &[suspect, positions] : evidence.crashesOf) {
+        if (positions.size() < minPoisonMoments || evidence.quarantined.contains(suspect))
+            continue;
+        const CrashList crashes =
+            withoutExplained(evidence, countedCrashes(evidence, suspect, now), suspect);
+        const CrashRecord record = recordOf(evidence, crashes, suspect, now);
+        if (!isPoison(record) || (settled && now < verdictTime(record)))
+            continue;
+        const bool stronger = !found
+            || (record.provenSound == strongest.provenSound ? record.weight > strongest.weight
+                                                            : !record.provenSound);
+        if (!stronger)
+            continue;
+        found = suspect;
+        strongest = record;
     }
     return found;
 }
 
 bool isOpen(const CrashEvidence &evidence, const ServerCrash &crash, TimePoint now)
 {
+    const auto counts = [&](const Fingerprint &suspect) {
+        return now - crash.at <= crashLifetime && crash.at > clearedUntil(evidence, suspect);
+    };
     return std::any_of(crash.running.begin(), crash.running.end(), [&](const auto &running) {
-        return countsAgainst(evidence, crash, running.request, now);
+        const std::vector<Fingerprint> suspects = suspectsOf(running);
+        return std::any_of(suspects.begin(), suspects.end(), counts);
     });
 }
 
+std::vector<Fingerprint> provenSoundAt(const CrashEvidence &evidence, const ServerCrash &crash)
+{
+    std::vector<Fingerprint> proven;
+    for (const RequestIdentity &running : crash.running) {
+        for (const Fingerprint &suspect : suspectsOf(running)) {
+            const bool added = std::find(proven.begin(), proven.end(), suspect) != proven.end();
+            if (!added && isProvenSound(evidence, suspect))
+                proven.push_back(suspect);
+        }
+    }
+    return proven;
+}
+
 bool hasSuspects(const CrashEvidence &evidence)
 {
-    return !evidence.quarantinedUntil.empty()
+    return !evidence.quarantined.empty()
         || std::any_of(evidence.crashes.begin(), evidence.crashes.end(),
                        [](const ServerCrash &crash) { return !crash.running.empty(); });
 }
@@ -258,15 +443,16 @@
     std::erase_if(evidence.crashes, [&](const ServerCrash &crash) {
         return now - crash.at > otherCauseTime + sameCrashTime && !isOpen(evidence, crash, now);
     });
-    std::erase_if(evidence.completedAt,
+    indexCrashes(evidence);
+    std::erase_if(evidence.releasedAt,
                   [now](const auto &item) { return now - item.second > crashLifetime; });
     std::vector<Fingerprint> released;
-    for (const auto &[request, until] : evidence.quarantinedUntil) {
-        if (until <= now)
-            released.push_back(request);
+    for (const auto &[suspect, quarantine] : evidence.quarantined) {
+        if (quarantine.until <= now)
+            released.push_back(suspect);
     }
-    for (const Fingerprint &request : released)
-        evidence.quarantinedUntil.erase(request);
+    for (const Fingerprint &suspect : released)
+        evidence.quarantined.erase(suspect);
     return released;
 }
 
--- a/Source/Request/CrashEvidence.h
+++ b/Source/Request/CrashEvidence.h
@@ -3,44 +3,70 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "Process/Time.h"
+#include "Request/CompletionTimes.h"
+#include "Request/CrashMoments.h"
 #include "Request/ServerCrash.h"
 
 namespace wisteria {
 
+/// A request or prompt part that is sent to no backend server.
+struct Quarantine
+{
+    TimePoint since;
+    TimePoint until;
+    /// What was in the same requests at each crash, so that any of them may be the cause. Only
+    /// requests that have all of these are refused; others show which one it is.
+    std::vector<Fingerprint> with{};
+    /// When one request may show that the verdict is wrong.
+    TimePoint nextTrialAt;
+    std::uint32_t trials = 0;
+};
+
 /// What is known of crashes and of the requests that may have caused them. A value type without
 /// I/O.
 ///
-/// A poison request crashes each backend server that begins to run it. Nobody sees which of the
-/// requests in flight on a server crashed it, so a request is judged by several crashes: a poison
-/// request was in flight at each of them and never completes.
+/// A poison request crashes each backend server that begins to run it, and so does each request
+/// with a poison part in its prompt. Nobody sees which of the requests in flight on a server
+/// crashed it, so all requests and parts there are suspects. A suspect is judged by several
+/// crashes: a poison one was in flight at each of them and never completes.
 struct CrashEvidence
 {
     /// Crashes of the last `crashLifetime`, in the order in which they became known.
     std::vector<ServerCrash> crashes;
-    /// When requests were last completed by any backend server. A crash before that does not count
-    /// against a request.
-    std::map<Fingerprint, TimePoint> completedAt;
-    /// Requests that are sent to no backend server, and until when.
-    std::map<Fingerprint, TimePoint> quarantinedUntil;
+    /// Positions in `crashes` of the crashes at which each suspect was in flight.
+    std::unordered_map<Fingerprint, std::vector<std::size_t>, FingerprintHash> crashesOf;
+    /// When requests and parts were last completed by any backend server. A crash before that does
+    /// not count against them.
+    CompletionTimes completions;
+    /// Suspects whose crashes before a time an operator has ordered to forget.
+    std::map<Fingerprint, TimePoint> releasedAt;
+    std::map<Fingerprint, Quarantine> quarantined;
+    /// Number of requests of each service that this gateway has seen completed.
+    std::map<std::string, std::uint64_t> completedRequests;
 };
 
 /// How long a crash counts against the requests that were in flight there.
 constexpr std::chrono::minutes crashLifetime{10};
 /// How long a request stays quarantined. Extended while its caller goes on to send it.
 constexpr std::chrono::minutes quarantineTime{60};
+/// How long after its quarantine began one request of a suspect is tried, and after the last trial;
+/// and how often. Each trial of a real poison request costs a backend server.
+constexpr std::chrono::minutes trialInterval{5};
+constexpr std::uint32_t maxTrials = 2;
 /// Two reports about one process within this time are about the same crash. The list that tells
 /// its restart from it is read about once a second.
 constexpr milliseconds sameCrashTime{1500};
 /// Bounds on the memory that callers can make a gateway use: several thousand suspects.
 constexpr std::size_t maxCrashes = 512;
-constexpr std::size_t maxCompleted = 4096;
 constexpr std::size_t maxQuarantined = 4096;
 
-/// Whether a request may crash backend servers.
+/// Whether a request or part may crash backend servers.
 enum class Suspicion {
     None,
     Suspect, ///< Was in flight at a crash.
@@ -48,17 +74,21 @@
     Quarantined, ///< Crashed several backend servers, and is sent to none.
 };
 
-/// Crashes that count against a request.
+/// Crashes that count against a request or part.
 struct CrashRecord
 {
     std::uint32_t crashes = 0;
-    /// Sum of how much each crash says about the request: 1 if no other server crashed at that
-    /// time, 0 if all did.
+    /// Crashes that happened together are one moment, and one piece of evidence: a loss of power
+    /// crashes many servers under a popular request.
+    std::uint32_t moments = 0;
+    /// Sum of how much each moment says about the suspect: 1 if one server crashed, 0 if all did.
     double weight = 0;
     TimePoint lastAt{};
     /// Other servers crashed around that time under no request that is as suspect as this one.
     /// Something else crashes servers too, so that coincidences are likely.
     bool otherCause = false;
+    /// Backend servers have completed it before.
+    bool provenSound = false;
 };
 
 /// Adds a crash, or merges it with what is known of it. Reports may arrive late, twice and in any
@@ -66,46 +96,77 @@
 /// @return Whether it is the first report of this crash.
 bool noteCrash(CrashEvidence &evidence, ServerCrash crash, TimePoint now);
 
-/// Records that a backend server completed a request, so that the crashes before `at` do not count
-/// against it. Ends its quarantine.
+/// Records that a backend server completed a request or a part, so that the crashes before `at` do
+/// not count against it. Ends its quarantine.
 /// @return Whether any crash counted against it until now.
-bool noteCompletion(CrashEvidence &evidence, const Fingerprint &request, TimePoint at,
+bool noteCompletion(CrashEvidence &evidence, const Fingerprint &suspect, TimePoint at,
                     TimePoint now);
 
+/// Counts a request of a service that this gateway has seen completed.
+void countCompletion(CrashEvidence &evidence, const std::string &service);
+
 /// Whether a crash of the server became known within the last `span`.
 bool crashedWithin(const CrashEvidence &evidence, const std::string &server, milliseconds span,
                    TimePoint now);
 
-/// Returns the crashes that count against a request.
-CrashRecord crashRecordOf(const CrashEvidence &evidence, const Fingerprint &request,
-                          TimePoint now);
+/// Returns the crashes that count against a suspect.
+CrashRecord crashRecordOf(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now);
 
-/// Whether the evidence suffices to quarantine a request: three crashes that it alone explains, or
-/// five if something else crashes servers too. A crash together with others weighs less, so that a
-/// request in flight on many servers that lose power at once is never quarantined for it.
+/// Whether the evidence suffices for a quarantine: three moments that the suspect alone explains,
+/// or five if something else crashes servers too, or if it has completed before. Crashes of many
+/// servers weigh less, so that what was in flight when all lose power is never quarantined for it.
 bool isPoison(const CrashRecord &record);
 
-/// Returns how suspect a request is now.
-Suspicion suspicionOf(const CrashEvidence &evidence, const Fingerprint &request,
-                      TimePoint now);
+/// Returns how suspect a request or part is by itself, apart from a quarantine.
+Suspicion suspicionOf(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now);
+
+/// Returns how suspect a request is for itself and its parts. A quarantined one that is to be tried
+/// counts as a repeated suspect.
+Suspicion suspicionOf(const CrashEvidence &evidence, const RequestIdentity &request, TimePoint now);
+
+/// Returns what a request is quarantined for: itself or a part; nothing if it is not.
+std::optional<Fingerprint> quarantineReason(const CrashEvidence &evidence,
+                                            const RequestIdentity &request, TimePoint now);
 
-/// Quarantines a request, or extends its quarantine.
-void quarantine(CrashEvidence &evidence, const Fingerprint &request, TimePoint until);
+/// Returns the suspects of a request of which only one run is allowed at a time, over all gateways:
+/// suspect parts, which come with many requests at once, and whatever is tried.
+std::vector<Fingerprint> exclusiveSuspects(const CrashEvidence &evidence,
+                                           const RequestIdentity &request, TimePoint now);
 
-/// Ends the quarantine of a request and forgets its crashes: an operator's order.
-void release(CrashEvidence &evidence, const Fingerprint &request, TimePoint now);
+/// Quarantines a suspect, or extends its quarantine.
+void quarantine(CrashEvidence &evidence, const Fingerprint &suspect, TimePoint until,
+                TimePoint now);
 
-/// Returns the requests that are to be quarantined and are not yet.
-std::vector<Fingerprint> newPoisonRequests(const CrashEvidence &evidence, TimePoint now);
+/// Records that a request is tried although the suspect is quarantined.
+/// @return False if the suspect is not quarantined.
+bool noteTrial(CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now);
 
-/// Whether any request that was in flight at the crash is still suspect because of it.
+/// Ends the quarantine of a suspect and forgets its crashes: an operator's order.
+void release(CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now);
+
+/// Returns what is to be quarantined next and is not yet; nothing if there is none. Quarantine it
+/// before the next call: it explains crashes that speak against others.
+/// @param settled Leaves out suspects whose last moment may not be known as a whole yet.
+std::optional<Fingerprint> newPoison(const CrashEvidence &evidence, bool settled, TimePoint now);
+
+/// When the moment of the last crash that counts against a suspect is over, so that a verdict can
+/// take all crashes of it into account.
+inline TimePoint verdictTime(const CrashRecord &record)
+{
+    return record.lastAt + foundDownTime;
+}
+
+/// Whether anything that was in flight at the crash is still suspect because of it.
 bool isOpen(const CrashEvidence &evidence, const ServerCrash &crash, TimePoint now);
 
+/// Returns what was in flight at a crash and is known to have been completed, before or after.
+std::vector<Fingerprint> provenSoundAt(const CrashEvidence &evidence, const ServerCrash &crash);
+
 /// Whether a request may be suspect or quarantined, so that fingerprints have to be computed.
 bool hasSuspects(const CrashEvidence &evidence);
 
 /// Removes what has expired.
-/// @return Requests whose quarantine has ended.
+/// @return Suspects whose quarantine has ended.
 std::vector<Fingerprint> removeExpired(CrashEvidence &evidence, TimePoint now);
 
 } // namespace wisteria
--- /dev/null
+++ b/Source/Request/CrashMoments.cpp
@@ -0,0 +1,61 @@
+#include "Request/CrashMoments.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace wisteria {
+
+namespace {
+
+/// CrashList that became known within this time of each other happened together: a probe's timeout
+/// plus a message between gateways.
+constexpr milliseconds togetherTime{200};
+
+/// Whether a crash happened at a moment, as by a loss of power. A server that was idle is found
+/// down only when the next request is sent there.
+bool isPartOf(const CrashMoment &moment, const ServerCrash &crash)
+{
+    const milliseconds foundAfter = crash.running.empty() ? foundDownTime : togetherTime;
+    return crash.service == moment.first->service && crash.at >= moment.first->at - togetherTime
+        && crash.at <= moment.last->at + foundAfter;
+}
+
+} // namespace
+
+std::vector<CrashMoment> momentsOf(const CrashList &crashes)
+{
+    std::vector<CrashMoment> moments;
+    for (const ServerCrash *crash : crashes) {
+        const bool sameMoment = !moments.empty() && crash->service == moments.back().last->service
+            && crash->at - moments.back().last->at <= togetherTime;
+        if (!sameMoment)
+            moments.push_back({.first = crash, .last = crash, .servers = crash->servers});
+        moments.back().last = crash;
+        moments.back().servers = std::max(moments.back().servers, crash->servers);
+    }
+    return moments;
+}
+
+double weightOf(const std::vector<ServerCrash> &known, const CrashMoment &moment)
+{
+    const auto crashed = std::count_if(known.begin(), known.end(), [&moment](const auto &crash) {
+        return isPartOf(moment, crash);
+    });
+    if (crashed <= 1)
+        return 1;
+    const double servers = std::max<double>(moment.servers, static_cast<double>(crashed));
+    return 1 - std::log(static_cast<double>(crashed)) / std::log(servers);
+}
+
+void dropWithoutProgress(std::vector<CrashMoment> &moments)
+{
+    std::vector<CrashMoment> kept;
+    for (const CrashMoment &moment : moments) {
+        if (kept.empty() || moment.first->completedBefore > kept.back().last->completedBefore)
+            kept.push_back(moment);
+    }
+    moments = std::move(kept);
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Request/CrashMoments.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "Process/Time.h"
+#include "Request/ServerCrash.h"
+
+namespace wisteria {
+
+/// Some of the known crashes.
+using CrashList = std::vector<const ServerCrash *>;
+
+/// Until this time after a crash, others of the same moment may become known: idle servers are
+/// found down only when the next request is sent there.
+constexpr milliseconds foundDownTime{1500};
+
+/// CrashList of one service that happened together.
+struct CrashMoment
+{
+    const ServerCrash *first = nullptr;
+    const ServerCrash *last = nullptr;
+    /// Backend servers of the service.
+    std::uint32_t servers = 1;
+};
+
+/// Groups crashes that happened together.
+/// @param crashes The earliest first.
+std::vector<CrashMoment> momentsOf(const CrashList &crashes);
+
+/// How much a moment says about a suspect in flight there: 1 if one server crashed, 0 if all
+/// servers of the service did, and between them by the logarithm of their number, which is the
+/// information in the fact that the suspect was at these.
+/// @param known All known crashes.
+double weightOf(const std::vector<ServerCrash> &known, const CrashMoment &moment);
+
+/// Leaves out the moments before which nothing else was completed since the one before. If a
+/// suspect has completed earlier and nothing completes any more, something else crashes servers.
+void dropWithoutProgress(std::vector<CrashMoment> &moments);
+
+} // namespace wisteria
--- a/Source/Request/Fingerprint.h
+++ b/Source/Request/Fingerprint.h
@@ -12,8 +12,8 @@
 
 namespace wisteria {
 
-/// Identifies, the same at all gateways, what may crash backend servers: a request across repeats of
-/// its caller, which have different attempt ids, or a part of prompts across requests.
+/// Identifies, the same at all gateways, what may crash backend servers: a request across repeats
+/// of its caller, which have different attempt ids, or a part of prompts across requests.
 struct Fingerprint
 {
     std::array<std::uint8_t, 16> bytes{};
--- /dev/null
+++ b/Source/Request/ServerCrash.cpp
@@ -0,0 +1,38 @@
+#include "Request/ServerCrash.h"
+
+#include <algorithm>
+
+namespace wisteria {
+
+std::vector<Fingerprint> suspectsOf(const RequestIdentity &request)
+{
+    std::vector<Fingerprint> suspects = request.parts;
+    suspects.push_back(request.request);
+    return suspects;
+}
+
+bool contains(const RequestIdentity &request, const Fingerprint &suspect)
+{
+    return request.request == suspect
+        || std::find(request.parts.begin(), request.parts.end(), suspect) != request.parts.end();
+}
+
+bool containsAll(const RequestIdentity &request, const std::vector<Fingerprint> &suspects)
+{
+    return std::all_of(suspects.begin(), suspects.end(),
+                       [&request](const auto &suspect) { return contains(request, suspect); });
+}
+
+bool ranTogether(const ServerCrash &crash, const Fingerprint &suspect, const Fingerprint &other)
+{
+    return std::any_of(crash.running.begin(), crash.running.end(), [&](const auto &running) {
+        return contains(running, suspect) && contains(running, other);
+    });
+}
+
+bool wasRunning(const ServerCrash &crash, const Fingerprint &suspect)
+{
+    return ranTogether(crash, suspect, suspect);
+}
+
+} // namespace wisteria
--- a/Source/Request/ServerCrash.h
+++ b/Source/Request/ServerCrash.h
@@ -22,8 +22,20 @@
     /// Requests that were in flight there. Empty if nothing was: then the server was found down,
     /// and may have crashed earlier.
     std::vector<RequestIdentity> running{};
+    /// Requests of the service that this gateway had seen completed when the crash became known.
+    std::uint64_t completedBefore = 0;
 };
 
+/// What of a request may be the reason for a crash: its parts and itself.
+std::vector<Fingerprint> suspectsOf(const RequestIdentity &request);
+bool contains(const RequestIdentity &request, const Fingerprint &suspect);
+bool containsAll(const RequestIdentity &request, const std::vector<Fingerprint> &suspects);
+
+/// Whether a suspect was in flight at a crash.
+bool wasRunning(const ServerCrash &crash, const Fingerprint &suspect);
+/// Whether one request that was in flight at a crash had both suspects.
+bool ranTogether(const ServerCrash &crash, const Fingerprint &suspect, const Fingerprint &other);
+
 /// Requests of one crash that are recorded; a bound on the memory that callers can make a gateway
 /// use.
 constexpr std::size_t maxRunningPerCrash = 128;
--- a/Source/Version/CrashMessages.cpp
+++ b/Source/Version/CrashMessages.cpp
@@ -57,6 +57,13 @@
     message.push_back(encodeFingerprints(report.requests));
 }
 
+void appendFields(Json &message, const ClaimMessage &claim)
+{
+    message.push_back(claim.ticket);
+    message.push_back(claim.holdsMilliseconds);
+    message.push_back(encodeFingerprints({claim.suspect}));
+}
+
 CrashReport decodeCrashReport(const Json &message)
 {
     CrashReport report{.server = message.at(1).get<std::string>(),
@@ -81,4 +88,11 @@
             .requests = decodeFingerprints(message.at(2))};
 }
 
+ClaimMessage decodeClaim(const Json &message)
+{
+    return {.ticket = message.at(1).get<std::uint64_t>(),
+            .holdsMilliseconds = message.at(2).get<std::uint32_t>(),
+            .suspect = decodeFingerprints(message.at(3)).at(0)};
+}
+
 } // namespace wisteria
--- a/Source/Version/CrashMessages.h
+++ b/Source/Version/CrashMessages.h
@@ -37,8 +37,8 @@
     std::vector<RunningRequest> running;
 };
 
-/// Report of a gateway to another one that backend servers completed requests, so that earlier
-/// crashes do not count against them.
+/// Report of a gateway to another one that backend servers completed requests and prompt parts, so
+/// that earlier crashes do not count against them.
 struct CompletionReport
 {
     /// Time since the completions.
@@ -46,11 +46,22 @@
     std::vector<FingerprintBytes> requests;
 };
 
+/// Claim of a gateway to send the only request with a suspect, or its end. See RunClaims.
+struct ClaimMessage
+{
+    std::uint64_t ticket = 0;
+    /// How much longer the claim holds.
+    std::uint32_t holdsMilliseconds = 0;
+    FingerprintBytes suspect{};
+};
+
 /// Encode a message's fields after its kind, and decode them. Decoding throws an exception derived
 /// from std::exception for fields that are missing or have another type.
 void appendFields(nlohmann::json &message, const CrashReport &report);
 void appendFields(nlohmann::json &message, const CompletionReport &report);
+void appendFields(nlohmann::json &message, const ClaimMessage &claim);
 CrashReport decodeCrashReport(const nlohmann::json &message);
 CompletionReport decodeCompletionReport(const nlohmann::json &message);
+ClaimMessage decodeClaim(const nlohmann::json &message);
 
 } // namespace wisteria
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -31,7 +31,8 @@
     PermitReply = 12,
     CrashReport = 13,
     CompletionReport = 14,
-    GatewayPresence = 15
+    GatewayPresence = 15,
+    Claim = 16
 };
 
 Json encode(const Endpoint &endpoint)
@@ -307,6 +308,13 @@
     return json;
 }
 
+Json encode(const ClaimMessage &claim)
+{
+    Json json = Json::array({MessageKind::Claim});
+    appendFields(json, claim);
+    return json;
+}
+
 /// An earlier version sends neither the group nor the rank.
 RankPoll decodePoll(const Json &json)
 {
@@ -351,6 +359,8 @@
         return decodeCompletionReport(json);
     case MessageKind::GatewayPresence:
         return GatewayPresence{.gateway = json.at(1).get<std::string>()};
+    case MessageKind::Claim:
+        return decodeClaim(json);
     }
     throw std::out_of_range("unknown kind of message");
 }
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -231,7 +231,7 @@
 using GroupMessage =
     std::variant<GatewayHello, EngineListRequest, EngineList, EngineLoad, RankPoll, RankStatus,
                  RankCommand, RelayedMessage, CountsPoll, CountsReply, PermitRequestMessage,
-                 PermitReplyMessage, CrashReport, CompletionReport, GatewayPresence>;
+                 PermitReplyMessage, CrashReport, CompletionReport, GatewayPresence, ClaimMessage>;
 
 /// Returns the message as MessagePack bytes.
 std::string encodeMessage(const GroupMessage &message);
--- a/Tests/Gateway/CrashEvidenceTest.cpp
+++ b/Tests/Gateway/CrashEvidenceTest.cpp
@@ -35,13 +35,13 @@
                    .servers = serverCount,
                    .running = std::move(requests)},
                   start + at);
-        for (const Fingerprint &found : newPoisonRequests(evidence, start + at))
-            quarantine(evidence, found, start + at + quarantineTime);
+        while (const auto found = newPoison(evidence, false, start + at))
+            quarantine(evidence, *found, start + at + quarantineTime, start + at);
     }
 
     Suspicion of(const Fingerprint &asked, milliseconds at) const
     {
-        return suspicionOf(evidence, asked, start + at);
+        return suspicionOf(evidence, RequestIdentity{.request = asked}, start + at);
     }
 
     CrashEvidence evidence;
@@ -199,7 +199,7 @@
         crashes.crash("s" + std::to_string(i), seconds(i), {poison});
     const TimePoint end = start + seconds(2) + quarantineTime;
     REQUIRE(removeExpired(crashes.evidence, end - seconds(1)).empty());
-    quarantine(crashes.evidence, poison, end + seconds(5));
+    quarantine(crashes.evidence, poison, end + seconds(5), end);
     REQUIRE(removeExpired(crashes.evidence, end + seconds(1)).empty());
     REQUIRE(removeExpired(crashes.evidence, end + seconds(6)).size() == 1);
     Crashes released;
--- a/Tests/Gateway/CrashingServer.cpp
+++ b/Tests/Gateway/CrashingServer.cpp
@@ -210,10 +210,11 @@
             continue;
         connection.poison = false;
         connection.resets = plan_.streams && !connection.answer.empty();
-        connection.answer = plainResponse(503,
-                                          "Wisteriawind-Not-Executed: 1\r\nWisteriawind-Attempt-Id: "
-                                              + connection.attemptId + "\r\n",
-                                          "");
+        connection.answer =
+            plainResponse(503,
+                          "Wisteriawind-Not-Executed: 1\r\nWisteriawind-Attempt-Id: "
+                              + connection.attemptId + "\r\n",
+                          "");
         connection.endsAt = now;
     }
 }
--- a/Tests/Gateway/GatewayFleet.h
+++ b/Tests/Gateway/GatewayFleet.h
@@ -31,6 +31,8 @@
     std::size_t size() const { return callers_.size(); }
     /// Where a gateway takes callers.
     const Endpoint &callers(std::size_t gateway) const { return callers_[gateway]; }
+    /// The process of a gateway.
+    pid_t process(std::size_t gateway) const { return children_[gateway]; }
     /// Kills a gateway and starts it again.
     void restart(std::size_t gateway);
 
--- a/Tests/Gateway/PoisonPartTest.cpp
+++ b/Tests/Gateway/PoisonPartTest.cpp
@@ -155,14 +155,65 @@
     checkPartBound({});
     SECTION("the first part")
     checkPartBound({.poison = {[](std::size_t number) {
-        return badPart() + ":40,cc1:300," + ownPart("6", number);
-    }}});
+                        return badPart() + ":40,cc1:300," + ownPart("6", number);
+                    }}});
     SECTION("changing places, neighbours and token counts")
     checkPartBound({.poison = {[](std::size_t number) {
-        const std::string bad = badPart() + ":" + std::to_string(100 + number % 7);
-        const std::string neighbour = "cc" + std::to_string(number % 5) + ":300";
-        const bool first = number % 2 == 0;
-        return std::string(sharedPart) + "," + (first ? bad : neighbour) + ","
-            + (first ? neighbour : bad) + "," + ownPart("6", number);
-    }}});
+                        const std::string bad = badPart() + ":" + std::to_string(100 + number % 7);
+                        const std::string neighbour = "cc" + std::to_string(number % 5) + ":300";
+                        const bool first = number % 2 == 0;
+                        return std::string(sharedPart) + "," + (first ? bad : neighbour) + ","
+                            + (first ? neighbour : bad) + "," + ownPart("6", number);
+                    }}});
+}
+
+// Guards against the same where no byte of an answer shows that a run has begun, and against a part
+// beside the bad one that is refused although only it is rare.
+TEST_CASE("A prompt part that crashes servers is found on idempotent routes and beside rare parts")
+{
+    SECTION("idempotent, without a byte of an answer")
+    checkPartBound({.target = "/again/x", .plan = {}});
+    SECTION("a companion part that only one sound request a second has")
+    checkPartBound({.poison = {[](std::size_t number) {
+                        return std::string(sharedPart) + "," + badPart() + ":410,bb07:200,"
+                            + ownPart("6", number);
+                    }},
+                    .sound = [](std::size_t number) {
+                        constexpr std::size_t rare = 40;
+                        return std::string(sharedPart)
+                            + (number % rare == 0 ? ",bb07:200," : ",ee02:200,")
+                            + ownPart("5", number);
+                    }});
+}
+
+// Guards against crashes that are forgotten or not shared, and parts that hide each other.
+TEST_CASE("A prompt part that crashes servers is found under faults and at many gateways")
+{
+    SECTION("gateways are killed and started in turn")
+    checkPartBound({.restartsGateways = true});
+    SECTION("the store is silent")
+    checkPartBound({.storeSilent = true});
+    SECTION("thirty gateways")
+    checkPartBound({.gateways = 30});
+    SECTION("two parts at once")
+    checkPartBound({.poison = {poisonPrompt, [](std::size_t number) {
+                                   return std::string(sharedPart) + ",cc1:300," + badPart(1)
+                                       + ":77," + ownPart("7", number);
+                               }}});
+}
+
+// Guards against a crash that hides which part caused it, as it stops the servers of a whole group
+// before anything completes.
+TEST_CASE("A prompt part that crashes servers of a group is found although each crash stops all")
+{
+    checkPartBound(
+        {.plan = {.service = "model", .streams = true, .group = std::make_shared<CrashingGroup>()},
+         .poisonTime = milliseconds(16000),
+         .servedPart = 0.2});
+}
+
+// Guards against records that are forgotten between the crashes of a part that comes seldom.
+TEST_CASE("A prompt part that crashes servers and comes seldom is found")
+{
+    checkPartBound({.poisonPerSecond = 0.4, .poisonTime = milliseconds(26000), .servedPart = 0.3});
 }
--- a/Tests/Gateway/PoisonRequestTest.cpp
+++ b/Tests/Gateway/PoisonRequestTest.cpp
@@ -201,3 +201,25 @@
     for (auto &caller : callers)
         CHECK(countRejected(caller.get()) == 0);
 }
+
+// Guards against many crashes of one moment that count as many signs against a request that was in
+// flight at all of these servers, as it is popular.
+TEST_CASE("A popular long request is served after a loss of many servers at once")
+{
+    const std::size_t lost = GENERATE(CrashingFleet::serverCount / 3,
+                                      CrashingFleet::serverCount / 2, CrashingFleet::serverCount);
+    CAPTURE(lost);
+    CrashingFleet fleet(4, {.workTime = milliseconds(150), .resetsOfHundred = 5});
+    auto popular = std::async(std::launch::async, [&] {
+        return fleet.gateways().sendAtRate("/again/popular", 100, runTime);
+    });
+    constexpr milliseconds lossInterval{3000};
+    for (int i = 0; i < 2; ++i) {
+        sleepUntil(monotonicNow() + lossInterval / 2);
+        fleet.crashAtOnce(lost);
+        sleepUntil(monotonicNow() + lossInterval / 2);
+    }
+    const std::vector<CallResult> results = popular.get();
+    CHECK(countRejected(results) == 0);
+    CHECK(servedShare(results, 0.25) >= minServed);
+}
