Deliver no event stream as whole that ends inside an event

What callers saw: on a route that does not stream, a text/event-stream answer without length or chunks whose connection ended inside an event came as a complete 200. Cause: an answer that ends with its connection counts as whole, and only streaming routes look at the events. Evidence: of the new tests, the one on plain routes failed before (200 for idempotent and non-idempotent ones); those on streaming routes, cut at each byte, with both line ends, passed before and after, as did whole plain answers and reset ones. Change: such an answer is unusable, so it is sent again where the route allows it, else 502.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -278,8 +278,9 @@
     }
     // Unusable answers: one in an encoding that was not requested; a success without the seal, the
     // header field that marks the backend server's own answers; a success on a streaming route that
-    // is not a stream; anything but the rest of the stream after a part of one was forwarded.
-    const bool unusable = history_.answerBegun || head_.encoded
+    // is not a stream; anything but the rest of the stream after a part of one was forwarded; a
+    // stream that was cut off.
+    const bool unusable = history_.answerBegun || head_.encoded || endsInsideEvent()
         || (head_.success() && (!head_.sealed || route_.kind == RequestKind::Streaming));
     if (unusable) {
         endSend(SendOutcome::Incomplete, "the answer is not usable");
@@ -294,6 +295,17 @@
     forwardAnswer();
 }
 
+/// Whether a stream that is forwarded as a whole was cut off, which shows in its last event only if
+/// it ends with its connection.
+bool Exchange::endsInsideEvent() const
+{
+    if (!head_.eventStream || answerMarksEnd_)
+        return false;
+    EventSplitter splitter;
+    splitter.feed(body_);
+    return splitter.pending() > 0;
+}
+
 /// Only an answer other than a server error ends the avoidance of a backend server. A server that
 /// fails every request answers at once, so without avoidance it would have the least load and
 /// attract the service's requests.
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -91,6 +91,7 @@
     void onFailed(const CallFailure &failure);
     void forwardEvents(std::string_view bytes);
     bool forwardsStream() const;
+    bool endsInsideEvent() const;
     void completeStream();
     void noteAnswerWithoutServerError();
     void forwardAnswer();
