Close new connections unread while the event loop is overloaded

What callers would see: when a load balancer hands most new connections to one gateway with a small share of a core, it accepts all and answers each one late, those on open connections too. Cause: nothing bounds what is accepted by what can be read in time.

--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -11,6 +11,7 @@
 #include "Connection/TcpConnection.h"
 #include "Process/ShutdownSignal.h"
 #include "Programs/Gateway/BackendList.h"
+#include "Programs/Gateway/ConnectionAdmission.h"
 #include "Programs/Gateway/DispatchOrder.h"
 #include "Programs/Gateway/GatewayDirectory.h"
 #include "Programs/Gateway/GatewayMetrics.h"
@@ -94,6 +95,7 @@
                        [this](const std::string &id, std::uint64_t startedAt, TimePoint now) {
                            poisonProtection_.crashes().noteStartTime(id, startedAt, now);
                        }),
+          connectionAdmission_(loop_, log_, metrics_),
           callerListener_(loop_, [this](int descriptor) { acceptCaller(descriptor); }),
           readinessListener_(
               loop_,
@@ -243,6 +245,10 @@
 
     void acceptCaller(int descriptor)
     {
+        if (!connectionAdmission_.admit(monotonicNow())) {
+            ::close(descriptor);
+            return;
+        }
         const std::size_t maxSessions = settings_.maxOpenFiles > reservedDescriptors
             ? (settings_.maxOpenFiles - reservedDescriptors) / 2
             : settings_.maxOpenFiles / 2;
@@ -385,6 +391,7 @@
         backendList_.checkTimeouts(now);
         poisonProtection_.checkTimeouts(now);
         pool_.closeExpired(now);
+        connectionAdmission_.check(now);
         if (stopping_)
             checkStop(now);
     }
@@ -461,6 +468,7 @@
     OperatorRecords operatorRecords_;
     PriorityLimitGauges priorityLimitGauges_;
     BackendList backendList_;
+    ConnectionAdmission connectionAdmission_;
     TcpListener callerListener_;
     StatusListener readinessListener_;
     StatusListener metricsListener_;
--- a/Source/Programs/Gateway/GatewayMetrics.cpp
+++ b/Source/Programs/Gateway/GatewayMetrics.cpp
@@ -107,6 +107,12 @@
                   {{"what", what}, {"result", result}});
 }
 
+void countTurnedAway(Metrics &metrics)
+{
+    metrics.count("wisteria_connections_turned_away_total",
+                  "New connections that were closed unread in an overload", {});
+}
+
 void countServerCrash(Metrics &metrics, const std::string &service)
 {
     metrics.count("wisteria_server_crashes_total",
--- a/Source/Programs/Gateway/GatewayMetrics.h
+++ b/Source/Programs/Gateway/GatewayMetrics.h
@@ -76,6 +76,9 @@
 /// @param result "answered", "failed" or "history lost".
 void countStoreCall(Metrics &metrics, const std::string &what, const std::string &result);
 
+/// Counts a new connection that was closed unread because the gateway was overloaded.
+void countTurnedAway(Metrics &metrics);
+
 void countServerCrash(Metrics &metrics, const std::string &service);
 
 /// @param recentCrashes Crashes that may count against requests.
