Send repeated suspects one at a time over all gateways, apart from the crashes before

Cause: a suspect request ran again 0.15 s after a crash, so that its next crash fell into the same moment and was no further sign; and each gateway sent one copy of its own. Change: a request that was in flight at two moments is claimed like a suspect part, runs 0.35 s after the last crash at the earliest, and a moment lasts for 0.3 s at most; three moments of 1.6 in all suffice, so also if two others of a dozen servers crash each time.

--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -9,9 +9,11 @@
 
 namespace {
 
-/// How long no request with a suspect part runs after a crash, if the part was in flight at one
-/// crash and if at more. Meanwhile sound requests that share it with the crashes may complete.
-constexpr milliseconds partPause{300};
+/// How long no repeated suspect and no suspect part runs after a crash. Longer than the crashes of
+/// one moment are apart, so that the next crash is another sign.
+constexpr milliseconds suspectPause{350};
+/// The same for a part that was in flight at several crashes, and after a group has opened.
+/// Meanwhile sound requests that share it with the crashes may complete.
 constexpr milliseconds repeatedPartPause{1000};
 /// Interval between two messages to one other gateway that repeat what became known of late, and
 /// between renewals of claims.
@@ -75,21 +77,18 @@
     for (const Fingerprint &suspect : exclusiveSuspects(evidence_, request, now)) {
         if (runsHere(suspect))
             return TimePoint::max();
-        const bool repeated =
-            wisteria::suspicionOf(evidence_, suspect, now) == Suspicion::RepeatedSuspect;
         const CrashRecord record = crashRecordOf(evidence_, suspect, now);
-        at = std::max({at, record.lastAt + (repeated ? repeatedPartPause : partPause),
-                       openedAt + repeatedPartPause});
         if (isPoison(record) && !evidence_.quarantined.contains(suspect))
             at = std::max(at, verdictTime(record) + judgeInterval);
+        if (suspect == request.request) {
+            at = std::max(at, record.lastAt + suspectPause);
+            continue;
+        }
+        const bool repeated =
+            wisteria::suspicionOf(evidence_, suspect, now) == Suspicion::RepeatedSuspect;
+        at = std::max({at, record.lastAt + (repeated ? repeatedPartPause : suspectPause),
+                       openedAt + repeatedPartPause});
     }
-    const bool repeated =
-        wisteria::suspicionOf(evidence_, request.request, now) == Suspicion::RepeatedSuspect;
-    const CrashRecord record = crashRecordOf(evidence_, request.request, now);
-    if (repeated)
-        at = std::max(at, record.lastAt + reportSettleTime);
-    if (isPoison(record) && !evidence_.quarantined.contains(request.request))
-        at = std::max(at, verdictTime(record) + judgeInterval);
     return at;
 }
 
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -11,10 +11,10 @@
 
 /// How far back crashes without a request count as signs of another cause.
 constexpr seconds otherCauseTime{10};
-/// Least number of moments and sum of weights for a quarantine: three crashes, also if one other of
-/// a dozen servers crashes each time, and five.
+/// Least number of moments and sum of weights for a quarantine: three crashes, also if two others
+/// of a dozen servers crash each time, and five.
 constexpr std::uint32_t minPoisonMoments = 3;
-constexpr double poisonWeight = 2.1;
+constexpr double poisonWeight = 1.6;
 constexpr std::uint32_t minPoisonMomentsOtherwise = 5;
 constexpr double poisonWeightOtherwise = 4.4;
 /// Least sums of weights of a suspect and of a repeated one: half of a dozen servers crashed at
@@ -341,6 +341,8 @@
         if (suspicionOf(evidence, part, now) != Suspicion::None)
             exclusive.push_back(part);
     }
+    if (suspicionOf(evidence, request.request, now) == Suspicion::RepeatedSuspect)
+        exclusive.push_back(request.request);
     const auto reason = quarantineReason(evidence, request, now);
     if (reason && std::find(exclusive.begin(), exclusive.end(), *reason) == exclusive.end())
         exclusive.push_back(*reason);
--- a/Source/Request/CrashEvidence.h
+++ b/Source/Request/CrashEvidence.h
@@ -129,7 +129,7 @@
                                             const RequestIdentity &request, TimePoint now);
 
 /// Returns the suspects of a request of which only one run is allowed at a time, over all gateways:
-/// suspect parts, which come with many requests at once, and whatever is tried.
+/// suspect parts, which come with many requests at once, repeated suspects, and whatever is tried.
 std::vector<Fingerprint> exclusiveSuspects(const CrashEvidence &evidence,
                                            const RequestIdentity &request, TimePoint now);
 
--- a/Source/Request/CrashMoments.cpp
+++ b/Source/Request/CrashMoments.cpp
@@ -11,6 +11,9 @@
 /// CrashList that became known within this time of each other happened together: a probe's timeout
 /// plus a message between gateways.
 constexpr milliseconds togetherTime{200};
+/// Longest time between the first and the last crash of a moment. Without it, a suspect that
+/// crashes servers at short intervals would have one moment only.
+constexpr milliseconds maxMomentTime{300};
 
 /// Whether a crash happened at a moment, as by a loss of power. A server that was idle is found
 /// down only when the next request is sent there.
@@ -28,7 +31,8 @@
     std::vector<CrashMoment> moments;
     for (const ServerCrash *crash : crashes) {
         const bool sameMoment = !moments.empty() && crash->service == moments.back().last->service
-            && crash->at - moments.back().last->at <= togetherTime;
+            && crash->at - moments.back().last->at <= togetherTime
+            && crash->at - moments.back().first->at <= maxMomentTime;
         if (!sameMoment)
             moments.push_back({.first = crash, .last = crash, .servers = crash->servers});
         moments.back().last = crash;
