Count a crash under a request that is sent again as a sign of its own

Change: crashes within 40 ms are one moment, which is shorter than a retry takes; those within 0.2 s still make it weigh less. The first retry of a suspect part is sent at once as for other requests. Comments that a rename of a type had spoilt are put right. Result: tests of parts and of poison requests 3 crashes each (two at once: 8 in all), none later.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -432,12 +432,13 @@
     }
 }
 
-/// Holds the retry of a suspect request until it may be sent: at once, each request with a poison
+/// Holds the retry of a repeated suspect until it may be sent: at once, each request with a poison
 /// part would crash one more server.
 /// @return Whether it is decided later what follows.
 bool Exchange::holdRetry(SendOutcome outcome, TimePoint now)
 {
-    if (suspicion_.level(now) == Suspicion::None
+    // A group that has just lost a server stops anyway, so the first retry is sent at once.
+    if (suspicion_.level(now) < Suspicion::RepeatedSuspect
         || !mayRetry(route_, outcome, history_, timeLeft(now)))
         return false;
     if (suspicion_.mayRunAt(groupOpenedAt(), now) <= now && suspicion_.claimRun(now) <= now)
@@ -463,7 +464,7 @@
         || (suspected == Suspicion::RepeatedSuspect && history_.mayHaveRun))
         return false;
     // Another run of what it is suspect for has lasted for the whole wait.
-    if (suspected != Suspicion::None && suspicion_.claimRun(now) > now)
+    if (suspected == Suspicion::RepeatedSuspect && suspicion_.claimRun(now) > now)
         return false;
     if (outcome != SendOutcome::NeverSent
         && !takeRetryToken(context_.retryBuckets[service_], context_.retryQuota, now))
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -51,7 +51,7 @@
     return lastCompletion(evidence.completions, suspect).has_value();
 }
 
-/// CrashList before this time do not count against a suspect.
+/// Crashes before this time do not count against a suspect.
 TimePoint clearedUntil(const CrashEvidence &evidence, const Fingerprint &suspect)
 {
     const TimePoint completed =
--- a/Source/Request/CrashMoments.cpp
+++ b/Source/Request/CrashMoments.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-/// CrashList that became known within this time of each other happened together: a probe's timeout
+/// Crashes within this time of each other are one moment. Shorter than a request takes that is sent
+/// again after a crash and causes the next one, which is another sign.
+constexpr milliseconds momentGap{40};
+/// Crashes that became known within this time of a moment make it weigh less: a probe's timeout
 /// plus a message between gateways.
 constexpr milliseconds togetherTime{200};
-/// Longest time between the first and the last crash of a moment. Without it, a suspect that
-/// crashes servers at short intervals would have one moment only.
-constexpr milliseconds maxMomentTime{300};
 
 /// Whether a crash happened at a moment, as by a loss of power. A server that was idle is found
 /// down only when the next request is sent there.
@@ -31,8 +31,7 @@
     std::vector<CrashMoment> moments;
     for (const ServerCrash *crash : crashes) {
         const bool sameMoment = !moments.empty() && crash->service == moments.back().last->service
-            && crash->at - moments.back().last->at <= togetherTime
-            && crash->at - moments.back().first->at <= maxMomentTime;
+            && crash->at - moments.back().last->at <= momentGap;
         if (!sameMoment)
             moments.push_back({.first = crash, .last = crash, .servers = crash->servers});
         moments.back().last = crash;
--- a/Source/Request/CrashMoments.h
+++ b/Source/Request/CrashMoments.h
@@ -15,7 +15,7 @@
 /// found down only when the next request is sent there.
 constexpr milliseconds foundDownTime{1500};
 
-/// CrashList of one service that happened together.
+/// Crashes of one service that happened together.
 struct CrashMoment
 {
     const ServerCrash *first = nullptr;
