Object to another gateway's claim only now and then

Two gateways that both hold a claim, since messages were lost, answered each other's claims without end. Found by reading the change; the test counts objections to a claim that is repeated each 10 ms. Now at most one each 50 ms.

--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -119,7 +119,7 @@
     const bool applied =
         applyClaim(claims_, suspect, message.ticket, milliseconds(message.holdsMilliseconds),
                    runsHere(suspect), now);
-    if (!applied)
+    if (!applied && mayObject(claims_, suspect, now))
         tellClaims({suspect}, claimTime);
     noteTrial(evidence_, suspect, now);
     links_.changed();
--- a/Source/Request/AcceptControl.h
+++ b/Source/Request/AcceptControl.h
@@ -28,8 +28,8 @@
 /// again. Callers give up a request that is not read within a fraction of a second to a second.
 constexpr milliseconds overloadDelay{150};
 constexpr milliseconds recoveredDelay{50};
-/// New connections between two checks from which the delay is measured: measuring costs two system
-/// calls.
+/// New connections between two checks from which the delay is measured: a measurement costs two
+/// system calls.
 constexpr std::uint32_t minAcceptedToMeasure = 3;
 
 /// Whether a measurement should begin: many connections have come since the last check, or the
--- a/Source/Request/RunClaims.cpp
+++ b/Source/Request/RunClaims.cpp
@@ -36,7 +36,7 @@
         if (liveClaim(claims, suspect, now) != nullptr || claims.bySuspect.size() >= maxClaims)
             continue;
         claims.bySuspect[suspect] = {
-            .ticket = ticket, .own = true, .since = now, .until = now + claimTime};
+            .ticket = ticket, .own = true, .since = now, .until = now + claimTime, .toldAt = now};
         added.push_back(suspect);
     }
     return added;
@@ -63,6 +63,15 @@
         found->second.until = now + holds;
 }
 
+bool mayObject(RunClaims &claims, const Fingerprint &suspect, TimePoint now)
+{
+    const auto found = claims.bySuspect.find(suspect);
+    if (found == claims.bySuspect.end() || now - found->second.toldAt < objectionInterval)
+        return false;
+    found->second.toldAt = now;
+    return true;
+}
+
 bool applyClaim(RunClaims &claims, const Fingerprint &suspect, std::uint64_t ticket,
                 milliseconds holds, bool runsHere, TimePoint now)
 {
--- a/Source/Request/RunClaims.h
+++ b/Source/Request/RunClaims.h
@@ -24,6 +24,8 @@
         bool own = false;
         TimePoint since;
         TimePoint until;
+        /// When the other gateways were last told of an own claim.
+        TimePoint toldAt{};
     };
 
     std::unordered_map<Fingerprint, Claim, FingerprintHash> bySuspect;
@@ -36,6 +38,9 @@
 /// How long a claim holds after its run ended without a complete answer: until the others know
 /// whether the server crashed.
 constexpr milliseconds claimAfterRun{500};
+/// Least time between two objections to claims of others. Without it, two gateways that both hold a
+/// claim, since messages were lost, would answer each other without end.
+constexpr milliseconds objectionInterval{50};
 /// Bound on the memory that callers can make a gateway use.
 constexpr std::size_t maxClaims = 4096;
 
@@ -62,6 +67,10 @@
 bool applyClaim(RunClaims &claims, const Fingerprint &suspect, std::uint64_t ticket,
                 milliseconds holds, bool runsHere, TimePoint now);
 
+/// Whether the other gateways are to be told again of this gateway's claim, which goes before that
+/// of another one.
+bool mayObject(RunClaims &claims, const Fingerprint &suspect, TimePoint now);
+
 /// Forgets claims that no longer hold.
 void removeExpired(RunClaims &claims, TimePoint now);
 
--- a/Tests/Gateway/RunClaimsTest.cpp
+++ b/Tests/Gateway/RunClaimsTest.cpp
@@ -70,6 +70,17 @@
     REQUIRE(claims.bySuspect.empty());
 }
 
+// Guards against two gateways that answer each other's claims without end.
+TEST_CASE("A gateway objects to claims of others only now and then")
+{
+    RunClaims claims;
+    claim(claims, suspects, 1, start);
+    int objections = 0;
+    for (milliseconds at{0}; at < seconds(2); at += milliseconds(10))
+        objections += mayObject(claims, suspect, start + at) ? 1 : 0;
+    REQUIRE(objections == 39);
+}
+
 // Guards against a second run beside one that goes on, as the other gateway did not hear of it.
 TEST_CASE("A gateway that runs a suspect does not give it up to a later claim")
 {
