Give each test process loopback addresses of its own

A fleet of gateways did not start while another test process ran the same test: both used the same addresses, so that a connection of the one may take a port that the other has found free.

--- a/Tests/Gateway/GatewayFleet.cpp
+++ b/Tests/Gateway/GatewayFleet.cpp
@@ -23,12 +23,20 @@
 
 } // namespace
 
+std::uint32_t ownLoopbackAddresses()
+{
+    constexpr std::uint32_t addressesPerProcess = 4096;
+    constexpr std::uint32_t blocks = 4000;
+    const auto process = static_cast<std::uint32_t>(::getpid());
+    return INADDR_LOOPBACK + (1 + process % blocks) * addressesPerProcess;
+}
+
 GatewayFleet::GatewayFleet(std::size_t gateways)
 {
     store.put("keyed.op", "config", configurationOf(1));
     // Each gateway has a separate address: on a shared one, a connection of another gateway may
     // take a port that was free a moment ago.
-    constexpr std::uint32_t firstAddress = INADDR_LOOPBACK + 256;
+    const std::uint32_t firstAddress = ownLoopbackAddresses() + 256;
     for (std::size_t i = 0; i < gateways; ++i)
         callers_.push_back({firstAddress + static_cast<std::uint32_t>(i), freePort()});
 }
--- a/Tests/Gateway/GatewayFleet.h
+++ b/Tests/Gateway/GatewayFleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -13,6 +14,10 @@
 
 namespace wisteria::gateway_tests {
 
+/// First of 4,096 loopback addresses that only this test process uses. On a shared address, a
+/// connection of a fleet in another process may take a port that was free a moment ago.
+std::uint32_t ownLoopbackAddresses();
+
 /// Several gateway processes with one stand-in of the store.
 class GatewayFleet
 {
