--- a/Tests/Gateway/MetricsTest.cpp
+++ b/Tests/Gateway/MetricsTest.cpp
@@ -103,6 +103,7 @@
     countSendEnd(metrics, "s", "answered");
     countRetry(metrics, "s", RetryCause::Moved);
     countStoreCall(metrics, "t", "answered");
+    countTurnedAway(metrics);
     countServerCrash(metrics, "s");
     setPoisonState(metrics, 1, 1);
     setStoreAge(metrics, "t", milliseconds(1));
