Give each fleet of a test addresses and ports that nothing else had

The line did not say why. Ruled out by a run: connections from 127.0.0.1, alive, closed or refused, 3,539 tries to listen on another loopback address at their ports: none failed. Connections of callers leave from 127.0.0.1 here, too. What remains is only suspected: the same port returned twice for the settings of one gateway (caller and readiness ports), or what an earlier fleet of the process left on the address. Change: fleets of one process no longer share addresses, freePort() never returns a port twice, and the error of a listener says why (EADDRINUSE or another). WISTERIA_TEST_LOGS=FOLDER keeps the log lines of a fleet's gateways, so that the next failure of this kind can be traced.

--- a/Source/Connection/TcpConnection.cpp
+++ b/Source/Connection/TcpConnection.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cerrno>
+#include <cstring>
 #include <utility>
 
 #include <ace/INET_Addr.h>
@@ -320,9 +321,9 @@
     constexpr int reuseAddress = 1;
     if (private_->acceptor_.open(toAce(address), reuseAddress, PF_INET, acceptBacklog) == -1) {
         return failure(ErrorKind::BadSettings,
-                       "can't listen on " + toText(address)
-                           + "; check that the address is this VM's and "
-                             "that no other process has the port");
+                       "can't listen on " + toText(address) + " (" + std::strerror(errno)
+                           + "); check that the address is this VM's and that no other process or "
+                             "setting has the port");
     }
     private_->acceptor_.enable(ACE_NONBLOCK);
     private_->loop_.watch(private_->acceptor_.get_handle(), Interest{.read = true},
--- a/Tests/Gateway/CrashingFleet.cpp
+++ b/Tests/Gateway/CrashingFleet.cpp
@@ -17,7 +17,7 @@
 CrashingFleet::CrashingFleet(std::size_t gateways, const CrashingServerPlan &plan)
     : gateways_(gateways)
 {
-    const std::uint32_t firstServerAddress = ownLoopbackAddresses() + 1024;
+    const std::uint32_t firstServerAddress = unusedLoopbackAddresses();
     for (std::uint32_t i = 0; i < serverCount; ++i) {
         servers_.push_back(std::make_unique<CrashingServer>(
             gateways_.store, "i-" + std::to_string(i), firstServerAddress + i, plan));
--- a/Tests/Gateway/GatewayFleet.cpp
+++ b/Tests/Gateway/GatewayFleet.cpp
@@ -1,7 +1,9 @@
 #include "Gateway/GatewayFleet.h"
 
 #include <algorithm>
+#include <atomic>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <future>
 #include <stdexcept>
@@ -21,22 +23,37 @@
 /// Time that a gateway has to act on a signal of a backend server.
 constexpr milliseconds reactionTime{500};
 
+/// Opens what a gateway's log lines are written to: a new file in the folder that the environment
+/// variable WISTERIA_TEST_LOGS names, if it is set.
+int openGatewayLog()
+{
+    const char *folder = std::getenv("WISTERIA_TEST_LOGS");
+    static std::atomic<int> count{0};
+    const std::string path = folder ? std::string(folder) + "/gateway-" + std::to_string(::getpid())
+            + "-" + std::to_string(count++) + ".log"
+                                    : "/dev/null";
+    constexpr mode_t mode = 0644;
+    return ::open(path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, mode);
+}
+
 } // namespace
 
-std::uint32_t ownLoopbackAddresses()
+std::uint32_t unusedLoopbackAddresses()
 {
     constexpr std::uint32_t addressesPerProcess = 4096;
-    constexpr std::uint32_t blocks = 4000;
+    constexpr std::uint32_t addressesPerCall = 64;
+    constexpr std::uint32_t processes = 4000;
+    static std::atomic<std::uint32_t> calls{0};
     const auto process = static_cast<std::uint32_t>(::getpid());
-    return INADDR_LOOPBACK + (1 + process % blocks) * addressesPerProcess;
+    const std::uint32_t call = calls++ % (addressesPerProcess / addressesPerCall);
+    return INADDR_LOOPBACK + (1 + process % processes) * addressesPerProcess
+        + call * addressesPerCall;
 }
 
 GatewayFleet::GatewayFleet(std::size_t gateways)
 {
     store.put("keyed.op", "config", configurationOf(1));
-    // Each gateway has a separate address: on a shared one, a connection of another gateway may
-    // take a port that was free a moment ago.
-    const std::uint32_t firstAddress = ownLoopbackAddresses() + 256;
+    const std::uint32_t firstAddress = unusedLoopbackAddresses();
     for (std::size_t i = 0; i < gateways; ++i)
         callers_.push_back({firstAddress + static_cast<std::uint32_t>(i), freePort()});
 }
@@ -61,9 +78,9 @@
 
 pid_t GatewayFleet::startGateway(const std::string &settings)
 {
-    const int devNull = ::open("/dev/null", O_WRONLY | O_CLOEXEC);
-    const pid_t child = startProgram("wisteria-gateway", settings, {}, devNull);
-    ::close(devNull);
+    const int log = openGatewayLog();
+    const pid_t child = startProgram("wisteria-gateway", settings, {}, log);
+    ::close(log);
     return child;
 }
 
--- a/Tests/Gateway/GatewayFleet.h
+++ b/Tests/Gateway/GatewayFleet.h
@@ -14,9 +14,9 @@
 
 namespace wisteria::gateway_tests {
 
-/// First of 4,096 loopback addresses that only this test process uses. On a shared address, a
-/// connection of a fleet in another process may take a port that was free a moment ago.
-std::uint32_t ownLoopbackAddresses();
+/// First of 64 loopback addresses that no other caller of this function uses. On an address that is
+/// used again, a closed connection of an earlier program may still occupy a port.
+std::uint32_t unusedLoopbackAddresses();
 
 /// Several gateway processes with one stand-in of the store.
 class GatewayFleet
--- a/Tests/Gateway/GatewayUnderTest.cpp
+++ b/Tests/Gateway/GatewayUnderTest.cpp
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <mutex>
+#include <set>
 #include <sstream>
 
 #include <arpa/inet.h>
@@ -55,8 +57,15 @@
 
 std::uint16_t freePort()
 {
-    const ScriptedServer server([](const SeenRequest &, ScriptPeer &) {});
-    return server.endpoint().port;
+    static std::mutex mutex;
+    static std::set<std::uint16_t> returned;
+    const std::lock_guard<std::mutex> lock(mutex);
+    std::uint16_t port = 0;
+    do {
+        const ScriptedServer server([](const SeenRequest &, ScriptPeer &) {});
+        port = server.endpoint().port;
+    } while (!returned.insert(port).second);
+    return port;
 }
 
 std::string writeSettings(const std::string &vmName, const ProgramAddresses &addresses)
--- a/Tests/Gateway/GatewayUnderTest.h
+++ b/Tests/Gateway/GatewayUnderTest.h
@@ -29,7 +29,7 @@
 pid_t startProgram(const std::string &program, const std::string &settings,
                    const std::vector<std::string> &arguments = {}, int output = -1);
 
-/// A port that was free a moment ago.
+/// A port that was free a moment ago, another one at each call.
 std::uint16_t freePort();
 
 /// Addresses in the settings file of a program under test.
