Limit new connections after an overload, and close the listening socket meanwhile

After an overload everything was taken again, 300 connections at once. Beside a busy machine closing each one took more than the gateway had. Change: at most 16 accepted in one turn; an overload begins at a delay of 80 ms, as a request takes six or more events; after it the rate is limited, halved at each further overload, and grows by a tenth each half second until it exceeds twice what arrives. While nothing is taken the listening socket is closed: the kernel refuses new connections, and callers meet other gateways at once. Fewer than 20 new connections a second are never turned away, since a late loop then has another cause. One line a second says that there are too many connections, not one for each. ConnectionAdmission becomes CallerListener, which has the socket; TokenBucket becomes a header of its own.

--- a/Source/Connection/TcpConnection.cpp
+++ b/Source/Connection/TcpConnection.cpp
@@ -29,6 +29,9 @@
 /// drops the SYN and the caller retransmits it after one second, which delays its request by that
 /// time.
 constexpr int acceptBacklog = 1024;
+/// Connections accepted before other events get their turn. More than that in one turn would starve
+/// the open connections and all timers while new ones come as fast as they can be accepted.
+constexpr int maxAcceptsPerTurn = 16;
 
 ACE_INET_Addr toAce(const Endpoint &endpoint)
 {
@@ -285,9 +288,13 @@
     void accept()
     {
         ACE_SOCK_Stream stream;
-        while (acceptor_.accept(stream, nullptr, nullptr, false) == 0) {
+        for (int count = 0; count < maxAcceptsPerTurn; ++count) {
+            if (acceptor_.accept(stream, nullptr, nullptr, false) != 0)
+                return;
             accepted_(stream.get_handle());
             stream.set_handle(ACE_INVALID_HANDLE);
+            if (acceptor_.get_handle() == ACE_INVALID_HANDLE)
+                return; // The callback has closed the listener.
         }
     }
 };
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -4,14 +4,12 @@
 #include <utility>
 #include <vector>
 
-#include <unistd.h>
-
 #include "Connection/DatagramSocket.h"
 #include "Connection/MetricsServer.h"
 #include "Connection/TcpConnection.h"
 #include "Process/ShutdownSignal.h"
 #include "Programs/Gateway/BackendList.h"
-#include "Programs/Gateway/ConnectionAdmission.h"
+#include "Programs/Gateway/CallerListener.h"
 #include "Programs/Gateway/DispatchOrder.h"
 #include "Programs/Gateway/GatewayDirectory.h"
 #include "Programs/Gateway/GatewayMetrics.h"
@@ -48,6 +46,13 @@
             .window = settings.retryWindow};
 }
 
+/// Number of callers' connections, each of which may need one to a backend server.
+std::size_t maxCallers(const platform::ProcessSettings &settings)
+{
+    const bool enough = settings.maxOpenFiles > reservedDescriptors;
+    return (enough ? settings.maxOpenFiles - reservedDescriptors : settings.maxOpenFiles) / 2;
+}
+
 /// Slots of each service, with the number that this gateway expects to be taken.
 std::vector<ServiceSlots> slotsOf(const BackendRegistry &registry, TimePoint now)
 {
@@ -95,8 +100,9 @@
                        [this](const std::string &id, std::uint64_t startedAt, TimePoint now) {
                            poisonProtection_.crashes().noteStartTime(id, startedAt, now);
                        }),
-          connectionAdmission_(loop_, log_, metrics_),
-          callerListener_(loop_, [this](int descriptor) { acceptCaller(descriptor); }),
+          callerListener_(loop_, log_, metrics_, maxCallers(settings_),
+                          {.accepted = [this](int descriptor) { acceptCaller(descriptor); },
+                           .openConnections = [this] { return sessions_.size(); }}),
           readinessListener_(
               loop_,
               [this](const HttpRequest &) { return StatusAnswer{.status = ready() ? 200 : 503}; }),
@@ -245,19 +251,6 @@
 
     void acceptCaller(int descriptor)
     {
-        if (!connectionAdmission_.admit(monotonicNow())) {
-            ::close(descriptor);
-            return;
-        }
-        const std::size_t maxSessions = settings_.maxOpenFiles > reservedDescriptors
-            ? (settings_.maxOpenFiles - reservedDescriptors) / 2
-            : settings_.maxOpenFiles / 2;
-        if (sessions_.size() >= maxSessions) {
-            ::close(descriptor);
-            log_.warn("caller.refused",
-                      {{"reason", "too many connections"}, {"limit", maxSessions}});
-            return;
-        }
         const std::uint64_t id = ++lastSession_;
         sessions_[id] = std::make_unique<Session>(
             context_, descriptor,
@@ -391,7 +384,7 @@
         backendList_.checkTimeouts(now);
         poisonProtection_.checkTimeouts(now);
         pool_.closeExpired(now);
-        connectionAdmission_.check(now);
+        callerListener_.check(now);
         if (stopping_)
             checkStop(now);
     }
@@ -468,8 +461,7 @@
     OperatorRecords operatorRecords_;
     PriorityLimitGauges priorityLimitGauges_;
     BackendList backendList_;
-    ConnectionAdmission connectionAdmission_;
-    TcpListener callerListener_;
+    CallerListener callerListener_;
     StatusListener readinessListener_;
     StatusListener metricsListener_;
     DatagramSocket messageSocket_;
--- a/Source/Request/OrganisationLimits.cpp
+++ b/Source/Request/OrganisationLimits.cpp
@@ -87,15 +87,6 @@
     return static_cast<std::uint32_t>(whole / entries + (rank < whole % entries ? 1 : 0));
 }
 
-void refill(TokenBucket &bucket, TimePoint now)
-{
-    if (now <= bucket.refilledAt)
-        return;
-    const std::chrono::duration<double> passed = now - bucket.refilledAt;
-    bucket.tokens = std::min(bucket.capacity, bucket.tokens + bucket.rate * passed.count());
-    bucket.refilledAt = now;
-}
-
 void setLimits(OrganisationLimits &limits,
                const std::map<std::string, v1::Organisation> &organisations,
                std::uint64_t configVersion, TimePoint now)
--- a/Source/Request/OrganisationLimits.h
+++ b/Source/Request/OrganisationLimits.h
@@ -9,6 +9,7 @@
 #include "Config.pb.h"
 #include "Peer.pb.h"
 #include "Process/Time.h"
+#include "Request/TokenBucket.h"
 
 namespace wisteria {
 
@@ -19,18 +20,6 @@
 constexpr milliseconds grantInterval{250};
 constexpr milliseconds urgentGrantInterval{50};
 
-/// Tokens that refill at a rate up to a capacity.
-struct TokenBucket
-{
-    double tokens = 0;
-    double rate = 0;
-    double capacity = 0;
-    TimePoint refilledAt;
-};
-
-/// Refills the bucket up to now.
-void refill(TokenBucket &bucket, TimePoint now);
-
 /// One entry's equal share of `whole`; the remainder goes to the entries of lowest rank.
 std::uint32_t staticShare(std::uint32_t whole, std::size_t entries, std::size_t rank);
 
--- a/Tests/Gateway/GatewayFleet.cpp
+++ b/Tests/Gateway/GatewayFleet.cpp
@@ -27,11 +27,12 @@
 /// variable WISTERIA_TEST_LOGS names, if it is set.
 int openGatewayLog()
 {
-    const char *folder = std::getenv("WISTERIA_TEST_LOGS");
-    static std::atomic<int> count{0};
-    const std::string path = folder ? std::string(folder) + "/gateway-" + std::to_string(::getpid())
-            + "-" + std::to_string(count++) + ".log"
-                                    : "/dev/null";
+    std::string path = "/dev/null";
+    if (const char *folder = std::getenv("WISTERIA_TEST_LOGS")) {
+        static std::atomic<int> count{0};
+        const std::string name = std::to_string(::getpid()) + "-" + std::to_string(count++);
+        path = std::string(folder) + "/gateway-" + name + ".log";
+    }
     constexpr mode_t mode = 0644;
     return ::open(path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, mode);
 }
