Let a suspect at three moments wait for its verdict also beside another cause

What was seen: two poison requests at once crashed up to 12 servers, where eight are allowed (KNOWN-RED, "A poison request crashes hardly more servers under faults and at many gateways"), beside load. Cause, from the lines of a run with ten crashes: one request was at three moments while the other was at two. The other's crashes therefore counted as another cause; the first needed five and did not wait in between. The cause suspected before, a crash found later without a request, did not occur in it. Change: a suspect that would be quarantined but for another cause waits until the moment of its last crash is over, 1.6 s, as one without does. The other one reaches three moments meanwhile, and each explains the other's crashes. Not done: to let two moments explain a crash, which would turn innocent long requests away more easily.

--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -78,7 +78,8 @@
         if (runsHere(suspect))
             return TimePoint::max();
         const CrashRecord record = crashRecordOf(evidence_, suspect, now);
-        if (isPoison(record) && !evidence_.quarantined.contains(suspect))
+        // What else crashes servers may be found meanwhile: another poison request, mostly.
+        if (isPoisonByItself(record) && !evidence_.quarantined.contains(suspect))
             at = std::max(at, verdictTime(record) + judgeInterval);
         if (suspect == request.request) {
             at = std::max(at, record.lastAt + suspectPause);
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -294,6 +294,11 @@
     if (record.otherCause || record.provenSound)
         return record.moments >= minPoisonMomentsOtherwise
             && record.weight >= poisonWeightOtherwise;
+    return isPoisonByItself(record);
+}
+
+bool isPoisonByItself(const CrashRecord &record)
+{
     return record.moments >= minPoisonMoments && record.weight >= poisonWeight;
 }
 
--- a/Source/Request/CrashEvidence.h
+++ b/Source/Request/CrashEvidence.h
@@ -117,6 +117,9 @@
 /// servers weigh less, so that what was in flight when all lose power is never quarantined for it.
 bool isPoison(const CrashRecord &record);
 
+/// Whether a suspect would be quarantined unless something else crashed servers too.
+bool isPoisonByItself(const CrashRecord &record);
+
 /// Returns how suspect a request or part is by itself, apart from a quarantine.
 Suspicion suspicionOf(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now);
 
