--- /dev/null
+++ b/Source/Programs/Gateway/AnswerRelay.cpp
@@ -0,0 +1,96 @@
+#include "Programs/Gateway/AnswerRelay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteria {
+
+void AnswerRelay::beginSend(TimePoint now)
+{
+    head_ = {};
+    body_.clear();
+    splitter_.discardPartialEvent();
+    pauseBegunAt_ = now;
+}
+
+void AnswerRelay::receiveHead(BackendAnswerHead head, bool marksEnd, TimePoint now)
+{
+    head_ = std::move(head);
+    marksEnd_ = marksEnd;
+    pauseBegunAt_ = now;
+}
+
+bool AnswerRelay::receiveBody(std::string_view bytes, TimePoint now)
+{
+    if (!isStream()) {
+        body_.append(bytes);
+        return false;
+    }
+    const std::string events = splitter_.feed(bytes);
+    if (events.empty())
+        return false;
+    if (!begun_) {
+        begun_ = true;
+        firstEventAt_ = now;
+        sink_.beginStream(head_.status, head_.forwardedFields);
+    } else {
+        longestPause_ = std::max(longestPause_, remaining(pauseBegunAt_, now));
+    }
+    pauseBegunAt_ = now;
+    sink_.sendStream(events);
+    return true;
+}
+
+bool AnswerRelay::isStream() const
+{
+    return kind_ == RequestKind::Streaming && head_.success() && head_.eventStream && head_.sealed
+        && !head_.encoded;
+}
+
+std::optional<AnswerFailure> AnswerRelay::failure() const
+{
+    if (isStream()) {
+        if (!begun_)
+            return AnswerFailure{.reason = "the stream ended before its first event"};
+        if (splitter_.pending() > 0)
+            return AnswerFailure{.reason = "the stream ended within an event"};
+        return std::nullopt;
+    }
+    // Unusable answers: one in an encoding that was not requested; a success without the seal, the
+    // header field that marks the backend server's own answers; a success on a streaming route that
+    // is not a stream; anything but the rest of the stream after a part of one was forwarded; a
+    // stream that was cut off.
+    const bool unusable = begun_ || head_.encoded || endsInsideEvent()
+        || (head_.success() && (!head_.sealed || kind_ == RequestKind::Streaming));
+    if (unusable)
+        return AnswerFailure{.reason = "the answer is not usable"};
+    constexpr int firstServerError = 500;
+    if (head_.status >= firstServerError)
+        return AnswerFailure{SendOutcome::ServerError, "the backend server failed"};
+    return std::nullopt;
+}
+
+/// Whether a stream that is forwarded as a whole was cut off, which shows in its last event only if
+/// it ends with its connection.
+bool AnswerRelay::endsInsideEvent() const
+{
+    if (!head_.eventStream || marksEnd_)
+        return false;
+    EventSplitter splitter;
+    splitter.feed(body_);
+    return splitter.pending() > 0;
+}
+
+void AnswerRelay::finish()
+{
+    if (isStream()) {
+        sink_.endStream();
+        return;
+    }
+    // The sink may destroy this object.
+    const BackendAnswerHead head = std::move(head_);
+    const std::string body = std::move(body_);
+    sink_.answer(head.status, head.forwardedFields, body);
+}
+
+} // namespace wisteria
--- /dev/null
+++ b/Source/Programs/Gateway/AnswerRelay.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "Process/Time.h"
+#include "Programs/Gateway/AnswerSink.h"
+#include "Request/EventSplitter.h"
+#include "Request/GatewayRequest.h"
+#include "Request/RetryDecision.h"
+#include "Request/RouteTable.h"
+
+namespace wisteria {
+
+/// Why an answer that is complete is not what the caller asked for.
+struct AnswerFailure
+{
+    SendOutcome outcome = SendOutcome::Incomplete;
+    const char *reason = "";
+};
+
+/// Passes the answers of backend servers on to a caller: the events of a stream as they come, over
+/// several sends if it is resumed, and other answers as a whole.
+class AnswerRelay
+{
+public:
+    /// @param sink Must outlive this object.
+    AnswerRelay(AnswerSink &sink, RequestKind kind) : sink_(sink), kind_(kind) { }
+
+    /// Prepares for the answer to a send. Drops what came of the one before.
+    void beginSend(TimePoint now);
+    /// Records the head of the answer.
+    /// @param marksEnd The answer marks its own end, so that a complete one is told from one that
+    /// was cut short.
+    void receiveHead(BackendAnswerHead head, bool marksEnd, TimePoint now);
+    /// Takes a part of the body.
+    /// @return Whether events were passed on to the caller.
+    bool receiveBody(std::string_view bytes, TimePoint now);
+
+    /// Whether the answer is a stream that is passed on event by event.
+    bool isStream() const;
+    /// Returns why the answer, which has ended, is no usable one; nothing if it is.
+    std::optional<AnswerFailure> failure() const;
+    /// Ends the stream, or sends the whole answer.
+    void finish();
+
+    const BackendAnswerHead &head() const { return head_; }
+    bool marksEnd() const { return marksEnd_; }
+    /// Id of the last event that the caller got; nothing if none had one.
+    std::optional<std::uint64_t> lastEventId() const { return splitter_.lastId(); }
+    /// Whether a part of a stream was passed on.
+    bool begun() const { return begun_; }
+    TimePoint firstEventAt() const { return firstEventAt_; }
+    milliseconds longestPause() const { return longestPause_; }
+
+private:
+    bool endsInsideEvent() const;
+
+    AnswerSink &sink_;
+    RequestKind kind_;
+    BackendAnswerHead head_;
+    bool marksEnd_ = false;
+    std::string body_;
+    EventSplitter splitter_;
+    bool begun_ = false;
+    TimePoint firstEventAt_;
+    TimePoint pauseBegunAt_;
+    milliseconds longestPause_{0};
+};
+
+} // namespace wisteria
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -51,7 +51,7 @@
       admission_(context, routes_->priorityLimitsOf(service_), service_, access.priority(),
                  access.organisation != nullptr ? access.organisation->name : std::string()),
       suspicion_(context.crashes, context.poison, request_, admission_.organisation(), service_),
-      arrived_(arrived), deadline_(arrived + route_.timeout)
+      arrived_(arrived), deadline_(arrived + route_.timeout), relay_(sink, route_.kind)
 {
     if (request_.timeLeft)
         deadline_ = std::min(deadline_, arrived + *request_.timeLeft);
@@ -167,7 +167,7 @@
                         .priority = admission_.enginePriority(),
                         .timeLeft = timeLeft(now),
                         .lastEventId =
-                            splitter_.lastId() ? splitter_.lastId() : request_.lastEventId};
+                            relay_.lastEventId() ? relay_.lastEventId() : request_.lastEventId};
     if (tried_.empty())
         countFirstSend(context_.metrics, service_, remaining(arrived_, now));
     backendId_ = backend.entry.id;
@@ -176,10 +176,7 @@
     suspicion_.beginRun(now);
     noteSend(context_.registry, backend, now);
     sentAt_ = now;
-    pauseBegunAt_ = now;
-    head_ = {};
-    body_.clear();
-    splitter_.discardPartialEvent();
+    relay_.beginSend(now);
     const ConnectionUse use = route_.repeatable() ? ConnectionUse::Reuse : ConnectionUse::Fresh;
     if (context_.log.shouldLog(LogLevel::Debug)) {
         context_.log.debug("request.send",
@@ -203,57 +200,33 @@
     return platform::decodeAnswerHead(head).attemptId == request_.attemptId;
 }
 
-void Exchange::onHead(const HttpResponseHead &head)
+void Exchange::onHead(const HttpResponseHead &received)
 {
-    head_ = platform::decodeAnswerHead(head);
-    answerMarksEnd_ = head.selfDelimited;
-    pauseBegunAt_ = monotonicNow();
-    noteServerSignals(context_, {backendId_, request_.attemptId, head_}, pauseBegunAt_);
+    const TimePoint now = monotonicNow();
+    relay_.receiveHead(platform::decodeAnswerHead(received), received.selfDelimited, now);
+    const BackendAnswerHead &head = relay_.head();
+    noteServerSignals(context_, {backendId_, request_.attemptId, head}, now);
     BackendState *backend = currentBackend();
     if (backend == nullptr)
         return;
-    if (head_.misdirected) {
+    if (head.misdirected) {
         noteReplaced(*backend);
         context_.rereadBackends();
         return;
     }
-    const AnswerFeedback feedback{.load = head_.load,
-                                  .notExecuted = head_.notExecuted,
-                                  .asksForBackoff = head_.retryAfter > milliseconds(0)};
-    noteAnswer(*backend, feedback, inGroup_, pauseBegunAt_, context_.randomUnit());
-}
-
-bool Exchange::forwardsStream() const
-{
-    return route_.kind == RequestKind::Streaming && head_.success() && head_.eventStream
-        && head_.sealed && !head_.encoded;
+    const AnswerFeedback feedback{.load = head.load,
+                                  .notExecuted = head.notExecuted,
+                                  .asksForBackoff = head.retryAfter > milliseconds(0)};
+    noteAnswer(*backend, feedback, inGroup_, now, context_.randomUnit());
 }
 
 void Exchange::onBody(std::string_view bytes)
 {
-    if (forwardsStream()) {
-        forwardEvents(bytes);
-        return;
-    }
-    body_.append(bytes);
-}
-
-void Exchange::forwardEvents(std::string_view bytes)
-{
-    const std::string events = splitter_.feed(bytes);
-    if (events.empty())
-        return;
     const TimePoint now = monotonicNow();
-    if (!history_.answerBegun) {
-        history_.answerBegun = true;
-        firstEventAt_ = now;
-        sink_.beginStream(head_.status, head_.forwardedFields);
-    } else {
-        longestPause_ = std::max(longestPause_, remaining(pauseBegunAt_, now));
-    }
-    pauseBegunAt_ = now;
+    if (!relay_.receiveBody(bytes, now))
+        return;
+    history_.answerBegun = true;
     context_.lastProgressAt[service_] = now;
-    sink_.sendStream(events);
     if (sink_.queuedBytes() > callerQueueBytes)
         call_->pauseReading(true);
 }
@@ -266,46 +239,20 @@
 
 void Exchange::onComplete()
 {
-    if (head_.notExecuted) {
+    if (relay_.head().notExecuted) {
         endSend(SendOutcome::NotExecuted, "the backend server did not run it");
         return;
     }
     history_.mayHaveRun = true;
     noteCompleteAnswer();
-    if (forwardsStream()) {
-        completeStream();
-        return;
-    }
-    // Unusable answers: one in an encoding that was not requested; a success without the seal, the
-    // header field that marks the backend server's own answers; a success on a streaming route that
-    // is not a stream; anything but the rest of the stream after a part of one was forwarded; a
-    // stream that was cut off.
-    const bool unusable = history_.answerBegun || head_.encoded || endsInsideEvent()
-        || (head_.success() && (!head_.sealed || route_.kind == RequestKind::Streaming));
-    if (unusable) {
-        endSend(SendOutcome::Incomplete, "the answer is not usable");
-        return;
-    }
-    constexpr int firstServerError = 500;
-    if (head_.status >= firstServerError) {
-        endSend(SendOutcome::ServerError, "the backend server failed");
+    if (const auto failure = relay_.failure()) {
+        endSend(failure->outcome, failure->reason);
         return;
     }
     noteAnswerWithoutServerError();
     forwardAnswer();
 }
 
-/// Whether a stream that is forwarded as a whole was cut off, which shows in its last event only if
-/// it ends with its connection.
-bool Exchange::endsInsideEvent() const
-{
-    if (!head_.eventStream || answerMarksEnd_)
-        return false;
-    EventSplitter splitter;
-    splitter.feed(body_);
-    return splitter.pending() > 0;
-}
-
 /// Only an answer other than a server error ends the avoidance of a backend server. A server that
 /// fails every request answers at once, so without avoidance it would have the least load and
 /// attract the service's requests.
@@ -315,35 +262,15 @@
         noteSuccess(*backend);
 }
 
-void Exchange::completeStream()
-{
-    const TimePoint now = monotonicNow();
-    if (!history_.answerBegun) {
-        endSend(SendOutcome::Incomplete, "the stream ended before its first event");
-        return;
-    }
-    if (splitter_.pending() > 0) {
-        endSend(SendOutcome::Incomplete, "the stream ended within an event");
-        return;
-    }
-    const int status = head_.status;
-    noteAnswerWithoutServerError();
-    countSendEnd(context_.metrics, service_, "answered");
-    releaseBackend();
-    finish(status, "answered", now);
-    sink_.endStream();
-}
-
 void Exchange::forwardAnswer()
 {
     const TimePoint now = monotonicNow();
-    const BackendAnswerHead head = std::move(head_);
-    const std::string body = std::move(body_);
     countSendEnd(context_.metrics, service_, "answered");
     releaseBackend();
-    context_.lastProgressAt[service_] = now;
-    finish(head.status, "answered", now);
-    sink_.answer(head.status, head.forwardedFields, body);
+    if (!relay_.isStream())
+        context_.lastProgressAt[service_] = now;
+    finish(relay_.head().status, "answered", now);
+    relay_.finish();
 }
 
 void Exchange::onFailed(const CallFailure &failure)
@@ -564,7 +491,7 @@
 /// its connection may have been cut short by a crash.
 void Exchange::noteCompleteAnswer()
 {
-    if (answerMarksEnd_ && head_.sealed)
+    if (relay_.marksEnd() && relay_.head().sealed)
         suspicion_.noteCompleted(monotonicNow());
 }
 
@@ -639,8 +566,8 @@
                      .reason = reason,
                      .duration = remaining(arrived_, now)};
     if (history_.answerBegun) {
-        ended.firstEvent = remaining(arrived_, firstEventAt_);
-        ended.longestPause = longestPause_;
+        ended.firstEvent = remaining(arrived_, relay_.firstEventAt());
+        ended.longestPause = relay_.longestPause();
     }
     return ended;
 }
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -7,33 +7,16 @@
 #include <string>
 #include <vector>
 
+#include "Programs/Gateway/AnswerRelay.h"
 #include "Programs/Gateway/GatewayContext.h"
 #include "Programs/Gateway/GatewayMetrics.h"
 #include "Programs/Gateway/PriorityAdmission.h"
 #include "Programs/Gateway/RequestSuspicion.h"
-#include "Request/EventSplitter.h"
 #include "Request/GatewayRequest.h"
 #include "Request/RetryDecision.h"
 
 namespace wisteria {
 
-/// Receives the answer of an exchange.
-class AnswerSink
-{
-public:
-    virtual ~AnswerSink() = default;
-    /// Sends a complete answer with a Content-Length.
-    virtual void answer(int status, const HttpFields &fields, std::string_view body) = 0;
-    /// Sends a stream: its head, then its bytes, then its end.
-    virtual void beginStream(int status, const HttpFields &fields) = 0;
-    virtual void sendStream(std::string_view bytes) = 0;
-    virtual void endStream() = 0;
-    /// Closes the connection so that the answer is visibly cut off.
-    virtual void abort() = 0;
-    /// Bytes that are queued because the caller has not received them yet.
-    virtual std::size_t queuedBytes() const = 0;
-};
-
 /// One HTTP request of a caller (an attempt, as callers count), from its arrival to its answer: it
 /// waits for a slot, is sent to a backend server, is retried where that is allowed, and is
 /// answered. The entry names differently: there, an attempt is one send to a backend server.
@@ -89,10 +72,6 @@
     void onBody(std::string_view bytes);
     void onComplete();
     void onFailed(const CallFailure &failure);
-    void forwardEvents(std::string_view bytes);
-    bool forwardsStream() const;
-    bool endsInsideEvent() const;
-    void completeStream();
     void noteAnswerWithoutServerError();
     void forwardAnswer();
     void endSend(SendOutcome outcome, const std::string &reason);
@@ -146,14 +125,7 @@
     std::string backendId_;
     TimePoint sentAt_;
     TimePoint sendEndedAt_;
-    TimePoint pauseBegunAt_;
-    TimePoint firstEventAt_;
-    milliseconds longestPause_{0};
-    BackendAnswerHead head_;
-    /// The answer marks its own end, so that a complete one is told from one that was cut short.
-    bool answerMarksEnd_ = false;
-    std::string body_;
-    EventSplitter splitter_;
+    AnswerRelay relay_;
 };
 
 } // namespace wisteria
