--- a/Tests/Gateway/CrashingFleet.cpp
+++ b/Tests/Gateway/CrashingFleet.cpp
@@ -31,6 +31,15 @@
         servers_[i]->crash();
 }
 
+void CrashingFleet::restartGatewaysInTurn(TimePoint end)
+{
+    constexpr milliseconds restartInterval{1500};
+    for (std::size_t i = 0; monotonicNow() < end; ++i) {
+        sleepUntil(monotonicNow() + restartInterval);
+        gateways_.restart(i % gateways_.size());
+    }
+}
+
 CrashHistory CrashingFleet::history() const
 {
     CrashHistory all;
--- a/Tests/Gateway/CrashingFleet.h
+++ b/Tests/Gateway/CrashingFleet.h
@@ -20,6 +20,8 @@
     CrashingServer &server(std::size_t index) { return *servers_[index]; }
     /// Crashes the first servers, as many as requested, at the same moment.
     void crashAtOnce(std::size_t count);
+    /// Kills and starts the gateways in turn until a time.
+    void restartGatewaysInTurn(TimePoint end);
 
     CrashHistory history() const;
 
--- a/Tests/Gateway/PoisonPartTest.cpp
+++ b/Tests/Gateway/PoisonPartTest.cpp
@@ -126,11 +126,8 @@
                 scenario.poisonPerSecond, scenario.poisonTime);
         }));
     }
-    constexpr milliseconds restartInterval{1500};
-    for (std::size_t i = 0; scenario.restartsGateways && monotonicNow() < end; ++i) {
-        sleepUntil(monotonicNow() + restartInterval);
-        gateways.restart(i % gateways.size());
-    }
+    if (scenario.restartsGateways)
+        fleet.restartGatewaysInTurn(end);
     for (auto &caller : poison)
         caller.get();
     const std::vector<CallResult> results = sound.get();
--- a/Tests/Gateway/PoisonRequestTest.cpp
+++ b/Tests/Gateway/PoisonRequestTest.cpp
@@ -93,11 +93,8 @@
             return repeatUntil(end, gateways, scenario.target, poisonMark + std::to_string(i));
         }));
     }
-    constexpr milliseconds restartInterval{1500};
-    for (std::size_t i = 0; scenario.restartsGateways && monotonicNow() < end; ++i) {
-        sleepUntil(monotonicNow() + restartInterval);
-        gateways.restart(i % gateways.size());
-    }
+    if (scenario.restartsGateways)
+        fleet.restartGatewaysInTurn(end);
     for (auto &caller : poison)
         caller.get();
     const std::vector<CallResult> results = proper.get();
--- a/Tests/Gateway/StreamEndTest.cpp
+++ b/Tests/Gateway/StreamEndTest.cpp
@@ -19,6 +19,15 @@
         + "\r\nConnection: close\r\n\r\n";
 }
 
+/// Answers with a text that has neither a length nor chunks, then ends the connection.
+ScriptedServer::Script plainAnswer(const std::string &text, void (ScriptPeer::*end)())
+{
+    return [text, end](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(endingHead(request, "text/plain") + text);
+        (peer.*end)();
+    };
+}
+
 /// A gateway with the routes of `configurationOf` and /cut/, which streams and is not resumable.
 void startStreaming(GatewayUnderTest &gateway, const ScriptedServer &server)
 {
@@ -90,10 +99,7 @@
 // chunks.
 TEST_CASE("A plain answer that ends with its connection is delivered whole")
 {
-    ScriptedServer server([](const SeenRequest &request, ScriptPeer &peer) {
-        peer.send(endingHead(request, "text/plain") + "all of it");
-        peer.close();
-    });
+    ScriptedServer server(plainAnswer("all of it", &ScriptPeer::close));
     GatewayUnderTest gateway;
     startStreaming(gateway, server);
     for (const std::string target : {"/again/x", "/once/x"}) {
@@ -107,10 +113,7 @@
 // Guards against part of an answer that looks whole, as its connection was reset on the way.
 TEST_CASE("An answer that ends with a reset connection is not delivered as whole")
 {
-    ScriptedServer server([](const SeenRequest &request, ScriptPeer &peer) {
-        peer.send(endingHead(request, "text/plain") + "half of");
-        peer.reset();
-    });
+    ScriptedServer server(plainAnswer("half of", &ScriptPeer::reset));
     GatewayUnderTest gateway;
     startStreaming(gateway, server);
     CHECK(gateway.call(requestFor("/once/x", "r1")).status == 502);
