Log that a server is kept although its entry was removed

Requests reached servers that had left, and the lines showed a lost call of the store, and 'backend.gone' three seconds after the next one, but not when a removal was read, nor that it was held back. 'backend.kept' tells both.

With it a test (each fifth call of the store refused, two removals) shows for one server: kept for 3.0 s after a second of 429, and as that ends, kept for another 2.0 s, because another call had failed meanwhile.

--- a/Source/Programs/Gateway/BackendList.cpp
+++ b/Source/Programs/Gateway/BackendList.cpp
@@ -115,7 +115,10 @@
     if (!registry_.backends.contains(id))
         return;
     if (now < keepMissingUntil_) {
-        missing_.try_emplace(id, keepMissingUntil_);
+        if (missing_.try_emplace(id, keepMissingUntil_).second) {
+            log_.info("backend.kept",
+                      {{"backend", id}, {"for_s", secondsOf(remaining(now, keepMissingUntil_))}});
+        }
         return;
     }
     log_.info("backend.gone", {{"backend", id}});
