--- a/Tests/Gateway/StoreStandIn.cpp
+++ b/Tests/Gateway/StoreStandIn.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/StoreStandIn.h"
 
+#include <utility>
+
 namespace wisteria::gateway_tests {
 
 namespace {
@@ -65,13 +67,33 @@
         oldest_[topic] = log.size();
 }
 
+void StoreStandIn::setFaults(FaultRule rule)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    faults_ = std::move(rule);
+}
+
+StoreFault StoreStandIn::faultOf(const std::string &target)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return faults_ ? faults_(target) : StoreFault::None;
+}
+
 void StoreStandIn::answer(const SeenRequest &request, ScriptPeer &peer)
 {
     const std::string target = request.target();
     const bool silentAtArrival = keptConnectionsSilent_;
     if (silent_ || (silentAtArrival && request.requestsBefore > 0))
         return;
-    if (unavailable_ || (refusesAppends_ && target.starts_with("/log-append"))) {
+    const StoreFault fault = faultOf(target);
+    if (fault == StoreFault::Lost)
+        return;
+    if (fault == StoreFault::TooManyCalls) {
+        peer.send(plainResponse(429, "", ""));
+        return;
+    }
+    if (fault == StoreFault::Unavailable || unavailable_
+        || (refusesAppends_ && target.starts_with("/log-append"))) {
         peer.send(plainResponse(503, "", ""));
         return;
     }
--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -14,6 +15,14 @@
 
 namespace wisteria::gateway_tests {
 
+/// What becomes of a call of the store.
+enum class StoreFault {
+    None, ///< It is answered as usual.
+    TooManyCalls, ///< It gets status 429.
+    Unavailable, ///< It gets status 503.
+    Lost, ///< It is never answered.
+};
+
 /// A stand-in of the platform's store: keyed topics with the calls log-newest, log-read and
 /// log-append. A read that waits is held until there is a record or its wait ends.
 class StoreStandIn
@@ -39,6 +48,11 @@
     /// Sets whether every request from now on is answered with 503.
     void setUnavailable(bool unavailable) { unavailable_ = unavailable; }
 
+    /// Decides the fault of a call by its target.
+    using FaultRule = std::function<StoreFault(const std::string &target)>;
+    /// Applies a rule to every call from now on; an empty one ends all faults of earlier rules.
+    void setFaults(FaultRule rule);
+
     /// Answers 503 to clients that append records.
     void refuseAppends() { refusesAppends_ = true; }
 
@@ -66,6 +80,7 @@
     };
 
     void answer(const SeenRequest &request, ScriptPeer &peer);
+    StoreFault faultOf(const std::string &target);
     /// Appends a record in the format of a client's call.
     /// @param at Offset at which the log must end; empty for any.
     /// @return Whether it ended there.
@@ -83,6 +98,7 @@
     std::map<std::string, std::vector<Record>> logs_;
     /// Oldest offset of each topic that can still be read.
     std::map<std::string, std::size_t> oldest_;
+    FaultRule faults_;
     std::atomic<bool> unavailable_ = false;
     std::atomic<bool> refusesAppends_ = false;
     std::atomic<bool> keptConnectionsSilent_ = false;
