Ignore entries of backend servers that were written before the known one

Cause: the list took the latest record for the newest report. The sequence number that each entry carries was not read.

Entries of one incarnation (start time and address) now count in the order of their sequence numbers; a draining entry always counts, and after a removal an entry needs a higher number. Entries without a number count in the order of the log, as before.

--- a/Source/Programs/Gateway/BackendList.cpp
+++ b/Source/Programs/Gateway/BackendList.cpp
@@ -39,15 +39,26 @@
         remove(record.key, now);
         return;
     }
-    missing_.erase(record.key);
     auto entry = platform::decodeBackendEntry(record.key, record.value);
     if (entry.has_error()) {
+        missing_.erase(record.key);
         log_.warn("backend.bad_entry",
                   {{"backend", record.key}, {"reason", entry.error().message}});
         loggedColdProblems_.erase(record.key);
         removeBackend(registry_, record.key);
         return;
     }
+    entry.value().recordOffset = record.offset;
+    if (const std::string reason = reasonToIgnore(entry.value(), now); !reason.empty()) {
+        log_.info("backend.entry_ignored",
+                  {{"backend", record.key},
+                   {"reason", reason},
+                   {"sequence", entry.value().sequence.value_or(0)},
+                   {"offset", record.offset}});
+        return;
+    }
+    missing_.erase(record.key);
+    removedServers_.erase(record.key);
     const auto previous = registry_.backends.find(record.key);
     const bool changed = previous == registry_.backends.end()
         || previous->second.entry.draining != entry.value().draining
@@ -64,7 +75,6 @@
     }
     if (changed)
         entryChanged_(record.key, entry.value().startedAt, now);
-    entry.value().recordOffset = record.offset;
     const bool wasCold = isCold(registry_.coldServers, record.key, now);
     putBackend(registry_, entry.value(), now);
     if (!wasCold && isCold(registry_.coldServers, record.key, now))
@@ -105,6 +115,16 @@
     known_ = true;
 }
 
+std::string BackendList::reasonToIgnore(const BackendEntry &entry, TimePoint now) const
+{
+    const auto known = registry_.backends.find(entry.id);
+    if (known != registry_.backends.end() && isOlder(entry, known->second.entry))
+        return "it was written before the last one";
+    if (isLateWrite(removedServers_, entry, now))
+        return "its server has left";
+    return "";
+}
+
 void BackendList::storeReconnected(TimePoint now)
 {
     keepMissingUntil_ = now + keepMissingFor_;
@@ -121,6 +141,7 @@
         }
         return;
     }
+    noteRemoved(removedServers_, {.entry = registry_.backends.at(id).entry, .removedAt = now});
     log_.info("backend.gone", {{"backend", id}});
     loggedColdProblems_.erase(id);
     removeBackend(registry_, id);
--- a/Source/Programs/Gateway/BackendList.h
+++ b/Source/Programs/Gateway/BackendList.h
@@ -8,6 +8,7 @@
 
 #include "Process/EventLog.h"
 #include "Request/BackendRegistry.h"
+#include "Request/EntryOrder.h"
 #include "platform/StoreCodec.h"
 
 namespace wisteria {
@@ -46,6 +47,8 @@
     bool known() const { return known_; }
 
 private:
+    /// Why an entry is not applied; empty if it is.
+    std::string reasonToIgnore(const BackendEntry &entry, TimePoint now) const;
     void remove(const std::string &id, TimePoint now);
     /// Logs a wrong cold time in an entry, or a cold server whose service has no cold rate.
     void logColdProblem(const BackendEntry &entry, TimePoint now);
@@ -59,6 +62,7 @@
     TimePoint keepMissingUntil_;
     /// Servers that are missing after an outage, and until when they are kept.
     std::map<std::string, TimePoint> missing_;
+    RemovedServers removedServers_;
     /// Servers for which logColdProblem() has logged a problem that still exists.
     std::set<std::string> loggedColdProblems_;
 };
--- a/Source/Version/BackendEntry.h
+++ b/Source/Version/BackendEntry.h
@@ -27,6 +27,8 @@
     std::string coldProblem{};
     /// Start time. It may restart under the same id, and then keeps no state.
     std::uint64_t startedAt = 0;
+    /// Number of this heartbeat since the start; nothing when the entry does not state it.
+    std::optional<std::uint64_t> sequence{};
     /// Offset of this entry's record in the log of the list; later records have higher offsets.
     std::optional<std::uint64_t> recordOffset{};
 };
