Keep a server without an entry only if the entry may have expired

Callers' requests reached backend servers up to 8.4 s after the store had taken their leaving (allowed 2), when any call of the store had failed in the three seconds before: one status 429 was enough.

Cause: a guard for outages (entries of live servers expire and return within two seconds) was armed by every failed call, held each removal for 3.0 s, longer than the drain time, and began again with the next failure. Class: a guard against one failure that is armed by signs which don't prove it, and whose time starts again with each. 'backend.kept' lines show both.

A removal is now judged by what the reads of the list prove (EntryExpiry): - A server that wrote less than three heartbeat intervals ago has left. - An outage is a time that the servers' heartbeats do not account for, of which two intervals are needed for an entry to expire. A gateway that is cut off alone sees the others' heartbeats afterwards. - A kept server is bound by the drain time from when the store was last seen away, whatever fails later, and the list is read once more before the end. The choice of a server checks that time itself, on every way to a server.

For this the reads of the list tell since when the store is back: a read without an answer for 0.25 s is sent again beside the first (hedged), refused reads come again after 0.25 s at most (0.4 before), and the interval counts from a read's begin, so that slow answers do not add to it.

--- a/Source/Programs/Gateway/BackendList.cpp
+++ b/Source/Programs/Gateway/BackendList.cpp
@@ -3,17 +3,16 @@
 #include <set>
 #include <utility>
 
+#include "Programs/Gateway/GatewayMetrics.h"
 #include "platform/ConfigurationCodec.h"
 
 namespace wisteria {
 
 namespace {
 
-/// The platform guarantees that live servers are back in the list at most this long after an
-/// outage.
-constexpr milliseconds maxReappearanceTime{2000};
-/// Time allowed for the read that returns them.
-constexpr milliseconds readAllowance{100};
+/// How long before the end of a kept server's time the list is read once more: its entry may just
+/// have returned.
+constexpr milliseconds rereadLead{150};
 
 } // namespace
 
@@ -27,24 +26,26 @@
               {"per_second", coldRateOf(coldServers, phase.service)}});
 }
 
-BackendList::BackendList(BackendRegistry &registry, EventLog &log, milliseconds pollInterval,
-                         EntryChanged entryChanged)
-    : registry_(registry), log_(log), entryChanged_(std::move(entryChanged)),
-      keepMissingFor_(maxReappearanceTime + pollInterval + readAllowance)
+BackendList::BackendList(BackendRegistry &registry, EventLog &log, Metrics &metrics,
+                         const EntryTimes &times, EntryChanged entryChanged,
+                         std::function<void()> reread)
+    : registry_(registry), log_(log), metrics_(metrics), entryChanged_(std::move(entryChanged)),
+      reread_(std::move(reread)), history_{.times = times}
 { }
 
 void BackendList::apply(const platform::KeyedRecord &record, TimePoint now)
 {
     if (record.value.empty()) {
-        remove(record.key, now);
+        noteRemoval(record.key, now);
         return;
     }
     auto entry = platform::decodeBackendEntry(record.key, record.value);
     if (entry.has_error()) {
-        missing_.erase(record.key);
         log_.warn("backend.bad_entry",
                   {{"backend", record.key}, {"reason", entry.error().message}});
         loggedColdProblems_.erase(record.key);
+        removedInRead_.erase(record.key);
+        kept_.erase(record.key);
         removeBackend(registry_, record.key);
         return;
     }
@@ -57,9 +58,13 @@
                    {"offset", record.offset}});
         return;
     }
-    missing_.erase(record.key);
+    removedInRead_.erase(record.key);
+    kept_.erase(record.key);
     removedServers_.erase(record.key);
     const auto previous = registry_.backends.find(record.key);
+    if (previous == registry_.backends.end()
+        || isNextHeartbeat(entry.value(), previous->second.entry))
+        noteHeartbeat(history_, record.key, record.offset);
     const bool changed = previous == registry_.backends.end()
         || previous->second.entry.draining != entry.value().draining
         || previous->second.entry.address != entry.value().address
@@ -105,13 +110,10 @@
         listed.insert(record.key);
         apply(record, now);
     }
-    std::vector<std::string> unlisted;
     for (const auto &[id, state] : registry_.backends) {
         if (!listed.contains(id))
-            unlisted.push_back(id);
+            noteRemoval(id, now);
     }
-    for (const std::string &id : unlisted)
-        remove(id, now);
     known_ = true;
 }
 
@@ -125,25 +127,57 @@
     return "";
 }
 
-void BackendList::storeReconnected(TimePoint now)
+void BackendList::noteRemoval(const std::string &id, TimePoint now)
 {
-    keepMissingUntil_ = now + keepMissingFor_;
+    const auto found = registry_.backends.find(id);
+    // A removal that is read again does not keep its server for longer.
+    if (found == registry_.backends.end() || kept_.contains(id))
+        return;
+    removedInRead_.insert(id);
+    noteRemovalRead(history_);
+    noteRemoved(removedServers_,
+                {.entry = found->second.entry,
+                 .removedAt = now,
+                 .certainlyLeft = certainlyLeft(history_, id, now)});
 }
 
-void BackendList::remove(const std::string &id, TimePoint now)
+void BackendList::finishRead(const ListRead &read)
 {
-    if (!registry_.backends.contains(id))
-        return;
-    if (now < keepMissingUntil_) {
-        if (missing_.try_emplace(id, keepMissingUntil_).second) {
-            log_.info("backend.kept",
-                      {{"backend", id}, {"for_s", secondsOf(remaining(now, keepMissingUntil_))}});
-        }
+    noteCompleteRead(history_, read);
+    for (const std::string &id : std::exchange(removedInRead_, {}))
+        settleRemoval(id);
+}
+
+void BackendList::settleRemoval(const std::string &id)
+{
+    const TimePoint now = history_.lastRead->endedAt;
+    const Removal removal = judgeRemoval(history_, id);
+    BackendState &state = registry_.backends.at(id);
+    if (state.entry.draining || removal.usableUntil <= now) {
+        remove(id, "left", removal);
         return;
     }
-    noteRemoved(removedServers_, {.entry = registry_.backends.at(id).entry, .removedAt = now});
-    log_.info("backend.gone", {{"backend", id}});
+    state.usableUntil = removal.usableUntil;
+    kept_[id] = removal;
+    countEntryRemoval(metrics_, "kept");
+    log_.info("backend.kept",
+              {{"backend", id},
+               {"for_s", secondsOf(remaining(now, removal.usableUntil))},
+               {"silent_s", secondsOf(removal.silence.value_or(milliseconds(0)))},
+               {"outage_s", secondsOf(removal.outage)},
+               {"away_s", secondsOf(remaining(history_.outage->awayAt, now))}});
+}
+
+void BackendList::remove(const std::string &id, const char *reason, const Removal &removal)
+{
+    countEntryRemoval(metrics_, reason);
+    log_.info("backend.gone",
+              {{"backend", id},
+               {"reason", reason},
+               {"silent_s", secondsOf(removal.silence.value_or(milliseconds(0)))},
+               {"outage_s", secondsOf(removal.outage)}});
     loggedColdProblems_.erase(id);
+    forgetHeartbeats(history_, id);
     removeBackend(registry_, id);
 }
 
@@ -151,14 +185,20 @@
 {
     for (const std::string &id : endColdPhases(registry_.coldServers, now))
         log_.info("backend.warm", {{"backend", id}});
-    for (auto entry = missing_.begin(); entry != missing_.end();) {
-        if (now < entry->second) {
+    bool reread = false;
+    for (auto entry = kept_.begin(); entry != kept_.end();) {
+        const auto &[id, removal] = *entry;
+        reread = reread || now >= removal.usableUntil - rereadLead;
+        if (now < removal.usableUntil) {
             ++entry;
             continue;
         }
-        const std::string id = entry->first;
-        entry = missing_.erase(entry);
-        remove(id, now);
+        remove(id, "not back", removal);
+        entry = kept_.erase(entry);
+    }
+    if (reread && now >= nextReread_) {
+        nextReread_ = now + rereadLead;
+        reread_();
     }
 }
 
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -96,10 +96,15 @@
                    .dispatchSoon = [this] { scheduleDispatch(); },
                    .dispatchNow = [this] { dispatchWaiting(); }},
           operatorRecords_(context_, [this] { scheduleDispatch(); }),
-          backendList_(registry_, log_, backendsPollInterval(settings_.drainTime),
-                       [this](const std::string &id, std::uint64_t startedAt, TimePoint now) {
-                           poisonProtection_.crashes().noteStartTime(id, startedAt, now);
-                       }),
+          backendList_(
+              registry_, log_, metrics_,
+              {.heartbeatInterval = settings_.heartbeatInterval,
+               .drainTime = settings_.drainTime,
+               .readInterval = backendsPollInterval(settings_.drainTime)},
+              [this](const std::string &id, std::uint64_t startedAt, TimePoint now) {
+                  poisonProtection_.crashes().noteStartTime(id, startedAt, now);
+              },
+              [this] { backendsWatch_->readNow(); }),
           callerListener_(loop_, log_, metrics_, maxCallers(settings_),
                           {.accepted = [this](int descriptor) { acceptCaller(descriptor); },
                            .openConnections = [this] { return sessions_.size(); }}),
@@ -162,23 +167,27 @@
                     [this](const auto &records) {
                         operatorRecords_.applyAll(records, monotonicNow());
                     },
-                .reconnected = [] {},
                 .answered = [this](TimePoint at) { context_.configurationReadAt = at; },
-                .upToDate = [](TimePoint) {}});
+                .upToDate = [](const CompleteRead &) {}});
         backendsWatch_ = std::make_unique<StoreWatch>(
             loop_, pool_, log_, metrics_, settings_.storeEndpoint,
-            WatchPlan{"backends", platform::backendsTopic, milliseconds(0),
-                      backendsPollInterval(settings_.drainTime)},
+            WatchPlan{.name = "backends",
+                      .topic = platform::backendsTopic,
+                      .interval = backendsPollInterval(settings_.drainTime),
+                      .maxBackoff = backendsMaxBackoff,
+                      .hedgeAfter = backendsHedgeDelay},
             WatchEvents{
                 .record =
                     [this](const auto &record) { backendList_.apply(record, monotonicNow()); },
                 .snapshot =
                     [this](const auto &records) { backendList_.applyAll(records, monotonicNow()); },
-                .reconnected = [this] { backendList_.storeReconnected(monotonicNow()); },
                 .answered = [](TimePoint) {},
                 .upToDate =
-                    [this](TimePoint at) {
-                        noteListRead(registry_, at);
+                    [this](const CompleteRead &read) {
+                        noteListRead(registry_, read.begunAt);
+                        backendList_.finishRead({.begunAt = read.begunAt,
+                                                 .failedCallAt = read.failedCallAt,
+                                                 .endedAt = monotonicNow()});
                         context_.backendsKnown = backendList_.known();
                         operatorRecords_.logUnknownDomains();
                         scheduleDispatch();
--- a/Source/Programs/Gateway/GatewayDirectory.cpp
+++ b/Source/Programs/Gateway/GatewayDirectory.cpp
@@ -31,9 +31,8 @@
                        directoryReadInterval, directoryMaxBackoff},
              WatchEvents{.record = [this](const auto &record) { apply(record); },
                          .snapshot = [this](const auto &records) { applyAll(records); },
-                         .reconnected = [] {},
                          .answered = [](TimePoint) {},
-                         .upToDate = [](TimePoint) {}})
+                         .upToDate = [](const CompleteRead &) {}})
 { }
 
 GatewayDirectory::~GatewayDirectory() = default;
--- a/Source/Programs/Gateway/GatewayMetrics.cpp
+++ b/Source/Programs/Gateway/GatewayMetrics.cpp
@@ -107,6 +107,13 @@
                   {{"what", what}, {"result", result}});
 }
 
+void countEntryRemoval(Metrics &metrics, const std::string &outcome)
+{
+    metrics.count("wisteria_entry_removals_total",
+                  "Removals of backend servers' entries by what became of the server",
+                  {{"outcome", outcome}});
+}
+
 void countTurnedAway(Metrics &metrics)
 {
     metrics.count("wisteria_connections_turned_away_total",
--- a/Source/Programs/Gateway/GatewayMetrics.h
+++ b/Source/Programs/Gateway/GatewayMetrics.h
@@ -76,6 +76,11 @@
 /// @param result "answered", "failed" or "history lost".
 void countStoreCall(Metrics &metrics, const std::string &what, const std::string &result);
 
+/// Counts a removal of a backend server's entry.
+/// @param outcome "left"; "kept", as the entry may have expired in an outage of the store; or "not
+/// back", for one that was kept.
+void countEntryRemoval(Metrics &metrics, const std::string &outcome);
+
 /// Counts a new connection that was closed unread because the gateway was overloaded.
 void countTurnedAway(Metrics &metrics);
 
--- a/Source/Programs/Gateway/QuarantineRecords.cpp
+++ b/Source/Programs/Gateway/QuarantineRecords.cpp
@@ -31,9 +31,8 @@
                        maxReadBackoff},
              WatchEvents{.record = [this](const auto &record) { apply(record); },
                          .snapshot = [this](const auto &records) { applyAll(records); },
-                         .reconnected = [] {},
                          .answered = [](TimePoint) {},
-                         .upToDate = [](TimePoint) {}})
+                         .upToDate = [](const CompleteRead &) {}})
 { }
 
 void QuarantineRecords::add(const Fingerprint &suspect, const KeptQuarantine &kept,
--- a/Source/Programs/Gateway/StorePolling.h
+++ b/Source/Programs/Gateway/StorePolling.h
@@ -20,6 +20,12 @@
 /// recovery must be in force 2 s later.
 constexpr milliseconds storeMaxBackoff{400};
 
+/// Backoff after failed reads of the list, and how long one read may be unanswered before a second
+/// one is sent beside it. Both limit for how long it is unknown whether a server has left, and
+/// since when the store is back after an outage.
+constexpr milliseconds backendsMaxBackoff{250};
+constexpr milliseconds backendsHedgeDelay{250};
+
 /// Fraction of the drain time that may pass between two reads of the list. A draining server must
 /// get no new requests after the drain time; a lost answer and the read after it still fit into the
 /// rest of it.
@@ -28,7 +34,8 @@
 /// reports a change at once; the wait matters only if the connection fails silently.
 constexpr double configurationFraction = 0.75;
 
-/// Interval between two reads of the list of servers, which changes with each server's heartbeats.
+/// Interval between the begins of two reads of the list of servers, which changes with each
+/// server's heartbeats.
 inline milliseconds backendsPollInterval(milliseconds drainTime)
 {
     return std::chrono::duration_cast<milliseconds>(drainTime * backendsFraction);
--- a/Source/Programs/Gateway/StoreWatch.h
+++ b/Source/Programs/Gateway/StoreWatch.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <string>
 
 #include "Connection/HttpClientPool.h"
 #include "Process/EventLog.h"
@@ -21,11 +23,23 @@
     /// Long polling: the store answers as soon as there is a record, or after this time without
     /// one. Zero reads without waiting.
     milliseconds wait{0};
-    /// Interval from the end of a read to the next one.
+    /// Interval to the next read: from the beginning of a read that does not wait, so that slow
+    /// answers don't add to the age of what is known, and from the end of one that waits.
     milliseconds interval{0};
     /// Maximum backoff after failed calls. Calls are charged for, and all VMs share the store's
     /// rate limits.
     milliseconds maxBackoff{storeMaxBackoff};
+    /// Hedged reads: a read without an answer for this time is sent again beside the first one, and
+    /// the first answer counts. Zero for none.
+    milliseconds hedgeAfter{0};
+};
+
+/// Times of a read after which all records are known that the store had when it began.
+struct CompleteRead
+{
+    TimePoint begunAt;
+    /// Begin of the latest call before it that failed or is not answered yet; the epoch if none.
+    TimePoint failedCallAt;
 };
 
 /// Events of a watch.
@@ -35,12 +49,10 @@
     std::function<void(const platform::KeyedRecord &)> record;
     /// The newest record of each key. It replaces all records that were reported before.
     std::function<void(const std::vector<platform::KeyedRecord> &)> snapshot;
-    /// The store answers again after failed calls.
-    std::function<void()> reconnected;
     /// The store answered a read of the topic at this time.
     std::function<void(TimePoint)> answered;
-    /// All records that the store had at this time have been reported.
-    std::function<void(TimePoint)> upToDate;
+    /// All records that the store had when the read began have been reported.
+    std::function<void(const CompleteRead &)> upToDate;
 };
 
 /// Watches one topic of the platform's store from its construction to its destruction.
@@ -73,11 +85,24 @@
     std::optional<TimePoint> answeredAt() const { return answeredAt_; }
 
 private:
+    /// One of the calls of a read that is sent several times.
+    struct ReadCall
+    {
+        TimePoint begunAt;
+        /// Whether it opened its connection; otherwise it reuses a kept one.
+        bool connectionIsNew = false;
+        HttpResponse response{};
+        std::unique_ptr<HttpCall> call{};
+    };
+    using Answered = std::function<void(const HttpResponse &)>;
+
     void startRead();
     void readNewest();
     void readLog();
-    void call(std::string request, milliseconds timeout,
-              std::function<void(const HttpResponse &)> done);
+    void call(std::string request, milliseconds timeout, Answered answered);
+    void sendCall(ConnectionUse use);
+    void finishCall(std::size_t number);
+    void dropFailedCall(std::size_t number, const std::string &reason);
     void applyNewest(const HttpResponse &response);
     void applyLog(const HttpResponse &response);
     void succeeded();
@@ -93,12 +118,18 @@
     Endpoint store_;
     WatchPlan plan_;
     WatchEvents events_;
-    std::unique_ptr<HttpCall> call_;
+    /// The calls of the current read by number, all with the same request.
+    std::map<std::size_t, ReadCall> calls_;
+    std::size_t lastCall_ = 0;
+    std::string request_;
+    Answered answered_;
+    /// Begin of the current read, or of the call that answered the last one.
     TimePoint callBegunAt_;
-    /// Whether the call opened its connection; otherwise it reuses a kept one.
+    /// Whether the first call of the current read, or the one that answered, opened its connection.
     bool connectionIsNew_ = false;
     TimePoint callDeadline_;
-    HttpResponse response_;
+    /// Begin of the latest call without an answer that could be used.
+    TimePoint failedCallAt_;
     bool synced_ = false;
     /// Whether the next read is requested before the plan's interval has passed.
     bool readSoon_ = false;
--- a/Source/Request/BackendRegistry.cpp
+++ b/Source/Request/BackendRegistry.cpp
@@ -169,7 +169,8 @@
     const bool anyEvacuated = !registry.evacuatedDomains.empty();
     const auto share = sendShareOf(registry.coldServers, criteria.service);
     for (auto &[id, state] : registry.backends) {
-        if (state.entry.service != criteria.service || state.entry.draining || state.replaced)
+        if (state.entry.service != criteria.service || state.entry.draining || state.replaced
+            || now >= state.usableUntil)
             continue;
         if (anySignals && registry.drainingSince.contains(id))
             continue;
@@ -239,12 +240,20 @@
     const bool renewed = !entry.recordOffset || entry.recordOffset != state.entry.recordOffset;
     const bool recheckAddress = isNewServer || (state.replaced && renewed);
     state.entry = entry;
+    state.usableUntil = TimePoint::max();
     if (!recheckAddress)
         return;
     state.replaced = false;
     resolveAddressConflicts(registry, state);
 }
 
+bool isLeaving(const BackendRegistry &registry, const std::string &id, TimePoint now)
+{
+    const auto found = registry.backends.find(id);
+    return found == registry.backends.end() || found->second.entry.draining
+        || now >= found->second.usableUntil || registry.drainingSince.contains(id);
+}
+
 void removeBackend(BackendRegistry &registry, const std::string &id)
 {
     const auto found = registry.backends.find(id);
--- a/Source/Request/BackendRegistry.h
+++ b/Source/Request/BackendRegistry.h
@@ -50,6 +50,8 @@
     /// Another backend server answers at its address. A newer record of its entry has this checked
     /// again.
     bool replaced = false;
+    /// Until when it may get requests; limited if its entry is missing, see EntryExpiry.
+    TimePoint usableUntil = TimePoint::max();
 };
 
 /// All known backend servers with their load and state. A value type without I/O.
@@ -95,6 +97,10 @@
 /// send to an old one uses up one of the few sends that a route allows for a request.
 void putBackend(BackendRegistry &registry, const BackendEntry &entry, TimePoint now);
 
+/// Returns whether a backend server is leaving: it gets no more requests, and a connection to it
+/// that is still opening is given up.
+bool isLeaving(const BackendRegistry &registry, const std::string &id, TimePoint now);
+
 /// Removes a backend server whose store entry is gone or unusable.
 void removeBackend(BackendRegistry &registry, const std::string &id);
 
--- a/Tests/Gateway/MetricsTest.cpp
+++ b/Tests/Gateway/MetricsTest.cpp
@@ -119,6 +119,7 @@
     group.proposal.map = {{{0}}};
     countSwitchEvent(metrics, group, SwitchEvent::InForce, TimePoint(seconds(2)));
     countOrder(metrics, RankOrderKind::Arm, "done");
+    countEntryRemoval(metrics, "left");
     setSidecarState(metrics, {});
     return metrics.text();
 }
--- a/Tests/Gateway/RestartedEnginesTest.cpp
+++ b/Tests/Gateway/RestartedEnginesTest.cpp
@@ -91,7 +91,8 @@
     std::uint32_t ranks_;
     BackendRegistry registry_;
     EventLog log_{"test", {.minLevel = LogLevel::Error}};
-    BackendList list_{registry_, log_, pollInterval};
+    Metrics metrics_;
+    BackendList list_{registry_, log_, metrics_, {.readInterval = pollInterval}};
     std::vector<platform::KeyedRecord> unread_;
     std::uint64_t nextOffset_ = 0;
     bool listReadRequested_ = false;
@@ -165,7 +166,8 @@
     GroupRestart restart(1);
     noteReplaced(restart.registry().backends.at("old-0"));
     EventLog log("test", {.minLevel = LogLevel::Error});
-    BackendList list(restart.registry(), log, pollInterval);
+    Metrics metrics;
+    BackendList list(restart.registry(), log, metrics, {.readInterval = pollInterval});
     list.apply({"old-0", entryText("model", 0), 0}, start);
     REQUIRE(restart.registry().backends.at("old-0").replaced);
     list.apply({"old-0", entryText("model", 0), 7}, start);
