Give up a connection that is still opening when its server leaves

A request whose connection is opening when the leaving becomes known was sent as soon as it opened, or waited for the timeout of connection setups, 0.4 s; for a server that is kept to the end of its drain time that is too late.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -431,6 +431,10 @@
         endSend(call_->sent() ? SendOutcome::TimedOut : SendOutcome::NeverSent, "out of time");
         return;
     }
+    if (!call_->sent() && isLeaving(context_.registry, backendId_, now)) {
+        endSend(SendOutcome::NeverSent, "the backend server is leaving");
+        return;
+    }
     if (!call_->sent() && now - sentAt_ >= connectTimeout) {
         endSend(SendOutcome::NeverSent, "no connection in time");
         return;
