Soak: servers leave while single calls of the store fail

Three servers of the gateways' domain leave in turn (removed, draining, draining with an older heartbeat behind it) and return as new incarnations, while one in two to five calls of the store is refused or not answered. No request may reach them later than the drain time and 0.1 s. In one of four seeds the store as a whole is never away, since the bound starts anew with each such fault; in the others that rarely leaves time to check it.

EvacuationCheck became BoundCheck, with its bound as an argument.

--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -7,6 +7,8 @@
 
 namespace wisteria::soak {
 
+using gateway_tests::StoreFault;
+
 namespace {
 
 constexpr std::array<std::pair<LinkFault, const char *>, 4> linkFaults = {{
@@ -30,7 +32,7 @@
                        std::function<void(const std::string &)> log)
     : fleet_(fleet), random_(seed), signalRandom_(~seed),
       evacuationRandom_(seed + evacuationSeedOffset), coldRandom_(seed ^ 0xC01DULL),
-      log_(std::move(log))
+      leavingRandom_(seed ^ 0x1EA7E5ULL), storeMayBeAway_(seed % 4 != 3), log_(std::move(log))
 {
     // Evacuated servers get no traffic, and faults of their links then have no effect: every second
     // seed has no evacuations, the others have seconds without any.
@@ -71,6 +73,8 @@
         startEvacuation(now);
     if (now >= nextColdAt_)
         startColdPhase(now);
+    if (now >= nextLeavingAt_)
+        startLeaving(now);
     if (now < nextAt_)
         return;
     nextAt_ = now + randomDuration(100, 700);
@@ -81,6 +85,9 @@
 {
     for (const ScheduledEnd &ending : std::exchange(scheduledEnds_, {}))
         ending.end();
+    // What follows is checked with the servers that never leave.
+    for (std::size_t server = linkedServerCount; server < serverCount; ++server)
+        fleet_.leave(server, Leaving::Removal);
 }
 
 void SoakFaults::injectFault(TimePoint now)
@@ -122,7 +129,7 @@
 {
     const milliseconds length = randomDuration(200, 2500);
     const std::string times = " for " + std::to_string(length.count()) + " ms";
-    switch (randomBelow(3)) {
+    switch (storeMayBeAway_ ? randomBelow(3) : 0) {
     case 0:
         log_("link of the store is reset");
         fleet_.resetStoreLink();
@@ -151,10 +158,12 @@
         return;
     if (randomBelow(2) == 0) {
         log_(name + " is suspended for " + std::to_string(length.count()) + " ms");
+        fleet_.setSuspended(number, true);
         gateway.signal(SIGSTOP);
-        scheduleEnd(now + length, [this, &gateway] {
+        scheduleEnd(now + length, [this, &gateway, number] {
             fleet_.noteGatewayBegin();
             gateway.signal(SIGCONT);
+            fleet_.setSuspended(number, false);
         });
         return;
     }
@@ -219,6 +228,45 @@
     scheduleEnd(now + unknownFor, [this, server] { fleet_.putColdServer(server); });
 }
 
+/// Lets a server leave for longer than the bound, mostly while some calls of the store fail.
+void SoakFaults::startLeaving(TimePoint now)
+{
+    constexpr std::array<std::pair<Leaving, const char *>, 3> ways = {{
+        {Leaving::Removal, "is removed"},
+        {Leaving::Draining, "drains"},
+        {Leaving::DrainingThenOlder, "drains, and an older heartbeat follows"},
+    }};
+    constexpr std::array<std::pair<StoreFault, const char *>, 3> faults = {{
+        {StoreFault::TooManyCalls, "refused with 429"},
+        {StoreFault::Unavailable, "refused with 503"},
+        {StoreFault::Lost, "not answered"},
+    }};
+    nextLeavingAt_ = now + milliseconds(randomInt(leavingRandom_, 2300, 2900));
+    const std::size_t server = nextLeaver_;
+    nextLeaver_ = server + 1 < serverCount ? server + 1 : linkedServerCount;
+    const auto &[way, description] = ways.at(
+        static_cast<std::size_t>(randomInt(leavingRandom_, 0, static_cast<int>(ways.size()) - 1)));
+    const auto &[fault, faultDescription] = faults.at(static_cast<std::size_t>(
+        randomInt(leavingRandom_, 0, static_cast<int>(faults.size()) - 1)));
+    const int period = randomInt(leavingRandom_, 2, 5);
+    const milliseconds failing{randomInt(leavingRandom_, 300, 1400)};
+    const milliseconds before{randomInt(leavingRandom_, 0, 700)};
+    log_("one in " + std::to_string(period) + " calls of the store is " + faultDescription + " for "
+         + std::to_string(failing.count()) + " ms; server-" + std::to_string(server) + " "
+         + description + " after " + std::to_string(before.count()) + " ms");
+    fleet_.failStoreCalls(static_cast<unsigned>(period), fault);
+    scheduleEnd(now + failing, [this] { fleet_.failStoreCalls(0, StoreFault::None); });
+    scheduleEnd(now + before, [this, server, way = way] { fleet_.leave(server, way); });
+    // A server that drains goes on writing heartbeats.
+    constexpr milliseconds heartbeatInterval{1200};
+    for (int i = 1; i <= 3 && way != Leaving::Removal; ++i) {
+        scheduleEnd(now + before + i * heartbeatInterval,
+                    [this, server] { fleet_.repeatDraining(server); });
+    }
+    const milliseconds away{randomInt(leavingRandom_, 4000, 6000)};
+    scheduleEnd(now + before + away, [this, server] { fleet_.comeBack(server); });
+}
+
 void SoakFaults::injectOperationalEvent(TimePoint now)
 {
     const milliseconds length = randomDuration(300, 2000);
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -20,7 +20,7 @@
     /// Ends the faults whose duration has passed, and injects further ones at random intervals.
     void advance(TimePoint now);
 
-    /// Ends all faults.
+    /// Ends all faults, and lets all servers leave that leave from time to time.
     void endAll();
 
 private:
@@ -40,6 +40,7 @@
     void startServerSignal(TimePoint now);
     void startEvacuation(TimePoint now);
     void startColdPhase(TimePoint now);
+    void startLeaving(TimePoint now);
     void scheduleEnd(TimePoint at, std::function<void()> end);
 
     Fleet &fleet_;
@@ -50,12 +51,20 @@
     std::mt19937_64 evacuationRandom_;
     /// Separate generator for cold phases, for the same reason.
     std::mt19937_64 coldRandom_;
+    /// The same for servers that leave.
+    std::mt19937_64 leavingRandom_;
+    /// Whether the store as a whole may be away. Otherwise only single calls fail: a server that
+    /// leaves while the store is away is checked only after that.
+    bool storeMayBeAway_;
     std::function<void(const std::string &)> log_;
     std::vector<ScheduledEnd> scheduledEnds_;
     TimePoint nextAt_;
     TimePoint nextSignalAt_;
     TimePoint nextEvacuationAt_;
     TimePoint nextColdAt_;
+    TimePoint nextLeavingAt_;
+    /// The server that leaves next.
+    std::size_t nextLeaver_ = linkedServerCount;
 };
 
 } // namespace wisteria::soak
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -36,12 +36,22 @@
 /// Time in which arrivals are compared with the sum of the shares. It is less than the second of
 /// the shares, because requests take different times from the gateway's decision to their arrival.
 constexpr milliseconds coldShareTime{800};
+/// Time in which gateways that reach the store must know of a leaving, and time for a request that
+/// was sent just before to arrive.
+constexpr milliseconds drainTime{2000};
+constexpr milliseconds arrivalTime{100};
 const std::string seal = "Wisteriawind-Response-Seal: soak\r\n";
 
-/// Failure domain of a backend server.
+/// Failure domain of a backend server. Servers that leave are in the gateways' domain, which gets
+/// most requests.
 const std::string &domainOf(std::size_t server)
 {
-    return Fleet::domains().at(server % Fleet::domains().size());
+    return Fleet::domains().at(server < linkedServerCount ? server % Fleet::domains().size() : 0);
+}
+
+std::string nameOf(std::size_t server)
+{
+    return "server-" + std::to_string(server);
 }
 
 std::uint16_t freePort()
@@ -220,13 +230,14 @@
 }
 
 Fleet::Fleet(const std::string &program, const std::string &folder, int gatewayCount)
-    : gatewayCount_(static_cast<std::size_t>(gatewayCount))
+    : leavings_(drainTime + arrivalTime), gatewayCount_(static_cast<std::size_t>(gatewayCount))
 {
-    for (std::size_t i = 0; i < signals_.size(); ++i) {
+    for (std::size_t i = 0; i < serverCount; ++i) {
         servers_.push_back(std::make_unique<ScriptedServer>(
             [this, i](const SeenRequest &request, ScriptPeer &peer) { answer(i, request, peer); }));
-        serverLinks_.push_back(std::make_unique<FaultProxy>(servers_.back()->endpoint()));
-        setDraining(servers_.size() - 1, false);
+        if (i < linkedServerCount)
+            serverLinks_.push_back(std::make_unique<FaultProxy>(servers_.back()->endpoint()));
+        putServer(i, "ready", ++sequences_.at(i));
     }
     for (std::size_t i = 0; i < coldServerCount; ++i) {
         coldServers_.push_back(std::make_unique<ScriptedServer>(
@@ -258,12 +269,69 @@
 
 void Fleet::setDraining(std::size_t server, bool draining)
 {
-    store_.put("keyed.servers", "server-" + std::to_string(server),
+    putServer(server, draining ? "draining" : "ready", ++sequences_.at(server));
+}
+
+void Fleet::putServer(std::size_t server, const std::string &state, std::uint64_t sequence)
+{
+    const Endpoint address = server < linkedServerCount ? serverLinks_[server]->endpoint()
+                                                        : servers_[server]->endpoint();
+    store_.put("keyed.servers", nameOf(server),
                {{"service", "all"},
-                {"address", toText(serverLinks_[server]->endpoint())},
+                {"address", toText(address)},
                 {"zone", domainOf(server)},
                 {"slot_count", 16},
-                {"state", draining ? "draining" : "ready"}});
+                {"state", state},
+                {"born", startedAt_.at(server)},
+                {"sequence", sequence}});
+}
+
+void Fleet::leave(std::size_t server, Leaving how)
+{
+    const std::uint64_t older = ++sequences_.at(server);
+    if (how == Leaving::Removal)
+        store_.append("keyed.servers", nameOf(server), "");
+    else
+        putServer(server, "draining", ++sequences_.at(server));
+    leavings_.begin(nameOf(server), monotonicNow());
+    if (how == Leaving::DrainingThenOlder)
+        putServer(server, "ready", older);
+}
+
+void Fleet::repeatDraining(std::size_t server)
+{
+    putServer(server, "draining", ++sequences_.at(server));
+}
+
+void Fleet::comeBack(std::size_t server)
+{
+    ++startedAt_.at(server);
+    sequences_.at(server) = 1;
+    leavings_.end(nameOf(server));
+    putServer(server, "ready", sequences_.at(server));
+}
+
+void Fleet::failStoreCalls(unsigned period, StoreFault fault)
+{
+    if (period == 0) {
+        store_.setFaults({});
+        return;
+    }
+    store_.setFaults([calls = 0U, period, fault](const std::string &) mutable {
+        return ++calls % period == 0 ? fault : StoreFault::None;
+    });
+}
+
+void Fleet::setSuspended(std::size_t gateway, bool suspended)
+{
+    leavings_.setCut("gateway-" + std::to_string(gateway), suspended, monotonicNow());
+}
+
+void Fleet::setCut(const std::string &cause, bool cut)
+{
+    const TimePoint now = monotonicNow();
+    evacuations_.setCut(cause, cut, now);
+    leavings_.setCut(cause, cut, now);
 }
 
 const std::array<std::string, 2> &Fleet::domains()
@@ -284,14 +352,14 @@
 void Fleet::setStoreUnavailable(bool unavailable)
 {
     store_.setUnavailable(unavailable);
-    evacuations_.setStoreCut("unavailable", unavailable, monotonicNow());
+    setCut("unavailable", unavailable);
 }
 
 void Fleet::setStoreLinkFault(LinkFault fault)
 {
     storeLink_->setFault(fault);
     const bool cut = fault != LinkFault::None && fault != LinkFault::Delayed;
-    evacuations_.setStoreCut("link", cut, monotonicNow());
+    setCut("link", cut);
 }
 
 std::size_t Fleet::arrivalsIn(const std::string &domain) const
@@ -305,6 +373,8 @@
 void Fleet::noteArrival(std::size_t server, const std::string &id)
 {
     ++arrivals_.at(server);
+    if (leavings_.forbids(nameOf(server), monotonicNow()))
+        recorder_.noteViolation(id + " arrived at " + nameOf(server) + ", which has left");
     if (evacuations_.forbids(domainOf(server), monotonicNow()))
         recorder_.noteViolation(id + " arrived at server-" + std::to_string(server)
                                 + " in an evacuated domain");
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -13,7 +13,7 @@
 #include <sys/types.h>
 
 #include "Gateway/StoreStandIn.h"
-#include "Soak/EvacuationCheck.h"
+#include "Soak/BoundCheck.h"
 #include "Soak/FaultProxy.h"
 
 namespace wisteria::soak {
@@ -91,6 +91,19 @@
     std::deque<TimePoint> events_;
 };
 
+/// Servers of the service "all" behind links that may fail, and after them those that leave and
+/// return; a link that fails would deliver requests late to these.
+inline constexpr std::size_t linkedServerCount = 4;
+inline constexpr std::size_t leavingServerCount = 3;
+inline constexpr std::size_t serverCount = linkedServerCount + leavingServerCount;
+
+/// How a server that leaves tells the store.
+enum class Leaving {
+    Removal, ///< Its entry is removed.
+    Draining, ///< Its entry says so.
+    DrainingThenOlder, ///< The same, and an earlier heartbeat is written after it.
+};
+
 /// Number of servers of the service "cold", whose servers may be cold.
 inline constexpr std::size_t coldServerCount = 2;
 
@@ -117,6 +130,17 @@
     }
     /// Writes a server's record in the configuration store as draining or ready.
     void setDraining(std::size_t server, bool draining);
+    /// Lets a server leave; it goes on serving.
+    /// @param server From `linkedServerCount` on.
+    void leave(std::size_t server, Leaving how);
+    /// Writes the heartbeat of a server that drains.
+    void repeatDraining(std::size_t server);
+    /// Starts a server that has left again under its id.
+    void comeBack(std::size_t server);
+    /// Refuses or leaves unanswered one in `period` calls of the store; none if it is 0.
+    void failStoreCalls(unsigned period, gateway_tests::StoreFault fault);
+    /// Records that a gateway can't read the store's list because it is suspended, or can again.
+    void setSuspended(std::size_t gateway, bool suspended);
     /// Writes or deletes the operator's record that evacuates a failure domain. This also works
     /// while the gateways can't reach the store.
     void setEvacuated(const std::string &domain, bool evacuated);
@@ -134,6 +158,8 @@
     void restartColdServer(std::size_t server);
 
 private:
+    void putServer(std::size_t server, const std::string &state, std::uint64_t sequence);
+    void setCut(const std::string &cause, bool cut);
     void noteArrival(std::size_t server, const std::string &id);
     void noteColdArrival(std::size_t server, TimePoint now);
     void putColdEntry(std::size_t server, nlohmann::json fields);
@@ -145,9 +171,12 @@
                 gateway_tests::ScriptPeer &peer);
 
     RunRecorder recorder_;
-    std::array<std::atomic<ServerSignal>, 4> signals_{};
-    std::array<std::atomic<std::size_t>, 4> arrivals_{};
-    EvacuationCheck evacuations_;
+    std::array<std::atomic<ServerSignal>, serverCount> signals_{};
+    std::array<std::atomic<std::size_t>, serverCount> arrivals_{};
+    std::array<std::uint64_t, serverCount> startedAt_{};
+    std::array<std::uint64_t, serverCount> sequences_{};
+    BoundCheck evacuations_{evacuationBound};
+    BoundCheck leavings_;
     std::atomic<bool> abortingStreams_ = false;
     std::atomic<unsigned> streams_ = 0;
     int version_ = 0;
@@ -159,6 +188,7 @@
     std::array<std::uint64_t, coldServerCount> coldStartedAt_{};
     std::vector<std::unique_ptr<gateway_tests::ScriptedServer>> coldServers_;
     std::vector<std::unique_ptr<gateway_tests::ScriptedServer>> servers_;
+    /// Of the first `linkedServerCount` servers.
     std::vector<std::unique_ptr<FaultProxy>> serverLinks_;
     std::unique_ptr<FaultProxy> storeLink_;
     std::vector<std::unique_ptr<GatewayProcess>> gateways_;
