Do not take a refusal for too many calls for an outage of the store

A server that leaves while the store, back from an outage, refuses calls with 429 was kept until the drain time after the last refusal, up to a second too late: the store takes leavings then. Status 429 is an error kind of its own now, and neither shows an outage nor lengthens one.

An entry without a sequence number does not undo a draining one with a number.

--- a/Source/Process/Error.h
+++ b/Source/Process/Error.h
@@ -15,6 +15,7 @@
     BadInput, ///< A message from a caller or a peer is malformed.
     NotFound, ///< The named object does not exist.
     Conflict, ///< The rules, the operator's permissions or the current state forbid it.
+    RateLimited, ///< The peer is reachable, and refuses because of too many calls.
     Unavailable, ///< The peer is unreachable or refuses; the request was not executed.
     OutcomeUnknown, ///< The peer may or may not have executed the request.
     Timeout, ///< No answer in time; unless the call only reads, the peer may have executed it.
--- a/Source/Programs/Gateway/StoreWatch.cpp
+++ b/Source/Programs/Gateway/StoreWatch.cpp
@@ -110,7 +110,7 @@
 void StoreWatch::dropFailedCall(std::size_t number, const std::string &reason)
 {
     if (calls_.size() == 1) {
-        fail(reason, monotonicNow());
+        fail({ErrorKind::Unavailable, reason}, monotonicNow());
         return;
     }
     failedCallAt_ = std::max(failedCallAt_, calls_.at(number).begunAt);
@@ -121,7 +121,7 @@
 {
     auto page = platform::decodeNewest(response);
     if (page.has_error()) {
-        fail(page.error().message, monotonicNow());
+        fail(page.error(), monotonicNow());
         return;
     }
     succeeded();
@@ -153,7 +153,7 @@
         return;
     }
     if (page.has_error()) {
-        fail(page.error().message, monotonicNow());
+        fail(page.error(), monotonicNow());
         return;
     }
     succeeded();
@@ -208,17 +208,19 @@
     events_.answered(*answeredAt_);
 }
 
-void StoreWatch::fail(const std::string &reason, TimePoint now)
+void StoreWatch::fail(const Error &error, TimePoint now)
 {
     const std::uint32_t doublings = std::min(failures_, maxDoublings);
     const milliseconds backoff = std::min(plan_.maxBackoff, storeInitialBackoff * (1 << doublings));
     const char *event = failures_ == 0 ? "store.lost" : "store.call_failed";
-    failedCallAt_ = calls_.empty() ? callBegunAt_ : calls_.rbegin()->second.begunAt;
+    // A store that refuses too many calls is not away.
+    if (error.kind != ErrorKind::RateLimited)
+        failedCallAt_ = calls_.empty() ? callBegunAt_ : calls_.rbegin()->second.begunAt;
     calls_.clear();
     ++failures_;
     log_.warn(event,
               {{"what", plan_.name},
-               {"reason", reason},
+               {"reason", error.message},
                {"after_s", secondsOf(remaining(callBegunAt_, now))},
                {"connection", connectionIsNew_ ? "new" : "kept"},
                {"failures", failures_},
@@ -243,7 +245,7 @@
     if (calls_.empty())
         return;
     if (now >= callDeadline_) {
-        fail("no answer in time", now);
+        fail({ErrorKind::Timeout, "no answer in time"}, now);
         return;
     }
     const bool hedge = plan_.hedgeAfter > milliseconds(0) && calls_.size() < maxHedgedCalls
--- a/Source/Programs/Gateway/StoreWatch.h
+++ b/Source/Programs/Gateway/StoreWatch.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "Connection/HttpClientPool.h"
+#include "Process/Error.h"
 #include "Process/EventLog.h"
 #include "Process/EventLoop.h"
 #include "Process/Metrics.h"
@@ -38,7 +39,8 @@
 struct CompleteRead
 {
     TimePoint begunAt;
-    /// Begin of the latest call before it that failed or is not answered yet; the epoch if none.
+    /// Begin of the latest call before it that failed, but for too many calls, or is not answered
+    /// yet; the epoch if none.
     TimePoint failedCallAt;
 };
 
@@ -106,7 +108,7 @@
     void applyNewest(const HttpResponse &response);
     void applyLog(const HttpResponse &response);
     void succeeded();
-    void fail(const std::string &reason, TimePoint now);
+    void fail(const Error &error, TimePoint now);
     void scheduleRead(milliseconds after);
     milliseconds delayBeforeRead(TimePoint now) const;
     void finishRead(bool behind);
@@ -128,7 +130,7 @@
     /// Whether the first call of the current read, or the one that answered, opened its connection.
     bool connectionIsNew_ = false;
     TimePoint callDeadline_;
-    /// Begin of the latest call without an answer that could be used.
+    /// Begin of the latest call that failed, but for too many calls.
     TimePoint failedCallAt_;
     bool synced_ = false;
     /// Whether the next read is requested before the plan's interval has passed.
--- a/Source/Request/EntryExpiry.h
+++ b/Source/Request/EntryExpiry.h
@@ -31,7 +31,8 @@
 {
     /// All records that the store had at this time were read.
     TimePoint begunAt;
-    /// When the latest call before it began that was refused or not answered; the epoch if none.
+    /// When the latest call before it began that shows that the store may have been away: one
+    /// that it did not answer, or refused otherwise than for too many calls. The epoch if none.
     TimePoint failedCallAt;
     TimePoint endedAt;
 };
--- a/Source/Request/EntryOrder.cpp
+++ b/Source/Request/EntryOrder.cpp
@@ -22,7 +22,7 @@
     if (entry.draining || !isSameIncarnation(entry, known))
         return false;
     if (!entry.sequence || !known.sequence)
-        return false;
+        return known.draining && known.sequence;
     return *entry.sequence < *known.sequence
         || (known.draining && *entry.sequence == *known.sequence);
 }
--- a/Source/Request/EntryOrder.h
+++ b/Source/Request/EntryOrder.h
@@ -13,7 +13,8 @@
 namespace wisteria {
 
 /// Returns whether an entry that follows another one in the log was written before it. An entry
-/// that says that its server drains is never older: it is the last that a server writes.
+/// that says that its server drains is never older, as the server says so until it ends; one
+/// without a number does not undo it.
 bool isOlder(const BackendEntry &entry, const BackendEntry &known);
 
 /// Returns whether an entry is a heartbeat that follows the known one, and not the same record read
--- a/Tests/Gateway/EntryOrderTest.cpp
+++ b/Tests/Gateway/EntryOrderTest.cpp
@@ -20,6 +20,11 @@
     list.writeWith("i-1", "ready", 1, 899);
     list.read(milliseconds(10100));
     REQUIRE_FALSE(list.usable("i-1", milliseconds(10100)));
+    list.append(
+        "i-1",
+        R"({"service":"s","address":"10.0.0.1:80","slot_count":4,"state":"ready","born":1})");
+    list.read(milliseconds(10150));
+    REQUIRE_FALSE(list.usable("i-1", milliseconds(10150)));
     list.writeWith("i-1", "ready", 2, 1);
     list.read(milliseconds(10200));
     REQUIRE(list.usable("i-1", milliseconds(10200)));
--- a/Tests/Gateway/LeavingServersTest.cpp
+++ b/Tests/Gateway/LeavingServersTest.cpp
@@ -141,3 +141,21 @@
     CHECK(servers.lateArrivals(drainTime) == 0);
     REQUIRE(served);
 }
+
+// Guards against refusals for too many calls, which show that the store is back, extending the time
+// for which a server that has left is kept.
+TEST_CASE("A server that leaves while the store refuses many calls after an outage is gone in time")
+{
+    LeavingFleet servers(4, 4, milliseconds(400));
+    servers.start();
+    const bool served = servesAll(servers, seconds(9), [&] {
+        waitFor(seconds(1));
+        servers.beginOutage(StoreFault::Lost, std::vector<milliseconds>(4, milliseconds(300)));
+        waitFor(milliseconds(2500));
+        servers.endOutage();
+        servers.leave(0, LeavingFleet::Notice::Removal);
+        failListReads(servers.fleet.store, StoreFault::TooManyCalls, milliseconds(1100));
+    });
+    CHECK(servers.lateArrivals(drainTime) == 0);
+    REQUIRE(served);
+}
