--- a/Source/Request/BackendRegistry.cpp
+++ b/Source/Request/BackendRegistry.cpp
@@ -136,6 +136,12 @@
     std::optional<TimePoint> backoffEnds;
 };
 
+/// Returns whether the entry says that the server drains, or has been missing for too long.
+bool entryEndsWork(const BackendState &state, TimePoint now)
+{
+    return state.entry.draining || now >= state.usableUntil;
+}
+
 /// Returns the end of a backend server's backoff; nothing when it is not backing off.
 std::optional<TimePoint> backoffOf(const BackendRegistry &registry, const std::string &id,
                                    TimePoint now)
@@ -169,8 +175,7 @@
     const bool anyEvacuated = !registry.evacuatedDomains.empty();
     const auto share = sendShareOf(registry.coldServers, criteria.service);
     for (auto &[id, state] : registry.backends) {
-        if (state.entry.service != criteria.service || state.entry.draining || state.replaced
-            || now >= state.usableUntil)
+        if (state.entry.service != criteria.service || entryEndsWork(state, now) || state.replaced)
             continue;
         if (anySignals && registry.drainingSince.contains(id))
             continue;
@@ -250,8 +255,8 @@
 bool isLeaving(const BackendRegistry &registry, const std::string &id, TimePoint now)
 {
     const auto found = registry.backends.find(id);
-    return found == registry.backends.end() || found->second.entry.draining
-        || now >= found->second.usableUntil || registry.drainingSince.contains(id);
+    return found == registry.backends.end() || entryEndsWork(found->second, now)
+        || registry.drainingSince.contains(id);
 }
 
 void removeBackend(BackendRegistry &registry, const std::string &id)
--- a/Tests/Gateway/ReadList.h
+++ b/Tests/Gateway/ReadList.h
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
 #include "Process/EventLog.h"
@@ -76,10 +77,19 @@
         }
     }
 
+    /// Whether a request may be sent to a server. A connection to it may go on opening as long.
     bool usable(const std::string &id, milliseconds at)
     {
-        list_.checkTimeouts(readListStart + at);
-        return !isLeaving(registry_, id, readListStart + at);
+        const TimePoint now = readListStart + at;
+        list_.checkTimeouts(now);
+        BackendCriteria criteria{.service = "s", .tried = {}, .failureDomain = "a"};
+        for (const auto &[other, state] : registry_.backends) {
+            if (other != id)
+                criteria.tried.push_back(other);
+        }
+        const bool chosen = chooseBackend(registry_, criteria, now, 0).backend != nullptr;
+        REQUIRE(chosen != isLeaving(registry_, id, now));
+        return chosen;
     }
 
     std::size_t rereads() const { return rereads_; }
