Log how long requests ran at a crash, and why suspects are not quarantined

The lines could not tell a request that was sent to each server only after the crash before (it crashes them) from one whose copies were in flight everywhere (a loss of power), nor why a request under which three servers had crashed got no verdict.

No decision changes.

--- a/Source/Programs/Gateway/CrashDetector.cpp
+++ b/Source/Programs/Gateway/CrashDetector.cpp
@@ -47,7 +47,7 @@
     broken.service = entry->service;
     if (broken.sends.size() >= maxRunningPerCrash)
         broken.sends.erase(broken.sends.begin());
-    broken.sends.push_back({send.request, now});
+    broken.sends.push_back({{send.request, send.sentAt}, now});
     return &broken;
 }
 
@@ -132,9 +132,9 @@
                       .service = broken.service,
                       .servers = countServers(broken.service)};
     for (const BrokenServer::Send &send : broken.sends) {
-        if (now - send.at > within)
+        if (now - send.endedAt > within)
             continue;
-        crash.at = std::max(crash.at, send.at);
+        crash.at = std::max(crash.at, send.endedAt);
         crash.running.push_back(send.request);
     }
     if (!crash.running.empty())
@@ -151,7 +151,7 @@
 {
     probes_.checkTimeouts(now);
     std::erase_if(broken_, [now](const auto &item) {
-        return now - item.second.sends.back().at > restartWindow;
+        return now - item.second.sends.back().endedAt > restartWindow;
     });
     std::erase_if(crashedAt_,
                   [now](const auto &item) { return now - item.second > knownDownTime; });
--- a/Source/Programs/Gateway/CrashDetector.h
+++ b/Source/Programs/Gateway/CrashDetector.h
@@ -18,6 +18,7 @@
 {
     std::string server;
     RequestIdentity request;
+    TimePoint sentAt;
 };
 
 /// Detects that backend servers crash, and which of this gateway's requests were in flight there.
@@ -59,8 +60,8 @@
     {
         struct Send
         {
-            RequestIdentity request;
-            TimePoint at;
+            InFlightRequest request;
+            TimePoint endedAt;
         };
 
         Endpoint address;
--- a/Source/Programs/Gateway/EvidenceSharing.cpp
+++ b/Source/Programs/Gateway/EvidenceSharing.cpp
@@ -20,11 +20,15 @@
 /// Fingerprints in one message, so that it fits into a packet.
 constexpr std::size_t maxFingerprintsPerMessage = 64;
 
-RunningRequest encode(const RequestIdentity &identity)
+RunningRequest encode(const InFlightRequest &request, TimePoint crashedAt)
 {
-    RunningRequest running{.request = identity.request.bytes};
-    for (const Fingerprint &part : identity.parts)
+    RunningRequest running{.request = request.identity.request.bytes};
+    for (const Fingerprint &part : request.identity.parts)
         running.parts.push_back(part.bytes);
+    if (request.sentAt) {
+        running.ranMilliseconds =
+            static_cast<std::uint32_t>(remaining(*request.sentAt, crashedAt).count());
+    }
     return running;
 }
 
@@ -43,8 +47,8 @@
                            .running = {}};
         std::size_t fingerprints = 0;
         for (; next < crash.running.size() && fingerprints < maxFingerprintsPerMessage; ++next) {
-            report.running.push_back(encode(crash.running[next]));
-            fingerprints += 1 + crash.running[next].parts.size();
+            report.running.push_back(encode(crash.running[next], crash.at));
+            fingerprints += 1 + crash.running[next].identity.parts.size();
         }
         reports.push_back(std::move(report));
     } while (next < crash.running.size());
--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -23,12 +23,14 @@
 /// A peer's report about a time longer ago than this is not used.
 constexpr milliseconds maxReportAge = 2 * completionPeriod;
 
-RequestIdentity decode(const RunningRequest &running)
+InFlightRequest decode(const RunningRequest &running, TimePoint crashedAt)
 {
-    RequestIdentity identity{.request = {running.request}};
+    InFlightRequest request{.identity = {.request = {running.request}}};
     for (const FingerprintBytes &part : running.parts)
-        identity.parts.push_back({part});
-    return identity;
+        request.identity.parts.push_back({part});
+    if (running.ranMilliseconds)
+        request.sentAt = crashedAt - milliseconds(*running.ranMilliseconds);
+    return request;
 }
 
 std::vector<Fingerprint> decode(const std::vector<FingerprintBytes> &encoded)
@@ -196,6 +198,25 @@
         keep(*found, lastCrashSeenHere_, now);
         links_.changed();
     }
+    logWeighed(now);
+}
+
+/// Tells why requests and parts that were in flight at several crashes are not quarantined.
+void PoisonGuard::logWeighed(TimePoint now)
+{
+    for (const Fingerprint &suspect : repeatedlyInFlight(evidence_, now)) {
+        const CrashRecord record = crashRecordOf(evidence_, suspect, now);
+        if (evidence_.quarantined.contains(suspect) || now < verdictTime(record)
+            || record.crashes == std::exchange(weighedCrashes_[suspect], record.crashes))
+            continue;
+        log_.info("request.not_quarantined",
+                  {{"fingerprint", toText(suspect)},
+                   {"crashes", record.crashes},
+                   {"moments", record.moments},
+                   {"weight", record.weight},
+                   {"completed_before", record.provenSound},
+                   {"other_cause", record.otherCause}});
+    }
 }
 
 /// Has the store keep a quarantine as it is now.
@@ -276,7 +297,7 @@
                       .at = now - milliseconds(report.ageMilliseconds),
                       .servers = report.servers};
     for (const RunningRequest &running : report.running)
-        crash.running.push_back(decode(running));
+        crash.running.push_back(decode(running, crash.at));
     const std::size_t known = evidence_.crashes.size();
     addCrash(crash, now);
     if (evidence_.crashes.size() > known) {
@@ -325,6 +346,8 @@
     nextUpkeepAt_ = now + upkeepInterval;
     sharing_.gossip(now);
     renewClaims(now);
+    std::erase_if(weighedCrashes_,
+                  [this](const auto &item) { return !evidence_.crashesOf.contains(item.first); });
     for (const Fingerprint &suspect : wisteria::removeExpired(evidence_, now))
         links_.released(suspect);
 }
--- a/Source/Programs/Gateway/PoisonGuard.h
+++ b/Source/Programs/Gateway/PoisonGuard.h
@@ -110,6 +110,7 @@
     bool runsHere(const Fingerprint &suspect) const { return running_.contains(suspect); }
     void addCrash(const ServerCrash &crash, TimePoint now);
     void judge(TimePoint now);
+    void logWeighed(TimePoint now);
     void keep(const Fingerprint &suspect, bool foundHere, TimePoint now);
     void tellClaims(const std::vector<Fingerprint> &suspects, milliseconds holds);
     void renewClaims(TimePoint now);
@@ -125,6 +126,8 @@
     /// Verdicts about the last crashes become due until then.
     TimePoint judgeUntil_;
     TimePoint nextJudgementAt_;
+    /// Crashes of each suspect when the log last told why it is not quarantined.
+    std::map<Fingerprint, std::uint32_t> weighedCrashes_;
     /// Whether this gateway detected the last crash.
     bool lastCrashSeenHere_ = false;
     std::mt19937_64 random_{std::random_device{}()};
--- a/Source/Programs/Gateway/RequestSuspicion.cpp
+++ b/Source/Programs/Gateway/RequestSuspicion.cpp
@@ -80,6 +80,7 @@
 
 void RequestSuspicion::beginRun(TimePoint now)
 {
+    sentAt_ = now;
     if (poison_.hasSuspects())
         running_ = poison_.noteRunBegin(identity(), now);
 }
@@ -92,7 +93,7 @@
 void RequestSuspicion::noteConnectionEnded(const std::string &server, TimePoint now,
                                            std::function<void()> checked)
 {
-    crashes_.noteConnectionEnded({server, identity()}, now,
+    crashes_.noteConnectionEnded({server, identity(), sentAt_}, now,
                                  [alive = alive_, checked = std::move(checked)] {
                                      if (*alive)
                                          checked();
@@ -101,7 +102,7 @@
 
 void RequestSuspicion::noteGivenUp(const std::string &server, TimePoint now)
 {
-    crashes_.noteGivenUp({server, identity()}, now);
+    crashes_.noteGivenUp({server, identity(), sentAt_}, now);
 }
 
 void RequestSuspicion::noteCompleted(TimePoint now)
--- a/Source/Programs/Gateway/RequestSuspicion.h
+++ b/Source/Programs/Gateway/RequestSuspicion.h
@@ -65,6 +65,8 @@
     std::string organisation_;
     std::string service_;
     std::optional<RequestIdentity> identity_;
+    /// When the current or last send began.
+    TimePoint sentAt_{};
     /// Suspects of the current send.
     std::vector<Fingerprint> running_;
     /// Cleared by the destructor, for callbacks that may come later.
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -28,7 +28,8 @@
               const Quarantine &quarantine)
 {
     return std::any_of(crash.running.begin(), crash.running.end(), [&](const auto &running) {
-        return contains(running, quarantined) && containsAll(running, quarantine.with);
+        return contains(running.identity, quarantined)
+            && containsAll(running.identity, quarantine.with);
     });
 }
 
@@ -36,8 +37,8 @@
 {
     evidence.crashesOf.clear();
     for (std::size_t i = 0; i < evidence.crashes.size(); ++i) {
-        for (const RequestIdentity &running : evidence.crashes[i].running) {
-            for (const Fingerprint &suspect : suspectsOf(running)) {
+        for (const InFlightRequest &running : evidence.crashes[i].running) {
+            for (const Fingerprint &suspect : suspectsOf(running.identity)) {
                 std::vector<std::size_t> &positions = evidence.crashesOf[suspect];
                 if (positions.empty() || positions.back() != i)
                     positions.push_back(i);
@@ -108,7 +109,7 @@
                 && countMoments(evidence, suspect, now) >= moments);
     };
     return std::any_of(crash.running.begin(), crash.running.end(), [&](const auto &running) {
-        const std::vector<Fingerprint> suspects = suspectsOf(running);
+        const std::vector<Fingerprint> suspects = suspectsOf(running.identity);
         return std::any_of(suspects.begin(), suspects.end(), isCause);
     });
 }
@@ -176,10 +177,10 @@
                                       const Fingerprint &suspect)
 {
     std::vector<Fingerprint> companions;
-    for (const RequestIdentity &running : crashes.front()->running) {
-        if (!contains(running, suspect))
+    for (const InFlightRequest &running : crashes.front()->running) {
+        if (!contains(running.identity, suspect))
             continue;
-        for (const Fingerprint &other : suspectsOf(running)) {
+        for (const Fingerprint &other : suspectsOf(running.identity)) {
             const bool alike = other != suspect && !isProvenSound(evidence, other)
                 && std::all_of(crashes.begin(), crashes.end(), [&](const auto *crash) {
                                    return crash->at > clearedUntil(evidence, other)
@@ -198,10 +199,11 @@
 {
     std::erase_if(evidence.quarantined, [&crash](const auto &item) {
         const auto ranWithout = [&](const Fingerprint &other) {
-            return std::any_of(
-                crash.running.begin(), crash.running.end(), [&](const auto &running) {
-                    return contains(running, other) && !contains(running, item.first);
-                });
+            return std::any_of(crash.running.begin(), crash.running.end(),
+                               [&](const auto &running) {
+                                   return contains(running.identity, other)
+                                       && !contains(running.identity, item.first);
+                               });
         };
         return !wasRunning(crash, item.first)
             && std::any_of(item.second.with.begin(), item.second.with.end(), ranWithout);
@@ -215,17 +217,29 @@
     }
 }
 
+/// Returns the earlier of two times; nothing if one is unknown.
+std::optional<TimePoint> earliest(const std::optional<TimePoint> &a,
+                                  const std::optional<TimePoint> &b)
+{
+    return a && b ? std::min(a, b) : std::nullopt;
+}
+
 bool isTrialDue(const Quarantine &quarantine, TimePoint now)
 {
     return quarantine.trials < maxTrials && now >= quarantine.nextTrialAt;
 }
 
-void mergeRunning(ServerCrash &crash, const std::vector<RequestIdentity> &running)
+void mergeRunning(ServerCrash &crash, const std::vector<InFlightRequest> &running)
 {
-    for (const RequestIdentity &request : running) {
-        const bool known = wasRunning(crash, request.request);
-        if (!known && crash.running.size() < maxRunningPerCrash)
-            crash.running.push_back(request);
+    for (const InFlightRequest &added : running) {
+        const auto isSame = [&added](const InFlightRequest &known) {
+            return known.identity.request == added.identity.request;
+        };
+        const auto known = std::find_if(crash.running.begin(), crash.running.end(), isSame);
+        if (known != crash.running.end())
+            known->sentAt = earliest(known->sentAt, added.sentAt);
+        else if (crash.running.size() < maxRunningPerCrash)
+            crash.running.push_back(added);
     }
 }
 
@@ -248,7 +262,7 @@
     if (evidence.crashes.size() >= maxCrashes)
         evictCrash(evidence, now);
     ServerCrash added = std::move(crash);
-    const std::vector<RequestIdentity> running = std::exchange(added.running, {});
+    const std::vector<InFlightRequest> running = std::exchange(added.running, {});
     mergeRunning(added, running);
     added.completedBefore = evidence.completedRequests[added.service];
     evidence.crashes.push_back(std::move(added));
@@ -414,13 +428,24 @@
     return found;
 }
 
+std::vector<Fingerprint> repeatedlyInFlight(const CrashEvidence &evidence, TimePoint now)
+{
+    std::vector<Fingerprint> repeated;
+    for (const auto &[suspect, positions] : evidence.crashesOf) {
+        if (positions.size() >= minPoisonMoments
+            && countedCrashes(evidence, suspect, now).size() >= minPoisonMoments)
+            repeated.push_back(suspect);
+    }
+    return repeated;
+}
+
 bool isOpen(const CrashEvidence &evidence, const ServerCrash &crash, TimePoint now)
 {
     const auto counts = [&](const Fingerprint &suspect) {
         return now - crash.at <= crashLifetime && crash.at > clearedUntil(evidence, suspect);
     };
     return std::any_of(crash.running.begin(), crash.running.end(), [&](const auto &running) {
-        const std::vector<Fingerprint> suspects = suspectsOf(running);
+        const std::vector<Fingerprint> suspects = suspectsOf(running.identity);
         return std::any_of(suspects.begin(), suspects.end(), counts);
     });
 }
@@ -428,8 +453,8 @@
 std::vector<Fingerprint> provenSoundAt(const CrashEvidence &evidence, const ServerCrash &crash)
 {
     std::vector<Fingerprint> proven;
-    for (const RequestIdentity &running : crash.running) {
-        for (const Fingerprint &suspect : suspectsOf(running)) {
+    for (const InFlightRequest &running : crash.running) {
+        for (const Fingerprint &suspect : suspectsOf(running.identity)) {
             const bool added = std::find(proven.begin(), proven.end(), suspect) != proven.end();
             if (!added && isProvenSound(evidence, suspect))
                 proven.push_back(suspect);
--- a/Source/Request/CrashEvidence.h
+++ b/Source/Request/CrashEvidence.h
@@ -152,6 +152,9 @@
 /// @param settled Leaves out suspects whose last moment may not be known as a whole yet.
 std::optional<Fingerprint> newPoison(const CrashEvidence &evidence, bool settled, TimePoint now);
 
+/// Returns the requests and parts against which three crashes or more count.
+std::vector<Fingerprint> repeatedlyInFlight(const CrashEvidence &evidence, TimePoint now);
+
 /// When the moment of the last crash that counts against a suspect is over, so that a verdict can
 /// take all crashes of it into account.
 inline TimePoint verdictTime(const CrashRecord &record)
--- a/Source/Request/ServerCrash.cpp
+++ b/Source/Request/ServerCrash.cpp
@@ -26,7 +26,7 @@
 bool ranTogether(const ServerCrash &crash, const Fingerprint &suspect, const Fingerprint &other)
 {
     return std::any_of(crash.running.begin(), crash.running.end(), [&](const auto &running) {
-        return contains(running, suspect) && contains(running, other);
+        return contains(running.identity, suspect) && contains(running.identity, other);
     });
 }
 
--- a/Source/Request/ServerCrash.h
+++ b/Source/Request/ServerCrash.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,14 @@
 
 namespace wisteria {
 
+/// A request that was in flight at a crash.
+struct InFlightRequest
+{
+    RequestIdentity identity;
+    /// When its earliest copy there was sent; nothing in reports of earlier versions.
+    std::optional<TimePoint> sentAt{};
+};
+
 /// Crash of one backend server.
 struct ServerCrash
 {
@@ -21,7 +30,7 @@
     std::uint32_t servers = 1;
     /// Requests that were in flight there. Empty if nothing was: then the server was found down,
     /// and may have crashed earlier.
-    std::vector<RequestIdentity> running{};
+    std::vector<InFlightRequest> running{};
     /// Requests of the service that this gateway had seen completed when the crash became known.
     std::uint64_t completedBefore = 0;
 };
--- a/Source/Version/CrashMessages.cpp
+++ b/Source/Version/CrashMessages.cpp
@@ -43,12 +43,15 @@
     message.push_back(report.ageMilliseconds);
     std::vector<FingerprintBytes> requests;
     Json parts = Json::array();
+    Json runTimes = Json::array();
     for (const RunningRequest &running : report.running) {
         requests.push_back(running.request);
         parts.push_back(encodeFingerprints(running.parts));
+        runTimes.push_back(running.ranMilliseconds ? Json(*running.ranMilliseconds) : Json());
     }
     message.push_back(encodeFingerprints(requests));
     message.push_back(std::move(parts));
+    message.push_back(std::move(runTimes));
 }
 
 void appendFields(Json &message, const CompletionReport &report)
@@ -79,6 +82,13 @@
         message.size() > partsField ? message.at(partsField).size() : std::size_t{0};
     for (std::size_t i = 0; i < std::min(withParts, report.running.size()); ++i)
         report.running[i].parts = decodeFingerprints(message.at(partsField).at(i));
+    constexpr std::size_t runTimesField = 8;
+    const std::size_t withRunTimes =
+        message.size() > runTimesField ? message.at(runTimesField).size() : std::size_t{0};
+    for (std::size_t i = 0; i < std::min(withRunTimes, report.running.size()); ++i) {
+        if (const Json &runTime = message.at(runTimesField).at(i); !runTime.is_null())
+            report.running[i].ranMilliseconds = runTime.get<std::uint32_t>();
+    }
     return report;
 }
 
--- a/Source/Version/CrashMessages.h
+++ b/Source/Version/CrashMessages.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
     FingerprintBytes request{};
     /// Parts of its prompt that other requests may share.
     std::vector<FingerprintBytes> parts{};
+    /// Time from when it was sent there to the crash. Earlier versions send and read none.
+    std::optional<std::uint32_t> ranMilliseconds{};
 
     bool operator==(const RunningRequest &) const = default;
 };
--- a/Tests/Gateway/CrashEvidenceTest.cpp
+++ b/Tests/Gateway/CrashEvidenceTest.cpp
@@ -24,9 +24,9 @@
     /// A server crashes; some requests are in flight there.
     void crash(const std::string &server, milliseconds at, const std::vector<Fingerprint> &running)
     {
-        std::vector<RequestIdentity> requests;
+        std::vector<InFlightRequest> requests;
         for (const Fingerprint &request : running)
-            requests.push_back({.request = request});
+            requests.push_back({.identity = {.request = request}});
         noteCrash(evidence,
                   {.server = server,
                    .startedAt = ++lastStart,
@@ -161,10 +161,10 @@
                            .service = "s",
                            .at = start,
                            .servers = serverCount,
-                           .running = {{.request = poison}}};
+                           .running = {{.identity = {.request = poison}}}};
     ServerCrash reported = seen;
     reported.at = start + milliseconds(40);
-    reported.running = {{.request = innocent}};
+    reported.running = {{.identity = {.request = innocent}}};
     REQUIRE(noteCrash(evidence, reported, start));
     REQUIRE_FALSE(noteCrash(evidence, seen, start));
     REQUIRE_FALSE(noteCrash(evidence, reported, start));
--- a/Tests/Gateway/PartEvidenceTest.cpp
+++ b/Tests/Gateway/PartEvidenceTest.cpp
@@ -40,7 +40,7 @@
                           .at = start + at,
                           .servers = serverCount};
         for (const std::vector<Fingerprint> &parts : prompts)
-            crash.running.push_back(request(parts));
+            crash.running.push_back({.identity = request(parts)});
         noteCrash(evidence, crash, start + at);
     }
 
--- a/Tests/Gateway/QuarantineTest.cpp
+++ b/Tests/Gateway/QuarantineTest.cpp
@@ -84,7 +84,8 @@
                              .ageMilliseconds = 40,
                              .running = {{.request = FingerprintBytes{1, 2}},
                                          {.request = FingerprintBytes{3},
-                                          .parts = {FingerprintBytes{4}, FingerprintBytes{5}}}}};
+                                          .parts = {FingerprintBytes{4}, FingerprintBytes{5}},
+                                          .ranMilliseconds = 60}}};
     const auto decoded = decodeMessage(encodeMessage(report)).value();
     const auto &same = std::get<CrashReport>(decoded);
     REQUIRE(same.server == report.server);
