Do not take crashes that a request causes one after the other for one moment

Callers of a small service were not served for as long as a poison request was repeated: it took down all servers, and again each time.

Cause: the weight of a crash falls with the share of the service's servers that crashed within 0.2 s. A request that is sent on takes down three of three, 60 ms apart, so each crash weighed nothing: no restraint, no verdict. Its own effect was counted as coincidence. Evidence: backend.crashed three times in 120 ms with one fingerprint and ran_ms of some 60, again each 2.5 s, and no request.quarantined.

Change: a crash does not belong to a moment if the suspect was sent there only after the moment, or the moment's copies after it. A loss of power crashes no server that still takes a request afterwards; copies in flight everywhere were sent before.

--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -95,7 +95,8 @@
 
 std::uint32_t countMoments(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now)
 {
-    return static_cast<std::uint32_t>(momentsOf(countedCrashes(evidence, suspect, now)).size());
+    return static_cast<std::uint32_t>(
+        momentsOf(countedCrashes(evidence, suspect, now), suspect).size());
 }
 
 /// Whether something in flight at a crash explains it: it is quarantined, or it has never completed
@@ -159,12 +160,12 @@
                        .provenSound = isProvenSound(evidence, suspect)};
     if (crashes.empty())
         return record;
-    std::vector<CrashMoment> moments = momentsOf(crashes);
+    std::vector<CrashMoment> moments = momentsOf(crashes, suspect);
     if (record.provenSound)
         dropWithoutProgress(moments);
     record.moments = static_cast<std::uint32_t>(moments.size());
     for (const CrashMoment &moment : moments)
-        record.weight += weightOf(evidence.crashes, moment);
+        record.weight += weightOf(evidence.crashes, moment, suspect);
     record.lastAt = crashes.back()->at;
     if (record.moments >= minPoisonMoments)
         record.otherCause = showsOtherCause(evidence, suspect, record.moments, now);
@@ -217,13 +218,6 @@
     }
 }
 
-/// Returns the earlier of two times; nothing if one is unknown.
-std::optional<TimePoint> earliest(const std::optional<TimePoint> &a,
-                                  const std::optional<TimePoint> &b)
-{
-    return a && b ? std::min(a, b) : std::nullopt;
-}
-
 bool isTrialDue(const Quarantine &quarantine, TimePoint now)
 {
     return quarantine.trials < maxTrials && now >= quarantine.nextTrialAt;
--- a/Source/Request/CrashMoments.cpp
+++ b/Source/Request/CrashMoments.cpp
@@ -24,26 +24,39 @@
         && crash.at <= moment.last->at + foundAfter;
 }
 
+/// Whether the suspect was sent to one of the two only after the other had happened.
+bool inSequence(const CrashMoment &moment, const ServerCrash &crash, const Fingerprint &suspect)
+{
+    const std::optional<TimePoint> sentAt = earliestSend(crash, suspect);
+    return (sentAt && *sentAt > moment.last->at)
+        || (moment.sentAt && *moment.sentAt > crash.at && wasRunning(crash, suspect));
+}
+
 } // namespace
 
-std::vector<CrashMoment> momentsOf(const CrashList &crashes)
+std::vector<CrashMoment> momentsOf(const CrashList &crashes, const Fingerprint &suspect)
 {
     std::vector<CrashMoment> moments;
     for (const ServerCrash *crash : crashes) {
         const bool sameMoment = !moments.empty() && crash->service == moments.back().last->service
             && crash->at - moments.back().last->at <= momentGap;
-        if (!sameMoment)
-            moments.push_back({.first = crash, .last = crash, .servers = crash->servers});
+        const std::optional<TimePoint> sentAt = earliestSend(*crash, suspect);
+        if (!sameMoment) {
+            moments.push_back(
+                {.first = crash, .last = crash, .sentAt = sentAt, .servers = crash->servers});
+        }
         moments.back().last = crash;
+        moments.back().sentAt = earliest(moments.back().sentAt, sentAt);
         moments.back().servers = std::max(moments.back().servers, crash->servers);
     }
     return moments;
 }
 
-double weightOf(const std::vector<ServerCrash> &known, const CrashMoment &moment)
+double weightOf(const std::vector<ServerCrash> &known, const CrashMoment &moment,
+                const Fingerprint &suspect)
 {
-    const auto crashed = std::count_if(known.begin(), known.end(), [&moment](const auto &crash) {
-        return isPartOf(moment, crash);
+    const auto crashed = std::count_if(known.begin(), known.end(), [&](const auto &crash) {
+        return isPartOf(moment, crash) && !inSequence(moment, crash, suspect);
     });
     if (crashed <= 1)
         return 1;
--- a/Source/Request/ServerCrash.cpp
+++ b/Source/Request/ServerCrash.cpp
@@ -30,6 +30,25 @@
     });
 }
 
+std::optional<TimePoint> earliest(const std::optional<TimePoint> &a,
+                                  const std::optional<TimePoint> &b)
+{
+    return a && b ? std::min(a, b) : std::nullopt;
+}
+
+std::optional<TimePoint> earliestSend(const ServerCrash &crash, const Fingerprint &suspect)
+{
+    std::optional<TimePoint> sentAt;
+    bool first = true;
+    for (const InFlightRequest &running : crash.running) {
+        if (!contains(running.identity, suspect))
+            continue;
+        sentAt = first ? running.sentAt : earliest(sentAt, running.sentAt);
+        first = false;
+    }
+    return sentAt;
+}
+
 bool wasRunning(const ServerCrash &crash, const Fingerprint &suspect)
 {
     return ranTogether(crash, suspect, suspect);
--- a/Source/Request/ServerCrash.h
+++ b/Source/Request/ServerCrash.h
@@ -42,6 +42,12 @@
 
 /// Whether a suspect was in flight at a crash.
 bool wasRunning(const ServerCrash &crash, const Fingerprint &suspect);
+/// When the earliest copy of a suspect that was in flight at a crash was sent.
+/// @return Nothing if none was, or if that is unknown of one.
+std::optional<TimePoint> earliestSend(const ServerCrash &crash, const Fingerprint &suspect);
+/// Returns the earlier of two times; nothing if one is unknown.
+std::optional<TimePoint> earliest(const std::optional<TimePoint> &a,
+                                  const std::optional<TimePoint> &b);
 /// Whether one request that was in flight at a crash had both suspects.
 bool ranTogether(const ServerCrash &crash, const Fingerprint &suspect, const Fingerprint &other);
 
