Run one copy at a time of a request under which three servers crashed

Cause: three crashes of one moment weigh nothing, and what has completed once was sound for good; in both cases nothing restrained the request, so that all its crashes looked alike for ever. The class is the same: a coincidence is assumed where one run by itself would tell.

Change: from three crashes on that a request may have caused, it is a repeated suspect: one copy at a time over all gateways until one completes, whether or not it completed before. Moments at which more than two thirds of the crashed servers crashed without it don't count, so that what was in flight at one server of many at a loss of power is under no restraint. While something else crashes servers, or if it completed before, five such crashes in three moments suffice; before it took five moments with a sum of 4.4, also where three had been one. Parts of prompts are judged as before.

A first form counted all crashes. It was stopped by "Crashes of all servers at once do not count against the requests in flight there" and "Servers that are found down show that a crash was one of many", which are unchanged.

--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -21,6 +21,16 @@
 /// once, and two crashes, each together with another one of a dozen servers.
 constexpr double suspectWeight = 0.25;
 constexpr double repeatedWeight = 1.2;
+/// A suspect may be the cause of a moment if it was in flight at one in this many of the servers
+/// that crashed there.
+constexpr std::uint32_t attributableShare = 3;
+/// Least number of such crashes after which one copy of a request runs at a time until one
+/// completes, however many servers crashed at once: these crashes may be its own, as of many
+/// copies.
+constexpr std::uint32_t exclusiveCrashes = 3;
+/// The same for a quarantine of a request while something else crashes servers too,
+/// or if it has completed before.
+constexpr std::uint32_t minPoisonCrashesOtherwise = 5;
 
 /// Whether a quarantined suspect explains a crash, so that it does not count for a verdict on
 /// another one.
@@ -39,9 +49,10 @@
     for (std::size_t i = 0; i < evidence.crashes.size(); ++i) {
         for (const InFlightRequest &running : evidence.crashes[i].running) {
             for (const Fingerprint &suspect : suspectsOf(running.identity)) {
-                std::vector<std::size_t> &positions = evidence.crashesOf[suspect];
-                if (positions.empty() || positions.back() != i)
-                    positions.push_back(i);
+                SuspectCrashes &crashes = evidence.crashesOf[suspect];
+                crashes.isRequest = suspect == running.identity.request;
+                if (crashes.positions.empty() || crashes.positions.back() != i)
+                    crashes.positions.push_back(i);
             }
         }
     }
@@ -66,11 +77,11 @@
 CrashList countedCrashes(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now)
 {
     CrashList counted;
-    const auto positions = evidence.crashesOf.find(suspect);
-    if (positions == evidence.crashesOf.end())
+    const auto crashes = evidence.crashesOf.find(suspect);
+    if (crashes == evidence.crashesOf.end())
         return counted;
     const TimePoint cleared = clearedUntil(evidence, suspect);
-    for (const std::size_t position : positions->second) {
+    for (const std::size_t position : crashes->second.positions) {
         const ServerCrash &crash = evidence.crashes[position];
         if (now - crash.at <= crashLifetime && crash.at > cleared)
             counted.push_back(&crash);
@@ -80,6 +91,12 @@
     return counted;
 }
 
+bool isRequest(const CrashEvidence &evidence, const Fingerprint &suspect)
+{
+    const auto crashes = evidence.crashesOf.find(suspect);
+    return crashes != evidence.crashesOf.end() && crashes->second.isRequest;
+}
+
 /// Leaves out the crashes that something quarantined explains.
 CrashList withoutExplained(const CrashEvidence &evidence, CrashList crashes,
                            const Fingerprint &suspect)
@@ -152,20 +169,34 @@
     }));
 }
 
+/// Counts the crashes of moments of which the suspect may be the cause.
+std::uint32_t countAttributable(const CrashEvidence &evidence,
+                                const std::vector<CrashMoment> &moments, const Fingerprint &suspect)
+{
+    std::uint32_t attributable = 0;
+    for (const CrashMoment &moment : moments) {
+        if (moment.crashes * attributableShare >= crashedAt(evidence.crashes, moment, suspect))
+            attributable += moment.crashes;
+    }
+    return attributable;
+}
+
 /// Returns the record of the crashes at which a suspect was in flight.
 CrashRecord recordOf(const CrashEvidence &evidence, const CrashList &crashes,
                      const Fingerprint &suspect, TimePoint now)
 {
     CrashRecord record{.crashes = static_cast<std::uint32_t>(crashes.size()),
-                       .provenSound = isProvenSound(evidence, suspect)};
+                       .provenSound = isProvenSound(evidence, suspect),
+                       .isRequest = isRequest(evidence, suspect)};
     if (crashes.empty())
         return record;
     std::vector<CrashMoment> moments = momentsOf(crashes, suspect);
+    record.attributable = countAttributable(evidence, moments, suspect);
     if (record.provenSound)
         dropWithoutProgress(moments);
     record.moments = static_cast<std::uint32_t>(moments.size());
     for (const CrashMoment &moment : moments)
-        record.weight += weightOf(evidence.crashes, moment, suspect);
+        record.weight += weightOf(moment, crashedAt(evidence.crashes, moment, suspect));
     record.lastAt = crashes.back()->at;
     if (record.moments >= minPoisonMoments)
         record.otherCause = showsOtherCause(evidence, suspect, record.moments, now);
@@ -299,10 +330,11 @@
 
 bool isPoison(const CrashRecord &record)
 {
-    if (record.otherCause || record.provenSound)
-        return record.moments >= minPoisonMomentsOtherwise
-            && record.weight >= poisonWeightOtherwise;
-    return isPoisonByItself(record);
+    if (!record.otherCause && !record.provenSound)
+        return isPoisonByItself(record);
+    if (record.isRequest)
+        return record.attributable >= minPoisonCrashesOtherwise && isPoisonByItself(record);
+    return record.moments >= minPoisonMomentsOtherwise && record.weight >= poisonWeightOtherwise;
 }
 
 bool isPoisonByItself(const CrashRecord &record)
@@ -312,9 +344,19 @@
 
 Suspicion suspicionOf(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now)
 {
-    if (!evidence.crashesOf.contains(suspect) || isProvenSound(evidence, suspect))
+    const auto known = evidence.crashesOf.find(suspect);
+    if (known == evidence.crashesOf.end())
+        return Suspicion::None;
+    const bool mayBeExclusive =
+        known->second.isRequest && known->second.positions.size() >= exclusiveCrashes;
+    const bool provenSound = isProvenSound(evidence, suspect);
+    if (provenSound && !mayBeExclusive)
         return Suspicion::None;
     const CrashRecord record = crashRecordOf(evidence, suspect, now);
+    if (mayBeExclusive && record.attributable >= exclusiveCrashes)
+        return Suspicion::RepeatedSuspect;
+    if (provenSound)
+        return Suspicion::None;
     if (record.weight >= repeatedWeight)
         return Suspicion::RepeatedSuspect;
     return record.weight >= suspectWeight ? Suspicion::Suspect : Suspicion::None;
@@ -403,8 +445,8 @@
 {
     std::optional<Fingerprint> found;
     CrashRecord strongest;
-    for (const auto &[suspect, positions] : evidence.crashesOf) {
-        if (positions.size() < minPoisonMoments || evidence.quarantined.contains(suspect))
+    for (const auto &[suspect, known] : evidence.crashesOf) {
+        if (known.positions.size() < minPoisonMoments || evidence.quarantined.contains(suspect))
             continue;
         const CrashList crashes =
             withoutExplained(evidence, countedCrashes(evidence, suspect, now), suspect);
@@ -425,8 +467,8 @@
 std::vector<Fingerprint> repeatedlyInFlight(const CrashEvidence &evidence, TimePoint now)
 {
     std::vector<Fingerprint> repeated;
-    for (const auto &[suspect, positions] : evidence.crashesOf) {
-        if (positions.size() >= minPoisonMoments
+    for (const auto &[suspect, known] : evidence.crashesOf) {
+        if (known.positions.size() >= minPoisonMoments
             && countedCrashes(evidence, suspect, now).size() >= minPoisonMoments)
             repeated.push_back(suspect);
     }
--- a/Source/Request/CrashEvidence.h
+++ b/Source/Request/CrashEvidence.h
@@ -28,6 +28,15 @@
     std::uint32_t trials = 0;
 };
 
+/// The crashes at which a suspect was in flight.
+struct SuspectCrashes
+{
+    /// Positions in CrashEvidence::crashes.
+    std::vector<std::size_t> positions;
+    /// The suspect is a request; otherwise a part of prompts.
+    bool isRequest = false;
+};
+
 /// What is known of crashes and of the requests that may have caused them. A value type without
 /// I/O.
 ///
@@ -39,8 +48,7 @@
 {
     /// Crashes of the last `crashLifetime`, in the order in which they became known.
     std::vector<ServerCrash> crashes;
-    /// Positions in `crashes` of the crashes at which each suspect was in flight.
-    std::unordered_map<Fingerprint, std::vector<std::size_t>, FingerprintHash> crashesOf;
+    std::unordered_map<Fingerprint, SuspectCrashes, FingerprintHash> crashesOf;
     /// When requests and parts were last completed by any backend server. A crash before that does
     /// not count against them.
     CompletionTimes completions;
@@ -70,7 +78,7 @@
 enum class Suspicion {
     None,
     Suspect, ///< Was in flight at a crash.
-    RepeatedSuspect, ///< Was in flight at two crashes.
+    RepeatedSuspect, ///< Was in flight at two crashes, or a request at three at once.
     Quarantined, ///< Crashed several backend servers, and is sent to none.
 };
 
@@ -78,6 +86,8 @@
 struct CrashRecord
 {
     std::uint32_t crashes = 0;
+    /// Those of moments at which the suspect was at a third or more of the crashed servers.
+    std::uint32_t attributable = 0;
     /// Crashes that happened together are one moment, and one piece of evidence: a loss of power
     /// crashes many servers under a popular request.
     std::uint32_t moments = 0;
@@ -89,6 +99,7 @@
     bool otherCause = false;
     /// Backend servers have completed it before.
     bool provenSound = false;
+    bool isRequest = false;
 };
 
 /// Adds a crash, or merges it with what is known of it. Reports may arrive late, twice and in any
@@ -112,9 +123,11 @@
 /// Returns the crashes that count against a suspect.
 CrashRecord crashRecordOf(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now);
 
-/// Whether the evidence suffices for a quarantine: three moments that the suspect alone explains,
-/// or five if something else crashes servers too, or if it has completed before. Crashes of many
-/// servers weigh less, so that what was in flight when all lose power is never quarantined for it.
+/// Whether the evidence suffices for a quarantine: three moments that the suspect alone explains.
+/// If something else crashes servers too, or if it has completed before, five moments for a part,
+/// and five crashes for a request, of which one copy runs at a time from the third one on. Crashes
+/// of many servers weigh less, so that what was in flight when all lose power is never quarantined
+/// for it.
 bool isPoison(const CrashRecord &record);
 
 /// Whether a suspect would be quarantined unless something else crashed servers too.
--- a/Source/Request/CrashMoments.cpp
+++ b/Source/Request/CrashMoments.cpp
@@ -46,22 +46,28 @@
                 {.first = crash, .last = crash, .sentAt = sentAt, .servers = crash->servers});
         }
         moments.back().last = crash;
+        ++moments.back().crashes;
         moments.back().sentAt = earliest(moments.back().sentAt, sentAt);
         moments.back().servers = std::max(moments.back().servers, crash->servers);
     }
     return moments;
 }
 
-double weightOf(const std::vector<ServerCrash> &known, const CrashMoment &moment,
-                const Fingerprint &suspect)
+std::uint32_t crashedAt(const std::vector<ServerCrash> &known, const CrashMoment &moment,
+                        const Fingerprint &suspect)
 {
     const auto crashed = std::count_if(known.begin(), known.end(), [&](const auto &crash) {
         return isPartOf(moment, crash) && !inSequence(moment, crash, suspect);
     });
+    return static_cast<std::uint32_t>(crashed);
+}
+
+double weightOf(const CrashMoment &moment, std::uint32_t crashed)
+{
     if (crashed <= 1)
         return 1;
-    const double servers = std::max<double>(moment.servers, static_cast<double>(crashed));
-    return 1 - std::log(static_cast<double>(crashed)) / std::log(servers);
+    const std::uint32_t servers = std::max(moment.servers, crashed);
+    return 1 - std::log(crashed) / std::log(servers);
 }
 
 void dropWithoutProgress(std::vector<CrashMoment> &moments)
