Run one suspect request of a service at a time

Cause: two suspects run at the same time, so that each one's crashes count as coincidences of the other's, and what is sound is in flight at the crashes of the poison one.

Change: gateways claim the service too before they send a request that is suspect by several crashes, and send it 0.35 s after the service's last crash. The claim ends with a complete run at once, otherwise half a second after it. Ruled out: leaving out crashes that another suspect explains as well; after three losses of power all that was in flight would explain each other.

--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -67,8 +67,8 @@
     return hashOf(exclusive.empty() ? request.request : exclusive.front());
 }
 
-TimePoint PoisonGuard::mayRunAt(const RequestIdentity &request, TimePoint openedAt,
-                                TimePoint now) const
+TimePoint PoisonGuard::mayRunAt(const RequestIdentity &request, const std::string &service,
+                                TimePoint openedAt, TimePoint now) const
 {
     const Suspicion suspicion = suspicionOf(request, now);
     if (suspicion == Suspicion::None)
@@ -84,7 +84,9 @@
         if (isPoisonByItself(record) && !evidence_.quarantined.contains(suspect))
             at = std::max(at, verdictTime(record) + judgeInterval);
         if (suspect == request.request) {
-            at = std::max(at, record.lastAt + suspectPause);
+            if (runsHere(fingerprintOfService(service)))
+                return TimePoint::max();
+            at = std::max(at, lastCrashOf(evidence_, service) + suspectPause);
             continue;
         }
         const bool repeated =
@@ -95,9 +97,21 @@
     return at;
 }
 
-TimePoint PoisonGuard::claimRun(const RequestIdentity &request, TimePoint now)
+/// Returns what has to be claimed before a request is sent: its suspects of which one run is
+/// allowed at a time, and the service if the request itself is one of them.
+std::vector<Fingerprint> PoisonGuard::claimsOf(const RequestIdentity &request,
+                                               const std::string &service, TimePoint now) const
 {
-    const std::vector<Fingerprint> exclusive = exclusiveSuspects(evidence_, request, now);
+    std::vector<Fingerprint> claims = exclusiveSuspects(evidence_, request, now);
+    if (std::find(claims.begin(), claims.end(), request.request) != claims.end())
+        claims.push_back(fingerprintOfService(service));
+    return claims;
+}
+
+TimePoint PoisonGuard::claimRun(const RequestIdentity &request, const std::string &service,
+                                TimePoint now)
+{
+    const std::vector<Fingerprint> exclusive = claimsOf(request, service, now);
     if (exclusive.empty())
         return now;
     if (const TimePoint until = claimedByOthersUntil(claims_, exclusive, now); until > now)
@@ -128,11 +142,12 @@
     links_.changed();
 }
 
-std::vector<Fingerprint> PoisonGuard::noteRunBegin(const RequestIdentity &request, TimePoint now)
+std::vector<Fingerprint> PoisonGuard::noteRunBegin(const RequestIdentity &request,
+                                                   const std::string &service, TimePoint now)
 {
     if (suspicionOf(request, now) == Suspicion::None)
         return {};
-    std::vector<Fingerprint> suspects = exclusiveSuspects(evidence_, request, now);
+    std::vector<Fingerprint> suspects = claimsOf(request, service, now);
     for (const Fingerprint &suspect : suspects) {
         if (noteTrial(evidence_, suspect, now)) {
             log_.info("request.tried", {{"fingerprint", toText(suspect)}});
@@ -146,8 +161,10 @@
     return suspects;
 }
 
-void PoisonGuard::noteRunEnd(const std::vector<Fingerprint> &suspects, TimePoint now)
+void PoisonGuard::noteRunEnd(const std::vector<Fingerprint> &suspects, bool completed,
+                             TimePoint now)
 {
+    const milliseconds holds = completed ? milliseconds(0) : claimAfterRun;
     for (const Fingerprint &suspect : suspects) {
         const auto found = running_.find(suspect);
         if (found == running_.end())
@@ -157,8 +174,8 @@
         const auto claim = claims_.bySuspect.find(suspect);
         if (claim == claims_.bySuspect.end() || !claim->second.own)
             continue;
-        setOwnClaim(claims_, suspect, claimAfterRun, now);
-        tellClaims({suspect}, claimAfterRun);
+        setOwnClaim(claims_, suspect, holds, now);
+        tellClaims({suspect}, holds);
     }
     if (!suspects.empty())
         links_.changed();
--- a/Source/Programs/Gateway/PoisonGuard.h
+++ b/Source/Programs/Gateway/PoisonGuard.h
@@ -70,16 +70,21 @@
     /// One copy runs at a time, and after a repeated crash the next one waits until the other
     /// gateways' reports have arrived. Otherwise a caller that sends a poison request many times at
     /// once would crash a server with each copy.
+    /// Of all requests of a service that are suspect by several crashes, one runs at a time too, so
+    /// that the next crash tells them apart.
     /// @param openedAt When the service's group of backend servers opened last.
-    TimePoint mayRunAt(const RequestIdentity &request, TimePoint openedAt, TimePoint now) const;
+    TimePoint mayRunAt(const RequestIdentity &request, const std::string &service,
+                       TimePoint openedAt, TimePoint now) const;
     /// Claims the run of a request that may be sent now, if its suspects may run only once over all
     /// gateways.
     /// @return When it may be sent; not after `now` if at once.
-    TimePoint claimRun(const RequestIdentity &request, TimePoint now);
+    TimePoint claimRun(const RequestIdentity &request, const std::string &service, TimePoint now);
     /// Records that a request is sent.
     /// @return Its suspects, which have to be passed to noteRunEnd().
-    std::vector<Fingerprint> noteRunBegin(const RequestIdentity &request, TimePoint now);
-    void noteRunEnd(const std::vector<Fingerprint> &suspects, TimePoint now);
+    std::vector<Fingerprint> noteRunBegin(const RequestIdentity &request,
+                                          const std::string &service, TimePoint now);
+    /// @param completed Whether the backend server ran the request to its end.
+    void noteRunEnd(const std::vector<Fingerprint> &suspects, bool completed, TimePoint now);
 
     /// Adds a crash that this gateway detected, and reports it to the others.
     void noteCrash(const ServerCrash &crash, TimePoint now);
@@ -108,6 +113,8 @@
 
 private:
     bool runsHere(const Fingerprint &suspect) const { return running_.contains(suspect); }
+    std::vector<Fingerprint> claimsOf(const RequestIdentity &request, const std::string &service,
+                                      TimePoint now) const;
     void addCrash(const ServerCrash &crash, TimePoint now);
     void judge(TimePoint now);
     void logWeighed(TimePoint now);
--- a/Source/Programs/Gateway/RequestSuspicion.cpp
+++ b/Source/Programs/Gateway/RequestSuspicion.cpp
@@ -44,12 +44,12 @@
 
 TimePoint RequestSuspicion::mayRunAt(TimePoint openedAt, TimePoint now)
 {
-    return poison_.hasSuspects() ? poison_.mayRunAt(identity(), openedAt, now) : now;
+    return poison_.hasSuspects() ? poison_.mayRunAt(identity(), service_, openedAt, now) : now;
 }
 
 TimePoint RequestSuspicion::claimRun(TimePoint now)
 {
-    return poison_.hasSuspects() ? poison_.claimRun(identity(), now) : now;
+    return poison_.hasSuspects() ? poison_.claimRun(identity(), service_, now) : now;
 }
 
 std::optional<std::uint64_t> RequestSuspicion::hashIfSuspect(TimePoint now)
@@ -81,13 +81,14 @@
 void RequestSuspicion::beginRun(TimePoint now)
 {
     sentAt_ = now;
+    completed_ = false;
     if (poison_.hasSuspects())
-        running_ = poison_.noteRunBegin(identity(), now);
+        running_ = poison_.noteRunBegin(identity(), service_, now);
 }
 
 void RequestSuspicion::endRun(TimePoint now)
 {
-    poison_.noteRunEnd(std::exchange(running_, {}), now);
+    poison_.noteRunEnd(std::exchange(running_, {}), completed_, now);
 }
 
 void RequestSuspicion::noteConnectionEnded(const std::string &server, TimePoint now,
@@ -107,6 +108,7 @@
 
 void RequestSuspicion::noteCompleted(TimePoint now)
 {
+    completed_ = true;
     poison_.noteCompleted(identity(), service_, now);
 }
 
--- a/Source/Programs/Gateway/RequestSuspicion.h
+++ b/Source/Programs/Gateway/RequestSuspicion.h
@@ -67,6 +67,8 @@
     std::optional<RequestIdentity> identity_;
     /// When the current or last send began.
     TimePoint sentAt_{};
+    /// Whether a backend server ran it to its end since then.
+    bool completed_ = false;
     /// Suspects of the current send.
     std::vector<Fingerprint> running_;
     /// Cleared by the destructor, for callbacks that may come later.
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -323,6 +323,16 @@
     });
 }
 
+TimePoint lastCrashOf(const CrashEvidence &evidence, const std::string &service)
+{
+    TimePoint last{};
+    for (const ServerCrash &crash : evidence.crashes) {
+        if (crash.service == service)
+            last = std::max(last, crash.at);
+    }
+    return last;
+}
+
 CrashRecord crashRecordOf(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now)
 {
     return recordOf(evidence, countedCrashes(evidence, suspect, now), suspect, now);
--- a/Source/Request/CrashEvidence.h
+++ b/Source/Request/CrashEvidence.h
@@ -120,6 +120,9 @@
 bool crashedWithin(const CrashEvidence &evidence, const std::string &server, milliseconds span,
                    TimePoint now);
 
+/// When a backend server of the service crashed last; the earliest time if none is known.
+TimePoint lastCrashOf(const CrashEvidence &evidence, const std::string &service);
+
 /// Returns the crashes that count against a suspect.
 CrashRecord crashRecordOf(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now);
 
--- a/Source/Request/Fingerprint.cpp
+++ b/Source/Request/Fingerprint.cpp
@@ -65,6 +65,15 @@
     return hash.finish();
 }
 
+Fingerprint fingerprintOfService(std::string_view service)
+{
+    TextHash hash;
+    // No method of a request has a blank, so that no request has the fingerprint of a service.
+    hash.add("suspects of a service");
+    hash.add(service);
+    return hash.finish();
+}
+
 RequestIdentity identityOf(const GatewayRequest &request, std::string_view organisation,
                            std::string_view service)
 {
--- a/Source/Request/Fingerprint.h
+++ b/Source/Request/Fingerprint.h
@@ -33,6 +33,9 @@
 /// may run the same part without harm.
 Fingerprint fingerprintOfPart(std::string_view service, std::string_view partId);
 
+/// Returns the fingerprint by which gateways claim the only run of a suspect request of a service.
+Fingerprint fingerprintOfService(std::string_view service);
+
 /// All that may be a request's reason to crash backend servers.
 struct RequestIdentity
 {
