Soak: requests that crash servers

One to four servers of a service that one or two poison requests crash, with ends, returns and a sound time drawn from the seed, and sound requests beside them. Checked: three sends more at most for each life of a gateway later than 3 s after the third crash, and that no sound request is rejected. Gateways are killed and suspended all the time, so the bound of a quiet fleet can't hold here; it has its own tests.

What answers of stand-ins are made of stood three times; it stands in ScriptedAnswers now.

--- a/Tests/Gateway/CrashingServer.cpp
+++ b/Tests/Gateway/CrashingServer.cpp
@@ -8,7 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "Gateway/GatewayUnderTest.h"
+#include "Gateway/ScriptedAnswers.h"
 
 namespace wisteria::gateway_tests {
 
--- a/Tests/Gateway/GatewayUnderTest.cpp
+++ b/Tests/Gateway/GatewayUnderTest.cpp
@@ -5,7 +5,6 @@
 #include <fstream>
 #include <mutex>
 #include <set>
-#include <sstream>
 
 #include <arpa/inet.h>
 #include <sys/prctl.h>
@@ -112,31 +111,4 @@
         + id + "\r\nWisteriawind-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n";
 }
 
-std::string sealed(const SeenRequest &request, int status, const std::string &body)
-{
-    return plainResponse(status,
-                         std::string(seal) + "Wisteriawind-Attempt-Id: "
-                             + request.header("Wisteriawind-Attempt-Id") + "\r\n",
-                         body);
-}
-
-std::string eventText(int id)
-{
-    return "id: " + std::to_string(id) + "\ndata: piece" + std::to_string(id) + "\n\n";
-}
-
-std::string streamHead(const SeenRequest &request)
-{
-    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + std::string(seal)
-        + "Wisteriawind-Attempt-Id: " + request.header("Wisteriawind-Attempt-Id")
-        + "\r\nTransfer-Encoding: chunked\r\n\r\n";
-}
-
-std::string chunk(const std::string &bytes)
-{
-    std::ostringstream text;
-    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
-    return text.str();
-}
-
 } // namespace wisteria::gateway_tests
--- a/Tests/Gateway/GatewayUnderTest.h
+++ b/Tests/Gateway/GatewayUnderTest.h
@@ -15,6 +15,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "Gateway/ScriptedAnswers.h"
 #include "Gateway/StoreStandIn.h"
 #include "Programs/Gateway/Gateway.h"
 
@@ -45,9 +46,6 @@
 /// @return The file's path.
 std::string writeSettings(const std::string &vmName, const ProgramAddresses &addresses);
 
-/// A header field that marks an answer as the backend server's own.
-inline constexpr const char *seal = "Wisteriawind-Response-Seal: s\r\n";
-
 /// A route of the configuration.
 nlohmann::json routeOf(const std::string &prefix, const std::string &kind,
                        const std::string &service, bool resumable);
@@ -174,16 +172,4 @@
 std::string requestFor(const std::string &target, const std::string &id,
                        const std::string &method = "POST");
 
-/// A backend server's complete answer to a request, with the seal.
-std::string sealed(const SeenRequest &request, int status, const std::string &body);
-
-/// One event of a stream, with its number in id and data.
-std::string eventText(int id);
-
-/// The head of an answer that streams events in chunks.
-std::string streamHead(const SeenRequest &request);
-
-/// Bytes as one chunk of a chunked body.
-std::string chunk(const std::string &bytes);
-
 } // namespace wisteria::gateway_tests
--- /dev/null
+++ b/Tests/Gateway/ScriptedAnswers.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string>
+
+#include "Gateway/ScriptedServer.h"
+
+namespace wisteria::gateway_tests {
+
+/// A header field that marks an answer as the backend server's own.
+inline constexpr const char *seal = "Wisteriawind-Response-Seal: s\r\n";
+
+/// A backend server's complete answer to a request, with the seal.
+std::string sealed(const SeenRequest &request, int status, const std::string &body);
+
+/// One event of a stream, with its number in id and data.
+std::string eventText(int id);
+
+/// The head of an answer that streams events in chunks.
+std::string streamHead(const SeenRequest &request);
+
+/// Bytes as one chunk of a chunked body.
+std::string chunk(const std::string &bytes);
+
+} // namespace wisteria::gateway_tests
--- a/Tests/Gateway/StandInPlatform.cpp
+++ b/Tests/Gateway/StandInPlatform.cpp
@@ -5,10 +5,10 @@
 //   runs         prints how often each backend server ran a request
 
 #include <iostream>
-#include <sstream>
 
 #include <poll.h>
 
+#include "Gateway/ScriptedAnswers.h"
 #include "Gateway/StoreStandIn.h"
 
 using namespace wisteria;
@@ -16,18 +16,10 @@
 
 namespace {
 
-const std::string seal = "Wisteriawind-Response-Seal: demo\r\n";
-
 std::string answerFields(const SeenRequest &request)
 {
-    return seal + "Wisteriawind-Attempt-Id: " + request.header("Wisteriawind-Attempt-Id") + "\r\n";
-}
-
-std::string chunk(const std::string &bytes)
-{
-    std::ostringstream text;
-    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
-    return text.str();
+    return std::string(seal)
+        + "Wisteriawind-Attempt-Id: " + request.header("Wisteriawind-Attempt-Id") + "\r\n";
 }
 
 /// Streams six events. The first run is cut off within its third event, as by a crash.
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
-#include <sstream>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -12,6 +11,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "Gateway/ScriptedAnswers.h"
 #include "Request/RetryTokenBucket.h"
 
 namespace wisteria::soak {
@@ -40,7 +40,6 @@
 /// was sent just before to arrive.
 constexpr milliseconds drainTime{2000};
 constexpr milliseconds arrivalTime{100};
-const std::string seal = "Wisteriawind-Response-Seal: soak\r\n";
 
 /// Failure domain of a backend server. Servers that leave are in the gateways' domain, which gets
 /// most requests.
@@ -60,16 +59,10 @@
     return server.endpoint().port;
 }
 
-std::string chunk(const std::string &bytes)
-{
-    std::ostringstream text;
-    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
-    return text.str();
-}
-
 std::string fieldsOf(const SeenRequest &request)
 {
-    return seal + "Wisteriawind-Attempt-Id: " + request.header("Wisteriawind-Attempt-Id") + "\r\n";
+    return std::string(seal)
+        + "Wisteriawind-Attempt-Id: " + request.header("Wisteriawind-Attempt-Id") + "\r\n";
 }
 
 nlohmann::json routeOf(const std::string &prefix, const std::string &kind)
@@ -88,6 +81,13 @@
     return route;
 }
 
+nlohmann::json crashingRoute()
+{
+    nlohmann::json route = routeOf("/crash/", "idempotent");
+    route["service"] = "crashing";
+    return route;
+}
+
 bool pollUntil(int milliseconds, const std::function<bool()> &condition)
 {
     constexpr int step = 20;
@@ -262,7 +262,7 @@
                {{"version", ++version_},
                 {"routes",
                  {routeOf("/once/", "non_idempotent"), routeOf("/again/", "idempotent"),
-                  routeOf("/stream/", "streaming"), coldRoute()}},
+                  routeOf("/stream/", "streaming"), coldRoute(), crashingRoute()}},
                 {"services", {{{"name", "cold"}, {"cold_s", 2}, {"cold_per_s", coldPerSecond}}}},
                 {"tenants", organisations}});
 }
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -115,6 +115,7 @@
 
     RunRecorder &recorder() { return recorder_; }
     std::vector<std::unique_ptr<GatewayProcess>> &gateways() { return gateways_; }
+    gateway_tests::StoreStandIn &store() { return store_; }
     std::vector<std::unique_ptr<FaultProxy>> &serverLinks() { return serverLinks_; }
     /// Sets whether the store answers all calls with 503.
     void setStoreUnavailable(bool unavailable);
@@ -153,7 +154,13 @@
     /// Writes the record of a server of the service "cold", with the rest of its cold time.
     void putColdServer(std::size_t server);
     /// Records that a gateway is about to start again, or to continue after it was suspended.
-    void noteGatewayBegin() { gatewayBegins_.note(monotonicNow()); }
+    void noteGatewayBegin()
+    {
+        gatewayBegins_.note(monotonicNow());
+        ++gatewayBeginCount_;
+    }
+    /// Number of these records.
+    std::size_t gatewayBeginCount() const { return gatewayBeginCount_; }
     /// A server of the service "cold" restarts under its id; its record states no cold time.
     void restartColdServer(std::size_t server);
 
@@ -183,6 +190,7 @@
     gateway_tests::StoreStandIn store_;
     const std::size_t gatewayCount_;
     RecentEvents gatewayBegins_;
+    std::atomic<std::size_t> gatewayBeginCount_ = 0;
     std::array<RecentEvents, coldServerCount> coldArrivals_;
     std::array<std::atomic<TimePoint>, coldServerCount> coldUntil_{};
     std::array<std::uint64_t, coldServerCount> coldStartedAt_{};
--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -14,6 +14,7 @@
 
 #include "Soak/SoakClients.h"
 #include "Soak/SoakFaults.h"
+#include "Soak/SoakPoison.h"
 
 using namespace wisteria;
 using namespace wisteria::soak;
@@ -149,6 +150,7 @@
                            + what);
     });
     SoakClients clients(fleet, clientCount, coldClientCount);
+    SoakPoison poison(fleet, seed);
     while (monotonicNow() - begun < plan.length) {
         faults.advance(monotonicNow());
         sleepFor(milliseconds(10));
@@ -159,6 +161,7 @@
     const SoakCounts afterRecovery = verifyServed(fleet, clients, "after recovery");
     checkEvacuation(fleet, clients, Fleet::domains().at(seed % Fleet::domains().size()));
     clients.stop();
+    poison.finish(fleet.gatewayBeginCount());
     if (afterRecovery.servedCold == 0)
         fleet.recorder().noteViolation(
             "after recovery no request of the service \"cold\" is served");
@@ -170,7 +173,9 @@
               << underFaults.refused << " refused, " << underFaults.failed << " failed, "
               << underFaults.truncated << " truncated; after recovery " << afterRecovery.complete
               << " of " << afterRecovery.sent << " complete; " << underFaults.servedCold
-              << " served by servers that may be cold; " << violations.size() << " violations"
+              << " served by servers that may be cold; " << poison.crashes()
+              << " servers crashed by poison requests, " << poison.servedSound()
+              << " sound ones served beside them; " << violations.size() << " violations"
               << std::endl;
     for (const std::string &what : violations)
         std::cout << "  violation: " << what << '\n';
--- /dev/null
+++ b/Tests/Soak/SoakPoison.cpp
@@ -0,0 +1,124 @@
+#include "Soak/SoakPoison.h"
+
+#include <string>
+
+#include <arpa/inet.h>
+#include <poll.h>
+
+#include "Soak/KeepAliveCaller.h"
+
+namespace wisteria::soak {
+
+using namespace gateway_tests;
+
+namespace {
+
+constexpr std::size_t maxServers = 4;
+constexpr std::size_t maxPoisonRequests = 2;
+/// Sends that may follow later than `settleTime` after the third crash, as long as the gateways
+/// live.
+constexpr std::size_t maxLaterSends = 3;
+constexpr std::size_t countedCrash = 3;
+constexpr milliseconds settleTime{3000};
+constexpr milliseconds soundInterval{30};
+
+std::string requestWithBody(const std::string &id, const std::string &body)
+{
+    return "POST /crash/x HTTP/1.1\r\nHost: soak.example\r\nAuthorization: Token key1\r\n"
+           "Wisteriawind-Attempt-Id: "
+        + id + "\r\nWisteriawind-Deadline-Ms: 1000\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+SoakPoison::SoakPoison(Fleet &fleet, std::uint64_t seed) : fleet_(fleet), random_(~seed * 31)
+{
+    const auto draw = [this](int low, int high) {
+        return std::uniform_int_distribution<int>(low, high)(random_);
+    };
+    const CrashingServerPlan plan{.service = "crashing",
+                                  .crashAfter = milliseconds(draw(5, 200)),
+                                  .downTime = milliseconds(draw(500, 2500)),
+                                  .soundTime = milliseconds(draw(0, 1) * 1500),
+                                  .returnsUnderNewId = draw(0, 1) == 1};
+    const int servers = draw(1, maxServers);
+    for (int i = 0; i < servers; ++i) {
+        servers_.push_back(std::make_unique<CrashingServer>(
+            fleet_.store(), "crashing-" + std::to_string(i), INADDR_LOOPBACK, plan));
+    }
+    const int poisonRequests = draw(1, maxPoisonRequests);
+    for (int i = 0; i < poisonRequests; ++i) {
+        const milliseconds interval{draw(100, 800)};
+        threads_.emplace_back(
+            [this, i, interval] { repeatPoison(static_cast<std::size_t>(i), interval); });
+    }
+    threads_.emplace_back([this] { sendSound(); });
+}
+
+SoakPoison::~SoakPoison()
+{
+    stop();
+}
+
+void SoakPoison::stop()
+{
+    stopping_ = true;
+    for (std::thread &thread : threads_) {
+        if (thread.joinable())
+            thread.join();
+    }
+}
+
+void SoakPoison::repeatPoison(std::size_t number, milliseconds interval)
+{
+    const std::string body = poisonMark + std::to_string(number);
+    for (std::size_t i = 0; !stopping_; ++i) {
+        KeepAliveCaller caller(fleet_.gateways()[i % fleet_.gateways().size()]->callers());
+        caller.call(requestWithBody(body + "-" + std::to_string(i), body));
+        ::poll(nullptr, 0, static_cast<int>(interval.count()));
+    }
+}
+
+void SoakPoison::sendSound()
+{
+    for (std::size_t i = 0; !stopping_; ++i) {
+        KeepAliveCaller caller(fleet_.gateways()[i % fleet_.gateways().size()]->callers());
+        const std::string id = "sound-" + std::to_string(i);
+        const CallResult answer = caller.call(requestWithBody(id, id));
+        if (answer.status == 200)
+            ++servedSound_;
+        if (answer.status >= 400 && answer.status < 500)
+            fleet_.recorder().noteViolation(id + ": a sound request beside poison requests got "
+                                            + std::to_string(answer.status));
+        ::poll(nullptr, 0, static_cast<int>(soundInterval.count()));
+    }
+}
+
+void SoakPoison::finish(std::size_t gatewayEnds)
+{
+    stop();
+    CrashHistory history;
+    for (const auto &server : servers_)
+        history.merge(server->history());
+    const std::size_t allowed = maxLaterSends * (1 + gatewayEnds);
+    for (const auto &[body, one] : history.byRequest) {
+        const std::size_t later = one.arrivalsAfterCrash(countedCrash, settleTime);
+        if (later > allowed)
+            fleet_.recorder().noteViolation(body + " reached servers " + std::to_string(later)
+                                            + " times later than 3 s after it had crashed three; "
+                                            + std::to_string(one.crashes.size())
+                                            + " crashed in all, " + std::to_string(gatewayEnds)
+                                            + " times a gateway was killed or suspended");
+    }
+}
+
+std::size_t SoakPoison::crashes() const
+{
+    CrashHistory history;
+    for (const auto &server : servers_)
+        history.merge(server->history());
+    return history.crashes.size();
+}
+
+} // namespace wisteria::soak
