Tests of poison requests at few servers: returns, faults, two at once

Crash after 5, 60 or 500 ms, servers back under the same id or another one, after 0.5 or 2 s, six callers at once, a route that is not idempotent, a group, thirty gateways, one, restarts, a silent store, a change of the configuration each 0.25 s; two poison requests at two to four servers.

--- a/Tests/Gateway/CrashEvidenceTest.cpp
+++ b/Tests/Gateway/CrashEvidenceTest.cpp
@@ -113,6 +113,31 @@
     REQUIRE(crashes.of(innocent, seconds(17)) == Suspicion::None);
 }
 
+// Guards against a poison request at a service that is so small that all servers are down at once.
+TEST_CASE(
+    "Crashes of servers to which a request was sent one after the other are signs of their own")
+{
+    const bool inSequence = GENERATE(true, false);
+    CAPTURE(inSequence);
+    constexpr milliseconds interval{60};
+    CrashEvidence evidence;
+    for (int i = 0; i < 3; ++i) {
+        const TimePoint at = start + i * interval;
+        noteCrash(evidence,
+                  {.server = "s" + std::to_string(i),
+                   .startedAt = 1,
+                   .service = "s",
+                   .at = at,
+                   .servers = 3,
+                   .running = {{.identity = {.request = poison},
+                                .sentAt = inSequence ? at - interval / 2 : start - interval}}},
+                  at);
+    }
+    const TimePoint end = start + seconds(2);
+    REQUIRE(isPoison(crashRecordOf(evidence, poison, end)) == inSequence);
+    REQUIRE(suspicionOf(evidence, poison, end) == Suspicion::RepeatedSuspect);
+}
+
 // Guards against two poison requests whose crashes hide each other.
 TEST_CASE("Poison requests that crash servers by turns or at once are quarantined all the same")
 {
--- a/Tests/Gateway/SmallServiceTest.cpp
+++ b/Tests/Gateway/SmallServiceTest.cpp
@@ -53,13 +53,72 @@
     checkPoisonBound(distinctSmallService(servers));
 }
 
+// Guards against crashes that are not counted as the run before them is shorter or longer, or as
+// the server returns as another one.
+TEST_CASE(
+    "A poison request is found at few servers however soon they crash and however they return")
+{
+    PoisonScenario scenario = smallService(3);
+    SECTION("a crash 5 ms after the request begins")
+    scenario.plan.crashAfter = milliseconds(5);
+    SECTION("a crash half a second after the request begins")
+    scenario.plan.crashAfter = milliseconds(500);
+    SECTION("servers return under another id")
+    scenario.plan.returnsUnderNewId = true;
+    SECTION("servers return within half a second")
+    scenario.plan.downTime = milliseconds(500);
+    SECTION("the request comes each 1.1 s")
+    scenario.interval = milliseconds(1100);
+    SECTION("several callers repeat it at the same time")
+    scenario.callers = 6;
+    SECTION("the route is not idempotent")
+    scenario.target = "/once/x";
+    SECTION("a stream at a group")
+    {
+        scenario.target = "/stream/x";
+        scenario.plan.service = "model";
+        scenario.plan.streams = true;
+        scenario.plan.group = std::make_shared<CrashingGroup>();
+    }
+    checkPoisonBound(scenario);
+}
+
+// Guards against counts that a fault or a change resets.
+TEST_CASE("A poison request is found at few servers under faults and changes")
+{
+    PoisonScenario scenario = smallService(3);
+    SECTION("gateways are killed and started in turn")
+    scenario.restartsGateways = true;
+    SECTION("the store is silent")
+    scenario.storeSilent = true;
+    SECTION("thirty gateways")
+    scenario.gateways = 30;
+    SECTION("one gateway")
+    scenario.gateways = 1;
+    SECTION("the configuration changes all the time")
+    scenario.disturb = [](CrashingFleet &fleet) { fleet.gateways().changeConfiguration(); };
+    checkPoisonBound(scenario);
+}
+
+// Guards against poison requests that keep each other from a verdict, since the crashes of each
+// one look like another cause beside those of the other.
+TEST_CASE("Two poison requests at a service of few servers are both found")
+{
+    PoisonScenario scenario = smallService(GENERATE(2, 3, 4));
+    scenario.distinctOthers = GENERATE(false, true);
+    CAPTURE(scenario.servers, scenario.distinctOthers);
+    scenario.poisonRequests = 2;
+    scenario.runTime = milliseconds(16000);
+    checkPoisonBound(scenario);
+}
+
 // Guards against a request that is held to be sound for ever because it has completed before.
 TEST_CASE("A request that has become poison is found although it completed before")
 {
     PoisonScenario scenario = smallService(GENERATE(1, 3, 12));
     CAPTURE(scenario.servers);
     scenario.plan.soundTime = milliseconds(2000);
-    scenario.runTime = milliseconds(17000);
+    scenario.runTime = milliseconds(20000);
     checkPoisonBound(scenario);
 }
 
