--- a/Source/Programs/Gateway/PoisonGuard.h
+++ b/Source/Programs/Gateway/PoisonGuard.h
@@ -10,7 +10,7 @@
 #include "Process/EventLog.h"
 #include "Process/Metrics.h"
 #include "Programs/Gateway/EvidenceSharing.h"
-#include "Request/CrashEvidence.h"
+#include "Request/CrashRecord.h"
 #include "Request/RunClaims.h"
 #include "Version/GroupMessages.h"
 
--- a/Source/Request/CrashEvidence.h
+++ b/Source/Request/CrashEvidence.h
@@ -10,7 +10,6 @@
 
 #include "Process/Time.h"
 #include "Request/CompletionTimes.h"
-#include "Request/CrashMoments.h"
 #include "Request/ServerCrash.h"
 
 namespace wisteria {
@@ -82,26 +81,6 @@
     Quarantined, ///< Crashed several backend servers, and is sent to none.
 };
 
-/// Crashes that count against a request or part.
-struct CrashRecord
-{
-    std::uint32_t crashes = 0;
-    /// Those of moments at which the suspect was at a third or more of the crashed servers.
-    std::uint32_t attributable = 0;
-    /// Crashes that happened together are one moment, and one piece of evidence: a loss of power
-    /// crashes many servers under a popular request.
-    std::uint32_t moments = 0;
-    /// Sum of how much each moment says about the suspect: 1 if one server crashed, 0 if all did.
-    double weight = 0;
-    TimePoint lastAt{};
-    /// Other servers crashed around that time under no request that is as suspect as this one.
-    /// Something else crashes servers too, so that coincidences are likely.
-    bool otherCause = false;
-    /// Backend servers have completed it before.
-    bool provenSound = false;
-    bool isRequest = false;
-};
-
 /// Adds a crash, or merges it with what is known of it. Reports may arrive late, twice and in any
 /// order.
 /// @return Whether it is the first report of this crash.
@@ -123,19 +102,6 @@
 /// When a backend server of the service crashed last; the earliest time if none is known.
 TimePoint lastCrashOf(const CrashEvidence &evidence, const std::string &service);
 
-/// Returns the crashes that count against a suspect.
-CrashRecord crashRecordOf(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now);
-
-/// Whether the evidence suffices for a quarantine: three moments that the suspect alone explains.
-/// If something else crashes servers too, or if it has completed before, five moments for a part,
-/// and five crashes for a request, of which one copy runs at a time from the third one on. Crashes
-/// of many servers weigh less, so that what was in flight when all lose power is never quarantined
-/// for it.
-bool isPoison(const CrashRecord &record);
-
-/// Whether a suspect would be quarantined unless something else crashed servers too.
-bool isPoisonByItself(const CrashRecord &record);
-
 /// Returns how suspect a request or part is by itself, apart from a quarantine.
 Suspicion suspicionOf(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now);
 
@@ -163,21 +129,6 @@
 /// Ends the quarantine of a suspect and forgets its crashes: an operator's order.
 void release(CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now);
 
-/// Returns what is to be quarantined next and is not yet; nothing if there is none. Quarantine it
-/// before the next call: it explains crashes that speak against others.
-/// @param settled Leaves out suspects whose last moment may not be known as a whole yet.
-std::optional<Fingerprint> newPoison(const CrashEvidence &evidence, bool settled, TimePoint now);
-
-/// Returns the requests and parts against which three crashes or more count.
-std::vector<Fingerprint> repeatedlyInFlight(const CrashEvidence &evidence, TimePoint now);
-
-/// When the moment of the last crash that counts against a suspect is over, so that a verdict can
-/// take all crashes of it into account.
-inline TimePoint verdictTime(const CrashRecord &record)
-{
-    return record.lastAt + foundDownTime;
-}
-
 /// Whether anything that was in flight at the crash is still suspect because of it.
 bool isOpen(const CrashEvidence &evidence, const ServerCrash &crash, TimePoint now);
 
--- a/Tests/Gateway/CrashEvidenceTest.cpp
+++ b/Tests/Gateway/CrashEvidenceTest.cpp
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "Request/CrashEvidence.h"
+#include "Request/CrashRecord.h"
 
 using namespace wisteria;
 
--- a/Tests/Gateway/PartEvidenceTest.cpp
+++ b/Tests/Gateway/PartEvidenceTest.cpp
@@ -3,7 +3,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "Request/CrashEvidence.h"
+#include "Request/CrashRecord.h"
 
 using namespace wisteria;
 
--- a/Tests/Soak/SoakPoison.cpp
+++ b/Tests/Soak/SoakPoison.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t countedCrash = 3;
 constexpr milliseconds settleTime{3000};
 constexpr milliseconds soundInterval{30};
+/// Makes the draws independent of those of SoakFaults for the same seed.
+constexpr std::uint64_t poisonSeedOffset = 0xC4A5;
 
 std::string requestWithBody(const std::string &id, const std::string &body)
 {
@@ -32,15 +34,17 @@
 
 } // namespace
 
-SoakPoison::SoakPoison(Fleet &fleet, std::uint64_t seed) : fleet_(fleet), random_(~seed * 31)
+SoakPoison::SoakPoison(Fleet &fleet, std::uint64_t seed)
+    : fleet_(fleet), random_(seed ^ poisonSeedOffset)
 {
     const auto draw = [this](int low, int high) {
         return std::uniform_int_distribution<int>(low, high)(random_);
     };
+    constexpr milliseconds soundTime{1500};
     const CrashingServerPlan plan{.service = "crashing",
                                   .crashAfter = milliseconds(draw(5, 200)),
                                   .downTime = milliseconds(draw(500, 2500)),
-                                  .soundTime = milliseconds(draw(0, 1) * 1500),
+                                  .soundTime = draw(0, 1) * soundTime,
                                   .returnsUnderNewId = draw(0, 1) == 1};
     const int servers = draw(1, maxServers);
     for (int i = 0; i < servers; ++i) {
