Refuse documents of others that nest deeply, where their bytes become values

Cause: the JSON library's dump() calls itself once for each level of nesting. A wrong 'cold_remaining_ms' was written into a message with it, so the author of the entry decided how much stack the gateway's thread needs. Ruled out by our test: parsing and destruction, which the same nesting in nine other fields goes through unharmed.

Change: parseJsonObject() is the one way from bytes of others to a value, and refuses more than 64 levels before it builds any; all decoders of the store's and the engines' documents use it, also the older programs'. parseSettings() has the same bound.

Result: ForeignInputTest ends by SIGSEGV with the old ConfigurationCodec.cpp (fields before 'cold_remaining_ms' merely fail its check) and passes with the new one.

--- a/Source/Connection/HttpLogClient.cpp
+++ b/Source/Connection/HttpLogClient.cpp
@@ -4,6 +4,7 @@
 
 #include "Connection/Base64.h"
 #include "Connection/PlatformHttp.h"
+#include "Process/BoundedJson.h"
 
 namespace wisteria {
 
@@ -37,7 +38,13 @@
 
 Result<LogBatch> parseBatch(const std::string &body)
 {
-    const Json document = Json::parse(body, nullptr, false);
+    const auto parsed = parseJsonObject(body);
+    if (parsed.has_error()) {
+        return failure(ErrorKind::Unavailable,
+                       "the log's answer " + parsed.error().message
+                           + "; check that its URL names the log service");
+    }
+    const Json &document = parsed.value();
     LogBatch batch;
     try {
         batch.first = document.at("first").get<Offset>();
@@ -75,14 +82,14 @@
     const PlatformAnswer answer = http_->post("/streams/" + stream + "/records", data, timeout);
     if (answer.status != httpOk)
         return appendFailure(answer, http_->url());
-    const Json document = Json::parse(answer.body, nullptr, false);
-    if (!document.is_object() || !document.contains("offset")
-        || !document["offset"].is_number_unsigned()) {
+    const auto document = parseJsonObject(answer.body);
+    if (document.has_error() || !document.value().contains("offset")
+        || !document.value()["offset"].is_number_unsigned()) {
         return failure(ErrorKind::OutcomeUnknown,
                        "the log's answer to an append names no offset; read back before "
                        "appending again");
     }
-    return document["offset"].get<Offset>();
+    return document.value()["offset"].get<Offset>();
 }
 
 Result<LogBatch> HttpLogClient::read(const std::string &stream, Offset from, milliseconds wait)
--- a/Source/Process/Settings.cpp
+++ b/Source/Process/Settings.cpp
@@ -9,6 +9,8 @@
 #include <valijson/validation_results.hpp>
 #include <valijson/validator.hpp>
 
+#include "Process/BoundedJson.h"
+
 namespace wisteria {
 
 namespace {
@@ -57,8 +59,15 @@
                                      const nlohmann::json &schema)
 {
     nlohmann::json document;
+    bool tooDeep = false;
+    const auto keepShallow = [&tooDeep](int depth, nlohmann::json::parse_event_t,
+                                        const nlohmann::json &) {
+        const bool deep = depth > static_cast<int>(maxJsonDepth);
+        tooDeep = tooDeep || deep;
+        return !deep;
+    };
     try {
-        document = nlohmann::json::parse(text, nullptr, true, true);
+        document = nlohmann::json::parse(text, keepShallow, true, true);
     } catch (const nlohmann::json::parse_error &error) {
         return failure(ErrorKind::BadSettings,
                        name + ", " + lineAndColumn(text, error.byte)
@@ -69,6 +78,11 @@
                        name + ": a number is out of range (" + error.what()
                            + "); correct that number");
     }
+    if (tooDeep) {
+        return failure(ErrorKind::BadSettings,
+                       name + ": values nest more than " + std::to_string(maxJsonDepth)
+                           + " levels deep; remove the inner ones");
+    }
     valijson::Schema parsedSchema;
     valijson::SchemaParser parser;
     parser.populateSchema(Adapter(schema), parsedSchema);
--- a/Source/Version/VmList.cpp
+++ b/Source/Version/VmList.cpp
@@ -4,14 +4,21 @@
 
 #include <nlohmann/json.hpp>
 
+#include "Process/BoundedJson.h"
+
 namespace wisteria {
 
 Result<std::map<std::string, VmState>> parseVmList(const std::string &body)
 {
     std::map<std::string, VmState> list;
+    const auto document = parseJsonObject(body);
+    if (document.has_error()) {
+        return failure(ErrorKind::BadInput,
+                       "the list of VMs " + document.error().message
+                           + "; check that the settings' vms.url names the platform's list");
+    }
     try {
-        const nlohmann::json document = nlohmann::json::parse(body);
-        for (const nlohmann::json &vm : document.at("vms")) {
+        for (const nlohmann::json &vm : document.value().at("vms")) {
             const bool leaving = vm.at("state").get<std::string>() == "leaving";
             list[vm.at("name").get<std::string>()] = leaving ? VmState::Leaving : VmState::Live;
         }
