Take requests off backend servers that are silent together with their sidecars

Cause: what was known of a server's health came from its own reports. An old report counted as normal speed, so silence, the one sign of a frozen VM, was read as normal; the server even seemed to have no work but this gateway's, and attracted new requests. Ruled out: that the close reaches the engine too late for another reason; where the VM is awake the runs end.

Change: silence is a state of its own. If neither server nor sidecar has shown a sign of life for 0.4 s while a request waits there, the server is checked on a connection of its own (an engine's report, or a connection); without an answer in 0.3 s of listening it is silent for a second or until it shows a sign of life. What may run again leaves it, within the route's sends and the retry quota; new requests avoid it, and ranks whose sidecar has stopped reporting. A sidecar says when its engine does not answer. Sound servers that are slow, or whose reports alone are late, keep their work. Lines: backend.silent, backend.checked, cause in request.moved; metric wisteria_liveness_checks_total.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -5,6 +5,7 @@
 
 #include "Programs/Gateway/RequestEndLog.h"
 #include "Programs/Gateway/ServerSignals.h"
+#include "Request/ServerSilence.h"
 #include "platform/RequestCodec.h"
 
 namespace wisteria {
@@ -57,6 +58,7 @@
         deadline_ = std::min(deadline_, arrived + *request_.timeLeft);
     waitUntil_ = arrived;
     inGroup_ = isGroup(routes_->configuration(), service_);
+    isEngine_ = isEngine(routes_->configuration(), service_);
     noteRequest(context_.retryBuckets[service_], context_.retryQuota, arrived);
 }
 
@@ -209,6 +211,7 @@
     BackendState *backend = currentBackend();
     if (backend == nullptr)
         return;
+    noteSignOfLife(*backend, now);
     if (head.misdirected) {
         noteReplaced(*backend);
         context_.rereadBackends();
@@ -223,6 +226,8 @@
 void Exchange::onBody(std::string_view bytes)
 {
     const TimePoint now = monotonicNow();
+    if (BackendState *backend = currentBackend())
+        noteSignOfLife(*backend, now);
     if (!relay_.receiveBody(bytes, now))
         return;
     history_.answerBegun = true;
@@ -439,30 +444,44 @@
         endSend(SendOutcome::NeverSent, "no connection in time");
         return;
     }
-    moveOffSlowBackend(now);
+    checkServer(now);
 }
 
-void Exchange::moveOffSlowBackend(TimePoint now)
+/// Has the server checked if it may be silent, and takes the request off it if it should leave.
+void Exchange::checkServer(TimePoint now)
 {
-    const BackendState *slow = currentBackend();
-    if (route_.kind != RequestKind::Streaming || slow == nullptr
-        || suspicion_.level(now) != Suspicion::None
-        || slowdownOf(*slow, now, context_.registry.loadLifetime) < moveAtSlowdown)
+    const BackendState *server = currentBackend();
+    if (server == nullptr)
         return;
+    if (isSilenceSuspected(*server, sentAt_, now))
+        context_.checkLiveness(backendId_, isEngine_);
+    const MoveCause cause = moveCauseOf(*server, route_, now, context_.registry.loadLifetime);
+    if (cause != MoveCause::None && suspicion_.level(now) == Suspicion::None)
+        moveOff(*server, cause, now);
+}
+
+/// Sends the request to another backend server if its route allows that and a better one has a
+/// slot; otherwise it stays where it is.
+void Exchange::moveOff(const BackendState &server, MoveCause cause, TimePoint now)
+{
     SendHistory historyAfterMove = history_;
     ++historyAfterMove.delivered;
     historyAfterMove.mayHaveRun = true;
     if (!mayRetry(route_, SendOutcome::Incomplete, historyAfterMove, timeLeft(now)))
         return;
-    const BackendChoice choice = chooseNext(admission_.maxLoad(now), now);
+    const double maxLoad =
+        cause == MoveCause::Silent ? maxLoadAfterFailure : admission_.maxLoad(now);
+    const BackendChoice choice = chooseNext(maxLoad, now);
     const bool better = choice.backend != nullptr
-        && slowdownOf(*choice.backend, now, context_.registry.loadLifetime) < moveAtSlowdown;
+        && isMoveTarget(*choice.backend, now, context_.registry.loadLifetime);
     if (!better || !takeRetryToken(context_.retryBuckets[service_], context_.retryQuota, now))
         return;
     context_.log.info("request.moved",
                       {{"id", request_.attemptId},
                        {"from", backendId_},
-                       {"pace", slow->reportedLoad->slowdown},
+                       {"cause", nameOf(cause)},
+                       {"pace", slowdownOf(server, now, context_.registry.loadLifetime)},
+                       {"after_s", secondsOf(remaining(sentAt_, now))},
                        {"to", choice.backend->entry.id}});
     noteUnansweredSend();
     history_ = historyAfterMove;
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -13,6 +13,7 @@
 #include "Programs/Gateway/PriorityAdmission.h"
 #include "Programs/Gateway/RequestSuspicion.h"
 #include "Request/GatewayRequest.h"
+#include "Request/MoveDecision.h"
 #include "Request/RetryDecision.h"
 
 namespace wisteria {
@@ -84,7 +85,8 @@
     void noteCompleteAnswer();
     void refuseQuarantined(TimePoint now);
     void releaseBackend();
-    void moveOffSlowBackend(TimePoint now);
+    void checkServer(TimePoint now);
+    void moveOff(const BackendState &server, MoveCause cause, TimePoint now);
     BackendChoice chooseNext(double maxLoad, TimePoint now);
     BackendState *currentBackend();
     void refuse(const char *reason, const BackendChoice &choice, TimePoint now);
@@ -105,6 +107,7 @@
     TimePoint deadline_;
     /// Whether the service's backend servers are ranks of groups.
     bool inGroup_ = false;
+    bool isEngine_ = false;
     /// When a request that still waits for its first slot is refused.
     TimePoint waitUntil_;
     /// The same for a suspect request that waits for another run, from its first such wait on.
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -14,6 +14,7 @@
 #include "Programs/Gateway/GatewayDirectory.h"
 #include "Programs/Gateway/GatewayMetrics.h"
 #include "Programs/Gateway/LimitPermits.h"
+#include "Programs/Gateway/LivenessChecks.h"
 #include "Programs/Gateway/OperatorRecords.h"
 #include "Programs/Gateway/PoisonProtection.h"
 #include "Programs/Gateway/PriorityLimitGauges.h"
@@ -94,7 +95,12 @@
                    .routes = nullptr,
                    .rereadBackends = [this] { backendsWatch_->readSoon(monotonicNow()); },
                    .dispatchSoon = [this] { scheduleDispatch(); },
-                   .dispatchNow = [this] { dispatchWaiting(); }},
+                   .dispatchNow = [this] { dispatchWaiting(); },
+                   .checkLiveness =
+                       [this](const std::string &backend, bool isEngine) {
+                           livenessChecks_.begin(backend, isEngine, monotonicNow());
+                       }},
+          livenessChecks_({loop_, pool_, registry_, log_, metrics_}),
           operatorRecords_(context_, [this] { scheduleDispatch(); }),
           backendList_(
               registry_, log_, metrics_,
@@ -233,6 +239,7 @@
                                    .receivedAt = monotonicNow(),
                                    .slowdown = load.slowdown,
                                    .open = load.open,
+                                   .engineAnswers = load.engineAnswers,
                                    .gateways = load.gateways};
         noteGateways(context_.retryQuota, load.gateways);
         registry_.coldServers.gateways = assumedGateways(context_.retryQuota);
@@ -384,6 +391,7 @@
             if (found != sessions_.end())
                 found->second->checkTimeouts(now);
         }
+        livenessChecks_.checkTimeouts(now);
         hellos_.sendDue(now);
         directory_->checkTimeouts(now);
         if (permits_->requestPermits(now))
@@ -467,6 +475,7 @@
     BackendRegistry registry_;
     PoisonProtection poisonProtection_;
     GatewayContext context_;
+    LivenessChecks livenessChecks_;
     OperatorRecords operatorRecords_;
     PriorityLimitGauges priorityLimitGauges_;
     BackendList backendList_;
--- a/Source/Programs/Gateway/GatewayContext.h
+++ b/Source/Programs/Gateway/GatewayContext.h
@@ -60,6 +60,8 @@
     std::function<void()> dispatchSoon{};
     /// Tries to dispatch the queued requests before it returns.
     std::function<void()> dispatchNow{};
+    /// Checks whether a backend server still works; see LivenessChecks.
+    std::function<void(const std::string &backend, bool isEngine)> checkLiveness{};
     std::mt19937_64 random{std::random_device{}()};
 
     /// Whether routes and backend servers are known, so that requests can be routed.
--- a/Source/Programs/Gateway/GatewayMetrics.cpp
+++ b/Source/Programs/Gateway/GatewayMetrics.cpp
@@ -101,6 +101,13 @@
                   {{"service", service}, {"cause", nameOf(cause)}});
 }
 
+void countLivenessCheck(Metrics &metrics, bool answered)
+{
+    metrics.count("wisteria_liveness_checks_total",
+                  "Checks of backend servers that were suspected of silence, by result",
+                  {{"result", answered ? "answered" : "silent"}});
+}
+
 void countStoreCall(Metrics &metrics, const std::string &what, const std::string &result)
 {
     metrics.count("wisteria_store_calls_total", "Calls to the platform's store by result",
--- a/Source/Programs/Gateway/GatewayMetrics.h
+++ b/Source/Programs/Gateway/GatewayMetrics.h
@@ -33,7 +33,7 @@
 enum class RetryCause {
     Failed, ///< The previous send failed before any part of an answer was forwarded.
     Resumed, ///< The stream was cut off and is resumed at another backend server.
-    Moved, ///< The backend server was much slower than usual.
+    Moved, ///< The backend server was much slower than usual, or silent.
 };
 
 /// Slots of a service and their expected use, as one gateway sees them.
@@ -72,6 +72,9 @@
 
 void countRetry(Metrics &metrics, const std::string &service, RetryCause cause);
 
+/// Counts a check of a backend server that was suspected of silence.
+void countLivenessCheck(Metrics &metrics, bool answered);
+
 /// @param what Name of the watch that made the call.
 /// @param result "answered", "failed" or "history lost".
 void countStoreCall(Metrics &metrics, const std::string &what, const std::string &result);
--- a/Source/Programs/Sidecar/LoadReporter.cpp
+++ b/Source/Programs/Sidecar/LoadReporter.cpp
@@ -41,7 +41,7 @@
 
 void LoadReporter::reportUnavailable(TimePoint now)
 {
-    send({.engine = engine_, .open = false}, now);
+    send({.engine = engine_, .open = false, .engineAnswers = false}, now);
 }
 
 void LoadReporter::send(const EngineLoad &load, TimePoint now)
--- a/Source/Request/BackendRegistry.cpp
+++ b/Source/Request/BackendRegistry.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Request/BackendRanking.h"
+#include "Request/ServerSilence.h"
 
 namespace wisteria {
 
@@ -152,6 +153,14 @@
     return backoff->second;
 }
 
+/// Returns whether a backend server gets requests only when all candidates are like it.
+bool isAvoided(const BackendRegistry &registry, const BackendState &state, bool inGroup,
+               TimePoint now)
+{
+    return state.avoidUntil > now || isSilent(state, now)
+        || (inGroup && isReportOverdue(state, now, registry.loadLifetime));
+}
+
 /// Backend servers that may get a request.
 struct Candidates
 {
@@ -202,7 +211,7 @@
         auto &kind = permitted && shareFreeAt <= now ? candidates.eligible : candidates.atLimit;
         kind.push_back({.state = &state,
                         .load = loadWithOneMore(state, now, registry.loadLifetime),
-                        .avoided = state.avoidUntil > now,
+                        .avoided = isAvoided(registry, state, criteria.inGroup, now),
                         .otherDomain = state.entry.failureDomain != criteria.failureDomain,
                         .overFreeShare = criteria.withinFreeShare
                             && exceedsFreeShare(state, now, registry.loadLifetime),
@@ -325,6 +334,8 @@
     load.ownInFlight = state.ownInFlight;
     load.freeSlotShare = shareOfFreeSlots(free, load.gateways, randomUnit);
     state.reportedLoad = load;
+    if (load.engineAnswers)
+        state.silentUntil = TimePoint();
 }
 
 void noteAnswer(BackendState &state, const AnswerFeedback &feedback, bool inGroup, TimePoint now,
@@ -339,6 +350,7 @@
         load.waiting = feedback.load->waiting;
     }
     load.receivedAt = now;
+    load.engineAnswers = true;
     load.open = !(mayBeClosed && load.running + load.waiting < state.entry.slots);
     noteLoad(state, load, randomUnit);
 }
--- a/Source/Request/BackendRegistry.h
+++ b/Source/Request/BackendRegistry.h
@@ -28,6 +28,8 @@
     double slowdown = 1;
     /// It accepts work; false for a rank whose group is broken or still forming.
     bool open = true;
+    /// Its engine answers the sidecar that reported this.
+    bool engineAnswers = true;
     /// Number of gateways that send there, as far as it is known.
     std::uint32_t gateways = 1;
     /// Free slots that this gateway may fill until the next report.
@@ -52,6 +54,10 @@
     bool replaced = false;
     /// Until when it may get requests; limited if its entry is missing, see EntryExpiry.
     TimePoint usableUntil = TimePoint::max();
+    /// When it last sent bytes of an answer to this gateway or passed a check.
+    TimePoint answeredAt;
+    /// Until then it counts as silent; see ServerSilence.
+    TimePoint silentUntil;
 };
 
 /// All known backend servers with their load and state. A value type without I/O.
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -102,17 +102,22 @@
             load.waiting,
             load.open,
             load.gateways,
-            static_cast<std::uint32_t>(std::lround(load.slowdown / slowdownUnit))};
+            static_cast<std::uint32_t>(std::lround(load.slowdown / slowdownUnit)),
+            load.engineAnswers};
 }
 
 EngineLoad decodeLoad(const Json &json)
 {
+    // Sidecars of earlier versions send no such field.
+    constexpr std::size_t engineAnswersAt = 7;
     return {.engine = decodeEndpoint(json.at(1)),
             .running = json.at(2).get<std::uint32_t>(),
             .waiting = json.at(3).get<std::uint32_t>(),
             .slowdown = json.at(6).get<std::uint32_t>() * slowdownUnit,
             .open = json.at(4).get<bool>(),
-            .gateways = json.at(5).get<std::uint32_t>()};
+            .gateways = json.at(5).get<std::uint32_t>(),
+            .engineAnswers =
+                json.size() <= engineAnswersAt || json.at(engineAnswersAt).get<bool>()};
 }
 
 Json encode(const RankReport &report)
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -69,6 +69,8 @@
     bool open = true;
     /// Number of gateways that receive this report, and so share the free slots.
     std::uint32_t gateways = 1;
+    /// The engine answers its sidecar. Otherwise the other fields are unknown.
+    bool engineAnswers = true;
 
     bool operator==(const EngineLoad &) const = default;
 };
--- a/Source/Version/ServiceConfiguration.h
+++ b/Source/Version/ServiceConfiguration.h
@@ -139,6 +139,13 @@
     bool needsKeys = false;
 };
 
+/// Returns whether the service's backend servers are model engines.
+inline bool isEngine(const ServiceConfiguration &configuration, const std::string &service)
+{
+    const auto found = configuration.services.find(service);
+    return found != configuration.services.end() && found->second.engine;
+}
+
 inline bool isGroup(const ServiceConfiguration &configuration, const std::string &service)
 {
     const auto found = configuration.services.find(service);
--- a/Tests/Gateway/GatewayUnderTest.cpp
+++ b/Tests/Gateway/GatewayUnderTest.cpp
@@ -104,6 +104,16 @@
             {"tenants", {{{"name", "acme"}, {"api_keys", {"key1"}}}}}};
 }
 
+nlohmann::json listEntryOf(const std::string &service, const Endpoint &server, int slots,
+                           const std::string &state, const std::string &domain)
+{
+    return {{"service", service},
+            {"address", toText(server)},
+            {"zone", domain},
+            {"slot_count", slots},
+            {"state", state}};
+}
+
 std::string requestFor(const std::string &target, const std::string &id, const std::string &method)
 {
     return method + " " + target
--- a/Tests/Gateway/GatewayUnderTest.h
+++ b/Tests/Gateway/GatewayUnderTest.h
@@ -54,6 +54,10 @@
 /// /stream/ (streaming, resumable).
 nlohmann::json configurationOf(int version);
 
+/// The entry of a backend server in the list.
+nlohmann::json listEntryOf(const std::string &service, const Endpoint &server, int slots = 4,
+                           const std::string &state = "ready", const std::string &domain = "a");
+
 /// A gateway in a separate thread of the test process, with a stand-in of the store. Its event loop
 /// handles SIGTERM and SIGHUP of the process.
 class GatewayUnderTest
@@ -96,12 +100,7 @@
     void addBackend(const std::string &id, const std::string &service, const ScriptedServer &server,
                     const std::string &state = "ready", const std::string &domain = "a")
     {
-        store.put("keyed.servers", id,
-                  {{"service", service},
-                   {"address", toText(server.endpoint())},
-                   {"zone", domain},
-                   {"slot_count", 4},
-                   {"state", state}});
+        store.put("keyed.servers", id, listEntryOf(service, server.endpoint(), 4, state, domain));
     }
 
     bool ready() const
--- a/Tests/Gateway/LoggedGateway.h
+++ b/Tests/Gateway/LoggedGateway.h
@@ -29,6 +29,8 @@
 
     ~LoggedGateway()
     {
+        if (ended_)
+            return;
         ::kill(child_, SIGKILL);
         ::waitpid(child_, nullptr, 0);
     }
@@ -37,6 +39,29 @@
     LoggedGateway &operator=(const LoggedGateway &) = delete;
 
     const Endpoint &callers() const { return callers_; }
+    pid_t process() const { return child_; }
+
+    /// Waits until the gateway knows its routes and backend servers.
+    /// @return Whether it does.
+    bool waitUntilRouting() const
+    {
+        return eventually([this] {
+            return callServer(callers_, requestFor("/none/x", "routing")).status == 404;
+        });
+    }
+
+    /// Sends SIGTERM.
+    void terminate() const { ::kill(child_, SIGTERM); }
+
+    /// Waits for the process to end.
+    /// @return Its exit status; -1 if a signal ended it.
+    int waitForExit()
+    {
+        int status = 0;
+        ::waitpid(child_, &status, 0);
+        ended_ = true;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
 
     /// The first line of an event whose field has this value; null if there is none yet.
     nlohmann::json line(const std::string &event, const std::string &field,
@@ -69,6 +94,7 @@
     Endpoint callers_{INADDR_LOOPBACK, freePort()};
     std::string path_;
     pid_t child_ = -1;
+    bool ended_ = false;
 };
 
 } // namespace wisteria::gateway_tests
--- a/Tests/Gateway/ScriptedServer.cpp
+++ b/Tests/Gateway/ScriptedServer.cpp
@@ -86,7 +86,13 @@
 
 void ScriptPeer::send(const std::string &bytes) const
 {
-    ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    trySend(bytes);
+}
+
+bool ScriptPeer::trySend(const std::string &bytes) const
+{
+    return ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL)
+        == static_cast<ssize_t>(bytes.size());
 }
 
 void ScriptPeer::reset()
@@ -96,10 +102,10 @@
     closed_ = true;
 }
 
-bool ScriptPeer::waitForEnd() const
+bool ScriptPeer::waitForEnd(milliseconds time) const
 {
     pollfd wanted{descriptor_, POLLIN, 0};
-    if (::poll(&wanted, 1, waitMilliseconds) <= 0)
+    if (::poll(&wanted, 1, static_cast<int>(time.count())) <= 0)
         return false;
     char byte = 0;
     return ::recv(descriptor_, &byte, 1, MSG_PEEK) <= 0;
--- a/Tests/Gateway/ScriptedServer.h
+++ b/Tests/Gateway/ScriptedServer.h
@@ -36,13 +36,16 @@
     explicit ScriptPeer(int descriptor) : descriptor_(descriptor) { }
 
     void send(const std::string &bytes) const;
+    /// Sends bytes unless the other side has closed the connection.
+    /// @return Whether all were sent.
+    bool trySend(const std::string &bytes) const;
     /// Closes the connection with a reset instead of an orderly close, after the script returns.
     void reset();
     void close() { closed_ = true; }
     bool closed() const { return closed_; }
-    /// Waits up to two seconds for the other side to close or reset the connection.
+    /// Waits for the other side to close or reset the connection.
     /// @return Whether it did.
-    bool waitForEnd() const;
+    bool waitForEnd(milliseconds time = seconds(2)) const;
     /// Waits up to two seconds for a reset, which discards data that has not been read yet.
     /// @return Whether it came.
     bool waitForReset() const;
