--- a/Source/Connection/DatagramSocket.cpp
+++ b/Source/Connection/DatagramSocket.cpp
@@ -12,6 +12,9 @@
 
 /// Size of the receive buffer in bytes; no UDP datagram is larger.
 constexpr std::size_t datagramBytes = 65536;
+/// Datagrams received before other events get their turn. A flood of them would starve connections
+/// and timers.
+constexpr int maxDatagramsPerTurn = 64;
 
 } // namespace
 
@@ -26,11 +29,12 @@
     {
         static thread_local std::array<char, datagramBytes> buffer;
         ACE_INET_Addr from;
-        ssize_t count = socket_.recv(buffer.data(), buffer.size(), from);
-        while (count >= 0) {
+        for (int i = 0; i < maxDatagramsPerTurn; ++i) {
+            const ssize_t count = socket_.recv(buffer.data(), buffer.size(), from);
+            if (count < 0)
+                return;
             received_({from.get_ip_address(), from.get_port_number()},
                       std::string_view(buffer.data(), static_cast<std::size_t>(count)));
-            count = socket_.recv(buffer.data(), buffer.size(), from);
         }
     }
 };
--- a/Source/Process/BoundedJson.h
+++ b/Source/Process/BoundedJson.h
@@ -20,6 +20,11 @@
 /// message is a predicate, such as "is not a JSON object", to follow the document's name.
 Result<nlohmann::json> parseJsonObject(std::string_view text);
 
+/// Decodes a MessagePack value that another party wrote.
+/// @return BadInput when the bytes are no such value or nest deeper than `maxJsonDepth`. The
+/// message is a predicate, as for parseJsonObject().
+Result<nlohmann::json> decodeMessagePack(std::string_view bytes);
+
 /// Returns a value of another party as ASCII text for a message, cut off after some 80 characters.
 std::string shortText(const nlohmann::json &value);
 
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -6,6 +6,7 @@
 #include <boost/container_hash/hash.hpp>
 #include <nlohmann/json.hpp>
 
+#include "Process/BoundedJson.h"
 #include "Version/CountsEncoding.h"
 
 namespace wisteria {
@@ -449,12 +450,12 @@
 
 Result<GroupMessage> decodeMessage(std::string_view bytes)
 {
-    const Json json = Json::from_msgpack(bytes, true, false);
-    if (!json.is_array())
+    const auto json = decodeMessagePack(bytes);
+    if (json.has_error() || !json.value().is_array())
         return failure(ErrorKind::BadInput,
                        "a datagram is not a message; check which process sends to the port");
     try {
-        return decodeFields(json);
+        return decodeFields(json.value());
     } catch (const std::exception &error) {
         return failure(ErrorKind::BadInput,
                        std::string("a message can't be decoded: ") + error.what()
--- a/Tests/Gateway/ForeignInputTest.cpp
+++ b/Tests/Gateway/ForeignInputTest.cpp
@@ -3,8 +3,10 @@
 
 #include <catch2/catch.hpp>
 
+#include "Gateway/EngineVm.h"
 #include "Gateway/GatewayUnderTest.h"
 #include "Process/BoundedJson.h"
+#include "Version/GroupMessages.h"
 #include "platform/ConfigurationCodec.h"
 #include "platform/RankCodec.h"
 #include "platform/StoreCodec.h"
@@ -71,6 +73,19 @@
     CHECK(platform::decodeBackendEntry("i-1", entryWith("extra", nestedArrays(8))).has_value());
 }
 
+// Guards against entries that fill the memory with names as long as a record.
+TEST_CASE("An entry with a service or zone of over 255 bytes is refused")
+{
+    for (const std::string field : {"service", "zone"}) {
+        CHECK(platform::decodeBackendEntry("i-1",
+                                           entryWith(field, "\"" + std::string(256, 'x') + "\""))
+                  .has_error());
+        CHECK(platform::decodeBackendEntry("i-1",
+                                           entryWith(field, "\"" + std::string(255, 'x') + "\""))
+                  .has_value());
+    }
+}
+
 // Guards against the same by other documents of the store and of engines.
 TEST_CASE("No document of the store or of an engine that nests deeply is decoded")
 {
@@ -89,6 +104,28 @@
     }
 }
 
+// Guards against a datagram that ends a gateway or a sidecar, because decoding it calls the decoder
+// once for each level.
+TEST_CASE("A datagram that nests deeply is refused, and the gateway serves on")
+{
+    // Arrays of one element each.
+    const std::string arrays = std::string(65'000, '\x91') + '\x01';
+    // Objects with one key each.
+    std::string objects;
+    for (int i = 0; i < 21'000; ++i)
+        objects += "\x81\xa1k";
+    CHECK(decodeMessage(arrays).has_error());
+    CHECK(decodeMessage(objects + '\x01').has_error());
+    ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 200, "sound"));
+    });
+    GatewayUnderTest gateway;
+    gateway.startWithBackend("i-1", "plain", backend);
+    sendDatagram(gateway.messageEndpoint(), arrays);
+    sendDatagram(gateway.messageEndpoint(), objects + '\x01');
+    CHECK(gateway.callUntil(requestFor("/again/x", "a1"), 200).status == 200);
+}
+
 // Guards against a bound that text in strings can evade or reach.
 TEST_CASE("Only brackets outside strings count for the depth of a document")
 {
