Deliver what slow callers have not read yet before a stopping gateway ends

Cause: a session ended when its last answer was queued, not when it was sent, so the gateway saw no session and stopped its loop; and the loop's watchers were destroyed before the reactor that still had them.

Change: a session stays until its queue is sent, which closeWhenDrained() now tells its owner. The loop takes its watchers out of the reactor first. A long queue is no longer moved with each part sent.

--- a/Source/Connection/CallerConnection.h
+++ b/Source/Connection/CallerConnection.h
@@ -35,7 +35,8 @@
     /// Ends the answer and handles the next request.
     void finishAnswer(TimePoint now);
 
-    /// Closes the connection when all queued bytes have been sent.
+    /// Closes the connection when all queued bytes have been sent: at once, or later with a call of
+    /// `closed`.
     void close();
 
     /// Closes the connection without sending the queued bytes and without a TCP reset, so that the
--- a/Source/Connection/TcpConnection.cpp
+++ b/Source/Connection/TcpConnection.cpp
@@ -86,7 +86,7 @@
     void watch()
     {
         const Interest interest{.read = !paused_ && !connecting_ && !closing_,
-                                .write = connecting_ || !queue_.empty()};
+                                .write = connecting_ || queued() > 0};
         if (watching_ && interest == interest_)
             return;
         interest_ = interest;
@@ -146,7 +146,7 @@
     {
         if (!open_ || closing_)
             return;
-        if (queue_.empty() && !connecting_) {
+        if (queued() == 0 && !connecting_) {
             const ssize_t count = stream_.send(bytes.data(), bytes.size());
             if (count > 0)
                 bytes.remove_prefix(static_cast<std::size_t>(count));
@@ -154,23 +154,39 @@
         }
         if (bytes.empty())
             return;
+        dropSent();
         queue_.append(bytes);
         watch();
     }
 
+    /// Frees the sent part of the queue once it is the larger one, so that a long queue is moved a
+    /// few times and not with each part that a slow peer takes.
+    void dropSent()
+    {
+        if (sent_ <= queued())
+            return;
+        queue_.erase(0, sent_);
+        queue_.shrink_to_fit();
+        sent_ = 0;
+    }
+
+    std::size_t queued() const { return queue_.size() - sent_; }
+
     void flush()
     {
-        while (!queue_.empty()) {
-            const ssize_t count = stream_.send(queue_.data(), queue_.size());
+        while (queued() > 0) {
+            const ssize_t count = stream_.send(queue_.data() + sent_, queued());
             if (count <= 0) {
+                dropSent();
                 if (count == -1 && errno != EWOULDBLOCK && errno != EINTR)
                     end(TcpEnd::Reset);
                 return;
             }
-            queue_.erase(0, static_cast<std::size_t>(count));
+            sent_ += static_cast<std::size_t>(count);
         }
+        dropSent();
         if (closing_) {
-            close();
+            end(TcpEnd::Closed);
             return;
         }
         watch();
@@ -213,6 +229,8 @@
     TcpEvents events_;
     ACE_SOCK_Stream stream_;
     std::string queue_;
+    /// Bytes at the beginning of the queue that the kernel has taken already.
+    std::size_t sent_ = 0;
     Interest interest_;
     bool watching_ = false;
     bool open_ = true;
@@ -254,7 +272,7 @@
 
 std::size_t TcpConnection::queued() const
 {
-    return private_->queue_.size();
+    return private_->queued();
 }
 
 void TcpConnection::pauseReading(bool pause)
@@ -267,7 +285,7 @@
 void TcpConnection::closeWhenDrained()
 {
     private_->closing_ = true;
-    if (private_->queue_.empty())
+    if (private_->queued() == 0)
         private_->close();
     else
         private_->watch();
--- a/Source/Connection/TcpConnection.h
+++ b/Source/Connection/TcpConnection.h
@@ -54,7 +54,8 @@
     /// Pauses or resumes reading. While reading is paused, TCP flow control slows the peer down.
     void pauseReading(bool pause);
 
-    /// Stops reading, and closes the connection when the queue is empty.
+    /// Stops reading, and closes the connection when the queue is empty: at once, or later with a
+    /// call of `ended`.
     void closeWhenDrained();
 
     /// Closes with a reset, so that the peer discards what it has not read yet.
--- a/Source/Process/EventLoop.cpp
+++ b/Source/Process/EventLoop.cpp
@@ -113,6 +113,16 @@
           maxPostedTasks_(maxPostedTasks)
     { }
 
+    /// The reactor outlives the watchers and would call those that are still registered, as of
+    /// connections that were open when the loop stopped, after they are deleted.
+    ~Private() override
+    {
+        for (const auto &[descriptor, watcher] : watchers_) {
+            reactor_.remove_handler(
+                descriptor, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+        }
+    }
+
     int handle_timeout(const ACE_Time_Value &, const void *argument) override
     {
         const auto found = pending_.find(reinterpret_cast<TimerId>(argument));
--- a/Source/Programs/Gateway/Session.cpp
+++ b/Source/Programs/Gateway/Session.cpp
@@ -199,19 +199,28 @@
     // A function of the exchange may be running, so it is destroyed after that has returned.
     std::shared_ptr<Exchange> finished = std::move(exchange_);
     context_.loop.defer([finished] {});
-    if (keepAlive) {
+    if (keepAlive)
         connection_.finishAnswer(monotonicNow());
-    } else {
-        connection_.close();
-        closed_ = true;
-        events_.closed();
-    }
+    else
+        closeConnection();
     events_.slotFreed();
 }
 
+/// Closes the connection once its caller has taken what is queued. The session stays until then: a
+/// gateway that stops waits for its sessions, and would cut off an answer that it has taken over.
+void Session::closeConnection()
+{
+    draining_ = connection_.queued() > 0;
+    connection_.close();
+    if (draining_)
+        return;
+    closed_ = true;
+    events_.closed();
+}
+
 void Session::checkTimeouts(TimePoint now)
 {
-    if (closed_)
+    if (closed_ || draining_)
         return;
     if (exchange_) {
         exchange_->checkTimeouts(now);
@@ -235,9 +244,8 @@
 
 void Session::closeIdle()
 {
-    connection_.close();
-    closed_ = true;
-    events_.closed();
+    if (!draining_)
+        closeConnection();
 }
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/Session.h
+++ b/Source/Programs/Gateway/Session.h
@@ -30,6 +30,7 @@
     ~Session() override;
 
     Exchange *exchange() { return exchange_.get(); }
+    /// Whether there is no current request. Its answer may still be queued for a slow caller.
     bool idle() const { return !exchange_ && !early_; }
     void checkTimeouts(TimePoint now);
     /// Closes a connection that has no current request.
@@ -53,6 +54,7 @@
     void answerWithoutExchange(int status, const std::string &attemptId, milliseconds retryAfter,
                                const char *reason);
     void finishRequest(bool keepAlive);
+    void closeConnection();
 
     void answer(int status, const HttpFields &fields, std::string_view body) override;
     void beginStream(int status, const HttpFields &fields) override;
@@ -69,6 +71,7 @@
     std::optional<EarlyRequest> early_;
     bool keepAlive_ = true;
     bool closed_ = false;
+    bool draining_ = false;
 };
 
 } // namespace wisteria
