Bound what all callers' connections hold together, and answers without end

Cause: each bound was on one thing, none on the sum, and none on the time of a head; a body was held up to 64 MB.

Change: what all connections hold is at most a third of the memory limit; beyond it the newest of those that hold at least the average are cut. An answer that is held whole has 16 MB at most, an event 1 MB, a head half a second; the send ends as 'unending', and the server gets nothing new for a while. Answers to calls of the store and engines end at 4 MB. Texts and lists in log lines, and labels of metrics, are bounded. The chunk parser gets the last chunk whole: it asserted otherwise. Sessions move out of Gateway.cpp.

--- a/Source/Connection/CallerConnection.h
+++ b/Source/Connection/CallerConnection.h
@@ -44,6 +44,9 @@
     void abort();
 
     std::size_t queued() const { return tcp_ ? tcp_->queued() : 0; }
+    /// Number of bytes that are held of requests that are being read and of answers that the caller
+    /// has not taken yet.
+    std::size_t heldBytes() const { return reader_.buffered() + queued(); }
     bool answering() const { return answering_; }
     /// When the connection began to wait for a request or, once its first byte has arrived, for the
     /// rest of that request.
--- a/Source/Connection/HttpClientPool.cpp
+++ b/Source/Connection/HttpClientPool.cpp
@@ -18,6 +18,9 @@
 /// Subtracted from the idle timeout that the server announced. Covers the network delay and a late
 /// timer.
 constexpr milliseconds idleTimeoutMargin{700};
+/// Time from the first byte of an answer to the end of its head. A head is sent at once; a server
+/// that sends it bit by bit would keep its caller waiting until the deadline.
+constexpr milliseconds headTimeout{500};
 
 /// Returns the idle timeout from the "timeout=5" of a Keep-Alive field, less the margin.
 milliseconds idleTimeoutOf(const HttpResponseHead &head)
@@ -101,8 +104,8 @@
 class PooledCall : public HttpCall
 {
 public:
-    PooledCall(Endpoint to, CallEvents events, bool isHeadRequest)
-        : to_(to), events_(std::move(events)), isHeadRequest_(isHeadRequest)
+    PooledCall(EventLoop &loop, CallEvents events, bool isHeadRequest)
+        : loop_(loop), events_(std::move(events)), isHeadRequest_(isHeadRequest)
     {
         startReader();
     }
@@ -110,6 +113,7 @@
     ~PooledCall() override
     {
         *destroyed_ = true;
+        loop_.cancel(headTimer_);
         if (!callbacks_)
             return;
         // The answer is no longer needed. After an orderly close a frozen backend server would
@@ -120,6 +124,11 @@
 
     bool sent() const override { return sent_; }
 
+    std::size_t queuedBytes() const override
+    {
+        return request_.size() + (tcp_ ? tcp_->queued() : 0);
+    }
+
     void pauseReading(bool pause) override
     {
         if (tcp_)
@@ -158,7 +167,28 @@
         request_.clear();
     }
 
-    void feed(std::string_view bytes) { reader_->feed(bytes); }
+    void feed(std::string_view bytes)
+    {
+        const auto destroyed = destroyed_;
+        reader_->feed(bytes);
+        if (!*destroyed)
+            watchHead();
+    }
+
+    void watchHead()
+    {
+        if (!callbacks_ || !reader_->insideHead()) {
+            loop_.cancel(std::exchange(headTimer_, 0));
+            return;
+        }
+        if (headTimer_ != 0)
+            return;
+        headTimer_ = loop_.runAfter(headTimeout, [this] {
+            headTimer_ = 0;
+            headTimedOut_ = true;
+            fail("the head of the answer did not arrive in time");
+        });
+    }
 
     void onHead(HttpResponseHead head)
     {
@@ -234,6 +264,7 @@
                                   .refused = refused_,
                                   .headReceived = headReceived_,
                                   .connectionEnded = connectionEnded_,
+                                  .unending = headTimedOut_ || reader_->exceededBound(),
                                   .reason = std::move(reason)};
         const auto failed = events_.failed;
         failed(failure);
@@ -258,9 +289,11 @@
         callbacks_ = nullptr;
     }
 
-    Endpoint to_;
+    EventLoop &loop_;
     CallEvents events_;
     bool isHeadRequest_;
+    EventLoop::TimerId headTimer_ = 0;
+    bool headTimedOut_ = false;
     std::unique_ptr<TcpConnection> tcp_;
     std::shared_ptr<ConnectionCallbacks> callbacks_;
     std::unique_ptr<ResponseReader> reader_;
@@ -290,7 +323,7 @@
                                                ConnectionUse use, CallEvents events, TimePoint now)
 {
     const bool isHeadRequest = request.starts_with("HEAD ");
-    auto call = std::make_unique<PooledCall>(to, std::move(events), isHeadRequest);
+    auto call = std::make_unique<PooledCall>(private_->loop_, std::move(events), isHeadRequest);
     call->storeIdle_ = [state = private_, to](PooledConnection connection,
                                               milliseconds idleTimeout) {
         if (state->closed_ || idleTimeout <= milliseconds(0))
--- a/Source/Connection/HttpClientPool.h
+++ b/Source/Connection/HttpClientPool.h
@@ -25,6 +25,8 @@
     /// The connection ended after the request was sent. False for an answer that can't be used
     /// although the connection holds.
     bool connectionEnded = false;
+    /// The answer exceeded a bound in length or time, and perhaps has no end.
+    bool unending = false;
     std::string reason;
 };
 
@@ -51,6 +53,8 @@
     virtual bool sent() const = 0;
     /// Pauses or resumes reading the answer.
     virtual void pauseReading(bool pause) = 0;
+    /// Number of bytes of the request that the server has not taken yet.
+    virtual std::size_t queuedBytes() const = 0;
 };
 
 /// Which connection a call uses.
--- a/Source/Connection/HttpReader.cpp
+++ b/Source/Connection/HttpReader.cpp
@@ -1,6 +1,7 @@
 #include "Connection/HttpReader.h"
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -16,10 +17,9 @@
 using boost::beast::error_code;
 using boost::beast::string_view;
 
-/// Maximum size of a backend server's response head in bytes.
+/// Maximum size in bytes of a response head, and of a line between the chunks of a body. The body
+/// itself has no bound here, because it is passed on as it arrives.
 constexpr std::uint32_t responseHeaderBytes = 32768;
-/// Maximum size of a backend server's response body in bytes. Bodies are forwarded as they arrive.
-constexpr std::uint64_t responseBodyBytes = 64ULL * 1024 * 1024;
 
 std::string toString(string_view text)
 {
@@ -73,6 +73,14 @@
     void on_finish_impl(error_code &) override { }
 };
 
+/// Whether the parser may be given the input. Beast asserts that it gets at least the five bytes of
+/// the last chunk when it looks at that again, which a peer that sends bit by bit would violate.
+template <bool isRequest> bool mayParse(const Parser<isRequest> &parser, const std::string &input)
+{
+    constexpr std::size_t lastChunkBytes = 5;
+    return !parser.headParsed_ || !parser.chunked() || input.size() >= lastChunkBytes;
+}
+
 RequestFault faultOf(const error_code &error)
 {
     if (error == http::error::header_limit)
@@ -121,7 +129,8 @@
 
     void parse()
     {
-        while (!input_.empty() && !parser_->is_done() && fault_ == RequestFault::None) {
+        while (!input_.empty() && !parser_->is_done() && fault_ == RequestFault::None
+               && mayParse(*parser_, input_)) {
             error_code error;
             const std::size_t used =
                 parser_->put(boost::asio::const_buffer(input_.data(), input_.size()), error);
@@ -208,25 +217,31 @@
             pendingBody_.append(bytes.data(), bytes.size());
         };
         parser_.header_limit(responseHeaderBytes);
-        parser_.body_limit(responseBodyBytes);
+        parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
         parser_.eager(true);
         parser_.skip(isHeadRequest);
     }
 
     void parse()
     {
-        while (!failed_ && !parser_.is_done() && !input_.empty()) {
+        while (!failed_ && !parser_.is_done() && !input_.empty() && mayParse(parser_, input_)) {
             error_code error;
             const std::size_t used =
                 parser_.put(boost::asio::const_buffer(input_.data(), input_.size()), error);
             input_.erase(0, used);
             if (error && error != http::error::need_more) {
+                exceededBound_ = error == http::error::header_limit;
                 fail(error.message());
                 return;
             }
-            if (used == 0)
+            if (used == 0 || error == http::error::need_more)
                 break;
         }
+        if (!parser_.is_done() && input_.size() > responseHeaderBytes) {
+            exceededBound_ = true;
+            fail("a line of the answer is too long");
+            return;
+        }
         deliverEvents();
     }
 
@@ -266,6 +281,7 @@
     bool headDelivered_ = false;
     bool completeDelivered_ = false;
     bool failed_ = false;
+    bool exceededBound_ = false;
     /// The reader is destroyed, so no callback may be called.
     bool destroyed_ = false;
 };
@@ -301,6 +317,17 @@
     state->deliverEvents();
 }
 
+bool ResponseReader::insideHead() const
+{
+    const auto &parser = private_->parser_;
+    return !parser.headParsed_ && (parser.got_some() || !private_->input_.empty());
+}
+
+bool ResponseReader::exceededBound() const
+{
+    return private_->exceededBound_;
+}
+
 bool ResponseReader::complete() const
 {
     return private_->parser_.is_done();
--- a/Source/Connection/HttpReader.h
+++ b/Source/Connection/HttpReader.h
@@ -77,6 +77,10 @@
     /// nor chunks, and reports any other unfinished response as malformed.
     void feedEnd();
 
+    /// Whether a part of the head has been received and the rest is awaited.
+    bool insideHead() const;
+    /// Whether the response was malformed because a part of it exceeded a bound.
+    bool exceededBound() const;
     bool complete() const;
     /// Bytes received after the end of the response.
     const std::string &trailingBytes() const;
--- a/Source/Connection/TimedCalls.cpp
+++ b/Source/Connection/TimedCalls.cpp
@@ -5,6 +5,13 @@
 
 namespace wisteria {
 
+namespace {
+
+/// Longest body of an answer: four times what the store sends of its records in one call.
+constexpr std::size_t maxAnswerBytes = 4194304;
+
+} // namespace
+
 struct TimedCalls::Call
 {
     std::unique_ptr<HttpCall> http;
@@ -29,7 +36,13 @@
     CallEvents events{
         .accept = {},
         .head = [&state](const HttpResponseHead &head) { state.response.head = head; },
-        .body = [&state](std::string_view bytes) { state.response.body.append(bytes); },
+        .body =
+            [this, id, &state](std::string_view bytes) {
+                if (state.response.body.size() + bytes.size() > maxAnswerBytes)
+                    end(id, failure(ErrorKind::OutcomeUnknown, "the answer is too long"));
+                else
+                    state.response.body.append(bytes);
+            },
         .complete = [this, id, &state] { end(id, std::move(state.response)); },
         .failed =
             [this, id](const CallFailure &failed) {
--- a/Source/Process/EventLog.cpp
+++ b/Source/Process/EventLog.cpp
@@ -16,6 +16,30 @@
 constexpr milliseconds shutdownFlushTimeout{300};
 /// Minimum time between two "log.dropped" lines.
 constexpr seconds droppedReportInterval{1};
+/// Longest text of a field in bytes: a sentence and some names.
+constexpr std::size_t maxTextBytes = 1024;
+/// Longest list or object of a field in bytes as JSON: the requests in flight at a server.
+constexpr std::size_t maxListBytes = 16384;
+
+std::string cutText(const std::string &text)
+{
+    return text.substr(0, maxTextBytes) + "... (" + std::to_string(text.size() - maxTextBytes)
+        + " bytes more)";
+}
+
+/// Returns roughly how long a value is as JSON.
+std::size_t sizeOf(const LogFields &value)
+{
+    constexpr std::size_t scalarBytes = 8;
+    if (value.is_string())
+        return value.get_ref<const std::string &>().size();
+    if (!value.is_structured())
+        return scalarBytes;
+    std::size_t size = 0;
+    for (const auto &element : value)
+        size += sizeOf(element);
+    return size;
+}
 
 const char *levelName(LogLevel level)
 {
@@ -34,6 +58,17 @@
 
 } // namespace
 
+LogFields boundedFields(LogFields fields)
+{
+    for (auto &value : fields) {
+        if (value.is_string() && value.get_ref<const std::string &>().size() > maxTextBytes)
+            value = cutText(value.get_ref<const std::string &>());
+        else if (value.is_structured() && sizeOf(value) > maxListBytes)
+            value = "left out: " + std::to_string(value.size()) + " elements are too long";
+    }
+    return fields;
+}
+
 LogLevel logLevelFromName(const std::string &name)
 {
     for (const LogLevel level : {LogLevel::Debug, LogLevel::Warning, LogLevel::Error}) {
@@ -84,7 +119,8 @@
         // Fields may contain bytes from the network. Invalid UTF-8 is replaced, since dump() would
         // throw by default.
         const std::string text =
-            line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+            boundedFields(std::move(line))
+                .dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
         const bool failure = level == LogLevel::Warning || level == LogLevel::Error;
         (failure ? failures_ : successes_).logger_->info("{}", text);
     }
--- a/Source/Process/EventLog.h
+++ b/Source/Process/EventLog.h
@@ -25,10 +25,15 @@
     /// Lines below this level are not written.
     LogLevel minLevel = LogLevel::Info;
     /// Lines that each of the two queues holds for a slow reader: some seconds of output of a busy
-    /// process, about 1 MB.
+    /// process, usually about 1 MB.
     std::size_t queueCapacity = 4096;
 };
 
+/// Returns log fields of bounded size: longer texts are cut off and say how many bytes are missing,
+/// and longer lists are left out. Fields hold values of other parties, such as entries and header
+/// fields, whose size must not decide how much memory the queued lines take.
+LogFields boundedFields(LogFields fields);
+
 /// Structured log of one process: one JSON object per line on standard output.
 ///
 /// Background threads write the lines from bounded queues, so a reader that stops reading never
--- a/Source/Process/Metrics.cpp
+++ b/Source/Process/Metrics.cpp
@@ -17,6 +17,16 @@
 /// Maximum number of series of a process, at about 300 bytes each. Label values come from the
 /// configuration; thousands of services must not exhaust the memory of a small VM.
 constexpr std::size_t maxSeries = 2000;
+/// Longest label value in bytes; names from entries of other writers may be as long as a record.
+constexpr std::size_t maxLabelBytes = 256;
+
+MetricLabels boundedLabels(const MetricLabels &labels)
+{
+    MetricLabels bounded = labels;
+    for (auto &[label, value] : bounded)
+        value = value.substr(0, maxLabelBytes);
+    return bounded;
+}
 
 } // namespace
 
@@ -32,7 +42,7 @@
     {
         std::string key = name;
         for (const auto &[label, value] : labels)
-            key += '\n' + label + '\n' + value;
+            key.append(1, '\n').append(label).append(1, '\n').append(value, 0, maxLabelBytes);
         const std::lock_guard<std::mutex> lock(mutex_);
         const auto found = cache.find(key);
         if (found != cache.end())
@@ -73,7 +83,7 @@
             .Name(name)
             .Help(help)
             .Register(*private_->registry_)
-            .Add(labels);
+            .Add(boundedLabels(labels));
     };
     if (auto *counter = private_->series(private_->counters_, name, labels, make))
         counter->Increment(increment);
@@ -87,7 +97,7 @@
             .Name(name)
             .Help(help)
             .Register(*private_->registry_)
-            .Add(labels);
+            .Add(boundedLabels(labels));
     };
     if (auto *gauge = private_->series(private_->gauges_, name, labels, make))
         gauge->Set(value);
@@ -101,7 +111,7 @@
             .Name(name)
             .Help(help)
             .Register(*private_->registry_)
-            .Add(labels, latencyBuckets);
+            .Add(boundedLabels(labels), latencyBuckets);
     };
     if (auto *histogram = private_->series(private_->histograms_, name, labels, make))
         histogram->Observe(value);
--- a/Source/Programs/Gateway/AnswerRelay.cpp
+++ b/Source/Programs/Gateway/AnswerRelay.cpp
@@ -5,10 +5,19 @@
 
 namespace wisteria {
 
+namespace {
+
+/// Longest answer that is held until it is complete, in bytes.
+constexpr std::size_t maxAnswerBytes = 16777216;
+/// Longest event of a stream in bytes.
+constexpr std::size_t maxEventBytes = 1048576;
+
+} // namespace
+
 void AnswerRelay::beginSend(TimePoint now)
 {
     head_ = {};
-    body_.clear();
+    body_ = {};
     splitter_.discardPartialEvent();
     pauseBegunAt_ = now;
 }
@@ -41,6 +50,11 @@
     return true;
 }
 
+bool AnswerRelay::tooLong() const
+{
+    return body_.size() > maxAnswerBytes || splitter_.pending() > maxEventBytes;
+}
+
 bool AnswerRelay::isStream() const
 {
     return kind_ == RequestKind::Streaming && head_.success() && head_.eventStream && head_.sealed
--- a/Source/Programs/Gateway/AnswerRelay.h
+++ b/Source/Programs/Gateway/AnswerRelay.h
@@ -39,6 +39,11 @@
     /// @return Whether events were passed on to the caller.
     bool receiveBody(std::string_view bytes, TimePoint now);
 
+    /// Whether more of the answer is held than any sound one needs; it perhaps has no end.
+    bool tooLong() const;
+    /// Number of bytes that are held of the answer.
+    std::size_t heldBytes() const { return body_.capacity() + splitter_.pending(); }
+
     /// Whether the answer is a stream that is passed on event by event.
     bool isStream() const;
     /// Returns why the answer, which has ended, is no usable one; nothing if it is.
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -228,7 +228,12 @@
     const TimePoint now = monotonicNow();
     if (BackendState *backend = currentBackend())
         noteSignOfLife(*backend, now);
-    if (!relay_.receiveBody(bytes, now))
+    const bool forwarded = relay_.receiveBody(bytes, now);
+    if (relay_.tooLong()) {
+        endSend(SendOutcome::Unending, "the answer is too long");
+        return;
+    }
+    if (!forwarded)
         return;
     history_.answerBegun = true;
     context_.lastProgressAt[service_] = now;
@@ -283,7 +288,11 @@
     if (failure.refused)
         context_.crashes.noteRefused(backendId_, monotonicNow());
     connectionEnded_ = failure.connectionEnded;
-    endSend(failure.neverSent ? SendOutcome::NeverSent : SendOutcome::Incomplete, failure.reason);
+    if (failure.unending)
+        endSend(SendOutcome::Unending, failure.reason);
+    else
+        endSend(failure.neverSent ? SendOutcome::NeverSent : SendOutcome::Incomplete,
+                failure.reason);
 }
 
 void Exchange::endSend(SendOutcome outcome, const std::string &reason)
@@ -294,11 +303,13 @@
         ++history_.refusedConnections;
     else
         ++history_.delivered;
-    if (outcome == SendOutcome::Incomplete || outcome == SendOutcome::TimedOut
-        || outcome == SendOutcome::ServerError)
+    if (mayHaveRunAfter(outcome))
         history_.mayHaveRun = true;
-    if (BackendState *backend = currentBackend())
-        noteFailure(*backend, outcome == SendOutcome::NeverSent, now);
+    if (BackendState *backend = currentBackend()) {
+        const bool serverAtFault =
+            outcome == SendOutcome::NeverSent || outcome == SendOutcome::Unending;
+        noteFailure(*backend, serverAtFault, now);
+    }
     const bool connectionEnded = std::exchange(connectionEnded_, false);
     LogFields fields = {{"id", request_.attemptId},
                         {"backend", backendId_},
@@ -491,6 +502,25 @@
     send(*choice.backend, now);
 }
 
+std::size_t Exchange::heldBytes() const
+{
+    return request_.body.size() + relay_.heldBytes() + (call_ ? call_->queuedBytes() : 0);
+}
+
+void Exchange::cut(TimePoint now)
+{
+    if (waiting_) {
+        refuse("too many bytes of requests and answers are held",
+               {.reason = NoBackendReason::AllFull}, now);
+        return;
+    }
+    if (!call_)
+        return;
+    const bool answerHoldsMost = relay_.heldBytes() > heldBytes() / 2;
+    endSend(answerHoldsMost ? SendOutcome::Unending : SendOutcome::Incomplete,
+            "too many bytes of requests and answers are held");
+}
+
 BackendChoice Exchange::chooseNext(double maxLoad, TimePoint now)
 {
     const BackendCriteria criteria{.service = service_,
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -39,6 +39,11 @@
 
     /// Ends a wait or a send that has timed out, and moves a stream off a slow backend server.
     void checkTimeouts(TimePoint now);
+    /// Ends the request, or the present send of it, because the gateway holds too many bytes.
+    void cut(TimePoint now);
+    /// Number of bytes that are held of the request and its answer.
+    std::size_t heldBytes() const;
+    const std::string &id() const { return request_.attemptId; }
 
     /// Reads from the backend server again, as the caller has received all queued bytes.
     void resumeReading();
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -10,7 +10,7 @@
 #include "Process/ShutdownSignal.h"
 #include "Programs/Gateway/BackendList.h"
 #include "Programs/Gateway/CallerListener.h"
-#include "Programs/Gateway/DispatchOrder.h"
+#include "Programs/Gateway/CallerSessions.h"
 #include "Programs/Gateway/GatewayDirectory.h"
 #include "Programs/Gateway/GatewayMetrics.h"
 #include "Programs/Gateway/LimitPermits.h"
@@ -18,10 +18,10 @@
 #include "Programs/Gateway/OperatorRecords.h"
 #include "Programs/Gateway/PoisonProtection.h"
 #include "Programs/Gateway/PriorityLimitGauges.h"
-#include "Programs/Gateway/Session.h"
 #include "Programs/Gateway/SidecarHellos.h"
 #include "Programs/Gateway/StorePolling.h"
 #include "Programs/Gateway/StoreWatch.h"
+#include "Request/HeldMemory.h"
 #include "Version/GroupMessages.h"
 
 namespace wisteria {
@@ -80,7 +80,8 @@
         : settings_(std::move(settings)), shutdown_(
                                               loop_, [this] { stop(); }, [this] { reload(); }),
           log_(settings_.vmName, log), pool_(loop_),
-          poisonProtection_(loop_, log_, metrics_, registry_, [this] { scheduleDispatch(); }),
+          poisonProtection_(loop_, log_, metrics_, registry_,
+                            [this] { sessions_.scheduleDispatch(); }),
           context_{.loop = loop_,
                    .log = log_,
                    .metrics = metrics_,
@@ -94,14 +95,14 @@
                    .fairQueueing = settings_.fairQueueing,
                    .routes = nullptr,
                    .rereadBackends = [this] { backendsWatch_->readSoon(monotonicNow()); },
-                   .dispatchSoon = [this] { scheduleDispatch(); },
-                   .dispatchNow = [this] { dispatchWaiting(); },
+                   .dispatchSoon = [this] { sessions_.scheduleDispatch(); },
+                   .dispatchNow = [this] { sessions_.dispatchWaiting(); },
                    .checkLiveness =
                        [this](const std::string &backend, bool isEngine) {
                            livenessChecks_.begin(backend, isEngine, monotonicNow());
                        }},
           livenessChecks_({loop_, pool_, registry_, log_, metrics_}),
-          operatorRecords_(context_, [this] { scheduleDispatch(); }),
+          operatorRecords_(context_, [this] { sessions_.scheduleDispatch(); }),
           backendList_(
               registry_, log_, metrics_,
               {.heartbeatInterval = settings_.heartbeatInterval,
@@ -112,7 +113,7 @@
               },
               [this] { backendsWatch_->readNow(); }),
           callerListener_(loop_, log_, metrics_, maxCallers(settings_),
-                          {.accepted = [this](int descriptor) { acceptCaller(descriptor); },
+                          {.accepted = [this](int descriptor) { sessions_.accept(descriptor); },
                            .openConnections = [this] { return sessions_.size(); }}),
           readinessListener_(
               loop_,
@@ -125,7 +126,8 @@
                          [this](const Endpoint &from, std::string_view bytes) {
                              receiveMessage(from, bytes);
                          }),
-          hellos_(context_, messageSocket_, settings_.firstInternalPort)
+          hellos_(context_, messageSocket_, settings_.firstInternalPort),
+          sessions_(context_, heldBytesLimit(settings_.memoryBytes), [this] { return stopping_; })
     {
         registry_.coldServers.bounds = {settings_.coldOvershoot, settings_.coldSlack};
     }
@@ -155,7 +157,7 @@
         permits_ = std::make_unique<LimitPermits>(context_, messageSocket_, *directory_);
         scheduleCheck();
         loop_.run();
-        log_.info("process.stop", {{"open_requests", busySessions()}});
+        log_.info("process.stop", {{"open_requests", sessions_.busy()}});
         return boost::outcome_v2::success();
     }
 
@@ -196,7 +198,7 @@
                                                  .endedAt = monotonicNow()});
                         context_.backendsKnown = backendList_.known();
                         operatorRecords_.logUnknownDomains();
-                        scheduleDispatch();
+                        sessions_.scheduleDispatch();
                     }});
     }
 
@@ -250,13 +252,13 @@
                 handleGroupOpening(state.entry.service);
             noteLoad(state, reported, context_.randomUnit());
         }
-        scheduleDispatch();
+        sessions_.scheduleDispatch();
     }
 
     void receivePermitReply(const Endpoint &from, const PermitReplyMessage &message)
     {
         if (permits_->receive(from, message, monotonicNow()))
-            scheduleDispatch();
+            sessions_.scheduleDispatch();
     }
 
     void handleGroupOpening(const std::string &service)
@@ -265,72 +267,6 @@
         backendsWatch_->readSoon(monotonicNow());
     }
 
-    void acceptCaller(int descriptor)
-    {
-        const std::uint64_t id = ++lastSession_;
-        sessions_[id] = std::make_unique<Session>(
-            context_, descriptor,
-            SessionEvents{.closed = [this, id] { endSession(id); },
-                          .queued = [this, id] { waiting_.push_back(id); },
-                          .slotFreed = [this] { scheduleDispatch(); },
-                          .stopping = [this] { return stopping_; }});
-    }
-
-    void endSession(std::uint64_t id)
-    {
-        const auto found = sessions_.find(id);
-        if (found == sessions_.end())
-            return;
-        // A callback of the session may be running, so it is destroyed at the end of the loop's
-        // round.
-        std::shared_ptr<Session> ended = std::move(found->second);
-        sessions_.erase(found);
-        loop_.defer([ended] {});
-        scheduleDispatch();
-    }
-
-    void scheduleDispatch()
-    {
-        if (dispatchScheduled_ || waiting_.empty())
-            return;
-        dispatchScheduled_ = true;
-        loop_.defer([this] {
-            dispatchScheduled_ = false;
-            dispatchWaiting();
-        });
-    }
-
-    /// Tries to dispatch the waiting requests; see dispatchOrder().
-    void dispatchWaiting()
-    {
-        std::erase_if(waiting_,
-                      [this](std::uint64_t id) { return waitingExchange(id) == nullptr; });
-        const TimePoint now = monotonicNow();
-        std::vector<WaitingRequest> waiting;
-        waiting.reserve(waiting_.size());
-        for (const std::uint64_t id : waiting_) {
-            PriorityAdmission &admission = waitingExchange(id)->admission();
-            admission.updateQueuedPriority(now);
-            waiting.push_back({id, admission.dispatchPriority(now), admission.organisation()});
-        }
-        const OrganisationShares *shares =
-            context_.fairQueueing ? &context_.organisationShares : nullptr;
-        for (const std::uint64_t id : dispatchOrder(waiting, shares, now)) {
-            if (Exchange *exchange = waitingExchange(id))
-                exchange->tryDispatch(now);
-        }
-    }
-
-    /// Returns the session's request if it is in the admission queue, otherwise null.
-    Exchange *waitingExchange(std::uint64_t id)
-    {
-        const auto found = sessions_.find(id);
-        if (found == sessions_.end() || found->second->idle())
-            return nullptr;
-        Exchange *exchange = found->second->exchange();
-        return exchange->waiting() && exchange->admission().queued() ? exchange : nullptr;
-    }
-
     bool ready() const { return !stopping_ && context_.routes && backendList_.known(); }
 
     std::string metricsText()
@@ -340,8 +276,9 @@
             metrics_,
             {.configurationVersion = context_.routes ? context_.routes->configuration().version : 0,
              .connections = sessions_.size(),
-             .openRequests = busySessions(),
-             .waitingRequests = waiting_.size(),
+             .openRequests = sessions_.busy(),
+             .waitingRequests = sessions_.waiting(),
+             .heldBytes = sessions_.heldBytes(),
              .serverLimits = activeLimitCount(registry_.limits),
              .coldServers = coldServerCount(registry_.coldServers, now),
              .ready = ready(),
@@ -382,20 +319,12 @@
 
     void checkTimeouts(TimePoint now)
     {
-        std::vector<std::uint64_t> ids;
-        ids.reserve(sessions_.size());
-        for (const auto &[id, session] : sessions_)
-            ids.push_back(id);
-        for (const std::uint64_t id : ids) {
-            const auto found = sessions_.find(id);
-            if (found != sessions_.end())
-                found->second->checkTimeouts(now);
-        }
+        sessions_.checkTimeouts(now);
         livenessChecks_.checkTimeouts(now);
         hellos_.sendDue(now);
         directory_->checkTimeouts(now);
         if (permits_->requestPermits(now))
-            scheduleDispatch();
+            sessions_.scheduleDispatch();
         configurationWatch_->checkTimeouts(now);
         backendsWatch_->checkTimeouts(now);
         backendList_.checkTimeouts(now);
@@ -430,7 +359,7 @@
             return;
         stopping_ = true;
         stopAt_ = monotonicNow();
-        log_.info("process.stopping", {{"open_requests", busySessions()}});
+        log_.info("process.stopping", {{"open_requests", sessions_.busy()}});
     }
 
     void checkStop(TimePoint now)
@@ -445,24 +374,11 @@
         // If too few gateways of a failure domain are ready, the platform keeps sending callers
         // here. A request that is accepted too late would be cut off by the end of the process.
         callerListener_.close();
-        std::vector<std::uint64_t> idle;
-        for (const auto &[id, session] : sessions_) {
-            if (session->idle())
-                idle.push_back(id);
-        }
-        for (const std::uint64_t id : idle)
-            sessions_.at(id)->closeIdle();
+        sessions_.closeIdle();
         if (sessions_.empty())
             loop_.stop();
     }
 
-    std::size_t busySessions() const
-    {
-        return static_cast<std::size_t>(
-            std::count_if(sessions_.begin(), sessions_.end(),
-                          [](const auto &entry) { return !entry.second->idle(); }));
-    }
-
     platform::ProcessSettings settings_;
     EventLoop loop_;
     /// Declared before all members that start a thread, such as the log: the kernel would deliver
@@ -488,10 +404,7 @@
     std::unique_ptr<StoreWatch> backendsWatch_;
     std::unique_ptr<GatewayDirectory> directory_;
     std::unique_ptr<LimitPermits> permits_;
-    std::map<std::uint64_t, std::unique_ptr<Session>> sessions_;
-    std::vector<std::uint64_t> waiting_;
-    std::uint64_t lastSession_ = 0;
-    bool dispatchScheduled_ = false;
+    CallerSessions sessions_;
     bool stopping_ = false;
     TimePoint stopAt_;
 };
--- a/Source/Programs/Gateway/GatewayMetrics.cpp
+++ b/Source/Programs/Gateway/GatewayMetrics.cpp
@@ -101,6 +101,12 @@
                   {{"service", service}, {"cause", nameOf(cause)}});
 }
 
+void countCutRequest(Metrics &metrics)
+{
+    metrics.count("wisteria_requests_cut_total",
+                  "Connections that were cut because all together held too many bytes");
+}
+
 void countLivenessCheck(Metrics &metrics, bool answered)
 {
     metrics.count("wisteria_liveness_checks_total",
@@ -189,6 +195,8 @@
                 static_cast<double>(state.openRequests));
     metrics.set("wisteria_waiting_requests", "Requests that wait for a place",
                 static_cast<double>(state.waitingRequests));
+    metrics.set("wisteria_held_bytes", "Bytes that are held of requests and answers",
+                static_cast<double>(state.heldBytes));
     metrics.set("wisteria_server_limits",
                 "Backend servers that name a limit for all gateways together",
                 static_cast<double>(state.serverLimits));
--- a/Source/Programs/Gateway/GatewayMetrics.h
+++ b/Source/Programs/Gateway/GatewayMetrics.h
@@ -72,6 +72,9 @@
 
 void countRetry(Metrics &metrics, const std::string &service, RetryCause cause);
 
+/// Counts a connection that was cut because all together held too many bytes.
+void countCutRequest(Metrics &metrics);
+
 /// Counts a check of a backend server that was suspected of silence.
 void countLivenessCheck(Metrics &metrics, bool answered);
 
@@ -106,6 +109,8 @@
     std::size_t connections = 0;
     std::size_t openRequests = 0;
     std::size_t waitingRequests = 0;
+    /// Bytes that are held of requests and answers.
+    std::size_t heldBytes = 0;
     std::size_t serverLimits = 0;
     std::size_t coldServers = 0;
     bool ready = false;
--- a/Source/Programs/Gateway/Session.cpp
+++ b/Source/Programs/Gateway/Session.cpp
@@ -37,6 +37,7 @@
 /// Retry-After of a refusal because the configuration has no service for the route.
 constexpr milliseconds noServiceRetryAfter{300};
 constexpr const char *unreadableReason = "the request can't be read";
+constexpr const char *heldTooMuchReason = "too many bytes of requests and answers are held";
 
 } // namespace
 
@@ -242,6 +243,42 @@
     closeIdle();
 }
 
+std::size_t Session::heldBytes() const
+{
+    const std::size_t early = early_ ? early_->request.body.size() : 0;
+    return connection_.heldBytes() + early + (exchange_ ? exchange_->heldBytes() : 0);
+}
+
+TimePoint Session::since() const
+{
+    return exchange_ ? exchange_->arrived() : connection_.waitingSince();
+}
+
+void Session::cut(TimePoint now)
+{
+    if (closed_)
+        return;
+    context_.log.warn("request.cut",
+                      {{"id", exchange_ ? exchange_->id() : ""},
+                       {"held_bytes", heldBytes()},
+                       {"reason", heldTooMuchReason}});
+    if (exchange_ && exchange_->heldBytes() >= connection_.heldBytes()) {
+        exchange_->cut(now);
+        return;
+    }
+    if (exchange_ || connection_.queued() > 0) {
+        abort();
+        return;
+    }
+    const std::string id = early_ ? early_->request.attemptId : "";
+    early_.reset();
+    keepAlive_ = false;
+    const milliseconds retryAfter =
+        retryAfterFor(context_.retryAfterPolicy, NoBackendReason::AllFull, milliseconds(0),
+                      context_.randomUnit());
+    answerWithoutExchange(503, id, retryAfter, heldTooMuchReason);
+}
+
 void Session::closeIdle()
 {
     if (!draining_)
--- a/Source/Programs/Gateway/Session.h
+++ b/Source/Programs/Gateway/Session.h
@@ -32,7 +32,17 @@
     Exchange *exchange() { return exchange_.get(); }
     /// Whether there is no current request. Its answer may still be queued for a slow caller.
     bool idle() const { return !exchange_ && !early_; }
+    /// Whether the connection is closed once its caller has taken the rest of the answer.
+    bool draining() const { return draining_; }
     void checkTimeouts(TimePoint now);
+    /// Number of bytes that are held of the connection's requests and answers.
+    std::size_t heldBytes() const;
+    /// When the connection began with its current request, or to wait for one.
+    TimePoint since() const;
+    /// Ends what the connection holds, because the gateway holds too much: a request that has not
+    /// run is refused, an answer that is being received is cut, and one that the caller does not
+    /// take is broken off.
+    void cut(TimePoint now);
     /// Closes a connection that has no current request.
     void closeIdle();
 
--- a/Source/Request/RetryDecision.cpp
+++ b/Source/Request/RetryDecision.cpp
@@ -13,12 +13,19 @@
         return "server error";
     case SendOutcome::Incomplete:
         return "broken off";
+    case SendOutcome::Unending:
+        return "unending";
     case SendOutcome::TimedOut:
         return "silent";
     }
     return "";
 }
 
+bool mayHaveRunAfter(SendOutcome outcome)
+{
+    return outcome != SendOutcome::NeverSent && outcome != SendOutcome::NotExecuted;
+}
+
 bool mayRetry(const RouteRule &route, SendOutcome outcome, const SendHistory &history,
               milliseconds timeLeft)
 {
--- a/Source/Request/RetryDecision.h
+++ b/Source/Request/RetryDecision.h
@@ -13,12 +13,16 @@
     NotExecuted, ///< The backend server did not run the request and never will.
     ServerError, ///< The backend server ran the request and failed.
     Incomplete, ///< No complete answer arrived; the request may have run.
+    Unending, ///< The answer exceeded a bound in length or time; the request may have run.
     TimedOut, ///< Nothing arrived within the timeout; the request may have run.
 };
 
 /// Returns the text of an outcome for metrics.
 const char *nameOf(SendOutcome outcome);
 
+/// Returns whether the backend server may have run a request whose send ended so.
+bool mayHaveRunAfter(SendOutcome outcome);
+
 /// Sends of a request so far.
 struct SendHistory
 {
