Soak: VMs that freeze under streams, entries of another writer

Single VMs with engine and sidecar freeze for 0.3 to 3.5 s under streams; without other faults each stream has to be complete within two seconds, the time that callers wait. Another writer puts entries that nest deeply, are long, of another type or unreadable into the list all the time.

--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -81,6 +81,13 @@
     return route;
 }
 
+nlohmann::json engineRoute()
+{
+    nlohmann::json route = routeOf("/engine/", "streaming");
+    route["service"] = "engine";
+    return route;
+}
+
 nlohmann::json crashingRoute()
 {
     nlohmann::json route = routeOf("/crash/", "idempotent");
@@ -149,9 +156,8 @@
 
 GatewayProcess::GatewayProcess(std::string program, const std::string &folder, int number,
                                const Endpoint &store)
-    : program_(std::move(program)), callers_{INADDR_LOOPBACK, freePort()}, readiness_{
-                                                                               INADDR_LOOPBACK,
-                                                                               freePort()}
+    : program_(std::move(program)), callers_{INADDR_LOOPBACK, freePort()},
+      readiness_{INADDR_LOOPBACK, freePort()}, messages_{INADDR_LOOPBACK, freePort()}
 {
     const std::string name = "gateway-" + std::to_string(number);
     settings_ = folder + "/" + name + ".conf";
@@ -159,7 +165,7 @@
     std::ofstream(settings_) << "node_name=" << name
                              << "\nip=127.0.0.1\nzone=a\nlisten.front=" << toText(callers_)
                              << "\nlisten.ready=" << toText(readiness_)
-                             << "\ninternal_port_range=" << freePort()
+                             << "\ninternal_port_range=" << messages_.port
                              << ",65535\nplatform.address=" << toText(store)
                              << "\nbounds.budget_slack=400\nbounds.grace_period_s=6"
                              << "\nbounds.cold_overshoot=" << coldOvershoot
@@ -262,8 +268,10 @@
                {{"version", ++version_},
                 {"routes",
                  {routeOf("/once/", "non_idempotent"), routeOf("/again/", "idempotent"),
-                  routeOf("/stream/", "streaming"), coldRoute(), crashingRoute()}},
-                {"services", {{{"name", "cold"}, {"cold_s", 2}, {"cold_per_s", coldPerSecond}}}},
+                  routeOf("/stream/", "streaming"), coldRoute(), crashingRoute(), engineRoute()}},
+                {"services",
+                 {{{"name", "cold"}, {"cold_s", 2}, {"cold_per_s", coldPerSecond}},
+                  {{"name", "engine"}, {"engine", {{"slot_count", 16}, {"sets", 1}}}}}},
                 {"tenants", organisations}});
 }
 
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -49,6 +49,8 @@
     GatewayProcess &operator=(const GatewayProcess &) = delete;
 
     const Endpoint &callers() const { return callers_; }
+    /// Where it receives messages of sidecars and other gateways.
+    const Endpoint &messages() const { return messages_; }
     bool ready() const;
     bool running() const { return pid_ > 0; }
     void start();
@@ -67,6 +69,7 @@
     std::string log_;
     Endpoint callers_;
     Endpoint readiness_;
+    Endpoint messages_;
     pid_t pid_ = -1;
 };
 
--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -13,7 +13,9 @@
 #include <tclap/CmdLine.h>
 
 #include "Soak/SoakClients.h"
+#include "Soak/SoakEngines.h"
 #include "Soak/SoakFaults.h"
+#include "Soak/SoakForeignEntries.h"
 #include "Soak/SoakPoison.h"
 
 using namespace wisteria;
@@ -151,6 +153,8 @@
     });
     SoakClients clients(fleet, clientCount, coldClientCount);
     SoakPoison poison(fleet, seed);
+    SoakEngines engines(fleet, seed);
+    SoakForeignEntries foreignEntries(fleet, seed);
     while (monotonicNow() - begun < plan.length) {
         faults.advance(monotonicNow());
         sleepFor(milliseconds(10));
@@ -159,8 +163,10 @@
     const SoakCounts underFaults = clients.takeCounts();
     sleepFor(recoveryTime);
     const SoakCounts afterRecovery = verifyServed(fleet, clients, "after recovery");
+    engines.checkFreezes();
     checkEvacuation(fleet, clients, Fleet::domains().at(seed % Fleet::domains().size()));
     clients.stop();
+    engines.stop();
     poison.finish(fleet.gatewayBeginCount());
     if (afterRecovery.servedCold == 0)
         fleet.recorder().noteViolation(
@@ -175,8 +181,10 @@
               << " of " << afterRecovery.sent << " complete; " << underFaults.servedCold
               << " served by servers that may be cold; " << poison.crashes()
               << " servers crashed by poison requests, " << poison.servedSound()
-              << " sound ones served beside them; " << violations.size() << " violations"
-              << std::endl;
+              << " sound ones served beside them; " << engines.freezes() << " VMs frozen, "
+              << engines.completeStreams() << " streams complete there; "
+              << foreignEntries.written() << " entries of another writer; " << violations.size()
+              << " violations" << std::endl;
     for (const std::string &what : violations)
         std::cout << "  violation: " << what << '\n';
     if (!violations.empty()) {
