--- a/Tests/Gateway/MetricsTest.cpp
+++ b/Tests/Gateway/MetricsTest.cpp
@@ -102,6 +102,8 @@
     countFirstSend(metrics, "s", milliseconds(1));
     countSendEnd(metrics, "s", "answered");
     countRetry(metrics, "s", RetryCause::Moved);
+    countLivenessCheck(metrics, true);
+    countCutRequest(metrics);
     countStoreCall(metrics, "t", "answered");
     countTurnedAway(metrics);
     countServerCrash(metrics, "s");
