Tell which answer clears a suspect request, and each send of one

What callers saw: nothing new. Cause: the lines could not tell which answer had cleared a poison request, nor when and with how much time left each copy of it was sent, and what counted against it then. Change: request.cleared names the request, server and status; request.sent_suspect is written for each send of a suspect.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -175,7 +175,7 @@
     backendId_ = backend.entry.id;
     tried_.push_back(backendId_);
     ++backend.ownInFlight;
-    suspicion_.beginRun(now);
+    suspicion_.beginRun({request_.attemptId, backendId_, options.timeLeft}, now);
     noteSend(context_.registry, backend, now);
     sentAt_ = now;
     relay_.beginSend(now);
@@ -545,7 +545,8 @@
 void Exchange::noteCompleteAnswer()
 {
     if (relay_.marksEnd() && relay_.head().sealed)
-        suspicion_.noteCompleted(monotonicNow());
+        suspicion_.noteCompleted({request_.attemptId, backendId_, relay_.head().status},
+                                 monotonicNow());
 }
 
 void Exchange::refuseQuarantined(TimePoint now)
--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -143,10 +143,12 @@
 }
 
 std::vector<Fingerprint> PoisonGuard::noteRunBegin(const RequestIdentity &request,
-                                                   const std::string &service, TimePoint now)
+                                                   const std::string &service,
+                                                   const SuspectSend &send, TimePoint now)
 {
     if (suspicionOf(request, now) == Suspicion::None)
         return {};
+    logSuspectSend(request, send, now);
     std::vector<Fingerprint> suspects = claimsOf(request, service, now);
     for (const Fingerprint &suspect : suspects) {
         if (noteTrial(evidence_, suspect, now)) {
@@ -161,6 +163,21 @@
     return suspects;
 }
 
+void PoisonGuard::logSuspectSend(const RequestIdentity &request, const SuspectSend &send,
+                                 TimePoint now) const
+{
+    const CrashRecord record = crashRecordOf(evidence_, request.request, now);
+    log_.info("request.sent_suspect",
+              {{"id", send.requestId},
+               {"fingerprint", toText(request.request)},
+               {"backend", send.backend},
+               {"left_s", secondsOf(send.timeLeft)},
+               {"crashes", record.crashes},
+               {"moments", record.moments},
+               {"other_cause", record.otherCause},
+               {"completed_before", record.provenSound}});
+}
+
 void PoisonGuard::noteRunEnd(const std::vector<Fingerprint> &suspects, bool completed,
                              TimePoint now)
 {
@@ -252,7 +269,7 @@
 }
 
 void PoisonGuard::noteCompleted(const RequestIdentity &request, const std::string &service,
-                                TimePoint now)
+                                const CompletedRun &run, TimePoint now)
 {
     countCompletion(evidence_, service);
     std::vector<Fingerprint> suspects = request.parts;
@@ -264,7 +281,11 @@
         if (!counted && !wasQuarantined)
             continue;
         cleared.push_back(suspect);
-        log_.info("request.cleared", {{"fingerprint", toText(suspect)}});
+        log_.info("request.cleared",
+                  {{"fingerprint", toText(suspect)},
+                   {"id", run.requestId},
+                   {"backend", run.backend},
+                   {"status", run.status}});
         if (wasQuarantined)
             links_.released(suspect);
     }
--- a/Source/Programs/Gateway/PoisonGuard.h
+++ b/Source/Programs/Gateway/PoisonGuard.h
@@ -30,6 +30,22 @@
     std::uint32_t trials = 0;
 };
 
+/// A send of a suspect request, for the log.
+struct SuspectSend
+{
+    std::string requestId;
+    std::string backend;
+    milliseconds timeLeft{0};
+};
+
+/// An answer that shows that a backend server ran a request to its end, for the log.
+struct CompletedRun
+{
+    std::string requestId;
+    std::string backend;
+    int status = 0;
+};
+
 /// What a PoisonGuard needs of the gateway around it.
 struct PoisonGuardLinks
 {
@@ -82,14 +98,16 @@
     /// Records that a request is sent.
     /// @return Its suspects, which have to be passed to noteRunEnd().
     std::vector<Fingerprint> noteRunBegin(const RequestIdentity &request,
-                                          const std::string &service, TimePoint now);
+                                          const std::string &service, const SuspectSend &send,
+                                          TimePoint now);
     /// @param completed Whether the backend server ran the request to its end.
     void noteRunEnd(const std::vector<Fingerprint> &suspects, bool completed, TimePoint now);
 
     /// Adds a crash that this gateway detected, and reports it to the others.
     void noteCrash(const ServerCrash &crash, TimePoint now);
     /// Records that a backend server of the service ran a request to its end.
-    void noteCompleted(const RequestIdentity &request, const std::string &service, TimePoint now);
+    void noteCompleted(const RequestIdentity &request, const std::string &service,
+                       const CompletedRun &run, TimePoint now);
     /// Records that a caller sent a quarantined request again.
     void noteRefusal(const Fingerprint &reason, TimePoint now);
 
@@ -118,6 +136,8 @@
     void addCrash(const ServerCrash &crash, TimePoint now);
     void judge(TimePoint now);
     void logWeighed(TimePoint now);
+    void logSuspectSend(const RequestIdentity &request, const SuspectSend &send,
+                        TimePoint now) const;
     void keep(const Fingerprint &suspect, bool foundHere, TimePoint now);
     void tellClaims(const std::vector<Fingerprint> &suspects, milliseconds holds);
     void renewClaims(TimePoint now);
--- a/Source/Programs/Gateway/RequestSuspicion.cpp
+++ b/Source/Programs/Gateway/RequestSuspicion.cpp
@@ -78,12 +78,12 @@
         + toText(*reason) + ".\n";
 }
 
-void RequestSuspicion::beginRun(TimePoint now)
+void RequestSuspicion::beginRun(const SuspectSend &send, TimePoint now)
 {
     sentAt_ = now;
     completed_ = false;
     if (poison_.hasSuspects())
-        running_ = poison_.noteRunBegin(identity(), service_, now);
+        running_ = poison_.noteRunBegin(identity(), service_, send, now);
 }
 
 void RequestSuspicion::endRun(TimePoint now)
@@ -106,10 +106,10 @@
     crashes_.noteGivenUp({server, identity(), sentAt_}, now);
 }
 
-void RequestSuspicion::noteCompleted(TimePoint now)
+void RequestSuspicion::noteCompleted(const CompletedRun &run, TimePoint now)
 {
     completed_ = true;
-    poison_.noteCompleted(identity(), service_, now);
+    poison_.noteCompleted(identity(), service_, run, now);
 }
 
 void RequestSuspicion::noteRefused(TimePoint now)
--- a/Source/Programs/Gateway/RequestSuspicion.h
+++ b/Source/Programs/Gateway/RequestSuspicion.h
@@ -43,7 +43,7 @@
     std::string refusalText(TimePoint now);
 
     /// Records that the request is sent, and that the send has ended.
-    void beginRun(TimePoint now);
+    void beginRun(const SuspectSend &send, TimePoint now);
     void endRun(TimePoint now);
 
     /// Records that the connection of a send ended.
@@ -54,7 +54,7 @@
     /// Records that the gateway gives up a send, so that a crash right after it can be traced.
     void noteGivenUp(const std::string &server, TimePoint now);
     /// Records that a backend server ran the request to its end.
-    void noteCompleted(TimePoint now);
+    void noteCompleted(const CompletedRun &run, TimePoint now);
     /// Records that the request is refused because it is quarantined.
     void noteRefused(TimePoint now);
 
