Take only a success for a sign that a request does not crash servers

What callers saw: after a server had answered 504 to a poison request at its time limit, it was sent by all gateways at once, and its servers ended again and again. Cause: any whole, sealed answer counted as a completed run, and cleared the request and its prompt parts at every gateway. The server had begun the run; its time limit came before the crash. Copies that wait for their turn have little time left, so the restraint itself made the answers that lifted it. Change: only a success that is whole, sealed and marks its own end speaks for a request: 500 and 504, rejections, which may come before the body was read, and unusable answers do not. Parts of prompts are cleared by the same function.

--- a/Source/Programs/Gateway/AnswerRelay.cpp
+++ b/Source/Programs/Gateway/AnswerRelay.cpp
@@ -84,6 +84,11 @@
     return std::nullopt;
 }
 
+bool AnswerRelay::showsCompletedRun() const
+{
+    return head_.success() && head_.sealed && marksEnd_ && !failure();
+}
+
 /// Whether a stream that is forwarded as a whole was cut off, which shows in its last event only if
 /// it ends with its connection.
 bool AnswerRelay::endsInsideEvent() const
--- a/Source/Programs/Gateway/AnswerRelay.h
+++ b/Source/Programs/Gateway/AnswerRelay.h
@@ -48,6 +48,11 @@
     bool isStream() const;
     /// Returns why the answer, which has ended, is no usable one; nothing if it is.
     std::optional<AnswerFailure> failure() const;
+    /// Whether the answer, which has ended, shows that a backend server ran the whole request. A
+    /// failure shows no such thing: a server says 504 by itself when the time is over, also to a
+    /// request that would have crashed it a moment later. A rejection may come before the body was
+    /// read, and an answer that ends with its connection may have been cut short by a crash.
+    bool showsCompletedRun() const;
     /// Ends the stream, or sends the whole answer.
     void finish();
 
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -540,11 +540,10 @@
     return found == context_.registry.backends.end() ? nullptr : &found->second;
 }
 
-/// Records that a backend server ran the request to the end of its answer. An answer that ends with
-/// its connection may have been cut short by a crash.
+/// Records that a backend server ran the request to its end, if the answer shows that.
 void Exchange::noteCompleteAnswer()
 {
-    if (relay_.marksEnd() && relay_.head().sealed)
+    if (relay_.showsCompletedRun())
         suspicion_.noteCompleted({request_.attemptId, backendId_, relay_.head().status},
                                  monotonicNow());
 }
