Keep the next copy of a suspect from running beside one that was given up

What callers saw: two copies of a poison request ended with one server. Cause: when its caller's time was over or the caller had left, the run counted as ended at once in its own gateway; the half second after a run held for the others only. The server ran on and crashed. Change: a claim that has ended keeps its own gateway from sending as well. Objections to claims of others tell how long the claim really holds. The server of a suspect that was given up is probed 0.25 s later, so that a crash with nothing else in flight is not missed.

--- a/Source/Programs/Gateway/CrashDetector.cpp
+++ b/Source/Programs/Gateway/CrashDetector.cpp
@@ -10,6 +10,8 @@
 /// Time between the first probe of a server that still listened and the second one. A crashing
 /// process may close its connections some milliseconds before its listening socket.
 constexpr milliseconds secondProbeAfter{50};
+/// Time from when a suspect send was given up to the probe of its server.
+constexpr milliseconds givenUpProbeAfter{250};
 /// A refused connection shows a crash to which sends that ended at most this long before belong.
 constexpr milliseconds refusalWindow{1000};
 /// A restart shows a crash to which sends that ended at most this long before belong: some seconds
@@ -68,9 +70,11 @@
         now);
 }
 
-void CrashDetector::noteGivenUp(const UnansweredSend &send, TimePoint now)
+void CrashDetector::noteGivenUp(const UnansweredSend &send, bool probes, TimePoint now)
 {
-    recordUnanswered(send, now);
+    BrokenServer *broken = recordUnanswered(send, now);
+    if (broken != nullptr && probes)
+        broken->probeAgainAt = std::min(broken->probeAgainAt, now + givenUpProbeAfter);
 }
 
 void CrashDetector::finishProbe(const std::string &server, ProbeResult result, bool first)
--- a/Source/Programs/Gateway/CrashDetector.h
+++ b/Source/Programs/Gateway/CrashDetector.h
@@ -41,7 +41,8 @@
                              std::function<void()> checked);
     /// Records a send that this gateway gave up. The server may go on running the request for a
     /// moment and crash.
-    void noteGivenUp(const UnansweredSend &send, TimePoint now);
+    /// @param probes Whether to find out soon if it did, though nothing else may be sent there.
+    void noteGivenUp(const UnansweredSend &send, bool probes, TimePoint now);
     /// Records that nothing listens at a server's address.
     void noteRefused(const std::string &server, TimePoint now);
     /// Records a server's start time. If it has started again after its connections ended, it
--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -139,7 +139,7 @@
         applyClaim(claims_, suspect, message.ticket, milliseconds(message.holdsMilliseconds),
                    runsHere(suspect), now);
     if (!applied && mayObject(claims_, suspect, now))
-        tellClaims({suspect}, claimTime);
+        tellClaims({suspect}, remaining(now, claims_.bySuspect[suspect].until));
     noteTrial(evidence_, suspect, now);
     links_.changed();
 }
@@ -201,7 +201,7 @@
         const auto claim = claims_.bySuspect.find(suspect);
         if (claim == claims_.bySuspect.end() || !claim->second.own)
             continue;
-        setOwnClaim(claims_, suspect, holds, now);
+        endOwnClaim(claims_, suspect, holds, now);
         tellClaims({suspect}, holds);
     }
     if (!suspects.empty())
@@ -416,7 +416,7 @@
         const auto claim = claims_.bySuspect.find(suspect);
         if (claim == claims_.bySuspect.end() || !claim->second.own)
             continue;
-        setOwnClaim(claims_, suspect, claimTime, now);
+        renewOwnClaim(claims_, suspect, now);
         tellClaims({suspect}, claimTime);
     }
     removeExpired(claims_, now);
--- a/Source/Programs/Gateway/RequestSuspicion.cpp
+++ b/Source/Programs/Gateway/RequestSuspicion.cpp
@@ -104,7 +104,8 @@
 
 void RequestSuspicion::noteGivenUp(const std::string &server, TimePoint now)
 {
-    crashes_.noteGivenUp({server, identity(), sentAt_, sendId_}, now);
+    const bool suspect = level(now) != Suspicion::None;
+    crashes_.noteGivenUp({server, identity(), sentAt_, sendId_}, suspect, now);
 }
 
 void RequestSuspicion::noteCompleted(const CompletedRun &run, TimePoint now)
--- a/Source/Request/RunClaims.cpp
+++ b/Source/Request/RunClaims.cpp
@@ -62,16 +62,26 @@
         if (claim == nullptr)
             at = std::max(at, now + claimSettleTime);
         else
-            at = std::max(at, claim->own ? claim->since + claimSettleTime : claim->until);
+            at = std::max(
+                at, claim->own && !claim->afterRun ? claim->since + claimSettleTime : claim->until);
     }
     return at;
 }
 
-void setOwnClaim(RunClaims &claims, const Fingerprint &suspect, milliseconds holds, TimePoint now)
+void renewOwnClaim(RunClaims &claims, const Fingerprint &suspect, TimePoint now)
 {
     const auto found = claims.bySuspect.find(suspect);
     if (found != claims.bySuspect.end() && found->second.own)
-        found->second.until = now + holds;
+        found->second.until = now + claimTime;
+}
+
+void endOwnClaim(RunClaims &claims, const Fingerprint &suspect, milliseconds holds, TimePoint now)
+{
+    const auto found = claims.bySuspect.find(suspect);
+    if (found == claims.bySuspect.end() || !found->second.own)
+        return;
+    found->second.until = now + holds;
+    found->second.afterRun = true;
 }
 
 bool mayObject(RunClaims &claims, const Fingerprint &suspect, TimePoint now)
--- a/Source/Request/RunClaims.h
+++ b/Source/Request/RunClaims.h
@@ -22,6 +22,9 @@
         /// Of two claims of the same time, the one with the lower ticket holds.
         std::uint64_t ticket = 0;
         bool own = false;
+        /// The run has ended without a complete answer. Nobody sends until the claim ends, this
+        /// gateway included: the backend server may run on and crash.
+        bool afterRun = false;
         TimePoint since;
         TimePoint until;
         /// When the other gateways were last told of an own claim.
@@ -62,8 +65,11 @@
 TimePoint claimsHoldAt(const RunClaims &claims, const std::vector<Fingerprint> &suspects,
                        TimePoint now);
 
-/// Extends or shortens this gateway's claim.
-void setOwnClaim(RunClaims &claims, const Fingerprint &suspect, milliseconds holds, TimePoint now);
+/// Extends this gateway's claim while its run goes on.
+void renewOwnClaim(RunClaims &claims, const Fingerprint &suspect, TimePoint now);
+/// Ends this gateway's claim after its run.
+/// @param holds How much longer it keeps all gateways from sending.
+void endOwnClaim(RunClaims &claims, const Fingerprint &suspect, milliseconds holds, TimePoint now);
 
 /// Applies the claim of another gateway, or the end or extension of one.
 /// @param runsHere Whether a request with the suspect runs at this gateway.
--- a/Tests/Gateway/LastSendsTest.cpp
+++ b/Tests/Gateway/LastSendsTest.cpp
@@ -32,3 +32,13 @@
     CAPTURE(servers);
     checkPoisonBound(nearDeadline(servers));
 }
+
+// Guards against a run that is given up and goes on, beside which the next copy is sent.
+TEST_CASE("A poison request that outlives its callers is sent hardly more than three times")
+{
+    PoisonScenario scenario = nearDeadline(3);
+    scenario.plan.outlivesCallers = true;
+    scenario.poisonRequests = GENERATE(1, 2);
+    CAPTURE(scenario.poisonRequests);
+    checkPoisonBound(scenario);
+}
--- a/Tests/Gateway/RunClaimsTest.cpp
+++ b/Tests/Gateway/RunClaimsTest.cpp
@@ -89,3 +89,19 @@
     REQUIRE_FALSE(applyClaim(claims, suspect, 1, claimTime, true, start + seconds(1)));
     REQUIRE(claimsHoldAt(claims, suspects, start + seconds(1)) == start + seconds(1));
 }
+
+// Guards against a copy that is sent while the server of the one before may still crash: its caller
+// has left, and the run goes on.
+TEST_CASE("After a run without a complete answer its own gateway waits as well")
+{
+    RunClaims claims;
+    claim(claims, suspects, 1, start);
+    const TimePoint ended = start + seconds(1);
+    endOwnClaim(claims, suspect, claimAfterRun, ended);
+    REQUIRE(claim(claims, suspects, 2, ended).empty());
+    REQUIRE(claimsHoldAt(claims, suspects, ended) == ended + claimAfterRun);
+    const TimePoint after = ended + claimAfterRun;
+    REQUIRE(claim(claims, suspects, 3, after) == suspects);
+    endOwnClaim(claims, suspect, milliseconds(0), after);
+    REQUIRE(claim(claims, suspects, 4, after) == suspects);
+}
