Spend the last sends of a request where it can complete

Cause: a restricted request was sent with a few milliseconds left, so that its run could not complete, and to servers that were known to have crashed, whose address another one has (421). Change: a repeated suspect is sent only with its target latency left, or half of its caller's time if that is less; otherwise it is refused at once with 503. No suspect is sent to a process that is known to have crashed.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -92,6 +92,12 @@
         choice = chooseNext(admission_.maxLoad(now), now);
     }
     if (choice.backend != nullptr) {
+        if (suspicion_.level(now) == Suspicion::RepeatedSuspect
+            && timeLeft(now) < timeNeeded(now)) {
+            refuse("too little time is left for a suspect request",
+                   {.reason = NoBackendReason::AllFull}, now);
+            return true;
+        }
         if (const auto mayRunAt = suspicion_.claimRun(now); mayRunAt > now)
             return waitForOtherRuns(mayRunAt, now);
         admission_.noteStart(choice.beyondFreeShare, now);
@@ -122,7 +128,7 @@
 bool Exchange::waitForOtherRuns(TimePoint mayRunAt, TimePoint now)
 {
     if (suspectWaitUntil_ == TimePoint())
-        suspectWaitUntil_ = std::min(deadline_ - minTimeForSend, now + maxSuspectWait);
+        suspectWaitUntil_ = std::min(deadline_ - timeNeeded(now), now + maxSuspectWait);
     waitUntil_ = suspectWaitUntil_;
     if (now >= waitUntil_) {
         refuse("another run of what it is suspect for goes on",
@@ -134,6 +140,12 @@
     return false;
 }
 
+/// Time that the request has to have left to be sent.
+milliseconds Exchange::timeNeeded(TimePoint now)
+{
+    return suspicion_.timeNeeded(route_.targetLatency, remaining(arrived_, deadline_), now);
+}
+
 /// When the service's group opened last.
 TimePoint Exchange::groupOpenedAt() const
 {
@@ -390,7 +402,8 @@
         return false;
     if (suspicion_.mayRunAt(groupOpenedAt(), now) <= now && suspicion_.claimRun(now) <= now)
         return false;
-    const TimePoint heldUntil = std::min(deadline_ - minTimeForSend, sendEndedAt_ + maxSuspectWait);
+    const TimePoint heldUntil =
+        std::min(deadline_ - timeNeeded(now), sendEndedAt_ + maxSuspectWait);
     if (now >= heldUntil)
         return false;
     undecided_ = outcome;
@@ -412,7 +425,8 @@
         return false;
     // Another run of what it is suspect for has lasted for the whole wait.
     if (suspected == Suspicion::RepeatedSuspect
-        && (suspicion_.mayRunAt(groupOpenedAt(), now) > now || suspicion_.claimRun(now) > now))
+        && (timeLeft(now) < timeNeeded(now) || suspicion_.mayRunAt(groupOpenedAt(), now) > now
+            || suspicion_.claimRun(now) > now))
         return false;
     if (outcome != SendOutcome::NeverSent
         && !takeRetryToken(context_.retryBuckets[service_], context_.retryQuota, now))
@@ -530,6 +544,7 @@
 {
     const BackendCriteria criteria{.service = service_,
                                    .tried = tried_,
+                                   .crashed = suspicion_.crashedIfSuspect(now),
                                    .maxLoad = maxLoad,
                                    .withinFreeShare = tried_.empty(),
                                    .mayExceedFreeShare = admission_.mayExceedFreeShare(now),
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -69,6 +69,7 @@
     };
 
     milliseconds timeLeft(TimePoint now) const { return remaining(now, deadline_); }
+    milliseconds timeNeeded(TimePoint now);
     bool shouldWait(const BackendChoice &choice, TimePoint now) const;
     TimePoint waitTimeout(NoBackendReason reason) const;
     void endWait(TimePoint now);
--- a/Source/Programs/Gateway/PoisonGuard.h
+++ b/Source/Programs/Gateway/PoisonGuard.h
@@ -87,6 +87,11 @@
     /// other requests.
     std::optional<std::uint64_t> serverHash(const RequestIdentity &request, TimePoint now) const;
 
+    std::vector<CrashedProcess> crashedProcesses(TimePoint now) const
+    {
+        return wisteria::crashedProcesses(evidence_, now);
+    }
+
     /// When a suspect request may be sent, if a backend server has a slot for it; TimePoint::max()
     /// while a copy, or another request with a suspect part of it, runs for this gateway. Requests
     /// that are not suspect may be sent at once.
--- a/Source/Programs/Gateway/RequestSuspicion.cpp
+++ b/Source/Programs/Gateway/RequestSuspicion.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Request/RetryDecision.h"
+
 namespace wisteria {
 
 RequestSuspicion::RequestSuspicion(CrashDetector &crashes, PoisonGuard &poison,
@@ -57,6 +59,22 @@
     return poison_.hasSuspects() ? poison_.serverHash(identity(), now) : std::nullopt;
 }
 
+std::vector<CrashedProcess> RequestSuspicion::crashedIfSuspect(TimePoint now)
+{
+    return level(now) == Suspicion::None ? std::vector<CrashedProcess>()
+                                         : poison_.crashedProcesses(now);
+}
+
+/// A repeated suspect is sent only if it can be expected to complete: few sends are left of it, and
+/// a run that its time limit ends does not clear it.
+milliseconds RequestSuspicion::timeNeeded(milliseconds targetLatency, milliseconds wholeTime,
+                                          TimePoint now)
+{
+    if (level(now) != Suspicion::RepeatedSuspect)
+        return minTimeForSend;
+    return std::max(minTimeForSend, std::min(targetLatency, wholeTime / 2));
+}
+
 std::string RequestSuspicion::refusalText(TimePoint now)
 {
     const auto reason = poison_.quarantineReason(identity(), now);
--- a/Source/Programs/Gateway/RequestSuspicion.h
+++ b/Source/Programs/Gateway/RequestSuspicion.h
@@ -39,6 +39,11 @@
     TimePoint claimRun(TimePoint now);
     /// See BackendCriteria::suspectHash.
     std::optional<std::uint64_t> hashIfSuspect(TimePoint now);
+    /// See BackendCriteria::crashed.
+    std::vector<CrashedProcess> crashedIfSuspect(TimePoint now);
+    /// Time that the request needs to have left to be sent.
+    /// @param wholeTime From its arrival to its deadline.
+    milliseconds timeNeeded(milliseconds targetLatency, milliseconds wholeTime, TimePoint now);
     /// Why the request is refused, for its caller; empty if it is not quarantined.
     std::string refusalText(TimePoint now);
 
--- a/Source/Request/BackendRegistry.cpp
+++ b/Source/Request/BackendRegistry.cpp
@@ -172,6 +172,14 @@
     Exclusions exclusions;
 };
 
+bool hasCrashed(const BackendCriteria &criteria, const BackendEntry &entry)
+{
+    return std::any_of(
+        criteria.crashed.begin(), criteria.crashed.end(), [&entry](const CrashedProcess &process) {
+            return process.server == entry.id && process.startedAt == entry.startedAt;
+        });
+}
+
 Candidates candidatesFor(BackendRegistry &registry, const BackendCriteria &criteria, TimePoint now)
 {
     Candidates candidates;
@@ -184,7 +192,8 @@
     const bool anyEvacuated = !registry.evacuatedDomains.empty();
     const auto share = sendShareOf(registry.coldServers, criteria.service);
     for (auto &[id, state] : registry.backends) {
-        if (state.entry.service != criteria.service || entryEndsWork(state, now) || state.replaced)
+        if (state.entry.service != criteria.service || entryEndsWork(state, now) || state.replaced
+            || hasCrashed(criteria, state.entry))
             continue;
         if (anySignals && registry.drainingSince.contains(id))
             continue;
--- a/Source/Request/BackendRegistry.h
+++ b/Source/Request/BackendRegistry.h
@@ -211,12 +211,22 @@
 /// ranks.
 double loadWithOneMore(const BackendState &state, TimePoint now, milliseconds loadLifetime);
 
+/// One process of a backend server that crashed; its entry may remain for seconds.
+struct CrashedProcess
+{
+    std::string server;
+    /// 0 when unknown.
+    std::uint64_t startedAt = 0;
+};
+
 /// What a request needs of a backend server.
 struct BackendCriteria
 {
     std::string service;
     /// Ids of servers that this request was sent to already.
     std::vector<std::string> tried;
+    /// Server processes that are known to have crashed: a suspect request would waste a send there.
+    std::vector<CrashedProcess> crashed{};
     /// Upper bound of loadWithOneMore(): a fraction of the slots, multiplied by the slowdown.
     double maxLoad = 1.0;
     /// The request has to stay within this gateway's share of the free slots.
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -13,6 +13,9 @@
 /// once, and two crashes, each together with another one of a dozen servers.
 constexpr double suspectWeight = 0.25;
 constexpr double repeatedWeight = 1.2;
+/// How long a suspect is not sent to a process that crashed. Its entry expires within this time; a
+/// server that returned under the same id without a start time is used again after it.
+constexpr seconds knownCrashedTime{10};
 
 void indexCrashes(CrashEvidence &evidence)
 {
@@ -187,6 +190,16 @@
     });
 }
 
+std::vector<CrashedProcess> crashedProcesses(const CrashEvidence &evidence, TimePoint now)
+{
+    std::vector<CrashedProcess> processes;
+    for (const ServerCrash &crash : evidence.crashes) {
+        if (now - crash.at <= knownCrashedTime)
+            processes.push_back({crash.server, crash.startedAt});
+    }
+    return processes;
+}
+
 TimePoint lastCrashOf(const CrashEvidence &evidence, const std::string &service)
 {
     TimePoint last{};
--- a/Source/Request/CrashEvidence.h
+++ b/Source/Request/CrashEvidence.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Process/Time.h"
+#include "Request/BackendRegistry.h"
 #include "Request/CompletionTimes.h"
 #include "Request/LastSends.h"
 #include "Request/ServerCrash.h"
@@ -102,6 +103,9 @@
 bool crashedWithin(const CrashEvidence &evidence, const std::string &server, milliseconds span,
                    TimePoint now);
 
+/// Processes of backend servers that crashed of late.
+std::vector<CrashedProcess> crashedProcesses(const CrashEvidence &evidence, TimePoint now);
+
 /// When a backend server of the service crashed last; the earliest time if none is known.
 TimePoint lastCrashOf(const CrashEvidence &evidence, const std::string &service);
 
