Check the turn of a suspect right before it is sent

What callers saw: two copies of a poison request were sent to one server in one millisecond. Cause: an arriving request asked whether it may run, let those ahead of it go first, and was then sent without asking again; one of those ahead was another copy. A retry that had waited for its turn did not ask at all whether a copy runs here. Change: the look whether a suspect may run and the claim are one step, taken last.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -98,7 +98,8 @@
                    {.reason = NoBackendReason::AllFull}, now);
             return true;
         }
-        if (const auto mayRunAt = suspicion_.claimRun(now); mayRunAt > now)
+        // Another copy may have been sent since the first look, as one of those ahead.
+        if (const auto mayRunAt = suspicion_.takeTurn(groupOpenedAt(), now); mayRunAt > now)
             return waitForOtherRuns(mayRunAt, now);
         admission_.noteStart(choice.beyondFreeShare, now);
         endWait(now);
@@ -400,7 +401,7 @@
     if (suspicion_.level(now) < Suspicion::RepeatedSuspect
         || !mayRetry(route_, outcome, history_, timeLeft(now)))
         return false;
-    if (suspicion_.mayRunAt(groupOpenedAt(), now) <= now && suspicion_.claimRun(now) <= now)
+    if (suspicion_.takeTurn(groupOpenedAt(), now) <= now)
         return false;
     const TimePoint heldUntil =
         std::min(deadline_ - timeNeeded(now), sendEndedAt_ + maxSuspectWait);
@@ -425,8 +426,7 @@
         return false;
     // Another run of what it is suspect for has lasted for the whole wait.
     if (suspected == Suspicion::RepeatedSuspect
-        && (timeLeft(now) < timeNeeded(now) || suspicion_.mayRunAt(groupOpenedAt(), now) > now
-            || suspicion_.claimRun(now) > now))
+        && (timeLeft(now) < timeNeeded(now) || suspicion_.takeTurn(groupOpenedAt(), now) > now))
         return false;
     if (outcome != SendOutcome::NeverSent
         && !takeRetryToken(context_.retryBuckets[service_], context_.retryQuota, now))
--- a/Source/Programs/Gateway/RequestSuspicion.cpp
+++ b/Source/Programs/Gateway/RequestSuspicion.cpp
@@ -49,8 +49,10 @@
     return poison_.hasSuspects() ? poison_.mayRunAt(identity(), service_, openedAt, now) : now;
 }
 
-TimePoint RequestSuspicion::claimRun(TimePoint now)
+TimePoint RequestSuspicion::takeTurn(TimePoint openedAt, TimePoint now)
 {
+    if (const TimePoint at = mayRunAt(openedAt, now); at > now)
+        return at;
     return poison_.hasSuspects() ? poison_.claimRun(identity(), service_, now) : now;
 }
 
--- a/Source/Programs/Gateway/RequestSuspicion.h
+++ b/Source/Programs/Gateway/RequestSuspicion.h
@@ -35,8 +35,9 @@
     /// When the request may be sent as far as other runs of its suspects are concerned.
     /// @param openedAt When the service's group opened last.
     TimePoint mayRunAt(TimePoint openedAt, TimePoint now);
-    /// See PoisonGuard::claimRun().
-    TimePoint claimRun(TimePoint now);
+    /// Takes the turn of the request to run, right before it is sent.
+    /// @return When it may be sent; not after `now` if at once.
+    TimePoint takeTurn(TimePoint openedAt, TimePoint now);
     /// See BackendCriteria::suspectHash.
     std::optional<std::uint64_t> hashIfSuspect(TimePoint now);
     /// See BackendCriteria::crashed.
--- a/Tests/Gateway/LastSendsTest.cpp
+++ b/Tests/Gateway/LastSendsTest.cpp
@@ -42,3 +42,17 @@
     CAPTURE(scenario.poisonRequests);
     checkPoisonBound(scenario);
 }
+
+// Guards against a verdict on each of two poison requests that waits for the one on the other.
+TEST_CASE("Two poison requests near their callers' deadlines are each sent hardly more than three "
+          "times")
+{
+    PoisonScenario scenario = nearDeadline(3);
+    scenario.poisonRequests = 2;
+    SECTION("servers return under their ids") { }
+    SECTION("servers return under new ids at the same addresses")
+    scenario.plan.returnsUnderNewId = true;
+    SECTION("several callers repeat each of them at the same time")
+    scenario.callers = 4;
+    checkPoisonBound(scenario);
+}
