Keep what gateways know of crashes in the store, over a restart of all of them

What callers saw: when all gateways were killed between crashes, a poison request began anew. Cause: crashes were kept in memory and told to the others; only verdicts went to the store.

--- a/Source/Programs/Gateway/EvidenceSharing.cpp
+++ b/Source/Programs/Gateway/EvidenceSharing.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t maxFingerprintsPerMessage = 64;
 /// Ids of sends that take as many bytes as a fingerprint.
 constexpr std::size_t sendsPerFingerprint = 3;
+/// Crashes in one record of the store, which bounds its size.
+constexpr std::size_t maxRecordedCrashes = 32;
 /// Restricted requests that are told to a gateway that may not know of them.
 constexpr std::size_t maxGossipAccounts = 16;
 
@@ -205,11 +207,33 @@
         for (CrashReport &report : reportsOf(*crash, now))
             reports.emplace_back(std::move(report));
     }
+    addCopyReports(reports, now);
+    return reports;
+}
+
+std::vector<GroupMessage> EvidenceSharing::ownReports(TimePoint now) const
+{
+    std::vector<GroupMessage> reports;
+    std::size_t crashes = 0;
+    for (auto crash = evidence_.crashes.rbegin();
+         crash != evidence_.crashes.rend() && crashes < maxRecordedCrashes; ++crash) {
+        if (!crash->seenHere || !isOpen(evidence_, *crash, now))
+            continue;
+        ++crashes;
+        for (CrashReport &report : reportsOf(*crash, now))
+            reports.emplace_back(std::move(report));
+    }
+    if (!reports.empty())
+        addCopyReports(reports, now);
+    return reports;
+}
+
+void EvidenceSharing::addCopyReports(std::vector<GroupMessage> &reports, TimePoint now) const
+{
     std::vector<Fingerprint> restricted = restrictedRequests(evidence_, now);
     restricted.resize(std::min(restricted.size(), maxGossipAccounts));
     for (const Fingerprint &request : restricted)
         reports.emplace_back(reportOf(evidence_, request, now));
-    return reports;
 }
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/EvidenceSharing.h
+++ b/Source/Programs/Gateway/EvidenceSharing.h
@@ -48,6 +48,8 @@
     void gossip(TimePoint now);
     /// Returns reports of the latest crashes, and of what has been completed before each.
     std::vector<GroupMessage> latestReports(TimePoint now) const;
+    /// Returns reports of what this gateway has detected and still counts, the latest first.
+    std::vector<GroupMessage> ownReports(TimePoint now) const;
 
 private:
     using Report = std::variant<CrashReport, CompletionReport, CopyReport>;
@@ -59,6 +61,7 @@
         Report report;
     };
 
+    void addCopyReports(std::vector<GroupMessage> &reports, TimePoint now) const;
     void sendToAllTwice(const Report &report, TimePoint now);
     void sendRepeats(TimePoint now);
     void sendProofs(TimePoint now);
--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -165,6 +165,7 @@
     if (isRestricted(evidence_, request.request, now)) {
         noteLastSend(evidence_, request.request, id, {.at = now});
         sharing_.reportCopies(request.request, now);
+        links_.evidenceChanged();
     }
     return suspects;
 }
@@ -211,8 +212,11 @@
 void PoisonGuard::noteCrash(const ServerCrash &crash, TimePoint now)
 {
     lastCrashSeenHere_ = true;
-    addCrash(crash, now);
+    ServerCrash seen = crash;
+    seen.seenHere = true;
+    addCrash(seen, now);
     sharing_.reportCrash(crash, now);
+    links_.evidenceChanged();
     links_.changed();
 }
 
@@ -360,7 +364,7 @@
     links_.changed();
 }
 
-void PoisonGuard::receive(const CrashReport &report, TimePoint now)
+void PoisonGuard::receive(const CrashReport &report, bool own, TimePoint now)
 {
     if (milliseconds(report.ageMilliseconds) > crashLifetime)
         return;
@@ -368,7 +372,9 @@
                       .startedAt = report.startedAt,
                       .service = report.service,
                       .at = now - milliseconds(report.ageMilliseconds),
-                      .servers = report.servers};
+                      .servers = report.servers,
+                      .running = {},
+                      .seenHere = own};
     for (const RunningRequest &running : report.running)
         crash.running.push_back(decode(running, crash.at));
     const std::size_t known = evidence_.crashes.size();
--- a/Source/Programs/Gateway/PoisonGuard.h
+++ b/Source/Programs/Gateway/PoisonGuard.h
@@ -63,6 +63,8 @@
     /// The store has to keep, or to extend, a quarantine.
     /// @param foundHere Whether the last of its crashes was seen by this gateway.
     std::function<void(const Fingerprint &, const KeptQuarantine &, bool foundHere)> quarantined;
+    /// What this gateway has detected itself has changed, so that the store has to keep it.
+    std::function<void()> evidenceChanged;
     /// A quarantine has ended.
     std::function<void(const Fingerprint &)> released;
 };
@@ -128,10 +130,13 @@
     void applyQuarantine(const Fingerprint &suspect, const std::optional<KeptQuarantine> &kept,
                          TimePoint now);
 
-    void receive(const CrashReport &report, TimePoint now);
+    /// @param own Whether this gateway detected the crash, before it was restarted.
+    void receive(const CrashReport &report, bool own, TimePoint now);
     void receive(const CompletionReport &report, TimePoint now);
     void receive(const CopyReport &report, TimePoint now);
     void receive(const ClaimMessage &message, TimePoint now);
+    /// Reports of what this gateway has detected, for the store.
+    std::vector<GroupMessage> ownReports(TimePoint now) const { return sharing_.ownReports(now); }
     /// Reports for a gateway that has just started.
     std::vector<GroupMessage> latestReports(TimePoint now) const
     {
--- a/Source/Programs/Gateway/PoisonProtection.cpp
+++ b/Source/Programs/Gateway/PoisonProtection.cpp
@@ -36,6 +36,11 @@
                                            const std::optional<KeptQuarantine> &kept) {
             guard_.applyQuarantine(suspect, kept, monotonicNow());
         }});
+    evidenceRecords_ = std::make_unique<EvidenceRecords>(
+        pool, log_, store, directory.self(),
+        EvidenceRecordLinks{
+            .ownReports = [this](TimePoint now) { return guard_.ownReports(now); },
+            .add = [this](const GroupMessage &report, bool own) { addKept(report, own); }});
 }
 
 PoisonGuardLinks PoisonProtection::links()
@@ -45,6 +50,7 @@
             .changed = [this] { changed_(); },
             .quarantined = [this](const Fingerprint &suspect, const KeptQuarantine &kept,
                                   bool foundHere) { keepQuarantine(suspect, kept, foundHere); },
+            .evidenceChanged = [this] { evidenceRecords_->noteChange(); },
             .released = [this](const Fingerprint &suspect) { records_->remove(suspect); }};
 }
 
@@ -94,7 +100,17 @@
 void PoisonProtection::receive(const CrashReport &report, TimePoint now)
 {
     detector_.noteReported(report, now);
-    guard_.receive(report, now);
+    guard_.receive(report, false, now);
+}
+
+/// Applies a report that the store has kept.
+void PoisonProtection::addKept(const GroupMessage &report, bool own)
+{
+    const TimePoint now = monotonicNow();
+    if (const auto *crash = std::get_if<CrashReport>(&report))
+        guard_.receive(*crash, own, now);
+    else if (const auto *copies = std::get_if<CopyReport>(&report))
+        guard_.receive(*copies, now);
 }
 
 void PoisonProtection::receive(const CompletionReport &report, TimePoint now)
@@ -117,6 +133,7 @@
     detector_.checkTimeouts(now);
     guard_.checkTimeouts(now);
     records_->checkTimeouts(now);
+    evidenceRecords_->checkTimeouts(now);
 }
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/PoisonProtection.h
+++ b/Source/Programs/Gateway/PoisonProtection.h
@@ -7,6 +7,7 @@
 
 #include "Connection/DatagramSocket.h"
 #include "Programs/Gateway/CrashDetector.h"
+#include "Programs/Gateway/EvidenceRecords.h"
 #include "Programs/Gateway/GatewayDirectory.h"
 #include "Programs/Gateway/PoisonGuard.h"
 #include "Programs/Gateway/QuarantineRecords.h"
@@ -48,6 +49,7 @@
     void send(const Endpoint &to, const GroupMessage &message);
     void sendToAll(const GroupMessage &message);
     void sendToOne(const std::vector<GroupMessage> &messages);
+    void addKept(const GroupMessage &report, bool own);
     void keepQuarantine(const Fingerprint &suspect, const KeptQuarantine &kept, bool foundHere);
 
     EventLoop &loop_;
@@ -60,6 +62,7 @@
     DatagramSocket *socket_ = nullptr;
     GatewayDirectory *directory_ = nullptr;
     std::unique_ptr<QuarantineRecords> records_;
+    std::unique_ptr<EvidenceRecords> evidenceRecords_;
     std::mt19937_64 random_{std::random_device{}()};
 };
 
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -148,6 +148,7 @@
     if (known != evidence.crashes.end()) {
         mergeRunning(*known, crash.running);
         known->servers = std::max(known->servers, crash.servers);
+        known->seenHere = known->seenHere || crash.seenHere;
         indexCrashes(evidence);
         return false;
     }
--- a/Source/Request/ServerCrash.h
+++ b/Source/Request/ServerCrash.h
@@ -38,6 +38,8 @@
     std::vector<InFlightRequest> running{};
     /// Requests of the service that this gateway had seen completed when the crash became known.
     std::uint64_t completedBefore = 0;
+    /// Whether this gateway detected it, perhaps beside others.
+    bool seenHere = false;
 };
 
 /// What of a request may be the reason for a crash: its parts and itself.
--- a/Tests/Gateway/LastSendsTest.cpp
+++ b/Tests/Gateway/LastSendsTest.cpp
@@ -56,3 +56,17 @@
     scenario.callers = 4;
     checkPoisonBound(scenario);
 }
+
+// Guards against crashes that are forgotten when no gateway lives on that knows of them.
+TEST_CASE("A poison request is found although all gateways are killed again and again")
+{
+    PoisonScenario scenario{.target = "/often/x",
+                            .servers = GENERATE(3, 12),
+                            .interval = milliseconds(1100),
+                            .runTime = milliseconds(16000),
+                            .restartsGateways = true,
+                            .restartsAllAtOnce = true,
+                            .maxCrashes = 6};
+    CAPTURE(scenario.servers);
+    checkPoisonBound(scenario);
+}
