Keep long requests that arrive at once within the memory of a gateway

What callers saw: nothing; a gateway took 276 MB where 256 MB are allowed. Cause: the bound on held bytes was looked at each 25 ms only, and counted the bytes and not the room of buffers that grow, up to twice as much. Change: the bound is checked whenever callers have sent a 32nd part of it; buffers count with their room, which a whole request gives back; to be cut, a request has to hold about the average only, so that the newest of many alike goes.

--- a/Source/Connection/CallerConnection.cpp
+++ b/Source/Connection/CallerConnection.cpp
@@ -23,6 +23,8 @@
 {
     if (closing_)
         return;
+    if (events_.received)
+        events_.received(bytes.size());
     if (!reader_.requestStarted())
         waitingSince_ = monotonicNow();
     reader_.feed(bytes);
--- a/Source/Connection/CallerConnection.h
+++ b/Source/Connection/CallerConnection.h
@@ -19,6 +19,8 @@
     std::function<void()> closed;
     /// All queued bytes have been handed to the kernel.
     std::function<void()> drained;
+    /// So many bytes have been received; called before any other callback for them.
+    std::function<void(std::size_t)> received{};
 };
 
 /// A caller's connection at the gateway, or a client's at a StatusListener. Handles one request at
@@ -46,7 +48,7 @@
     std::size_t queued() const { return tcp_ ? tcp_->queued() : 0; }
     /// Number of bytes that are held of requests that are being read and of answers that the caller
     /// has not taken yet.
-    std::size_t heldBytes() const { return reader_.buffered() + queued(); }
+    std::size_t heldBytes() const { return reader_.heldBytes() + queued(); }
     bool answering() const { return answering_; }
     /// When the connection began to wait for a request or, once its first byte has arrived, for the
     /// rest of that request.
--- a/Source/Connection/HttpReader.cpp
+++ b/Source/Connection/HttpReader.cpp
@@ -179,6 +179,8 @@
                         .fields = std::move(parser.fields_),
                         .body = std::move(private_->body_),
                         .keepAlive = parser.keep_alive()};
+    // It has grown part by part, and is held until the request is answered.
+    request.body.shrink_to_fit();
     private_->resetParser();
     private_->parse();
     return request;
@@ -208,6 +210,11 @@
     return private_->input_.size() + private_->body_.size();
 }
 
+std::size_t RequestReader::heldBytes() const
+{
+    return private_->input_.capacity() + private_->body_.capacity();
+}
+
 class ResponseReader::Private
 {
 public:
--- a/Source/Connection/HttpReader.h
+++ b/Source/Connection/HttpReader.h
@@ -46,6 +46,8 @@
     bool requestStarted() const;
     /// Number of buffered bytes: unparsed input and the body read so far.
     std::size_t buffered() const;
+    /// Bytes of memory that the buffers take: a growing one has room for up to as much again.
+    std::size_t heldBytes() const;
 
 private:
     class Private;
--- a/Source/Programs/Gateway/CallerSessions.cpp
+++ b/Source/Programs/Gateway/CallerSessions.cpp
@@ -17,12 +17,13 @@
 void CallerSessions::accept(int descriptor)
 {
     const std::uint64_t id = ++lastSession_;
-    sessions_[id] =
-        std::make_unique<Session>(context_, descriptor,
-                                  SessionEvents{.closed = [this, id] { end(id); },
-                                                .queued = [this, id] { waiting_.push_back(id); },
-                                                .slotFreed = [this] { scheduleDispatch(); },
-                                                .stopping = stopping_});
+    sessions_[id] = std::make_unique<Session>(
+        context_, descriptor,
+        SessionEvents{.closed = [this, id] { end(id); },
+                      .queued = [this, id] { waiting_.push_back(id); },
+                      .received = [this](std::size_t bytes) { noteReceived(bytes); },
+                      .slotFreed = [this] { scheduleDispatch(); },
+                      .stopping = stopping_});
 }
 
 void CallerSessions::end(std::uint64_t id)
@@ -97,8 +98,24 @@
     boundHeldBytes(now);
 }
 
+/// Checks the bound again once callers have sent a part of it. Long requests that arrive at once
+/// would exceed it by far between two checks of the timeouts.
+void CallerSessions::noteReceived(std::size_t bytes)
+{
+    constexpr std::size_t checksPerLimit = 32;
+    receivedBytes_ += bytes;
+    if (boundScheduled_ || receivedBytes_ < maxHeldBytes_ / checksPerLimit)
+        return;
+    boundScheduled_ = true;
+    context_.loop.defer([this] {
+        boundScheduled_ = false;
+        boundHeldBytes(monotonicNow());
+    });
+}
+
 void CallerSessions::boundHeldBytes(TimePoint now)
 {
+    receivedBytes_ = 0;
     if (heldBytes() <= maxHeldBytes_)
         return;
     std::vector<HeldBytes> held;
--- a/Source/Programs/Gateway/CallerSessions.h
+++ b/Source/Programs/Gateway/CallerSessions.h
@@ -48,6 +48,7 @@
 private:
     void end(std::uint64_t id);
     Exchange *waitingExchange(std::uint64_t id);
+    void noteReceived(std::size_t bytes);
     void boundHeldBytes(TimePoint now);
     std::vector<std::uint64_t> ids() const;
 
@@ -59,6 +60,9 @@
     std::vector<std::uint64_t> waiting_;
     std::uint64_t lastSession_ = 0;
     bool dispatchScheduled_ = false;
+    /// Bytes that callers have sent since the bound was last checked.
+    std::size_t receivedBytes_ = 0;
+    bool boundScheduled_ = false;
 };
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -523,7 +523,7 @@
 
 std::size_t Exchange::heldBytes() const
 {
-    return request_.body.size() + relay_.heldBytes() + (call_ ? call_->queuedBytes() : 0);
+    return request_.body.capacity() + relay_.heldBytes() + (call_ ? call_->queuedBytes() : 0);
 }
 
 void Exchange::cut(TimePoint now)
--- a/Source/Programs/Gateway/Session.cpp
+++ b/Source/Programs/Gateway/Session.cpp
@@ -56,7 +56,8 @@
                        [this] {
                            if (exchange_)
                                exchange_->resumeReading();
-                       }})
+                       },
+                   .received = events_.received})
 { }
 
 Session::~Session() = default;
@@ -245,7 +246,7 @@
 
 std::size_t Session::heldBytes() const
 {
-    const std::size_t early = early_ ? early_->request.body.size() : 0;
+    const std::size_t early = early_ ? early_->request.body.capacity() : 0;
     return connection_.heldBytes() + early + (exchange_ ? exchange_->heldBytes() : 0);
 }
 
--- a/Source/Programs/Gateway/Session.h
+++ b/Source/Programs/Gateway/Session.h
@@ -16,6 +16,8 @@
     std::function<void()> closed;
     /// A request waits for a slot.
     std::function<void()> queued;
+    /// So many bytes have been received from the caller.
+    std::function<void(std::size_t)> received;
     /// A slot may be free.
     std::function<void()> slotFreed;
     /// Whether the gateway is stopping, so that each answer is the last one on its connection.
--- a/Source/Request/HeldMemory.cpp
+++ b/Source/Request/HeldMemory.cpp
@@ -10,7 +10,12 @@
 /// Sessions that hold less than this part of the largest one's bytes do not count for the average.
 constexpr std::size_t smallPart = 16;
 
-/// Returns the newest of those that hold at least the average of the large ones.
+/// Part of the average, in hundredths, that a session has to hold to be cut. Requests that arrive
+/// at once hold nearly the same, and one that was there first may be the only one above the
+/// average.
+constexpr std::size_t nearAverage = 70;
+
+/// Returns the newest of those that hold about the average of the large ones, or more.
 std::vector<HeldBytes>::iterator nextToCut(std::vector<HeldBytes> &held)
 {
     const auto largest =
@@ -25,7 +30,7 @@
     }
     auto next = largest;
     for (auto session = held.begin(); session != held.end(); ++session) {
-        if (session->bytes >= sum / count && session->since > next->since)
+        if (session->bytes * 100 >= sum / count * nearAverage && session->since > next->since)
             next = session;
     }
     return next;
--- a/Source/Request/HeldMemory.h
+++ b/Source/Request/HeldMemory.h
@@ -23,7 +23,8 @@
 std::size_t heldBytesLimit(std::uint64_t processBytes);
 
 /// Returns the sessions to be cut so that the others hold at most `limit` bytes: one after the
-/// other the newest of those that hold at least the average, for which small ones do not count.
+/// other the newest of those that hold about the average or more, for which small ones do not
+/// count.
 ///
 /// Callers and backend servers decide how much they send and how slowly they read. Without a bound
 /// on the sum a few of them exhaust the memory of the VM, and all requests end with the process. An
--- a/Tests/Gateway/UnendingInputTest.cpp
+++ b/Tests/Gateway/UnendingInputTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <atomic>
 #include <fstream>
 #include <future>
@@ -293,3 +294,16 @@
     CHECK(fields["reason"].get<std::string>().starts_with("xxx"));
     CHECK(fields.dump().size() < 2048);
 }
+
+// Guards against a request that is cut for those that came after it, as they hold a little less
+// each.
+TEST_CASE("Of many requests that arrive at once, the one that was there first is not cut")
+{
+    const TimePoint start = monotonicNow();
+    std::vector<HeldBytes> held = {{1, 4 * megabyte, start}};
+    for (std::uint64_t i = 2; i <= 81; ++i)
+        held.push_back({i, megabyte, start + milliseconds(i)});
+    const std::vector<std::uint64_t> cut = sessionsToCut(held, 40 * megabyte);
+    CHECK(cut.size() == 44);
+    CHECK(std::find(cut.begin(), cut.end(), 1) == cut.end());
+}
