--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -292,7 +292,7 @@
         for (const ServiceSlots &slots : slotsOf(registry_, now))
             setSlots(metrics_, slots);
         operatorRecords_.updateMetrics(now);
-        poisonProtection_.guard().updateMetrics(metrics_);
+        poisonProtection_.guard().updateMetrics(metrics_, monotonicNow());
         updatePriorityLimits();
         updateStoreAge("configuration", *configurationWatch_, now);
         updateStoreAge("backends", *backendsWatch_, now);
--- a/Source/Programs/Gateway/GatewayMetrics.cpp
+++ b/Source/Programs/Gateway/GatewayMetrics.cpp
@@ -139,14 +139,17 @@
                   "Crashes of backend servers that this gateway detected", {{"service", service}});
 }
 
-void setPoisonState(Metrics &metrics, std::size_t quarantinedRequests, std::size_t recentCrashes)
+void setPoisonState(Metrics &metrics, const PoisonState &state)
 {
     metrics.set("wisteria_quarantined_requests",
                 "Requests that are refused because they crash backend servers",
-                static_cast<double>(quarantinedRequests));
+                static_cast<double>(state.quarantined));
+    metrics.set("wisteria_restricted_requests",
+                "Requests of which three copies ended with their servers and none has completed",
+                static_cast<double>(state.restricted));
     metrics.set("wisteria_recent_crashes",
                 "Crashes of backend servers that may count against requests",
-                static_cast<double>(recentCrashes));
+                static_cast<double>(state.recentCrashes));
 }
 
 void setStoreAge(Metrics &metrics, const std::string &what, milliseconds sinceAnswer)
--- a/Source/Programs/Gateway/GatewayMetrics.h
+++ b/Source/Programs/Gateway/GatewayMetrics.h
@@ -92,8 +92,16 @@
 
 void countServerCrash(Metrics &metrics, const std::string &service);
 
-/// @param recentCrashes Crashes that may count against requests.
-void setPoisonState(Metrics &metrics, std::size_t quarantinedRequests, std::size_t recentCrashes);
+/// What counts against requests; see PoisonGuard.
+struct PoisonState
+{
+    std::size_t quarantined = 0;
+    /// Requests of which the last sends are left, or none.
+    std::size_t restricted = 0;
+    std::size_t recentCrashes = 0;
+};
+
+void setPoisonState(Metrics &metrics, const PoisonState &state);
 
 void setStoreAge(Metrics &metrics, const std::string &what, milliseconds sinceAnswer);
 void setSlots(Metrics &metrics, const ServiceSlots &slots);
--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -33,6 +33,17 @@
     return request;
 }
 
+/// Log fields of what counts against a suspect.
+LogFields fieldsOf(const Fingerprint &suspect, const CrashRecord &record)
+{
+    return {{"fingerprint", toText(suspect)},
+            {"crashes", record.crashes},
+            {"moments", record.moments},
+            {"weight", record.weight},
+            {"completed_before", record.provenSound},
+            {"other_cause", record.otherCause}};
+}
+
 std::vector<Fingerprint> decode(const std::vector<FingerprintBytes> &encoded)
 {
     std::vector<Fingerprint> fingerprints;
@@ -173,18 +184,13 @@
 void PoisonGuard::logSuspectSend(const RequestIdentity &request, const SuspectSend &send,
                                  TimePoint now) const
 {
-    const CrashRecord record = crashRecordOf(evidence_, request.request, now);
-    log_.info("request.sent_suspect",
-              {{"id", send.requestId},
-               {"fingerprint", toText(request.request)},
-               {"backend", send.backend},
-               {"left_s", secondsOf(send.timeLeft)},
-               {"crashes", record.crashes},
-               {"moments", record.moments},
-               {"ended_copies", endedCopiesOf(evidence_, request.request, now)},
-               {"last_sends", lastSendsOf(evidence_, request.request, now)},
-               {"other_cause", record.otherCause},
-               {"completed_before", record.provenSound}});
+    LogFields fields = fieldsOf(request.request, crashRecordOf(evidence_, request.request, now));
+    fields["id"] = send.requestId;
+    fields["backend"] = send.backend;
+    fields["left_s"] = secondsOf(send.timeLeft);
+    fields["ended_copies"] = endedCopiesOf(evidence_, request.request, now);
+    fields["last_sends"] = lastSendsOf(evidence_, request.request, now);
+    log_.info("request.sent_suspect", fields);
 }
 
 void PoisonGuard::noteRunEnd(const std::vector<Fingerprint> &suspects, SendId id, RunEnd end,
@@ -235,14 +241,9 @@
     while (const auto found = newPoison(evidence_, true, now)) {
         const CrashRecord record = crashRecordOf(evidence_, *found, now);
         quarantine(evidence_, *found, now + quarantineTime, now);
-        log_.warn("request.quarantined",
-                  {{"fingerprint", toText(*found)},
-                   {"crashes", record.crashes},
-                   {"moments", record.moments},
-                   {"weight", record.weight},
-                   {"only_with", evidence_.quarantined.at(*found).with.size()},
-                   {"completed_before", record.provenSound},
-                   {"other_cause", record.otherCause}});
+        LogFields fields = fieldsOf(*found, record);
+        fields["only_with"] = evidence_.quarantined.at(*found).with.size();
+        log_.warn("request.quarantined", fields);
         keep(*found, lastCrashSeenHere_, now);
         links_.changed();
     }
@@ -282,13 +283,7 @@
         if (evidence_.quarantined.contains(suspect) || now < verdictTime(record)
             || record.crashes == std::exchange(weighedCrashes_[suspect], record.crashes))
             continue;
-        log_.info("request.not_quarantined",
-                  {{"fingerprint", toText(suspect)},
-                   {"crashes", record.crashes},
-                   {"moments", record.moments},
-                   {"weight", record.weight},
-                   {"completed_before", record.provenSound},
-                   {"other_cause", record.otherCause}});
+        log_.info("request.not_quarantined", fieldsOf(suspect, record));
     }
 }
 
@@ -444,9 +439,12 @@
         links_.released(suspect);
 }
 
-void PoisonGuard::updateMetrics(Metrics &metrics) const
+void PoisonGuard::updateMetrics(Metrics &metrics, TimePoint now) const
 {
-    setPoisonState(metrics, evidence_.quarantined.size(), evidence_.crashes.size());
+    setPoisonState(metrics,
+                   {.quarantined = evidence_.quarantined.size(),
+                    .restricted = restrictedRequests(evidence_, now).size(),
+                    .recentCrashes = evidence_.crashes.size()});
 }
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/PoisonGuard.h
+++ b/Source/Programs/Gateway/PoisonGuard.h
@@ -146,7 +146,7 @@
     /// Repeats messages, and forgets what has expired.
     void checkTimeouts(TimePoint now);
     /// Sets the gauges of a scrape.
-    void updateMetrics(Metrics &metrics) const;
+    void updateMetrics(Metrics &metrics, TimePoint now) const;
 
 private:
     bool runsHere(const Fingerprint &suspect) const { return running_.contains(suspect); }
--- a/Tests/Gateway/LastSendsTest.cpp
+++ b/Tests/Gateway/LastSendsTest.cpp
@@ -60,8 +60,9 @@
 // Guards against crashes that are forgotten when no gateway lives on that knows of them.
 TEST_CASE("A poison request is found although all gateways are killed again and again")
 {
+    const std::size_t servers = GENERATE(3, 12);
     PoisonScenario scenario{.target = "/often/x",
-                            .servers = GENERATE(3, 12),
+                            .servers = servers,
                             .interval = milliseconds(1100),
                             .runTime = milliseconds(16000),
                             .restartsGateways = true,
--- a/Tests/Gateway/MetricsTest.cpp
+++ b/Tests/Gateway/MetricsTest.cpp
@@ -107,7 +107,7 @@
     countStoreCall(metrics, "t", "answered");
     countTurnedAway(metrics);
     countServerCrash(metrics, "s");
-    setPoisonState(metrics, 1, 1);
+    setPoisonState(metrics, {});
     setStoreAge(metrics, "t", milliseconds(1));
     setSlots(metrics, {.service = "s"});
     setRetriesLeft(metrics, "s", 1);
