Hold a restricted request back also where its quarantine needs other suspects beside it

A quarantine that needs prompt parts beside a request does not refuse the same request with other parts; its last sends then govern. The record of crashes in the store is bounded by reports rather than crashes, as each may list many requests.

--- a/Source/Programs/Gateway/EvidenceSharing.cpp
+++ b/Source/Programs/Gateway/EvidenceSharing.cpp
@@ -21,8 +21,8 @@
 constexpr std::size_t maxFingerprintsPerMessage = 64;
 /// Ids of sends that take as many bytes as a fingerprint.
 constexpr std::size_t sendsPerFingerprint = 3;
-/// Crashes in one record of the store, which bounds its size.
-constexpr std::size_t maxRecordedCrashes = 32;
+/// Reports of crashes in one record of the store, which bounds its size.
+constexpr std::size_t maxRecordedReports = 48;
 /// Restricted requests that are told to a gateway that may not know of them.
 constexpr std::size_t maxGossipAccounts = 16;
 
@@ -214,12 +214,10 @@
 std::vector<GroupMessage> EvidenceSharing::ownReports(TimePoint now) const
 {
     std::vector<GroupMessage> reports;
-    std::size_t crashes = 0;
     for (auto crash = evidence_.crashes.rbegin();
-         crash != evidence_.crashes.rend() && crashes < maxRecordedCrashes; ++crash) {
+         crash != evidence_.crashes.rend() && reports.size() < maxRecordedReports; ++crash) {
         if (!crash->seenHere || !isOpen(evidence_, *crash, now))
             continue;
-        ++crashes;
         for (CrashReport &report : reportsOf(*crash, now))
             reports.emplace_back(std::move(report));
     }
--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -95,8 +95,8 @@
         if (isPoisonByItself(record) && !evidence_.quarantined.contains(suspect))
             at = std::max(at, verdictTime(record) + judgeInterval);
         if (suspect == request.request) {
-            const bool mayBeSent =
-                hasLastSend(evidence_, suspect, now) || evidence_.quarantined.contains(suspect);
+            const bool isTrial = quarantineReason(request, now).has_value();
+            const bool mayBeSent = isTrial || hasLastSend(evidence_, suspect, now);
             if (!mayBeSent || runsHere(fingerprintOfService(service)))
                 return TimePoint::max();
             at = std::max(at, lastCrashOf(evidence_, service) + suspectPause);
@@ -198,8 +198,10 @@
 {
     const milliseconds holds = end == RunEnd::Unknown ? claimAfterRun : milliseconds(0);
     for (const Fingerprint &suspect : suspects) {
-        if (end == RunEnd::NotDelivered && withdrawLastSend(evidence_, suspect, id))
+        if (end == RunEnd::NotDelivered && withdrawLastSend(evidence_, suspect, id)) {
             sharing_.reportCopies(suspect, now);
+            links_.evidenceChanged();
+        }
         const auto found = running_.find(suspect);
         if (found == running_.end())
             continue;
