--- a/Tests/Gateway/QuarantineTest.cpp
+++ b/Tests/Gateway/QuarantineTest.cpp
@@ -107,3 +107,33 @@
     bytes.pop_back();
     REQUIRE(decodeMessage(bytes).has_error());
 }
+
+// Guards against a record of another writer that stops a gateway from starting, or that is lost.
+TEST_CASE("Records of crashes survive encoding and decoding, and malformed ones are refused")
+{
+    const platform::EvidenceRecord record{
+        .writtenAt = WallTime(milliseconds(1234)),
+        .messages = {encodeMessage(CompletionReport{.requests = {FingerprintBytes{9}}}), "\0x"}};
+    REQUIRE(platform::decodeEvidence(platform::encodeEvidence(record)).value() == record);
+    REQUIRE(platform::decodeEvidence("{}").has_error());
+    REQUIRE(platform::decodeEvidence("[1]").has_error());
+    REQUIRE(platform::decodeEvidence(R"({"at_ms":1,"messages":7})").has_error());
+    REQUIRE(platform::decodeEvidence(R"({"at_ms":1,"messages":[7]})").has_error());
+    REQUIRE(platform::decodeEvidence(R"({"at_ms":1,"messages":["0g"]})").has_error());
+    REQUIRE(platform::decodeEvidence(R"({"at_ms":1,"messages":["abc"]})").has_error());
+}
+
+// Guards against the same at the start of a whole gateway.
+TEST_CASE("A gateway starts and serves beside unreadable records of crashes")
+{
+    ScriptedServer server([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 200, "done"));
+    });
+    GatewayUnderTest gateway;
+    gateway.store.append(platform::evidenceTopic, "front-7", "no JSON");
+    gateway.store.append(platform::evidenceTopic, "front-8", R"({"at_ms":1,"messages":["0g"]})");
+    gateway.store.append(platform::evidenceTopic, "front-9",
+                         platform::encodeEvidence({.writtenAt = wallNow(), .messages = {"x"}}));
+    gateway.startWithBackend("i-1", "plain", server);
+    REQUIRE(gateway.callUntil(requestFor("/once/x", "a1"), 200).status == 200);
+}
