Close connections in two steps, so that callers get an answer that comes early

Cause: the gateway closed its socket with unread bytes of the caller, so the kernel reset the connection; a reset may overtake the answer, and what the kernel had not sent yet is dropped.

Change: a connection stops writing once its queue is empty, then drops what the caller still sends, until the caller closes, sends nothing for 0.5 s, has kept it open for 3 s or has sent 32 MB. It counts as a connection meanwhile, so the bound on their number holds; nothing is held in memory. Connections without an answer on them are closed at once as before.

The caller's socket of the tests, of which the soak and one test had copies, stands once now.

--- a/Source/Connection/CallerConnection.h
+++ b/Source/Connection/CallerConnection.h
@@ -37,8 +37,8 @@
     /// Ends the answer and handles the next request.
     void finishAnswer(TimePoint now);
 
-    /// Closes the connection when all queued bytes have been sent: at once, or later with a call of
-    /// `closed`.
+    /// Closes the connection once all queued bytes have been sent and the caller has had a short
+    /// time to take them; then calls `closed`.
     void close();
 
     /// Closes the connection without sending the queued bytes and without a TCP reset, so that the
--- a/Source/Connection/TcpConnection.cpp
+++ b/Source/Connection/TcpConnection.cpp
@@ -32,6 +32,11 @@
 /// Connections accepted before other events get their turn. More than that in one turn would starve
 /// the open connections and all timers while new ones come as fast as they can be accepted.
 constexpr int maxAcceptsPerTurn = 16;
+/// A connection that is being closed is given up when the peer has sent nothing for this long, has
+/// kept it open for the longest time, or has sent so many bytes that are dropped.
+constexpr milliseconds lingerIdleTime{500};
+constexpr milliseconds maxLingerTime{3000};
+constexpr std::size_t maxLingerBytes = 33554432;
 
 ACE_INET_Addr toAce(const Endpoint &endpoint)
 {
@@ -85,7 +90,7 @@
 
     void watch()
     {
-        const Interest interest{.read = !paused_ && !connecting_ && !closing_,
+        const Interest interest{.read = lingering_ || (!paused_ && !connecting_ && !closing_),
                                 .write = connecting_ || queued() > 0};
         if (watching_ && interest == interest_)
             return;
@@ -130,6 +135,10 @@
     {
         static thread_local std::array<char, readBufferBytes> buffer;
         const ssize_t count = stream_.recv(buffer.data(), buffer.size());
+        if (count > 0 && lingering_) {
+            dropReceived(static_cast<std::size_t>(count));
+            return;
+        }
         if (count > 0) {
             events_.received(std::string_view(buffer.data(), static_cast<std::size_t>(count)));
             return;
@@ -186,7 +195,7 @@
         }
         dropSent();
         if (closing_) {
-            end(TcpEnd::Closed);
+            shutDownWriting();
             return;
         }
         watch();
@@ -194,6 +203,53 @@
             events_.drained();
     }
 
+    void closeWhenDrained()
+    {
+        if (closing_)
+            return;
+        closing_ = true;
+        if (queued() == 0)
+            shutDownWriting();
+        else
+            watch();
+    }
+
+    /// Tells the peer that nothing more comes, and drops what it still sends.
+    void shutDownWriting()
+    {
+        if (!open_ || lingering_)
+            return;
+        lingering_ = true;
+        lingerUntil_ = monotonicNow() + maxLingerTime;
+        stream_.close_writer();
+        watch();
+        scheduleLingerCheck();
+    }
+
+    void scheduleLingerCheck()
+    {
+        lingerTimer_ =
+            loop_.runAfter(lingerIdleTime, [self = shared_from_this()] { self->checkLinger(); });
+    }
+
+    void checkLinger()
+    {
+        lingerTimer_ = 0;
+        const bool idle = std::exchange(droppedSinceCheck_, 0) == 0;
+        if (idle || monotonicNow() >= lingerUntil_)
+            end(TcpEnd::Closed);
+        else
+            scheduleLingerCheck();
+    }
+
+    void dropReceived(std::size_t bytes)
+    {
+        droppedSinceCheck_ += bytes;
+        dropped_ += bytes;
+        if (dropped_ > maxLingerBytes)
+            end(TcpEnd::Closed);
+    }
+
     void end(TcpEnd reason)
     {
         if (!open_)
@@ -219,6 +275,7 @@
         if (!open_)
             return;
         open_ = false;
+        loop_.cancel(std::exchange(lingerTimer_, 0));
         if (stream_.get_handle() == ACE_INVALID_HANDLE)
             return;
         loop_.unwatch(stream_.get_handle());
@@ -237,6 +294,12 @@
     bool connecting_ = false;
     bool paused_ = false;
     bool closing_ = false;
+    /// The second step of closing; see TcpConnection::closeWhenDrained().
+    bool lingering_ = false;
+    TimePoint lingerUntil_;
+    EventLoop::TimerId lingerTimer_ = 0;
+    std::size_t droppedSinceCheck_ = 0;
+    std::size_t dropped_ = 0;
 };
 
 TcpConnection::TcpConnection(std::shared_ptr<Private> state) : private_(std::move(state)) { }
@@ -284,11 +347,7 @@
 
 void TcpConnection::closeWhenDrained()
 {
-    private_->closing_ = true;
-    if (private_->queued() == 0)
-        private_->close();
-    else
-        private_->watch();
+    private_->closeWhenDrained();
 }
 
 void TcpConnection::abort()
@@ -303,10 +362,10 @@
     std::function<void(int)> accepted_;
     ACE_SOCK_Acceptor acceptor_;
 
-    void accept()
+    void accept(int most)
     {
         ACE_SOCK_Stream stream;
-        for (int count = 0; count < maxAcceptsPerTurn; ++count) {
+        for (int count = 0; count < most; ++count) {
             if (acceptor_.accept(stream, nullptr, nullptr, false) != 0)
                 return;
             accepted_(stream.get_handle());
@@ -333,6 +392,11 @@
     return {local.get_ip_address(), local.get_port_number()};
 }
 
+void TcpListener::acceptWaiting()
+{
+    private_->accept(acceptBacklog);
+}
+
 void TcpListener::close()
 {
     if (private_->acceptor_.get_handle() == ACE_INVALID_HANDLE)
@@ -352,7 +416,7 @@
     }
     private_->acceptor_.enable(ACE_NONBLOCK);
     private_->loop_.watch(private_->acceptor_.get_handle(), Interest{.read = true},
-                          [this](Interest) { private_->accept(); });
+                          [this](Interest) { private_->accept(maxAcceptsPerTurn); });
     return boost::outcome_v2::success();
 }
 
--- a/Source/Connection/TcpConnection.h
+++ b/Source/Connection/TcpConnection.h
@@ -54,8 +54,10 @@
     /// Pauses or resumes reading. While reading is paused, TCP flow control slows the peer down.
     void pauseReading(bool pause);
 
-    /// Stops reading, and closes the connection when the queue is empty: at once, or later with a
-    /// call of `ended`.
+    /// Closes the connection in two steps, and then calls `ended`: once the queue is empty it stops
+    /// writing; then it drops what the peer still sends, until the peer closes or a bound in time
+    /// or bytes is reached. If it closed at once, the kernel would reset the connection for unread
+    /// bytes, and the peer could lose what was sent before.
     void closeWhenDrained();
 
     /// Closes with a reset, so that the peer discards what it has not read yet.
@@ -79,6 +81,9 @@
     /// @return BadSettings, naming the address, when binding or listening fails.
     Result<void> listen(const Endpoint &address);
 
+    /// Passes on the connections that wait to be accepted, up to the size of the backlog.
+    void acceptWaiting();
+
     /// The bound address. For port 0 it holds the port that the kernel chose.
     Endpoint address() const;
 
--- a/Source/Programs/Gateway/Session.cpp
+++ b/Source/Programs/Gateway/Session.cpp
@@ -212,12 +212,8 @@
 /// gateway that stops waits for its sessions, and would cut off an answer that it has taken over.
 void Session::closeConnection()
 {
-    draining_ = connection_.queued() > 0;
+    draining_ = true;
     connection_.close();
-    if (draining_)
-        return;
-    closed_ = true;
-    events_.closed();
 }
 
 void Session::checkTimeouts(TimePoint now)
@@ -267,7 +263,7 @@
         exchange_->cut(now);
         return;
     }
-    if (exchange_ || connection_.queued() > 0) {
+    if (exchange_ || draining_ || connection_.queued() > 0) {
         abort();
         return;
     }
@@ -282,8 +278,12 @@
 
 void Session::closeIdle()
 {
-    if (!draining_)
+    if (draining_)
+        return;
+    if (connection_.queued() > 0)
         closeConnection();
+    else
+        abort();
 }
 
 } // namespace wisteria
--- a/Tests/Gateway/SlowCallersTest.cpp
+++ b/Tests/Gateway/SlowCallersTest.cpp
@@ -1,12 +1,11 @@
 #include <atomic>
 #include <string>
 
-#include <netinet/in.h>
 #include <poll.h>
-#include <sys/socket.h>
 
 #include <catch2/catch.hpp>
 
+#include "Gateway/CallerSocket.h"
 #include "Gateway/LoggedGateway.h"
 
 using namespace wisteria;
@@ -20,48 +19,22 @@
 constexpr std::size_t bytesPerRead = 131072;
 constexpr int millisecondsPerRead = 62;
 
-/// A caller that reads its answer slowly.
-class SlowCaller
-{
-public:
-    SlowCaller(const Endpoint &to, const std::string &request)
-        : descriptor_(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        constexpr int receiveBuffer = 65536;
-        ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(to.port);
-        address.sin_addr.s_addr = htonl(to.ip);
-        REQUIRE(
-            ::connect(descriptor_, reinterpret_cast<const sockaddr *>(&address), sizeof(address))
-            == 0);
-        REQUIRE(::send(descriptor_, request.data(), request.size(), MSG_NOSIGNAL)
-                == static_cast<ssize_t>(request.size()));
-    }
-
-    ~SlowCaller() { ::close(descriptor_); }
-    SlowCaller(const SlowCaller &) = delete;
-    SlowCaller &operator=(const SlowCaller &) = delete;
+constexpr int receiveBufferBytes = 65536;
 
-    /// Reads until the end of the connection.
-    /// @return The number of bytes, of the head too.
-    std::size_t readSlowly() const
-    {
-        std::string part(bytesPerRead, '\0');
-        std::size_t total = 0;
-        while (true) {
-            const ssize_t count = ::recv(descriptor_, part.data(), part.size(), MSG_WAITALL);
-            if (count <= 0)
-                return total;
-            total += static_cast<std::size_t>(count);
-            ::poll(nullptr, 0, millisecondsPerRead);
-        }
+/// Reads slowly until the end of the connection.
+/// @return The number of bytes, of the head too.
+std::size_t readSlowly(const CallerSocket &caller)
+{
+    std::string part(bytesPerRead, '\0');
+    std::size_t total = 0;
+    while (true) {
+        const ssize_t count = caller.read(part);
+        if (count <= 0)
+            return total;
+        total += static_cast<std::size_t>(count);
+        ::poll(nullptr, 0, millisecondsPerRead);
     }
-
-private:
-    int descriptor_;
-};
+}
 
 } // namespace
 
@@ -79,10 +52,11 @@
     store.put("keyed.servers", "i-1", listEntryOf("plain", server.endpoint()));
     LoggedGateway gateway(store.endpoint());
     REQUIRE(gateway.waitUntilRouting());
-    const SlowCaller caller(gateway.callers(), requestFor("/again/x", "a1"));
+    const CallerSocket caller(gateway.callers(), receiveBufferBytes);
+    REQUIRE(caller.send(requestFor("/again/x", "a1")));
     REQUIRE(eventually([&] { return answered > 0; }));
     gateway.terminate();
-    CHECK(caller.readSlowly() > answerBytes);
+    CHECK(readSlowly(caller) > answerBytes);
     CHECK(gateway.waitForExit() == 0);
 }
 
@@ -97,7 +71,8 @@
     store.put("keyed.servers", "i-1", listEntryOf("plain", server.endpoint()));
     LoggedGateway gateway(store.endpoint());
     REQUIRE(gateway.waitUntilRouting());
-    const SlowCaller caller(gateway.callers(), requestFor("/again/x", "a1"));
+    const CallerSocket caller(gateway.callers(), receiveBufferBytes);
+    REQUIRE(caller.send(requestFor("/again/x", "a1")));
     REQUIRE(eventually([&] { return !server.seen().empty(); }));
     gateway.terminate();
     CHECK(gateway.waitForExit() == 0);
--- a/Tests/Soak/KeepAliveCaller.h
+++ b/Tests/Soak/KeepAliveCaller.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include <memory>
 #include <string>
 
-#include "Gateway/ScriptedServer.h"
+#include "Gateway/CallerSocket.h"
 
 namespace wisteria::soak {
 
@@ -11,20 +12,14 @@
 {
 public:
     explicit KeepAliveCaller(const Endpoint &to) : to_(to) { }
-    ~KeepAliveCaller();
-    KeepAliveCaller(const KeepAliveCaller &) = delete;
-    KeepAliveCaller &operator=(const KeepAliveCaller &) = delete;
 
     /// Sends a request and reads its answer. Reuses the connection if it is open.
     /// @return The answer; its status is 0 if no answer was received.
     gateway_tests::CallResult call(const std::string &request);
 
 private:
-    bool connect();
-    void close();
-
     Endpoint to_;
-    int descriptor_ = -1;
+    std::unique_ptr<gateway_tests::CallerSocket> socket_;
 };
 
 } // namespace wisteria::soak
