Close the connection of a stream that ends in a planned stop

What callers saw: a request that was sent 3.5 s after SIGTERM, right after a stream had ended on the same connection, was read, passed on to a backend server and cut off without a status at the end of the grace period, also where it must not run twice (LOST).

Cause: whether a connection is kept was decided with the head of the answer. A stream whose head went out before SIGTERM kept its connection open after its end, until the next check of the stop, 25 ms at most; answers that are sent whole closed theirs. A request in these 25 ms was taken like any other.

Evidence: real processes on loopback, eight streams that end 3.5 s after SIGTERM, the next request sent at once: 8 of 8 reached the server on the code before and none got an answer; the lines said "the caller left".

Change: the end of a stream decides anew.

--- a/Source/Programs/Gateway/Session.cpp
+++ b/Source/Programs/Gateway/Session.cpp
@@ -186,7 +186,8 @@
 void Session::endStream()
 {
     connection_.send(lastChunkText);
-    finishRequest(keepAlive_);
+    // The stop may have come after the head.
+    finishRequest(keepAlive_ && !events_.stopping());
 }
 
 void Session::abort()
