Send nothing in a planned stop that it would cut off, and answer all that was read

What callers saw, real processes on loopback, grace period 8 s: a request that waited for a slot was passed on 4.5 s after SIGTERM and cut off at 7.7 s, on a route that may not be repeated; each request of 6 s that was sent 1.8 to 2.6 s after SIGTERM got a closed connection without a status; a request behind another one on its connection, and one whose body still arrived at 2.6 s, were dropped.

Cause: a stopping gateway asked only whether it still accepts connections, never whether a request that it sends can complete before it exits; at its end it stopped the event loop with requests open.

Change: one decision, maySend(), for each way to a server (first send, retry, move, waiting request): in a stop a request is sent only if it completes 0.5 s before the kill, in the first 2.6 s by what all but a twentieth of the recent runs of its service took, after that by its deadline. Otherwise 503 at once. 0.5 s before the kill each open request is answered: 503 if it certainly has not run, else 502; a stream that has begun is cut off at the exit. A connection on which a part of a request was read stays until that is answered. Connections that wait to be accepted when the listener closes are accepted, and new ones have 0.3 s for their first bytes. Lines of requests have grace_left_s in a stop, and what the gateway ends is no longer written as left by its caller.

Result: of the tests of PlannedStopTest those of waiting requests, of each request that was read, of pipelined requests and of slow bodies fail before (6 callers without a status, 1 of 1, 2 of 2) and pass; requests whose usual runs fit are served as before.

--- a/Source/Programs/Gateway/CallerListener.cpp
+++ b/Source/Programs/Gateway/CallerListener.cpp
@@ -46,6 +46,8 @@
 
 void CallerListener::close()
 {
+    if (listening_)
+        listener_.acceptWaiting();
     open_ = false;
     listening_ = false;
     listener_.close();
--- a/Source/Programs/Gateway/CallerSessions.cpp
+++ b/Source/Programs/Gateway/CallerSessions.cpp
@@ -9,9 +9,15 @@
 
 namespace wisteria {
 
-CallerSessions::CallerSessions(GatewayContext &context, std::size_t maxHeldBytes,
-                               std::function<bool()> stopping)
-    : context_(context), maxHeldBytes_(maxHeldBytes), stopping_(std::move(stopping))
+namespace {
+
+/// Time for the first bytes of a request on a connection whose caller was about to send it.
+constexpr milliseconds firstBytesTime{300};
+
+} // namespace
+
+CallerSessions::CallerSessions(GatewayContext &context, std::size_t maxHeldBytes)
+    : context_(context), maxHeldBytes_(maxHeldBytes)
 { }
 
 void CallerSessions::accept(int descriptor)
@@ -22,8 +28,7 @@
         SessionEvents{.closed = [this, id] { end(id); },
                       .queued = [this, id] { waiting_.push_back(id); },
                       .received = [this](std::size_t bytes) { noteReceived(bytes); },
-                      .slotFreed = [this] { scheduleDispatch(); },
-                      .stopping = stopping_});
+                      .slotFreed = [this] { scheduleDispatch(); }});
 }
 
 void CallerSessions::end(std::uint64_t id)
@@ -131,15 +136,24 @@
     }
 }
 
-void CallerSessions::closeIdle()
+void CallerSessions::closeIdle(TimePoint now)
 {
     for (const std::uint64_t id : ids()) {
         const auto found = sessions_.find(id);
-        if (found != sessions_.end() && found->second->idle())
+        if (found != sessions_.end() && found->second->unused(firstBytesTime, now))
             found->second->closeIdle();
     }
 }
 
+void CallerSessions::endForStop(bool streams, TimePoint now)
+{
+    for (const std::uint64_t id : ids()) {
+        const auto found = sessions_.find(id);
+        if (found != sessions_.end() && (streams || !found->second->streaming()))
+            found->second->endForStop(now);
+    }
+}
+
 std::size_t CallerSessions::busy() const
 {
     return static_cast<std::size_t>(
--- a/Source/Programs/Gateway/CallerSessions.h
+++ b/Source/Programs/Gateway/CallerSessions.h
@@ -17,9 +17,7 @@
 {
 public:
     /// @param maxHeldBytes Bound on the bytes that all connections together hold.
-    /// @param stopping Whether the gateway is stopping.
-    CallerSessions(GatewayContext &context, std::size_t maxHeldBytes,
-                   std::function<bool()> stopping);
+    CallerSessions(GatewayContext &context, std::size_t maxHeldBytes);
     CallerSessions(const CallerSessions &) = delete;
     CallerSessions &operator=(const CallerSessions &) = delete;
 
@@ -34,8 +32,11 @@
     /// Checks the timeouts of all connections, and cuts some if all together hold too much.
     void checkTimeouts(TimePoint now);
     /// Closes all connections without a current request, once their callers have taken their
-    /// answers.
-    void closeIdle();
+    /// answers; new ones only after they have had the time to send a request.
+    void closeIdle(TimePoint now);
+    /// Answers all open requests because the gateway exits.
+    /// @param streams Whether streams that have begun are cut off too.
+    void endForStop(bool streams, TimePoint now);
 
     std::size_t size() const { return sessions_.size(); }
     bool empty() const { return sessions_.empty(); }
@@ -54,7 +55,6 @@
 
     GatewayContext &context_;
     std::size_t maxHeldBytes_;
-    std::function<bool()> stopping_;
     std::map<std::uint64_t, std::unique_ptr<Session>> sessions_;
     /// Sessions whose request joined a queue, in that order.
     std::vector<std::uint64_t> waiting_;
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -82,6 +82,10 @@
         refuseQuarantined(now);
         return true;
     }
+    if (!fitsPlannedStop(now)) {
+        refuseForStop(now);
+        return true;
+    }
     if (const auto mayRunAt = suspicion_.mayRunAt(groupOpenedAt(), now); mayRunAt > now)
         return waitForOtherRuns(mayRunAt, now);
     BackendChoice choice = chooseNext(admission_.maxLoad(now), now);
@@ -147,6 +151,21 @@
     return suspicion_.timeNeeded(route_.targetLatency, remaining(arrived_, deadline_), now);
 }
 
+/// Whether the request completes before a planned stop of the gateway ends, as far as is known.
+bool Exchange::fitsPlannedStop(TimePoint now) const
+{
+    const auto runs = context_.recentRuns.find(service_);
+    const std::optional<milliseconds> usual =
+        runs == context_.recentRuns.end() ? std::nullopt : usualRun(runs->second);
+    return maySend(context_.plannedStop, {.deadline = deadline_, .usual = usual}, now);
+}
+
+/// Whether the route's rules and the time that is left allow another send.
+bool Exchange::maySendAgain(SendOutcome outcome, const SendHistory &history, TimePoint now) const
+{
+    return mayRetry(route_, outcome, history, timeLeft(now)) && fitsPlannedStop(now);
+}
+
 /// When the service's group opened last.
 TimePoint Exchange::groupOpenedAt() const
 {
@@ -194,11 +213,12 @@
     relay_.beginSend(now);
     const ConnectionUse use = route_.repeatable() ? ConnectionUse::Reuse : ConnectionUse::Fresh;
     if (context_.log.shouldLog(LogLevel::Debug)) {
-        context_.log.debug("request.send",
-                           {{"id", request_.attemptId},
+        LogFields fields = {{"id", request_.attemptId},
                             {"backend", backendId_},
                             {"own", backend.ownInFlight},
-                            {"left_s", secondsOf(options.timeLeft)}});
+                            {"left_s", secondsOf(options.timeLeft)}};
+        addGraceLeft(fields, context_.plannedStop, now);
+        context_.log.debug("request.send", fields);
     }
     CallEvents events{.accept = [this](const HttpResponseHead &head) { return acceptsHead(head); },
                       .head = [this](const HttpResponseHead &head) { onHead(head); },
@@ -290,6 +310,7 @@
     const TimePoint now = monotonicNow();
     countSendEnd(context_.metrics, service_, "answered");
     releaseBackend();
+    noteRun(context_.recentRuns[service_], remaining(sentAt_, now));
     if (!relay_.isStream())
         context_.lastProgressAt[service_] = now;
     finish(relay_.head().status, "answered", now);
@@ -335,6 +356,7 @@
                         {"arrivals", history_.delivered},
                         {"may_have_run", history_.mayHaveRun},
                         {"left_s", secondsOf(timeLeft(now))}};
+    addGraceLeft(fields, context_.plannedStop, now);
     if (connectionEnded) {
         fields["fingerprint"] = toText(suspicion_.fingerprint());
         fields["parts"] = suspicion_.partFingerprints();
@@ -376,7 +398,10 @@
         forwardAnswer();
         return;
     case RetryDecision::Refuse:
-        refuse("not run by any backend server", refusalCause, now);
+        if (fitsPlannedStop(now))
+            refuse("not run by any backend server", refusalCause, now);
+        else
+            refuseForStop(now);
         return;
     case RetryDecision::Abort:
         finish(0, "broken off", now);
@@ -398,8 +423,7 @@
 bool Exchange::holdRetry(SendOutcome outcome, TimePoint now)
 {
     // A group that has just lost a server stops anyway, so the first retry is sent at once.
-    if (suspicion_.level(now) < Suspicion::RepeatedSuspect
-        || !mayRetry(route_, outcome, history_, timeLeft(now)))
+    if (suspicion_.level(now) < Suspicion::RepeatedSuspect || !maySendAgain(outcome, history_, now))
         return false;
     if (suspicion_.takeTurn(groupOpenedAt(), now) <= now)
         return false;
@@ -416,7 +440,7 @@
 /// @param refusalCause Set to why none was chosen, if the caller should know.
 bool Exchange::sendAgain(SendOutcome outcome, BackendChoice &refusalCause, TimePoint now)
 {
-    if (!mayRetry(route_, outcome, history_, timeLeft(now)))
+    if (!maySendAgain(outcome, history_, now))
         return false;
     // Nine of ten requests that were in flight at a crash did not cause it, so one more server is
     // risked for them, but not a second one.
@@ -449,7 +473,7 @@
     if (waiting_) {
         // Other requests may be ahead of this one, so it does not look for a slot by itself before
         // its wait ends.
-        if (now >= std::min(waitUntil_, deadline_))
+        if (now >= std::min(waitUntil_, deadline_) || !fitsPlannedStop(now))
             tryDispatch(now);
         else if (now >= nextDispatchAt_)
             context_.dispatchSoon();
@@ -497,7 +521,7 @@
     SendHistory historyAfterMove = history_;
     ++historyAfterMove.delivered;
     historyAfterMove.mayHaveRun = true;
-    if (!mayRetry(route_, SendOutcome::Incomplete, historyAfterMove, timeLeft(now)))
+    if (!maySendAgain(SendOutcome::Incomplete, historyAfterMove, now))
         return;
     const double maxLoad =
         cause == MoveCause::Silent ? maxLoadAfterFailure : admission_.maxLoad(now);
@@ -540,6 +564,22 @@
             "too many bytes of requests and answers are held");
 }
 
+void Exchange::endForStop(TimePoint now)
+{
+    if (finished_)
+        return;
+    if (waiting_) {
+        refuseForStop(now);
+        return;
+    }
+    if (call_) {
+        noteUnansweredSend();
+        endSend(call_->sent() ? SendOutcome::Incomplete : SendOutcome::NeverSent, stoppingReason);
+    }
+    if (!finished_ && undecided_)
+        continueAfter(*undecided_, now);
+}
+
 BackendChoice Exchange::chooseNext(double maxLoad, TimePoint now)
 {
     const BackendCriteria criteria{.service = service_,
@@ -577,6 +617,12 @@
                  now);
 }
 
+void Exchange::refuseForStop(TimePoint now)
+{
+    const milliseconds retryAfter = context_.retryAfterPolicy.stopping;
+    answerItself({.status = 503, .reason = stoppingReason, .retryAfter = retryAfter}, now);
+}
+
 /// Records that this gateway gives up a send, so that a crash right after it can be traced.
 void Exchange::noteUnansweredSend()
 {
@@ -633,7 +679,8 @@
                       .configurationVersion = routes_->configuration().version,
                       .priority = admission_.priority(),
                       .tried = tried_,
-                      .fingerprint = suspicion_.fingerprintIfKnown()});
+                      .fingerprint = suspicion_.fingerprintIfKnown(),
+                      .endedAt = now});
 }
 
 RequestEnd Exchange::endOf(int status, const char *reason, TimePoint now) const
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -41,6 +41,10 @@
     void checkTimeouts(TimePoint now);
     /// Ends the request, or the present send of it, because the gateway holds too many bytes.
     void cut(TimePoint now);
+    /// Answers the request because the gateway exits, or cuts its stream off.
+    void endForStop(TimePoint now);
+    /// Whether a part of a stream has been sent to the caller.
+    bool streaming() const { return history_.answerBegun; }
     /// Number of bytes that are held of the request and its answer.
     std::size_t heldBytes() const;
     const std::string &id() const { return request_.attemptId; }
@@ -70,6 +74,8 @@
 
     milliseconds timeLeft(TimePoint now) const { return remaining(now, deadline_); }
     milliseconds timeNeeded(TimePoint now);
+    bool fitsPlannedStop(TimePoint now) const;
+    bool maySendAgain(SendOutcome outcome, const SendHistory &history, TimePoint now) const;
     bool shouldWait(const BackendChoice &choice, TimePoint now) const;
     TimePoint waitTimeout(NoBackendReason reason) const;
     void endWait(TimePoint now);
@@ -90,6 +96,7 @@
     void noteUnansweredSend();
     void noteCompleteAnswer();
     void refuseQuarantined(TimePoint now);
+    void refuseForStop(TimePoint now);
     void releaseBackend();
     void checkServer(TimePoint now);
     void moveOff(const BackendState &server, MoveCause cause, TimePoint now);
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -34,11 +34,6 @@
 /// File descriptors reserved for the store, the log and files. Callers and backend servers share
 /// the rest.
 constexpr std::size_t reservedDescriptors = 400;
-/// How long a stopping gateway still accepts connections. The platform checks readiness once a
-/// second and sends callers elsewhere after two failed checks.
-constexpr milliseconds stopAcceptingAfter{2600};
-/// A stopping gateway ends the remaining requests this long before the platform kills it.
-constexpr milliseconds stopMargin{300};
 
 RetryQuota retryQuotaOf(const platform::ProcessSettings &settings)
 {
@@ -127,7 +122,7 @@
                              receiveMessage(from, bytes);
                          }),
           hellos_(context_, messageSocket_, settings_.firstInternalPort),
-          sessions_(context_, heldBytesLimit(settings_.memoryBytes), [this] { return stopping_; })
+          sessions_(context_, heldBytesLimit(settings_.memoryBytes))
     {
         registry_.coldServers.bounds = {settings_.coldOvershoot, settings_.coldSlack};
     }
@@ -269,7 +264,7 @@
         backendsWatch_->readSoon(monotonicNow());
     }
 
-    bool ready() const { return !stopping_ && context_.routes && backendList_.known(); }
+    bool ready() const { return !context_.plannedStop && context_.routes && backendList_.known(); }
 
     std::string metricsText()
     {
@@ -333,8 +328,8 @@
         poisonProtection_.checkTimeouts(now);
         pool_.closeExpired(now);
         callerListener_.check(now);
-        if (stopping_)
-            checkStop(now);
+        if (context_.plannedStop)
+            checkStop(*context_.plannedStop, now);
     }
 
     /// Applies the settings that may change while the process runs: retry quota and grace period.
@@ -350,6 +345,8 @@
         context_.retryQuota = retryQuotaOf(read.value());
         noteGateways(context_.retryQuota, gateways);
         settings_.gracePeriod = read.value().gracePeriod;
+        if (context_.plannedStop)
+            context_.plannedStop->gracePeriod = settings_.gracePeriod;
         log_.info("process.reload",
                   {{"retry_ratio", context_.retryQuota.ratio},
                    {"retry_slack", context_.retryQuota.baseRetries}});
@@ -357,27 +354,24 @@
 
     void stop()
     {
-        if (stopping_)
+        if (context_.plannedStop)
             return;
-        stopping_ = true;
-        stopAt_ = monotonicNow();
+        context_.plannedStop = PlannedStop{monotonicNow(), settings_.gracePeriod};
         log_.info("process.stopping", {{"open_requests", sessions_.busy()}});
     }
 
-    void checkStop(TimePoint now)
+    void checkStop(const PlannedStop &stop, TimePoint now)
     {
-        const bool outOfTime = now - stopAt_ >= settings_.gracePeriod - stopMargin;
-        if (outOfTime) {
-            loop_.stop();
-            return;
-        }
-        if (now - stopAt_ < stopAcceptingAfter)
-            return;
+        const bool exits = now >= exitsAt(stop);
         // If too few gateways of a failure domain are ready, the platform keeps sending callers
-        // here. A request that is accepted too late would be cut off by the end of the process.
-        callerListener_.close();
-        sessions_.closeIdle();
-        if (sessions_.empty())
+        // here.
+        if (exits || now >= acceptsUntil(stop)) {
+            callerListener_.close();
+            sessions_.closeIdle(now);
+        }
+        if (now >= answersOpenAt(stop))
+            sessions_.endForStop(exits, now);
+        if (exits || (now >= acceptsUntil(stop) && sessions_.empty()))
             loop_.stop();
     }
 
@@ -407,8 +401,6 @@
     std::unique_ptr<GatewayDirectory> directory_;
     std::unique_ptr<LimitPermits> permits_;
     CallerSessions sessions_;
-    bool stopping_ = false;
-    TimePoint stopAt_;
 };
 
 Result<void> Gateway::check(const platform::ProcessSettings &settings)
--- a/Source/Programs/Gateway/GatewayContext.h
+++ b/Source/Programs/Gateway/GatewayContext.h
@@ -17,7 +17,9 @@
 #include "Request/AdmissionTimeouts.h"
 #include "Request/BackendRegistry.h"
 #include "Request/OrganisationShares.h"
+#include "Request/PlannedStop.h"
 #include "Request/PriorityLimits.h"
+#include "Request/RecentRuns.h"
 #include "Request/RetryAfterPolicy.h"
 #include "Request/RetryTokenBucket.h"
 #include "Request/RouteTable.h"
@@ -48,6 +50,10 @@
     OrganisationShares organisationShares{};
     /// When each service last sent an answer or an event of a stream.
     std::map<std::string, TimePoint> lastProgressAt{};
+    /// How long the last runs of each service took.
+    std::map<std::string, RecentRuns> recentRuns{};
+    /// Set from SIGTERM on.
+    std::optional<PlannedStop> plannedStop{};
     /// Null until the first configuration is known.
     std::shared_ptr<const RouteTable> routes;
     /// When the store last answered a read of the configuration; empty before its first answer.
--- a/Source/Programs/Gateway/RequestEndLog.cpp
+++ b/Source/Programs/Gateway/RequestEndLog.cpp
@@ -15,6 +15,12 @@
     return mayWait ? "all places are taken" : "too many wait for a place";
 }
 
+void addGraceLeft(LogFields &fields, const std::optional<PlannedStop> &stop, TimePoint now)
+{
+    if (stop)
+        fields["grace_left_s"] = secondsOf(remaining(now, stop->begunAt + stop->gracePeriod));
+}
+
 void recordRequestEnd(GatewayContext &context, const RequestEndLine &line)
 {
     const RequestEnd &end = line.end;
@@ -27,6 +33,7 @@
                         {"config", line.configurationVersion},
                         {"tried", line.tried},
                         {"took_s", secondsOf(end.duration)}};
+    addGraceLeft(fields, context.plannedStop, line.endedAt);
     if (!line.fingerprint.empty())
         fields["fingerprint"] = line.fingerprint;
     if (end.firstEvent)
--- a/Source/Programs/Gateway/RequestEndLog.h
+++ b/Source/Programs/Gateway/RequestEndLog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,8 +22,15 @@
     std::vector<std::string> tried{};
     /// Fingerprint of the request; empty if it does not matter for its end.
     std::string fingerprint{};
+    TimePoint endedAt{};
 };
 
+/// Why a request ends that a stopping gateway does not send, or does not wait for any longer.
+inline constexpr const char *stoppingReason = "the gateway is stopping";
+
+/// Adds the field `grace_left_s` if the gateway is stopping: the time until the platform kills it.
+void addGraceLeft(LogFields &fields, const std::optional<PlannedStop> &stop, TimePoint now);
+
 /// Returns why a request without a backend server is refused, for its log line and metrics.
 /// @param mayWait Whether the request could have waited, so that only its time limit ended the
 /// wait.
--- a/Source/Programs/Gateway/Session.cpp
+++ b/Source/Programs/Gateway/Session.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "Programs/Gateway/GatewayMetrics.h"
+#include "Programs/Gateway/RequestEndLog.h"
 #include "Request/ConfigurationWait.h"
 #include "platform/RequestCodec.h"
 
@@ -157,6 +158,7 @@
     if (context_.configurationReadAt)
         fields["config_age_s"] =
             secondsOf(remaining(*context_.configurationReadAt, monotonicNow()));
+    addGraceLeft(fields, context_.plannedStop, monotonicNow());
     context_.log.warn("request.end", fields);
     // The message of a decoder is free text; the metric has a fixed set of reasons.
     const bool reasonIsFixed = status != statusOf(RequestFault::Malformed);
@@ -165,16 +167,23 @@
     answer(status, platform::ownAnswerFields(attemptId, retryAfter), "");
 }
 
+/// Whether the connection stays open after the current answer. In a planned stop, each answer is
+/// the last one on its connection, unless a part of the next request has been read.
+bool Session::keepsAlive() const
+{
+    return keepAlive_ && (!context_.plannedStop || connection_.requestStarted());
+}
+
 void Session::answer(int status, const HttpFields &fields, std::string_view body)
 {
-    const bool keepAlive = keepAlive_ && !events_.stopping();
+    const bool keepAlive = keepsAlive();
     connection_.send(responseText(status, fields, body, keepAlive));
     finishRequest(keepAlive);
 }
 
 void Session::beginStream(int status, const HttpFields &fields)
 {
-    keepAlive_ = keepAlive_ && !events_.stopping();
+    keepAlive_ = keepsAlive();
     connection_.send(chunkedHeadText(status, fields, keepAlive_));
 }
 
@@ -187,7 +196,7 @@
 {
     connection_.send(lastChunkText);
     // The stop may have come after the head.
-    finishRequest(keepAlive_ && !events_.stopping());
+    finishRequest(keepsAlive());
 }
 
 void Session::abort()
@@ -287,4 +296,27 @@
         abort();
 }
 
+bool Session::unused(milliseconds time, TimePoint now) const
+{
+    return idle() && !connection_.requestStarted() && now - connection_.waitingSince() >= time;
+}
+
+void Session::endForStop(TimePoint now)
+{
+    if (closed_ || draining_)
+        return;
+    if (exchange_) {
+        exchange_->endForStop(now);
+        return;
+    }
+    if (!early_ && !connection_.requestStarted()) {
+        closeIdle();
+        return;
+    }
+    const std::string id = early_ ? early_->request.attemptId : "";
+    early_.reset();
+    keepAlive_ = false;
+    answerWithoutExchange(503, id, context_.retryAfterPolicy.stopping, stoppingReason);
+}
+
 } // namespace wisteria
--- a/Source/Programs/Gateway/Session.h
+++ b/Source/Programs/Gateway/Session.h
@@ -20,8 +20,6 @@
     std::function<void(std::size_t)> received;
     /// A slot may be free.
     std::function<void()> slotFreed;
-    /// Whether the gateway is stopping, so that each answer is the last one on its connection.
-    std::function<bool()> stopping;
 };
 
 /// A caller's connection and its current request.
@@ -34,6 +32,9 @@
     Exchange *exchange() { return exchange_.get(); }
     /// Whether there is no current request. Its answer may still be queued for a slow caller.
     bool idle() const { return !exchange_ && !early_; }
+    /// Whether nothing of another request has arrived since the connection was opened, or the last
+    /// answer was sent, so long ago.
+    bool unused(milliseconds time, TimePoint now) const;
     /// Whether the connection is closed once its caller has taken the rest of the answer.
     bool draining() const { return draining_; }
     void checkTimeouts(TimePoint now);
@@ -47,6 +48,10 @@
     void cut(TimePoint now);
     /// Closes a connection that has no current request.
     void closeIdle();
+    /// Answers what has been read of a request, because the gateway exits.
+    void endForStop(TimePoint now);
+    /// Whether a part of a stream has been sent to the caller.
+    bool streaming() const { return exchange_ && exchange_->streaming(); }
 
 private:
     /// A request that arrived before a configuration and the backend servers were known.
@@ -66,6 +71,7 @@
     void answerWithoutExchange(int status, const std::string &attemptId, milliseconds retryAfter,
                                const char *reason);
     void finishRequest(bool keepAlive);
+    bool keepsAlive() const;
     void closeConnection();
 
     void answer(int status, const HttpFields &fields, std::string_view body) override;
--- a/Source/Request/RetryAfterPolicy.h
+++ b/Source/Request/RetryAfterPolicy.h
@@ -29,6 +29,8 @@
     /// Upper bound of that sum before the random addition `stalledJitter`: callers of the least
     /// urgent requests accept about a third of their time.
     milliseconds maxAtLimit{2400};
+    /// The gateway is stopping: another one can serve the request at once.
+    milliseconds stopping{100};
 };
 
 /// Returns the Retry-After value for a refused request.
--- a/Tests/Gateway/PlannedStopTest.cpp
+++ b/Tests/Gateway/PlannedStopTest.cpp
@@ -142,3 +142,125 @@
     CHECK(scenario.arrivals("/once/late") == 0);
     CHECK(scenario.gateway->waitForExit() == 0);
 }
+
+// Guards against a request that waits for a slot, is sent when the grace period is nearly over, and
+// is cut off.
+TEST_CASE("A request that waits in a planned stop is answered, and not sent too late to complete")
+{
+    constexpr milliseconds run{4000};
+    constexpr int callers = 30;
+    constexpr int slots = 2;
+    StopScenario scenario(answerAfter(run), answerAfter(run), slots);
+    scenario.stop();
+    scenario.waitUntil(milliseconds(500));
+    std::vector<std::future<CallResult>> answers;
+    for (int i = 0; i < callers; ++i) {
+        answers.push_back(std::async(std::launch::async, [&, i] {
+            CallerSocket socket(scenario.gateway->callers());
+            socket.send(patientRequest("/once/" + std::to_string(i) + "/", std::to_string(i)));
+            return socket.readAnswer();
+        }));
+    }
+    for (int i = 0; i < callers; ++i) {
+        const CallResult answer = answers[static_cast<std::size_t>(i)].get();
+        CHECK((answer.status == 200 || answer.status == 502 || answer.status == 503));
+        if (answer.status == 503)
+            CHECK(scenario.arrivals("/once/" + std::to_string(i) + "/") == 0);
+    }
+    CHECK(scenario.gateway->waitForExit() == 0);
+}
+
+// Guards against refusing requests that a stopping gateway could well complete.
+TEST_CASE("A stopping gateway serves requests whose usual runs fit in its grace period")
+{
+    StopScenario scenario(answerAfter(milliseconds(50)), answerAfter(milliseconds(50)));
+    CallerSocket socket(scenario.gateway->callers());
+    constexpr int requestsBefore = 20;
+    for (int i = 0; i < requestsBefore; ++i) {
+        socket.send(patientRequest("/once/x", "before-" + std::to_string(i)));
+        REQUIRE(socket.readAnswer().status == 200);
+    }
+    scenario.stop();
+    for (const int moment : {200, 900, 1600, 2300}) {
+        scenario.waitUntil(milliseconds(moment));
+        CallerSocket caller(scenario.gateway->callers());
+        caller.send(patientRequest("/once/x", "during-" + std::to_string(moment)));
+        CHECK(caller.readAnswer().status == 200);
+    }
+    CHECK(scenario.gateway->waitForExit() == 0);
+}
+
+// Guards against callers whose requests a stopping gateway has read and never answers.
+TEST_CASE("A stopping gateway answers each request that it has read")
+{
+    const auto run = [](const SeenRequest &request, ScriptPeer &peer) {
+        const bool isLong = request.target().find("/long/") != std::string::npos;
+        answerAfter(milliseconds(isLong ? 6000 : 2000))(request, peer);
+    };
+    StopScenario scenario(run, answerAfter(milliseconds(0)));
+    scenario.stop();
+    constexpr milliseconds lastMoment{7400};
+    constexpr milliseconds step{400};
+    std::vector<std::future<std::string>> unanswered;
+    for (milliseconds moment{200}; moment <= lastMoment; moment += step) {
+        for (const std::string target :
+             {"/once/short/", "/once/long/", "/again/short/", "/again/long/"}) {
+            unanswered.push_back(std::async(std::launch::async, [&, moment, target] {
+                scenario.waitUntil(moment);
+                CallerSocket socket(scenario.gateway->callers());
+                const std::string id = target + std::to_string(moment.count());
+                if (!socket.connected() || !socket.send(patientRequest(target, id)))
+                    return std::string();
+                const CallResult answer = socket.readAnswer();
+                return answer.whole ? std::string() : id;
+            }));
+        }
+    }
+    std::vector<std::string> ids;
+    for (auto &id : unanswered) {
+        if (const std::string missing = id.get(); !missing.empty())
+            ids.push_back(missing);
+    }
+    CHECK(ids == std::vector<std::string>());
+    CHECK(scenario.gateway->waitForExit() == 0);
+}
+
+// Guards against a request that was read behind another one on its connection and is dropped with
+// the answer to that one, which closes the connection.
+TEST_CASE("A request behind another one on its connection is answered in a planned stop")
+{
+    StopScenario scenario(answerAfter(milliseconds(1000)), answerAfter(milliseconds(0)));
+    CallerSocket socket(scenario.gateway->callers());
+    socket.send(patientRequest("/once/first", "first") + patientRequest("/once/second", "second"));
+    REQUIRE(eventually([&] { return scenario.arrivals("/once/first") == 1; }));
+    scenario.stop();
+    CHECK(socket.readAnswer().status == 200);
+    const CallResult second = socket.readAnswer();
+    CHECK((second.status == 200 || second.status == 503));
+    CHECK(second.header("Wisteriawind-Attempt-Id") == "second");
+    CHECK(scenario.gateway->waitForExit() == 0);
+}
+
+// Guards against a caller that is cut off in the middle of its upload and can't know whether its
+// request ran.
+TEST_CASE("A request whose body arrives slowly in a planned stop is answered")
+{
+    StopScenario scenario(answerAfter(milliseconds(100)), answerAfter(milliseconds(0)));
+    const std::string body(4000, 'b');
+    const std::string completed = patientRequest("/once/completed", "completed", body);
+    const std::string never = patientRequest("/once/never", "never", body);
+    CallerSocket completing(scenario.gateway->callers());
+    CallerSocket stalled(scenario.gateway->callers());
+    const std::size_t half = completed.size() - body.size() / 2;
+    completing.send(completed.substr(0, half));
+    stalled.send(never.substr(0, half));
+    scenario.stop();
+    scenario.waitUntil(milliseconds(3200));
+    CHECK(completing.send(completed.substr(half)));
+    const CallResult answer = completing.readAnswer();
+    CHECK((answer.status == 200 || answer.status == 503));
+    const CallResult toStalled = stalled.readAnswer();
+    CHECK(toStalled.status == 503);
+    CHECK(scenario.arrivals("/once/never") == 0);
+    CHECK(scenario.gateway->waitForExit() == 0);
+}
