Give the present send of a request a class of its own

Exchange held the send, the server and what is recorded of both beside its decisions; nothing changes in what is done.

--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -52,7 +52,8 @@
       admission_(context, routes_->priorityLimitsOf(service_), service_, access.priority(),
                  access.organisation != nullptr ? access.organisation->name : std::string()),
       suspicion_(context.crashes, context.poison, request_, admission_.organisation(), service_),
-      arrived_(arrived), deadline_(arrived + route_.timeout), relay_(sink, route_.kind)
+      arrived_(arrived), deadline_(arrived + route_.timeout), send_(context, suspicion_),
+      relay_(sink, route_.kind)
 {
     if (request_.timeLeft)
         deadline_ = std::min(deadline_, arrived + *request_.timeLeft);
@@ -64,16 +65,17 @@
 
 Exchange::~Exchange()
 {
-    if (call_) {
-        noteUnansweredSend();
-        context_.log.info(
-            "request.abandoned",
-            {{"id", request_.attemptId}, {"backend", backendId_}, {"reason", "the caller left"}});
+    if (send_.active()) {
+        send_.noteGivenUp(monotonicNow());
+        context_.log.info("request.abandoned",
+                          {{"id", request_.attemptId},
+                           {"backend", send_.backendId()},
+                           {"reason", "the caller left"}});
     }
     if (!finished_)
         countRequestEnd(context_.metrics, endOf(0, "the caller left", monotonicNow()));
     endWait(monotonicNow());
-    releaseBackend();
+    send_.release(monotonicNow());
 }
 
 bool Exchange::tryDispatch(TimePoint now)
@@ -206,18 +208,13 @@
                             relay_.lastEventId() ? relay_.lastEventId() : request_.lastEventId};
     if (tried_.empty())
         countFirstSend(context_.metrics, service_, remaining(arrived_, now));
-    backendId_ = backend.entry.id;
-    tried_.push_back(backendId_);
-    ++backend.ownInFlight;
-    suspicion_.beginRun({request_.attemptId, backendId_, options.timeLeft}, now);
-    noteSend(context_.registry, backend, now);
-    sentAt_ = now;
+    tried_.push_back(backend.entry.id);
     relay_.beginSend(now);
     const ConnectionUse use = route_.repeatable() ? ConnectionUse::Reuse : ConnectionUse::Fresh;
     if (context_.log.shouldLog(LogLevel::Debug)) {
         LogFields fields = {{"id", request_.attemptId},
-                            {"backend", backendId_},
-                            {"own", backend.ownInFlight},
+                            {"backend", backend.entry.id},
+                            {"own", backend.ownInFlight + 1},
                             {"left_s", secondsOf(options.timeLeft)}};
         addGraceLeft(fields, context_.plannedStop, now);
         context_.log.debug("request.send", fields);
@@ -227,9 +224,12 @@
                       .body = [this](std::string_view bytes) { onBody(bytes); },
                       .complete = [this] { onComplete(); },
                       .failed = [this](const CallFailure &failure) { onFailed(failure); }};
-    call_ =
-        context_.pool.call(backend.entry.address, platform::encodeBackendRequest(request_, options),
-                           use, std::move(events), now);
+    send_.begin(backend,
+                {.attemptId = request_.attemptId,
+                 .timeLeft = options.timeLeft,
+                 .text = platform::encodeBackendRequest(request_, options),
+                 .use = use},
+                std::move(events), now);
 }
 
 bool Exchange::acceptsHead(const HttpResponseHead &head) const
@@ -242,8 +242,8 @@
     const TimePoint now = monotonicNow();
     relay_.receiveHead(platform::decodeAnswerHead(received), received.selfDelimited, now);
     const BackendAnswerHead &head = relay_.head();
-    noteServerSignals(context_, {backendId_, request_.attemptId, head}, now);
-    BackendState *backend = currentBackend();
+    noteServerSignals(context_, {send_.backendId(), request_.attemptId, head}, now);
+    BackendState *backend = send_.backend();
     if (backend == nullptr)
         return;
     noteSignOfLife(*backend, now);
@@ -261,7 +261,7 @@
 void Exchange::onBody(std::string_view bytes)
 {
     const TimePoint now = monotonicNow();
-    if (BackendState *backend = currentBackend())
+    if (BackendState *backend = send_.backend())
         noteSignOfLife(*backend, now);
     const bool forwarded = relay_.receiveBody(bytes, now);
     if (relay_.tooLong()) {
@@ -273,13 +273,12 @@
     history_.answerBegun = true;
     context_.lastProgressAt[service_] = now;
     if (sink_.queuedBytes() > callerQueueBytes)
-        call_->pauseReading(true);
+        send_.pauseReading(true);
 }
 
 void Exchange::resumeReading()
 {
-    if (call_)
-        call_->pauseReading(false);
+    send_.pauseReading(false);
 }
 
 void Exchange::onComplete()
@@ -303,7 +302,7 @@
 /// attract the service's requests.
 void Exchange::noteAnswerWithoutServerError()
 {
-    if (BackendState *backend = currentBackend())
+    if (BackendState *backend = send_.backend())
         noteSuccess(*backend);
 }
 
@@ -311,8 +310,8 @@
 {
     const TimePoint now = monotonicNow();
     countSendEnd(context_.metrics, service_, "answered");
-    releaseBackend();
-    noteRun(context_.recentRuns[service_], remaining(sentAt_, now));
+    send_.release(now);
+    noteRun(context_.recentRuns[service_], remaining(send_.begunAt(), now));
     if (!relay_.isStream())
         context_.lastProgressAt[service_] = now;
     finish(relay_.head().status, "answered", now);
@@ -322,7 +321,7 @@
 void Exchange::onFailed(const CallFailure &failure)
 {
     if (failure.refused)
-        context_.crashes.noteRefused(backendId_, monotonicNow());
+        context_.crashes.noteRefused(send_.backendId(), monotonicNow());
     connectionEnded_ = failure.connectionEnded;
     if (failure.unending)
         endSend(SendOutcome::Unending, failure.reason);
@@ -345,16 +344,16 @@
         suspicion_.noteNotRun(RunEnd::NotExecuted);
     if (mayHaveRunAfter(outcome))
         history_.mayHaveRun = true;
-    if (BackendState *backend = currentBackend()) {
+    if (BackendState *backend = send_.backend()) {
         const bool serverAtFault =
             outcome == SendOutcome::NeverSent || outcome == SendOutcome::Unending;
         noteFailure(*backend, serverAtFault, now);
     }
     const bool connectionEnded = std::exchange(connectionEnded_, false);
     LogFields fields = {{"id", request_.attemptId},
-                        {"backend", backendId_},
+                        {"backend", send_.backendId()},
                         {"reason", reason},
-                        {"after_s", secondsOf(remaining(sentAt_, now))},
+                        {"after_s", secondsOf(remaining(send_.begunAt(), now))},
                         {"arrivals", history_.delivered},
                         {"may_have_run", history_.mayHaveRun},
                         {"left_s", secondsOf(timeLeft(now))}};
@@ -365,8 +364,8 @@
     }
     context_.log.warn("request.send_failed", fields);
     countSendEnd(context_.metrics, service_, nameOf(outcome));
-    const std::string backend = backendId_;
-    releaseBackend();
+    const std::string backend = send_.backendId();
+    send_.release(now);
     if (connectionEnded) {
         undecided_ = outcome;
         suspicion_.noteConnectionEnded(backend, now,
@@ -485,18 +484,18 @@
         continueAfter(*undecided_, now);
         return;
     }
-    if (!call_)
+    if (!send_.active())
         return;
     if (now >= deadline_) {
-        noteUnansweredSend();
-        endSend(call_->sent() ? SendOutcome::TimedOut : SendOutcome::NeverSent, "out of time");
+        send_.noteGivenUp(now);
+        endSend(send_.delivered() ? SendOutcome::TimedOut : SendOutcome::NeverSent, "out of time");
         return;
     }
-    if (!call_->sent() && isLeaving(context_.registry, backendId_, now)) {
+    if (!send_.delivered() && isLeaving(context_.registry, send_.backendId(), now)) {
         endSend(SendOutcome::NeverSent, "the backend server is leaving");
         return;
     }
-    if (!call_->sent() && now - sentAt_ >= connectTimeout) {
+    if (!send_.delivered() && now - send_.begunAt() >= connectTimeout) {
         endSend(SendOutcome::NeverSent, "no connection in time");
         return;
     }
@@ -506,11 +505,11 @@
 /// Has the server checked if it may be silent, and takes the request off it if it should leave.
 void Exchange::checkServer(TimePoint now)
 {
-    const BackendState *server = currentBackend();
+    const BackendState *server = send_.backend();
     if (server == nullptr)
         return;
-    if (isSilenceSuspected(*server, sentAt_, now))
-        context_.checkLiveness(backendId_, isEngine_);
+    if (isSilenceSuspected(*server, send_.begunAt(), now))
+        context_.checkLiveness(send_.backendId(), isEngine_);
     const MoveCause cause = moveCauseOf(*server, route_, now, context_.registry.loadLifetime);
     if (cause != MoveCause::None && suspicion_.level(now) == Suspicion::None)
         moveOff(*server, cause, now);
@@ -534,22 +533,22 @@
         return;
     context_.log.info("request.moved",
                       {{"id", request_.attemptId},
-                       {"from", backendId_},
+                       {"from", send_.backendId()},
                        {"cause", nameOf(cause)},
                        {"pace", slowdownOf(server, now, context_.registry.loadLifetime)},
-                       {"after_s", secondsOf(remaining(sentAt_, now))},
+                       {"after_s", secondsOf(remaining(send_.begunAt(), now))},
                        {"to", choice.backend->entry.id}});
-    noteUnansweredSend();
+    send_.noteGivenUp(now);
     history_ = historyAfterMove;
     countSendEnd(context_.metrics, service_, "moved");
     countRetry(context_.metrics, service_, RetryCause::Moved);
-    releaseBackend();
+    send_.release(now);
     send(*choice.backend, now);
 }
 
 std::size_t Exchange::heldBytes() const
 {
-    return request_.body.capacity() + relay_.heldBytes() + (call_ ? call_->queuedBytes() : 0);
+    return request_.body.capacity() + relay_.heldBytes() + send_.queuedBytes();
 }
 
 void Exchange::cut(TimePoint now)
@@ -559,7 +558,7 @@
                {.reason = NoBackendReason::AllFull}, now);
         return;
     }
-    if (!call_)
+    if (!send_.active())
         return;
     const bool answerHoldsMost = relay_.heldBytes() > heldBytes() / 2;
     endSend(answerHoldsMost ? SendOutcome::Unending : SendOutcome::Incomplete,
@@ -574,9 +573,10 @@
         refuseForStop(now);
         return;
     }
-    if (call_) {
-        noteUnansweredSend();
-        endSend(call_->sent() ? SendOutcome::Incomplete : SendOutcome::NeverSent, stoppingReason);
+    if (send_.active()) {
+        send_.noteGivenUp(now);
+        endSend(send_.delivered() ? SendOutcome::Incomplete : SendOutcome::NeverSent,
+                stoppingReason);
     }
     if (!finished_ && undecided_)
         continueAfter(*undecided_, now);
@@ -596,17 +596,11 @@
     return chooseBackend(context_.registry, criteria, now, context_.randomUnit());
 }
 
-BackendState *Exchange::currentBackend()
-{
-    const auto found = context_.registry.backends.find(backendId_);
-    return found == context_.registry.backends.end() ? nullptr : &found->second;
-}
-
 /// Records that a backend server ran the request to its end, if the answer shows that.
 void Exchange::noteCompleteAnswer()
 {
     if (relay_.showsCompletedRun())
-        suspicion_.noteCompleted({request_.attemptId, backendId_, relay_.head().status},
+        suspicion_.noteCompleted({request_.attemptId, send_.backendId(), relay_.head().status},
                                  monotonicNow());
 }
 
@@ -625,28 +619,6 @@
     answerItself({.status = 503, .reason = stoppingReason, .retryAfter = retryAfter}, now);
 }
 
-/// Records that this gateway gives up a send, so that a crash right after it can be traced.
-void Exchange::noteUnansweredSend()
-{
-    if (!call_)
-        return;
-    if (call_->sent())
-        suspicion_.noteGivenUp(backendId_, monotonicNow());
-    else
-        suspicion_.noteNotRun(RunEnd::NotDelivered);
-}
-
-void Exchange::releaseBackend()
-{
-    if (backendId_.empty())
-        return;
-    call_.reset();
-    suspicion_.endRun(monotonicNow());
-    if (BackendState *backend = currentBackend(); backend != nullptr && backend->ownInFlight > 0)
-        --backend->ownInFlight;
-    backendId_.clear();
-}
-
 void Exchange::refuse(const char *reason, const BackendChoice &choice, TimePoint now)
 {
     const milliseconds sinceProgress = remaining(context_.lastProgressAt[service_], now);
--- a/Source/Programs/Gateway/Exchange.h
+++ b/Source/Programs/Gateway/Exchange.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Programs/Gateway/AnswerRelay.h"
+#include "Programs/Gateway/BackendSend.h"
 #include "Programs/Gateway/GatewayContext.h"
 #include "Programs/Gateway/GatewayMetrics.h"
 #include "Programs/Gateway/PriorityAdmission.h"
@@ -93,15 +94,12 @@
     bool waitForOtherRuns(TimePoint mayRunAt, TimePoint now);
     TimePoint groupOpenedAt() const;
     bool holdRetry(SendOutcome outcome, TimePoint now);
-    void noteUnansweredSend();
     void noteCompleteAnswer();
     void refuseQuarantined(TimePoint now);
     void refuseForStop(TimePoint now);
-    void releaseBackend();
     void checkServer(TimePoint now);
     void moveOff(const BackendState &server, MoveCause cause, TimePoint now);
     BackendChoice chooseNext(double maxLoad, TimePoint now);
-    BackendState *currentBackend();
     void refuse(const char *reason, const BackendChoice &choice, TimePoint now);
     void answerItself(const OwnAnswer &answer, TimePoint now);
     void finish(int status, const char *reason, TimePoint now);
@@ -137,9 +135,7 @@
     TimePoint decideAt_ = TimePoint::max();
     /// Whether the connection of the last send ended.
     bool connectionEnded_ = false;
-    std::unique_ptr<HttpCall> call_;
-    std::string backendId_;
-    TimePoint sentAt_;
+    BackendSend send_;
     TimePoint sendEndedAt_;
     AnswerRelay relay_;
 };
