Make the test of an early rejection fail on the code before in each run

The caller waits for the answer before it sends the rest; before, a kernel with enough room could take the whole request at once, so that the test passed once on the code before (beside load).

--- a/Tests/Gateway/CallerSocket.cpp
+++ b/Tests/Gateway/CallerSocket.cpp
@@ -70,6 +70,12 @@
     return result;
 }
 
+bool CallerSocket::waitForBytes(milliseconds within) const
+{
+    pollfd polled{descriptor_, POLLIN, 0};
+    return ::poll(&polled, 1, static_cast<int>(within.count())) > 0;
+}
+
 bool CallerSocket::waitForEnd(milliseconds within) const
 {
     const TimePoint end = monotonicNow() + within;
--- a/Tests/Gateway/CallerSocket.h
+++ b/Tests/Gateway/CallerSocket.h
@@ -25,6 +25,9 @@
     /// passes without a byte. The status is 0 if there was none.
     CallResult readAnswer(milliseconds within = seconds(10));
 
+    /// Waits until bytes of an answer can be read, or the connection has ended.
+    bool waitForBytes(milliseconds within = seconds(10)) const;
+
     /// Reads bytes that are available, or waits for some.
     /// @return Number of bytes; 0 or less if the connection ended.
     ssize_t read(std::string &part) const;
--- a/Tests/Gateway/EarlyAnswerTest.cpp
+++ b/Tests/Gateway/EarlyAnswerTest.cpp
@@ -32,7 +32,9 @@
     constexpr int callers = 10;
     for (int i = 0; i < callers; ++i) {
         CallerSocket socket(gateway.callers());
-        CHECK(socket.send(request));
+        CHECK(socket.send(request.substr(0, bodyBytes / 2)));
+        CHECK(socket.waitForBytes());
+        CHECK(socket.send(request.substr(bodyBytes / 2)));
         CHECK(socket.readAnswer().status == 413);
     }
     CHECK(server.seen().empty());
