Keep an answer for a caller that pauses while it reads

What callers saw: one that read nothing for some seconds in the middle of a long answer got no more of it: 128 kB of 12 MB after a pause of 7 s.

Cause: TCP_USER_TIMEOUT of callers' connections, 4 s, is meant for callers whose VM lost power. The kernel counts it also while a sound peer takes no bytes, and drops the connection with its queue.

Change: once an answer of more than 16 kB is whole, its caller may pause for 30 s. Shorter ones are in the kernel's buffers anyway; what is held for callers that never read is bounded in bytes. A stream that is still being sent keeps the 4 s.

--- a/Source/Connection/CallerConnection.cpp
+++ b/Source/Connection/CallerConnection.cpp
@@ -51,6 +51,13 @@
         tcp_->send("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
+void CallerConnection::allowPauses()
+{
+    // What is held for callers that never read is bounded in bytes.
+    constexpr milliseconds longestPause{30000};
+    tcp_->setPeerTimeout(longestPause);
+}
+
 void CallerConnection::finishAnswer(TimePoint now)
 {
     answering_ = false;
--- a/Source/Connection/CallerConnection.h
+++ b/Source/Connection/CallerConnection.h
@@ -34,6 +34,10 @@
     /// Sends a part of an answer.
     void send(std::string_view bytes) { tcp_->send(bytes); }
 
+    /// Lets the caller pause for some time while it reads the answer, which is complete and longer
+    /// than what the kernel takes for a caller that does not read.
+    void allowPauses();
+
     /// Ends the answer and handles the next request.
     void finishAnswer(TimePoint now);
 
--- a/Source/Connection/TcpConnection.cpp
+++ b/Source/Connection/TcpConnection.cpp
@@ -49,13 +49,18 @@
     return error == ECONNREFUSED ? TcpEnd::Refused : TcpEnd::NotEstablished;
 }
 
+void setUserTimeout(ACE_SOCK_Stream &stream, milliseconds userTimeout)
+{
+    unsigned int timeout = static_cast<unsigned int>(userTimeout.count());
+    stream.set_option(IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
 void setOptions(ACE_SOCK_Stream &stream, milliseconds userTimeout)
 {
     stream.enable(ACE_NONBLOCK);
     int noDelay = 1;
     stream.set_option(IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof(noDelay));
-    unsigned int timeout = static_cast<unsigned int>(userTimeout.count());
-    stream.set_option(IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+    setUserTimeout(stream, userTimeout);
 }
 
 } // namespace
@@ -345,6 +350,12 @@
         private_->watch();
 }
 
+void TcpConnection::setPeerTimeout(milliseconds timeout)
+{
+    if (private_->open_)
+        setUserTimeout(private_->stream_, timeout);
+}
+
 void TcpConnection::closeWhenDrained()
 {
     private_->closeWhenDrained();
--- a/Source/Connection/TcpConnection.h
+++ b/Source/Connection/TcpConnection.h
@@ -54,6 +54,10 @@
     /// Pauses or resumes reading. While reading is paused, TCP flow control slows the peer down.
     void pauseReading(bool pause);
 
+    /// Sets for how long sent bytes may stay unacknowledged, or the peer may take none, before the
+    /// connection counts as lost.
+    void setPeerTimeout(milliseconds timeout);
+
     /// Closes the connection in two steps, and then calls `ended`: once the queue is empty it stops
     /// writing; then it drops what the peer still sends, until the peer closes or a bound in time
     /// or bytes is reached. If it closed at once, the kernel would reset the connection for unread
--- a/Source/Programs/Gateway/Session.cpp
+++ b/Source/Programs/Gateway/Session.cpp
@@ -37,6 +37,8 @@
 
 /// Retry-After of a refusal because the configuration has no service for the route.
 constexpr milliseconds noServiceRetryAfter{300};
+/// Longest answer, in bytes, that the kernel surely takes for a caller that does not read.
+constexpr std::size_t shortAnswerBytes = 16384;
 constexpr const char *unreadableReason = "the request can't be read";
 constexpr const char *heldTooMuchReason = "too many bytes of requests and answers are held";
 
@@ -177,6 +179,8 @@
 void Session::answer(int status, const HttpFields &fields, std::string_view body)
 {
     const bool keepAlive = keepsAlive();
+    if (body.size() > shortAnswerBytes)
+        connection_.allowPauses();
     connection_.send(responseText(status, fields, body, keepAlive));
     finishRequest(keepAlive);
 }
--- a/Tests/Gateway/SlowCallersTest.cpp
+++ b/Tests/Gateway/SlowCallersTest.cpp
@@ -77,3 +77,27 @@
     gateway.terminate();
     CHECK(gateway.waitForExit() == 0);
 }
+
+// Guards against an answer that is cut off because its caller reads nothing for some seconds.
+TEST_CASE("A caller that pauses for some seconds gets the rest of its answer")
+{
+    ScriptedServer server([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 200, std::string(answerBytes, 'a')));
+    });
+    StoreStandIn store;
+    store.put("keyed.op", "config", configurationOf(1));
+    store.put("keyed.servers", "i-1", listEntryOf("plain", server.endpoint()));
+    LoggedGateway gateway(store.endpoint());
+    REQUIRE(gateway.waitUntilRouting());
+    const CallerSocket caller(gateway.callers(), receiveBufferBytes);
+    REQUIRE(caller.send(requestFor("/again/x", "a1")));
+    REQUIRE(caller.waitForBytes());
+    constexpr int pauseMilliseconds = 7000;
+    ::poll(nullptr, 0, pauseMilliseconds);
+    std::string part(bytesPerRead, '\0');
+    std::size_t total = 0;
+    for (ssize_t count = caller.read(part); count > 0 && total <= answerBytes;
+         count = caller.read(part))
+        total += static_cast<std::size_t>(count);
+    CHECK(total > answerBytes);
+}
