Read what has arrived before an idle connection is closed

What callers saw: a request that was sent whole on a kept connection, 2.4 s after SIGTERM, while its gateway got no processor time, got a closed connection without a status.

Cause: a gateway that wakes may run its check of the stop before it reads its sockets. The check takes a connection for idle by what was read, and closes it with the request in the kernel's buffer. The same holds for the idle timeout outside of stops and for the end of the grace period.

Change: a connection with unread bytes is not closed as idle; the loop reads it, and the next check decides again.

--- a/Source/Connection/CallerConnection.h
+++ b/Source/Connection/CallerConnection.h
@@ -59,6 +59,8 @@
     TimePoint waitingSince() const { return waitingSince_; }
     /// Whether at least one byte of the next request has been received.
     bool requestStarted() const { return reader_.requestStarted(); }
+    /// Whether bytes of the caller have arrived that are not read yet.
+    bool bytesWaiting() const { return tcp_ && tcp_->bytesWaiting(); }
 
 private:
     void feed(std::string_view bytes);
--- a/Source/Connection/TcpConnection.cpp
+++ b/Source/Connection/TcpConnection.cpp
@@ -186,6 +186,12 @@
 
     std::size_t queued() const { return queue_.size() - sent_; }
 
+    bool bytesWaiting() const
+    {
+        char byte = 0;
+        return open_ && stream_.recv(&byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+    }
+
     void flush()
     {
         while (queued() > 0) {
@@ -343,6 +349,11 @@
     return private_->queued();
 }
 
+bool TcpConnection::bytesWaiting() const
+{
+    return private_->bytesWaiting();
+}
+
 void TcpConnection::pauseReading(bool pause)
 {
     private_->paused_ = pause;
--- a/Source/Connection/TcpConnection.h
+++ b/Source/Connection/TcpConnection.h
@@ -51,6 +51,9 @@
     /// Number of queued bytes that are not yet handed to the kernel.
     std::size_t queued() const;
 
+    /// Whether the kernel has received bytes that are not read yet.
+    bool bytesWaiting() const;
+
     /// Pauses or resumes reading. While reading is paused, TCP flow control slows the peer down.
     void pauseReading(bool pause);
 
--- a/Source/Programs/Gateway/Session.cpp
+++ b/Source/Programs/Gateway/Session.cpp
@@ -290,9 +290,11 @@
     answerWithoutExchange(503, id, retryAfter, heldTooMuchReason);
 }
 
+/// Closes the connection, unless a request has arrived that is not read yet: a gateway that got no
+/// processor time for a while would drop it unseen.
 void Session::closeIdle()
 {
-    if (draining_)
+    if (draining_ || connection_.bytesWaiting())
         return;
     if (connection_.queued() > 0)
         closeConnection();
--- a/Tests/Gateway/PlannedStopTest.cpp
+++ b/Tests/Gateway/PlannedStopTest.cpp
@@ -262,3 +262,30 @@
     CHECK(scenario.arrivals("/once/never") == 0);
     CHECK(scenario.gateway->waitForExit() == 0);
 }
+
+// Guards against closing a connection as idle whose request has arrived but was not read, because
+// the gateway got no processor time.
+TEST_CASE("A request that waits to be read when idle connections close is answered")
+{
+    StopScenario scenario(answerAfter(milliseconds(0)), answerAfter(milliseconds(0)));
+    constexpr int callers = 20;
+    std::vector<std::unique_ptr<CallerSocket>> sockets;
+    for (int i = 0; i < callers; ++i) {
+        sockets.push_back(std::make_unique<CallerSocket>(scenario.gateway->callers()));
+        sockets.back()->send(patientRequest("/once/first", "first-" + std::to_string(i)));
+        REQUIRE(sockets.back()->readAnswer().status == 200);
+    }
+    scenario.stop();
+    scenario.waitUntil(milliseconds(2300));
+    ::kill(scenario.gateway->process(), SIGSTOP);
+    for (int i = 0; i < callers; ++i)
+        sockets[static_cast<std::size_t>(i)]->send(
+            patientRequest("/once/late", "late-" + std::to_string(i)));
+    scenario.waitUntil(milliseconds(3000));
+    ::kill(scenario.gateway->process(), SIGCONT);
+    for (const auto &socket : sockets) {
+        const int status = socket->readAnswer().status;
+        CHECK((status == 200 || status == 503));
+    }
+    CHECK(scenario.gateway->waitForExit() == 0);
+}
