Handle requests behind another one without a call for each of them

What callers saw: all requests of a gateway ended without an answer, the process by SIGSEGV, when one caller sent a request and then some 5,000 requests of 16 bytes on the same connection (4,000 survived, 5,000 and 8,000 did not). Found by a review; the code before this work does the same.

Cause: an answer that is given at once handled the next buffered request within the call that ended it, so the author of the requests decided how deep the stack became; up to 80 kB are buffered.

Change: a loop handles them.

--- a/Source/Connection/CallerConnection.cpp
+++ b/Source/Connection/CallerConnection.cpp
@@ -35,7 +35,21 @@
     handleNext();
 }
 
+/// Handles the buffered requests one after the other, as long as each is answered at once. In a
+/// call for each of them, a caller that sends thousands of requests would exhaust the stack.
 void CallerConnection::handleNext()
+{
+    if (handling_)
+        return;
+    handling_ = true;
+    do {
+        handleOne();
+    } while (!answering_ && !closing_
+             && (reader_.complete() || reader_.fault() != RequestFault::None));
+    handling_ = false;
+}
+
+void CallerConnection::handleOne()
 {
     if (reader_.fault() != RequestFault::None) {
         answering_ = true;
--- a/Source/Connection/CallerConnection.h
+++ b/Source/Connection/CallerConnection.h
@@ -65,6 +65,7 @@
 private:
     void feed(std::string_view bytes);
     void handleNext();
+    void handleOne();
 
     /// Reading pauses when more bytes than this are buffered while a request is being handled
     /// (pipelined requests).
@@ -74,6 +75,8 @@
     RequestReader reader_;
     std::unique_ptr<TcpConnection> tcp_;
     bool answering_ = false;
+    /// handleNext() is running, so that an answer that is given at once does not call it again.
+    bool handling_ = false;
     bool closing_ = false;
     TimePoint waitingSince_;
 };
