--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -161,7 +161,8 @@
     const auto runs = context_.recentRuns.find(service_);
     const std::optional<milliseconds> usual =
         runs == context_.recentRuns.end() ? std::nullopt : usualRun(runs->second);
-    return maySend(*context_.plannedStop, {.deadline = deadline_, .usual = usual}, now);
+    return maySend(*context_.plannedStop,
+                   {.arrived = arrived_, .deadline = deadline_, .usual = usual}, now);
 }
 
 /// Whether the route's rules and the time that is left allow another send.
--- a/Source/Request/PlannedStop.cpp
+++ b/Source/Request/PlannedStop.cpp
@@ -33,7 +33,7 @@
 bool maySend(const PlannedStop &stop, const RunTime &run, TimePoint now)
 {
     const milliseconds longest = remaining(now, run.deadline);
-    const bool usualSuffices = run.usual && now < acceptsUntil(stop);
+    const bool usualSuffices = run.usual && run.arrived < acceptsUntil(stop);
     const milliseconds needed = usualSuffices ? std::min(longest, *run.usual) : longest;
     return now + needed <= answersOpenAt(stop);
 }
--- a/Source/Request/PlannedStop.h
+++ b/Source/Request/PlannedStop.h
@@ -28,6 +28,7 @@
 /// What is known of the time that a request needs.
 struct RunTime
 {
+    TimePoint arrived;
     /// When its caller or its route stops waiting.
     TimePoint deadline;
     /// What nearly all recent runs of its service took; nothing if too few are known.
@@ -35,8 +36,8 @@
 };
 
 /// Returns whether a stopping gateway may send a request to a backend server now: only if it
-/// completes before the open ones are answered, by what runs usually take while the gateway accepts
-/// connections and in any case after that.
+/// completes before the open ones are answered, by what runs usually take if it arrived while the
+/// gateway accepted connections, and in any case if it arrived later.
 ///
 /// Guards against requests that are sent late in the grace period and cut off at its end: a caller
 /// whose request must not run twice would never know whether it ran.
--- a/Source/Request/RecentRuns.h
+++ b/Source/Request/RecentRuns.h
@@ -21,8 +21,8 @@
 
 void noteRun(RecentRuns &runs, milliseconds time);
 
-/// Returns the time within which all but a few of the recent runs ended; nothing if fewer than
-/// eight are known.
+/// Returns the time within which all but a few of the recent runs ended; twice the longest time if
+/// only a few are known, and nothing if none is.
 std::optional<milliseconds> usualRun(const RecentRuns &runs);
 
 } // namespace wisteria
--- a/Tests/Gateway/PlannedStopTest.cpp
+++ b/Tests/Gateway/PlannedStopTest.cpp
@@ -289,3 +289,52 @@
     }
     CHECK(scenario.gateway->waitForExit() == 0);
 }
+
+// Guards against refusing all requests that wait when a stopping gateway ceases to accept
+// connections, although their usual runs fit several times in the rest of the grace period.
+TEST_CASE("A stopping gateway serves waiting requests whose usual runs fit in its grace period")
+{
+    constexpr int slots = 2;
+    StopScenario scenario(answerAfter(milliseconds(400)), answerAfter(milliseconds(0)), slots);
+    CallerSocket before(scenario.gateway->callers());
+    constexpr int requestsBefore = 10;
+    for (int i = 0; i < requestsBefore; ++i) {
+        before.send(patientRequest("/once/x", "before-" + std::to_string(i)));
+        REQUIRE(before.readAnswer().status == 200);
+    }
+    scenario.stop();
+    scenario.waitUntil(milliseconds(2000));
+    constexpr int callers = 12;
+    std::vector<std::future<CallResult>> answers;
+    for (int i = 0; i < callers; ++i) {
+        answers.push_back(std::async(std::launch::async, [&, i] {
+            CallerSocket socket(scenario.gateway->callers());
+            socket.send(patientRequest("/once/x", "waiting-" + std::to_string(i)));
+            return socket.readAnswer();
+        }));
+    }
+    int served = 0;
+    for (auto &answer : answers)
+        served += answer.get().status == 200 ? 1 : 0;
+    CHECK(served == callers);
+    CHECK(scenario.gateway->waitForExit() == 0);
+}
+
+// Guards against refusing all requests to a service from SIGTERM on because the gateway has seen
+// few runs of it.
+TEST_CASE("A stopping gateway serves short requests to a service of which it knows few runs")
+{
+    StopScenario scenario(answerAfter(milliseconds(50)), answerAfter(milliseconds(50)));
+    CallerSocket socket(scenario.gateway->callers());
+    constexpr int requestsBefore = 5;
+    for (int i = 0; i < requestsBefore; ++i) {
+        socket.send(patientRequest("/once/x", "before-" + std::to_string(i)));
+        REQUIRE(socket.readAnswer().status == 200);
+    }
+    scenario.stop();
+    scenario.waitUntil(milliseconds(200));
+    CallerSocket caller(scenario.gateway->callers());
+    caller.send(patientRequest("/once/x", "during"));
+    CHECK(caller.readAnswer().status == 200);
+    CHECK(scenario.gateway->waitForExit() == 0);
+}
