Close a connection at once when its owner drops it while it is closing

Found by a review: a connection that was cut for the memory it holds, and one that the readiness or metrics port drops at its bound of 32, stayed open by itself if it was closing: of an answer of 8 MB all was still held and sent, uncounted; 200 clients held 200 descriptors for 0.5 s and more.

Cause: the destructor left a connection open that was closing; since connections close in two steps, that holds for each that answers with Connection: close.

Change: the destructor closes. Sessions and the status ports keep a connection until it tells its end.

--- a/Source/Connection/TcpConnection.cpp
+++ b/Source/Connection/TcpConnection.cpp
@@ -317,9 +317,7 @@
 
 TcpConnection::~TcpConnection()
 {
-    // After closeWhenDrained() the connection stays open until its queue is empty.
-    if (!private_->closing_)
-        private_->close();
+    private_->close();
     private_->events_.ended = nullptr;
 }
 
--- a/Source/Connection/TcpConnection.h
+++ b/Source/Connection/TcpConnection.h
@@ -29,8 +29,8 @@
     std::function<void()> drained;
 };
 
-/// A non-blocking TCP connection on an event loop. The destructor closes the connection; after
-/// closeWhenDrained() this waits until the queue is empty. No callback follows.
+/// A non-blocking TCP connection on an event loop. The destructor closes the connection at once; no
+/// callback follows.
 class TcpConnection
 {
 public:
