--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -369,10 +369,14 @@
             callerListener_.close();
             sessions_.closeIdle(now);
         }
-        if (now >= answersOpenAt(stop))
+        // After a suspension the answers of backend servers may wait to be read, so the open
+        // requests are ended by the check after the first one that is due.
+        const bool endsOpen = now >= answersOpenAt(stop);
+        if (endsOpen && endsOpen_)
             sessions_.endForStop(exits, now);
-        if (exits || (now >= acceptsUntil(stop) && sessions_.empty()))
+        if ((exits && endsOpen_) || (now >= acceptsUntil(stop) && sessions_.empty()))
             loop_.stop();
+        endsOpen_ = endsOpen;
     }
 
     platform::ProcessSettings settings_;
@@ -401,6 +405,8 @@
     std::unique_ptr<GatewayDirectory> directory_;
     std::unique_ptr<LimitPermits> permits_;
     CallerSessions sessions_;
+    /// Whether the last check of a planned stop found it time to end the open requests.
+    bool endsOpen_ = false;
 };
 
 Result<void> Gateway::check(const platform::ProcessSettings &settings)
--- a/Tests/Gateway/PlannedStopTest.cpp
+++ b/Tests/Gateway/PlannedStopTest.cpp
@@ -338,3 +338,25 @@
     CHECK(caller.readAnswer().status == 200);
     CHECK(scenario.gateway->waitForExit() == 0);
 }
+
+// Guards against answers that have come and are replaced by 502, because a gateway that was
+// suspended looks at its clock before its connections when it wakes.
+TEST_CASE("A gateway that wakes late in its grace period passes on the answers that have come")
+{
+    StopScenario scenario(answerAfter(milliseconds(1500)), answerAfter(milliseconds(0)));
+    constexpr int callers = 4;
+    std::vector<std::unique_ptr<CallerSocket>> sockets;
+    for (int i = 0; i < callers; ++i) {
+        sockets.push_back(std::make_unique<CallerSocket>(scenario.gateway->callers()));
+        sockets.back()->send(patientRequest("/once/x", std::to_string(i)));
+    }
+    REQUIRE(eventually([&] { return scenario.arrivals("/once/x") == callers; }));
+    scenario.stop();
+    scenario.waitUntil(milliseconds(500));
+    ::kill(scenario.gateway->process(), SIGSTOP);
+    scenario.waitUntil(milliseconds(7550));
+    ::kill(scenario.gateway->process(), SIGCONT);
+    for (const auto &socket : sockets)
+        CHECK(socket->readAnswer().status == 200);
+    CHECK(scenario.gateway->waitForExit() == 0);
+}
