Refuse experts that a service's profile does not have, so that a sidecar leads on

What callers saw: a sidecar ends, or its group keeps an unbalanced map for as long as that map is in force, after one engine or another sidecar named an expert that does not exist.

Cause: the numbers of experts in an engine's answer and in a status become indexes of the leader's counts (replicaCounts(), layerSkew(), LayerSearch) without a look at the profile. An expert beyond 32 bits was cut to another one. What had been read once was never read again, as experts belong to a map and not to a moment.

Change: areExpertsOf() compares what was read with the profile, once in the sidecar for its own engine, which is then read again, and once where a leader takes a status in; both say so in a line (engine.no_experts, rank.bad_experts).

--- a/Source/Programs/Sidecar/GroupLeader.cpp
+++ b/Source/Programs/Sidecar/GroupLeader.cpp
@@ -106,6 +106,7 @@
     leadingSince_ = TimePoint();
     directReadRoundAt_ = TimePoint();
     readDirectlyAt_.clear();
+    badExperts_.clear();
     isolated_ = false;
     resetSwitch(group_);
 }
@@ -120,7 +121,29 @@
 {
     recordStatus(members_, status, now);
     if (status.report.group == group_.group)
-        wisteria::applyStatus(group_, status, now);
+        applyToGroup(status, now);
+}
+
+/// Applies a status of a rank of the group. Drops experts that the profile does not have, and logs
+/// the first such status of a rank.
+void GroupLeader::applyToGroup(RankStatus status, TimePoint now)
+{
+    const std::uint32_t rank = status.report.rank;
+    const bool bad = !status.experts.empty() && !areExpertsOf(profile_, status.experts);
+    if (!bad)
+        badExperts_.erase(rank);
+    else
+        status.experts.clear();
+    if (bad && badExperts_.insert(rank).second) {
+        log_.warn("rank.bad_experts",
+                  {{"group", group_.group},
+                   {"rank", rank},
+                   {"engine", toText(status.engine)},
+                   {"reason",
+                    "the service's profile does not have them; the group keeps its map until the "
+                    "rank names others"}});
+    }
+    wisteria::applyStatus(group_, std::move(status), now);
 }
 
 void GroupLeader::applyCounts(const CountsReply &reply, TimePoint now)
@@ -301,7 +324,7 @@
     // sidecar's next status replace this one.
     status.readAtMilliseconds = known->second.status.readAtMilliseconds;
     status.experts = known->second.status.experts;
-    wisteria::applyStatus(group_, status, monotonicNow());
+    applyToGroup(std::move(status), monotonicNow());
 }
 
 void GroupLeader::readExpertsDirectly(RankStatus status)
@@ -317,7 +340,7 @@
             if (!leading_ || status.report.group != group_.group)
                 return;
             status.experts = experts.value();
-            wisteria::applyStatus(group_, status, monotonicNow());
+            applyToGroup(std::move(status), monotonicNow());
         });
 }
 
--- a/Source/Programs/Sidecar/GroupLeader.h
+++ b/Source/Programs/Sidecar/GroupLeader.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,7 @@
     void noteReachability(std::size_t silent);
     void readDirectly(const Endpoint &engine);
     void applyDirectReport(const Endpoint &engine, const RankReport &report);
+    void applyToGroup(RankStatus status, TimePoint now);
     void readExpertsDirectly(RankStatus status);
     void logLeading(const char *event) const;
     void logEvent(SwitchEvent event, TimePoint now);
@@ -92,6 +94,8 @@
     GroupMembers members_;
     std::map<Endpoint, TimePoint> readDirectlyAt_;
     TimePoint directReadRoundAt_;
+    /// Ranks whose last status named experts that the profile does not have.
+    std::set<std::uint32_t> badExperts_;
     bool isolated_ = false;
     TimePoint requestedCountsAt_;
     TimePoint leadingSince_;
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -34,6 +34,11 @@
 /// Time after an order during which the report is read at the shorter interval.
 constexpr milliseconds frequentReportsAfterOrder{400};
 
+/// Why the experts that an engine reports are not used.
+constexpr const char *otherProfileReason = "the engine names experts that its service's profile "
+                                           "does not have; check the configuration and "
+                                           "the engine's version";
+
 /// Whether two reports are of the same group, epoch and map in force. Groups use the same epochs
 /// and versions independently of each other.
 bool sameMap(const RankReport &a, const RankReport &b)
@@ -198,8 +203,8 @@
         noteOwnRank(report, begunAt);
         const bool changed = !status_ || !sameSwitchState(status_->report, report)
             || status_->accepted != orderExecutor_->acceptedVersion();
-        const bool expertsOutdated =
-            !status_ || !sameMap(status_->report, report) || status_->experts.empty();
+        const bool expertsOutdated = !status_ || !sameMap(status_->report, report)
+            || status_->experts.empty() || !canBeOwn(status_->experts);
         RankStatus status{
             .engine = engine_, .report = report, .accepted = orderExecutor_->acceptedVersion()};
         status.readAtMilliseconds = static_cast<std::uint64_t>(
@@ -230,6 +235,13 @@
         updateLeadership(monotonicNow());
     }
 
+    /// Whether the own engine can have these experts, by the service's profile; true while that is
+    /// unknown.
+    bool canBeOwn(const std::vector<std::vector<std::uint32_t>> &experts) const
+    {
+        return profile().sets == 0 || areExpertsOf(profile(), experts);
+    }
+
     /// Reads the experts of a report's map. Drops the result when the map has changed meanwhile.
     /// Logs the first failure after a success, because a failed read is repeated with each report.
     void readExperts(const RankReport &report)
@@ -237,6 +249,8 @@
         readingExperts_ = true;
         engineClient_.readExperts(engine_, [this, report](auto experts) {
             readingExperts_ = false;
+            if (experts.has_value() && !canBeOwn(experts.value()))
+                experts = failure(ErrorKind::BadInput, otherProfileReason);
             if (experts.has_error() && !expertsReadFailed_) {
                 log_.info("engine.no_experts",
                           {{"engine", toText(engine_)}, {"reason", experts.error().message}});
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -399,6 +399,22 @@
 
 } // namespace
 
+bool areExpertsOf(const ExpertProfile &profile,
+                  const std::vector<std::vector<std::uint32_t>> &experts)
+{
+    if (experts.size() != profile.sets)
+        return false;
+    return std::all_of(experts.begin(), experts.end(), [&profile](const auto &set) {
+        std::vector<bool> listed(profile.expertsPerSet, false);
+        return std::all_of(set.begin(), set.end(), [&listed](std::uint32_t expert) {
+            if (expert >= listed.size() || listed[expert])
+                return false;
+            listed[expert] = true;
+            return true;
+        });
+    });
+}
+
 std::uint64_t digestOf(const EngineList &list)
 {
     const ExpertProfile &profile = list.profile;
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -30,6 +30,11 @@
     bool operator==(const ExpertProfile &) const = default;
 };
 
+/// Whether the experts of a rank, by set, can be those of an engine with this profile: as many
+/// sets, and in each only experts that exist, none twice. Numbers of experts are used as indexes.
+bool areExpertsOf(const ExpertProfile &profile,
+                  const std::vector<std::vector<std::uint32_t>> &experts);
+
 /// Engines of a service and their profile. A sidecar needs nothing else of the platform's lists.
 struct EngineList
 {
--- a/Tests/Gateway/DatagramPeer.h
+++ b/Tests/Gateway/DatagramPeer.h
@@ -35,9 +35,10 @@
     DatagramPeer(const DatagramPeer &) = delete;
     DatagramPeer &operator=(const DatagramPeer &) = delete;
 
-    void send(const GroupMessage &message) const
+    void send(const GroupMessage &message) const { sendBytes(encodeMessage(message)); }
+
+    void sendBytes(const std::string &bytes) const
     {
-        const std::string bytes = encodeMessage(message);
         ::send(descriptor_, bytes.data(), bytes.size(), 0);
     }
 
--- a/Tests/Gateway/GatewayUnderTest.cpp
+++ b/Tests/Gateway/GatewayUnderTest.cpp
@@ -74,7 +74,7 @@
     const std::string callers = toText(addresses.callers);
     const std::string ip = callers.substr(0, callers.find(':'));
     file << "node_name=" << vmName << "\nip=" << ip
-         << "\nzone=a\ninternal_port_range=" << freePort()
+         << "\nzone=a\ninternal_port_range=" << addresses.messages.value_or(freePort())
          << ",65535\nplatform.address=" << toText(addresses.store) << "\nlisten.front=" << callers
          << "\nlisten.ready=" << ip << ":" << freePort() << "\n";
     if (addresses.engine)
--- a/Tests/Gateway/GatewayUnderTest.h
+++ b/Tests/Gateway/GatewayUnderTest.h
@@ -40,6 +40,8 @@
     Endpoint callers;
     /// Sidecars only.
     std::optional<Endpoint> engine{};
+    /// Port for messages of other processes; a free one if empty.
+    std::optional<std::uint16_t> messages{};
 };
 
 /// Writes a settings file into a new folder under /tmp.
--- a/Tests/Gateway/LoggedGateway.h
+++ b/Tests/Gateway/LoggedGateway.h
@@ -12,22 +12,21 @@
 
 namespace wisteria::gateway_tests {
 
-/// A gateway process that writes its log to a file.
-class LoggedGateway
+/// A process of a program that writes its log to a file.
+class LoggedProcess
 {
 public:
-    explicit LoggedGateway(const Endpoint &store)
+    /// @param settings Path of the settings file.
+    LoggedProcess(const std::string &program, const std::string &settings)
+        : path_(settings + ".lines")
     {
-        const std::string settings =
-            writeSettings("front-1", {.store = store, .callers = callers_});
-        path_ = settings + ".lines";
         const int output = ::open(path_.c_str(), O_CREAT | O_WRONLY | O_CLOEXEC, 0600);
-        child_ = startProgram("wisteria-gateway", settings,
-                              {"--metrics-port", std::to_string(freePort())}, output);
+        child_ =
+            startProgram(program, settings, {"--metrics-port", std::to_string(freePort())}, output);
         ::close(output);
     }
 
-    ~LoggedGateway()
+    ~LoggedProcess()
     {
         if (ended_)
             return;
@@ -35,19 +34,28 @@
         ::waitpid(child_, nullptr, 0);
     }
 
-    LoggedGateway(const LoggedGateway &) = delete;
-    LoggedGateway &operator=(const LoggedGateway &) = delete;
+    LoggedProcess(const LoggedProcess &) = delete;
+    LoggedProcess &operator=(const LoggedProcess &) = delete;
 
-    const Endpoint &callers() const { return callers_; }
     pid_t process() const { return child_; }
 
-    /// Waits until the gateway knows its routes and backend servers.
-    /// @return Whether it does.
-    bool waitUntilRouting() const
+    /// Whether the process has not ended.
+    bool running()
     {
-        return eventually([this] {
-            return callServer(callers_, requestFor("/none/x", "routing")).status == 404;
-        });
+        ended_ = ended_ || ::waitpid(child_, nullptr, WNOHANG) == child_;
+        return !ended_;
+    }
+
+    /// Peak memory in bytes.
+    std::size_t peakMemory() const
+    {
+        constexpr std::size_t bytesPerKilobyte = 1024;
+        std::ifstream status("/proc/" + std::to_string(child_) + "/status");
+        for (std::string line; std::getline(status, line);) {
+            if (line.starts_with("VmHWM:"))
+                return std::stoul(line.substr(line.find_first_of("0123456789"))) * bytesPerKilobyte;
+        }
+        return 0;
     }
 
     /// Sends SIGTERM.
@@ -91,10 +99,35 @@
     }
 
 private:
-    Endpoint callers_{INADDR_LOOPBACK, freePort()};
     std::string path_;
     pid_t child_ = -1;
     bool ended_ = false;
 };
 
+/// A gateway process that writes its log to a file.
+class LoggedGateway : public LoggedProcess
+{
+public:
+    explicit LoggedGateway(const Endpoint &store,
+                           const Endpoint &callers = {INADDR_LOOPBACK, freePort()})
+        : LoggedProcess("wisteria-gateway",
+                        writeSettings("front-1", {.store = store, .callers = callers})),
+          callers_(callers)
+    { }
+
+    const Endpoint &callers() const { return callers_; }
+
+    /// Waits until the gateway knows its routes and backend servers.
+    /// @return Whether it does.
+    bool waitUntilRouting() const
+    {
+        return eventually([this] {
+            return callServer(callers_, requestFor("/none/x", "routing")).status == 404;
+        });
+    }
+
+private:
+    Endpoint callers_;
+};
+
 } // namespace wisteria::gateway_tests
--- a/Tests/Gateway/UnendingInputTest.cpp
+++ b/Tests/Gateway/UnendingInputTest.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <atomic>
-#include <fstream>
 #include <future>
 #include <string>
 #include <vector>
@@ -73,17 +72,6 @@
     return sent;
 }
 
-/// Peak memory of a process in bytes.
-std::size_t peakMemory(pid_t process)
-{
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    for (std::string line; std::getline(status, line);) {
-        if (line.starts_with("VmHWM:"))
-            return std::stoul(line.substr(line.find_first_of("0123456789"))) * 1024;
-    }
-    return 0;
-}
-
 /// Feeds a response reader until it fails or has taken `limit` bytes.
 /// @return The number of bytes that it took.
 std::size_t bytesUntilFault(const Unending &answer, std::size_t limit)
@@ -227,7 +215,7 @@
         const int status = call.get().status;
         CHECK((status == 502 || status == 503 || status == 504));
     }
-    CHECK(peakMemory(gateway.process()) < 256 * megabyte);
+    CHECK(gateway.peakMemory() < 256 * megabyte);
 }
 
 // Guards against a gateway that exceeds the memory of its VM because callers send long requests
@@ -263,7 +251,7 @@
     CHECK(first.get().status == 200);
     for (auto &other : others)
         other.get();
-    CHECK(peakMemory(gateway.process()) < 256 * megabyte);
+    CHECK(gateway.peakMemory() < 256 * megabyte);
 }
 
 // Guards against a bound that cuts sound answers while one without end grows.
