Refuse reports with numbers that no sound engine has, so that a sidecar follows on

What callers saw: after one engine, or another sidecar, had reported a rank of 4,000,000,000 or an epoch of 2^64-1 once, the leader of the group found no map for it any more, also when the engine was sound again.

Cause: numbers of a report were taken as they came, and those of another type or size as 0. They become keys, sizes and what later versions, passes and epochs are counted from; a later epoch makes the leader ignore all statuses of the real one.

Change: checkReport() bounds rank, group size, epoch, versions, passes, slowdown, requests and the group's name, where a report is decoded from an engine's answer and from a datagram. A number of the wrong type is refused with its field and value instead of being read as 0; the sidecar then says engine.lost with that reason and tells gateways that the rank is not open.

Tests: "A sidecar leads on after its engine has reported absurd numbers", "... after another one has reported absurd numbers".

--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -140,6 +140,13 @@
             report.slowdown};
 }
 
+/// Throws the error of a failed check, as the library does for a wrong type.
+void require(const Result<void> &checked)
+{
+    if (checked.has_error())
+        throw std::out_of_range(checked.error().message);
+}
+
 RankReport decodeReport(const Json &json)
 {
     RankReport report;
@@ -158,6 +165,7 @@
     if (const auto held = json.at(12).get<std::uint64_t>(); held != 0)
         report.heldPass = held;
     report.slowdown = json.at(13).get<double>();
+    require(checkReport(report));
     return report;
 }
 
--- a/Source/Version/RankReport.h
+++ b/Source/Version/RankReport.h
@@ -5,8 +5,13 @@
 #include <string>
 #include <vector>
 
+#include "Process/Error.h"
+
 namespace wisteria {
 
+/// Maximum number of ranks of a group.
+inline constexpr std::uint32_t maxGroupRanks = 4096;
+
 /// State of a model engine, and of its rank if it belongs to a group.
 struct RankReport
 {
@@ -39,6 +44,11 @@
     std::optional<std::uint64_t> heldPass{};
 };
 
+/// Checks a report that another process wrote. Its numbers become sizes and indexes, and the epoch
+/// and versions that a leader goes on from.
+/// @return BadInput when a number is beyond any that a sound engine reports.
+Result<void> checkReport(const RankReport &report);
+
 /// How often the requests of one rank chose each expert since the rank started.
 struct ExpertCounts
 {
--- a/Source/Version/RankSwitch.h
+++ b/Source/Version/RankSwitch.h
@@ -116,7 +116,7 @@
 
 /// Version numbers in one tick: one for each rank beside which a leader may run, so this is above
 /// the size of any group.
-inline constexpr std::uint64_t ranksPerVersionTick = 4096;
+inline constexpr std::uint64_t ranksPerVersionTick = maxGroupRanks;
 
 /// Rank of a leader and its clock for version numbers.
 struct LeaderIdentity
--- a/Tests/Gateway/SidecarInputTest.cpp
+++ b/Tests/Gateway/SidecarInputTest.cpp
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <cmath>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -34,6 +35,16 @@
     std::string experts = R"({"map":{"version":0,"experts":[[0,2]]}})";
 };
 
+/// A report in which one field has another value, as JSON.
+std::string reportWith(const std::string &field, const std::string &value)
+{
+    nlohmann::json report = nlohmann::json::parse(EngineAnswers{}.report);
+    nlohmann::json &object = report["group"].contains(field) ? report["group"] : report;
+    object[field] = "@";
+    std::string text = report.dump();
+    return text.replace(text.find("\"@\""), 3, value);
+}
+
 RankStatus usualStatusOf(std::uint32_t ip)
 {
     return {.engine = {ip, 1},
@@ -136,6 +147,13 @@
     std::function<void(LeadingSidecar &)> set;
 };
 
+OddInput oddReport(const std::string &field, const std::string &value)
+{
+    return {field + " " + value, [field, value](LeadingSidecar &sidecar) {
+                sidecar.setOdd(EngineAnswers{.report = reportWith(field, value)});
+            }};
+}
+
 OddInput oddExperts(const std::string &experts)
 {
     return {"experts " + experts, [experts](LeadingSidecar &sidecar) {
@@ -222,3 +240,27 @@
                        status.experts = {{1}, {3}};
                    })});
 }
+
+// Guards against a sidecar that ends, or no longer follows its group, because of absurd numbers.
+TEST_CASE("A sidecar leads on after its engine has reported absurd numbers")
+{
+    checkSidecars({oddReport("size", "4000000000"), oddReport("size", "40000000000"),
+                   oddReport("rank", "4000000000"), oddReport("rank", "-1"),
+                   oddReport("epoch", "18446744073709551615"),
+                   oddReport("map", "18446744073709551615"),
+                   oddReport("step", "18446744073709551615"), oddReport("pace", "1e300"),
+                   oddReport("pace", "-1e300"), oddReport("held", "18446744073709551615"),
+                   oddReport("armed", "18446744073709551615")});
+}
+
+// Guards against the same because of numbers in the status of another sidecar.
+TEST_CASE("A sidecar leads on after another one has reported absurd numbers")
+{
+    checkSidecars(
+        {oddStatus("rank", [](RankStatus &status) { status.report.rank = 4'000'000'000; }),
+         oddStatus("size", [](RankStatus &status) { status.report.groupSize = 4'000'000'000; }),
+         oddStatus("epoch", [](RankStatus &status) { status.report.epoch = ~0ULL; }),
+         oddStatus("inf", [](RankStatus &status) { status.report.slowdown = INFINITY; }),
+         oddStatus("nan", [](RankStatus &status) { status.report.slowdown = NAN; }),
+         oddStatus("version", [](RankStatus &status) { status.report.prepared = ~0ULL; })});
+}
