Follow the ranks again after one of them was in a later epoch or had another rank

What callers saw: a group kept its map for good, however unbalanced, after one engine had once reported a later epoch than there is, or another rank.

Cause: a leader ignores statuses of an earlier epoch than the latest one that it has seen, and nothing takes that back. A rank beyond the others stays among the known ones until the epoch changes, and no map is complete with it. Versions follow the highest one seen, also the highest there is.

Change: statuses of an earlier epoch count again when none of the leader's epoch was received for 2 s; a group that has formed again sends its ranks' statuses several times a second, so the later epoch is a real one only while they do. What an engine has reported as another rank is dropped with its next status. Versions beyond 2^52 are not followed.

Test: "A sidecar leads on after one rank has reported a later epoch or another rank". Not covered: while a rank goes on reporting a later epoch, the leader follows that one.

--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -12,6 +12,13 @@
 
 namespace {
 
+/// After this time without a status of the leader's epoch, statuses of an earlier one count again.
+/// Longer than any delay of a datagram, and than several polls take.
+constexpr milliseconds epochLifetime{2000};
+/// Half of the versions that JSON numbers represent exactly: a rank that reports a version beyond
+/// any that occur leaves the leader as many as it needs.
+constexpr std::uint64_t maxFollowedVersion = std::uint64_t{1} << 52;
+
 /// Sets the pass before which the group is to be held; never one that this leader used before.
 void scheduleHold(GroupSwitch &group, std::uint64_t pass)
 {
@@ -204,14 +211,35 @@
     }
 }
 
+/// Whether a rank has been in the leader's epoch within the last seconds. A faulty rank may have
+/// reported a later one than there is.
+bool isEpochInUse(const GroupSwitch &group, TimePoint now)
+{
+    return std::any_of(group.ranks.begin(), group.ranks.end(), [now](const auto &entry) {
+        return now - entry.second.receivedAt <= epochLifetime;
+    });
+}
+
+/// The highest version among those of a report that leave room for later ones. A leader's versions
+/// follow it.
+std::uint64_t highestVersionOf(const RankReport &report)
+{
+    std::uint64_t highest = 0;
+    for (const std::uint64_t version : {report.map, report.prepared, report.armed}) {
+        if (version <= maxFollowedVersion)
+            highest = std::max(highest, version);
+    }
+    return highest;
+}
+
 } // namespace
 
 void applyStatus(GroupSwitch &group, RankStatus status, TimePoint now)
 {
     const RankReport &report = status.report;
-    if (report.epoch < group.epoch)
+    if (report.epoch < group.epoch && isEpochInUse(group, now))
         return;
-    if (report.epoch > group.epoch) {
+    if (report.epoch != group.epoch) {
         const std::uint64_t highest = group.highestVersion;
         group = GroupSwitch{.group = report.group, .epoch = report.epoch};
         group.highestVersion = highest;
@@ -222,10 +250,13 @@
         && isDelayed(status, known->second.status.readAtMilliseconds, known->second.receivedAt,
                      now))
         return;
-    group.highestVersion =
-        std::max({group.highestVersion, report.map, report.prepared, report.armed});
+    group.highestVersion = std::max(group.highestVersion, highestVersionOf(report));
     addOmittedExperts(group, status);
     const std::uint32_t rank = report.rank;
+    // An engine is one rank only; what it reported as another is out of date.
+    std::erase_if(group.ranks, [&status, rank](const auto &entry) {
+        return entry.first != rank && entry.second.status.engine == status.engine;
+    });
     group.ranks[rank] = {std::move(status), now};
 }
 
--- a/Tests/Gateway/SidecarInputTest.cpp
+++ b/Tests/Gateway/SidecarInputTest.cpp
@@ -264,3 +264,17 @@
          oddStatus("nan", [](RankStatus &status) { status.report.slowdown = NAN; }),
          oddStatus("version", [](RankStatus &status) { status.report.prepared = ~0ULL; })});
 }
+
+// Guards against a leader that ignores its ranks for ever because one of them was in a later epoch.
+TEST_CASE("A sidecar leads on after one rank has reported a later epoch or another rank")
+{
+    checkSidecars(
+        {oddReport("epoch", "1000000000"), oddReport("map", "9007199254740991"),
+         oddStatus("epoch", [](RankStatus &status) { status.report.epoch = 1'000'000'000; }),
+         oddStatus("version",
+                   [](RankStatus &status) { status.report.prepared = 9'007'199'254'740'991; }),
+         oddStatus("rank", [](RankStatus &status) {
+             status.report.rank = 5;
+             status.report.groupSize = 6;
+         })});
+}
