Refuse engine lists and counts with absurd numbers, so that a sidecar does not end

What callers saw: a sidecar ends, and the group is without a leader and without loads for the gateways until it is back.

Cause: the sizes in an engine list become sizes of memory (currentMap(), firstRankMap()). Counts of an engine were converted from any number, which is undefined for those that 64 bits don't hold; one that large also hides all other demand for a long time.

Change: checkProfile() bounds the experts of all sets by what one datagram of counts holds, and the time of a copy, where a list is decoded.

Tests: "A sidecar leads on after an engine list has had absurd sizes", "... after an order to change the first map of absurd sizes", "... after its engine has counted absurd numbers of choices".

--- a/Source/Version/CountsEncoding.cpp
+++ b/Source/Version/CountsEncoding.cpp
@@ -5,6 +5,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "Version/RankReport.h"
+
 namespace wisteria {
 
 namespace {
@@ -66,7 +68,10 @@
 
 std::vector<std::uint64_t> decodeCounts(const Json &json)
 {
-    const double largest = static_cast<double>(json.at(0).get<std::uint64_t>());
+    const auto largestCount = json.at(0).get<std::uint64_t>();
+    if (largestCount > maxExpertCount)
+        throw std::out_of_range("a count is too large");
+    const double largest = static_cast<double>(largestCount);
     const auto size = json.at(1).get<std::size_t>();
     const Json::binary_t &bytes = json.at(2).get_binary();
     if (bytes.size() != encodedCountsBytes(size))
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -81,6 +81,13 @@
             encode(list.engines)};
 }
 
+/// Throws the error of a failed check, as the library does for a wrong type.
+void require(const Result<void> &checked)
+{
+    if (checked.has_error())
+        throw std::out_of_range(checked.error().message);
+}
+
 EngineList decodeList(const Json &json)
 {
     EngineList list;
@@ -89,6 +96,7 @@
                     .expertsPerRank = json.at(3).get<std::uint32_t>(),
                     .copiesPerMap = json.at(4).get<std::uint32_t>(),
                     .copyMilliseconds = json.at(5).get<double>()};
+    require(checkProfile(list.profile));
     list.engines = decodeEndpoints(json.at(6));
     return list;
 }
@@ -140,13 +148,6 @@
             report.slowdown};
 }
 
-/// Throws the error of a failed check, as the library does for a wrong type.
-void require(const Result<void> &checked)
-{
-    if (checked.has_error())
-        throw std::out_of_range(checked.error().message);
-}
-
 RankReport decodeReport(const Json &json)
 {
     RankReport report;
@@ -235,9 +236,12 @@
 
 CountsReply decodeCountsReply(const Json &json)
 {
+    const auto ranks = json.at(3).get<std::uint32_t>();
+    if (ranks > maxGroupRanks)
+        throw std::out_of_range("the counts are of too many ranks");
     return {.group = json.at(1).get<std::string>(),
             .epoch = json.at(2).get<std::uint64_t>(),
-            .ranks = json.at(3).get<std::uint32_t>(),
+            .ranks = ranks,
             .passes = json.at(4).get<std::uint64_t>(),
             .counts = decodeCounts(json.at(5))};
 }
@@ -407,6 +411,24 @@
 
 } // namespace
 
+Result<void> checkProfile(const ExpertProfile &profile)
+{
+    const std::uint64_t perSet =
+        std::max({profile.expertsPerSet, profile.expertsPerRank, profile.copiesPerMap});
+    if (profile.sets * perSet > maxExpertsOfProfile) {
+        return failure(ErrorKind::BadInput,
+                       "the profile has " + std::to_string(profile.sets) + " sets of "
+                           + std::to_string(perSet) + " experts; configure at most "
+                           + std::to_string(maxExpertsOfProfile) + " in all sets");
+    }
+    if (!(profile.copyMilliseconds >= 0 && profile.copyMilliseconds <= maxCopyMilliseconds)) {
+        return failure(ErrorKind::BadInput,
+                       "the profile has " + std::to_string(profile.copyMilliseconds)
+                           + " ms for the copy of an expert; check its size and the bandwidth");
+    }
+    return boost::outcome_v2::success();
+}
+
 bool areExpertsOf(const ExpertProfile &profile,
                   const std::vector<std::vector<std::uint32_t>> &experts)
 {
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -30,6 +30,15 @@
     bool operator==(const ExpertProfile &) const = default;
 };
 
+/// Maximum number of experts of all sets. One datagram holds the counts of that many.
+inline constexpr std::uint64_t maxExpertsOfProfile = 65536;
+/// Longest time to copy one expert's weights, in milliseconds.
+inline constexpr double maxCopyMilliseconds = 3'600'000;
+
+/// Checks a profile that another process wrote. Its numbers become sizes of memory.
+/// @return BadInput when a number is beyond any that occurs.
+Result<void> checkProfile(const ExpertProfile &profile);
+
 /// Whether the experts of a rank, by set, can be those of an engine with this profile: as many
 /// sets, and in each only experts that exist, none twice. Numbers of experts are used as indexes.
 bool areExpertsOf(const ExpertProfile &profile,
--- a/Source/Version/RankReport.h
+++ b/Source/Version/RankReport.h
@@ -49,6 +49,9 @@
 /// @return BadInput when a number is beyond any that a sound engine reports.
 Result<void> checkReport(const RankReport &report);
 
+/// Largest count of an expert. The sums of all ranks fit into 64 bits, and a double holds each.
+inline constexpr std::uint64_t maxExpertCount = std::uint64_t{1} << 51;
+
 /// How often the requests of one rank chose each expert since the rank started.
 struct ExpertCounts
 {
--- a/Tests/Gateway/SidecarInputTest.cpp
+++ b/Tests/Gateway/SidecarInputTest.cpp
@@ -13,6 +13,7 @@
 #include "Gateway/DatagramPeer.h"
 #include "Gateway/GatewayUnderTest.h"
 #include "Gateway/LoggedGateway.h"
+#include "platform/RankCodec.h"
 
 using namespace wisteria;
 using namespace wisteria::gateway_tests;
@@ -45,6 +46,14 @@
     return text.replace(text.find("\"@\""), 3, value);
 }
 
+constexpr ExpertProfile usualProfile{
+    .sets = 1, .expertsPerSet = 4, .expertsPerRank = 2, .copiesPerMap = 2};
+
+CountsReply usualCounts()
+{
+    return {.group = "g", .epoch = 1, .ranks = 2, .passes = 1, .counts = {9000, 10, 9000, 10}};
+}
+
 RankStatus usualStatusOf(std::uint32_t ip)
 {
     return {.engine = {ip, 1},
@@ -81,6 +90,11 @@
         oddStatus_ = std::move(status);
     }
 
+    void setOdd(const ExpertProfile &profile) { oddProfile_ = profile; }
+    void setOdd(const CountsReply &counts) { oddCounts_ = counts; }
+    /// Sets messages that are sent beside the usual ones.
+    void setOdd(std::vector<GroupMessage> messages) { oddMessages_ = std::move(messages); }
+
     /// Sets an answer of the engine to all reads, which may have no end.
     void setUnending(std::function<void(ScriptPeer &)> send)
     {
@@ -91,20 +105,22 @@
     {
         answers_ = std::make_shared<EngineAnswers>();
         oddStatus_.reset();
+        oddProfile_.reset();
+        oddCounts_.reset();
+        oddMessages_.clear();
         unending_.store(nullptr);
     }
 
     /// Sends what a gateway and the other rank's sidecar send all the time.
     void sendUsual() const
     {
-        const EngineList list{
-            .profile = {.sets = 1, .expertsPerSet = 4, .expertsPerRank = 2, .copiesPerMap = 2},
-            .engines = {engine_.endpoint(), {peerIp_, 1}}};
-        peer_.send(list);
+        peer_.send(EngineList{.profile = oddProfile_.value_or(usualProfile),
+                              .engines = {engine_.endpoint(), {peerIp_, 1}}});
         peer_.send(oddStatus_.value_or(usualStatusOf(peerIp_)));
         // Rank 0 has both experts that are chosen, so another map is needed.
-        peer_.send(CountsReply{
-            .group = "g", .epoch = 1, .ranks = 2, .passes = 1, .counts = {9000, 10, 9000, 10}});
+        peer_.send(oddCounts_.value_or(usualCounts()));
+        for (const GroupMessage &message : oddMessages_)
+            peer_.send(message);
     }
 
     bool running() { return sidecar_.running(); }
@@ -133,6 +149,9 @@
     std::atomic<std::shared_ptr<EngineAnswers>> answers_ = std::make_shared<EngineAnswers>();
     std::atomic<std::shared_ptr<std::function<void(ScriptPeer &)>>> unending_;
     std::optional<RankStatus> oddStatus_;
+    std::optional<ExpertProfile> oddProfile_;
+    std::optional<CountsReply> oddCounts_;
+    std::vector<GroupMessage> oddMessages_;
     std::uint32_t peerIp_;
     Endpoint address_;
     ScriptedServer engine_;
@@ -172,6 +191,19 @@
             }};
 }
 
+OddInput oddProfile(const std::string &name, const ExpertProfile &profile)
+{
+    return {"profile " + name, [profile](LeadingSidecar &sidecar) { sidecar.setOdd(profile); }};
+}
+
+OddInput oddCounts(const std::string &counts)
+{
+    return {"counts " + counts, [counts](LeadingSidecar &sidecar) {
+                sidecar.setOdd(EngineAnswers{.counts = R"({"step":9,"epoch":1,"expert_counts":)"
+                                                 + counts + "}"});
+            }};
+}
+
 /// Runs each input at a sidecar of its own, at the same time: the input for a while in which the
 /// sidecar begins to lead, then usual ones.
 void checkSidecars(const std::vector<OddInput> &inputs)
@@ -278,3 +310,67 @@
              status.report.groupSize = 6;
          })});
 }
+
+// Guards against a sidecar that ends for want of memory because of the sizes in the engine list.
+TEST_CASE("A sidecar leads on after an engine list has had absurd sizes")
+{
+    constexpr std::uint32_t large = 4'000'000'000;
+    checkSidecars(
+        {oddProfile("sets", {.sets = large, .expertsPerSet = 4, .expertsPerRank = 2}),
+         oddProfile("experts", {.sets = 1, .expertsPerSet = large, .expertsPerRank = 2}),
+         oddProfile("both", {.sets = large, .expertsPerSet = large, .expertsPerRank = large}),
+         oddProfile("places", {.sets = 1, .expertsPerSet = 4, .expertsPerRank = large}),
+         oddProfile("copies", {.sets = 1, .expertsPerSet = 4, .copiesPerMap = large}),
+         oddProfile("time", {.sets = 1, .expertsPerSet = 4, .copyMilliseconds = INFINITY}),
+         oddProfile("no time", {.sets = 1, .expertsPerSet = 4, .copyMilliseconds = NAN})});
+}
+
+// Guards against a sidecar that ends for want of memory because it derives the first map from the
+// sizes of a list or of its engine's report.
+TEST_CASE("A sidecar leads on after an order to change the first map of absurd sizes")
+{
+    const std::vector<GroupMessage> orders = {
+        RankCommand{.order = {.kind = RankOrderKind::Prepare, .epoch = 1, .version = 7},
+                    .changes = {{4'000'000'000, 4'000'000'000, {4'000'000'000}}},
+                    .group = "g"}};
+    checkSidecars(
+        {{"size of the report",
+          [&orders](LeadingSidecar &sidecar) {
+              sidecar.setOdd(EngineAnswers{.report = reportWith("size", "4000000000")});
+              sidecar.setOdd(orders);
+          }},
+         {"sets of the list",
+          [&orders](LeadingSidecar &sidecar) {
+              sidecar.setOdd(ExpertProfile{.sets = 4'000'000'000, .expertsPerSet = 4});
+              sidecar.setOdd(orders);
+          }},
+         {"order alone", [&orders](LeadingSidecar &sidecar) { sidecar.setOdd(orders); }}});
+}
+
+// Guards against counts whose conversion is undefined, and against demand that hides all other for
+// minutes.
+TEST_CASE("A sidecar leads on after its engine has counted absurd numbers of choices")
+{
+    checkSidecars({oddCounts("[1e300,0,0,0]"), oddCounts("[-1e300,0,0,0]"), oddCounts("[-1,0,0,0]"),
+                   oddCounts("[18446744073709551615,0,0,0]"), oddCounts("[[1],2,3,4]"),
+                   oddCounts("[" + std::string(100'000, '1') + "]")});
+    const auto countsOf = [](const std::string &counts) {
+        HttpResponse response;
+        response.head.status = 200;
+        response.body = R"({"step":9,"epoch":1,"expert_counts":)" + counts + "}";
+        return platform::decodeExpertCounts(response);
+    };
+    for (const std::string counts :
+         {"[1e300]", "[-1]", "[18446744073709551615]", "[9e15]", "[null]", "[\"1\"]"}) {
+        CAPTURE(counts);
+        CHECK(countsOf(counts).has_error());
+    }
+    CHECK(countsOf("[0,5120,2e9]").value().counts
+          == std::vector<std::uint64_t>{0, 5120, 2'000'000'000});
+    CountsReply reply = usualCounts();
+    reply.counts.front() = ~0ULL;
+    CHECK(decodeMessage(encodeMessage(reply)).has_error());
+    reply = usualCounts();
+    reply.ranks = 4'000'000'000;
+    CHECK(decodeMessage(encodeMessage(reply)).has_error());
+}
