Space the last sends of a restricted request, so that a closed group does not take all three

Cause: when a server of a group crashes, the group refuses (503) or breaks off all that it gets until it is whole again, 1.2 s in the test. The popular request was in flight at the crash in three copies, so it was restricted, and its three last sends went out within 0.7 s, all to the closed group. With none left it was quarantined.

Change: the second last send waits for a second after the first and after the service's last crash, the third for two. It follows from the account alone, which all gateways share, so it needs no message of its own. A refused send is not taken back: it has reached a server, which the users' bound and the checks of the poison tests count (three later sends in all, refused ones included); a poison request at a group would get two refused sends for each one that runs.

--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -99,7 +99,9 @@
             const bool mayBeSent = isTrial || hasLastSend(evidence_, suspect, now);
             if (!mayBeSent || runsHere(fingerprintOfService(service)))
                 return TimePoint::max();
-            at = std::max(at, lastCrashOf(evidence_, service) + suspectPause);
+            const TimePoint lastCrashAt = lastCrashOf(evidence_, service);
+            at = std::max({at, lastCrashAt + suspectPause,
+                           lastSendDueAt(evidence_, suspect, lastCrashAt, now)});
             continue;
         }
         const bool repeated =
--- a/Source/Request/LastSends.cpp
+++ b/Source/Request/LastSends.cpp
@@ -42,6 +42,20 @@
     return evidence.accounts[request];
 }
 
+/// Returns when each last send was made that counts.
+std::vector<TimePoint> countedSends(const CrashEvidence &evidence, const Fingerprint &request,
+                                    TimePoint now)
+{
+    std::vector<TimePoint> sends;
+    if (const CopyAccount *account = findAccount(evidence, request)) {
+        for (const auto &[id, send] : account->lastSends) {
+            if (send.delivered && counts(evidence, request, send.at, now))
+                sends.push_back(send.at);
+        }
+    }
+    return sends;
+}
+
 } // namespace
 
 std::uint32_t endedCopiesOf(const CrashEvidence &evidence, const Fingerprint &request,
@@ -72,13 +86,7 @@
 
 std::uint32_t lastSendsOf(const CrashEvidence &evidence, const Fingerprint &request, TimePoint now)
 {
-    const CopyAccount *account = findAccount(evidence, request);
-    if (account == nullptr)
-        return 0;
-    return static_cast<std::uint32_t>(
-        std::count_if(account->lastSends.begin(), account->lastSends.end(), [&](const auto &item) {
-            return item.second.delivered && counts(evidence, request, item.second.at, now);
-        }));
+    return static_cast<std::uint32_t>(countedSends(evidence, request, now).size());
 }
 
 bool hasLastSend(const CrashEvidence &evidence, const Fingerprint &request, TimePoint now)
@@ -86,6 +94,16 @@
     return lastSendsOf(evidence, request, now) < maxLastSends;
 }
 
+TimePoint lastSendDueAt(const CrashEvidence &evidence, const Fingerprint &request,
+                        TimePoint lastCrashAt, TimePoint now)
+{
+    const std::vector<TimePoint> sends = countedSends(evidence, request, now);
+    TimePoint latest = lastCrashAt;
+    for (const TimePoint sentAt : sends)
+        latest = std::max(latest, sentAt);
+    return latest + pausePerLastSend * sends.size();
+}
+
 void noteLastSend(CrashEvidence &evidence, const Fingerprint &request, SendId id,
                   const LastSend &send)
 {
--- a/Source/Request/LastSends.h
+++ b/Source/Request/LastSends.h
@@ -40,6 +40,8 @@
 constexpr std::uint32_t maxEndedCopies = 3;
 /// Sends of a restricted request until one completes.
 constexpr std::uint32_t maxLastSends = 3;
+/// Pause before a last send, for each one that went before.
+constexpr milliseconds pausePerLastSend{1000};
 /// Bound on the memory that callers can make a gateway use.
 constexpr std::size_t maxAccounts = 4096;
 
@@ -57,6 +59,16 @@
 /// Whether a restricted request may be sent once more.
 bool hasLastSend(const CrashEvidence &evidence, const Fingerprint &request, TimePoint now);
 
+/// When a restricted request may be sent next, as far as its last sends are concerned.
+///
+/// A send that a server refuses, or breaks off, has reached it and stays counted. A group that has
+/// lost a server does so with all that it gets until it is whole again. So the fewer sends are
+/// left, the longer the next one waits after the last one and after the last crash; otherwise a
+/// sound request would spend all of them on one such time.
+/// @param lastCrashAt When a server of the request's service crashed last.
+TimePoint lastSendDueAt(const CrashEvidence &evidence, const Fingerprint &request,
+                        TimePoint lastCrashAt, TimePoint now);
+
 /// Records a send of a restricted request, or that it has not reached a backend server. May be
 /// called in any order and several times for one send.
 void noteLastSend(CrashEvidence &evidence, const Fingerprint &request, SendId id,
