Count no crash for a start time that the list shows late

Cause: a process that has started again takes requests before the list of servers shows its start time. What a group that is closed breaks off there was recorded for the process of the entry, the one that had crashed; when the new start time arrived, it was taken for a crash under these requests. A crash without a cause is another cause, so the verdict on the poison request waited too.

Change: of a process of which a crash is known, a later start time counts only for sends before that crash. A refused connection shows a crash as before.

Result: the new test fails before (a crash is reported) and passes; the other one, that a start time shows a crash otherwise, passes before and after.

--- a/Source/Programs/Gateway/CrashDetector.cpp
+++ b/Source/Programs/Gateway/CrashDetector.cpp
@@ -93,8 +93,8 @@
         return;
     }
     const BackendEntry *entry = stayingEntry(server);
-    const auto crashedAt = crashedAt_.find(server);
-    const bool knownDown = crashedAt != crashedAt_.end() && now - crashedAt->second < knownDownTime;
+    const auto known = knownCrashes_.find(server);
+    const bool knownDown = known != knownCrashes_.end() && now - known->second.at < knownDownTime;
     if (entry == nullptr || knownDown)
         return;
     report({.server = server,
@@ -108,15 +108,30 @@
 void CrashDetector::noteStartTime(const std::string &server, std::uint64_t startedAt, TimePoint now)
 {
     const auto broken = broken_.find(server);
-    if (broken != broken_.end() && broken->second.startedAt != startedAt)
-        confirm(server, restartWindow, now);
+    if (broken == broken_.end() || broken->second.startedAt == startedAt)
+        return;
+    forgetSendsToSuccessor(server, broken->second);
+    confirm(server, restartWindow, now);
+}
+
+/// Forgets sends after a crash of the process that the list still names. They reached the process
+/// that has started since, so its start time shows no crash under them.
+void CrashDetector::forgetSendsToSuccessor(const std::string &server, BrokenServer &broken) const
+{
+    const auto known = knownCrashes_.find(server);
+    if (known == knownCrashes_.end() || known->second.startedAt != broken.startedAt)
+        return;
+    std::erase_if(broken.sends, [crashedAt = known->second.at](const BrokenServer::Send &send) {
+        return send.request.sentAt && *send.request.sentAt > crashedAt;
+    });
 }
 
 void CrashDetector::noteReported(const CrashReport &report, TimePoint now)
 {
     const milliseconds age{report.ageMilliseconds};
-    TimePoint &crashedAt = crashedAt_[report.server];
-    crashedAt = std::max(crashedAt, now - age);
+    KnownCrash &known = knownCrashes_[report.server];
+    if (now - age >= known.at)
+        known = {now - age, report.startedAt};
     if (age >= refusalWindow)
         return;
     const auto broken = broken_.find(report.server);
@@ -147,7 +162,7 @@
 
 void CrashDetector::report(const ServerCrash &crash, TimePoint now)
 {
-    crashedAt_[crash.server] = now;
+    knownCrashes_[crash.server] = {now, crash.startedAt};
     crashed_(crash);
 }
 
@@ -157,8 +172,8 @@
     std::erase_if(broken_, [now](const auto &item) {
         return now - item.second.sends.back().endedAt > restartWindow;
     });
-    std::erase_if(crashedAt_,
-                  [now](const auto &item) { return now - item.second > knownDownTime; });
+    std::erase_if(knownCrashes_,
+                  [now](const auto &item) { return now - item.second.at > knownDownTime; });
     for (auto &[server, broken] : broken_) {
         if (now < broken.probeAgainAt)
             continue;
--- a/Source/Programs/Gateway/CrashDetector.h
+++ b/Source/Programs/Gateway/CrashDetector.h
@@ -74,8 +74,17 @@
         TimePoint probeAgainAt = TimePoint::max();
     };
 
+    /// The last crash of a server that is known.
+    struct KnownCrash
+    {
+        TimePoint at;
+        /// Start time of the process that crashed.
+        std::uint64_t startedAt = 0;
+    };
+
     BrokenServer *recordUnanswered(const UnansweredSend &send, TimePoint now);
     void finishProbe(const std::string &server, ProbeResult result, bool first);
+    void forgetSendsToSuccessor(const std::string &server, BrokenServer &broken) const;
     void confirm(const std::string &server, milliseconds within, TimePoint now);
     void report(const ServerCrash &crash, TimePoint now);
     /// Returns the entry of a server that does not leave; otherwise null.
@@ -86,8 +95,7 @@
     Crashed crashed_;
     ServerProbes probes_;
     std::map<std::string, BrokenServer> broken_;
-    /// When each server was last found to have crashed.
-    std::map<std::string, TimePoint> crashedAt_;
+    std::map<std::string, KnownCrash> knownCrashes_;
 };
 
 } // namespace wisteria
--- /dev/null
+++ b/Tests/Gateway/CrashDetectorTest.cpp
@@ -0,0 +1,67 @@
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "Gateway/RegistryEntries.h"
+#include "Programs/Gateway/CrashDetector.h"
+
+using namespace wisteria;
+using namespace wisteria::gateway_tests;
+
+namespace {
+
+constexpr TimePoint start{seconds(100)};
+const std::string server = "1";
+
+/// A server whose process with the start time 1 crashes; the list of servers shows the next start
+/// later than it happens.
+struct WatchedServer
+{
+    WatchedServer() { putBackend(registry, entryOf(server, 1), start); }
+
+    void noteGivenUp(TimePoint sentAt)
+    {
+        const UnansweredSend send{
+            .server = server, .request = {}, .sentAt = sentAt, .id = ++lastSend};
+        detector.noteGivenUp(send, false, sentAt + milliseconds(20));
+    }
+
+    void noteCrashSeenElsewhere(TimePoint now)
+    {
+        detector.noteReported({.server = server, .startedAt = 1, .service = "s", .running = {}},
+                              now);
+    }
+
+    EventLoop loop;
+    BackendRegistry registry;
+    std::vector<ServerCrash> crashes;
+    SendId lastSend = 0;
+    CrashDetector detector{loop, registry,
+                           [this](const ServerCrash &crash) { crashes.push_back(crash); }};
+};
+
+} // namespace
+
+// Guards against sends to a server that is back which count as ended by the crash before.
+TEST_CASE("A start time that the list shows late is no crash under sends to the new process")
+{
+    WatchedServer watched;
+    watched.noteCrashSeenElsewhere(start);
+    watched.noteGivenUp(start + seconds(2));
+    watched.detector.noteStartTime(server, 2, start + seconds(3));
+    REQUIRE(watched.crashes.empty());
+}
+
+// Guards against a restart within milliseconds that goes unseen beside a crash known before.
+TEST_CASE("A new start time shows a crash under sends to the process before")
+{
+    WatchedServer watched;
+    SECTION("no crash of the server is known") { }
+    SECTION("a crash of its process is known, but the send was before it")
+    watched.noteCrashSeenElsewhere(start + milliseconds(2100));
+    watched.noteGivenUp(start + seconds(2));
+    watched.noteGivenUp(start + seconds(2));
+    watched.detector.noteStartTime(server, 2, start + seconds(3));
+    REQUIRE(watched.crashes.size() == 1);
+    REQUIRE(watched.crashes[0].running.size() == 2);
+}
