Tell a crash of a server that has returned from the one before

What callers saw: after the second loss of all servers a popular request was not served until 2.2 s later; those that waited got 503 after 2 s.

Cause: a refused connection to a server that had crashed within 30 s counted as the same crash, also when the server had returned under a new start time since. So a server that was lost with nothing in flight at any gateway was not known to have crashed the second time. All gateways chose it for the suspect request, as the only one not known to be down, were refused, and claimed the next run, each 0.1 s.

Evidence: lines of a failed run of "A popular long request is served after a loss of many servers at once" beside load: seventeen request.sent_suspect to i-9 in 1.6 s, each refused, no backend.crashed of it after the second loss.

Change: the crash is the known one only if the start time is the one that crashed.

Result: the new test fails before (no second crash) and passes.

--- a/Source/Programs/Gateway/CrashDetector.cpp
+++ b/Source/Programs/Gateway/CrashDetector.cpp
@@ -94,8 +94,11 @@
     }
     const BackendEntry *entry = stayingEntry(server);
     const auto known = knownCrashes_.find(server);
-    const bool knownDown = known != knownCrashes_.end() && now - known->second.at < knownDownTime;
-    if (entry == nullptr || knownDown)
+    if (entry == nullptr)
+        return;
+    const bool knownDown = known != knownCrashes_.end() && now - known->second.at < knownDownTime
+        && known->second.startedAt == entry->startedAt;
+    if (knownDown)
         return;
     report({.server = server,
             .startedAt = entry->startedAt,
--- a/Tests/Gateway/CrashDetectorTest.cpp
+++ b/Tests/Gateway/CrashDetectorTest.cpp
@@ -65,3 +65,19 @@
     REQUIRE(watched.crashes.size() == 1);
     REQUIRE(watched.crashes[0].running.size() == 2);
 }
+
+// Guards against a server that is down again and gets each suspect request, since its crash before
+// hides the later one.
+TEST_CASE("A server that returned and is found down has crashed again")
+{
+    WatchedServer watched;
+    watched.noteCrashSeenElsewhere(start);
+    watched.detector.noteRefused(server, start + seconds(1));
+    REQUIRE(watched.crashes.empty());
+    putBackend(watched.registry, entryOf(server, 2), start + seconds(2));
+    watched.detector.noteRefused(server, start + seconds(3));
+    REQUIRE(watched.crashes.size() == 1);
+    REQUIRE(watched.crashes[0].startedAt == 2);
+    watched.detector.noteRefused(server, start + seconds(4));
+    REQUIRE(watched.crashes.size() == 1);
+}
