--- a/Tests/Gateway/PlannedStopTest.cpp
+++ b/Tests/Gateway/PlannedStopTest.cpp
@@ -219,7 +219,8 @@
         if (const std::string missing = id.get(); !missing.empty())
             ids.push_back(missing);
     }
-    CHECK(ids == std::vector<std::string>());
+    CAPTURE(ids);
+    CHECK(ids.empty());
     CHECK(scenario.gateway->waitForExit() == 0);
 }
 
