Stop gateways as planned in the fault soak, under callers that ask again at once

The soak counted callers without an answer as truncated without looking, and never sent SIGTERM but at its end, with nobody calling. So it could not see a request that a stopping gateway lost.

Change: planned stops of one gateway, all at once or in turn, beside all other faults; SIGTERM twice, SIGHUP before and after, a new configuration, a silent store; the start again after the exit. A new service "held", behind links without faults, has runs of 5 ms to beyond the grace period; its callers ask again at once, on kept and new connections, one request or two at once, bodies in two parts, streams, on routes that may and may not be repeated.

Checked for each caller of the soak: a request that was sent whole and got no status is a violation if a server saw it, a line of its gateway names it, or it came on a connection that was idle for less than 100 ms, unless the gateway was killed meanwhile; so is no answer on an open connection, unless the gateway was suspended. Others are printed as "not read". Gateways must exit with 0 before their grace period ends (longer by the time for which they were suspended). A gateway that ended by itself before it was killed counts as an unexpected exit; kill() hid that before.

`Utilities/soak rolling [STOPS]` stops two gateways in turn without other faults under 48 callers; no request may be without a status. Six stops are part of the checks.

The process of a gateway has files of its own; callers' checks of an answer stand once. The faults of a seed are drawn as before. The callers of engines are checked like the others.

--- a/Tests/Soak/SoakClients.cpp
+++ b/Tests/Soak/SoakClients.cpp
@@ -41,6 +41,20 @@
 
 } // namespace
 
+void checkAnswer(RunRecorder &recorder, const std::string &id, const std::string &expectedBody,
+                 const CallResult &answer)
+{
+    const bool success = answer.status >= 200 && answer.status < 300;
+    if (success && answer.whole && answer.body != expectedBody)
+        recorder.noteViolation(id + ": a complete answer with an unexpected body: " + answer.body);
+    if (success && !expectedBody.starts_with(answer.body))
+        recorder.noteViolation(id + ": missing, duplicate or mixed events: " + answer.body);
+    if (answer.status != 0 && answer.header("Wisteriawind-Attempt-Id") != id)
+        recorder.noteViolation(id + ": the answer belongs to another request");
+    if (answer.status >= 400 && answer.status < 500)
+        recorder.noteViolation(id + ": unexpected status " + std::to_string(answer.status));
+}
+
 SoakClients::SoakClients(Fleet &fleet, int clients, int coldClients) : fleet_(fleet)
 {
     for (int client = 0; client < clients; ++client)
@@ -69,17 +83,11 @@
     return std::exchange(counts_, {});
 }
 
-std::vector<std::string> SoakClients::refusedIds() const
-{
-    const std::lock_guard<std::mutex> lock(mutex_);
-    return refused_;
-}
-
 void SoakClients::run(int client)
 {
     Callers callers;
-    for (const auto &gateway : fleet_.gateways())
-        callers.push_back(std::make_unique<KeepAliveCaller>(gateway->callers()));
+    for (std::size_t gateway = 0; gateway < fleet_.gateways().size(); ++gateway)
+        callers.push_back(std::make_unique<KeepAliveCaller>(fleet_, gateway));
     for (int number = 0; !stopping_; ++number) {
         sendRequest(callers, client, number);
         ::poll(nullptr, 0, pauseMilliseconds);
@@ -89,14 +97,15 @@
 void SoakClients::runCold(int client)
 {
     Callers callers;
-    for (const auto &gateway : fleet_.gateways())
-        callers.push_back(std::make_unique<KeepAliveCaller>(gateway->callers()));
+    for (std::size_t gateway = 0; gateway < fleet_.gateways().size(); ++gateway)
+        callers.push_back(std::make_unique<KeepAliveCaller>(fleet_, gateway));
     for (int number = 0; !stopping_; ++number) {
         const std::string id =
             coldKind + "-" + std::to_string(client) + "-" + std::to_string(number);
         KeepAliveCaller &caller =
             *callers[static_cast<std::size_t>(client + number) % callers.size()];
-        checkAnswer(id, coldKind, caller.call(requestFor(coldKind, id)));
+        const CallResult answer = caller.call({id, requestFor(coldKind, id)});
+        noteAnswer(id, coldKind, caller, answer);
         ::poll(nullptr, 0, coldPauseMilliseconds);
     }
 }
@@ -106,42 +115,34 @@
     const std::string &kind = kinds.at(static_cast<std::size_t>(number) % kinds.size());
     const std::string id = kind + "-" + std::to_string(client) + "-" + std::to_string(number);
     KeepAliveCaller &caller = *callers[static_cast<std::size_t>(client + number) % callers.size()];
-    checkAnswer(id, kind, caller.call(requestFor(kind, id)));
+    const CallResult answer = caller.call({id, requestFor(kind, id)});
+    noteAnswer(id, kind, caller, answer);
 }
 
-void SoakClients::checkAnswer(const std::string &id, const std::string &kind,
-                              const CallResult &answer)
+void SoakClients::noteAnswer(const std::string &id, const std::string &kind,
+                             const KeepAliveCaller &caller, const CallResult &answer)
 {
-    const std::string expected = kind == "stream" ? streamUpTo(id, events) : "answer to " + id;
-    const bool success = answer.status >= 200 && answer.status < 300;
-    if (success && answer.whole && answer.body != expected)
-        fleet_.recorder().noteViolation(
-            id + ": a complete answer with an unexpected body: " + answer.body);
-    if (success && !expected.starts_with(answer.body))
-        fleet_.recorder().noteViolation(id
-                                        + ": missing, duplicate or mixed events: " + answer.body);
-    const bool matchesRequest = answer.header("Wisteriawind-Attempt-Id") == id;
-    if (answer.status != 0 && !matchesRequest)
-        fleet_.recorder().noteViolation(id + ": the answer belongs to another request");
-    if (answer.status >= 400 && answer.status < 500)
-        fleet_.recorder().noteViolation(id + ": unexpected status "
-                                        + std::to_string(answer.status));
+    checkAnswer(fleet_.recorder(), id,
+                kind == "stream" ? streamUpTo(id, events) : "answer to " + id, answer);
+    const bool complete = answer.status >= 200 && answer.status < 300 && answer.whole;
     const std::lock_guard<std::mutex> lock(mutex_);
     if (kind == coldKind) {
-        counts_.servedCold += success && answer.whole ? 1 : 0;
+        counts_.servedCold += complete ? 1 : 0;
         return;
     }
     ++counts_.sent;
-    if (success && answer.whole)
+    if (complete)
         ++counts_.complete;
     else if (answer.status == 503)
         ++counts_.refused;
     else if (answer.status >= 500)
         ++counts_.failed;
+    else if (!caller.accepted())
+        ++counts_.notAccepted;
     else
         ++counts_.truncated;
-    if (answer.status == 503)
-        refused_.push_back(id);
+    if (answer.status == 503 && kind == "once")
+        fleet_.recorder().noteRefused(id);
 }
 
 } // namespace wisteria::soak
--- a/Tests/Soak/SoakClients.h
+++ b/Tests/Soak/SoakClients.h
@@ -20,9 +20,15 @@
     std::size_t refused = 0; ///< 503.
     std::size_t failed = 0; ///< Other 5xx.
     std::size_t truncated = 0; ///< Incomplete or without an answer.
+    std::size_t notAccepted = 0; ///< No gateway accepted the connection.
     std::size_t servedCold = 0; ///< 2xx of the service "cold", whose requests count nowhere else.
 };
 
+/// Records a violation if an answer is another request's, or has a body that is wrong or looks
+/// whole and is not, or a status that blames the caller.
+void checkAnswer(RunRecorder &recorder, const std::string &id, const std::string &expectedBody,
+                 const gateway_tests::CallResult &answer);
+
 /// Callers that send all kinds of requests to all gateways and check each answer.
 class SoakClients
 {
@@ -37,9 +43,6 @@
     /// Returns the counts since the last call and resets them.
     SoakCounts takeCounts();
 
-    /// Ids of requests that were answered with 503, which states that they were not executed.
-    std::vector<std::string> refusedIds() const;
-
     /// Stops the callers and waits for them.
     void stop();
 
@@ -48,14 +51,13 @@
     void runCold(int client);
     using Callers = std::vector<std::unique_ptr<KeepAliveCaller>>;
     void sendRequest(Callers &callers, int client, int number);
-    void checkAnswer(const std::string &id, const std::string &kind,
-                     const gateway_tests::CallResult &answer);
+    void noteAnswer(const std::string &id, const std::string &kind, const KeepAliveCaller &caller,
+                    const gateway_tests::CallResult &answer);
 
     Fleet &fleet_;
     std::atomic<bool> stopping_ = false;
     mutable std::mutex mutex_;
     SoakCounts counts_;
-    std::vector<std::string> refused_;
     std::vector<std::thread> threads_;
 };
 
--- a/Tests/Soak/SoakEngines.cpp
+++ b/Tests/Soak/SoakEngines.cpp
@@ -6,6 +6,7 @@
 #include <poll.h>
 
 #include "Gateway/ScriptedAnswers.h"
+#include "Soak/KeepAliveCaller.h"
 
 namespace wisteria::soak {
 
@@ -118,9 +119,9 @@
     for (std::size_t i = 0; !stopping_; ++i) {
         const bool checked = onlyFreezes_;
         const std::string id = "engine-" + std::to_string(caller) + "-" + std::to_string(i);
-        const auto &gateway = fleet_.gateways()[(caller + i) % fleet_.gateways().size()];
+        KeepAliveCaller connection(fleet_, (caller + i) % fleet_.gateways().size());
         const TimePoint begun = monotonicNow();
-        const CallResult answer = callServer(gateway->callers(), streamRequest(id));
+        const CallResult answer = connection.call({id, streamRequest(id)});
         const milliseconds took = remaining(begun, monotonicNow());
         const bool complete = answer.status == 200 && answer.whole;
         complete_ += complete ? 1 : 0;
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -32,7 +32,8 @@
                        std::function<void(const std::string &)> log)
     : fleet_(fleet), random_(seed), signalRandom_(~seed),
       evacuationRandom_(seed + evacuationSeedOffset), coldRandom_(seed ^ 0xC01DULL),
-      leavingRandom_(seed ^ 0x1EA7E5ULL), storeMayBeAway_(seed % 4 != 3), log_(std::move(log))
+      leavingRandom_(seed ^ 0x1EA7E5ULL), storeMayBeAway_(seed % 4 != 3), log_(std::move(log)),
+      stops_(fleet, seed, log_)
 {
     // Evacuated servers get no traffic, and faults of their links then have no effect: every second
     // seed has no evacuations, the others have seconds without any.
@@ -67,6 +68,7 @@
     });
     for (const ScheduledEnd &ending : due)
         ending.end();
+    stops_.advance(now);
     if (now >= nextSignalAt_)
         startServerSignal(now);
     if (now >= nextEvacuationAt_)
@@ -85,6 +87,7 @@
 {
     for (const ScheduledEnd &ending : std::exchange(scheduledEnds_, {}))
         ending.end();
+    stops_.finish();
     // What follows is checked with the servers that never leave.
     for (std::size_t server = linkedServerCount; server < serverCount; ++server)
         fleet_.leave(server, Leaving::Removal);
@@ -159,10 +162,10 @@
     if (randomBelow(2) == 0) {
         log_(name + " is suspended for " + std::to_string(length.count()) + " ms");
         fleet_.setSuspended(number, true);
-        gateway.signal(SIGSTOP);
+        gateway.suspend();
         scheduleEnd(now + length, [this, &gateway, number] {
             fleet_.noteGatewayBegin();
-            gateway.signal(SIGCONT);
+            gateway.resume();
             fleet_.setSuspended(number, false);
         });
         return;
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "Process/Time.h"
+#include "Soak/GatewayStops.h"
 #include "Soak/SoakFleet.h"
 
 namespace wisteria::soak {
@@ -23,6 +24,8 @@
     /// Ends all faults, and lets all servers leave that leave from time to time.
     void endAll();
 
+    std::size_t plannedStops() const { return stops_.begun(); }
+
 private:
     struct ScheduledEnd
     {
@@ -57,6 +60,7 @@
     /// leaves while the store is away is checked only after that.
     bool storeMayBeAway_;
     std::function<void(const std::string &)> log_;
+    GatewayStops stops_;
     std::vector<ScheduledEnd> scheduledEnds_;
     TimePoint nextAt_;
     TimePoint nextSignalAt_;
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -1,15 +1,9 @@
 #include "Soak/SoakFleet.h"
 
 #include <algorithm>
-#include <csignal>
-#include <fstream>
 
 #include <arpa/inet.h>
-#include <fcntl.h>
 #include <poll.h>
-#include <sys/prctl.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include "Gateway/ScriptedAnswers.h"
 #include "Request/RetryTokenBucket.h"
@@ -27,8 +21,6 @@
 /// Cold rate and bounds of the service "cold". The bound is below the rate at which callers send,
 /// and above the sum of the gateways' shares, which are for a fleet of unknown size.
 constexpr double coldPerSecond = 1;
-constexpr double coldOvershoot = 40;
-constexpr double coldSlack = 40;
 constexpr std::size_t coldBound = 80;
 /// Most requests that one gateway sends to one server of the service "cold" in any second. There
 /// are no sidecars that report the number of gateways, so each assumes the default.
@@ -53,12 +45,6 @@
     return "server-" + std::to_string(server);
 }
 
-std::uint16_t freePort()
-{
-    const ScriptedServer server([](const SeenRequest &, ScriptPeer &) {});
-    return server.endpoint().port;
-}
-
 std::string fieldsOf(const SeenRequest &request)
 {
     return std::string(seal)
@@ -81,6 +67,16 @@
     return route;
 }
 
+/// A route of the service "held", whose runs may last longer than the grace period of gateways.
+nlohmann::json heldRoute(const std::string &prefix, const std::string &kind)
+{
+    nlohmann::json route = routeOf(prefix, kind);
+    route["service"] = "held";
+    route["timeout_ms"] = heldTimeout.count();
+    route["target_latency_ms"] = heldTimeout.count();
+    return route;
+}
+
 nlohmann::json engineRoute()
 {
     nlohmann::json route = routeOf("/engine/", "streaming");
@@ -95,24 +91,14 @@
     return route;
 }
 
-bool pollUntil(int milliseconds, const std::function<bool()> &condition)
-{
-    constexpr int step = 20;
-    for (int waited = 0; waited < milliseconds; waited += step) {
-        if (condition())
-            return true;
-        ::poll(nullptr, 0, step);
-    }
-    return condition();
-}
-
 } // namespace
 
 void RunRecorder::noteRun(const std::string &id, const std::string &path)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     const std::size_t runs = ++runs_[id];
-    if (path.starts_with("/once/") && runs > 1)
+    const bool once = path.starts_with("/once/") || path.starts_with("/held-once/");
+    if (once && runs > 1)
         violations_.push_back(id + " may run once but ran " + std::to_string(runs) + " times");
     constexpr std::size_t maxAttempts = 2;
     if (runs > maxAttempts)
@@ -126,113 +112,59 @@
     violations_.push_back(what);
 }
 
-std::size_t RunRecorder::runs(const std::string &id) const
+void RunRecorder::noteRefused(const std::string &id)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    const auto found = runs_.find(id);
-    return found == runs_.end() ? 0 : found->second;
+    refused_.push_back(id);
 }
 
-std::vector<std::string> RunRecorder::violations() const
+void RunRecorder::noteUnanswered(const UnansweredRequest &request)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    return violations_;
+    unanswered_.push_back(request);
 }
 
-void RecentEvents::note(TimePoint now)
+void RunRecorder::checkRefused()
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    events_.push_back(now);
-    while (now - events_.front() >= seconds(1))
-        events_.pop_front();
+    for (const std::string &id : refused_) {
+        if (runs_.contains(id))
+            violations_.push_back(id + " ran although its answer said that it was not executed");
+    }
 }
 
-std::size_t RecentEvents::count(TimePoint now, milliseconds within) const
+std::vector<UnansweredRequest> RunRecorder::unanswered() const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    return static_cast<std::size_t>(std::count_if(events_.begin(), events_.end(),
-                                                  [&](TimePoint at) { return now - at < within; }));
-}
-
-GatewayProcess::GatewayProcess(std::string program, const std::string &folder, int number,
-                               const Endpoint &store)
-    : program_(std::move(program)), callers_{INADDR_LOOPBACK, freePort()},
-      readiness_{INADDR_LOOPBACK, freePort()}, messages_{INADDR_LOOPBACK, freePort()}
-{
-    const std::string name = "gateway-" + std::to_string(number);
-    settings_ = folder + "/" + name + ".conf";
-    log_ = folder + "/" + name + ".log";
-    std::ofstream(settings_) << "node_name=" << name
-                             << "\nip=127.0.0.1\nzone=a\nlisten.front=" << toText(callers_)
-                             << "\nlisten.ready=" << toText(readiness_)
-                             << "\ninternal_port_range=" << messages_.port
-                             << ",65535\nplatform.address=" << toText(store)
-                             << "\nbounds.budget_slack=400\nbounds.grace_period_s=6"
-                             << "\nbounds.cold_overshoot=" << coldOvershoot
-                             << "\nbounds.cold_slack=" << coldSlack << "\n";
-}
-
-GatewayProcess::~GatewayProcess()
-{
-    kill();
+    return unanswered_;
 }
 
-bool GatewayProcess::ready() const
-{
-    return callServer(readiness_, "GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n").status == 200;
-}
-
-void GatewayProcess::start()
-{
-    const int output = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-    pid_ = ::fork();
-    if (pid_ == 0) {
-        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        ::dup2(output, STDOUT_FILENO);
-        ::dup2(output, STDERR_FILENO);
-        ::setenv("WISTERIAWIND_CONFIG", settings_.c_str(), 1);
-        ::execl(program_.c_str(), program_.c_str(), nullptr);
-        ::_exit(127);
-    }
-    ::close(output);
-}
-
-void GatewayProcess::signal(int number) const
+std::size_t RunRecorder::runs(const std::string &id) const
 {
-    if (pid_ > 0)
-        ::kill(pid_, number);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = runs_.find(id);
+    return found == runs_.end() ? 0 : found->second;
 }
 
-void GatewayProcess::kill()
+std::vector<std::string> RunRecorder::violations() const
 {
-    if (pid_ <= 0)
-        return;
-    ::kill(pid_, SIGKILL);
-    ::waitpid(pid_, nullptr, 0);
-    pid_ = -1;
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return violations_;
 }
 
-bool GatewayProcess::stop()
+void RecentEvents::note(TimePoint now)
 {
-    constexpr int graceMilliseconds = 7000;
-    signal(SIGTERM);
-    int status = 0;
-    const bool ended = pollUntil(
-        graceMilliseconds, [this, &status] { return ::waitpid(pid_, &status, WNOHANG) == pid_; });
-    if (!ended) {
-        kill();
-        return false;
-    }
-    pid_ = -1;
-    return WIFEXITED(status) && WEXITSTATUS(status) == 0;
+    const std::lock_guard<std::mutex> lock(mutex_);
+    events_.push_back(now);
+    while (now - events_.front() >= seconds(1))
+        events_.pop_front();
 }
 
-bool GatewayProcess::exitedUnexpectedly()
+std::size_t RecentEvents::count(TimePoint now, milliseconds within) const
 {
-    if (pid_ <= 0 || ::waitpid(pid_, nullptr, WNOHANG) != pid_)
-        return false;
-    pid_ = -1;
-    return true;
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return static_cast<std::size_t>(std::count_if(events_.begin(), events_.end(),
+                                                  [&](TimePoint at) { return now - at < within; }));
 }
 
 Fleet::Fleet(const std::string &program, const std::string &folder, int gatewayCount)
@@ -259,20 +191,34 @@
             std::make_unique<GatewayProcess>(program, folder, i, storeLink_->endpoint()));
 }
 
+bool Fleet::startGateways()
+{
+    constexpr seconds startTime{5};
+    for (auto &gateway : gateways_) {
+        if (!gateway->running())
+            gateway->start();
+    }
+    const auto isReady = [](const auto &gateway) { return gateway->ready(); };
+    return eventually([&] { return std::ranges::all_of(gateways_, isReady); }, startTime);
+}
+
 void Fleet::publish(bool withSpareOrganisation)
 {
     nlohmann::json organisations = {{{"name", "acme"}, {"api_keys", {"key1"}}}};
     if (withSpareOrganisation)
         organisations.push_back({{"name", "spare"}, {"api_keys", {"key2"}}});
-    store_.put("keyed.op", "config",
-               {{"version", ++version_},
-                {"routes",
-                 {routeOf("/once/", "non_idempotent"), routeOf("/again/", "idempotent"),
-                  routeOf("/stream/", "streaming"), coldRoute(), crashingRoute(), engineRoute()}},
-                {"services",
-                 {{{"name", "cold"}, {"cold_s", 2}, {"cold_per_s", coldPerSecond}},
-                  {{"name", "engine"}, {"engine", {{"slot_count", 16}, {"sets", 1}}}}}},
-                {"tenants", organisations}});
+    store_.put(
+        "keyed.op", "config",
+        {{"version", ++version_},
+         {"routes",
+          {routeOf("/once/", "non_idempotent"), routeOf("/again/", "idempotent"),
+           routeOf("/stream/", "streaming"), coldRoute(), crashingRoute(), engineRoute(),
+           heldRoute("/held-once/", "non_idempotent"), heldRoute("/held-again/", "idempotent"),
+           heldRoute("/held-stream/", "streaming")}},
+         {"services",
+          {{{"name", "cold"}, {"cold_s", 2}, {"cold_per_s", coldPerSecond}},
+           {{"name", "engine"}, {"engine", {{"slot_count", 16}, {"sets", 1}}}}}},
+         {"tenants", organisations}});
 }
 
 void Fleet::setDraining(std::size_t server, bool draining)
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -10,14 +10,24 @@
 #include <string>
 #include <vector>
 
-#include <sys/types.h>
-
 #include "Gateway/StoreStandIn.h"
 #include "Soak/BoundCheck.h"
 #include "Soak/FaultProxy.h"
+#include "Soak/GatewayProcess.h"
 
 namespace wisteria::soak {
 
+/// A request that was sent whole to a gateway that was not killed, and got no status.
+struct UnansweredRequest
+{
+    std::size_t gateway = 0;
+    std::string id;
+    bool newConnection = false; ///< It was the first on its connection.
+    milliseconds sentAt{0}; ///< By the clock of the gateways' lines.
+    milliseconds idle{0}; ///< Time between the last answer on a kept connection and the request.
+    milliseconds waited{0}; ///< Until the connection ended.
+};
+
 /// Records the runs of requests on backend servers by attempt id, and violations of guarantees.
 /// Thread-safe.
 class RunRecorder
@@ -26,7 +36,13 @@
     void noteRun(const std::string &id, const std::string &path);
     /// Records a violated guarantee.
     void noteViolation(const std::string &what);
+    /// Records that a caller was told by 503 that its request, which may run once, did not run.
+    void noteRefused(const std::string &id);
+    void noteUnanswered(const UnansweredRequest &request);
 
+    /// Checks at the end that no refused request ran.
+    void checkRefused();
+    std::vector<UnansweredRequest> unanswered() const;
     std::size_t runs(const std::string &id) const;
     std::vector<std::string> violations() const;
 
@@ -34,43 +50,8 @@
     mutable std::mutex mutex_;
     std::map<std::string, std::size_t> runs_;
     std::vector<std::string> violations_;
-};
-
-/// A gateway that runs as a separate process and reaches the configuration store through a proxy.
-class GatewayProcess
-{
-public:
-    /// @param program Path of the gateway's program.
-    /// @param folder Folder for its settings and its log.
-    GatewayProcess(std::string program, const std::string &folder, int number,
-                   const Endpoint &store);
-    ~GatewayProcess();
-    GatewayProcess(const GatewayProcess &) = delete;
-    GatewayProcess &operator=(const GatewayProcess &) = delete;
-
-    const Endpoint &callers() const { return callers_; }
-    /// Where it receives messages of sidecars and other gateways.
-    const Endpoint &messages() const { return messages_; }
-    bool ready() const;
-    bool running() const { return pid_ > 0; }
-    void start();
-    void signal(int number) const;
-    /// Sends SIGKILL and waits until the process has ended.
-    void kill();
-    /// Sends SIGTERM and waits up to 7 s for the process to end, then kills it.
-    /// @return Whether it exited in time with status 0.
-    bool stop();
-    /// Whether it ended without a call of kill() or stop().
-    bool exitedUnexpectedly();
-
-private:
-    std::string program_;
-    std::string settings_;
-    std::string log_;
-    Endpoint callers_;
-    Endpoint readiness_;
-    Endpoint messages_;
-    pid_t pid_ = -1;
+    std::vector<std::string> refused_;
+    std::vector<UnansweredRequest> unanswered_;
 };
 
 /// Signal that a backend server sends in its answers.
@@ -107,6 +88,9 @@
     DrainingThenOlder, ///< The same, and an earlier heartbeat is written after it.
 };
 
+/// Time limit of requests of the service "held".
+inline constexpr milliseconds heldTimeout{9000};
+
 /// Number of servers of the service "cold", whose servers may be cold.
 inline constexpr std::size_t coldServerCount = 2;
 
@@ -118,6 +102,9 @@
 
     RunRecorder &recorder() { return recorder_; }
     std::vector<std::unique_ptr<GatewayProcess>> &gateways() { return gateways_; }
+    /// Starts the gateways that don't run and waits for all.
+    /// @return Whether all became ready.
+    bool startGateways();
     gateway_tests::StoreStandIn &store() { return store_; }
     std::vector<std::unique_ptr<FaultProxy>> &serverLinks() { return serverLinks_; }
     /// Sets whether the store answers all calls with 503.
--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -12,11 +12,13 @@
 
 #include <tclap/CmdLine.h>
 
+#include "Soak/RollingStops.h"
 #include "Soak/SoakClients.h"
 #include "Soak/SoakEngines.h"
 #include "Soak/SoakFaults.h"
 #include "Soak/SoakForeignEntries.h"
 #include "Soak/SoakPoison.h"
+#include "Soak/StopCallers.h"
 
 using namespace wisteria;
 using namespace wisteria::soak;
@@ -47,22 +49,6 @@
     ::poll(nullptr, 0, static_cast<int>(time.count()));
 }
 
-bool startAll(Fleet &fleet)
-{
-    for (auto &gateway : fleet.gateways())
-        gateway->start();
-    constexpr int tries = 200;
-    for (int i = 0; i < tries; ++i) {
-        bool all = true;
-        for (const auto &gateway : fleet.gateways())
-            all = all && gateway->ready();
-        if (all)
-            return true;
-        sleepFor(milliseconds(25));
-    }
-    return false;
-}
-
 /// Counts the requests of a period without faults and checks that they are served.
 SoakCounts verifyServed(Fleet &fleet, SoakClients &clients, const std::string &phase)
 {
@@ -115,15 +101,6 @@
     verifyServed(fleet, clients, "after an evacuation");
 }
 
-void checkRefusedRequests(Fleet &fleet, const SoakClients &clients)
-{
-    for (const std::string &id : clients.refusedIds()) {
-        if (id.starts_with("once") && fleet.recorder().runs(id) > 0)
-            fleet.recorder().noteViolation(
-                id + " ran although its answer said that it was not executed");
-    }
-}
-
 void stopAll(Fleet &fleet)
 {
     for (auto &gateway : fleet.gateways()) {
@@ -140,9 +117,11 @@
 {
     std::vector<std::string> faultLog;
     const std::string folder = plan.folder + "/seed-" + std::to_string(seed);
+    std::filesystem::remove_all(folder);
     std::filesystem::create_directories(folder);
     Fleet fleet(plan.program, folder, gatewayCount);
-    if (!startAll(fleet)) {
+    StopCallers stopCallers(fleet, seed, heldLoadOf(seed));
+    if (!fleet.startGateways()) {
         std::cout << "seed " << seed << ": the gateways were not ready in time" << std::endl;
         return false;
     }
@@ -154,6 +133,7 @@
     SoakClients clients(fleet, clientCount, coldClientCount);
     SoakPoison poison(fleet, seed);
     SoakEngines engines(fleet, seed);
+    stopCallers.start();
     SoakForeignEntries foreignEntries(fleet, seed);
     while (monotonicNow() - begun < plan.length) {
         faults.advance(monotonicNow());
@@ -168,23 +148,30 @@
     clients.stop();
     engines.stop();
     poison.finish();
+    stopCallers.stop();
     if (afterRecovery.servedCold == 0)
         fleet.recorder().noteViolation(
             "after recovery no request of the service \"cold\" is served");
-    checkRefusedRequests(fleet, clients);
     stopAll(fleet);
+    fleet.recorder().checkRefused();
+    const std::vector<std::string> unread = checkUnanswered(fleet);
+    const HeldCounts held = stopCallers.counts();
     const std::vector<std::string> violations = fleet.recorder().violations();
     std::cout << "seed " << seed << ": " << faultLog.size() << " faults; " << underFaults.sent
               << " requests under faults, " << underFaults.complete << " complete, "
               << underFaults.refused << " refused, " << underFaults.failed << " failed, "
-              << underFaults.truncated << " truncated; after recovery " << afterRecovery.complete
-              << " of " << afterRecovery.sent << " complete; " << underFaults.servedCold
-              << " served by servers that may be cold; " << poison.crashes()
-              << " servers crashed by poison requests, " << poison.servedSound()
+              << underFaults.truncated << " truncated, " << underFaults.notAccepted
+              << " not accepted; " << faults.plannedStops() << " planned stops; after recovery "
+              << afterRecovery.complete << " of " << afterRecovery.sent << " complete; "
+              << underFaults.servedCold << " served by servers that may be cold; "
+              << poison.crashes() << " servers crashed by poison requests, " << poison.servedSound()
               << " sound ones served beside them; " << engines.freezes() << " VMs frozen, "
               << engines.completeStreams() << " streams complete there; "
-              << foreignEntries.written() << " entries of another writer; " << violations.size()
+              << foreignEntries.written() << " entries of another writer; " << textOf(held) << ", "
+              << unread.size() << " of all requests not read; " << violations.size()
               << " violations" << std::endl;
+    for (const std::string &request : unread)
+        std::cout << "  not read: " << request << '\n';
     for (const std::string &what : violations)
         std::cout << "  violation: " << what << '\n';
     if (!violations.empty()) {
@@ -213,7 +200,13 @@
     TCLAP::ValueArg<int> seeds("", "seeds", "Number of seeds", false, 1, "number", line);
     TCLAP::ValueArg<int> length("", "seconds", "Duration of faults for each seed", false, 10,
                                 "number", line);
+    TCLAP::ValueArg<int> stops("", "rolling-stops",
+                               "Number of planned stops in turn without other faults, instead of "
+                               "seeds",
+                               false, 0, "number", line);
     line.parse(argc, argv);
+    if (stops.getValue() > 0)
+        return runRollingStops(program.getValue(), folder.getValue(), stops.getValue()) ? 0 : 1;
     const SoakPlan plan{program.getValue(), folder.getValue(), seconds(length.getValue())};
     int failed = 0;
     for (int i = 0; i < seeds.getValue(); ++i) {
--- a/Tests/Soak/SoakPoison.cpp
+++ b/Tests/Soak/SoakPoison.cpp
@@ -87,9 +87,10 @@
 {
     const std::string body = poisonMark + std::to_string(number);
     for (std::size_t i = 0; !stopping_; ++i) {
-        KeepAliveCaller caller(fleet_.gateways()[i % fleet_.gateways().size()]->callers());
+        KeepAliveCaller caller(fleet_, i % fleet_.gateways().size());
         const milliseconds deadline = i % 2 == 0 ? usualDeadline : shortDeadline_;
-        caller.call(requestWithBody(body + "-" + std::to_string(i), body, deadline));
+        const std::string id = body + "-" + std::to_string(i);
+        caller.call({id, requestWithBody(id, body, deadline)});
         ::poll(nullptr, 0, static_cast<int>(interval.count()));
     }
 }
@@ -97,9 +98,9 @@
 void SoakPoison::sendSound()
 {
     for (std::size_t i = 0; !stopping_; ++i) {
-        KeepAliveCaller caller(fleet_.gateways()[i % fleet_.gateways().size()]->callers());
+        KeepAliveCaller caller(fleet_, i % fleet_.gateways().size());
         const std::string id = "sound-" + std::to_string(i);
-        const CallResult answer = caller.call(requestWithBody(id, id));
+        const CallResult answer = caller.call({id, requestWithBody(id, id)});
         if (answer.status == 200)
             ++servedSound_;
         if (answer.status >= 400 && answer.status < 500)
