--- a/Tests/Gateway/ForeignInputTest.cpp
+++ b/Tests/Gateway/ForeignInputTest.cpp
@@ -1,10 +1,13 @@
 #include <string>
 #include <vector>
 
+#include <poll.h>
+
 #include <catch2/catch.hpp>
 
 #include "Gateway/EngineVm.h"
 #include "Gateway/GatewayUnderTest.h"
+#include "Gateway/LoggedGateway.h"
 #include "Process/BoundedJson.h"
 #include "Version/GroupMessages.h"
 #include "platform/ConfigurationCodec.h"
@@ -50,6 +53,75 @@
     return text + "}";
 }
 
+/// An odd configuration: a pointer into a usual one, and the JSON text that stands there instead.
+struct OddValue
+{
+    std::string at;
+    std::string value;
+};
+
+/// A configuration with an engine and limits.
+nlohmann::json usualConfiguration(int version)
+{
+    nlohmann::json configuration = configurationOf(version);
+    configuration["services"] = {
+        {{"name", "model"},
+         {"engine",
+          {{"slot_count", 4}, {"sets", 1}, {"experts", 4}, {"places", 2}, {"spare", 1}}}}};
+    configuration["limits"] = {{"max_header_bytes", 16384}};
+    nlohmann::json urgent = routeOf("/urgent/", "streaming", "model", true);
+    urgent["priority"] = 0;
+    urgent["gap_aim_ms"] = 120;
+    configuration["routes"].push_back(urgent);
+    return configuration;
+}
+
+std::string textWith(nlohmann::json configuration, const OddValue &odd)
+{
+    configuration[nlohmann::json::json_pointer(odd.at)] = "@";
+    std::string text = configuration.dump();
+    return text.replace(text.find("\"@\""), 3, odd.value);
+}
+
+bool isUnsigned(const std::string &value)
+{
+    return value.find_first_not_of("0123456789") == std::string::npos;
+}
+
+std::vector<OddValue> oddConfigurations()
+{
+    const std::string route = "/routes/1/";
+    const std::string engine = "/services/0/engine/";
+    std::vector<OddValue> odd = {{route + "name", nestedArrays(deepest)},
+                                 {"/services/0/other", nestedObjects(deepest / 3)}};
+    for (const std::string field : {"timeout_ms", "target_latency_ms", "gap_aim_ms"}) {
+        for (const std::string value : {"1e18", "1000000000000000000", "18446744073709551615", "-1",
+                                        "1e400", "\"5\"", "[1]", "{}"})
+            odd.push_back({route + field, value});
+    }
+    for (const std::string field : {"max_attempts", "priority"}) {
+        for (const std::string value : {"4294967296", "-1", "1e300", "[]"})
+            odd.push_back({route + field, value});
+    }
+    for (const std::string field :
+         {"header_timeout_ms", "idle_timeout_ms", "max_header_bytes", "max_body_bytes"}) {
+        for (const std::string value : {"1000000000000000000", "18446744073709551615", "-1", "{}"})
+            odd.push_back({"/limits/" + field, value});
+    }
+    for (const std::string field : {"sets", "experts", "places", "spare", "slot_count", "stride"}) {
+        for (const std::string value : {"4000000000", "18446744073709551615", "-1", "\"4\""})
+            odd.push_back({engine + field, value});
+    }
+    for (const std::string field : {"step_ms", "per_seq_ms", "read_per_s", "expert_mb", "link_mbps",
+                                    "expert_share", "kv_capacity_tokens"}) {
+        for (const std::string value : {"1e308", "-1e308", "[]"})
+            odd.push_back({engine + field, value});
+    }
+    // Each for itself is refused; together they would have been the longest search for a limit.
+    odd.push_back({"/services/0/engine", R"({"slot_count":4000000000,"step_ms":1e308,"sets":1})"});
+    return odd;
+}
+
 HttpResponse answerOf(const std::string &body)
 {
     HttpResponse response;
@@ -168,3 +240,79 @@
                });
     }));
 }
+
+// Guards against configurations whose numbers overflow where they become times and sizes.
+TEST_CASE("A configuration with an absurd number or another type of value is refused")
+{
+    CHECK(platform::decodeConfiguration(usualConfiguration(1).dump()).has_value());
+    for (const OddValue &odd : oddConfigurations()) {
+        CAPTURE(odd.at, odd.value.substr(0, 40));
+        const auto decoded = platform::decodeConfiguration(textWith(usualConfiguration(1), odd));
+        CHECK(decoded.has_error());
+        if (decoded.has_error())
+            CHECK(decoded.error().message.size() < 1024);
+    }
+    for (const std::string value : {"null", "0", "120", "120.0", "86400000"}) {
+        CAPTURE(value);
+        CHECK(platform::decodeConfiguration(
+                  textWith(usualConfiguration(1), {"/routes/1/timeout_ms", value}))
+                  .has_value());
+    }
+}
+
+// Guards against a gateway that ends, stops serving or no longer follows the configuration because
+// of one odd version of it.
+TEST_CASE("A gateway serves on through odd configurations and takes the next sound one")
+{
+    ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
+        // Longer than until the gateway's next check of deadlines.
+        ::poll(nullptr, 0, 60);
+        peer.send(sealed(request, 200, "sound"));
+    });
+    StoreStandIn store;
+    store.put("keyed.op", "config", usualConfiguration(1));
+    store.put("keyed.servers", "i-1", listEntryOf("plain", backend.endpoint(), 4));
+    LoggedGateway gateway(store.endpoint());
+    REQUIRE(gateway.waitUntilRouting());
+    const auto serves = [&gateway](const std::string &prefix, const std::string &id) {
+        return callServer(gateway.callers(), requestFor(prefix + "x", id)).status == 200;
+    };
+    REQUIRE(eventually([&] { return serves("/again/", "a0"); }));
+    int version = 1;
+    for (const OddValue &odd : oddConfigurations()) {
+        if (!isUnsigned(odd.value) && odd.value.size() < 40)
+            continue;
+        CAPTURE(odd.at, odd.value.substr(0, 40));
+        const TimePoint begun = monotonicNow();
+        store.append("keyed.op", "config", textWith(usualConfiguration(++version), odd));
+        REQUIRE(eventually([&] {
+            return gateway.count("config.refused") + gateway.count("config.in_force")
+                == static_cast<std::size_t>(version);
+        }));
+        CHECK(serves("/again/", "a" + std::to_string(version)));
+        CHECK(monotonicNow() - begun < milliseconds(1500));
+    }
+    nlohmann::json sound = usualConfiguration(++version);
+    sound["routes"].push_back(routeOf("/new/", "idempotent", "plain", false));
+    store.put("keyed.op", "config", sound);
+    CHECK(eventually([&] { return serves("/new/", "n"); }));
+    CHECK(gateway.running());
+    CHECK_FALSE(gateway.line("config.refused", "level", "warning").is_null());
+}
+
+// Guards against a gateway that ends at each start while the store holds an odd configuration.
+TEST_CASE("A gateway that starts with an odd configuration waits for a sound one")
+{
+    for (const OddValue &odd : {OddValue{"/services/0/engine/sets", "4000000000"},
+                                OddValue{"/routes/1/timeout_ms", "1000000000000000000"},
+                                OddValue{"/routes/1/name", nestedArrays(deepest)}}) {
+        CAPTURE(odd.at);
+        StoreStandIn store;
+        store.append("keyed.op", "config", textWith(usualConfiguration(1), odd));
+        LoggedGateway gateway(store.endpoint());
+        CHECK_FALSE(gateway.waitForLine("config.refused", "level", "warning").is_null());
+        store.put("keyed.op", "config", usualConfiguration(2));
+        CHECK(gateway.waitUntilRouting());
+        CHECK(gateway.running());
+    }
+}
--- a/Tests/Gateway/LoggedGateway.h
+++ b/Tests/Gateway/LoggedGateway.h
@@ -85,6 +85,16 @@
         return nullptr;
     }
 
+    /// Number of lines of an event so far.
+    std::size_t count(const std::string &event) const
+    {
+        std::size_t found = 0;
+        std::ifstream lines(path_);
+        for (std::string text; std::getline(lines, text);)
+            found += text.find("\"event\":\"" + event + "\"") != std::string::npos ? 1 : 0;
+        return found;
+    }
+
     /// Waits for such a line.
     /// @return The line; null if none came in time.
     nlohmann::json waitForLine(const std::string &event, const std::string &field,
