Bound an engine's answers to a sidecar by what its VM's memory holds as values

What callers saw: a sidecar takes 187 MB where its VM has 128, and ends, as its engine answers with a body that is whole but is none of its answers.

Cause: calls collect bodies of up to 4 MB, which is right for the store's records, and the engine's are decoded whole.

Change: the bound is a parameter of TimedCalls. For an engine it is 1 MB: counts of all experts that a profile may have.

Test: "Answers of an engine without end or of any kind stay within a sidecar's memory".

--- a/Source/Connection/TimedCalls.cpp
+++ b/Source/Connection/TimedCalls.cpp
@@ -5,13 +5,6 @@
 
 namespace wisteria {
 
-namespace {
-
-/// Longest body of an answer: four times what the store sends of its records in one call.
-constexpr std::size_t maxAnswerBytes = 4194304;
-
-} // namespace
-
 struct TimedCalls::Call
 {
     std::unique_ptr<HttpCall> http;
@@ -20,7 +13,9 @@
     Done done;
 };
 
-TimedCalls::TimedCalls(HttpClientPool &pool) : pool_(pool) { }
+TimedCalls::TimedCalls(HttpClientPool &pool, std::size_t maxAnswerBytes)
+    : pool_(pool), maxAnswerBytes_(maxAnswerBytes)
+{ }
 
 TimedCalls::~TimedCalls() = default;
 
@@ -38,7 +33,7 @@
         .head = [&state](const HttpResponseHead &head) { state.response.head = head; },
         .body =
             [this, id, &state](std::string_view bytes) {
-                if (state.response.body.size() + bytes.size() > maxAnswerBytes)
+                if (state.response.body.size() + bytes.size() > maxAnswerBytes_)
                     end(id, failure(ErrorKind::OutcomeUnknown, "the answer is too long"));
                 else
                     state.response.body.append(bytes);
--- a/Source/Connection/TimedCalls.h
+++ b/Source/Connection/TimedCalls.h
@@ -20,7 +20,8 @@
     /// the request may have run.
     using Done = std::function<void(Result<HttpResponse>)>;
 
-    explicit TimedCalls(HttpClientPool &pool);
+    /// @param maxAnswerBytes Longest body of an answer. A call whose answer is longer fails.
+    TimedCalls(HttpClientPool &pool, std::size_t maxAnswerBytes);
     ~TimedCalls();
     TimedCalls(const TimedCalls &) = delete;
     TimedCalls &operator=(const TimedCalls &) = delete;
@@ -39,6 +40,7 @@
     void end(std::uint64_t id, Result<HttpResponse> result);
 
     HttpClientPool &pool_;
+    std::size_t maxAnswerBytes_;
     std::map<std::uint64_t, std::unique_ptr<Call>> calls_;
     std::uint64_t lastId_ = 0;
 };
--- a/Source/Programs/Sidecar/EngineClient.cpp
+++ b/Source/Programs/Sidecar/EngineClient.cpp
@@ -13,6 +13,10 @@
 /// within some more.
 constexpr milliseconds readTimeout{300};
 
+/// Longest body of an answer: the counts of maxExpertsOfProfile experts. As values it takes up to
+/// thirty times its length, and a sidecar's VM has little memory.
+constexpr std::size_t maxAnswerBytes = 1048576;
+
 /// Wraps a callback: it gets the decoded answer, or the error of the call or of the decoding.
 template <typename Value, typename Decode>
 TimedCalls::Done decoded(std::function<void(Result<Value>)> done, Decode decode)
@@ -27,7 +31,7 @@
 
 } // namespace
 
-EngineClient::EngineClient(HttpClientPool &pool) : calls_(pool) { }
+EngineClient::EngineClient(HttpClientPool &pool) : calls_(pool, maxAnswerBytes) { }
 
 void EngineClient::readReport(const Endpoint &engine, std::function<void(Result<RankReport>)> done)
 {
--- a/Tests/Gateway/SidecarInputTest.cpp
+++ b/Tests/Gateway/SidecarInputTest.cpp
@@ -13,6 +13,7 @@
 #include "Gateway/DatagramPeer.h"
 #include "Gateway/GatewayUnderTest.h"
 #include "Gateway/LoggedGateway.h"
+#include "Gateway/ScriptedAnswers.h"
 #include "platform/RankCodec.h"
 
 using namespace wisteria;
@@ -239,6 +240,7 @@
         CAPTURE(inputs[i].name);
         CHECK(sidecars[i]->running());
         CHECK(isFollowing(i));
+        CHECK(sidecars[i]->peakMemory() < sidecarMemory);
     }
 }
 
@@ -374,3 +376,42 @@
     reply.ranks = 4'000'000'000;
     CHECK(decodeMessage(encodeMessage(reply)).has_error());
 }
+
+// Guards against a sidecar that exceeds the memory of its VM because of its engine's answers.
+TEST_CASE("Answers of an engine without end or of any kind stay within a sidecar's memory")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string filler(16384, 'x');
+    const auto endless = [](const std::string &begin, const std::string &repeated) {
+        return [begin, repeated](ScriptPeer &peer) {
+            bool open = peer.trySend(begin);
+            for (std::size_t sent = 0; open && sent < 256 * megabyte; sent += repeated.size())
+                open = peer.trySend(repeated);
+            peer.close();
+        };
+    };
+    const auto whole = [](const std::string &element) {
+        // As long as an answer of the store may be.
+        std::string body = R"({"map":{"version":0,"experts":[)";
+        while (body.size() + 2 * element.size() < 4 * megabyte - 10)
+            body += element + ",";
+        body += element + "]}}";
+        return [answer = plainResponse(200, "", body)](ScriptPeer &peer) { peer.trySend(answer); };
+    };
+    const std::vector<std::pair<std::string, std::function<void(ScriptPeer &)>>> answers = {
+        {"fields", endless(head, "X-More: " + filler + "\r\n")},
+        {"line", endless(head + "X-More: ", filler)},
+        {"status", endless("HTTP/1.1 200 ", filler)},
+        {"no answer", endless("", filler)},
+        {"body", endless(head + "Connection: close\r\n\r\n", filler)},
+        {"chunks", endless(head + "Transfer-Encoding: chunked\r\n\r\n", chunk(filler))},
+        {"chunk line", endless(head + "Transfer-Encoding: chunked\r\n\r\n5;", filler)},
+        {"objects", whole("{}")},
+        {"keys", whole("{\"\":1}")},
+        {"numbers", whole("0")},
+        {"lists", whole("[1]")}};
+    std::vector<OddInput> inputs;
+    for (const auto &[name, send] : answers)
+        inputs.push_back({name, [&send](LeadingSidecar &sidecar) { sidecar.setUnending(send); }});
+    checkSidecars(inputs);
+}
