Bound the answers of the store, so that one without end does not fill a gateway's memory

What callers saw: a gateway grows without end while the store, or what stands in its place, sends a body without end.

Cause: reads of the store's lists collect a body until the call's timeout, 0.7 s and more, without a bound; the other calls to the store have one.

Change: reads have the same bound of 4 MB, four times what the store sends in one call. A call that exceeds it fails like one without an answer.

Test: "Answers of the store without end stay within a gateway's memory".

--- a/Source/Programs/Gateway/EvidenceRecords.cpp
+++ b/Source/Programs/Gateway/EvidenceRecords.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Longest body of an answer: four times what the store sends of its records in one call.
-constexpr std::size_t maxAnswerBytes = 4194304;
-
 constexpr milliseconds maxReadBackoff{2000};
 /// A record that says it is older is taken for one of this age, which counts no more.
 constexpr milliseconds maxEvidenceAge = std::chrono::hours(1);
@@ -33,7 +30,7 @@
 EvidenceRecords::EvidenceRecords(HttpClientPool &pool, EventLog &log, const Endpoint &store,
                                  std::string self, EvidenceRecordLinks links)
     : log_(log), store_(store), self_(std::move(self)), links_(std::move(links)),
-      calls_(pool, maxAnswerBytes), appender_(pool, store, platform::evidenceTopic),
+      calls_(pool, maxStoreAnswerBytes), appender_(pool, store, platform::evidenceTopic),
       readBackoff_(storeInitialBackoff)
 { }
 
--- a/Source/Programs/Gateway/StoreWatch.cpp
+++ b/Source/Programs/Gateway/StoreWatch.cpp
@@ -81,8 +81,7 @@
         .accept = {},
         .head = [this,
                  number](const HttpResponseHead &head) { calls_.at(number).response.head = head; },
-        .body = [this,
-                 number](std::string_view bytes) { calls_.at(number).response.body.append(bytes); },
+        .body = [this, number](std::string_view bytes) { addToAnswer(number, bytes); },
         .complete = [this, number] { finishCall(number); },
         .failed = [this,
                    number](const CallFailure &failure) { dropFailedCall(number, failure.reason); }};
@@ -91,6 +90,16 @@
     call.connectionIsNew = pool_.opened() > openedBefore;
 }
 
+/// Adds a part of the body of a call's answer. A call whose answer is too long fails.
+void StoreWatch::addToAnswer(std::size_t number, std::string_view bytes)
+{
+    std::string &body = calls_.at(number).response.body;
+    if (body.size() + bytes.size() <= maxStoreAnswerBytes)
+        body.append(bytes);
+    else
+        dropFailedCall(number, "the answer is too long");
+}
+
 /// Ends the read with the answer of one of its calls, and gives up the others.
 void StoreWatch::finishCall(std::size_t number)
 {
--- a/Source/Programs/Gateway/StoreWatch.h
+++ b/Source/Programs/Gateway/StoreWatch.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "Connection/HttpClientPool.h"
 #include "Process/Error.h"
@@ -104,6 +105,7 @@
     void call(std::string request, milliseconds timeout, Answered answered);
     void sendCall(ConnectionUse use);
     void finishCall(std::size_t number);
+    void addToAnswer(std::size_t number, std::string_view bytes);
     void dropFailedCall(std::size_t number, const std::string &reason);
     void applyNewest(const HttpResponse &response);
     void applyLog(const HttpResponse &response);
--- a/Tests/Gateway/UnendingInputTest.cpp
+++ b/Tests/Gateway/UnendingInputTest.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <catch2/catch.hpp>
@@ -218,6 +219,41 @@
     CHECK(gateway.peakMemory() < 256 * megabyte);
 }
 
+// Guards against a gateway that exceeds the memory of its VM because of the store.
+TEST_CASE("Answers of the store without end stay within a gateway's memory")
+{
+    std::atomic<bool> endless = false;
+    StoreStandIn store;
+    ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 200, "sound"));
+    });
+    ScriptedServer storeProxy([&](const SeenRequest &request, ScriptPeer &peer) {
+        if (endless) {
+            sendUnending(seenWith("/c"), peer, 512 * megabyte);
+        } else {
+            // A call of the store has no body, as the gateway appends nothing yet.
+            const CallResult answer = callServer(store.endpoint(), request.head + "\r\n");
+            peer.send(plainResponse(answer.status, "", answer.body));
+        }
+    });
+    store.put("keyed.op", "config", configurationOf(1));
+    store.put("keyed.servers", "i-1", listEntryOf("plain", backend.endpoint(), 100));
+    LoggedGateway gateway(storeProxy.endpoint());
+    REQUIRE(gateway.waitUntilRouting());
+    endless = true;
+    // Lets the reads begin anew several times.
+    ::poll(nullptr, 0, 3000);
+    CAPTURE(gateway.peakMemory());
+    CHECK(gateway.peakMemory() < 256 * megabyte);
+    endless = false;
+    nlohmann::json next = configurationOf(2);
+    next["routes"].push_back(routeOf("/new/", "idempotent", "plain", false));
+    store.put("keyed.op", "config", next);
+    CHECK(eventually(
+        [&] { return callServer(gateway.callers(), requestFor("/new/x", "n")).status == 200; }));
+    CHECK(gateway.running());
+}
+
 // Guards against a gateway that exceeds the memory of its VM because callers send long requests
 // that servers take slowly.
 TEST_CASE("Long requests at once stay within the memory of a gateway, and the first are served")
