Have the list read once a crashed server that a suspect waits for listens again

Cause: a suspect is not sent to a process known to have crashed. All servers of the service were such until the list showed their new start times, which is read each 0.9 s. The servers were back 0.25 s before the last quarter of the test, so it passed or failed by the phase of these reads.

Change: a suspect request that finds no server has the one probed that has been down for longest, each 0.1 s at most; if it listens, the list is read at once, and again after 0.5 s at the earliest. No call of the store while nothing has returned.

Ruled out: to hold such requests until the next read (in vain while the servers stay down); to read the list more often (a call each time, at all gateways).

--- a/Source/Programs/Gateway/CrashDetector.cpp
+++ b/Source/Programs/Gateway/CrashDetector.cpp
@@ -19,6 +19,10 @@
 constexpr milliseconds restartWindow{8000};
 /// A server that crashed at most this long ago is found down because of it.
 constexpr milliseconds knownDownTime{30000};
+/// Interval between two looks whether a server has returned, and after one has: the list that is
+/// read then may not have its entry yet.
+constexpr milliseconds returnProbeInterval{100};
+constexpr milliseconds probeAfterReturn{500};
 
 } // namespace
 
@@ -169,6 +173,43 @@
     crashed_(crash);
 }
 
+/// Returns the entry of the server that crashed first of those of a service that the list still
+/// names as they were before; null if there is none.
+const BackendEntry *CrashDetector::longestDown(const std::string &service) const
+{
+    const BackendEntry *longest = nullptr;
+    TimePoint longestAt = TimePoint::max();
+    for (const auto &[server, crash] : knownCrashes_) {
+        const BackendEntry *entry = stayingEntry(server);
+        if (entry == nullptr || entry->service != service || entry->startedAt != crash.startedAt
+            || crash.at >= longestAt)
+            continue;
+        longest = entry;
+        longestAt = crash.at;
+    }
+    return longest;
+}
+
+void CrashDetector::probeReturn(const std::string &service, std::function<void()> returned,
+                                TimePoint now)
+{
+    if (now < nextReturnProbeAt_)
+        return;
+    const BackendEntry *entry = longestDown(service);
+    if (entry == nullptr)
+        return;
+    nextReturnProbeAt_ = now + returnProbeInterval;
+    probes_.probe(
+        entry->address,
+        [this, returned = std::move(returned)](ProbeResult result) {
+            if (result != ProbeResult::Listening)
+                return;
+            nextReturnProbeAt_ = monotonicNow() + probeAfterReturn;
+            returned();
+        },
+        now);
+}
+
 void CrashDetector::checkTimeouts(TimePoint now)
 {
     probes_.checkTimeouts(now);
--- a/Source/Programs/Gateway/CrashDetector.h
+++ b/Source/Programs/Gateway/CrashDetector.h
@@ -52,6 +52,11 @@
     /// same process ended, it was for that.
     void noteReported(const CrashReport &report, TimePoint now);
 
+    /// Looks whether a server of a service has returned that crashed and that the list still names
+    /// as it was before. Several calls close to each other look once.
+    /// @param returned Called if one listens again, so that the list is worth reading.
+    void probeReturn(const std::string &service, std::function<void()> returned, TimePoint now);
+
     /// Probes servers once more where that is due, and forgets old sends.
     void checkTimeouts(TimePoint now);
 
@@ -87,6 +92,7 @@
     void forgetSendsToSuccessor(const std::string &server, BrokenServer &broken) const;
     void confirm(const std::string &server, milliseconds within, TimePoint now);
     void report(const ServerCrash &crash, TimePoint now);
+    const BackendEntry *longestDown(const std::string &service) const;
     /// Returns the entry of a server that does not leave; otherwise null.
     const BackendEntry *stayingEntry(const std::string &server) const;
     std::uint32_t countServers(const std::string &service) const;
@@ -96,6 +102,7 @@
     ServerProbes probes_;
     std::map<std::string, BrokenServer> broken_;
     std::map<std::string, KnownCrash> knownCrashes_;
+    TimePoint nextReturnProbeAt_;
 };
 
 } // namespace wisteria
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -113,6 +113,8 @@
         send(*choice.backend, now);
         return true;
     }
+    if (choice.reason == NoBackendReason::NoneAvailable)
+        suspicion_.probeReturnIfSuspect(context_.rereadBackends, now);
     nextDispatchAt_ = nextDispatchTime(choice, now);
     // The timeout never becomes earlier: a request that waited for a closed group keeps its longer
     // timeout if all slots are taken as soon as the group opens.
--- a/Source/Programs/Gateway/RequestSuspicion.cpp
+++ b/Source/Programs/Gateway/RequestSuspicion.cpp
@@ -67,6 +67,12 @@
                                          : poison_.crashedProcesses(now);
 }
 
+void RequestSuspicion::probeReturnIfSuspect(const std::function<void()> &returned, TimePoint now)
+{
+    if (level(now) != Suspicion::None)
+        crashes_.probeReturn(service_, returned, now);
+}
+
 /// A repeated suspect is sent only if it can be expected to complete: few sends are left of it, and
 /// a run that its time limit ends does not clear it.
 milliseconds RequestSuspicion::timeNeeded(milliseconds targetLatency, milliseconds wholeTime,
--- a/Source/Programs/Gateway/RequestSuspicion.h
+++ b/Source/Programs/Gateway/RequestSuspicion.h
@@ -42,6 +42,9 @@
     std::optional<std::uint64_t> hashIfSuspect(TimePoint now);
     /// See BackendCriteria::crashed.
     std::vector<CrashedProcess> crashedIfSuspect(TimePoint now);
+    /// Looks whether a server has returned of those that the request may not be sent to because
+    /// they crashed. See CrashDetector::probeReturn().
+    void probeReturnIfSuspect(const std::function<void()> &returned, TimePoint now);
     /// Time that the request needs to have left to be sent.
     /// @param wholeTime From its arrival to its deadline.
     milliseconds timeNeeded(milliseconds targetLatency, milliseconds wholeTime, TimePoint now);
--- a/Tests/Gateway/CrashDetectorTest.cpp
+++ b/Tests/Gateway/CrashDetectorTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "Gateway/RegistryEntries.h"
+#include "Gateway/ScriptedServer.h"
 #include "Programs/Gateway/CrashDetector.h"
 
 using namespace wisteria;
@@ -81,3 +82,28 @@
     watched.detector.noteRefused(server, start + seconds(4));
     REQUIRE(watched.crashes.size() == 1);
 }
+
+// Guards against a service that has returned and gets no suspect request until the next usual read
+// of the list, which still names the processes that crashed.
+TEST_CASE("A server that listens again after its crash has the list read")
+{
+    const ScriptedServer listening([](const SeenRequest &, ScriptPeer &) {});
+    WatchedServer watched;
+    BackendEntry entry = entryOf(server, 1);
+    entry.address = listening.endpoint();
+    bool listNamesIt = false;
+    SECTION("the list names the process that crashed") { }
+    SECTION("the list names the new process")
+    listNamesIt = true;
+    entry.startedAt = listNamesIt ? 2 : 1;
+    putBackend(watched.registry, entry, start);
+    watched.noteCrashSeenElsewhere(start);
+    int reads = 0;
+    watched.detector.probeReturn(
+        "s", [&reads] { ++reads; }, start);
+    watched.detector.probeReturn(
+        "s", [&reads] { ++reads; }, start);
+    watched.loop.runAfter(milliseconds(300), [&watched] { watched.loop.stop(); });
+    watched.loop.run();
+    REQUIRE(reads == (listNamesIt ? 0 : 1));
+}
