Merge reports of one crash although some name the process before

Cause: reports of one crash are merged by server, start time and moment. A gateway that had not read the list since the server had returned reported the crash with the start time of the process before, and only with the requests that it had there itself. So it counted as a crash of another process, under a popular request alone: another cause, beside which five crashes are needed rather than three.

Change: a process crashes once. A report that names one which crashed 1.5 s before or longer means a later process of that server; it is merged with the crash of that moment, under the start time of the one that knew it.

--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -135,18 +135,33 @@
     }
 }
 
+/// Whether the process that a report names had crashed before. Then a later process of the server
+/// crashed, whose start time the list had not shown yet to the gateway that reports it.
+bool namesEarlierProcess(const CrashEvidence &evidence, const ServerCrash &crash)
+{
+    return std::any_of(evidence.crashes.begin(), evidence.crashes.end(),
+                       [&crash](const ServerCrash &known) {
+                           return known.server == crash.server && known.startedAt == crash.startedAt
+                               && crash.at - known.at >= sameCrashTime;
+                       });
+}
+
 } // namespace
 
 bool noteCrash(CrashEvidence &evidence, ServerCrash crash, TimePoint now)
 {
     narrowQuarantines(evidence, crash);
-    const auto isSame = [&crash](const ServerCrash &known) {
-        return known.server == crash.server && known.startedAt == crash.startedAt
-            && std::chrono::abs(known.at - crash.at) < sameCrashTime;
+    const bool anyProcess = namesEarlierProcess(evidence, crash);
+    const auto isSame = [&](const ServerCrash &known) {
+        return known.server == crash.server && std::chrono::abs(known.at - crash.at) < sameCrashTime
+            && (known.startedAt == crash.startedAt || anyProcess
+                || namesEarlierProcess(evidence, known));
     };
     const auto known = std::find_if(evidence.crashes.begin(), evidence.crashes.end(), isSame);
     if (known != evidence.crashes.end()) {
         mergeRunning(*known, crash.running);
+        if (!anyProcess)
+            known->startedAt = crash.startedAt;
         known->servers = std::max(known->servers, crash.servers);
         known->seenHere = known->seenHere || crash.seenHere;
         indexCrashes(evidence);
--- a/Tests/Gateway/CrashEvidenceTest.cpp
+++ b/Tests/Gateway/CrashEvidenceTest.cpp
@@ -53,6 +53,36 @@
 
 } // namespace
 
+// Guards against a crash that counts as two, one of them under none of the suspects, as a gateway
+// reports it with the start time of the process before.
+TEST_CASE("Reports of one crash are merged though some name the process before")
+{
+    const bool staleFirst = GENERATE(true, false);
+    CAPTURE(staleFirst);
+    CrashEvidence evidence;
+    const auto report = [&evidence](std::uint64_t startedAt, milliseconds at,
+                                    const Fingerprint &running) {
+        const InFlightRequest request{.identity = {.request = running}};
+        noteCrash(evidence,
+                  {.server = "a",
+                   .startedAt = startedAt,
+                   .service = "s",
+                   .at = start + at,
+                   .running = {request}},
+                  start + at);
+    };
+    report(1, milliseconds(0), poison);
+    report(staleFirst ? 1 : 2, milliseconds(2800), staleFirst ? innocent : poison);
+    report(staleFirst ? 2 : 1, milliseconds(2803), staleFirst ? poison : innocent);
+    REQUIRE(evidence.crashes.size() == 2);
+    REQUIRE(evidence.crashes[1].startedAt == 2);
+    REQUIRE(wasRunning(evidence.crashes[1], poison));
+    REQUIRE(wasRunning(evidence.crashes[1], innocent));
+    report(3, milliseconds(3300), poison);
+    REQUIRE(evidence.crashes.size() == 3);
+    REQUIRE(endedCopiesOf(evidence, poison, start + milliseconds(3300)) == 3);
+}
+
 // Guards against a poison request that goes on after three crashes, and the requests beside it.
 TEST_CASE("A request in flight at three crashes in a row is quarantined, those beside it are not")
 {
