Let the stand-in of the store end a read after a megabyte, as the store does

"A gateway serves on while another writer puts unreadable entries into the list" failed once the answers of the store were bounded at 4 MB: the stand-in sent some 5 MB of records in one answer, where the store ends one after 1,024 kB unless it is asked for more. The test is unchanged, and is stricter for it: the gateway has to read on.

--- a/Tests/Gateway/StoreStandIn.cpp
+++ b/Tests/Gateway/StoreStandIn.cpp
@@ -163,7 +163,8 @@
     if (from < oldest_[topic])
         return plainResponse(410, "", "");
     std::string bytes = bigEndian(log.size(), 8) + bigEndian(oldest_[topic], 8);
-    for (std::size_t i = from; i < log.size(); ++i) {
+    constexpr std::size_t maxReadBytes = 1048576;
+    for (std::size_t i = from; i < log.size() && bytes.size() < maxReadBytes; ++i) {
         const std::string content = bigEndian(log[i].key.size(), 1) + log[i].key + log[i].value;
         bytes += bigEndian(content.size(), 4) + content;
     }
