Follow a server again whose entry had a sequence number far ahead

What callers saw: a server gets no requests for up to ten minutes although it serves and writes its entry, after another writer has put one entry with a large sequence number under its id and that entry was removed. While it stands, whatever the server itself writes is ignored.

Cause: entries with a lower number than the known one count as late writes, however far below they are.

Change: a late write is at most 1000 heartbeats behind, far more than a server sends in the 10 s in which one may be executed. What follows a number further ahead is newer.

Test: "A server is followed again after its entry had a sequence far ahead". Not covered: a number less than 1000 ahead is believed.

--- a/Source/Request/EntryOrder.cpp
+++ b/Source/Request/EntryOrder.cpp
@@ -10,6 +10,15 @@
 /// How long removed servers are remembered.
 constexpr std::chrono::minutes removedLifetime{10};
 
+/// A late write is at most this many heartbeats behind, far more than a server sends within
+/// lateWriteTime. A number further ahead is not the server's own, and what follows it is newer.
+constexpr std::uint64_t maxLateHeartbeats = 1000;
+
+bool isEarlierNumber(std::uint64_t number, std::uint64_t known)
+{
+    return number < known && known - number <= maxLateHeartbeats;
+}
+
 bool isSameIncarnation(const BackendEntry &first, const BackendEntry &second)
 {
     return first.startedAt == second.startedAt && first.address == second.address;
@@ -23,7 +32,7 @@
         return false;
     if (!entry.sequence || !known.sequence)
         return known.draining && known.sequence;
-    return *entry.sequence < *known.sequence
+    return isEarlierNumber(*entry.sequence, *known.sequence)
         || (known.draining && *entry.sequence == *known.sequence);
 }
 
@@ -53,7 +62,9 @@
         return false;
     if (server.certainlyLeft && now - server.removedAt < lateWriteTime)
         return true;
-    return entry.sequence && server.entry.sequence && *entry.sequence <= *server.entry.sequence;
+    return entry.sequence && server.entry.sequence
+        && (*entry.sequence == *server.entry.sequence
+            || isEarlierNumber(*entry.sequence, *server.entry.sequence));
 }
 
 } // namespace wisteria
--- a/Tests/Gateway/EntryOrderTest.cpp
+++ b/Tests/Gateway/EntryOrderTest.cpp
@@ -60,3 +60,20 @@
     list.read(milliseconds(20200));
     REQUIRE(list.usable("i-1", milliseconds(20200)));
 }
+
+// Guards against a server that is never followed again because another writer put a sequence far
+// ahead into its entry.
+TEST_CASE("A server is followed again after its entry had a sequence far ahead")
+{
+    const auto odd = GENERATE(~std::uint64_t{0}, std::uint64_t{1} << 40, std::uint64_t{5000});
+    ReadList list;
+    list.runUntil(seconds(10), both);
+    list.writeWith("i-1", "ready", 1, odd);
+    list.read(milliseconds(10100));
+    list.removeEntry("i-1");
+    list.read(milliseconds(10300));
+    REQUIRE_FALSE(list.usable("i-1", milliseconds(10300)));
+    list.write("i-1");
+    list.read(milliseconds(21000));
+    REQUIRE(list.usable("i-1", milliseconds(21000)));
+}
