Replace demand of another number of experts, so that a sidecar survives the change

What callers saw: sidecars that lead a group end, or write beyond their counts, after the operator has changed the number of experts of a service from one version of the configuration to the next, or back.

Cause: demand, windows of counts, maps and profile were compared by their number of sets only; counts of more experts were then added to shorter lists, and a map of more experts was judged by them.

Change: demand of another size is replaced, a map is judged only by demand that has all its experts, and proposed only from demand of the profile.

Test: "Demand of another number of experts is replaced, and no map of another one is judged".

--- a/Source/Version/DemandPlacement.cpp
+++ b/Source/Version/DemandPlacement.cpp
@@ -173,9 +173,34 @@
     return bounds.minGainPerCopySecond * copySeconds * profile.sets;
 }
 
-bool hasEnoughCounts(const ExpertDemand &demand, std::size_t sets)
+/// Whether the demand is of the profile's experts. The operator may change their number.
+bool isDemandOf(const ExpertProfile &profile, const ExpertDemand &demand)
 {
-    if (demand.loads.size() != sets || sets == 0)
+    return demand.loads.size() == profile.sets
+        && std::all_of(demand.loads.begin(), demand.loads.end(),
+                       [&profile](const auto &set) { return set.size() == profile.expertsPerSet; });
+}
+
+bool isSameSize(const ExpertDemand &a, const ExpertDemand &b)
+{
+    return std::equal(
+        a.loads.begin(), a.loads.end(), b.loads.begin(), b.loads.end(),
+        [](const auto &first, const auto &second) { return first.size() == second.size(); });
+}
+
+/// Whether the demand has all experts of a set's map.
+bool hasExpertsOf(const std::vector<std::vector<std::uint32_t>> &ranks,
+                  const std::vector<double> &loads)
+{
+    return std::all_of(ranks.begin(), ranks.end(), [&loads](const auto &held) {
+        return std::all_of(held.begin(), held.end(),
+                           [&loads](std::uint32_t expert) { return expert < loads.size(); });
+    });
+}
+
+bool hasEnoughCounts(const ExpertProfile &profile, const ExpertDemand &demand, std::size_t sets)
+{
+    if (!isDemandOf(profile, demand) || demand.loads.size() != sets || sets == 0)
         return false;
     return std::all_of(demand.loads.begin(), demand.loads.end(),
                        [](const auto &loads) { return sumOf(loads) >= minCounts; });
@@ -203,7 +228,7 @@
     const std::size_t experts = profile.expertsPerSet;
     if (experts == 0 || counts.size() != profile.sets * experts)
         return;
-    if (demand.loads.size() != profile.sets)
+    if (!isDemandOf(profile, demand))
         demand.loads.assign(profile.sets, std::vector<double>(experts, 0));
     for (std::size_t i = 0; i < counts.size(); ++i)
         demand.loads[i / experts][i % experts] += static_cast<double>(counts[i]);
@@ -214,7 +239,7 @@
     if (window.loads.empty())
         return;
     decay(demand, now);
-    if (demand.loads.size() != window.loads.size()) {
+    if (!isSameSize(demand, window)) {
         demand.loads = window.loads;
         return;
     }
@@ -239,6 +264,8 @@
         return 1;
     double sum = 0;
     for (std::size_t set = 0; set < map.size(); ++set) {
+        if (!hasExpertsOf(map[set], demand.loads[set]))
+            return 1;
         ExpertProfile profile;
         profile.expertsPerSet = static_cast<std::uint32_t>(demand.loads[set].size());
         const RankGroup group = groupFor(profile, slowdowns);
@@ -252,7 +279,7 @@
                                             const std::vector<double> &slowdowns,
                                             const PlacementBounds &bounds)
 {
-    if (!hasEnoughCounts(demand, current.size()))
+    if (!hasEnoughCounts(profile, demand, current.size()))
         return std::nullopt;
     const std::size_t ranks = current.front().size();
     const RankGroup group = groupFor(profile, slowdowns);
--- a/Source/Version/DemandPlacement.h
+++ b/Source/Version/DemandPlacement.h
@@ -90,7 +90,7 @@
                                             const PlacementBounds &bounds);
 
 /// Returns the step-time skew of a map under a demand, averaged over the sets; 1 is balanced. Also
-/// 1 when the map is empty or has another number of sets than the demand.
+/// 1 when the map is empty, or has another number of sets or further experts than the demand.
 double demandSkew(const ExpertDemand &demand, const RankMap &map,
                   const std::vector<double> &slowdowns);
 
--- a/Tests/Version/DemandPlacementTest.cpp
+++ b/Tests/Version/DemandPlacementTest.cpp
@@ -120,6 +120,27 @@
     REQUIRE(demandSkew(demand, map, slowdowns) < 1.45);
 }
 
+// Guards against writes beyond the counts after the operator has changed the number of experts.
+TEST_CASE("Demand of another number of experts is replaced, and no map of another one is judged")
+{
+    const ExpertProfile four{.sets = 1, .expertsPerSet = 4, .expertsPerRank = 4};
+    const ExpertProfile many{.sets = 1, .expertsPerSet = 4096, .expertsPerRank = 4096};
+    const std::vector<std::uint64_t> counts(many.expertsPerSet, 100);
+    ExpertDemand demand;
+    addCounts(demand, four, {9000, 2, 3, 4});
+    ExpertDemand window;
+    addCounts(window, many, counts);
+    ExpertDemand merged = demand;
+    mergeWindow(merged, window, TimePoint());
+    CHECK(merged.loads == window.loads);
+    ExpertDemand added = demand;
+    addCounts(added, many, counts);
+    CHECK(added.loads == window.loads);
+    const RankMap map{{{0, 4000}, {1, 2, 3}}};
+    CHECK(demandSkew(demand, map, {1, 1}) == 1);
+    CHECK_FALSE(proposeMap(many, demand, map, {1, 1}, {}));
+}
+
 TEST_CASE("Old demand decays")
 {
     ExpertDemand demand;
