Refuse loads with more requests than any engine has

What callers saw: requests go to a server that reports 2^31 running and 2^31 waiting ones, as its sum is 0 and all its slots seem free.

Cause: both numbers are added in 32 bits.

Test: "A load with more requests than any engine has is refused".

--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -120,9 +120,13 @@
 {
     // Sidecars of earlier versions send no such field.
     constexpr std::size_t engineAnswersAt = 7;
+    const auto running = json.at(2).get<std::uint32_t>();
+    const auto waiting = json.at(3).get<std::uint32_t>();
+    if (running > maxRequests || waiting > maxRequests)
+        throw std::out_of_range("the load has too many requests");
     return {.engine = decodeEndpoint(json.at(1)),
-            .running = json.at(2).get<std::uint32_t>(),
-            .waiting = json.at(3).get<std::uint32_t>(),
+            .running = running,
+            .waiting = waiting,
             .slowdown = json.at(6).get<std::uint32_t>() * slowdownUnit,
             .open = json.at(4).get<bool>(),
             .gateways = json.at(5).get<std::uint32_t>(),
--- a/Source/Version/RankReport.cpp
+++ b/Source/Version/RankReport.cpp
@@ -9,8 +9,6 @@
 
 /// Largest integer up to which JSON numbers represent all integers exactly.
 constexpr std::uint64_t maxExactInteger = (std::uint64_t{1} << 53) - 1;
-/// More requests than any engine runs or holds waiting.
-constexpr std::uint32_t maxRequests = 1'000'000;
 /// An engine slower than this is taken for one that reports nonsense.
 constexpr double maxSlowdown = 1000;
 /// Longest name of a group in bytes. Names are kept, and are part of most messages.
--- a/Source/Version/RankReport.h
+++ b/Source/Version/RankReport.h
@@ -12,6 +12,9 @@
 /// Maximum number of ranks of a group.
 inline constexpr std::uint32_t maxGroupRanks = 4096;
 
+/// More requests than any engine runs, or holds waiting. The sum of both fits into 32 bits.
+inline constexpr std::uint32_t maxRequests = 1'000'000;
+
 /// State of a model engine, and of its rank if it belongs to a group.
 struct RankReport
 {
--- a/Tests/Gateway/SidecarInputTest.cpp
+++ b/Tests/Gateway/SidecarInputTest.cpp
@@ -15,6 +15,7 @@
 #include "Gateway/LoggedGateway.h"
 #include "Gateway/ScriptedAnswers.h"
 #include "platform/RankCodec.h"
+#include "platform/RequestCodec.h"
 
 using namespace wisteria;
 using namespace wisteria::gateway_tests;
@@ -415,3 +416,24 @@
         inputs.push_back({name, [&send](LeadingSidecar &sidecar) { sidecar.setUnending(send); }});
     checkSidecars(inputs);
 }
+
+// Guards against a server that seems free because its numbers of requests overflow when added.
+TEST_CASE("A load with more requests than any engine has is refused")
+{
+    constexpr std::uint32_t half = 1U << 31;
+    EngineLoad load{.engine = {firstPeerIp, 1}, .running = half, .waiting = half};
+    CHECK(decodeMessage(encodeMessage(load)).has_error());
+    load.running = 12;
+    load.waiting = 400;
+    CHECK(decodeMessage(encodeMessage(load)).has_value());
+    const auto loadOf = [](const std::string &value) {
+        HttpResponseHead head;
+        head.status = 200;
+        head.fields = {{"Wisteriawind-Instance-Load", value}};
+        return platform::decodeAnswerHead(head).load;
+    };
+    CHECK_FALSE(loadOf("2147483648,2147483648,8"));
+    CHECK_FALSE(loadOf("4294967296,0,8"));
+    CHECK_FALSE(loadOf("-1,0,8"));
+    CHECK(loadOf("12,400,8").value().waiting == 400);
+}
