Test that odd entries of other writers end neither gateways nor sidecars

A gateway and a sidecar as processes, 22 odd values, each in an entry of its own and in the server's own entry: slots of 4e9, 1e400 and 0; cold times and start times of 1e300 and 2^64-1; sequences of 2^64-1 and -1; versions; ports of 99999, 0 and -1; addresses of another form; other types of service, zone and state. None ended or stopped following: the server is served throughout, the sidecar has the list and leads, and the gateway follows a drain and a new entry afterwards.

--- a/Tests/Gateway/SidecarInputTest.cpp
+++ b/Tests/Gateway/SidecarInputTest.cpp
@@ -437,3 +437,101 @@
     CHECK_FALSE(loadOf("-1,0,8"));
     CHECK(loadOf("12,400,8").value().waiting == 400);
 }
+
+// Guards against gateways and sidecars that end, or stop following the list, because of one entry
+// of another writer.
+TEST_CASE("A gateway and a sidecar follow the list through odd entries of other writers")
+{
+    constexpr std::uint32_t ip = firstSidecarIp + 100;
+    const std::uint16_t messages = freePort();
+    ScriptedServer engine(
+        [](const SeenRequest &request, ScriptPeer &peer) {
+            const EngineAnswers usual;
+            if (request.target() == "/report")
+                peer.send(plainResponse(200, "", usual.report));
+            else if (request.target().starts_with("/picked"))
+                peer.send(plainResponse(200, "", usual.experts));
+            else
+                peer.send(sealed(request, 200, "sound"));
+        },
+        ip);
+    StoreStandIn store;
+    nlohmann::json configuration = configurationOf(1);
+    configuration["routes"].push_back(routeOf("/model/", "idempotent", "model", false));
+    configuration["services"] = {
+        {{"name", "model"},
+         {"engine",
+          {{"slot_count", 4}, {"sets", 1}, {"experts", 4}, {"places", 2}, {"spare", 1}}}}};
+    store.put("keyed.op", "config", configuration);
+    const nlohmann::json usual = listEntryOf("model", engine.endpoint());
+    store.put("keyed.servers", "i-1", usual);
+    LoggedProcess sidecar("wisteria-sidecar",
+                          writeSettings("side-1",
+                                        {.store = store.endpoint(),
+                                         .callers = {ip, 1},
+                                         .engine = engine.endpoint(),
+                                         .messages = messages}));
+    const Endpoint callers{INADDR_LOOPBACK, freePort()};
+    LoggedProcess gateway(
+        "wisteria-gateway",
+        writeSettings("front-1",
+                      {.store = store.endpoint(), .callers = callers, .messages = messages}));
+    const auto serves = [&](const std::string &id) {
+        return callServer(callers, requestFor("/model/x", id)).status == 200;
+    };
+    REQUIRE(eventually([&] { return serves("a0"); }));
+    const std::vector<std::pair<std::string, std::string>> odd = {
+        {"slot_count", "4000000000"},
+        {"slot_count", "1e400"},
+        {"slot_count", "0"},
+        {"cold_remaining_ms", "1e300"},
+        {"cold_remaining_ms", "18446744073709551615"},
+        {"sequence", "18446744073709551615"},
+        {"sequence", "-1"},
+        {"born", "18446744073709551615"},
+        {"born", "1e300"},
+        {"version", "18446744073709551615"},
+        {"address", "\"127.0.0.1:99999\""},
+        {"address", "\"127.0.0.1:0\""},
+        {"address", "\"127.0.0.1:-1\""},
+        {"address", "\"127.255.255.255:9\""},
+        {"address", "\"0.0.0.0:9\""},
+        {"address", "\"[::1]:80\""},
+        {"address", "\"localhost:80\""},
+        {"address", "[127,0,0,1]"},
+        {"service", "\"\""},
+        {"service", "{}"},
+        {"zone", "7"},
+        {"state", "[]"}};
+    int written = 0;
+    for (const auto &[field, value] : odd) {
+        nlohmann::json entry = listEntryOf("model", {INADDR_LOOPBACK, 9});
+        entry["cold_remaining_ms"] = 0;
+        entry[field] = "@";
+        std::string text = entry.dump();
+        text.replace(text.find("\"@\""), 3, value);
+        const std::string id = "x-" + std::to_string(++written);
+        CAPTURE(field, value);
+        store.append("keyed.servers", id, text);
+        CHECK(eventually([&] { return serves(id); }));
+        // The same of the server itself, which then writes its own again.
+        entry = usual;
+        entry[field] = "@";
+        text = entry.dump();
+        store.append("keyed.servers", "i-1", text.replace(text.find("\"@\""), 3, value));
+        store.append("keyed.servers", id, "");
+        store.put("keyed.servers", "i-1", usual);
+    }
+    CHECK(eventually([&] { return serves("last"); }));
+    CHECK(gateway.running());
+    CHECK(sidecar.running());
+    // Only a sidecar that has the list leads.
+    CHECK(eventually([&] { return sidecar.count("leader.begin") > 0; }));
+    // The gateway follows both entries and the sidecar beside a new engine.
+    store.put("keyed.servers", "i-1", listEntryOf("model", engine.endpoint(), 4, "draining"));
+    CHECK(eventually([&] { return !serves("drained"); }));
+    store.append("keyed.servers", "i-1", "");
+    store.put("keyed.servers", "i-2", usual);
+    CHECK(eventually([&] { return serves("next"); }));
+    CHECK(gateway.count("backend.bad_entry") >= 10);
+}
