--- a/Tests/Gateway/SidecarInputTest.cpp
+++ b/Tests/Gateway/SidecarInputTest.cpp
@@ -412,8 +412,11 @@
         {"numbers", whole("0")},
         {"lists", whole("[1]")}};
     std::vector<OddInput> inputs;
-    for (const auto &[name, send] : answers)
-        inputs.push_back({name, [&send](LeadingSidecar &sidecar) { sidecar.setUnending(send); }});
+    for (const auto &answer : answers) {
+        inputs.push_back({answer.first, [&answer](LeadingSidecar &sidecar) {
+                              sidecar.setUnending(answer.second);
+                          }});
+    }
     checkSidecars(inputs);
 }
 
