Hold a group only at a rank that is known, so that its leader does not end

What callers saw: a sidecar that leads a group ends in the middle of a switch.

Cause: the rank that holds is chosen by the group's size, which is what one rank reports. If a rank reports a larger size while maps are prepared, no rank of that number is known, and std::map::at throws; nothing catches it. Found while looking for what else a report's numbers reach.

Change: the switch goes on only if the rank that is to hold is known, and gives up as usual otherwise. Ranks leave only while no switch is in progress.

Tests: "A leader does not hold a group at a rank that is not known", "A rank stays known in a switch when its engine reports itself as another one".

--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -83,8 +83,10 @@
         requestOrder(group, update, timing, rank,
                      {.kind = RankOrderKind::Prepare, .version = group.version}, now);
     }
-    if (all) {
-        group.holder = holderOf(leader.rank, groupSizeOf(group));
+    // The size is what a rank reports, which may differ from the number of ranks.
+    const std::uint32_t holder = holderOf(leader.rank, groupSizeOf(group));
+    if (all && group.ranks.contains(holder)) {
+        group.holder = holder;
         group.heldPasses.clear();
         enterPhase(group, SwitchPhase::Holding, now);
         scheduleHold(group, latestPass(group) + timing.passesAhead);
@@ -253,10 +255,13 @@
     group.highestVersion = std::max(group.highestVersion, highestVersionOf(report));
     addOmittedExperts(group, status);
     const std::uint32_t rank = report.rank;
-    // An engine is one rank only; what it reported as another is out of date.
-    std::erase_if(group.ranks, [&status, rank](const auto &entry) {
-        return entry.first != rank && entry.second.status.engine == status.engine;
-    });
+    // An engine is one rank only; what it reported as another is out of date. In a switch it stays,
+    // because no switch waits for a rank that is not known.
+    if (group.phase == SwitchPhase::Idle) {
+        std::erase_if(group.ranks, [&status, rank](const auto &entry) {
+            return entry.first != rank && entry.second.status.engine == status.engine;
+        });
+    }
     group.ranks[rank] = {std::move(status), now};
 }
 
--- a/Tests/Version/AdoptedVersionTest.cpp
+++ b/Tests/Version/AdoptedVersionTest.cpp
@@ -4,6 +4,7 @@
 
 #include "Version/GroupFleetWorld.h"
 #include "Version/RankGroupWorld.h"
+#include "Version/SwitchOrders.h"
 
 using namespace wisteria;
 
@@ -161,3 +162,39 @@
         }
     }
 }
+
+// Guards against a leader that ends because the group's size, by which it chooses the rank that
+// holds, is not the number of its ranks.
+TEST_CASE("A leader does not hold a group at a rank that is not known")
+{
+    AdoptingLeader leader;
+    leader.sendStatuses();
+    enterPhase(leader.group, SwitchPhase::Preparing, leader.now);
+    setVersion(leader.group, versionOf(rankCount - 1, 1), secondMap);
+    leader.report.prepared = leader.group.version;
+    leader.report.groupSize = 2 * rankCount;
+    leader.sendStatuses();
+    for (int i = 0; i < 3; ++i) {
+        leader.now += milliseconds(40);
+        REQUIRE_NOTHROW(advanceSwitch(leader.group, profile, {}, SwitchTiming{},
+                                      {.rank = rankCount - 1, .versionTick = 1}, leader.now));
+    }
+    REQUIRE(leader.group.phase == SwitchPhase::Preparing);
+    leader.now += SwitchTiming{}.prepareTimeout;
+    advanceSwitch(leader.group, profile, {}, SwitchTiming{},
+                  {.rank = rankCount - 1, .versionTick = 1}, leader.now);
+    REQUIRE(leader.group.phase == SwitchPhase::Idle);
+}
+
+// Guards against a release before a rank is known to be armed, because its engine has reported
+// itself as another rank.
+TEST_CASE("A rank stays known in a switch when its engine reports itself as another one")
+{
+    AdoptingLeader leader;
+    leader.sendStatuses();
+    enterPhase(leader.group, SwitchPhase::Arming, leader.now);
+    RankStatus other{.engine = {2, 1}, .report = leader.report};
+    other.report.rank = 0;
+    applyStatus(leader.group, other, leader.now);
+    REQUIRE(leader.group.ranks.size() == rankCount);
+}
