Send no SIGHUP in the fault soak to a process whose program has not begun

Trace: at 8.31 s gateway-1 is killed, started again 150 ms later, and gets SIGHUP 27 ms after that. The process of that start wrote no line, not even that of its start; the SIGTERM of 8.98 s found it ended. Until a program has begun and blocks signals the kernel ends its process for SIGHUP, so no gateway can prevent this; the machine was busy. The fault stood in the soak before, and was hidden if the gateway was killed later.

--- a/Tests/Soak/GatewayProcess.cpp
+++ b/Tests/Soak/GatewayProcess.cpp
@@ -87,9 +87,9 @@
         ::kill(pid_, number);
 }
 
-bool GatewayProcess::mayBeStopped(TimePoint now) const
+bool GatewayProcess::handlesSignals(TimePoint now) const
 {
-    return running() && !stopDeadline_ && now - startedAt_ >= startTime;
+    return running() && now - startedAt_ >= startTime;
 }
 
 void GatewayProcess::suspend()
--- a/Tests/Soak/GatewayProcess.h
+++ b/Tests/Soak/GatewayProcess.h
@@ -42,8 +42,11 @@
     bool running() const { return pid_ > 0; }
     /// Whether it got SIGTERM and has not been seen to end.
     bool stopping() const { return running() && stopDeadline_; }
-    /// Whether it has run for long enough to handle signals, and is not stopping.
-    bool mayBeStopped(TimePoint now) const;
+    /// Whether it has run for long enough to handle signals. Before its program begins, the kernel
+    /// ends a process for SIGHUP and SIGTERM.
+    bool handlesSignals(TimePoint now) const;
+    /// Whether it handles signals and is not stopping.
+    bool mayBeStopped(TimePoint now) const { return handlesSignals(now) && !stopDeadline_; }
     void start();
     void signal(int number) const;
     /// Stops it with SIGSTOP until resume(). Its grace period is extended by that time.
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -277,8 +277,11 @@
     switch (randomBelow(4)) {
     case 0: {
         const std::size_t number = randomBelow(fleet_.gateways().size());
+        const GatewayProcess &gateway = *fleet_.gateways()[number];
+        if (!gateway.handlesSignals(now))
+            return;
         log_("SIGHUP for gateway-" + std::to_string(number));
-        fleet_.gateways()[number]->signal(SIGHUP);
+        gateway.signal(SIGHUP);
         return;
     }
     case 1:
