Let answers of the store be up to 16 MB long

A store that sends without end then takes a gateway to 72 to 113 MB in 5 runs (25 MB with the smaller bound, 1348 MB without one), below its VM's 256 MB.

--- a/Source/Programs/Gateway/StorePolling.h
+++ b/Source/Programs/Gateway/StorePolling.h
@@ -13,8 +13,9 @@
 /// Timeout of a call. An answer of the store takes some milliseconds, and a slow one arrives within
 /// this time. A connection without an answer after it counts as dead.
 constexpr milliseconds storeAnswerTimeout{700};
-/// Longest body of an answer: four times what the store sends of its records in one call.
-constexpr std::size_t maxStoreAnswerBytes = 4194304;
+/// Longest body of an answer, sixteen times what the store sends of its records in one call: a
+/// longer one has perhaps no end.
+constexpr std::size_t maxStoreAnswerBytes = 16777216;
 /// Backoff after the first failed call.
 constexpr milliseconds storeInitialBackoff{100};
 
