--- a/Source/Request/PlannedStop.h
+++ b/Source/Request/PlannedStop.h
@@ -31,7 +31,7 @@
     TimePoint arrived;
     /// When its caller or its route stops waiting.
     TimePoint deadline;
-    /// What nearly all recent runs of its service took; nothing if too few are known.
+    /// What nearly all recent runs of its service took; nothing if none is known.
     std::optional<milliseconds> usual;
 };
 
