--- a/Tests/Gateway/EarlyAnswerTest.cpp
+++ b/Tests/Gateway/EarlyAnswerTest.cpp
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "Gateway/CallerSocket.h"
-#include "Gateway/LoggedGateway.h"
+#include "Gateway/ServedGateway.h"
 
 using namespace wisteria;
 using namespace wisteria::gateway_tests;
@@ -12,18 +12,14 @@
 // the request arrives, so that the kernel resets it.
 TEST_CASE("A caller gets the rejection of a request whose body it still sends")
 {
-    ScriptedServer server(
-        [](const SeenRequest &request, ScriptPeer &peer) { peer.send(sealed(request, 200, "x")); });
-    StoreStandIn store;
     nlohmann::json configuration = configurationOf(1);
     configuration["limits"] = {{"max_header_bytes", 16384},
                                {"max_body_bytes", 1000000},
                                {"header_timeout_ms", 3000},
                                {"idle_timeout_ms", 5000}};
-    store.put("keyed.op", "config", configuration);
-    store.put("keyed.servers", "i-1", listEntryOf("plain", server.endpoint()));
-    LoggedGateway gateway(store.endpoint());
-    REQUIRE(gateway.waitUntilRouting());
+    ServedGateway served(
+        [](const SeenRequest &request, ScriptPeer &peer) { peer.send(sealed(request, 200, "x")); },
+        configuration);
     constexpr std::size_t bodyBytes = 3000000;
     const std::string request =
         "POST /once/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token key1\r\n"
@@ -31,11 +27,11 @@
         + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'b');
     constexpr int callers = 10;
     for (int i = 0; i < callers; ++i) {
-        CallerSocket socket(gateway.callers());
+        CallerSocket socket(served.callers());
         CHECK(socket.send(request.substr(0, bodyBytes / 2)));
         CHECK(socket.waitForBytes());
         CHECK(socket.send(request.substr(bodyBytes / 2)));
         CHECK(socket.readAnswer().status == 413);
     }
-    CHECK(server.seen().empty());
+    CHECK(served.server.seen().empty());
 }
--- a/Tests/Gateway/PipelinedRequestsTest.cpp
+++ b/Tests/Gateway/PipelinedRequestsTest.cpp
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "Gateway/CallerSocket.h"
-#include "Gateway/LoggedGateway.h"
+#include "Gateway/ServedGateway.h"
 
 using namespace wisteria;
 using namespace wisteria::gateway_tests;
@@ -11,18 +11,13 @@
 // Guards against a caller that ends the process with many short requests on one connection.
 TEST_CASE("A gateway survives thousands of requests that wait behind another on one connection")
 {
-    ScriptedServer server([](const SeenRequest &request, ScriptPeer &peer) {
+    ServedGateway served([](const SeenRequest &request, ScriptPeer &peer) {
         if (!peer.waitForEnd(seconds(1)))
             peer.trySend(sealed(request, 200, "done"));
     });
-    StoreStandIn store;
-    store.put("keyed.op", "config", configurationOf(1));
-    store.put("keyed.servers", "i-1", listEntryOf("plain", server.endpoint()));
-    LoggedGateway gateway(store.endpoint());
-    REQUIRE(gateway.waitUntilRouting());
-    CallerSocket socket(gateway.callers());
+    CallerSocket socket(served.callers());
     socket.send(requestFor("/again/x", "first"));
-    REQUIRE(eventually([&] { return server.count("/again/x") == 1; }));
+    REQUIRE(eventually([&] { return served.server.count("/again/x") == 1; }));
     // More than are buffered behind a request that is being handled.
     constexpr int requests = 8000;
     std::string pipelined;
@@ -31,7 +26,7 @@
     socket.send(pipelined);
     CHECK(socket.readAnswer().status == 200);
     CHECK(socket.readAnswer().status == 400);
-    CHECK(callServer(gateway.callers(), requestFor("/none/x", "after")).status == 404);
-    gateway.terminate();
-    CHECK(gateway.waitForExit() == 0);
+    CHECK(callServer(served.callers(), requestFor("/none/x", "after")).status == 404);
+    served.process->terminate();
+    CHECK(served.process->waitForExit() == 0);
 }
--- a/Tests/Gateway/SlowCallersTest.cpp
+++ b/Tests/Gateway/SlowCallersTest.cpp
@@ -6,7 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "Gateway/CallerSocket.h"
-#include "Gateway/LoggedGateway.h"
+#include "Gateway/ServedGateway.h"
 
 using namespace wisteria;
 using namespace wisteria::gateway_tests;
@@ -43,53 +43,38 @@
 TEST_CASE("A gateway that stops delivers the answers that callers read slowly, and exits in order")
 {
     std::atomic<int> answered = 0;
-    ScriptedServer server([&answered](const SeenRequest &request, ScriptPeer &peer) {
+    ServedGateway served([&answered](const SeenRequest &request, ScriptPeer &peer) {
         peer.send(sealed(request, 200, std::string(answerBytes, 'a')));
         ++answered;
     });
-    StoreStandIn store;
-    store.put("keyed.op", "config", configurationOf(1));
-    store.put("keyed.servers", "i-1", listEntryOf("plain", server.endpoint()));
-    LoggedGateway gateway(store.endpoint());
-    REQUIRE(gateway.waitUntilRouting());
-    const CallerSocket caller(gateway.callers(), receiveBufferBytes);
+    const CallerSocket caller(served.callers(), receiveBufferBytes);
     REQUIRE(caller.send(requestFor("/again/x", "a1")));
     REQUIRE(eventually([&] { return answered > 0; }));
-    gateway.terminate();
+    served.process->terminate();
     CHECK(readSlowly(caller) > answerBytes);
-    CHECK(gateway.waitForExit() == 0);
+    CHECK(served.process->waitForExit() == 0);
 }
 
 // Guards against a crash at the end of a gateway whose callers never read their answers.
 TEST_CASE("A gateway exits in order while a caller does not read its answer")
 {
-    ScriptedServer server([](const SeenRequest &request, ScriptPeer &peer) {
+    ServedGateway served([](const SeenRequest &request, ScriptPeer &peer) {
         peer.send(sealed(request, 200, std::string(answerBytes, 'a')));
     });
-    StoreStandIn store;
-    store.put("keyed.op", "config", configurationOf(1));
-    store.put("keyed.servers", "i-1", listEntryOf("plain", server.endpoint()));
-    LoggedGateway gateway(store.endpoint());
-    REQUIRE(gateway.waitUntilRouting());
-    const CallerSocket caller(gateway.callers(), receiveBufferBytes);
+    const CallerSocket caller(served.callers(), receiveBufferBytes);
     REQUIRE(caller.send(requestFor("/again/x", "a1")));
-    REQUIRE(eventually([&] { return !server.seen().empty(); }));
-    gateway.terminate();
-    CHECK(gateway.waitForExit() == 0);
+    REQUIRE(eventually([&] { return !served.server.seen().empty(); }));
+    served.process->terminate();
+    CHECK(served.process->waitForExit() == 0);
 }
 
 // Guards against an answer that is cut off because its caller reads nothing for some seconds.
 TEST_CASE("A caller that pauses for some seconds gets the rest of its answer")
 {
-    ScriptedServer server([](const SeenRequest &request, ScriptPeer &peer) {
+    ServedGateway served([](const SeenRequest &request, ScriptPeer &peer) {
         peer.send(sealed(request, 200, std::string(answerBytes, 'a')));
     });
-    StoreStandIn store;
-    store.put("keyed.op", "config", configurationOf(1));
-    store.put("keyed.servers", "i-1", listEntryOf("plain", server.endpoint()));
-    LoggedGateway gateway(store.endpoint());
-    REQUIRE(gateway.waitUntilRouting());
-    const CallerSocket caller(gateway.callers(), receiveBufferBytes);
+    const CallerSocket caller(served.callers(), receiveBufferBytes);
     REQUIRE(caller.send(requestFor("/again/x", "a1")));
     REQUIRE(caller.waitForBytes());
     constexpr int pauseMilliseconds = 7000;
