Refuse answers whose status is none of HTTP's

What callers saw: a server in trouble sent "HTTP/1.1 000 X" with its seal, and the caller got "HTTP/1.1 0 <unknown-status>" as the answer; 001, 099, 600 and 999 in the same way, on each kind of route, behind an interim answer and at the end of the connection as well.

Cause: the parser takes any three digits, and nothing of ours asked what they mean.

ResponseReader, through which every HTTP/1 answer of gateway and sidecar comes (servers, health checks, store, engines), decides and reports it in place of a text; so it holds for all of them. A send whose answer breaks a rule ends as "malformed": it may have run, so it is repeated only where the route allows it, and its connection is closed.

--- /dev/null
+++ b/Source/Connection/AnswerFault.cpp
@@ -0,0 +1,55 @@
+#include "Connection/AnswerFault.h"
+
+namespace wisteria {
+
+namespace {
+
+constexpr int firstInterimStatus = 100;
+constexpr int firstFinalStatus = 200;
+constexpr int lastFinalStatus = 599;
+
+} // namespace
+
+const char *describe(AnswerFault fault)
+{
+    switch (fault) {
+    case AnswerFault::StatusLine:
+        return "the answer does not begin with a status line of HTTP/1";
+    case AnswerFault::Status:
+        return "the status of the answer is not between 200 and 599";
+    case AnswerFault::Field:
+        return "a line in the head or the trailers of the answer is not a field";
+    case AnswerFault::Length:
+        return "the length of the answer is not one number";
+    case AnswerFault::TransferCoding:
+        return "the answer is in a transfer coding other than chunked";
+    case AnswerFault::Chunk:
+        return "a chunk of the answer can't be read";
+    case AnswerFault::EndedEarly:
+        return "the connection ended in the middle of the answer";
+    case AnswerFault::TooLong:
+        return "a part of the answer is too long";
+    case AnswerFault::TooSlow:
+        return "the head of the answer did not arrive in time";
+    }
+    return "";
+}
+
+bool isUnending(AnswerFault fault)
+{
+    return fault == AnswerFault::TooLong || fault == AnswerFault::TooSlow;
+}
+
+bool isInterimStatus(int status)
+{
+    return status >= firstInterimStatus && status < firstFinalStatus;
+}
+
+std::optional<AnswerFault> faultOfFinalStatus(int status)
+{
+    if (status < firstFinalStatus || status > lastFinalStatus)
+        return AnswerFault::Status;
+    return std::nullopt;
+}
+
+} // namespace wisteria
--- a/Source/Connection/HttpClientPool.cpp
+++ b/Source/Connection/HttpClientPool.cpp
@@ -156,7 +156,7 @@
             ResponseEvents{.head = [this](HttpResponseHead head) { onHead(std::move(head)); },
                            .body = [this](std::string_view bytes) { onBody(bytes); },
                            .complete = [this] { onComplete(); },
-                           .malformed = [this](std::string reason) { fail(std::move(reason)); }},
+                           .malformed = [this](AnswerFault fault) { fail(fault); }},
             isHeadRequest_);
     }
 
@@ -185,8 +185,7 @@
             return;
         headTimer_ = loop_.runAfter(headTimeout, [this] {
             headTimer_ = 0;
-            headTimedOut_ = true;
-            fail("the head of the answer did not arrive in time");
+            fail(AnswerFault::TooSlow);
         });
     }
 
@@ -255,6 +254,12 @@
         fail(end == TcpEnd::Closed ? "the connection was closed" : "the connection was reset");
     }
 
+    void fail(AnswerFault fault)
+    {
+        answerFault_ = fault;
+        fail(describe(fault));
+    }
+
     void fail(std::string reason)
     {
         if (!callbacks_)
@@ -264,7 +269,7 @@
                                   .refused = refused_,
                                   .headReceived = headReceived_,
                                   .connectionEnded = connectionEnded_,
-                                  .unending = headTimedOut_ || reader_->exceededBound(),
+                                  .answerFault = answerFault_,
                                   .reason = std::move(reason)};
         const auto failed = events_.failed;
         failed(failure);
@@ -293,7 +298,7 @@
     CallEvents events_;
     bool isHeadRequest_;
     EventLoop::TimerId headTimer_ = 0;
-    bool headTimedOut_ = false;
+    std::optional<AnswerFault> answerFault_;
     std::unique_ptr<TcpConnection> tcp_;
     std::shared_ptr<ConnectionCallbacks> callbacks_;
     std::unique_ptr<ResponseReader> reader_;
--- a/Source/Connection/HttpClientPool.h
+++ b/Source/Connection/HttpClientPool.h
@@ -3,9 +3,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "Connection/AnswerFault.h"
 #include "Connection/HttpMessage.h"
 #include "Process/Endpoint.h"
 #include "Process/EventLoop.h"
@@ -25,8 +27,8 @@
     /// The connection ended after the request was sent. False for an answer that can't be used
     /// although the connection holds.
     bool connectionEnded = false;
-    /// The answer exceeded a bound in length or time, and perhaps has no end.
-    bool unending = false;
+    /// The rule that the bytes which came as the answer break.
+    std::optional<AnswerFault> answerFault;
     std::string reason;
 };
 
--- a/Source/Connection/HttpReader.cpp
+++ b/Source/Connection/HttpReader.cpp
@@ -90,6 +90,32 @@
     return RequestFault::Malformed;
 }
 
+AnswerFault answerFaultOf(const error_code &error)
+{
+    switch (static_cast<http::error>(error.value())) {
+    case http::error::header_limit:
+    case http::error::body_limit:
+        return AnswerFault::TooLong;
+    case http::error::partial_message:
+    case http::error::end_of_stream:
+        return AnswerFault::EndedEarly;
+    case http::error::bad_content_length:
+        return AnswerFault::Length;
+    case http::error::bad_transfer_encoding:
+        return AnswerFault::TransferCoding;
+    case http::error::bad_chunk:
+    case http::error::bad_chunk_extension:
+        return AnswerFault::Chunk;
+    case http::error::bad_field:
+    case http::error::bad_value:
+    case http::error::bad_obs_fold:
+    case http::error::bad_line_ending:
+        return AnswerFault::Field;
+    default:
+        return AnswerFault::StatusLine;
+    }
+}
+
 /// Whether another server may see the end or the host of the request differently (request
 /// smuggling): a transfer coding other than "chunked", chunks in HTTP/1.0, or two Host fields.
 /// Bytes of one request could then run as another.
@@ -237,25 +263,35 @@
                 parser_.put(boost::asio::const_buffer(input_.data(), input_.size()), error);
             input_.erase(0, used);
             if (error && error != http::error::need_more) {
-                exceededBound_ = error == http::error::header_limit;
-                fail(error.message());
+                fail(answerFaultOf(error));
+                return;
+            }
+            if (const auto fault = headFault()) {
+                fail(*fault);
                 return;
             }
             if (used == 0 || error == http::error::need_more)
                 break;
         }
         if (!parser_.is_done() && input_.size() > responseHeaderBytes) {
-            exceededBound_ = true;
-            fail("a line of the answer is too long");
+            fail(AnswerFault::TooLong);
             return;
         }
         deliverEvents();
     }
 
-    void fail(std::string reason)
+    /// Why the head, if it has been read, is not that of an answer.
+    std::optional<AnswerFault> headFault() const
+    {
+        if (!parser_.headParsed_ || isInterimStatus(parser_.status_))
+            return std::nullopt;
+        return faultOfFinalStatus(parser_.status_);
+    }
+
+    void fail(AnswerFault fault)
     {
         failed_ = true;
-        events_.malformed(std::move(reason));
+        events_.malformed(fault);
     }
 
     void deliverEvents()
@@ -288,7 +324,6 @@
     bool headDelivered_ = false;
     bool completeDelivered_ = false;
     bool failed_ = false;
-    bool exceededBound_ = false;
     /// The reader is destroyed, so no callback may be called.
     bool destroyed_ = false;
 };
@@ -318,7 +353,7 @@
     error_code error;
     state->parser_.put_eof(error);
     if (error) {
-        state->fail("the connection ended in the middle of the answer");
+        state->fail(AnswerFault::EndedEarly);
         return;
     }
     state->deliverEvents();
@@ -330,11 +365,6 @@
     return !parser.headParsed_ && (parser.got_some() || !private_->input_.empty());
 }
 
-bool ResponseReader::exceededBound() const
-{
-    return private_->exceededBound_;
-}
-
 bool ResponseReader::complete() const
 {
     return private_->parser_.is_done();
--- a/Source/Connection/HttpReader.h
+++ b/Source/Connection/HttpReader.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "Connection/AnswerFault.h"
 #include "Connection/HttpMessage.h"
 #include "Process/Error.h"
 
@@ -60,10 +61,12 @@
     std::function<void(HttpResponseHead)> head;
     std::function<void(std::string_view)> body;
     std::function<void()> complete;
-    std::function<void(std::string)> malformed;
+    /// The answer is none. Called once, as the last callback.
+    std::function<void(AnswerFault)> malformed;
 };
 
-/// Parses one response.
+/// Parses one response. All HTTP/1 answers that a process receives are read by it, so that the same
+/// rules hold for them.
 class ResponseReader
 {
 public:
@@ -81,8 +84,6 @@
 
     /// Whether a part of the head has been received and the rest is awaited.
     bool insideHead() const;
-    /// Whether the response was malformed because a part of it exceeded a bound.
-    bool exceededBound() const;
     bool complete() const;
     /// Bytes received after the end of the response.
     const std::string &trailingBytes() const;
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -43,6 +43,16 @@
     }
 }
 
+SendOutcome outcomeOf(const CallFailure &failure)
+{
+    if (failure.neverSent)
+        return SendOutcome::NeverSent;
+    // A connection that ended within its answer may be due to a crash of the server.
+    if (!failure.answerFault || failure.connectionEnded)
+        return SendOutcome::Incomplete;
+    return isUnending(*failure.answerFault) ? SendOutcome::Unending : SendOutcome::Malformed;
+}
+
 } // namespace
 
 Exchange::Exchange(GatewayContext &context, AnswerSink &sink, GatewayRequest request, Access access,
@@ -326,11 +336,7 @@
     if (failure.refused)
         context_.crashes.noteRefused(send_.backendId(), monotonicNow());
     connectionEnded_ = failure.connectionEnded;
-    if (failure.unending)
-        endSend(SendOutcome::Unending, failure.reason);
-    else
-        endSend(failure.neverSent ? SendOutcome::NeverSent : SendOutcome::Incomplete,
-                failure.reason);
+    endSend(outcomeOf(failure), failure.reason);
 }
 
 void Exchange::endSend(SendOutcome outcome, const std::string &reason)
--- a/Source/Request/RetryDecision.cpp
+++ b/Source/Request/RetryDecision.cpp
@@ -13,6 +13,8 @@
         return "server error";
     case SendOutcome::Incomplete:
         return "broken off";
+    case SendOutcome::Malformed:
+        return "malformed";
     case SendOutcome::Unending:
         return "unending";
     case SendOutcome::TimedOut:
--- a/Source/Request/RetryDecision.h
+++ b/Source/Request/RetryDecision.h
@@ -13,6 +13,7 @@
     NotExecuted, ///< The backend server did not run the request and never will.
     ServerError, ///< The backend server ran the request and failed.
     Incomplete, ///< No complete answer arrived; the request may have run.
+    Malformed, ///< The answer broke a rule of HTTP; the request may have run.
     Unending, ///< The answer exceeded a bound in length or time; the request may have run.
     TimedOut, ///< Nothing arrived within the timeout; the request may have run.
 };
--- a/Tests/Fuzz/PlatformFuzzer.cpp
+++ b/Tests/Fuzz/PlatformFuzzer.cpp
@@ -61,7 +61,7 @@
         {.head = [](const HttpResponseHead &head) { (void)platform::decodeAnswerHead(head); },
          .body = [](std::string_view) {},
          .complete = [] {},
-         .malformed = [](const std::string &) {}},
+         .malformed = [](AnswerFault) {}},
         false);
     reader.feed(text.substr(0, text.size() / 2));
     reader.feed(text.substr(text.size() / 2));
--- a/Tests/Gateway/CallerSocket.cpp
+++ b/Tests/Gateway/CallerSocket.cpp
@@ -53,7 +53,7 @@
                                },
                            .body = [&](std::string_view bytes) { result.body += bytes; },
                            .complete = [&] { result.whole = true; },
-                           .malformed = [](const std::string &) {}},
+                           .malformed = [](AnswerFault) {}},
                           false);
     if (!after_.empty())
         reader.feed(std::exchange(after_, {}));
@@ -76,6 +76,19 @@
     return ::poll(&polled, 1, static_cast<int>(within.count())) > 0;
 }
 
+std::string CallerSocket::readToEnd(milliseconds within) const
+{
+    std::string all;
+    while (waitForBytes(within)) {
+        char bytes[4096];
+        const ssize_t count = ::recv(descriptor_, bytes, sizeof(bytes), 0);
+        if (count <= 0)
+            break;
+        all.append(bytes, static_cast<std::size_t>(count));
+    }
+    return all;
+}
+
 bool CallerSocket::waitForEnd(milliseconds within) const
 {
     const TimePoint end = monotonicNow() + within;
--- a/Tests/Gateway/CallerSocket.h
+++ b/Tests/Gateway/CallerSocket.h
@@ -32,6 +32,9 @@
     /// @return Number of bytes; 0 or less if the connection ended.
     ssize_t read(std::string &part) const;
 
+    /// Reads what comes until the connection ends, or until `within` passes without a byte.
+    std::string readToEnd(milliseconds within = seconds(10)) const;
+
     /// Waits for the other side to end the connection; bytes that it sends are dropped.
     /// @return Whether it did.
     bool waitForEnd(milliseconds within) const;
--- a/Tests/Gateway/ScriptedAnswers.cpp
+++ b/Tests/Gateway/ScriptedAnswers.cpp
@@ -4,12 +4,15 @@
 
 namespace wisteria::gateway_tests {
 
+std::string ownFields(const SeenRequest &request)
+{
+    return std::string(seal)
+        + "Wisteriawind-Attempt-Id: " + request.header("Wisteriawind-Attempt-Id") + "\r\n";
+}
+
 std::string sealed(const SeenRequest &request, int status, const std::string &body)
 {
-    return plainResponse(status,
-                         std::string(seal) + "Wisteriawind-Attempt-Id: "
-                             + request.header("Wisteriawind-Attempt-Id") + "\r\n",
-                         body);
+    return plainResponse(status, ownFields(request), body);
 }
 
 std::string eventText(int id)
@@ -19,9 +22,8 @@
 
 std::string streamHead(const SeenRequest &request)
 {
-    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + std::string(seal)
-        + "Wisteriawind-Attempt-Id: " + request.header("Wisteriawind-Attempt-Id")
-        + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + ownFields(request)
+        + "Transfer-Encoding: chunked\r\n\r\n";
 }
 
 std::string chunk(const std::string &bytes)
--- a/Tests/Gateway/ScriptedAnswers.h
+++ b/Tests/Gateway/ScriptedAnswers.h
@@ -9,6 +9,9 @@
 /// A header field that marks an answer as the backend server's own.
 inline constexpr const char *seal = "Wisteriawind-Response-Seal: s\r\n";
 
+/// The header fields that mark an answer as the backend server's own answer to a request.
+std::string ownFields(const SeenRequest &request);
+
 /// A backend server's complete answer to a request, with the seal.
 std::string sealed(const SeenRequest &request, int status, const std::string &body);
 
--- a/Tests/Gateway/ScriptedServer.cpp
+++ b/Tests/Gateway/ScriptedServer.cpp
@@ -224,7 +224,7 @@
                                },
                            .body = [&result](std::string_view bytes) { result.body += bytes; },
                            .complete = [&result] { result.whole = true; },
-                           .malformed = [](const std::string &) {}},
+                           .malformed = [](AnswerFault) {}},
                           false);
     pollfd wanted{descriptor, POLLIN, 0};
     while (!result.whole && ::poll(&wanted, 1, callMilliseconds) > 0) {
--- a/Tests/Gateway/UnendingInputTest.cpp
+++ b/Tests/Gateway/UnendingInputTest.cpp
@@ -77,19 +77,19 @@
 /// @return The number of bytes that it took.
 std::size_t bytesUntilFault(const Unending &answer, std::size_t limit)
 {
-    bool failed = false;
+    std::optional<AnswerFault> fault;
     ResponseReader reader({.head = [](const HttpResponseHead &) {},
                            .body = [](std::string_view) {},
                            .complete = [] {},
-                           .malformed = [&failed](const std::string &) { failed = true; }},
+                           .malformed = [&fault](AnswerFault broken) { fault = broken; }},
                           false);
     reader.feed(answer.begin);
     std::size_t taken = 0;
-    while (!failed && taken < limit) {
+    while (!fault && taken < limit) {
         reader.feed(answer.repeated);
         taken += answer.repeated.size();
     }
-    CHECK(reader.exceededBound() == failed);
+    CHECK((!fault || fault == AnswerFault::TooLong));
     return taken;
 }
 
@@ -128,7 +128,7 @@
         ResponseReader answers({.head = [](const HttpResponseHead &) {},
                                 .body = [&read](std::string_view bytes) { read += bytes; },
                                 .complete = [&complete] { complete = true; },
-                                .malformed = [](const std::string &) {}},
+                                .malformed = [](AnswerFault) {}},
                                false);
         RequestReader requests({.headerBytes = 1024, .bodyBytes = 100});
         const std::string answer = "HTTP/1.1 200 OK\r\n" + body;
