Skip interim answers where answers are read

What callers saw: "HTTP/1.1 199 X" with the seal reached the caller as the final answer, its body cut off; so did a 103 with the request's id. Two interim answers before the final one made it 502 ("a second answer to another request"), and after one the connection was not used again. Calls of the store and of engines took any interim answer for the final one.

Cause: nobody read interim answers as such. One was skipped only where it looked like an answer to another request, because it has no id.

Evidence: on the code before, "Callers get the final answer whatever interim answers come before it" fails for each of its four kinds, "Calls of the store and of engines get the answer that follows an interim one" gets status 103, and the new case of "An answer whose status is none of HTTP's" fails; all pass now.

Change: ResponseReader skips answers of 1xx, 32 for one request at most, for every reader; what follows is read as the next head, so a 199 with a body is refused.

--- a/Source/Connection/AnswerFault.cpp
+++ b/Source/Connection/AnswerFault.cpp
@@ -7,6 +7,8 @@
 constexpr int firstInterimStatus = 100;
 constexpr int firstFinalStatus = 200;
 constexpr int lastFinalStatus = 599;
+/// Number of interim answers to one request.
+constexpr std::size_t maxInterimAnswers = 32;
 
 } // namespace
 
@@ -45,6 +47,13 @@
     return status >= firstInterimStatus && status < firstFinalStatus;
 }
 
+std::optional<AnswerFault> faultOfInterim(std::size_t count)
+{
+    if (count > maxInterimAnswers)
+        return AnswerFault::TooLong;
+    return std::nullopt;
+}
+
 std::optional<AnswerFault> faultOfFinalStatus(int status)
 {
     if (status < firstFinalStatus || status > lastFinalStatus)
--- a/Source/Connection/AnswerFault.h
+++ b/Source/Connection/AnswerFault.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 
 namespace wisteria {
@@ -27,6 +28,10 @@
 /// Whether the status is of an interim answer, which a final one follows.
 bool isInterimStatus(int status);
 
+/// Returns why an interim answer can't be skipped; nothing if it can.
+/// @param count Number of interim answers to the request so far, with this one.
+std::optional<AnswerFault> faultOfInterim(std::size_t count);
+
 /// Returns why no final answer can have the status; nothing if one can.
 std::optional<AnswerFault> faultOfFinalStatus(int status);
 
--- a/Source/Connection/HttpReader.cpp
+++ b/Source/Connection/HttpReader.cpp
@@ -244,48 +244,71 @@
 class ResponseReader::Private
 {
 public:
-    Private(ResponseEvents events, bool isHeadRequest) : events_(std::move(events))
+    Private(ResponseEvents events, bool isHeadRequest)
+        : events_(std::move(events)), isHeadRequest_(isHeadRequest)
     {
-        parser_.onBody_ = [this](string_view bytes) {
+        resetParser();
+    }
+
+    void resetParser()
+    {
+        parser_.emplace();
+        parser_->onBody_ = [this](string_view bytes) {
             pendingBody_.append(bytes.data(), bytes.size());
         };
-        parser_.header_limit(responseHeaderBytes);
-        parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
-        parser_.eager(true);
-        parser_.skip(isHeadRequest);
+        parser_->header_limit(responseHeaderBytes);
+        parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+        parser_->eager(true);
+        parser_->skip(isHeadRequest_);
     }
 
     void parse()
     {
-        while (!failed_ && !parser_.is_done() && !input_.empty() && mayParse(parser_, input_)) {
-            error_code error;
-            const std::size_t used =
-                parser_.put(boost::asio::const_buffer(input_.data(), input_.size()), error);
-            input_.erase(0, used);
-            if (error && error != http::error::need_more) {
-                fail(answerFaultOf(error));
-                return;
-            }
-            if (const auto fault = headFault()) {
-                fail(*fault);
-                return;
-            }
-            if (used == 0 || error == http::error::need_more)
-                break;
-        }
-        if (!parser_.is_done() && input_.size() > responseHeaderBytes) {
+        bool progress = true;
+        while (progress && !failed_ && !parser_->is_done() && !input_.empty()
+               && mayParse(*parser_, input_))
+            progress = parsePart();
+        if (failed_)
+            return;
+        if (!parser_->is_done() && input_.size() > responseHeaderBytes) {
             fail(AnswerFault::TooLong);
             return;
         }
         deliverEvents();
     }
 
+    /// Parses what can be parsed of the input.
+    /// @return Whether there may be more.
+    bool parsePart()
+    {
+        error_code error;
+        const std::size_t used =
+            parser_->put(boost::asio::const_buffer(input_.data(), input_.size()), error);
+        input_.erase(0, used);
+        const bool needsMore = error == http::error::need_more;
+        if (error && !needsMore) {
+            fail(answerFaultOf(error));
+            return false;
+        }
+        if (const auto fault = headFault()) {
+            fail(*fault);
+            return false;
+        }
+        if (parser_->headParsed_ && isInterimStatus(parser_->status_)) {
+            resetParser();
+            return true;
+        }
+        return used > 0 && !needsMore;
+    }
+
     /// Why the head, if it has been read, is not that of an answer.
-    std::optional<AnswerFault> headFault() const
+    std::optional<AnswerFault> headFault()
     {
-        if (!parser_.headParsed_ || isInterimStatus(parser_.status_))
+        if (!parser_->headParsed_ || headDelivered_)
             return std::nullopt;
-        return faultOfFinalStatus(parser_.status_);
+        if (isInterimStatus(parser_->status_))
+            return faultOfInterim(++interimAnswers_);
+        return faultOfFinalStatus(parser_->status_);
     }
 
     void fail(AnswerFault fault)
@@ -296,13 +319,13 @@
 
     void deliverEvents()
     {
-        if (parser_.headParsed_ && !headDelivered_) {
+        if (parser_->headParsed_ && !headDelivered_) {
             headDelivered_ = true;
-            events_.head({.status = parser_.status_,
-                          .reason = std::move(parser_.reason_),
-                          .fields = std::move(parser_.fields_),
-                          .keepAlive = parser_.keep_alive(),
-                          .selfDelimited = !parser_.need_eof()});
+            events_.head({.status = parser_->status_,
+                          .reason = std::move(parser_->reason_),
+                          .fields = std::move(parser_->fields_),
+                          .keepAlive = parser_->keep_alive(),
+                          .selfDelimited = !parser_->need_eof()});
         }
         if (destroyed_)
             return;
@@ -311,14 +334,16 @@
             part.swap(pendingBody_);
             events_.body(part);
         }
-        if (destroyed_ || !parser_.is_done() || completeDelivered_)
+        if (destroyed_ || !parser_->is_done() || completeDelivered_)
             return;
         completeDelivered_ = true;
         events_.complete();
     }
 
     ResponseEvents events_;
-    Parser<false> parser_;
+    bool isHeadRequest_;
+    std::optional<Parser<false>> parser_;
+    std::size_t interimAnswers_ = 0;
     std::string input_;
     std::string pendingBody_;
     bool headDelivered_ = false;
@@ -348,10 +373,10 @@
 void ResponseReader::feedEnd()
 {
     const std::shared_ptr<Private> state = private_;
-    if (state->failed_ || state->parser_.is_done())
+    if (state->failed_ || state->parser_->is_done())
         return;
     error_code error;
-    state->parser_.put_eof(error);
+    state->parser_->put_eof(error);
     if (error) {
         state->fail(AnswerFault::EndedEarly);
         return;
@@ -361,13 +386,13 @@
 
 bool ResponseReader::insideHead() const
 {
-    const auto &parser = private_->parser_;
+    const Parser<false> &parser = *private_->parser_;
     return !parser.headParsed_ && (parser.got_some() || !private_->input_.empty());
 }
 
 bool ResponseReader::complete() const
 {
-    return private_->parser_.is_done();
+    return private_->parser_->is_done();
 }
 
 const std::string &ResponseReader::trailingBytes() const
--- a/Source/Connection/HttpReader.h
+++ b/Source/Connection/HttpReader.h
@@ -65,8 +65,8 @@
     std::function<void(AnswerFault)> malformed;
 };
 
-/// Parses one response. All HTTP/1 answers that a process receives are read by it, so that the same
-/// rules hold for them.
+/// Parses one response, and skips the interim ones before it. All HTTP/1 answers that a process
+/// receives are read by it, so that the same rules hold for them.
 class ResponseReader
 {
 public:
--- a/Tests/Gateway/BrokenAnswerTest.cpp
+++ b/Tests/Gateway/BrokenAnswerTest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "Connection/TimedCalls.h"
 #include "Gateway/BrokenAnswers.h"
 #include "Gateway/CallerSocket.h"
 #include "Gateway/GatewayUnderTest.h"
@@ -65,6 +66,27 @@
     }
 }
 
+/// The outcome of a call as the store and engines are called.
+Result<HttpResponse> answerToCall(const Endpoint &server)
+{
+    constexpr std::size_t maxAnswerBytes = 65536;
+    EventLoop loop;
+    HttpClientPool pool(loop);
+    TimedCalls calls(pool, maxAnswerBytes);
+    Result<HttpResponse> result = failure(ErrorKind::Timeout, "no answer in time");
+    const auto timeout = loop.runAfter(seconds(2), [&loop] { loop.stop(); });
+    calls.start(
+        server, "GET /x HTTP/1.1\r\nHost: x\r\n\r\n", seconds(2),
+        [&](Result<HttpResponse> answer) {
+            result = std::move(answer);
+            loop.stop();
+        },
+        monotonicNow());
+    loop.run();
+    loop.cancel(timeout);
+    return result;
+}
+
 } // namespace
 
 // Guards against an answer that HTTP has no meaning for and that reaches the caller.
@@ -72,3 +94,39 @@
 {
     checkOutcomeUnknown(answersWithImpossibleStatus());
 }
+
+// Guards against an interim answer that is taken for the final one, or for one to another request.
+TEST_CASE("Callers get the final answer whatever interim answers come before it")
+{
+    const std::string interim = GENERATE(
+        "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\n@Link: </x>\r\n\r\n",
+        "HTTP/1.1 199 X\r\n@\r\n",
+        "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 100 C\r\n\r\n");
+    CAPTURE(interim);
+    ScriptedServer server([&interim](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(bytesFor({"interim", interim}, request) + sealed(request, 200, "sound"));
+    });
+    GatewayUnderTest gateway;
+    gateway.startWithBackend("i-1", "plain", server);
+    for (const std::string target : {"/once/x", "/again/x", "/again/y"}) {
+        const CallResult answer = gateway.call(requestFor(target, target.substr(1)));
+        CAPTURE(target);
+        CHECK(answer.status == 200);
+        CHECK(answer.body == "sound");
+    }
+    CHECK(server.seen().back().requestsBefore > 0);
+}
+
+// Guards against reads of the store and of engines that fail because an interim answer is taken for
+// the final one.
+TEST_CASE("Calls of the store and of engines get the answer that follows an interim one")
+{
+    ScriptedServer server([](const SeenRequest &, ScriptPeer &peer) {
+        peer.send("HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\n"
+                  + plainResponse(200, "", "{\"a\":1}"));
+    });
+    const Result<HttpResponse> answer = answerToCall(server.endpoint());
+    REQUIRE(answer.has_value());
+    CHECK(answer.value().head.status == 200);
+    CHECK(answer.value().body == "{\"a\":1}");
+}
--- a/Tests/Gateway/BrokenAnswers.cpp
+++ b/Tests/Gateway/BrokenAnswers.cpp
@@ -26,6 +26,7 @@
         withStatus("099"),
         withStatus("600"),
         withStatus("999"),
+        withStatus("199"),
         {"status 000 without a body", "HTTP/1.1 000 X\r\n@Content-Length: 0\r\n\r\n"},
         {"status 000 and a close", "HTTP/1.1 000 X\r\n@\r\n" + event, AfterAnswer::Close},
         {"status 000 in chunks",
