Refuse an answer that switches protocols at once

What callers saw: after "101 Switching Protocols", which no request asks for, they waited for the rest of their time (504), though nothing can follow that could be read.

Cause: it was skipped like any interim answer.

Interim answers without end were left before as well; the case is kept.

Change: a 101 breaks a rule of answers. The request goes to another server where its route allows that, or ends with 502.

--- a/Source/Connection/AnswerFault.cpp
+++ b/Source/Connection/AnswerFault.cpp
@@ -7,6 +7,7 @@
 constexpr int firstInterimStatus = 100;
 constexpr int firstFinalStatus = 200;
 constexpr int lastFinalStatus = 599;
+constexpr int statusSwitchingProtocols = 101;
 /// Number of interim answers to one request.
 constexpr std::size_t maxInterimAnswers = 32;
 
@@ -19,6 +20,8 @@
         return "the answer does not begin with a status line of HTTP/1";
     case AnswerFault::Status:
         return "the status of the answer is not between 200 and 599";
+    case AnswerFault::Upgrade:
+        return "the answer switches to another protocol, which was not asked for";
     case AnswerFault::Field:
         return "a line in the head or the trailers of the answer is not a field";
     case AnswerFault::Length:
@@ -47,8 +50,10 @@
     return status >= firstInterimStatus && status < firstFinalStatus;
 }
 
-std::optional<AnswerFault> faultOfInterim(std::size_t count)
+std::optional<AnswerFault> faultOfInterim(int status, std::size_t count)
 {
+    if (status == statusSwitchingProtocols)
+        return AnswerFault::Upgrade;
     if (count > maxInterimAnswers)
         return AnswerFault::TooLong;
     return std::nullopt;
--- a/Source/Connection/AnswerFault.h
+++ b/Source/Connection/AnswerFault.h
@@ -10,6 +10,7 @@
 enum class AnswerFault {
     StatusLine, ///< The first line is no status line of HTTP/1.
     Status, ///< The status has no meaning in HTTP (RFC 9110, section 15).
+    Upgrade, ///< The status switches to another protocol, which no request asks for.
     Field, ///< A line of the head or of the trailers is no field (RFC 9110, section 5).
     Length, ///< Content-Length is no number, or there is more than one length.
     TransferCoding, ///< The body is in a transfer coding that can't be decoded.
@@ -28,9 +29,9 @@
 /// Whether the status is of an interim answer, which a final one follows.
 bool isInterimStatus(int status);
 
-/// Returns why an interim answer can't be skipped; nothing if it can.
+/// Returns why an answer with such a status can't be an interim one; nothing if it can.
 /// @param count Number of interim answers to the request so far, with this one.
-std::optional<AnswerFault> faultOfInterim(std::size_t count);
+std::optional<AnswerFault> faultOfInterim(int status, std::size_t count);
 
 /// Returns why no final answer can have the status; nothing if one can.
 std::optional<AnswerFault> faultOfFinalStatus(int status);
--- a/Source/Connection/HttpReader.cpp
+++ b/Source/Connection/HttpReader.cpp
@@ -307,7 +307,7 @@
         if (!parser_->headParsed_ || headDelivered_)
             return std::nullopt;
         if (isInterimStatus(parser_->status_))
-            return faultOfInterim(++interimAnswers_);
+            return faultOfInterim(parser_->status_, ++interimAnswers_);
         return faultOfFinalStatus(parser_->status_);
     }
 
--- a/Tests/Gateway/BrokenAnswerTest.cpp
+++ b/Tests/Gateway/BrokenAnswerTest.cpp
@@ -130,3 +130,31 @@
     CHECK(answer.value().head.status == 200);
     CHECK(answer.value().body == "{\"a\":1}");
 }
+
+// Guards against callers who wait out their deadline for an answer that can't come, or is preceded
+// by interim answers without end.
+TEST_CASE("A request leaves a server that switches protocols or sends interim answers without end")
+{
+    const bool withoutEnd = GENERATE(false, true);
+    CAPTURE(withoutEnd);
+    ScriptedServer broken([withoutEnd](const SeenRequest &, ScriptPeer &peer) {
+        peer.send(withoutEnd ? "HTTP/1.1 100 Continue\r\n\r\n"
+                             : "HTTP/1.1 101 Switching Protocols\r\n\r\n");
+        while (withoutEnd && peer.trySend("HTTP/1.1 100 Continue\r\n\r\n")) { }
+        peer.waitForEnd();
+        peer.close();
+    });
+    ScriptedServer sound([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 200, "sound"));
+    });
+    GatewayUnderTest gateway;
+    gateway.addBackend("i-2", "plain", sound);
+    gateway.startWithBackend("i-1", "plain", broken);
+    constexpr int mostCalls = 100;
+    for (int i = 0; i < mostCalls && broken.seen().empty(); ++i) {
+        const TimePoint begun = monotonicNow();
+        CHECK(gateway.call(requestFor("/again/x", "a" + std::to_string(i))).body == "sound");
+        CHECK(monotonicNow() - begun < milliseconds(1000));
+    }
+    CHECK_FALSE(broken.seen().empty());
+}
--- a/Tests/Gateway/BrokenAnswers.cpp
+++ b/Tests/Gateway/BrokenAnswers.cpp
@@ -32,6 +32,8 @@
         {"status 000 in chunks",
          "HTTP/1.1 000 X\r\n@Transfer-Encoding: chunked\r\n\r\n" + wholeChunks},
         {"status 000 behind a 100", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X\r\n@" + wholeBody},
+        {"a switch of protocols",
+         "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"},
         {"status of two digits", "HTTP/1.1 20 OK\r\n@" + wholeBody},
         {"status of four digits", "HTTP/1.1 2000 OK\r\n@" + wholeBody},
         {"status with a letter", "HTTP/1.1 2x0 OK\r\n@" + wholeBody},
