Refuse answers in a transfer coding other than chunked

What callers saw: an answer with "Transfer-Encoding: chunked, zap" reached them as a whole 200 whose body was the chunks with their sizes; with "zap", an empty value, ",", "gzip, chunked", two fields, or chunks in HTTP/1.0 they got coded bytes as if they were plain.

Cause: the parser reads any coding that does not end in exactly one "chunked" up to the end of the connection. Requests were asked about this, answers were not.

Change: hasOtherTransferCoding() decides for requests and answers; an answer for which it holds breaks a rule, for each reader.

--- a/Source/Connection/AnswerFault.cpp
+++ b/Source/Connection/AnswerFault.cpp
@@ -66,4 +66,13 @@
     return std::nullopt;
 }
 
+std::optional<AnswerFault> faultOfFinalHead(int status, int version, const HttpFields &fields)
+{
+    if (const auto fault = faultOfFinalStatus(status))
+        return fault;
+    if (hasOtherTransferCoding(fields, version))
+        return AnswerFault::TransferCoding;
+    return std::nullopt;
+}
+
 } // namespace wisteria
--- a/Source/Connection/AnswerFault.h
+++ b/Source/Connection/AnswerFault.h
@@ -3,6 +3,8 @@
 #include <cstddef>
 #include <optional>
 
+#include "Connection/HttpMessage.h"
+
 namespace wisteria {
 
 /// Rule that an answer breaks, so that it is no answer. The request may have run. The connection
@@ -36,4 +38,8 @@
 /// Returns why no final answer can have the status; nothing if one can.
 std::optional<AnswerFault> faultOfFinalStatus(int status);
 
+/// Returns why a head can't be that of a final answer; nothing if it can.
+/// @param version 10 or 11.
+std::optional<AnswerFault> faultOfFinalHead(int status, int version, const HttpFields &fields);
+
 } // namespace wisteria
--- a/Source/Connection/HttpMessage.cpp
+++ b/Source/Connection/HttpMessage.cpp
@@ -58,6 +58,19 @@
     return false;
 }
 
+bool hasOtherTransferCoding(const HttpFields &fields, int version)
+{
+    constexpr int versionWithChunks = 11;
+    std::size_t codings = 0;
+    for (const HttpField &field : fields) {
+        if (!sameFieldName(field.name, "Transfer-Encoding"))
+            continue;
+        if (!sameFieldName(field.value, "chunked") || version < versionWithChunks || ++codings > 1)
+            return true;
+    }
+    return false;
+}
+
 bool isConnectionField(std::string_view name)
 {
     for (const std::string_view field : connectionFields) {
--- a/Source/Connection/HttpMessage.h
+++ b/Source/Connection/HttpMessage.h
@@ -26,6 +26,11 @@
 /// Whether a comma-separated list field contains the token. Ignores the case of both.
 bool fieldHasToken(const HttpFields &fields, std::string_view name, std::string_view token);
 
+/// Whether the body of a message is in a transfer coding other than "chunked", or one that its
+/// version of HTTP does not have. Its recipients may see different bodies.
+/// @param version 10 or 11.
+bool hasOtherTransferCoding(const HttpFields &fields, int version);
+
 /// Whether the field is hop-by-hop or frames the body, and so is never forwarded.
 bool isConnectionField(std::string_view name);
 
--- a/Source/Connection/HttpReader.cpp
+++ b/Source/Connection/HttpReader.cpp
@@ -1,5 +1,6 @@
 #include "Connection/HttpReader.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <limits>
 #include <optional>
@@ -121,18 +122,9 @@
 /// Bytes of one request could then run as another.
 bool isAmbiguous(const Parser<true> &parser)
 {
-    bool host = false;
-    for (const HttpField &field : parser.fields_) {
-        if (sameFieldName(field.name, "Transfer-Encoding")
-            && (!sameFieldName(field.value, "chunked") || parser.version_ < 11))
-            return true;
-        if (sameFieldName(field.name, "Host")) {
-            if (host)
-                return true;
-            host = true;
-        }
-    }
-    return false;
+    const auto isHost = [](const HttpField &field) { return sameFieldName(field.name, "Host"); };
+    return hasOtherTransferCoding(parser.fields_, parser.version_)
+        || std::count_if(parser.fields_.begin(), parser.fields_.end(), isHost) > 1;
 }
 
 } // namespace
@@ -308,7 +300,7 @@
             return std::nullopt;
         if (isInterimStatus(parser_->status_))
             return faultOfInterim(parser_->status_, ++interimAnswers_);
-        return faultOfFinalStatus(parser_->status_);
+        return faultOfFinalHead(parser_->status_, parser_->version_, parser_->fields_);
     }
 
     void fail(AnswerFault fault)
--- a/Tests/Gateway/BrokenAnswerTest.cpp
+++ b/Tests/Gateway/BrokenAnswerTest.cpp
@@ -95,6 +95,12 @@
     checkOutcomeUnknown(answersWithImpossibleStatus());
 }
 
+// Guards against bytes of a transfer coding that reach the caller as the server's body.
+TEST_CASE("An answer in another transfer coding reaches no caller")
+{
+    checkOutcomeUnknown(answersInOtherCodings());
+}
+
 // Guards against an interim answer that is taken for the final one, or for one to another request.
 TEST_CASE("Callers get the final answer whatever interim answers come before it")
 {
--- a/Tests/Gateway/BrokenAnswers.cpp
+++ b/Tests/Gateway/BrokenAnswers.cpp
@@ -8,6 +8,7 @@
 
 /// The body of the answers: an event, so that it would also be a whole stream.
 const std::string event = "data: x\n\n";
+const std::string soundHead = "HTTP/1.1 200 OK\r\n@";
 const std::string wholeBody = "Content-Length: 9\r\n\r\n" + event;
 const std::string wholeChunks = "9\r\n" + event + "\r\n0\r\n\r\n";
 
@@ -16,6 +17,20 @@
     return {"status " + status, "HTTP/1.1 " + status + " X\r\n@" + wholeBody};
 }
 
+BrokenAnswer withBody(const std::string &name, const std::string &fieldsAndBody,
+                      AfterAnswer after = AfterAnswer::Keep)
+{
+    return {name, soundHead + fieldsAndBody, after};
+}
+
+/// An answer in chunks with a Transfer-Encoding of this value.
+BrokenAnswer inCoding(const std::string &value)
+{
+    return {"Transfer-Encoding: " + value,
+            soundHead + "Transfer-Encoding: " + value + "\r\n\r\n" + wholeChunks,
+            AfterAnswer::Close};
+}
+
 } // namespace
 
 const std::vector<BrokenAnswer> &answersWithImpossibleStatus()
@@ -48,6 +63,27 @@
     return answers;
 }
 
+const std::vector<BrokenAnswer> &answersInOtherCodings()
+{
+    static const std::vector<BrokenAnswer> answers = {
+        inCoding("chunked, zap"),
+        inCoding("zap"),
+        inCoding(""),
+        inCoding(","),
+        inCoding("gzip, chunked"),
+        inCoding("chunked, chunked"),
+        inCoding("identity"),
+        inCoding("zap\r\nTransfer-Encoding: chunked"),
+        inCoding("chunked\r\nTransfer-Encoding: chunked"),
+        {"chunks in HTTP/1.0",
+         "HTTP/1.0 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n" + wholeChunks,
+         AfterAnswer::Close},
+        withBody("another coding beside a length",
+                 "Transfer-Encoding: zap\r\nContent-Length: 9\r\n\r\n" + event),
+    };
+    return answers;
+}
+
 std::string bytesFor(const BrokenAnswer &answer, const SeenRequest &request)
 {
     const std::string type =
--- a/Tests/Gateway/BrokenAnswers.h
+++ b/Tests/Gateway/BrokenAnswers.h
@@ -22,6 +22,9 @@
 /// Answers whose status is not that of a final answer.
 const std::vector<BrokenAnswer> &answersWithImpossibleStatus();
 
+/// Answers in a transfer coding that the gateway did not ask for.
+const std::vector<BrokenAnswer> &answersInOtherCodings();
+
 /// The bytes of a broken answer to a request.
 std::string bytesFor(const BrokenAnswer &answer, const SeenRequest &request);
 
