Test heads that break off, names with blanks and control bytes, and framing of answers

ResponseReader::feedEnd() answers for a connection that ended before the first byte as well; the parser asserts there. The product did not call it then.

--- a/Source/Connection/HttpReader.cpp
+++ b/Source/Connection/HttpReader.cpp
@@ -367,8 +367,10 @@
     const std::shared_ptr<Private> state = private_;
     if (state->failed_ || state->parser_->is_done())
         return;
-    error_code error;
-    state->parser_->put_eof(error);
+    // The parser asserts that it has got a part of the answer.
+    error_code error = http::error::partial_message;
+    if (state->parser_->got_some())
+        state->parser_->put_eof(error);
     if (error) {
         state->fail(AnswerFault::EndedEarly);
         return;
--- a/Tests/Gateway/BrokenAnswerTest.cpp
+++ b/Tests/Gateway/BrokenAnswerTest.cpp
@@ -1,9 +1,11 @@
+#include <algorithm>
 #include <atomic>
 #include <string>
 #include <vector>
 
 #include <catch2/catch.hpp>
 
+#include "Connection/HttpReader.h"
 #include "Connection/TimedCalls.h"
 #include "Gateway/BrokenAnswers.h"
 #include "Gateway/CallerSocket.h"
@@ -38,6 +40,12 @@
 
     void setAnswer(const BrokenAnswer &answer) { answer_ = &answer; }
     std::size_t runs(const std::string &target) const { return server_.count(target); }
+    bool connectionWasReused() const
+    {
+        const std::vector<SeenRequest> seen = server_.seen();
+        return std::any_of(seen.begin(), seen.end(),
+                           [](const SeenRequest &request) { return request.requestsBefore > 0; });
+    }
 
     GatewayUnderTest gateway;
 
@@ -46,7 +54,40 @@
     ScriptedServer server_;
 };
 
-/// Checks that the callers of each kind of route are told that the outcome is unknown.
+/// What a reader makes of an answer that comes in parts of this size.
+struct ReadResult
+{
+    int status = 0;
+    bool whole = false;
+};
+
+ReadResult readInParts(const std::string &bytes, std::size_t partBytes, bool connectionEnds)
+{
+    ReadResult result;
+    bool failed = false;
+    ResponseReader reader(
+        {.head = [&result](const HttpResponseHead &head) { result.status = head.status; },
+         .body = [](std::string_view) {},
+         .complete = [&result] { result.whole = true; },
+         .malformed = [&failed](AnswerFault) { failed = true; }},
+        false);
+    for (std::size_t at = 0; at < bytes.size() && !failed; at += partBytes)
+        reader.feed(std::string_view(bytes).substr(at, partBytes));
+    if (connectionEnds && !failed)
+        reader.feedEnd();
+    return result;
+}
+
+/// Whether a caller takes what it got for a whole stream or another whole success.
+bool looksWhole(const std::string &got)
+{
+    constexpr int firstFailure = 300;
+    const ReadResult read = readInParts(got, got.size(), true);
+    return read.whole && read.status < firstFailure;
+}
+
+/// Checks that the callers of each kind of route are told that the outcome is unknown, and that no
+/// connection is used again.
 void checkOutcomeUnknown(const std::vector<BrokenAnswer> &answers)
 {
     BrokenServer broken;
@@ -54,14 +95,13 @@
     for (const BrokenAnswer &answer : answers) {
         broken.setAnswer(answer);
         for (const std::string route : {"/once/", "/again/", "/stream/"}) {
-            const std::string target = route + std::to_string(++number);
+            const std::string target = route + std::to_string(++number) + ".";
             const std::string got = rawAnswer(broken.gateway, requestFor(target, target.substr(1)));
             CAPTURE(answer.name, route, got);
             CHECK(got.starts_with("HTTP/1.1 502 Bad Gateway\r\n"));
             CHECK(got.find("data:") == std::string::npos);
-            CHECK(broken.runs(target + " ") + broken.runs(target) >= 1);
-            if (route == "/once/")
-                CHECK(broken.runs(target) == 1);
+            CHECK(broken.runs(target) == 1);
+            CHECK_FALSE(broken.connectionWasReused());
         }
     }
 }
@@ -95,6 +135,52 @@
     checkOutcomeUnknown(answersWithImpossibleStatus());
 }
 
+// Guards against a line that is passed on, or a body that is not the server's, after a name with a
+// blank or a control byte.
+TEST_CASE("An answer whose head is no list of fields reaches no caller")
+{
+    checkOutcomeUnknown(answersWithBadFields());
+}
+
+// Guards against a head that breaks off and reaches the caller as a whole answer without a body.
+TEST_CASE("An answer that ends within its head reaches no caller")
+{
+    checkOutcomeUnknown(answersThatEndInHead());
+}
+
+// Guards against a body that is cut or too long and looks whole to its caller.
+TEST_CASE("An answer whose body has no readable end looks whole to no caller")
+{
+    BrokenServer broken;
+    int number = 0;
+    for (const BrokenAnswer &answer : answersWithBadFraming()) {
+        broken.setAnswer(answer);
+        for (const std::string route : {"/once/", "/again/", "/stream/"}) {
+            const std::string target = route + std::to_string(++number) + ".";
+            const std::string got = rawAnswer(broken.gateway, requestFor(target, target.substr(1)));
+            CAPTURE(answer.name, route, got);
+            CHECK_FALSE(looksWhole(got));
+            if (route != "/stream/")
+                CHECK(got.starts_with("HTTP/1.1 502 Bad Gateway\r\n"));
+            CHECK(broken.runs(target) == 1);
+            CHECK_FALSE(broken.connectionWasReused());
+        }
+    }
+}
+
+// Guards against a rule that holds only if the bytes that break it come at once.
+TEST_CASE("A broken answer is none in whatever parts it comes")
+{
+    const SeenRequest request{.head = "GET /again/x HTTP/1.1\r\n", .body = ""};
+    for (const BrokenAnswer &answer : allBrokenAnswers()) {
+        const std::string bytes = bytesFor(answer, request);
+        for (const std::size_t part : {std::size_t{1}, std::size_t{3}, bytes.size() + 1}) {
+            CAPTURE(answer.name, part);
+            CHECK_FALSE(readInParts(bytes, part, answer.after == AfterAnswer::Close).whole);
+        }
+    }
+}
+
 // Guards against bytes of a transfer coding that reach the caller as the server's body.
 TEST_CASE("An answer in another transfer coding reaches no caller")
 {
--- a/Tests/Gateway/BrokenAnswers.cpp
+++ b/Tests/Gateway/BrokenAnswers.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+using namespace std::string_literals;
+
 /// The body of the answers: an event, so that it would also be a whole stream.
 const std::string event = "data: x\n\n";
 const std::string soundHead = "HTTP/1.1 200 OK\r\n@";
@@ -17,6 +19,12 @@
     return {"status " + status, "HTTP/1.1 " + status + " X\r\n@" + wholeBody};
 }
 
+/// An answer with one more line in its head.
+BrokenAnswer withLine(const std::string &name, const std::string &line)
+{
+    return {name, soundHead + line + "\r\n" + wholeBody};
+}
+
 BrokenAnswer withBody(const std::string &name, const std::string &fieldsAndBody,
                       AfterAnswer after = AfterAnswer::Keep)
 {
@@ -31,6 +39,36 @@
             AfterAnswer::Close};
 }
 
+std::vector<BrokenAnswer> endingInHead()
+{
+    const std::vector<std::pair<std::string, std::string>> places = {
+        {"before the first byte", ""},
+        {"in the version", "HTTP/1."},
+        {"in the status", "HTTP/1.1 20"},
+        {"after the status", "HTTP/1.1 200"},
+        {"in the reason", "HTTP/1.1 200 O"},
+        {"after the first line", "HTTP/1.1 200 OK\r\n"},
+        {"in a name", "HTTP/1.1 200 OK\r\n@X-Mo"},
+        {"in a value", "HTTP/1.1 200 OK\r\n@X-More: 1"},
+        {"between lines", "HTTP/1.1 200 OK\r\n@"},
+        {"within a line end", "HTTP/1.1 200 OK\r\n@X-More: 1\r"},
+        {"after a length of 0", "HTTP/1.1 200 OK\r\n@Content-Length: 0\r\n"},
+        {"after a length of 2", "HTTP/1.1 200 OK\r\n@Content-Length: 9\r\n"},
+        {"within the last line end", "HTTP/1.1 200 OK\r\n@Content-Length: 0\r\n\r"},
+        {"in a 204", "HTTP/1.1 204 No Content\r\n@"},
+        {"in a 404", "HTTP/1.1 404 Not Found\r\n@"},
+        {"before chunks", "HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n"},
+        {"after an interim answer", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n@"},
+    };
+    std::vector<BrokenAnswer> answers;
+    for (const auto &[place, bytes] : places) {
+        answers.push_back({"ends " + place, bytes, AfterAnswer::Close});
+        answers.push_back({"is reset " + place, bytes, AfterAnswer::Reset});
+    }
+    answers.push_back({"stops in its head", "HTTP/1.1 200 OK\r\n@X-More: 1", AfterAnswer::Keep});
+    return answers;
+}
+
 } // namespace
 
 const std::vector<BrokenAnswer> &answersWithImpossibleStatus()
@@ -63,6 +101,79 @@
     return answers;
 }
 
+const std::vector<BrokenAnswer> &answersWithBadFields()
+{
+    static const std::vector<BrokenAnswer> answers = {
+        withLine("blank in a name", "X More: 1"),
+        withLine("blank before the colon", "X-More : 1"),
+        withLine("tab in a name", "X\tMore: 1"),
+        withLine("0x00 in a name", "X\0More: 1"s),
+        withLine("0x01 in a name", "X\x01More: 1"),
+        withLine("0x0b in a name", "X\x0bMore: 1"),
+        withLine("0x7f in a name", "X\x7fMore: 1"),
+        withLine("0xff in a name", "X\xffMore: 1"),
+        withLine("bare CR in a name", "X\rMore: 1"),
+        withLine("no name", ": 1"),
+        withLine("bracket in a name", "X(More): 1"),
+        withLine("no colon", "X-More"),
+        withLine("blank in Content-Length", "Content Length: 5"),
+        withLine("blank after Content-Length", "Content-Length : 5"),
+        withLine("blank after Transfer-Encoding", "Transfer-Encoding : chunked"),
+        withLine("0x01 in Transfer-Encoding", "Transfer\x01-Encoding: chunked"),
+        withLine("blank after the seal", "Wisteriawind-Response-Seal : other"),
+        withLine("0x00 in a value", "X-More: 1\0002"s),
+        withLine("0x01 in a value", "X-More: 1\x01"),
+        withLine("0x7f in a value", "X-More: 1\x7f"),
+        withLine("bare CR in a value", "X-More: 1\r2"),
+        {"a blank before the first field", "HTTP/1.1 200 OK\r\n X-More: 1\r\n@" + wholeBody},
+        {"line ends without CR", "HTTP/1.1 200 OK\n@Content-Length: 9\n\n" + event},
+        {"bad name of an interim answer",
+         "HTTP/1.1 103 Early Hints\r\nX More: 1\r\n\r\nHTTP/1.1 200 OK\r\n@" + wholeBody},
+        {"bad name of a trailer",
+         soundHead + "Transfer-Encoding: chunked\r\n\r\n9\r\n" + event
+             + "\r\n0\r\nX More: 1\r\n\r\n"},
+    };
+    return answers;
+}
+
+const std::vector<BrokenAnswer> &answersThatEndInHead()
+{
+    static const std::vector<BrokenAnswer> answers = endingInHead();
+    return answers;
+}
+
+const std::vector<BrokenAnswer> &answersWithBadFraming()
+{
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    static const std::vector<BrokenAnswer> answers = {
+        withBody("two lengths", "Content-Length: 9\r\nContent-Length: 10\r\n\r\n" + event + "!"),
+        withBody("a list of lengths", "Content-Length: 9, 10\r\n\r\n" + event + "!"),
+        withBody("a negative length", "Content-Length: -9\r\n\r\n" + event),
+        withBody("a signed length", "Content-Length: +9\r\n\r\n" + event),
+        withBody("a huge length", "Content-Length: 99999999999999999999\r\n\r\n" + event),
+        withBody("a hexadecimal length", "Content-Length: 0x9\r\n\r\n" + event),
+        withBody("an empty length", "Content-Length:\r\n\r\n" + event),
+        withBody("a length beside chunks",
+                 "Content-Length: 9\r\n" + chunked + "\r\n" + wholeChunks),
+        withBody("chunks beside a length", chunked + "Content-Length: 9\r\n\r\n" + wholeChunks),
+        withBody("a chunk size that is no number",
+                 chunked + "\r\nzz\r\n" + event + "\r\n0\r\n\r\n"),
+        withBody("a negative chunk size", chunked + "\r\n-" + wholeChunks),
+        withBody("a huge chunk size",
+                 chunked + "\r\nfffffffffffffffff\r\n" + event + "\r\n0\r\n\r\n"),
+        withBody("a chunk that is too long", chunked + "\r\n9\r\n" + event + "!\r\n0\r\n\r\n"),
+        withBody("a body that ends early", "Content-Length: 20\r\n\r\n" + event,
+                 AfterAnswer::Close),
+        withBody("a body that is reset", "Content-Length: 20\r\n\r\n" + event, AfterAnswer::Reset),
+        withBody("a last chunk that is missing", chunked + "\r\n9\r\n" + event + "\r\n",
+                 AfterAnswer::Close),
+        withBody("a chunk that ends early", chunked + "\r\n1f\r\n" + event, AfterAnswer::Close),
+        withBody("trailers that end early", chunked + "\r\n9\r\n" + event + "\r\n0\r\nX-T: 1\r\n",
+                 AfterAnswer::Close),
+    };
+    return answers;
+}
+
 const std::vector<BrokenAnswer> &answersInOtherCodings()
 {
     static const std::vector<BrokenAnswer> answers = {
@@ -84,6 +195,16 @@
     return answers;
 }
 
+std::vector<BrokenAnswer> allBrokenAnswers()
+{
+    std::vector<BrokenAnswer> all;
+    for (const auto &answers :
+         {answersWithImpossibleStatus(), answersWithBadFields(), answersThatEndInHead(),
+          answersWithBadFraming(), answersInOtherCodings()})
+        all.insert(all.end(), answers.begin(), answers.end());
+    return all;
+}
+
 std::string bytesFor(const BrokenAnswer &answer, const SeenRequest &request)
 {
     const std::string type =
--- a/Tests/Gateway/BrokenAnswers.h
+++ b/Tests/Gateway/BrokenAnswers.h
@@ -21,9 +21,16 @@
 
 /// Answers whose status is not that of a final answer.
 const std::vector<BrokenAnswer> &answersWithImpossibleStatus();
-
+/// Answers with a head that is no list of fields.
+const std::vector<BrokenAnswer> &answersWithBadFields();
+/// Answers that end within their head.
+const std::vector<BrokenAnswer> &answersThatEndInHead();
+/// Answers whose body has no readable end.
+const std::vector<BrokenAnswer> &answersWithBadFraming();
 /// Answers in a transfer coding that the gateway did not ask for.
 const std::vector<BrokenAnswer> &answersInOtherCodings();
+/// All of the above.
+std::vector<BrokenAnswer> allBrokenAnswers();
 
 /// The bytes of a broken answer to a request.
 std::string bytesFor(const BrokenAnswer &answer, const SeenRequest &request);
