Write no length into answers that can have no body

What callers saw: a 204 of a server reached them with "Content-Length: 0", which HTTP forbids, and a 304 with that length, which is not that of the answer it stands for: a cache could take it for the new length.

Cause: each answer that is written whole got the length of the body that is held of it.

Evidence: "An answer without a body has no length that is not the server's" fails for both statuses on the code before.

Change: an answer whose status allows no body is written without a length.

--- a/Source/Connection/HttpMessage.cpp
+++ b/Source/Connection/HttpMessage.cpp
@@ -25,6 +25,15 @@
     }
 }
 
+/// Whether answers with the status can have a body. Others have no length either: it would be that
+/// of a body which is not there (RFC 9110, section 8.6).
+bool mayHaveBody(int status)
+{
+    constexpr int statusNoContent = 204;
+    constexpr int statusNotModified = 304;
+    return status != statusNoContent && status != statusNotModified;
+}
+
 std::string statusLine(int status)
 {
     return "HTTP/1.1 " + std::to_string(status) + " " + reasonOf(status) + "\r\n";
@@ -92,9 +101,12 @@
 {
     std::string text = statusLine(status);
     appendFields(text, fields);
-    text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    const bool hasBody = mayHaveBody(status);
+    if (hasBody)
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     text += keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
-    text += body;
+    if (hasBody)
+        text += body;
     return text;
 }
 
--- a/Source/Connection/HttpMessage.h
+++ b/Source/Connection/HttpMessage.h
@@ -66,7 +66,7 @@
 /// Returns the standard reason phrase of a status.
 const char *reasonOf(int status);
 
-/// Serialises a response with a Content-Length.
+/// Serialises a response. It has a Content-Length if its status allows a body.
 std::string responseText(int status, const HttpFields &fields, std::string_view body,
                          bool keepAlive);
 
--- a/Tests/Gateway/BrokenAnswerTest.cpp
+++ b/Tests/Gateway/BrokenAnswerTest.cpp
@@ -250,3 +250,26 @@
     }
     CHECK_FALSE(broken.seen().empty());
 }
+
+// Guards against a length that the status or the method of an answer forbids, and that is not the
+// server's.
+TEST_CASE("An answer without a body has no length that is not the server's")
+{
+    ScriptedServer server([](const SeenRequest &request, ScriptPeer &peer) {
+        const std::string status = request.target().substr(request.target().rfind('/') + 1);
+        const std::string length = status == "204" ? "" : "Content-Length: 42\r\n";
+        peer.send("HTTP/1.1 " + status + " X\r\n" + ownFields(request) + length + "\r\n");
+    });
+    GatewayUnderTest gateway;
+    gateway.startWithBackend("i-1", "plain", server);
+    const std::string method = GENERATE("GET", "POST");
+    for (const std::string status : {"204", "304"}) {
+        const std::string got =
+            rawAnswer(gateway, requestFor("/again/" + status, method + status, method));
+        CAPTURE(method, status, got);
+        CHECK(got.starts_with("HTTP/1.1 " + status));
+        CHECK(got.find("Content-Length: 0") == std::string::npos);
+        CHECK(got.find("Transfer-Encoding") == std::string::npos);
+        CHECK(got.ends_with("\r\n\r\n"));
+    }
+}
