Answer HEAD without the length of a body that is not there

What callers saw: each answer to HEAD had "Content-Length: 0" where the server had said 42; and an own answer with a text would have been followed by that text, which a caller reads as the next answer.

Cause: the answer was written as to any other method.

Evidence: "An answer without a body has no length that is not the server's" fails for HEAD with 200 and 404 on the code before.

Change: an answer to HEAD is written with neither length nor body.

--- a/Source/Connection/HttpMessage.cpp
+++ b/Source/Connection/HttpMessage.cpp
@@ -97,11 +97,11 @@
 }
 
 std::string responseText(int status, const HttpFields &fields, std::string_view body,
-                         bool keepAlive)
+                         bool keepAlive, bool isHeadRequest)
 {
     std::string text = statusLine(status);
     appendFields(text, fields);
-    const bool hasBody = mayHaveBody(status);
+    const bool hasBody = mayHaveBody(status) && !isHeadRequest;
     if (hasBody)
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     text += keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
--- a/Source/Connection/HttpMessage.h
+++ b/Source/Connection/HttpMessage.h
@@ -66,9 +66,11 @@
 /// Returns the standard reason phrase of a status.
 const char *reasonOf(int status);
 
-/// Serialises a response. It has a Content-Length if its status allows a body.
+/// Serialises a response. It has a Content-Length and the body if its status allows one.
+/// @param isHeadRequest Whether the request was a HEAD. Its response has neither, as the length
+/// would be that of the body which the same GET gets.
 std::string responseText(int status, const HttpFields &fields, std::string_view body,
-                         bool keepAlive);
+                         bool keepAlive, bool isHeadRequest = false);
 
 /// Serialises the head of a response with a chunked body.
 std::string chunkedHeadText(int status, const HttpFields &fields, bool keepAlive);
--- a/Source/Programs/Gateway/Session.cpp
+++ b/Source/Programs/Gateway/Session.cpp
@@ -68,6 +68,7 @@
 void Session::startRequest(HttpRequest raw)
 {
     keepAlive_ = raw.keepAlive;
+    isHeadRequest_ = raw.method == "HEAD";
     auto decoded = platform::decodeCallerRequest(std::move(raw));
     if (decoded.has_error()) {
         answerWithoutExchange(400, "", milliseconds(0), decoded.error().message.c_str());
@@ -181,7 +182,7 @@
     const bool keepAlive = keepsAlive();
     if (body.size() > shortAnswerBytes)
         connection_.allowPauses();
-    connection_.send(responseText(status, fields, body, keepAlive));
+    connection_.send(responseText(status, fields, body, keepAlive, isHeadRequest_));
     finishRequest(keepAlive);
 }
 
@@ -215,6 +216,7 @@
     // A function of the exchange may be running, so it is destroyed after that has returned.
     std::shared_ptr<Exchange> finished = std::move(exchange_);
     context_.loop.defer([finished] {});
+    isHeadRequest_ = false;
     if (keepAlive)
         connection_.finishAnswer(monotonicNow());
     else
--- a/Source/Programs/Gateway/Session.h
+++ b/Source/Programs/Gateway/Session.h
@@ -88,6 +88,8 @@
     std::unique_ptr<Exchange> exchange_;
     std::optional<EarlyRequest> early_;
     bool keepAlive_ = true;
+    /// Whether the request that is being answered is a HEAD.
+    bool isHeadRequest_ = false;
     bool closed_ = false;
     bool draining_ = false;
 };
--- a/Tests/Gateway/BrokenAnswerTest.cpp
+++ b/Tests/Gateway/BrokenAnswerTest.cpp
@@ -262,8 +262,10 @@
     });
     GatewayUnderTest gateway;
     gateway.startWithBackend("i-1", "plain", server);
-    const std::string method = GENERATE("GET", "POST");
-    for (const std::string status : {"204", "304"}) {
+    const std::string method = GENERATE("GET", "HEAD", "POST");
+    for (const std::string status : {"204", "304", "200", "404"}) {
+        if (method != "HEAD" && status != "204" && status != "304")
+            continue;
         const std::string got =
             rawAnswer(gateway, requestFor("/again/" + status, method + status, method));
         CAPTURE(method, status, got);
@@ -273,3 +275,12 @@
         CHECK(got.ends_with("\r\n\r\n"));
     }
 }
+
+// Guards against a body behind the head of an answer to HEAD, which would be read as the next
+// answer.
+TEST_CASE("An answer to HEAD has neither a length nor a body")
+{
+    CHECK(responseText(400, {{"A", "1"}}, "text", true, true)
+          == "HTTP/1.1 400 Bad Request\r\nA: 1\r\n\r\n");
+    CHECK(responseText(400, {}, "text", true).ends_with("Content-Length: 4\r\n\r\ntext"));
+}
