Read the heads of a backend server's answers at the agent by the same rules

What callers of the entry saw: 46 of 110 kinds of broken answers as answers, 42 of them as a whole 200: heads that break off after their first line (a 200 with an empty body), names with blanks and control bytes, 600 and 999, two lengths, a length beside chunks, other transfer codings. Health checks took the same for a sign that the server is up.

Cause: the agent reads with libcurl, which reports success for each of them.

Change: CurlAnswerHead passes the lines of a head to ResponseReader before any of it counts. A fault ends the call as malformed, with a line that names the rule, and closes the connection; a connection that ends within a head is a lost one. The run may have happened: its outcome is unknown to the key's memory and the caller. A health check without an answer means that the server is stalled.

--- a/Source/Connection/AnswerFault.cpp
+++ b/Source/Connection/AnswerFault.cpp
@@ -27,7 +27,7 @@
     case AnswerFault::Length:
         return "the length of the answer is not one number";
     case AnswerFault::TransferCoding:
-        return "the answer is in a transfer coding other than chunked";
+        return "the answer has a transfer coding other than chunked, or a length beside it";
     case AnswerFault::Chunk:
         return "a chunk of the answer can't be read";
     case AnswerFault::EndedEarly:
--- a/Source/Connection/BackendClient.cpp
+++ b/Source/Connection/BackendClient.cpp
@@ -6,6 +6,9 @@
 
 #include <curl/curl.h>
 
+#include "Connection/CurlAnswerHead.h"
+#include "Process/Logging.h"
+
 namespace wisteria {
 
 namespace {
@@ -31,6 +34,9 @@
         CallId id = 0;
         CURL *easy = nullptr;
         curl_slist *headers = nullptr;
+        CurlAnswerHead answerHead;
+        /// For log lines.
+        std::string name;
         std::string body;
         std::shared_ptr<BackendCallHandler> handler;
         bool started = false;
@@ -67,6 +73,7 @@
     {
         auto call = newCall(url_ + "/v1/services/" + request.service + "/requests",
                             request.deadline, std::move(handler));
+        call->name = "request " + request.requestId;
         addHeader(*call, "Content-Type: application/octet-stream");
         addHeader(*call, "Expect:");
         addHeader(*call, "Wisteria-Request-Id: " + request.requestId);
@@ -90,7 +97,9 @@
 
     CallId checkHealth(milliseconds timeout, std::shared_ptr<BackendCallHandler> handler)
     {
-        return launch(newCall(url_ + "/health", timeout, std::move(handler)));
+        auto call = newCall(url_ + "/health", timeout, std::move(handler));
+        call->name = "a health check";
+        return launch(std::move(call));
     }
 
     void cancel(CallId id)
@@ -143,6 +152,7 @@
         curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, &Private::onBytes);
         curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call.get());
         curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call.get());
+        call->answerHead.watch(call->easy);
         return call;
     }
 
@@ -252,6 +262,9 @@
         const BackendCallEnd result = classify(ended, code);
         if (result == BackendCallEnd::Complete)
             reportStart(ended);
+        if (result == BackendCallEnd::Malformed)
+            loggerFor("agent")->warn("The backend server gave no answer to {}: {}.", ended.name,
+                                     describe(*ended.answerHead.fault()));
         const auto handler = std::exchange(ended.handler, nullptr);
         remove(id);
         if (handler)
@@ -263,12 +276,14 @@
     /// and the call ends with "could not connect".
     static BackendCallEnd classify(const Call &call, CURLcode code)
     {
-        if (code == CURLE_OK)
+        if (code == CURLE_OK && call.answerHead.complete())
             return BackendCallEnd::Complete;
         long sentBytes = 0;
         curl_easy_getinfo(call.easy, CURLINFO_REQUEST_SIZE, &sentBytes);
         if (sentBytes == 0)
             return BackendCallEnd::NotConnected;
+        if (call.answerHead.fault())
+            return BackendCallEnd::Malformed;
         if (code == CURLE_OPERATION_TIMEDOUT)
             return BackendCallEnd::TimedOut;
         return BackendCallEnd::ConnectionLost;
--- a/Source/Connection/BackendClient.h
+++ b/Source/Connection/BackendClient.h
@@ -28,6 +28,7 @@
 enum class BackendCallEnd {
     Complete, ///< The complete answer was received.
     NotConnected, ///< No byte of the request was sent: it was not run.
+    Malformed, ///< What was received is no answer (AnswerFault): the request may have run.
     ConnectionLost, ///< The connection was lost after the request was sent: it may have run.
     TimedOut, ///< The deadline passed after the request was sent: it may have run.
 };
--- a/Source/Connection/HttpReader.cpp
+++ b/Source/Connection/HttpReader.cpp
@@ -233,6 +233,20 @@
     return private_->input_.capacity() + private_->body_.capacity();
 }
 
+bool isFieldLine(std::string_view line)
+{
+    bool isField = true;
+    ResponseReader reader({.head = [](const HttpResponseHead &) {},
+                           .body = [](std::string_view) {},
+                           .complete = [] {},
+                           .malformed = [&isField](AnswerFault) { isField = false; }},
+                          true);
+    reader.feed("HTTP/1.1 200 OK\r\n");
+    reader.feed(line);
+    reader.feed("\r\n");
+    return isField && reader.complete();
+}
+
 class ResponseReader::Private
 {
 public:
--- a/Source/Connection/HttpReader.h
+++ b/Source/Connection/HttpReader.h
@@ -55,6 +55,9 @@
     std::unique_ptr<Private> private_;
 };
 
+/// Whether a line of a head or of trailers, with its line end, is a field.
+bool isFieldLine(std::string_view line);
+
 /// Callbacks of a response reader. Each may destroy the reader.
 struct ResponseEvents
 {
--- a/Source/Process/AgentWorker.cpp
+++ b/Source/Process/AgentWorker.cpp
@@ -294,10 +294,24 @@
             found->second.cut = true;
             return health_.noteConnectionLost();
         }
-        endRun(stream,
-               end == BackendCallEnd::Complete           ? BackendEnd::Answered
-                   : end == BackendCallEnd::NotConnected ? BackendEnd::NotConnected
-                                                         : BackendEnd::TimedOut);
+        endRun(stream, backendEndOf(end));
+    }
+
+    /// How a run ended whose call did not lose its connection.
+    static BackendEnd backendEndOf(BackendCallEnd end)
+    {
+        switch (end) {
+        case BackendCallEnd::Complete:
+            return BackendEnd::Answered;
+        case BackendCallEnd::NotConnected:
+            return BackendEnd::NotConnected;
+        case BackendCallEnd::TimedOut:
+            return BackendEnd::TimedOut;
+        case BackendCallEnd::Malformed:
+        case BackendCallEnd::ConnectionLost:
+            break;
+        }
+        return BackendEnd::Cut;
     }
 
     void endRun(PeerStreamId stream, BackendEnd end)
@@ -376,7 +390,7 @@
         const bool died = condition == BackendCondition::Dead;
         const bool stalled = condition == BackendCondition::Stalled;
         if (stalled && !std::exchange(admission_.backendStalled, true))
-            logger_->warn("The backend server is stalled: it does not answer its health check.");
+            logger_->warn("The backend server is stalled: it gives no answer to its health check.");
         admission_.backendStalled = stalled;
         if (died && admission_.backendUp)
             logger_->warn("The backend server died with {} requests running.",
--- a/Source/Process/BackendHealth.cpp
+++ b/Source/Process/BackendHealth.cpp
@@ -15,6 +15,7 @@
     case BackendCallEnd::Complete:
         return BackendCondition::Up;
     case BackendCallEnd::TimedOut:
+    case BackendCallEnd::Malformed:
         return BackendCondition::Stalled;
     case BackendCallEnd::NotConnected:
     case BackendCallEnd::ConnectionLost:
--- a/Source/Process/BackendHealth.h
+++ b/Source/Process/BackendHealth.h
@@ -11,7 +11,7 @@
 /// Condition of the backend server according to a health check.
 enum class BackendCondition {
     Up, ///< It answered the check.
-    Stalled, ///< It accepted the check but didn't answer in time; its runs may still succeed.
+    Stalled, ///< It accepted the check but gave no answer in time; its runs may still succeed.
     Dead, ///< The connection was refused or lost.
 };
 
--- a/Tests/Gateway/BrokenAnswerTest.cpp
+++ b/Tests/Gateway/BrokenAnswerTest.cpp
@@ -26,19 +26,19 @@
 }
 
 /// A gateway before one server of both services, which sends the answer that is set.
-class BrokenServer
+class RawServer
 {
 public:
-    BrokenServer()
+    RawServer()
         : server_([this](const SeenRequest &request, ScriptPeer &peer) {
-              sendBroken(*answer_.load(), request, peer);
+              sendBytes(*answer_.load(), request, peer);
           })
     {
         gateway.addBackend("i-2", "model", server_);
         gateway.startWithBackend("i-1", "plain", server_);
     }
 
-    void setAnswer(const BrokenAnswer &answer) { answer_ = &answer; }
+    void setAnswer(const RawAnswer &answer) { answer_ = &answer; }
     std::size_t runs(const std::string &target) const { return server_.count(target); }
     bool connectionWasReused() const
     {
@@ -50,7 +50,7 @@
     GatewayUnderTest gateway;
 
 private:
-    std::atomic<const BrokenAnswer *> answer_ = nullptr;
+    std::atomic<const RawAnswer *> answer_ = nullptr;
     ScriptedServer server_;
 };
 
@@ -88,20 +88,20 @@
 
 /// Checks that the callers of each kind of route are told that the outcome is unknown, and that no
 /// connection is used again.
-void checkOutcomeUnknown(const std::vector<BrokenAnswer> &answers)
+void checkOutcomeUnknown(const std::vector<RawAnswer> &answers)
 {
-    BrokenServer broken;
+    RawServer server;
     int number = 0;
-    for (const BrokenAnswer &answer : answers) {
-        broken.setAnswer(answer);
+    for (const RawAnswer &answer : answers) {
+        server.setAnswer(answer);
         for (const std::string route : {"/once/", "/again/", "/stream/"}) {
             const std::string target = route + std::to_string(++number) + ".";
-            const std::string got = rawAnswer(broken.gateway, requestFor(target, target.substr(1)));
+            const std::string got = rawAnswer(server.gateway, requestFor(target, target.substr(1)));
             CAPTURE(answer.name, route, got);
             CHECK(got.starts_with("HTTP/1.1 502 Bad Gateway\r\n"));
             CHECK(got.find("data:") == std::string::npos);
-            CHECK(broken.runs(target) == 1);
-            CHECK_FALSE(broken.connectionWasReused());
+            CHECK(server.runs(target) == 1);
+            CHECK_FALSE(server.connectionWasReused());
         }
     }
 }
@@ -151,19 +151,19 @@
 // Guards against a body that is cut or too long and looks whole to its caller.
 TEST_CASE("An answer whose body has no readable end looks whole to no caller")
 {
-    BrokenServer broken;
+    RawServer server;
     int number = 0;
-    for (const BrokenAnswer &answer : answersWithBadFraming()) {
-        broken.setAnswer(answer);
+    for (const RawAnswer &answer : answersWithBadFraming()) {
+        server.setAnswer(answer);
         for (const std::string route : {"/once/", "/again/", "/stream/"}) {
             const std::string target = route + std::to_string(++number) + ".";
-            const std::string got = rawAnswer(broken.gateway, requestFor(target, target.substr(1)));
+            const std::string got = rawAnswer(server.gateway, requestFor(target, target.substr(1)));
             CAPTURE(answer.name, route, got);
             CHECK_FALSE(looksWhole(got));
             if (route != "/stream/")
                 CHECK(got.starts_with("HTTP/1.1 502 Bad Gateway\r\n"));
-            CHECK(broken.runs(target) == 1);
-            CHECK_FALSE(broken.connectionWasReused());
+            CHECK(server.runs(target) == 1);
+            CHECK_FALSE(server.connectionWasReused());
         }
     }
 }
@@ -172,7 +172,7 @@
 TEST_CASE("A broken answer is none in whatever parts it comes")
 {
     const SeenRequest request{.head = "GET /again/x HTTP/1.1\r\n", .body = ""};
-    for (const BrokenAnswer &answer : allBrokenAnswers()) {
+    for (const RawAnswer &answer : allBrokenAnswers()) {
         const std::string bytes = bytesFor(answer, request);
         for (const std::size_t part : {std::size_t{1}, std::size_t{3}, bytes.size() + 1}) {
             CAPTURE(answer.name, part);
@@ -181,6 +181,24 @@
     }
 }
 
+// Guards against a rule that refuses answers which break none.
+TEST_CASE("An unusual answer that breaks no rule reaches its caller whole")
+{
+    RawServer server;
+    int number = 0;
+    for (const RawAnswer &answer : soundAnswers()) {
+        server.setAnswer(answer);
+        for (const std::string route : {"/once/", "/again/", "/stream/"}) {
+            const std::string target = route + std::to_string(++number);
+            const CallResult got = server.gateway.call(requestFor(target, target.substr(1)));
+            CAPTURE(answer.name, route);
+            CHECK(got.status == 200);
+            CHECK(got.whole);
+            CHECK(got.body == soundBody);
+        }
+    }
+}
+
 // Guards against bytes of a transfer coding that reach the caller as the server's body.
 TEST_CASE("An answer in another transfer coding reaches no caller")
 {
--- a/Tests/Gateway/BrokenAnswers.cpp
+++ b/Tests/Gateway/BrokenAnswers.cpp
@@ -4,42 +4,45 @@
 
 namespace wisteria::gateway_tests {
 
+/// An event, so that it is also a whole stream.
+const std::string soundBody = "data: x\n\n";
+
 namespace {
 
 using namespace std::string_literals;
 
-/// The body of the answers: an event, so that it would also be a whole stream.
-const std::string event = "data: x\n\n";
+const std::string &event = soundBody;
+
 const std::string soundHead = "HTTP/1.1 200 OK\r\n@";
 const std::string wholeBody = "Content-Length: 9\r\n\r\n" + event;
 const std::string wholeChunks = "9\r\n" + event + "\r\n0\r\n\r\n";
 
-BrokenAnswer withStatus(const std::string &status)
+RawAnswer withStatus(const std::string &status)
 {
     return {"status " + status, "HTTP/1.1 " + status + " X\r\n@" + wholeBody};
 }
 
 /// An answer with one more line in its head.
-BrokenAnswer withLine(const std::string &name, const std::string &line)
+RawAnswer withLine(const std::string &name, const std::string &line)
 {
     return {name, soundHead + line + "\r\n" + wholeBody};
 }
 
-BrokenAnswer withBody(const std::string &name, const std::string &fieldsAndBody,
-                      AfterAnswer after = AfterAnswer::Keep)
+RawAnswer withBody(const std::string &name, const std::string &fieldsAndBody,
+                   AfterAnswer after = AfterAnswer::Keep)
 {
     return {name, soundHead + fieldsAndBody, after};
 }
 
 /// An answer in chunks with a Transfer-Encoding of this value.
-BrokenAnswer inCoding(const std::string &value)
+RawAnswer inCoding(const std::string &value)
 {
     return {"Transfer-Encoding: " + value,
             soundHead + "Transfer-Encoding: " + value + "\r\n\r\n" + wholeChunks,
             AfterAnswer::Close};
 }
 
-std::vector<BrokenAnswer> endingInHead()
+std::vector<RawAnswer> endingInHead()
 {
     const std::vector<std::pair<std::string, std::string>> places = {
         {"before the first byte", ""},
@@ -60,7 +63,7 @@
         {"before chunks", "HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n"},
         {"after an interim answer", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n@"},
     };
-    std::vector<BrokenAnswer> answers;
+    std::vector<RawAnswer> answers;
     for (const auto &[place, bytes] : places) {
         answers.push_back({"ends " + place, bytes, AfterAnswer::Close});
         answers.push_back({"is reset " + place, bytes, AfterAnswer::Reset});
@@ -71,9 +74,9 @@
 
 } // namespace
 
-const std::vector<BrokenAnswer> &answersWithImpossibleStatus()
+const std::vector<RawAnswer> &answersWithImpossibleStatus()
 {
-    static const std::vector<BrokenAnswer> answers = {
+    static const std::vector<RawAnswer> answers = {
         withStatus("000"),
         withStatus("001"),
         withStatus("099"),
@@ -101,9 +104,9 @@
     return answers;
 }
 
-const std::vector<BrokenAnswer> &answersWithBadFields()
+const std::vector<RawAnswer> &answersWithBadFields()
 {
-    static const std::vector<BrokenAnswer> answers = {
+    static const std::vector<RawAnswer> answers = {
         withLine("blank in a name", "X More: 1"),
         withLine("blank before the colon", "X-More : 1"),
         withLine("tab in a name", "X\tMore: 1"),
@@ -136,16 +139,16 @@
     return answers;
 }
 
-const std::vector<BrokenAnswer> &answersThatEndInHead()
+const std::vector<RawAnswer> &answersThatEndInHead()
 {
-    static const std::vector<BrokenAnswer> answers = endingInHead();
+    static const std::vector<RawAnswer> answers = endingInHead();
     return answers;
 }
 
-const std::vector<BrokenAnswer> &answersWithBadFraming()
+const std::vector<RawAnswer> &answersWithBadFraming()
 {
     const std::string chunked = "Transfer-Encoding: chunked\r\n";
-    static const std::vector<BrokenAnswer> answers = {
+    static const std::vector<RawAnswer> answers = {
         withBody("two lengths", "Content-Length: 9\r\nContent-Length: 10\r\n\r\n" + event + "!"),
         withBody("a list of lengths", "Content-Length: 9, 10\r\n\r\n" + event + "!"),
         withBody("a negative length", "Content-Length: -9\r\n\r\n" + event),
@@ -174,9 +177,9 @@
     return answers;
 }
 
-const std::vector<BrokenAnswer> &answersInOtherCodings()
+const std::vector<RawAnswer> &answersInOtherCodings()
 {
-    static const std::vector<BrokenAnswer> answers = {
+    static const std::vector<RawAnswer> answers = {
         inCoding("chunked, zap"),
         inCoding("zap"),
         inCoding(""),
@@ -195,9 +198,9 @@
     return answers;
 }
 
-std::vector<BrokenAnswer> allBrokenAnswers()
+std::vector<RawAnswer> allBrokenAnswers()
 {
-    std::vector<BrokenAnswer> all;
+    std::vector<RawAnswer> all;
     for (const auto &answers :
          {answersWithImpossibleStatus(), answersWithBadFields(), answersThatEndInHead(),
           answersWithBadFraming(), answersInOtherCodings()})
@@ -205,7 +208,34 @@
     return all;
 }
 
-std::string bytesFor(const BrokenAnswer &answer, const SeenRequest &request)
+const std::vector<RawAnswer> &soundAnswers()
+{
+    static const std::vector<RawAnswer> answers = {
+        {"with a length", soundHead + wholeBody},
+        {"in chunks", soundHead + "Transfer-Encoding: chunked\r\n\r\n" + wholeChunks},
+        {"in chunks, spelt differently",
+         soundHead + "transfer-encoding:CHUNKED \r\n\r\n" + wholeChunks},
+        {"in two chunks with extensions and a trailer",
+         soundHead
+             + "Transfer-Encoding: chunked\r\n\r\n4;a=b\r\ndata\r\n005\r\n: x\n\n\r\n0\r\nX-T: "
+               "1\r\n\r\n"},
+        {"that ends with its connection", soundHead + "\r\n" + event, AfterAnswer::Close},
+        {"in HTTP/1.0", "HTTP/1.0 200 OK\r\n@" + wholeBody},
+        {"without a reason", "HTTP/1.1 200 \r\n@" + wholeBody},
+        {"with empty, long and Latin-1 values",
+         soundHead + "X-A:\r\nX-B: \r\nX-C: " + std::string(4000, 'c') + "\r\nX-D: \xe9\t\xff\r\n"
+             + wholeBody},
+        {"with all characters of names", soundHead + "!#$%&'*+-.^_`|~09az: 1\r\n" + wholeBody},
+        {"with the same length twice",
+         soundHead + "Content-Length: 9\r\nContent-Length: 9\r\n\r\n" + event},
+        {"after interim answers",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n" + soundHead
+             + wholeBody},
+    };
+    return answers;
+}
+
+std::string bytesFor(const RawAnswer &answer, const SeenRequest &request)
 {
     const std::string type =
         request.target().starts_with("/stream/") ? "Content-Type: text/event-stream\r\n" : "";
@@ -216,7 +246,7 @@
     return bytes;
 }
 
-void sendBroken(const BrokenAnswer &answer, const SeenRequest &request, ScriptPeer &peer)
+void sendBytes(const RawAnswer &answer, const SeenRequest &request, ScriptPeer &peer)
 {
     const std::string bytes = bytesFor(answer, request);
     if (!bytes.empty())
--- a/Tests/Gateway/BrokenAnswers.h
+++ b/Tests/Gateway/BrokenAnswers.h
@@ -7,11 +7,11 @@
 
 namespace wisteria::gateway_tests {
 
-/// What a server in trouble does to the connection after its broken answer.
+/// What a server does to the connection after its answer.
 enum class AfterAnswer { Keep, Close, Reset };
 
-/// An answer that breaks a rule of HTTP, or breaks off.
-struct BrokenAnswer
+/// The bytes of an answer.
+struct RawAnswer
 {
     std::string name;
     /// The bytes of the answer. "@" stands for the fields of a server's own answer to the request.
@@ -20,22 +20,27 @@
 };
 
 /// Answers whose status is not that of a final answer.
-const std::vector<BrokenAnswer> &answersWithImpossibleStatus();
+const std::vector<RawAnswer> &answersWithImpossibleStatus();
 /// Answers with a head that is no list of fields.
-const std::vector<BrokenAnswer> &answersWithBadFields();
+const std::vector<RawAnswer> &answersWithBadFields();
 /// Answers that end within their head.
-const std::vector<BrokenAnswer> &answersThatEndInHead();
+const std::vector<RawAnswer> &answersThatEndInHead();
 /// Answers whose body has no readable end.
-const std::vector<BrokenAnswer> &answersWithBadFraming();
+const std::vector<RawAnswer> &answersWithBadFraming();
 /// Answers in a transfer coding that the gateway did not ask for.
-const std::vector<BrokenAnswer> &answersInOtherCodings();
+const std::vector<RawAnswer> &answersInOtherCodings();
 /// All of the above.
-std::vector<BrokenAnswer> allBrokenAnswers();
+std::vector<RawAnswer> allBrokenAnswers();
 
-/// The bytes of a broken answer to a request.
-std::string bytesFor(const BrokenAnswer &answer, const SeenRequest &request);
+/// Unusual answers with status 200 that break no rule.
+const std::vector<RawAnswer> &soundAnswers();
+/// The body of each sound answer.
+extern const std::string soundBody;
 
-/// Sends a broken answer.
-void sendBroken(const BrokenAnswer &answer, const SeenRequest &request, ScriptPeer &peer);
+/// The bytes of an answer to a request.
+std::string bytesFor(const RawAnswer &answer, const SeenRequest &request);
+
+/// Sends an answer.
+void sendBytes(const RawAnswer &answer, const SeenRequest &request, ScriptPeer &peer);
 
 } // namespace wisteria::gateway_tests
--- a/Tests/Process/BackendHealthTest.cpp
+++ b/Tests/Process/BackendHealthTest.cpp
@@ -24,9 +24,11 @@
     CHECK(finishCheck(state, BackendCallEnd::Complete) == BackendCondition::Up);
 }
 
-TEST_CASE("A check that times out means stalled, a lost connection means dead")
+TEST_CASE("A check that times out or gets no answer means stalled, a lost connection means dead")
 {
     HealthCheckState state{.inProgress = true};
+    CHECK(finishCheck(state, BackendCallEnd::Malformed) == BackendCondition::Stalled);
+    state.inProgress = true;
     CHECK(finishCheck(state, BackendCallEnd::TimedOut) == BackendCondition::Stalled);
     state.inProgress = true;
     CHECK(finishCheck(state, BackendCallEnd::ConnectionLost) == BackendCondition::Dead);
--- a/Tests/Sessions/TestSystem.cpp
+++ b/Tests/Sessions/TestSystem.cpp
@@ -65,10 +65,8 @@
         path("vms"));
     agents_.resize(options.backendServers);
     for (std::size_t i = 0; i < options.backendServers; ++i) {
-        backends_.push_back(std::make_unique<ChildProcess>(
-            "standin-backend", std::vector<std::string>{"--name", backendName(i)},
-            path("backend")));
-        backendAddresses_.push_back(backends_.back()->address("address"));
+        backendAddresses_.push_back(options.backendAddress.empty() ? startBackend(i)
+                                                                   : options.backendAddress);
         startAgent(i, "127.0.0.1:0");
         agentAddresses_.push_back(agents_[i]->address("peer"));
         if (options.useProxies)
@@ -98,6 +96,13 @@
     return file;
 }
 
+std::string TestSystem::startBackend(std::size_t i)
+{
+    backends_.push_back(std::make_unique<ChildProcess>(
+        "standin-backend", std::vector<std::string>{"--name", backendName(i)}, path("backend")));
+    return backends_.back()->address("address");
+}
+
 void TestSystem::startAgent(std::size_t i, const std::string &listen)
 {
     const std::string name = backendName(i);
--- a/Tests/Sessions/TestSystem.h
+++ b/Tests/Sessions/TestSystem.h
@@ -24,6 +24,9 @@
     std::uint32_t maxAttempts = 3;
     /// Whether entries reach agents through fault proxies, which can stall and cut connections.
     bool useProxies = false;
+    /// "IP:PORT" of a server that all agents have as their backend server, in place of the
+    /// stand-ins.
+    std::string backendAddress = {};
     /// Delay before a change shows in the platform's list of VMs.
     milliseconds vmLag = milliseconds(0);
 };
@@ -107,6 +110,8 @@
 private:
     std::string path(const std::string &name) const;
     std::string writeSettings(const std::string &name, const nlohmann::json &settings) const;
+    /// @return Its address.
+    std::string startBackend(std::size_t i);
     void startAgent(std::size_t i, const std::string &listen);
     std::uint64_t applyInitialConfig();
 
