Read the heads of the platform's answers by the same rules

What was seen: the log client and the list of VMs believed the status of 46 of 110 kinds of broken answers, so that a head that broke off after "503" said that nothing was written.

Cause: they read with libcurl, as the agent did.

Change: PlatformHttp reads heads through CurlAnswerHead; a broken answer has no status, its error names the rule, and whether the call was executed is unknown.

--- a/Source/Connection/PlatformHttp.cpp
+++ b/Source/Connection/PlatformHttp.cpp
@@ -6,6 +6,8 @@
 
 #include <curl/curl.h>
 
+#include "Connection/CurlAnswerHead.h"
+
 namespace wisteria {
 
 namespace {
@@ -58,6 +60,7 @@
         curl_easy_setopt(handle_, CURLOPT_NOPROGRESS, 0L);
         curl_easy_setopt(handle_, CURLOPT_XFERINFOFUNCTION, &Private::onProgress);
         curl_easy_setopt(handle_, CURLOPT_XFERINFODATA, this);
+        answerHead_.watch(handle_);
     }
 
     PlatformAnswer perform()
@@ -67,10 +70,14 @@
         const CURLcode code = curl_easy_perform(handle_);
         long requestBytes = 0;
         curl_easy_getinfo(handle_, CURLINFO_REQUEST_SIZE, &requestBytes);
-        if (code == CURLE_OK)
-            curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &answer.status);
-        else
+        if (answerHead_.fault())
+            answer.error = describe(*answerHead_.fault());
+        else if (code != CURLE_OK)
             answer.error = curl_easy_strerror(code);
+        else if (!answerHead_.complete())
+            answer.error = describe(AnswerFault::EndedEarly);
+        else
+            curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &answer.status);
         transferred_ += transferredNow(requestBytes) + answer.body.size();
         answer.timedOut = code == CURLE_OPERATION_TIMEDOUT;
         answer.neverSent = code != CURLE_OK && requestBytes == 0;
@@ -101,6 +108,7 @@
     }
 
     CURL *handle_ = nullptr;
+    CurlAnswerHead answerHead_;
 };
 
 PlatformHttp::PlatformHttp(std::string url)
--- a/Tests/Connection/BrokenAnswerTest.cpp
+++ b/Tests/Connection/BrokenAnswerTest.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "Connection/BackendClient.h"
+#include "Connection/PlatformHttp.h"
 #include "Gateway/BrokenAnswers.h"
 
 using namespace wisteria;
@@ -65,8 +66,24 @@
     }
 }
 
+// Guards against a status of the platform that is believed although its answer is broken.
+TEST_CASE("A call of the platform takes no broken answer for an answer")
+{
+    for (const RawAnswer &answer : allBrokenAnswers()) {
+        CAPTURE(answer.name);
+        const ScriptedServer server = serverOf(answer);
+        PlatformHttp http("http://" + toText(server.endpoint()));
+        for (const PlatformAnswer &got :
+             {http.get("/x", milliseconds(1000)), http.post("/x", "data", milliseconds(1000))}) {
+            CHECK(got.status == 0);
+            CHECK_FALSE(got.error.empty());
+            CHECK_FALSE(got.neverSent);
+        }
+    }
+}
+
 // Guards against a rule that refuses answers which break none.
-TEST_CASE("An agent gets unusual answers that break no rule")
+TEST_CASE("Agents and calls of the platform get unusual answers that break no rule")
 {
     for (const RawAnswer &answer : soundAnswers()) {
         CAPTURE(answer.name);
@@ -80,5 +97,8 @@
         CHECK(run->end == BackendCallEnd::Complete);
         CHECK(run->status == 200U);
         CHECK(run->body == soundBody);
+        const PlatformAnswer got = PlatformHttp(url).get("/x", milliseconds(1000));
+        CHECK(got.status == 200);
+        CHECK(got.body == soundBody);
     }
 }
