Count no broken answer as an answer in the load tool

Cause: it reads with libcurl, as the agent did.

Change: heads are read by CurlAnswerHead here too; such an answer counts as cut.

--- a/Source/Programs/Bench/LoadWorker.cpp
+++ b/Source/Programs/Bench/LoadWorker.cpp
@@ -11,6 +11,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include "Connection/CurlAnswerHead.h"
 #include "Programs/Bench/LoadKey.h"
 
 namespace wisteria {
@@ -29,6 +30,7 @@
     std::string mark;
     std::string body;
     std::string answer;
+    CurlAnswerHead answerHead;
 };
 
 std::size_t collectAnswer(char *data, std::size_t size, std::size_t count, void *connection)
@@ -170,6 +172,7 @@
         connection.mark = plan_.markPrefix + std::to_string(started_) + ".";
         connection.body = withMark(plan_.body, connection.mark);
         connection.answer.clear();
+        connection.answerHead.watch(connection.handle);
         if (plan_.keyed)
             setHeaders(connection, makeIdempotencyKey(wallNow(), random_(), random_()));
         const std::string &url = plan_.urls[started_ % plan_.urls.size()];
@@ -234,7 +237,8 @@
         curl_easy_getinfo(connection.handle, CURLINFO_RESPONSE_CODE, &status);
         const std::string name = code == CURLE_OPERATION_TIMEDOUT
             ? "timeout"
-            : outcomeName(status, code == CURLE_OK, connection.answer);
+            : outcomeName(status, code == CURLE_OK && connection.answerHead.complete(),
+                          connection.answer);
         ++tally_.outcomes[name];
         if (name != "answer")
             return;
