Refuse a peer's answer whose status is not 200

What was seen: entries, agents and admins took the messages of a peer's answer with status 000, 099, 600, 999 or 500 as if it had been 200.

Cause: PeerClient did not read the status; nghttp2 refuses only one that is not three digits.

Evidence: "A peer's answer that breaks a rule is none" and "Nothing of a peer's answer counts before its head is sound" (raw HTTP/2 frames over loopback, 27 kinds) fail for those five on the code before. The other 22, names and values with blanks and control bytes, heads and bodies that break off and lengths that contradict, were refused already and stay as tests.

Change: the status is asked of the same rules; the stream is reset and a line names the rule. The connection stays, as HTTP/2 tells where the next answer begins: only the stream of the broken one ends.

--- a/Source/Connection/PeerClient.cpp
+++ b/Source/Connection/PeerClient.cpp
@@ -1,6 +1,8 @@
 #include "Connection/PeerClient.h"
 
 #include <cerrno>
+#include <charconv>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -13,9 +15,11 @@
 #include <nghttp2/nghttp2.h>
 #include <sys/socket.h>
 
+#include "Connection/AnswerFault.h"
 #include "Connection/FrameCodec.h"
 #include "Connection/Http2Headers.h"
 #include "Connection/Http2Link.h"
+#include "Process/Logging.h"
 
 namespace wisteria {
 
@@ -24,6 +28,8 @@
 /// Flow control window of the whole connection. It is large, so that only the windows of streams
 /// limit a peer.
 constexpr std::int32_t connectionWindowBytes = 16 * 1024 * 1024;
+/// Status of each answer of a peer, which says all else in its messages.
+constexpr int statusOfPeers = 200;
 
 struct Stream
 {
@@ -34,6 +40,7 @@
     bool headersSent = false;
     bool refusedUnprocessed = false;
     bool malformed = false;
+    std::size_t interimAnswers = 0;
     bool endReceived = false;
     bool paused = false;
     /// Number of bytes received while paused, for which no window update was sent.
@@ -152,6 +159,7 @@
     {
         nghttp2_session_callbacks *callbacks = nullptr;
         nghttp2_session_callbacks_new(&callbacks);
+        nghttp2_session_callbacks_set_on_header_callback(callbacks, &Private::onHeader);
         nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, &Private::onData);
         nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, &Private::onFrame);
         nghttp2_session_callbacks_set_on_frame_send_callback(callbacks, &Private::onFrameSent);
@@ -266,6 +274,38 @@
         return static_cast<ssize_t>(copied);
     }
 
+    /// Checks the status. nghttp2 itself only refuses one that is not three digits, and a head
+    /// whose fields break a rule.
+    static int onHeader(nghttp2_session *, const nghttp2_frame *frame, const std::uint8_t *name,
+                        std::size_t nameLength, const std::uint8_t *value, std::size_t valueLength,
+                        std::uint8_t, void *self)
+    {
+        const std::string_view key(reinterpret_cast<const char *>(name), nameLength);
+        if (key != ":status")
+            return 0;
+        const std::string_view text(reinterpret_cast<const char *>(value), valueLength);
+        int status = 0;
+        std::from_chars(text.data(), text.data() + text.size(), status);
+        static_cast<Private *>(self)->checkStatus(frame->hd.stream_id, status);
+        return 0;
+    }
+
+    void checkStatus(StreamId id, int status)
+    {
+        Stream *stream = find(id);
+        if (!stream || stream->malformed)
+            return;
+        const std::optional<AnswerFault> fault = isInterimStatus(status)
+            ? faultOfInterim(status, ++stream->interimAnswers)
+            : faultOfFinalStatus(status);
+        if (!fault && (isInterimStatus(status) || status == statusOfPeers))
+            return;
+        loggerFor("peer")->warn("{}: no answer with status {}; {}.", address_, status,
+                                fault ? describe(*fault) : "peers answer with 200");
+        stream->malformed = true;
+        nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id, NGHTTP2_PROTOCOL_ERROR);
+    }
+
     static int onData(nghttp2_session *session, std::uint8_t, std::int32_t id,
                       const std::uint8_t *data, std::size_t length, void *self)
     {
