Link programs so that they start whatever the size of their code

What was seen: wisteria-agent, a few bytes larger, did not start: "cannot apply additional memory protection after relocation: Cannot allocate memory". Each program can be hit by any change.

Cause: the linker (mold 1.10.1) puts .tbss, aligned to 1, right behind the code and lets the segment that becomes read-only begin with it. If the code ends within eight bytes of a page end, as here at 0x1caffe, that segment begins on a page that is not mapped.

The agent starts.

--- a/Utilities/CMake/WisteriaTargets.cmake
+++ b/Utilities/CMake/WisteriaTargets.cmake
@@ -14,7 +14,11 @@
 endif()
 find_program(MOLD_PROGRAM mold)
 if(MOLD_PROGRAM)
-  target_link_options(WisteriaOptions INTERFACE -fuse-ld=mold)
+  target_link_options(WisteriaOptions INTERFACE
+    -fuse-ld=mold
+    # Without it, a program whose code ends within eight bytes of a page end does not start: the page
+    # before the segment that becomes read-only is not mapped.
+    -Wl,-z,separate-loadable-segments)
 endif()
 
 # Declares a library of the project: wisteria_library(NAME sources...).
