Take no status from an agent that no backend server can have given

For a status below 100 the caller's connection closes without an answer.

Cause: the entry trusted the verdict.

Change: such a verdict is handled like one of an unknown kind: the request may have run, and is sent again only if it is idempotent. A line names the agent's server, the status and the rule.

--- a/Source/Request/CallerSession.cpp
+++ b/Source/Request/CallerSession.cpp
@@ -4,9 +4,11 @@
 #include <string_view>
 #include <utility>
 
+#include "Connection/AnswerFault.h"
 #include "Connection/CallerProtocol.h"
 #include "Connection/FrameCodec.h"
 #include "Peer.pb.h"
+#include "Process/Logging.h"
 
 namespace wisteria {
 
@@ -166,6 +168,9 @@
     // attempt that was given up, is dropped here, at the first hop that can detect it.
     if (!belongsTo(context_.state, state_, frame))
         return;
+    if (frame.has_verdict() && isMalformed(frame.verdict()))
+        loggerFor("entry")->warn("{} passed on an answer with status {}: {}.", state_.backendServer,
+                                 frame.verdict().http_status(), describe(AnswerFault::Status));
     perform(applyFrame(context_.state, context_.shared, state_, frame, monotonicNow()));
     if (ended_ || !answering_)
         return;
--- a/Source/Request/EntryRequest.cpp
+++ b/Source/Request/EntryRequest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Connection/AnswerFault.h"
 #include "Request/KeyHashing.h"
 #include "Request/RoutingView.h"
 
@@ -295,6 +296,8 @@
 {
     switch (verdict.kind()) {
     case v1::VERDICT_KIND_ACCEPTED:
+        if (isMalformed(verdict))
+            break;
         request.answering = true;
         return StartAnswer{verdict.http_status(), verdict.content_type()};
     case v1::VERDICT_KIND_NOT_RUN:
@@ -305,7 +308,8 @@
     default:
         break;
     }
-    // Verdict kinds of newer releases are handled like an unknown outcome, which promises least.
+    // Verdict kinds of newer releases and malformed ones are handled like an unknown outcome, which
+    // promises least.
     const bool died = verdict.reason() == v1::REASON_BACKEND_DIED;
     endAttempt(state, request, died, now);
     if (died)
@@ -382,6 +386,12 @@
     return sendNext(state, shared, request, now);
 }
 
+bool isMalformed(const v1::Verdict &verdict)
+{
+    return verdict.kind() == v1::VERDICT_KIND_ACCEPTED
+        && faultOfFinalStatus(static_cast<int>(verdict.http_status())).has_value();
+}
+
 bool belongsTo(const EntryState &state, const RequestState &request, const v1::AgentFrame &frame)
 {
     if (!request.outstanding)
--- a/Source/Request/EntryRequest.h
+++ b/Source/Request/EntryRequest.h
@@ -62,6 +62,9 @@
 EntryAction startRequest(EntryState &state, EntryShared &shared, RequestState &request,
                          const CallerRequest &caller, TimePoint now);
 
+/// Whether an agent's verdict passes on an answer that no backend server can have given.
+bool isMalformed(const v1::Verdict &verdict);
+
 /// Whether the frame belongs to the request's outstanding attempt. Other frames must be dropped.
 bool belongsTo(const EntryState &state, const RequestState &request, const v1::AgentFrame &frame);
 
--- a/Tests/Request/LimitsAndEndsTest.cpp
+++ b/Tests/Request/LimitsAndEndsTest.cpp
@@ -24,12 +24,28 @@
     }
 
     EntryAction refuse(RequestState &request, v1::Reason reason)
+    {
+        v1::Verdict verdict;
+        verdict.set_kind(v1::VERDICT_KIND_NOT_RUN);
+        verdict.set_reason(reason);
+        return apply(request, verdict);
+    }
+
+    EntryAction accept(RequestState &request, std::uint32_t status)
+    {
+        v1::Verdict verdict;
+        verdict.set_kind(v1::VERDICT_KIND_ACCEPTED);
+        verdict.set_http_status(status);
+        return apply(request, verdict);
+    }
+
+private:
+    EntryAction apply(RequestState &request, const v1::Verdict &verdict)
     {
         v1::AgentFrame frame;
         frame.set_request_id(request.request.id);
         frame.set_attempt(request.attempt);
-        frame.mutable_verdict()->set_kind(v1::VERDICT_KIND_NOT_RUN);
-        frame.mutable_verdict()->set_reason(reason);
+        *frame.mutable_verdict() = verdict;
         return applyFrame(state, shared, request, frame, world.now);
     }
 };
@@ -79,6 +95,25 @@
     CHECK(attempts == 100 + static_cast<int>(maxRetryBudget));
 }
 
+// Guards against an answer that no backend server can have given, which an agent passes on.
+TEST_CASE("An agent's verdict whose status is none of HTTP's means that the outcome is unknown")
+{
+    for (const std::uint32_t status : {0U, 99U, 101U, 199U, 600U, 4294967295U}) {
+        CAPTURE(status);
+        OneEntry entry;
+        RequestState request;
+        EntryAction action = entry.start(request);
+        while (std::holds_alternative<SendAttempt>(action))
+            action = entry.accept(request, status);
+        REQUIRE(std::holds_alternative<Refusal>(action));
+        CHECK(std::get<Refusal>(action).end == EndKind::OutcomeUnknown);
+    }
+    OneEntry entry;
+    RequestState request;
+    entry.start(request);
+    CHECK(std::get<StartAnswer>(entry.accept(request, 404)).httpStatus == 404);
+}
+
 TEST_CASE("An attempt carries the remaining time, and a request that can't meet its deadline is "
           "refused at once")
 {
