--- a/Tests/Gateway/BrokenAnswerTest.cpp
+++ b/Tests/Gateway/BrokenAnswerTest.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <atomic>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -302,3 +303,87 @@
           == "HTTP/1.1 400 Bad Request\r\nA: 1\r\n\r\n");
     CHECK(responseText(400, {}, "text", true).ends_with("Content-Length: 4\r\n\r\ntext"));
 }
+
+// Guards against a server in trouble that goes on getting requests, each of which costs its caller.
+TEST_CASE("A server that sends broken answers costs few callers, on kept connections too")
+{
+    const RawAnswer &answer = answersWithImpossibleStatus().front();
+    ScriptedServer broken([&answer](const SeenRequest &request, ScriptPeer &peer) {
+        sendBytes(answer, request, peer);
+    });
+    const ScriptedServer::Script soundly = [](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 200, request.header("Wisteriawind-Attempt-Id")));
+    };
+    ScriptedServer second(soundly);
+    ScriptedServer third(soundly);
+    GatewayUnderTest gateway;
+    for (const auto &[id, server] :
+         {std::pair{"i-1", &broken}, std::pair{"i-2", &second}, std::pair{"i-3", &third}})
+        gateway.store.put("keyed.servers", id, listEntryOf("plain", server->endpoint(), 100));
+    gateway.configure();
+    gateway.waitUntilReady();
+    constexpr int callers = 100;
+    constexpr int rounds = 10;
+    std::vector<std::unique_ptr<CallerSocket>> sockets;
+    for (int i = 0; i < callers; ++i)
+        sockets.push_back(std::make_unique<CallerSocket>(gateway.callers()));
+    const std::string route = GENERATE("/once/x", "/again/x");
+    CAPTURE(route);
+    int unanswered = 0;
+    int others = 0;
+    for (int round = 0; round < rounds; ++round) {
+        for (int i = 0; i < callers; ++i)
+            sockets[i]->send(requestFor(route, std::to_string(round) + "-" + std::to_string(i)));
+        for (int i = 0; i < callers; ++i) {
+            const CallResult got = sockets[i]->readAnswer();
+            unanswered += got.status == 502 ? 1 : 0;
+            const bool own =
+                got.status == 200 && got.body == std::to_string(round) + "-" + std::to_string(i);
+            others += own || got.status == 502 ? 0 : 1;
+        }
+    }
+    CHECK(others == 0);
+    // Those that were in flight before anything was known of it.
+    CHECK(unanswered <= callers);
+    CHECK_FALSE(broken.seen().empty());
+}
+
+// Guards against a stream that goes on, or ends as whole, with a broken answer to its second run.
+TEST_CASE("A stream whose second run is answered brokenly ends as cut off")
+{
+    const std::vector<RawAnswer> all = allBrokenAnswers();
+    // Some of each kind, as it takes a while to tell each first run's end from a crash.
+    constexpr std::size_t step = 6;
+    std::atomic<const RawAnswer *> answer = nullptr;
+    const ScriptedServer::Script script = [&answer](const SeenRequest &request, ScriptPeer &peer) {
+        if (!request.header("Last-Event-Id").empty()) {
+            sendBytes(*answer.load(), request, peer);
+            return;
+        }
+        peer.send(streamHead(request) + chunk(eventText(1)) + chunk(eventText(2)));
+        if (request.target() == "/stream/whole")
+            peer.send("0\r\n\r\n");
+        else
+            peer.close();
+    };
+    ScriptedServer first(script);
+    ScriptedServer second(script);
+    GatewayUnderTest gateway;
+    gateway.addBackend("i-2", "model", second);
+    gateway.startWithBackend("i-1", "model", first);
+    for (std::size_t at = 0; at < all.size(); at += step) {
+        const RawAnswer &broken = all[at];
+        answer = &broken;
+        const std::string id = "s" + std::to_string(at) + ".";
+        // Each of these earns a tenth of a retry.
+        constexpr int requestsPerRetry = 10;
+        for (int i = 0; i < requestsPerRetry; ++i)
+            REQUIRE(gateway.call(requestFor("/stream/whole", id + std::to_string(i))).whole);
+        const std::string got = rawAnswer(gateway, requestFor("/stream/" + id, id));
+        CAPTURE(broken.name, got);
+        CHECK_FALSE(looksWhole(got));
+        CHECK(got.starts_with("HTTP/1.1 200 OK\r\n"));
+        CHECK(got.find("data: piece1") != std::string::npos);
+        CHECK(first.count("/stream/" + id) + second.count("/stream/" + id) == 2);
+    }
+}
