--- a/Tests/Gateway/SidecarInputTest.cpp
+++ b/Tests/Gateway/SidecarInputTest.cpp
@@ -10,9 +10,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "Gateway/DatagramPeer.h"
-#include "Gateway/GatewayUnderTest.h"
-#include "Gateway/LoggedGateway.h"
+#include "Gateway/LeadingSidecar.h"
 #include "Gateway/ScriptedAnswers.h"
 #include "platform/RankCodec.h"
 #include "platform/RequestCodec.h"
@@ -22,152 +20,6 @@
 
 namespace {
 
-constexpr std::size_t megabyte = 1024 * 1024;
-/// Memory of a sidecar's VM.
-constexpr std::size_t sidecarMemory = 128 * megabyte;
-/// Address of the first sidecar's VM, and of the VM beside it.
-constexpr std::uint32_t firstSidecarIp = 0x7F000102;
-constexpr std::uint32_t firstPeerIp = 0x7F000202;
-
-/// What an engine answers to each read. The usual values are those of rank 0 in a group of two.
-struct EngineAnswers
-{
-    std::string report = R"({"step":9,"map":0,"prepared":0,"size":2,)"
-                         R"("group":{"name":"g","epoch":1,"rank":0,"state":"open"}})";
-    std::string counts = R"({"step":9,"epoch":1,"expert_counts":[1,2,3,4]})";
-    std::string experts = R"({"map":{"version":0,"experts":[[0,2]]}})";
-};
-
-/// A report in which one field has another value, as JSON.
-std::string reportWith(const std::string &field, const std::string &value)
-{
-    nlohmann::json report = nlohmann::json::parse(EngineAnswers{}.report);
-    nlohmann::json &object = report["group"].contains(field) ? report["group"] : report;
-    object[field] = "@";
-    std::string text = report.dump();
-    return text.replace(text.find("\"@\""), 3, value);
-}
-
-constexpr ExpertProfile usualProfile{
-    .sets = 1, .expertsPerSet = 4, .expertsPerRank = 2, .copiesPerMap = 2};
-
-CountsReply usualCounts()
-{
-    return {.group = "g", .epoch = 1, .ranks = 2, .passes = 1, .counts = {9000, 10, 9000, 10}};
-}
-
-RankStatus usualStatusOf(std::uint32_t ip)
-{
-    return {.engine = {ip, 1},
-            .readAtMilliseconds = 1,
-            .report = {.group = "g", .epoch = 1, .rank = 1, .groupSize = 2, .groupOpen = true},
-            .experts = {{1, 3}}};
-}
-
-/// A sidecar process that leads a group of two. The test acts as the VM beside the other rank.
-class LeadingSidecar
-{
-public:
-    explicit LeadingSidecar(std::uint32_t number)
-        : peerIp_(firstPeerIp + number), address_{firstSidecarIp + number, freePort()},
-          engine_([this](const SeenRequest &request, ScriptPeer &peer) { answer(request, peer); },
-                  address_.ip),
-          sidecar_("wisteria-sidecar",
-                   writeSettings("side-1",
-                                 {.store = {INADDR_LOOPBACK, 1},
-                                  .callers = {address_.ip, 1},
-                                  .engine = engine_.endpoint(),
-                                  .messages = address_.port})),
-          peer_(peerIp_, address_)
-    { }
-
-    /// Sets what the engine answers, and what the other rank's sidecar sends.
-    void setOdd(const EngineAnswers &answers)
-    {
-        answers_ = std::make_shared<EngineAnswers>(answers);
-    }
-    void setOddStatus(RankStatus status)
-    {
-        status.engine.ip = peerIp_;
-        oddStatus_ = std::move(status);
-    }
-
-    void setOdd(const ExpertProfile &profile) { oddProfile_ = profile; }
-    void setOdd(const CountsReply &counts) { oddCounts_ = counts; }
-    /// Sets messages that are sent beside the usual ones.
-    void setOdd(std::vector<GroupMessage> messages) { oddMessages_ = std::move(messages); }
-
-    /// Sets an answer of the engine to all reads, which may have no end.
-    void setUnending(std::function<void(ScriptPeer &)> send)
-    {
-        unending_ = std::make_shared<std::function<void(ScriptPeer &)>>(std::move(send));
-    }
-
-    void endOdd()
-    {
-        answers_ = std::make_shared<EngineAnswers>();
-        oddStatus_.reset();
-        oddProfile_.reset();
-        oddCounts_.reset();
-        oddMessages_.clear();
-        unending_.store(nullptr);
-    }
-
-    /// Sends what a gateway and the other rank's sidecar send all the time.
-    void sendUsual() const
-    {
-        peer_.send(EngineList{.profile = oddProfile_.value_or(usualProfile),
-                              .engines = {engine_.endpoint(), {peerIp_, 1}}});
-        peer_.send(oddStatus_.value_or(usualStatusOf(peerIp_)));
-        // Rank 0 has both experts that are chosen, so another map is needed.
-        peer_.send(oddCounts_.value_or(usualCounts()));
-        for (const GroupMessage &message : oddMessages_)
-            peer_.send(message);
-    }
-
-    bool running() { return sidecar_.running(); }
-    std::size_t peakMemory() const { return sidecar_.peakMemory(); }
-    /// Number of orders to the engine.
-    std::size_t orders() const { return engine_.count("/order"); }
-
-private:
-    void answer(const SeenRequest &request, ScriptPeer &peer)
-    {
-        if (const auto send = unending_.load()) {
-            (*send)(peer);
-            return;
-        }
-        const auto answers = answers_.load();
-        if (request.target() == "/report")
-            peer.send(plainResponse(200, "", answers->report));
-        else if (request.target() == "/picked")
-            peer.send(plainResponse(200, "", answers->counts));
-        else if (request.target() == "/picked?lists=1")
-            peer.send(plainResponse(200, "", answers->experts));
-        else
-            peer.send(plainResponse(202, "", ""));
-    }
-
-    std::atomic<std::shared_ptr<EngineAnswers>> answers_ = std::make_shared<EngineAnswers>();
-    std::atomic<std::shared_ptr<std::function<void(ScriptPeer &)>>> unending_;
-    std::optional<RankStatus> oddStatus_;
-    std::optional<ExpertProfile> oddProfile_;
-    std::optional<CountsReply> oddCounts_;
-    std::vector<GroupMessage> oddMessages_;
-    std::uint32_t peerIp_;
-    Endpoint address_;
-    ScriptedServer engine_;
-    LoggedProcess sidecar_;
-    DatagramPeer peer_;
-};
-
-/// An odd input to a sidecar.
-struct OddInput
-{
-    std::string name;
-    std::function<void(LeadingSidecar &)> set;
-};
-
 OddInput oddReport(const std::string &field, const std::string &value)
 {
     return {field + " " + value, [field, value](LeadingSidecar &sidecar) {
@@ -206,45 +58,6 @@
             }};
 }
 
-/// Runs each input at a sidecar of its own, at the same time: the input for a while in which the
-/// sidecar begins to lead, then usual ones.
-void checkSidecars(const std::vector<OddInput> &inputs)
-{
-    std::vector<std::unique_ptr<LeadingSidecar>> sidecars;
-    for (const OddInput &input : inputs) {
-        auto &added = sidecars.emplace_back(
-            std::make_unique<LeadingSidecar>(static_cast<std::uint32_t>(sidecars.size())));
-        input.set(*added);
-    }
-    const auto sendFor = [&sidecars](milliseconds time, const std::function<bool()> &done) {
-        for (const TimePoint end = monotonicNow() + time; monotonicNow() < end && !done();) {
-            for (const auto &sidecar : sidecars)
-                sidecar->sendUsual();
-            ::poll(nullptr, 0, 50);
-        }
-    };
-    sendFor(milliseconds(2500), [] { return false; });
-    std::vector<std::size_t> ordersBefore;
-    for (const auto &sidecar : sidecars) {
-        sidecar->endOdd();
-        ordersBefore.push_back(sidecar->orders());
-    }
-    const auto isFollowing = [&](std::size_t i) { return sidecars[i]->orders() > ordersBefore[i]; };
-    sendFor(seconds(8), [&] {
-        for (std::size_t i = 0; i < sidecars.size(); ++i) {
-            if (sidecars[i]->running() && !isFollowing(i))
-                return false;
-        }
-        return true;
-    });
-    for (std::size_t i = 0; i < sidecars.size(); ++i) {
-        CAPTURE(inputs[i].name);
-        CHECK(sidecars[i]->running());
-        CHECK(isFollowing(i));
-        CHECK(sidecars[i]->peakMemory() < sidecarMemory);
-    }
-}
-
 } // namespace
 
 // Guards against a sidecar that ends, or no longer balances its group, because of experts that its
@@ -414,7 +227,7 @@
     std::vector<OddInput> inputs;
     for (const auto &answer : answers) {
         inputs.push_back({answer.first, [&answer](LeadingSidecar &sidecar) {
-                              sidecar.setUnending(answer.second);
+                              sidecar.setAnswer(answer.second);
                           }});
     }
     checkSidecars(inputs);
