Test broken answers to health checks and of store and engines; name the rule when a server is silent

What was seen: a stream stayed until the caller's patience ran out at an engine whose report was "HTTP/1.1 000 X" or in another transfer coding, as any head was a sign of life. Heads that break off and names with blanks were no sign of life before either.

The line backend.silent has the reason now. Broken answers of the store (110 kinds) leave the outcome of a call unknown, a gateway serves on with them and follows the store afterwards, and a sidecar leads its group on after 13 kinds of them from its engine; all of that held before.

--- a/Source/Programs/Gateway/LivenessChecks.cpp
+++ b/Source/Programs/Gateway/LivenessChecks.cpp
@@ -30,21 +30,22 @@
     Check &check = checks_[backend];
     check.address = known->second.entry.address;
     if (!isEngine) {
-        check.connection =
-            TcpConnection::connect(gateway_.loop, check.address,
-                                   {.connected = [this, backend] { finish(backend, true); },
-                                    .received = [](std::string_view) {},
-                                    .ended = [this, backend](TcpEnd) { finish(backend, false); },
-                                    .drained = {}});
+        check.connection = TcpConnection::connect(
+            gateway_.loop, check.address,
+            {.connected = [this, backend] { finish(backend, std::nullopt); },
+             .received = [](std::string_view) {},
+             .ended = [this, backend](TcpEnd) { finish(backend, "no connection"); },
+             .drained = {}});
         return;
     }
     check.report = gateway_.pool.call(
         check.address, platform::reportRequest(), ConnectionUse::Fresh,
         {.accept = {},
-         .head = [this, backend](const HttpResponseHead &) { finish(backend, true); },
+         .head = [this, backend](const HttpResponseHead &) { finish(backend, std::nullopt); },
          .body = [](std::string_view) {},
          .complete = [] {},
-         .failed = [this, backend](const CallFailure &) { finish(backend, false); }},
+         .failed = [this,
+                    backend](const CallFailure &failure) { finish(backend, failure.reason); }},
         now);
 }
 
@@ -59,10 +60,10 @@
             expired.push_back(backend);
     }
     for (const std::string &backend : expired)
-        finish(backend, false);
+        finish(backend, "no answer in time");
 }
 
-void LivenessChecks::finish(const std::string &backend, bool answered)
+void LivenessChecks::finish(const std::string &backend, const std::optional<std::string> &problem)
 {
     const auto found = checks_.find(backend);
     if (found == checks_.end())
@@ -71,6 +72,7 @@
     const auto check = std::make_shared<Check>(std::move(found->second));
     checks_.erase(found);
     gateway_.loop.defer([check] {});
+    const bool answered = !problem;
     countLivenessCheck(gateway_.metrics, answered);
     const auto known = gateway_.registry.backends.find(backend);
     if (known == gateway_.registry.backends.end() || known->second.entry.address != check->address)
@@ -89,6 +91,7 @@
     }
     noteSilent(state, now);
     noteFailure(state, true, now);
+    fields["reason"] = *problem;
     gateway_.log.warn("backend.silent", fields);
 }
 
--- a/Source/Programs/Gateway/LivenessChecks.h
+++ b/Source/Programs/Gateway/LivenessChecks.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "Connection/HttpClientPool.h"
@@ -53,7 +54,8 @@
         milliseconds listened{0};
     };
 
-    void finish(const std::string &backend, bool answered);
+    /// @param problem Why there was no answer; nothing if there was one.
+    void finish(const std::string &backend, const std::optional<std::string> &problem);
 
     Dependencies gateway_;
     std::map<std::string, Check> checks_;
--- a/Tests/Gateway/BrokenAnswerTest.cpp
+++ b/Tests/Gateway/BrokenAnswerTest.cpp
@@ -11,6 +11,7 @@
 #include "Gateway/BrokenAnswers.h"
 #include "Gateway/CallerSocket.h"
 #include "Gateway/GatewayUnderTest.h"
+#include "Gateway/LoggedGateway.h"
 
 using namespace wisteria;
 using namespace wisteria::gateway_tests;
@@ -242,6 +243,57 @@
     CHECK(answer.value().body == "{\"a\":1}");
 }
 
+// Guards against a broken answer that is believed, or taken for a sign that a call did nothing.
+TEST_CASE("A broken answer of the store or of an engine leaves the outcome of the call unknown")
+{
+    for (const RawAnswer &broken : allBrokenAnswers()) {
+        ScriptedServer server([&broken](const SeenRequest &request, ScriptPeer &peer) {
+            sendBytes(broken, request, peer);
+        });
+        const Result<HttpResponse> answer = answerToCall(server.endpoint());
+        CAPTURE(broken.name);
+        REQUIRE(answer.has_error());
+        CHECK(answer.error().kind == ErrorKind::OutcomeUnknown);
+    }
+}
+
+// Guards against a gateway that ends, or stops following the store, because of its broken answers.
+TEST_CASE("A gateway serves on while the store's answers are broken, and follows it afterwards")
+{
+    const std::vector<RawAnswer> all = allBrokenAnswers();
+    std::atomic<bool> inTrouble = false;
+    std::atomic<std::size_t> brokenAnswers = 0;
+    StoreStandIn store;
+    ScriptedServer storeProxy([&](const SeenRequest &request, ScriptPeer &peer) {
+        if (inTrouble) {
+            sendBytes(all[brokenAnswers++ % all.size()], request, peer);
+            return;
+        }
+        // A call of the store has no body, as the gateway appends nothing yet.
+        const CallResult answer = callServer(store.endpoint(), request.head + "\r\n");
+        peer.send(plainResponse(answer.status, "", answer.body));
+    });
+    ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
+        peer.send(sealed(request, 200, "sound"));
+    });
+    store.put("keyed.op", "config", configurationOf(1));
+    store.put("keyed.servers", "i-1", listEntryOf("plain", backend.endpoint()));
+    LoggedGateway gateway(storeProxy.endpoint());
+    REQUIRE(gateway.waitUntilRouting());
+    inTrouble = true;
+    constexpr std::size_t enoughAnswers = 10;
+    REQUIRE(eventually([&] { return brokenAnswers >= enoughAnswers; }));
+    CHECK(callServer(gateway.callers(), requestFor("/again/x", "a1")).body == "sound");
+    CHECK(gateway.count("store.lost") > 0);
+    inTrouble = false;
+    nlohmann::json next = configurationOf(2);
+    next["routes"].push_back(routeOf("/new/", "idempotent", "plain", false));
+    store.put("keyed.op", "config", next);
+    CHECK(eventually(
+        [&] { return callServer(gateway.callers(), requestFor("/new/x", "n")).status == 200; }));
+    CHECK(gateway.running());
+}
+
 // Guards against callers who wait out their deadline for an answer that can't come, or is preceded
 // by interim answers without end.
 TEST_CASE("A request leaves a server that switches protocols or sends interim answers without end")
--- a/Tests/Gateway/EngineVm.cpp
+++ b/Tests/Gateway/EngineVm.cpp
@@ -30,7 +30,7 @@
 }
 
 EngineVm::EngineVm(std::uint32_t ip, Run run)
-    : run_(std::move(run)),
+    : run_(std::move(run)), report_(std::make_shared<std::string>(plainResponse(200, "", "{}"))),
       server_(std::make_unique<ScriptedServer>(
           [this](const SeenRequest &request, ScriptPeer &peer) { answer(request, peer); }, ip)),
       sidecar_([this] { report(); })
@@ -64,7 +64,7 @@
     }
     ++reportReads_;
     if (!engineSilent_)
-        peer.send(plainResponse(200, "", "{}"));
+        peer.send(*report_.load());
 }
 
 void EngineVm::report()
--- a/Tests/Gateway/EngineVm.h
+++ b/Tests/Gateway/EngineVm.h
@@ -3,7 +3,9 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <mutex>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -37,6 +39,8 @@
     void setSidecarSilent(bool silent) { sidecarSilent_ = silent; }
     void setEngineSilent(bool silent) { engineSilent_ = silent; }
     bool engineSilent() const { return engineSilent_; }
+    /// Sets the bytes of the engine's answer to a request for its report.
+    void setReport(const std::string &answer) { report_ = std::make_shared<std::string>(answer); }
     void setFrozen(bool frozen);
 
     /// Number of callers' requests that the engine has read.
@@ -51,6 +55,7 @@
     Run run_;
     std::atomic<bool> sidecarSilent_ = false;
     std::atomic<bool> engineSilent_ = false;
+    std::atomic<std::shared_ptr<std::string>> report_;
     std::atomic<bool> stopping_ = false;
     std::atomic<std::size_t> runs_ = 0;
     std::atomic<std::size_t> reportReads_ = 0;
--- a/Tests/Gateway/SidecarInputTest.cpp
+++ b/Tests/Gateway/SidecarInputTest.cpp
@@ -10,6 +10,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "Gateway/BrokenAnswers.h"
 #include "Gateway/LeadingSidecar.h"
 #include "Gateway/ScriptedAnswers.h"
 #include "platform/RankCodec.h"
@@ -233,6 +234,24 @@
     checkSidecars(inputs);
 }
 
+// Guards against a sidecar that ends, or no longer balances its group, because of bytes that are no
+// answers.
+TEST_CASE("A sidecar leads on after its engine's answers were broken")
+{
+    constexpr std::size_t step = 9;
+    const std::vector<RawAnswer> all = allBrokenAnswers();
+    std::vector<OddInput> inputs;
+    for (std::size_t at = 0; at < all.size(); at += step) {
+        inputs.push_back({all[at].name, [broken = all[at]](LeadingSidecar &sidecar) {
+                              sidecar.setAnswer([broken](ScriptPeer &peer) {
+                                  sendBytes(broken, {.head = "GET /report HTTP/1.1", .body = ""},
+                                            peer);
+                              });
+                          }});
+    }
+    checkSidecars(inputs);
+}
+
 // Guards against a server that seems free because its numbers of requests overflow when added.
 TEST_CASE("A load with more requests than any engine has is refused")
 {
--- a/Tests/Gateway/SilentServersTest.cpp
+++ b/Tests/Gateway/SilentServersTest.cpp
@@ -9,6 +9,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "Gateway/BrokenAnswers.h"
 #include "Gateway/EngineVm.h"
 #include "Gateway/GatewayUnderTest.h"
 #include "Gateway/RegistryEntries.h"
@@ -192,6 +193,31 @@
     CHECK(checks <= 6);
 }
 
+// Guards against requests that wait at a server in trouble, because bytes that are no answer to a
+// check are taken for a sign of life.
+TEST_CASE("A request leaves a server whose answers to checks are broken")
+{
+    const RawAnswer broken = GENERATE(from_range(std::vector<RawAnswer>{
+        answersWithImpossibleStatus().front(), answersWithBadFields().front(),
+        answersThatEndInHead().at(10), answersInOtherCodings().front()}));
+    CAPTURE(broken.name);
+    std::atomic<bool> inTrouble = false;
+    EnginePair engines([&](EngineVm &vm, const SeenRequest &request, ScriptPeer &peer) {
+        if (inTrouble.exchange(true)) {
+            sendStream(request, peer);
+            return;
+        }
+        vm.setSidecarSilent(true);
+        vm.setReport(bytesFor(broken, request));
+        peer.waitForEnd();
+        peer.close();
+    });
+    const TimePoint begun = monotonicNow();
+    CHECK(engines.gateway.call(requestFor("/stream/x", "a1")).body == wholeStream);
+    CHECK(monotonicNow() - begun < callerPatience);
+    CHECK(engines.runs() == 2);
+}
+
 // Guards against checks and moves where only an answer is slow.
 TEST_CASE("A request stays at a slow server whose sidecar reports, without a check")
 {
