--- a/Source/Programs/Gateway/AnswerRelay.cpp
+++ b/Source/Programs/Gateway/AnswerRelay.cpp
@@ -70,20 +70,31 @@
             return AnswerFailure{.reason = "the stream ended within an event"};
         return std::nullopt;
     }
-    // Unusable answers: one in an encoding that was not requested; a success without the seal, the
-    // header field that marks the backend server's own answers; a success on a streaming route that
-    // is not a stream; anything but the rest of the stream after a part of one was forwarded; a
-    // stream that was cut off.
-    const bool unusable = begun_ || head_.encoded || endsInsideEvent()
-        || (head_.success() && (!head_.sealed || kind_ == RequestKind::Streaming));
-    if (unusable)
-        return AnswerFailure{.reason = "the answer is not usable"};
+    if (const char *reason = unusableReason())
+        return AnswerFailure{.reason = reason};
     constexpr int firstServerError = 500;
     if (head_.status >= firstServerError)
         return AnswerFailure{SendOutcome::ServerError, "the backend server failed"};
     return std::nullopt;
 }
 
+/// Why an answer that is no stream can't be forwarded; null if it can. The seal is the header field
+/// that marks the backend server's own answers.
+const char *AnswerRelay::unusableReason() const
+{
+    if (begun_)
+        return "the answer is not usable: it does not go on with the stream";
+    if (head_.encoded)
+        return "the answer is not usable: it is in an encoding that was not asked for";
+    if (endsInsideEvent())
+        return "the answer is not usable: it ends within an event";
+    if (head_.success() && !head_.sealed)
+        return "the answer is not usable: it has no seal";
+    if (head_.success() && kind_ == RequestKind::Streaming)
+        return "the answer is not usable: it is no stream";
+    return nullptr;
+}
+
 bool AnswerRelay::showsCompletedRun() const
 {
     return head_.success() && head_.sealed && marksEnd_ && !failure();
--- a/Source/Programs/Gateway/AnswerRelay.h
+++ b/Source/Programs/Gateway/AnswerRelay.h
@@ -66,6 +66,7 @@
     milliseconds longestPause() const { return longestPause_; }
 
 private:
+    const char *unusableReason() const;
     bool endsInsideEvent() const;
 
     AnswerSink &sink_;
--- a/Tests/Gateway/BrokenAnswers.cpp
+++ b/Tests/Gateway/BrokenAnswers.cpp
@@ -72,6 +72,14 @@
     return answers;
 }
 
+std::vector<RawAnswer> joined(const std::vector<std::vector<RawAnswer>> &lists)
+{
+    std::vector<RawAnswer> all;
+    for (const std::vector<RawAnswer> &list : lists)
+        all.insert(all.end(), list.begin(), list.end());
+    return all;
+}
+
 } // namespace
 
 const std::vector<RawAnswer> &answersWithImpossibleStatus()
@@ -132,9 +140,6 @@
         {"line ends without CR", "HTTP/1.1 200 OK\n@Content-Length: 9\n\n" + event},
         {"bad name of an interim answer",
          "HTTP/1.1 103 Early Hints\r\nX More: 1\r\n\r\nHTTP/1.1 200 OK\r\n@" + wholeBody},
-        {"bad name of a trailer",
-         soundHead + "Transfer-Encoding: chunked\r\n\r\n9\r\n" + event
-             + "\r\n0\r\nX More: 1\r\n\r\n"},
     };
     return answers;
 }
@@ -173,6 +178,8 @@
         withBody("a chunk that ends early", chunked + "\r\n1f\r\n" + event, AfterAnswer::Close),
         withBody("trailers that end early", chunked + "\r\n9\r\n" + event + "\r\n0\r\nX-T: 1\r\n",
                  AfterAnswer::Close),
+        withBody("bad name of a trailer",
+                 chunked + "\r\n9\r\n" + event + "\r\n0\r\nX More: 1\r\n\r\n"),
     };
     return answers;
 }
@@ -198,14 +205,17 @@
     return answers;
 }
 
+const std::vector<RawAnswer> &answersWithBrokenHead()
+{
+    static const std::vector<RawAnswer> answers =
+        joined({answersWithImpossibleStatus(), answersWithBadFields(), answersThatEndInHead(),
+                answersInOtherCodings()});
+    return answers;
+}
+
 std::vector<RawAnswer> allBrokenAnswers()
 {
-    std::vector<RawAnswer> all;
-    for (const auto &answers :
-         {answersWithImpossibleStatus(), answersWithBadFields(), answersThatEndInHead(),
-          answersWithBadFraming(), answersInOtherCodings()})
-        all.insert(all.end(), answers.begin(), answers.end());
-    return all;
+    return joined({answersWithBrokenHead(), answersWithBadFraming()});
 }
 
 const std::vector<RawAnswer> &soundAnswers()
--- a/Tests/Gateway/BrokenAnswers.h
+++ b/Tests/Gateway/BrokenAnswers.h
@@ -29,6 +29,8 @@
 const std::vector<RawAnswer> &answersWithBadFraming();
 /// Answers in a transfer coding that the gateway did not ask for.
 const std::vector<RawAnswer> &answersInOtherCodings();
+/// All of the above of which nothing can be read before they break a rule.
+const std::vector<RawAnswer> &answersWithBrokenHead();
 /// All of the above.
 std::vector<RawAnswer> allBrokenAnswers();
 
--- a/Tests/Gateway/StoreStandIn.cpp
+++ b/Tests/Gateway/StoreStandIn.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "Gateway/BrokenAnswers.h"
+
 namespace wisteria::gateway_tests {
 
 namespace {
@@ -98,6 +100,13 @@
         return;
     }
     const std::string topic = queryValue(target, "topic");
+    if (fault == StoreFault::Broken) {
+        if (target.starts_with("/log-append"))
+            appendRecord(topic, request.body, queryValue(target, "at", ""));
+        const std::vector<RawAnswer> &kinds = answersWithBrokenHead();
+        sendBytes(kinds.at(brokenAnswers_++ % kinds.size()), request, peer);
+        return;
+    }
     if (target.starts_with("/log-newest")) {
         peer.send(plainResponse(200, "", newest(topic)));
         return;
--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -21,6 +21,7 @@
     TooManyCalls, ///< It gets status 429.
     Unavailable, ///< It gets status 503.
     Lost, ///< It is never answered.
+    Broken, ///< It is carried out, and the bytes that come back are no answer.
 };
 
 /// A stand-in of the platform's store: keyed topics with the calls log-newest, log-read and
@@ -99,6 +100,7 @@
     /// Oldest offset of each topic that can still be read.
     std::map<std::string, std::size_t> oldest_;
     FaultRule faults_;
+    std::atomic<std::size_t> brokenAnswers_ = 0;
     std::atomic<bool> unavailable_ = false;
     std::atomic<bool> refusesAppends_ = false;
     std::atomic<bool> keptConnectionsSilent_ = false;
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -32,8 +32,8 @@
                        std::function<void(const std::string &)> log)
     : fleet_(fleet), random_(seed), signalRandom_(~seed),
       evacuationRandom_(seed + evacuationSeedOffset), coldRandom_(seed ^ 0xC01DULL),
-      leavingRandom_(seed ^ 0x1EA7E5ULL), storeMayBeAway_(seed % 4 != 3), log_(std::move(log)),
-      stops_(fleet, seed, log_)
+      leavingRandom_(seed ^ 0x1EA7E5ULL), troubleRandom_(seed ^ 0xB20CE17ULL),
+      storeMayBeAway_(seed % 4 != 3), log_(std::move(log)), stops_(fleet, seed, log_)
 {
     // Evacuated servers get no traffic, and faults of their links then have no effect: every second
     // seed has no evacuations, the others have seconds without any.
@@ -77,6 +77,8 @@
         startColdPhase(now);
     if (now >= nextLeavingAt_)
         startLeaving(now);
+    if (now >= nextTroubleAt_)
+        startTrouble(now);
     if (now < nextAt_)
         return;
     nextAt_ = now + randomDuration(100, 700);
@@ -239,10 +241,11 @@
         {Leaving::Draining, "drains"},
         {Leaving::DrainingThenOlder, "drains, and an older heartbeat follows"},
     }};
-    constexpr std::array<std::pair<StoreFault, const char *>, 3> faults = {{
+    constexpr std::array<std::pair<StoreFault, const char *>, 4> faults = {{
         {StoreFault::TooManyCalls, "refused with 429"},
         {StoreFault::Unavailable, "refused with 503"},
         {StoreFault::Lost, "not answered"},
+        {StoreFault::Broken, "answered brokenly"},
     }};
     nextLeavingAt_ = now + milliseconds(randomInt(leavingRandom_, 2300, 2900));
     const std::size_t server = nextLeaver_;
@@ -270,6 +273,22 @@
     scheduleEnd(now + before + away, [this, server] { fleet_.comeBack(server); });
 }
 
+/// Lets a server send broken answers, all or some of them.
+void SoakFaults::startTrouble(TimePoint now)
+{
+    nextTroubleAt_ = now + milliseconds(randomInt(troubleRandom_, 100, 600));
+    const auto server =
+        static_cast<std::size_t>(randomInt(troubleRandom_, 0, static_cast<int>(serverCount) - 1));
+    const auto period = static_cast<unsigned>(randomInt(troubleRandom_, 1, 4));
+    const auto firstKind = static_cast<unsigned>(randomInt(troubleRandom_, 0, 1000));
+    const milliseconds length{randomInt(troubleRandom_, 300, 3000)};
+    log_("one in " + std::to_string(period) + " answers of server-" + std::to_string(server)
+         + " is broken for " + std::to_string(length.count()) + " ms, from kind "
+         + std::to_string(firstKind) + " on");
+    fleet_.setTrouble(server, period, firstKind);
+    scheduleEnd(now + length, [this, server] { fleet_.setTrouble(server, 0, 0); });
+}
+
 void SoakFaults::injectOperationalEvent(TimePoint now)
 {
     const milliseconds length = randomDuration(300, 2000);
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -44,6 +44,7 @@
     void startEvacuation(TimePoint now);
     void startColdPhase(TimePoint now);
     void startLeaving(TimePoint now);
+    void startTrouble(TimePoint now);
     void scheduleEnd(TimePoint at, std::function<void()> end);
 
     Fleet &fleet_;
@@ -56,6 +57,8 @@
     std::mt19937_64 coldRandom_;
     /// The same for servers that leave.
     std::mt19937_64 leavingRandom_;
+    /// The same for broken answers.
+    std::mt19937_64 troubleRandom_;
     /// Whether the store as a whole may be away. Otherwise only single calls fail: a server that
     /// leaves while the store is away is checked only after that.
     bool storeMayBeAway_;
@@ -67,6 +70,7 @@
     TimePoint nextEvacuationAt_;
     TimePoint nextColdAt_;
     TimePoint nextLeavingAt_;
+    TimePoint nextTroubleAt_;
     /// The server that leaves next.
     std::size_t nextLeaver_ = linkedServerCount;
 };
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -406,14 +406,40 @@
     recorder_.noteRun(id, request.target());
     if (!request.header("Authorization").empty())
         recorder_.noteViolation(id + ": the caller's key reached a backend server");
-    if (request.target().starts_with("/stream/")) {
-        stream(request, fields, peer);
+    const RawAnswer *broken = nextBroken(server);
+    const bool isStream = request.target().starts_with("/stream/");
+    const bool breaksWithin = broken != nullptr && isStream && brokenAnswers_ % 2 == 0;
+    if (broken != nullptr && !breaksWithin) {
+        sendBytes(*broken, request, peer);
+        return;
+    }
+    if (isStream) {
+        stream(request, fields, breaksWithin, peer);
         return;
     }
     peer.send(plainResponse(200, fields, "answer to " + id));
 }
 
-void Fleet::stream(const SeenRequest &request, const std::string &fields, ScriptPeer &peer)
+void Fleet::setTrouble(std::size_t server, unsigned period, unsigned firstKind)
+{
+    Trouble &trouble = troubles_.at(server);
+    trouble.nextKind = firstKind;
+    trouble.period = period;
+}
+
+const RawAnswer *Fleet::nextBroken(std::size_t server)
+{
+    Trouble &trouble = troubles_.at(server);
+    const unsigned period = trouble.period;
+    if (period == 0 || ++trouble.answers % period != 0)
+        return nullptr;
+    ++brokenAnswers_;
+    const std::vector<RawAnswer> &kinds = answersWithBrokenHead();
+    return &kinds.at(trouble.nextKind++ % kinds.size());
+}
+
+void Fleet::stream(const SeenRequest &request, const std::string &fields, bool breaks,
+                   ScriptPeer &peer)
 {
     const std::string id = request.header("Wisteriawind-Attempt-Id");
     const std::string last = request.header("Last-Event-Id");
@@ -423,6 +449,10 @@
     for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= events; ++event) {
         const std::string text =
             "id: " + std::to_string(event) + "\ndata: " + id + "/" + std::to_string(event);
+        if (breaks && event > events / 2) {
+            peer.send("zz\r\n" + text);
+            return;
+        }
         if (aborts && event > events / 2) {
             peer.send(chunk(text));
             peer.reset();
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "Gateway/BrokenAnswers.h"
 #include "Gateway/StoreStandIn.h"
 #include "Soak/BoundCheck.h"
 #include "Soak/FaultProxy.h"
@@ -119,6 +120,11 @@
     {
         signals_.at(server) = serverSignal;
     }
+    /// Sets that one in `period` answers of a server is broken; none if it is 0.
+    /// @param firstKind Which kind of broken answer comes first.
+    void setTrouble(std::size_t server, unsigned period, unsigned firstKind);
+    /// Number of broken answers that servers have sent.
+    std::size_t brokenAnswers() const { return brokenAnswers_; }
     /// Writes a server's record in the configuration store as draining or ready.
     void setDraining(std::size_t server, bool draining);
     /// Lets a server leave; it goes on serving.
@@ -164,10 +170,24 @@
                     gateway_tests::ScriptPeer &peer);
     void answer(std::size_t server, const gateway_tests::SeenRequest &request,
                 gateway_tests::ScriptPeer &peer);
-    void stream(const gateway_tests::SeenRequest &request, const std::string &fields,
+    /// @param breaks Whether bytes that are no chunk follow half of the events.
+    void stream(const gateway_tests::SeenRequest &request, const std::string &fields, bool breaks,
                 gateway_tests::ScriptPeer &peer);
 
+    /// The broken answer that a server in trouble sends next; null for a sound one.
+    const gateway_tests::RawAnswer *nextBroken(std::size_t server);
+
+    /// Broken answers of a server.
+    struct Trouble
+    {
+        std::atomic<unsigned> period = 0;
+        std::atomic<unsigned> nextKind = 0;
+        std::atomic<unsigned> answers = 0;
+    };
+
     RunRecorder recorder_;
+    std::array<Trouble, serverCount> troubles_;
+    std::atomic<std::size_t> brokenAnswers_ = 0;
     std::array<std::atomic<ServerSignal>, serverCount> signals_{};
     std::array<std::atomic<std::size_t>, serverCount> arrivals_{};
     std::array<std::uint64_t, serverCount> startedAt_{};
--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -167,9 +167,9 @@
               << poison.crashes() << " servers crashed by poison requests, " << poison.servedSound()
               << " sound ones served beside them; " << engines.freezes() << " VMs frozen, "
               << engines.completeStreams() << " streams complete there; "
-              << foreignEntries.written() << " entries of another writer; " << textOf(held) << ", "
-              << unread.size() << " of all requests not read; " << violations.size()
-              << " violations" << std::endl;
+              << foreignEntries.written() << " entries of another writer; " << fleet.brokenAnswers()
+              << " broken answers; " << textOf(held) << ", " << unread.size()
+              << " of all requests not read; " << violations.size() << " violations" << std::endl;
     for (const std::string &request : unread)
         std::cout << "  not read: " << request << '\n';
     for (const std::string &what : violations)
