--- a/Tests/Sessions/BrokenAnswerSessionTest.cpp
+++ b/Tests/Sessions/BrokenAnswerSessionTest.cpp
@@ -48,3 +48,17 @@
         CHECK(got.body == soundBody);
     }
 }
+
+// Guards against a length that the status of an answer forbids.
+TEST_CASE("An answer without a body reaches a caller of the entry without a length")
+{
+    RawBackend backend;
+    const TestSystem system(
+        {.backendServers = 1, .backendAddress = toText(backend.server.endpoint())});
+    const RawAnswer noContent{"204", "HTTP/1.1 204 No Content\r\n\r\n"};
+    backend.answer = &noContent;
+    const HttpAnswer got = system.send(0, {});
+    CHECK(got.status == 204);
+    CHECK_FALSE(got.headers.contains("content-length"));
+    CHECK_FALSE(got.headers.contains("transfer-encoding"));
+}
