--- a/Tests/Gateway/BrokenAnswerTest.cpp
+++ b/Tests/Gateway/BrokenAnswerTest.cpp
@@ -11,7 +11,7 @@
 #include "Gateway/BrokenAnswers.h"
 #include "Gateway/CallerSocket.h"
 #include "Gateway/GatewayUnderTest.h"
-#include "Gateway/LoggedGateway.h"
+#include "Gateway/TroubledStore.h"
 
 using namespace wisteria;
 using namespace wisteria::gateway_tests;
@@ -261,37 +261,18 @@
 TEST_CASE("A gateway serves on while the store's answers are broken, and follows it afterwards")
 {
     const std::vector<RawAnswer> all = allBrokenAnswers();
-    std::atomic<bool> inTrouble = false;
     std::atomic<std::size_t> brokenAnswers = 0;
-    StoreStandIn store;
-    ScriptedServer storeProxy([&](const SeenRequest &request, ScriptPeer &peer) {
-        if (inTrouble) {
-            sendBytes(all[brokenAnswers++ % all.size()], request, peer);
-            return;
-        }
-        // A call of the store has no body, as the gateway appends nothing yet.
-        const CallResult answer = callServer(store.endpoint(), request.head + "\r\n");
-        peer.send(plainResponse(answer.status, "", answer.body));
-    });
-    ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
-        peer.send(sealed(request, 200, "sound"));
+    TroubledStore store([&](const SeenRequest &request, ScriptPeer &peer) {
+        sendBytes(all[brokenAnswers++ % all.size()], request, peer);
     });
-    store.put("keyed.op", "config", configurationOf(1));
-    store.put("keyed.servers", "i-1", listEntryOf("plain", backend.endpoint()));
-    LoggedGateway gateway(storeProxy.endpoint());
-    REQUIRE(gateway.waitUntilRouting());
-    inTrouble = true;
+    store.setInTrouble(true);
     constexpr std::size_t enoughAnswers = 10;
     REQUIRE(eventually([&] { return brokenAnswers >= enoughAnswers; }));
-    CHECK(callServer(gateway.callers(), requestFor("/again/x", "a1")).body == "sound");
-    CHECK(gateway.count("store.lost") > 0);
-    inTrouble = false;
-    nlohmann::json next = configurationOf(2);
-    next["routes"].push_back(routeOf("/new/", "idempotent", "plain", false));
-    store.put("keyed.op", "config", next);
-    CHECK(eventually(
-        [&] { return callServer(gateway.callers(), requestFor("/new/x", "n")).status == 200; }));
-    CHECK(gateway.running());
+    CHECK(callServer(store.gateway().callers(), requestFor("/again/x", "a1")).body == "sound");
+    CHECK(store.gateway().count("store.lost") > 0);
+    store.setInTrouble(false);
+    CHECK(store.followsNextVersion());
+    CHECK(store.gateway().running());
 }
 
 // Guards against callers who wait out their deadline for an answer that can't come, or is preceded
--- a/Tests/Gateway/ColdServersTest.cpp
+++ b/Tests/Gateway/ColdServersTest.cpp
@@ -381,11 +381,8 @@
 TEST_CASE("A gateway learns from entries and answers that servers are cold")
 {
     ScriptedServer coldServer([](const SeenRequest &request, ScriptPeer &peer) {
-        peer.send(plainResponse(200,
-                                std::string(seal)
-                                    + "Wisteriawind-Cold-Ms: 60000\r\nWisteriawind-Attempt-Id: "
-                                    + request.header("Wisteriawind-Attempt-Id") + "\r\n",
-                                "here"));
+        peer.send(
+            plainResponse(200, ownFields(request) + "Wisteriawind-Cold-Ms: 60000\r\n", "here"));
     });
     GatewayUnderTest gateway;
     gateway.startWithBackend("i-1", "plain", coldServer);
--- a/Tests/Gateway/ServerDrainingTest.cpp
+++ b/Tests/Gateway/ServerDrainingTest.cpp
@@ -24,10 +24,7 @@
 
 std::string drainingAnswer(const SeenRequest &request)
 {
-    return plainResponse(200,
-                         std::string(seal) + "Server-Leaving: 1\r\nWisteriawind-Attempt-Id: "
-                             + request.header("Wisteriawind-Attempt-Id") + "\r\n",
-                         "here");
+    return plainResponse(200, ownFields(request) + "Server-Leaving: 1\r\n", "here");
 }
 
 /// A server whose queue of new connections can be filled, so that a connection to it stays opening.
--- a/Tests/Gateway/ServerLimitTest.cpp
+++ b/Tests/Gateway/ServerLimitTest.cpp
@@ -27,11 +27,7 @@
 
 std::string answerWithLimit(const SeenRequest &request, const std::string &perSecond)
 {
-    return plainResponse(200,
-                         std::string(seal) + "Server-Limit: " + perSecond
-                             + "\r\nWisteriawind-Attempt-Id: "
-                             + request.header("Wisteriawind-Attempt-Id") + "\r\n",
-                         "here");
+    return plainResponse(200, ownFields(request) + "Server-Limit: " + perSecond + "\r\n", "here");
 }
 
 /// Answers so slowly that a gateway prefers another server.
--- a/Tests/Gateway/StandInPlatform.cpp
+++ b/Tests/Gateway/StandInPlatform.cpp
@@ -16,18 +16,12 @@
 
 namespace {
 
-std::string answerFields(const SeenRequest &request)
-{
-    return std::string(seal)
-        + "Wisteriawind-Attempt-Id: " + request.header("Wisteriawind-Attempt-Id") + "\r\n";
-}
-
 /// Streams six events. The first run is cut off within its third event, as by a crash.
 void streamAnswer(const SeenRequest &request, ScriptPeer &peer, std::atomic<bool> &crashes)
 {
     const std::string last = request.header("Last-Event-Id");
     const int first = last.empty() ? 1 : std::stoi(last) + 1;
-    peer.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + answerFields(request)
+    peer.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + ownFields(request)
               + "Transfer-Encoding: chunked\r\n\r\n");
     constexpr int events = 6;
     constexpr int pause = 60;
@@ -85,7 +79,7 @@
     ScriptedServer second(model);
     ScriptedServer orders([](const SeenRequest &request, ScriptPeer &peer) {
         peer.send(
-            plainResponse(200, answerFields(request),
+            plainResponse(200, ownFields(request),
                           "order line taken for " + request.header("Wisteriawind-Tenant") + "\n"));
     });
     StoreStandIn store;
--- a/Tests/Gateway/StreamEndTest.cpp
+++ b/Tests/Gateway/StreamEndTest.cpp
@@ -14,9 +14,8 @@
 /// The head of an answer that has neither a length nor chunks, so that it ends with its connection.
 std::string endingHead(const SeenRequest &request, const std::string &contentType)
 {
-    return "HTTP/1.1 200 OK\r\nContent-Type: " + contentType + "\r\n" + std::string(seal)
-        + "Wisteriawind-Attempt-Id: " + request.header("Wisteriawind-Attempt-Id")
-        + "\r\nConnection: close\r\n\r\n";
+    return "HTTP/1.1 200 OK\r\nContent-Type: " + contentType + "\r\n" + ownFields(request)
+        + "Connection: close\r\n\r\n";
 }
 
 /// Answers with a text that has neither a length nor chunks, then ends the connection.
--- a/Tests/Gateway/UnendingInputTest.cpp
+++ b/Tests/Gateway/UnendingInputTest.cpp
@@ -13,6 +13,7 @@
 #include "Connection/HttpReader.h"
 #include "Gateway/GatewayUnderTest.h"
 #include "Gateway/LoggedGateway.h"
+#include "Gateway/TroubledStore.h"
 #include "Process/EventLog.h"
 #include "Request/HeldMemory.h"
 
@@ -32,8 +33,7 @@
 
 std::string answerHead(const SeenRequest &request)
 {
-    return "HTTP/1.1 200 OK\r\n" + std::string(seal)
-        + "Wisteriawind-Attempt-Id: " + request.header("Wisteriawind-Attempt-Id") + "\r\n";
+    return "HTTP/1.1 200 OK\r\n" + ownFields(request);
 }
 
 /// The ways in which an answer can have no end, by the target's last character.
@@ -222,36 +222,17 @@
 // Guards against a gateway that exceeds the memory of its VM because of the store.
 TEST_CASE("Answers of the store without end stay within a gateway's memory")
 {
-    std::atomic<bool> endless = false;
-    StoreStandIn store;
-    ScriptedServer backend([](const SeenRequest &request, ScriptPeer &peer) {
-        peer.send(sealed(request, 200, "sound"));
-    });
-    ScriptedServer storeProxy([&](const SeenRequest &request, ScriptPeer &peer) {
-        if (endless) {
-            sendUnending(seenWith("/c"), peer, 512 * megabyte);
-        } else {
-            // A call of the store has no body, as the gateway appends nothing yet.
-            const CallResult answer = callServer(store.endpoint(), request.head + "\r\n");
-            peer.send(plainResponse(answer.status, "", answer.body));
-        }
+    TroubledStore store([](const SeenRequest &, ScriptPeer &peer) {
+        sendUnending(seenWith("/c"), peer, 512 * megabyte);
     });
-    store.put("keyed.op", "config", configurationOf(1));
-    store.put("keyed.servers", "i-1", listEntryOf("plain", backend.endpoint(), 100));
-    LoggedGateway gateway(storeProxy.endpoint());
-    REQUIRE(gateway.waitUntilRouting());
-    endless = true;
+    store.setInTrouble(true);
     // Lets the reads begin anew several times.
     ::poll(nullptr, 0, 3000);
-    CAPTURE(gateway.peakMemory());
-    CHECK(gateway.peakMemory() < 256 * megabyte);
-    endless = false;
-    nlohmann::json next = configurationOf(2);
-    next["routes"].push_back(routeOf("/new/", "idempotent", "plain", false));
-    store.put("keyed.op", "config", next);
-    CHECK(eventually(
-        [&] { return callServer(gateway.callers(), requestFor("/new/x", "n")).status == 200; }));
-    CHECK(gateway.running());
+    CAPTURE(store.gateway().peakMemory());
+    CHECK(store.gateway().peakMemory() < 256 * megabyte);
+    store.setInTrouble(false);
+    CHECK(store.followsNextVersion());
+    CHECK(store.gateway().running());
 }
 
 // Guards against a gateway that exceeds the memory of its VM because callers send long requests
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -45,12 +45,6 @@
     return "server-" + std::to_string(server);
 }
 
-std::string fieldsOf(const SeenRequest &request)
-{
-    return std::string(seal)
-        + "Wisteriawind-Attempt-Id: " + request.header("Wisteriawind-Attempt-Id") + "\r\n";
-}
-
 nlohmann::json routeOf(const std::string &prefix, const std::string &kind)
 {
     return {{"name", prefix},    {"hostname", "soak.example"}, {"path_prefix", prefix},
@@ -385,7 +379,7 @@
     const std::string cold = left > milliseconds(0)
         ? "Wisteriawind-Cold-Ms: " + std::to_string(left.count()) + "\r\n"
         : "";
-    peer.send(plainResponse(200, fieldsOf(request) + cold, "answer to " + id));
+    peer.send(plainResponse(200, ownFields(request) + cold, "answer to " + id));
 }
 
 void Fleet::answer(std::size_t server, const SeenRequest &request, ScriptPeer &peer)
@@ -402,7 +396,7 @@
         return;
     }
     const std::string fields =
-        fieldsOf(request) + (serverSignal == ServerSignal::Limit ? "Server-Limit: 2\r\n" : "");
+        ownFields(request) + (serverSignal == ServerSignal::Limit ? "Server-Limit: 2\r\n" : "");
     recorder_.noteRun(id, request.target());
     if (!request.header("Authorization").empty())
         recorder_.noteViolation(id + ": the caller's key reached a backend server");
