--- a/Tests/Gateway/BrokenAnswers.cpp
+++ b/Tests/Gateway/BrokenAnswers.cpp
@@ -56,7 +56,7 @@
         {"between lines", "HTTP/1.1 200 OK\r\n@"},
         {"within a line end", "HTTP/1.1 200 OK\r\n@X-More: 1\r"},
         {"after a length of 0", "HTTP/1.1 200 OK\r\n@Content-Length: 0\r\n"},
-        {"after a length of 2", "HTTP/1.1 200 OK\r\n@Content-Length: 9\r\n"},
+        {"after a length of 9", "HTTP/1.1 200 OK\r\n@Content-Length: 9\r\n"},
         {"within the last line end", "HTTP/1.1 200 OK\r\n@Content-Length: 0\r\n\r"},
         {"in a 204", "HTTP/1.1 204 No Content\r\n@"},
         {"in a 404", "HTTP/1.1 404 Not Found\r\n@"},
