--- a/review/standins-2/KeptChannelLimits.cpp
+++ b/review/standins-2/KeptChannelLimits.cpp
@@ -1,6 +1,4 @@
-#include <algorithm>
-
-#include "Cases.h"
+#include "PlainRunner.h"
 
 namespace review {
 
@@ -11,23 +9,6 @@
 constexpr std::size_t largeLimit = 1048576;
 constexpr std::size_t longBody = 150000;
 
-std::string configuration(int version, std::size_t bodyBytes)
-{
-    return Json({{"version", version},
-                 {"routes", {routeOf("/locker/", "idempotent", "locker-api", 800, 2)}},
-                 {"services",
-                  {{{"name", "locker-api"},
-                    {"health_check_path", "/health"},
-                    {"max_connections", 110}}}},
-                 {"limits",
-                  {{"max_header_bytes", 16384},
-                   {"max_body_bytes", bodyBytes},
-                   {"header_timeout_ms", 3000},
-                   {"idle_timeout_ms", 15000}}},
-                 {"tenants", {{{"name", "tenant-one"}, {"api_keys", {"key-one"}}}}}})
-        .dump();
-}
-
 } // namespace
 
 CaseResult runKeptChannelLimits(const CaseOptions &options, Record &record)
@@ -35,25 +16,19 @@
     const std::string ip = freeLoopbackAddress();
     Store store(ip);
     std::atomic<int> runs = 0;
-    Server runner(ip, 0, [&](Peer &peer) {
-        while (const auto request = peer.read(milliseconds(30000))) {
-            ++runs;
-            record.line("runner runs " + request->field("Wisteriawind-Attempt-Id") + ", body of "
-                        + std::to_string(request->body.size()) + " bytes");
-            peer.send(
-                response(200, "OK",
-                         {{"Wisteriawind-Attempt-Id", request->field("Wisteriawind-Attempt-Id")},
-                          {"Wisteriawind-Response-Seal", "s1"},
-                          {"Keep-Alive", "timeout=5"}},
-                         "done"));
-        }
+    PlainRunner runner(ip, "i-1", store, [&](PlainRunner &, Peer &peer, const Message &request) {
+        const std::string id = request.field("Wisteriawind-Attempt-Id");
+        ++runs;
+        record.line("runner runs " + id + ", body of " + std::to_string(request.body.size())
+                    + " bytes");
+        peer.send(response(200, "OK",
+                           {{"Wisteriawind-Attempt-Id", id},
+                            {"Wisteriawind-Response-Seal", "s1"},
+                            {"Keep-Alive", "timeout=5"}},
+                           "done"));
     });
-    const std::string address = ip + ":" + std::to_string(runner.port());
-    const auto born = std::chrono::duration_cast<milliseconds>(
-                          std::chrono::system_clock::now().time_since_epoch())
-                          .count();
-    store.put("keyed.op", "config", configuration(10, options.trouble ? smallLimit : largeLimit));
-    store.put("keyed.servers", "i-1", entryOf("locker-api", address, "ready", 1, born).dump());
+    store.put("keyed.op", "config",
+              plainConfiguration(10, options.trouble ? smallLimit : largeLimit, "tenant-one"));
     Gateway gateway(options, "front-1", ip, ip + ":" + std::to_string(store.port()));
     if (!gateway.ready())
         return couldNotRun;
@@ -74,14 +49,13 @@
             return couldNotRun;
     }
     if (options.trouble) {
-        store.put("keyed.op", "config", configuration(13, largeLimit));
+        store.put("keyed.op", "config", plainConfiguration(13, largeLimit, "tenant-one"));
         record.line("the store acknowledged version 13: max_body_bytes 1048576 instead of 65536");
     }
     // Twice config_apply_ms, within four fifths of idle_timeout_ms.
     for (int second = 0; second < 4; ++second) {
         std::this_thread::sleep_for(milliseconds(1000));
-        store.put("keyed.servers", "i-1",
-                  entryOf("locker-api", address, "ready", 2 + second, born).dump());
+        runner.beat();
     }
     const auto fresh = connectTo(ip, gateway.place().callers, milliseconds(1000));
     if (!fresh || ask(*fresh, "fresh", longBody) != 200)
--- a/review/standins-2/Main.cpp
+++ b/review/standins-2/Main.cpp
@@ -75,6 +75,7 @@
     const std::map<std::string, std::function<CaseResult(const CaseOptions &, Record &)>> cases = {
         {"kept-channel-limits", runKeptChannelLimits},
         {"unframed-answers", runUnframedAnswers},
+        {"deadly-tenant", runDeadlyTenant},
         {"reused-pass", runReusedPass},
     };
     if (count != 6 || !cases.contains(words[1]))
--- a/review/standins-2/StandIns.cpp
+++ b/review/standins-2/StandIns.cpp
@@ -137,6 +137,8 @@
 
 bool Peer::fill(Clock::time_point until)
 {
+    if (descriptor_ < 0)
+        return false;
     pollfd wait{descriptor_, POLLIN, 0};
     if (::poll(&wait, 1, remainingMilliseconds(until)) <= 0)
         return false;
--- a/review/standins-2/UnframedAnswers.cpp
+++ b/review/standins-2/UnframedAnswers.cpp
@@ -1,6 +1,4 @@
-#include <algorithm>
-
-#include "Cases.h"
+#include "PlainRunner.h"
 
 namespace review {
 
@@ -10,115 +8,40 @@
 /// One of them crashes: a share of 0.167.
 constexpr int runnerCount = 6;
 constexpr milliseconds runTime{250};
+constexpr milliseconds pauseTime{150};
 constexpr milliseconds heartbeat{1200};
-/// The largest duration of srv_crash on the small deployments.
+/// The duration of srv_crash on the small deployments.
 constexpr milliseconds downTime{4500};
+/// Three silent heartbeat intervals.
+constexpr milliseconds expiryTime{3600};
 
-std::string configuration()
+/// Answers with the whole body, without a length; the answer ends with its channel.
+void answerUnframed(Record &record, PlainRunner &runner, Peer &peer, const Message &request)
 {
-    return Json({{"version", 10},
-                 {"routes", {routeOf("/locker/", "idempotent", "locker-api", 800, 2)}},
-                 {"services",
-                  {{{"name", "locker-api"},
-                    {"health_check_path", "/health"},
-                    {"max_connections", 110}}}},
-                 {"limits",
-                  {{"max_header_bytes", 16384},
-                   {"max_body_bytes", 4194304},
-                   {"header_timeout_ms", 3000},
-                   {"idle_timeout_ms", 15000}}},
-                 {"tenants", {{{"name", "tenant-one"}, {"api_keys", {"key-one"}}}}}})
-        .dump();
+    const std::string id = request.field("Wisteriawind-Attempt-Id");
+    record.line(runner.id() + " runs " + id);
+    if (peer.closedWithin(runTime))
+        return;
+    peer.send("HTTP/1.1 200 OK\r\nWisteriawind-Attempt-Id: " + id
+              + "\r\nWisteriawind-Response-Seal: s1\r\nContent-Type: text/plain\r\n"
+                "Connection: close\r\n\r\nlocker 17 is free\n");
+    peer.close();
+    record.line(runner.id() + " answered " + id + " with 200, without a length");
 }
 
-/// A backend server of the plain service. Its answers have no length and end with their channel.
-class Runner
-{
-public:
-    Runner(const std::string &ip, std::string id, Store &store, Record &record)
-        : ip_(ip), id_(std::move(id)), store_(store), record_(record)
-    {
-        start();
-    }
-
-    void start()
-    {
-        born_ = std::chrono::duration_cast<milliseconds>(
-                    std::chrono::system_clock::now().time_since_epoch())
-                    .count();
-        sequence_ = 0;
-        server_ = std::make_unique<Server>(ip_, port_, [this](Peer &peer) { serve(peer); });
-        port_ = server_->port();
-        beat();
-    }
-
-    /// Ends as a process does that crashes: its channels are reset and nothing listens.
-    void crash()
-    {
-        server_->stop();
-        server_.reset();
-    }
-
-    void beat()
-    {
-        if (server_) {
-            store_.put("keyed.servers", id_,
-                       entryOf("locker-api", ip_ + ":" + std::to_string(port_), "ready",
-                               ++sequence_, born_)
-                           .dump());
-        }
-    }
-
-    int runs() const { return runs_; }
-    int inFlight() const { return inFlight_; }
-
-private:
-    void serve(Peer &peer)
-    {
-        const auto request = peer.read(milliseconds(30000));
-        if (!request || request->method().empty())
-            return;
-        const std::string id = request->field("Wisteriawind-Attempt-Id");
-        const std::string expected = request->field("Wisteriawind-Expect-Instance");
-        if (!expected.empty() && expected != id_) {
-            peer.send(response(421, "Misdirected Request", {{"Wisteriawind-Attempt-Id", id}}, ""));
-            return;
-        }
-        ++runs_;
-        ++inFlight_;
-        record_.line(id_ + " runs " + id);
-        const bool alive = !peer.closedWithin(runTime);
-        --inFlight_;
-        if (!alive)
-            return;
-        peer.send("HTTP/1.1 200 OK\r\nWisteriawind-Attempt-Id: " + id
-                  + "\r\nWisteriawind-Response-Seal: s1\r\nContent-Type: text/plain\r\n"
-                    "Connection: close\r\n\r\nlocker 17 is free\n");
-        record_.line(id_ + " answered " + id + " with 200, without a length");
-    }
-
-    std::string ip_;
-    std::string id_;
-    Store &store_;
-    Record &record_;
-    int port_ = 0;
-    std::int64_t born_ = 0;
-    int sequence_ = 0;
-    std::atomic<int> runs_ = 0;
-    std::atomic<int> inFlight_ = 0;
-    std::unique_ptr<Server> server_;
-};
-
 } // namespace
 
 CaseResult runUnframedAnswers(const CaseOptions &options, Record &record)
 {
     const std::string ip = freeLoopbackAddress();
     Store store(ip);
-    store.put("keyed.op", "config", configuration());
-    std::vector<std::unique_ptr<Runner>> runners;
+    store.put("keyed.op", "config", plainConfiguration(10, 4194304, "tenant-one"));
+    const auto run = [&record](PlainRunner &runner, Peer &peer, const Message &request) {
+        answerUnframed(record, runner, peer, request);
+    };
+    std::vector<std::unique_ptr<PlainRunner>> runners;
     for (int i = 1; i <= runnerCount; ++i)
-        runners.push_back(std::make_unique<Runner>(ip, "i-" + std::to_string(i), store, record));
+        runners.push_back(std::make_unique<PlainRunner>(ip, "i-" + std::to_string(i), store, run));
     Gateway gateway(options, "front-1", ip, ip + ":" + std::to_string(store.port()));
     if (!gateway.ready())
         return couldNotRun;
@@ -126,8 +49,8 @@
     std::atomic<bool> ending = false;
     std::atomic<int> sent = 0;
     std::atomic<int> denied = 0;
-    std::atomic<bool> reasonShown = false;
     std::atomic<int> served = 0;
+    std::atomic<bool> reasonShown = false;
     std::vector<std::thread> threads;
     for (int caller = 0; caller < callers; ++caller) {
         threads.emplace_back([&, caller] {
@@ -153,7 +76,7 @@
                     peer.reset();
                 const std::string wait = answer ? answer->field("Retry-After") : "";
                 std::this_thread::sleep_for(
-                    wait.empty() ? milliseconds(150)
+                    wait.empty() ? pauseTime
                                  : milliseconds(static_cast<int>(1000 * std::stod(wait))));
             }
         });
@@ -168,17 +91,18 @@
 
     std::this_thread::sleep_for(milliseconds(5000));
     if (options.trouble) {
-        waitUntil(milliseconds(3000), [&] { return runners[0]->inFlight() >= 4; });
-        record.line("i-1 crashes with " + std::to_string(runners[0]->inFlight())
+        PlainRunner &first = *runners.front();
+        waitUntil(milliseconds(3000), [&] { return first.inFlight() >= 4; });
+        record.line(first.id() + " crashes with " + std::to_string(first.inFlight())
                     + " requests at work");
-        runners[0]->crash();
-        std::this_thread::sleep_for(milliseconds(3600));
-        store.put("keyed.servers", "i-1", "");
-        std::this_thread::sleep_for(downTime - milliseconds(3600));
-        runners[0]->start();
-        record.line("i-1 is back");
+        first.crash();
+        std::this_thread::sleep_for(expiryTime);
+        first.expire();
+        std::this_thread::sleep_for(downTime - expiryTime);
+        first.start();
+        record.line(first.id() + " is back");
     }
-    std::this_thread::sleep_for(milliseconds(25000));
+    std::this_thread::sleep_for(milliseconds(20000));
     ending = true;
     for (std::thread &thread : threads)
         thread.join();
