--- a/review/standins-2/Cases.h
+++ b/review/standins-2/Cases.h
@@ -26,6 +26,7 @@
 
 CaseResult runKeptChannelLimits(const CaseOptions &options, Record &record);
 CaseResult runUnframedAnswers(const CaseOptions &options, Record &record);
+CaseResult runDeadlyOutage(const CaseOptions &options, Record &record);
 CaseResult runDeadlyTenant(const CaseOptions &options, Record &record);
 CaseResult runReusedPass(const CaseOptions &options, Record &record);
 
--- a/review/standins-2/DeadlyRequest.cpp
+++ b/review/standins-2/DeadlyRequest.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <csignal>
+
 #include "PlainRunner.h"
 
 namespace review {
@@ -20,7 +23,7 @@
 class DeadlyWorld
 {
 public:
-    DeadlyWorld(const CaseOptions &options, Record &record)
+    DeadlyWorld(const CaseOptions &options, Record &record, int gateways)
         : record_(record), net_(freeLoopbackAddress()), store_(net_)
     {
         store_.put("keyed.op", "config", plainConfiguration(10, bodyLimit, "tenant-one"));
@@ -33,7 +36,11 @@
         for (int i = 0; i < runnerCount; ++i)
             threads_.emplace_back([this, i] { keep(static_cast<std::size_t>(i)); });
         const std::string storeAddress = net_ + ":" + std::to_string(store_.port());
-        gateway_ = std::make_unique<Gateway>(options, "front-1", net_, storeAddress);
+        const std::string prefix = net_.substr(0, net_.rfind('.') + 1);
+        for (int i = 1; i <= gateways; ++i)
+            gateways_.push_back(std::make_unique<Gateway>(options, "front-" + std::to_string(i),
+                                                          prefix + std::to_string(250 + i),
+                                                          storeAddress));
     }
 
     ~DeadlyWorld()
@@ -43,7 +50,13 @@
             thread.join();
     }
 
-    bool ready() const { return gateway_->ready(); }
+    bool ready() const
+    {
+        return std::all_of(gateways_.begin(), gateways_.end(),
+                           [](const auto &gateway) { return gateway->ready(); });
+    }
+
+    std::vector<std::unique_ptr<Gateway>> &gateways() { return gateways_; }
     Store &store() { return store_; }
 
     void startSoundCallers()
@@ -52,24 +65,30 @@
             threads_.emplace_back([this, caller] {
                 for (int number = 0; !ending_; ++number) {
                     const std::string name = std::to_string(caller) + "-" + std::to_string(number);
-                    served_ += call("/locker/" + name, "sound-" + name) == 200;
+                    served_ +=
+                        call(static_cast<std::size_t>(caller), "/locker/" + name, "sound-" + name)
+                        == 200;
                     std::this_thread::sleep_for(milliseconds(60));
                 }
             });
         }
     }
 
-    /// Sends the deadly request from several callers, again and again.
-    void startDeadlyCallers()
+    /// Sends the deadly request from several callers, again and again; `firstPause` passes before
+    /// it is repeated for the first time.
+    void startDeadlyCallers(milliseconds firstPause)
     {
         for (int caller = 0; caller < deadlyCallers; ++caller) {
-            threads_.emplace_back([this, caller] {
+            threads_.emplace_back([this, caller, firstPause] {
                 for (int number = 0; !ending_; ++number) {
                     const std::string id =
                         "deadly-" + std::to_string(caller) + "-" + std::to_string(number);
-                    const int status = call(deadlyPath, id);
+                    const auto begun = Clock::now();
+                    const int status = call(static_cast<std::size_t>(caller), deadlyPath, id);
                     record_.line("caller got " + std::to_string(status) + " for " + id);
-                    std::this_thread::sleep_for(repeatPause);
+                    const auto next = begun + (number == 0 ? firstPause : repeatPause);
+                    while (!ending_ && Clock::now() < next)
+                        std::this_thread::sleep_for(milliseconds(5));
                 }
             });
         }
@@ -81,22 +100,23 @@
         return arrivals_.size();
     }
 
-    /// Number of arrivals later than the stability window after the third one.
-    int lateArrivals() const
+    /// Number of arrivals later than the stability window after the third one and after a
+    /// disruption.
+    int lateArrivals(Clock::time_point disruptionEnd) const
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         if (arrivals_.size() < 3)
             return 0;
-        const auto from = arrivals_[2] + stabilityWindow;
+        const auto from = std::max(arrivals_[2], disruptionEnd) + stabilityWindow;
         int late = 0;
         for (const auto at : arrivals_)
             late += at > from;
         return late;
     }
 
-    CaseResult result()
+    CaseResult result(Clock::time_point disruptionEnd)
     {
-        const int late = lateArrivals();
+        const int late = lateArrivals(disruptionEnd);
         record_.line("crashes " + std::to_string(crashes()) + ", of these sent over 3 s after the "
                      + "third " + std::to_string(late) + ", sound requests served "
                      + std::to_string(served_.load()));
@@ -148,9 +168,9 @@
         }
     }
 
-    int call(const std::string &path, const std::string &id) const
+    int call(std::size_t caller, const std::string &path, const std::string &id) const
     {
-        const Place &place = gateway_->place();
+        const Place &place = gateways_[caller % gateways_.size()]->place();
         const auto peer = connectTo(place.ip, place.callers, milliseconds(1000));
         if (!peer)
             return 0;
@@ -166,7 +186,7 @@
     std::vector<Clock::time_point> arrivals_;
     std::vector<std::atomic<bool>> crashing_ = std::vector<std::atomic<bool>>(runnerCount);
     std::vector<std::unique_ptr<PlainRunner>> runners_;
-    std::unique_ptr<Gateway> gateway_;
+    std::vector<std::unique_ptr<Gateway>> gateways_;
     std::atomic<bool> ending_ = false;
     std::atomic<int> served_ = 0;
     std::vector<std::thread> threads_;
@@ -176,19 +196,57 @@
 
 CaseResult runDeadlyTenant(const CaseOptions &options, Record &record)
 {
-    DeadlyWorld world(options, record);
+    DeadlyWorld world(options, record, 1);
     if (!world.ready())
         return couldNotRun;
     std::this_thread::sleep_for(stabilityWindow);
     world.startSoundCallers();
-    world.startDeadlyCallers();
+    world.startDeadlyCallers(repeatPause);
     std::this_thread::sleep_for(milliseconds(15000));
     if (options.trouble) {
         world.store().put("keyed.op", "config", plainConfiguration(13, bodyLimit, "tenant-uno"));
         record.line("the store acknowledged version 13: the tenant has another name");
     }
     std::this_thread::sleep_for(milliseconds(20000));
-    return world.result();
+    return world.result({});
+}
+
+CaseResult runDeadlyOutage(const CaseOptions &options, Record &record)
+{
+    /// As platform_down on the site, and the pause of a process that is started again.
+    constexpr milliseconds outage{8000};
+    constexpr milliseconds restartDelay{300};
+    DeadlyWorld world(options, record, 2);
+    if (!world.ready())
+        return couldNotRun;
+    std::this_thread::sleep_for(stabilityWindow);
+    world.startSoundCallers();
+    std::this_thread::sleep_for(milliseconds(1000));
+    if (options.trouble) {
+        world.store().setDown(true);
+        record.line("the store is down");
+    }
+    const auto downSince = Clock::now();
+    std::this_thread::sleep_for(milliseconds(1000));
+    world.startDeadlyCallers(milliseconds(12000));
+    if (!waitUntil(milliseconds(5000), [&] { return world.crashes() >= 3; }))
+        return couldNotRun;
+    std::this_thread::sleep_for(milliseconds(3000));
+    if (options.trouble) {
+        for (const auto &gateway : world.gateways())
+            gateway->process().signal(SIGKILL);
+        record.line("all gateways are killed");
+        std::this_thread::sleep_for(restartDelay);
+        for (const auto &gateway : world.gateways())
+            gateway->start();
+        record.line("all gateways are started again");
+    }
+    std::this_thread::sleep_until(downSince + outage);
+    world.store().setDown(false);
+    record.line("the store is up");
+    const auto upSince = Clock::now();
+    std::this_thread::sleep_for(milliseconds(25000));
+    return world.result(options.trouble ? upSince : Clock::time_point());
 }
 
 } // namespace review
--- a/review/standins-2/Main.cpp
+++ b/review/standins-2/Main.cpp
@@ -76,6 +76,7 @@
         {"kept-channel-limits", runKeptChannelLimits},
         {"unframed-answers", runUnframedAnswers},
         {"deadly-tenant", runDeadlyTenant},
+        {"deadly-outage", runDeadlyOutage},
         {"reused-pass", runReusedPass},
     };
     if (count != 6 || !cases.contains(words[1]))
--- a/review/standins-2/StandIns.cpp
+++ b/review/standins-2/StandIns.cpp
@@ -338,16 +338,30 @@
 void Store::put(const std::string &topic, const std::string &key, const std::string &value)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
+    if (down_)
+        return;
     topics_[topic].push_back({key, value});
     changed_.notify_all();
 }
 
+void Store::setDown(bool down)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    down_ = down;
+    changed_.notify_all();
+}
+
 void Store::serve(Peer &peer)
 {
     while (!ending_) {
         const auto request = peer.read(milliseconds(60000));
-        if (!request || !peer.send(answer(*request)))
+        if (!request)
             return;
+        const std::string text = down_ ? std::string() : answer(*request);
+        if (down_ || !peer.send(text)) {
+            peer.reset();
+            return;
+        }
     }
 }
 
@@ -392,7 +406,7 @@
 std::string Store::read(const std::string &topic, std::uint64_t from, milliseconds wait)
 {
     std::unique_lock<std::mutex> lock(mutex_);
-    changed_.wait_for(lock, wait, [&] { return ending_ || topics_[topic].size() > from; });
+    changed_.wait_for(lock, wait, [&] { return ending_ || down_ || topics_[topic].size() > from; });
     const std::vector<Item> &items = topics_[topic];
     std::string body;
     appendBigEndian(body, items.size(), 8);
--- a/review/standins-2/StandIns.h
+++ b/review/standins-2/StandIns.h
@@ -119,6 +119,8 @@
     int port() const { return server_->port(); }
     /// Appends a record; an empty value removes the key.
     void put(const std::string &topic, const std::string &key, const std::string &value);
+    /// While the store is down it resets its channels, and nothing is written.
+    void setDown(bool down);
 
 private:
     struct Item
@@ -136,6 +138,7 @@
     std::condition_variable changed_;
     std::map<std::string, std::vector<Item>> topics_;
     std::atomic<bool> ending_ = false;
+    std::atomic<bool> down_ = false;
     std::unique_ptr<Server> server_;
 };
 
