Switch: a rank holds the group before each pass once only, over all lives of the leader

Cause: an order to release names nothing but the pass. lastHeldPass kept one life of a leader from holding before the same pass twice, and died with the process. A leader that started again in a group without work held before the pass of its earlier life; a release of the earlier hold, executed 2 s late, ended the new hold while ranks were being armed.

Change: a leader holds at most three passes beyond the latest one it knows, so all holds of its earlier lives lie at most that far beyond the pass that its own rank is at when it starts; it only uses later ones, and waits for one pass before its first hold. No memory is needed, so it holds also when all sidecars are killed between two holds.

DemandShiftTest's group now reports passes with its counts: counts without passes don't occur, and a leader holds nothing before a pass has begun.

--- a/Source/Version/RankSwitch.cpp
+++ b/Source/Version/RankSwitch.cpp
@@ -1,6 +1,7 @@
 #include "Version/RankSwitch.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "Version/GroupDemand.h"
@@ -19,12 +20,25 @@
 /// any that occur leaves the leader as many as it needs.
 constexpr std::uint64_t maxFollowedVersion = std::uint64_t{1} << 52;
 
-/// Sets the pass before which the group is to be held; never one that this leader used before.
+/// Returns the pass before which the group may be held next: at least so many ahead, and none that
+/// this leader may have used before, in this or an earlier life. Empty until a further pass begins.
+std::optional<std::uint64_t> nextHeldPass(const GroupSwitch &group, const SwitchTiming &timing,
+                                          std::uint64_t passesAhead)
+{
+    if (!group.passAtStart)
+        return std::nullopt;
+    const std::uint64_t latest = latestPass(group);
+    const std::uint64_t pass = std::max({latest + passesAhead, group.lastHeldPass + 1,
+                                         *group.passAtStart + timing.maxPassesAhead + 1});
+    return pass <= latest + timing.maxPassesAhead ? std::optional(pass) : std::nullopt;
+}
+
+/// Sets the pass before which the group is to be held.
 void scheduleHold(GroupSwitch &group, std::uint64_t pass)
 {
-    group.pass = std::max(pass, group.lastHeldPass + 1);
-    group.lastHeldPass = group.pass;
-    group.heldPasses.push_back(group.pass);
+    group.pass = pass;
+    group.lastHeldPass = pass;
+    group.heldPasses.push_back(pass);
     group.pendingOrders.clear();
 }
 
@@ -40,7 +54,7 @@
         return;
     if (anyArmed(group) || now - group.lastSwitchAt < timing.minSwitchInterval)
         return;
-    if (!group.demandIsNew)
+    if (!group.demandIsNew || !nextHeldPass(group, timing, timing.passesAhead))
         return;
     group.demandIsNew = false;
     const RankMap current = currentMap(group, profile);
@@ -85,11 +99,12 @@
     }
     // The size is what a rank reports, which may differ from the number of ranks.
     const std::uint32_t holder = holderOf(leader.rank, groupSizeOf(group));
-    if (all && group.ranks.contains(holder)) {
+    const auto pass = nextHeldPass(group, timing, timing.passesAhead);
+    if (all && pass && group.ranks.contains(holder)) {
         group.holder = holder;
         group.heldPasses.clear();
         enterPhase(group, SwitchPhase::Holding, now);
-        scheduleHold(group, latestPass(group) + timing.passesAhead);
+        scheduleHold(group, *pass);
         return;
     }
     if (now - group.phaseSince > timing.prepareTimeout) {
@@ -117,8 +132,10 @@
     }
     // If the pass is the next to begin or has begun, an order may come too late to hold the group
     // before it. No rank is armed yet, so a pass further ahead is chosen.
-    if (latestPass(group) + 1 >= group.pass && !group.pendingOrders.empty())
-        scheduleHold(group, latestPass(group) + timing.passesAhead + 1);
+    if (latestPass(group) + 1 >= group.pass && !group.pendingOrders.empty()) {
+        if (const auto later = nextHeldPass(group, timing, timing.passesAhead + 1))
+            scheduleHold(group, *later);
+    }
     requestOrder(group, update, timing, group.holder,
                  {.kind = RankOrderKind::Hold, .pass = group.pass}, now);
 }
@@ -270,6 +287,7 @@
     GroupSwitch kept{.group = group.group, .epoch = group.epoch};
     kept.highestVersion = group.highestVersion;
     kept.lastHeldPass = group.lastHeldPass;
+    kept.passAtStart = group.passAtStart;
     group = std::move(kept);
 }
 
@@ -307,6 +325,8 @@
     SwitchUpdate update;
     closeOverdueWindow(group, profile, timing, now);
     group.ownRank = leader.rank;
+    if (!group.passAtStart && group.ranks.contains(leader.rank))
+        group.passAtStart = latestPass(group);
     // Another leader's hold is recovered, as that leader may have died.
     const bool unheldPhase =
         group.phase == SwitchPhase::Preparing || group.phase == SwitchPhase::Holding;
--- a/Source/Version/RankSwitch.h
+++ b/Source/Version/RankSwitch.h
@@ -50,6 +50,9 @@
     /// Number of passes from the latest one known to the one before which the group is held. The
     /// order to hold must arrive before that pass begins; an order takes less than a pass.
     std::uint64_t passesAhead = 2;
+    /// Largest number of passes from the latest one known to one before which the group is held.
+    /// A leader begins with passes further ahead than that, see GroupSwitch::passAtStart.
+    std::uint64_t maxPassesAhead = 3;
     /// How long recovery waits for orders to arm that are still in flight before it chooses a new
     /// version: they mostly arrive, and then nothing has to be undone.
     milliseconds settleTime{200};
@@ -83,9 +86,16 @@
 /// instance because its VM froze. A leader arms the rank beside itself last, after it has seen all
 /// others armed; so if another rank is not armed, the unreachable one is not armed either.
 ///
+/// An order to release names nothing but the pass, so each rank holds the group before a pass once
+/// only, over all lives of the leader that orders it: otherwise a release of an earlier hold that
+/// is executed late would end a later hold while ranks are being armed. No leader holds more than
+/// maxPassesAhead passes beyond the latest one that it knows. So when a leader starts, every hold
+/// that its earlier lives ordered is at most so far beyond the pass that its own rank is at, and it
+/// only uses later ones. It holds nothing until a pass has begun since.
+///
 /// The invariant holds for any number of leaders at a time, however old the statuses are and
 /// however late orders are carried out. A new leader needs no stored state: it reads everything
-/// from the ranks.
+/// from the ranks. Only of the rank beside it must its first status be read after its start.
 enum class SwitchPhase {
     Idle,
     Preparing, ///< The ranks copy the experts that are new to them.
@@ -174,6 +184,9 @@
     /// Last pass before which this leader ordered a hold in this epoch: each is used for one
     /// version only.
     std::uint64_t lastHeldPass = 0;
+    /// Latest pass known when this leader first decided in this epoch, with a status of the rank
+    /// beside it. Empty before that.
+    std::optional<std::uint64_t> passAtStart{};
     /// Holds that were known when the recovery version was created. A rank that has prepared that
     /// version refuses all versions that those holds were for; a later hold may be for a higher
     /// one.
@@ -251,8 +264,8 @@
 void applyStatus(GroupSwitch &group, RankStatus status, TimePoint now);
 
 /// Resets all state, the demand included, when another sidecar leads. Only the group's name and
-/// epoch, the highest version and the last held pass are kept, so that no version number and no
-/// held pass is used again.
+/// epoch, the highest version, the last held pass and the pass at the start are kept, so that no
+/// version number and no held pass is used again.
 void resetSwitch(GroupSwitch &group);
 
 /// Records that a rank has executed an order that was sent directly to its engine.
--- a/Tests/Model/RankSwitch.pml
+++ b/Tests/Model/RankSwitch.pml
@@ -15,11 +15,21 @@
  * finds the group held by another leader arms no rank for that pass. The program follows this
  * variant. The base variant, where a leader orders its own rank to hold, checks the guards for
  * leaders whose ranks are all reachable.
+ *
+ * With -DRESTARTS, on top of SILENT_LEADER, leaders are killed at any time and start again without
+ * memory, while the orders of their earlier lives go on being executed. Passes need not begin, as
+ * in a group without work. The first life of a leader is the first in its epoch. Leader 0 switches
+ * maps, and both recover holds. A hold is at most one pass beyond the latest one that its leader
+ * knows (MAX_AHEAD).
  */
 #define RANKS 2
 #define LEADERS 2
 #define LAST_PASS 2
+#ifdef RESTARTS
+#define VERSIONS 5
+#else
 #define VERSIONS 3
+#endif
 #define PASSES 3
 
 /* State of the ranks. The content of a version is its creator, as leader + 1; 0 is the first
@@ -36,8 +46,8 @@
 byte pass;
 
 /* Orders sent so far, one bit per rank. */
-byte prepares[6]; /* version * LEADERS + creator */
-byte arms[9]; /* version * PASSES + pass */
+byte prepares[VERSIONS * LEADERS]; /* version * LEADERS + creator */
+byte arms[VERSIONS * PASSES]; /* version * PASSES + pass */
 byte disarms[VERSIONS];
 byte holds[PASSES];
 byte releases[PASSES];
@@ -56,6 +66,53 @@
 /* The version for which a leader ordered a hold before a pass, by leader * PASSES + pass. */
 byte heldFor[6];
 
+#ifdef RESTARTS
+#define MAX_AHEAD 1
+/* Times that leader 0 is killed; the other one begins its life when it is needed. */
+#define LIVES (l == 0 -> 1 : 0)
+/* The highest version that a leader created in any life; its clock keeps it from using one again. */
+byte used[LEADERS];
+/* Lives that a leader has begun after its first one. */
+byte restarts[LEADERS];
+/* The latest pass that a leader knows in this life, and the one that its own rank was at when it
+ * began. */
+byte seenPass[LEADERS];
+byte startPass[LEADERS];
+#define LATER_THAN_USED(l, v) (v > used[l])
+#define NOTE_USED(l, v) used[l] = v;
+#define NOTE_PASS(l) seenPass[l] = pass;
+#define PASS_NEWS(l) || seenPass[l] != pass
+/* Guard: a hold is not far beyond the latest pass that its leader knows. */
+#ifdef NO_PASS_BOUND
+#define NEAR_PASS(l, p) (true)
+#else
+#define NEAR_PASS(l, p) (p <= seenPass[l] + MAX_AHEAD)
+#endif
+/* Guard: a hold is beyond all that earlier lives of its leader can have ordered. */
+#ifdef NO_START_PASS
+#define NEW_PASS(l, p) (p > seenPass[l])
+#else
+#define NEW_PASS(l, p) (p > seenPass[l] && (restarts[l] == 0 || p > startPass[l] + MAX_AHEAD))
+#endif
+#define MAY_HOLD(l, p) (l == 0 && seen[AT(l, l)] && NEAR_PASS(l, p) && NEW_PASS(l, p))
+#define RESTART \
+    atomic { \
+        restarts[l] < LIVES -> \
+        restarts[l]++; seen[AT(l, 0)] = false; seen[AT(l, 1)] = false; created[l] = 0; \
+        armingPass[l] = 0; heldFor[l * PASSES + 1] = 0; heldFor[l * PASSES + 2] = 0; \
+        FORGET(AT(l, 0)); FORGET(AT(l, 1)); seenPass[l] = pass; startPass[l] = pass \
+    }
+#define FORGET(i) \
+    seenMap[i] = 0; seenPrepared[i] = 0; seenArmed[i] = 0; seenArmedPass[i] = 0; seenHeld[i] = 0
+#else
+#define LATER_THAN_USED(l, v) (true)
+#define NOTE_USED(l, v)
+#define NOTE_PASS(l)
+#define PASS_NEWS(l)
+#define MAY_HOLD(l, p) (true)
+#define RESTART atomic { false -> skip }
+#endif
+
 #define BIT(r) (1 << (r))
 #define AT(l, r) ((l) * RANKS + (r))
 #define HAS_VERSION(i, v) (seenMap[i] == v || seenPrepared[i] == v || seenArmed[i] == v)
@@ -113,7 +170,7 @@
 #define OWN_NUMBER(l, v) (v % LEADERS == l)
 #endif
 #define IS_NEW(l, v) \
-    (v > created[l] && !ABOVE(AT(l, 0), v - 1) && !ABOVE(AT(l, 1), v - 1) && OWN_NUMBER(l, v))
+    (v > created[l] && LATER_THAN_USED(l, v) && !ABOVE(AT(l, 0), v - 1) && !ABOVE(AT(l, 1), v - 1) && OWN_NUMBER(l, v))
 
 /* Orders that a rank may execute now; others are refused and change nothing. */
 #define PREPARE(v, l) \
@@ -135,15 +192,24 @@
 proctype Engine(byte r)
 {
     do
+#ifdef RESTARTS
+    :: PREPARE(3, 1)
+    :: PREPARE(2, 0)
+    :: PREPARE(4, 0)
+    :: ARM(4, 1)
+    :: ARM(4, 2)
+    :: DISARM(4)
+#else
     :: PREPARE(1, 0)
     :: PREPARE(1, 1)
     :: PREPARE(2, 0)
     :: PREPARE(2, 1)
     :: ARM(1, 1)
     :: ARM(1, 2)
+    :: DISARM(1)
+#endif
     :: ARM(2, 1)
     :: ARM(2, 2)
-    :: DISARM(1)
     :: DISARM(2)
     :: HOLD(1)
     :: HOLD(2)
@@ -183,8 +249,8 @@
     atomic { \
         !seen[AT(l, r)] || seenMap[AT(l, r)] != map[r] || seenPrepared[AT(l, r)] != prepared[r] \
             || seenArmed[AT(l, r)] != armed[r] || seenArmedPass[AT(l, r)] != armedPass[r] \
-            || seenHeld[AT(l, r)] != held[r] -> \
-        seen[AT(l, r)] = true; seenMap[AT(l, r)] = map[r]; seenPrepared[AT(l, r)] = prepared[r]; \
+            || seenHeld[AT(l, r)] != held[r] PASS_NEWS(l) -> \
+        NOTE_PASS(l) seen[AT(l, r)] = true; seenMap[AT(l, r)] = map[r]; seenPrepared[AT(l, r)] = prepared[r]; \
         seenArmed[AT(l, r)] = armed[r]; seenArmedPass[AT(l, r)] = armedPass[r]; \
         seenHeld[AT(l, r)] = held[r] \
     }
@@ -197,7 +263,7 @@
 #define CREATE(v) \
     atomic { \
         MAY_CREATE(l) && IS_NEW(l, v) -> \
-        created[l] = v; armingPass[l] = 0; prepares[(v) * LEADERS + l] = 3 \
+        created[l] = v; NOTE_USED(l, v) armingPass[l] = 0; prepares[(v) * LEADERS + l] = 3 \
     }
 #ifdef SILENT_LEADER
 #define OTHER(l) (1 - (l))
@@ -210,7 +276,8 @@
 /* Orders the rank after its own to hold the group before a pass. */
 #define REQUEST_HOLD(p) \
     atomic { \
-        created[l] != 0 && heldFor[l * PASSES + p] == 0 && PREPARED_FIRST(l) -> \
+        created[l] != 0 && heldFor[l * PASSES + p] == 0 && PREPARED_FIRST(l) \
+            && MAY_HOLD(l, p) -> \
         heldFor[l * PASSES + p] = created[l]; holds[p] = holds[p] | BIT(OTHER(l)) \
     }
 #define OWN_HOLD(l, v, p) (heldFor[(l) * PASSES + p] == v && seenHeld[AT(l, OTHER(l))] == p)
@@ -275,19 +342,31 @@
     do
     :: READ(0)
     :: READ(1)
-    :: CREATE(1)
     :: CREATE(2)
     :: REQUEST_HOLD(1)
     :: REQUEST_HOLD(2)
+#ifdef RESTARTS
+    :: RESTART
+    :: CREATE(3)
+    :: CREATE(4)
+    :: REQUEST_ARM(4, 1)
+    :: REQUEST_ARM(4, 2)
+    :: REQUEST_DISARM(4)
+    :: REQUEST_RELEASE(4, 1, 1)
+    :: REQUEST_RELEASE(4, 2, 1)
+    :: REQUEST_RELEASE(4, 2, 2)
+#else
+    :: CREATE(1)
     :: REQUEST_ARM(1, 1)
     :: REQUEST_ARM(1, 2)
-    :: REQUEST_ARM(2, 1)
-    :: REQUEST_ARM(2, 2)
     :: REQUEST_DISARM(1)
-    :: REQUEST_DISARM(2)
     :: REQUEST_RELEASE(1, 1, 1)
     :: REQUEST_RELEASE(1, 2, 1)
     :: REQUEST_RELEASE(1, 2, 2)
+#endif
+    :: REQUEST_ARM(2, 1)
+    :: REQUEST_ARM(2, 2)
+    :: REQUEST_DISARM(2)
     :: REQUEST_RELEASE(2, 1, 1)
     :: REQUEST_RELEASE(2, 2, 1)
     :: REQUEST_RELEASE(2, 2, 2)
--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -12,6 +12,7 @@
 
 #include <tclap/CmdLine.h>
 
+#include "Soak/RankSwitches.h"
 #include "Soak/RollingStops.h"
 #include "Soak/SoakClients.h"
 #include "Soak/SoakEngines.h"
@@ -204,14 +205,21 @@
                                "Number of planned stops in turn without other faults, instead of "
                                "seeds",
                                false, 0, "number", line);
+    TCLAP::ValueArg<std::string> sidecar("", "rank-switches",
+                                         "Path of the sidecar program: only its rank switches are "
+                                         "run, a group for each seed",
+                                         false, "", "path", line);
     line.parse(argc, argv);
     if (stops.getValue() > 0)
         return runRollingStops(program.getValue(), folder.getValue(), stops.getValue()) ? 0 : 1;
     const SoakPlan plan{program.getValue(), folder.getValue(), seconds(length.getValue())};
     int failed = 0;
     for (int i = 0; i < seeds.getValue(); ++i) {
-        if (!runSeed(plan, seed.getValue() + static_cast<std::uint64_t>(i)))
-            ++failed;
+        const std::uint64_t number = seed.getValue() + static_cast<std::uint64_t>(i);
+        const bool passed = sidecar.getValue().empty()
+            ? runSeed(plan, number)
+            : runRankSwitches(sidecar.getValue(), plan.folder, number);
+        failed += passed ? 0 : 1;
     }
     std::cout << seeds.getValue() - failed << " passed, " << failed << " failed" << std::endl;
     return failed == 0 ? 0 : 1;
--- a/Tests/Version/DemandShiftTest.cpp
+++ b/Tests/Version/DemandShiftTest.cpp
@@ -48,6 +48,7 @@
                           std::uint32_t ranks = rankCount)
     {
         now_ += milliseconds(100);
+        pass_ += passes;
         reportStatuses();
         addDemand(group_, profile, timing_,
                   {.group = "g", .epoch = 1, .ranks = ranks, .passes = passes, .counts = counts},
@@ -67,6 +68,7 @@
             RankStatus status{.engine = {rank + 1, 1}};
             status.report = {
                 .group = "g", .epoch = 1, .rank = rank, .groupSize = rankCount, .groupOpen = true};
+            status.report.pass = pass_;
             for (const auto &set : map_)
                 status.experts.push_back(set[rank]);
             applyStatus(group_, status, now_);
@@ -74,6 +76,7 @@
     }
 
     RankMap map_;
+    std::uint64_t pass_ = 0;
     GroupSwitch group_{};
     SwitchTiming timing_{};
     TimePoint now_{seconds(10)};
--- a/Tests/Version/RankGroupWorld.h
+++ b/Tests/Version/RankGroupWorld.h
@@ -23,11 +23,19 @@
                                    .copiesPerMap = 2,
                                    .copyMilliseconds = 100};
 
+/// Passes after which another expert is in demand, if there is work all the time.
+inline constexpr std::uint64_t usualPassesPerShift = 30;
+
 /// Faults that are injected in one run.
 struct Faults
 {
-    /// Fraction of orders that get no answer and are executed up to three seconds late.
+    /// Fraction of orders that get no answer and are executed late.
     double lateOrders = 0;
+    /// How late such orders are executed, in milliseconds.
+    int minLateness = 300;
+    int maxLateness = 3000;
+    /// The same fraction of orders to arm, which leave ranks of a held group unarmed for long.
+    double lateArms = 0;
     /// Fraction of statuses and orders that are lost.
     double lostMessages = 0;
     /// Fraction of statuses that contain the rank's state of a fifth of a second earlier.
@@ -44,6 +52,17 @@
     bool freezeWhileArming = false;
     /// The leader's own rank gets its order to arm together with the other ranks, not after them.
     bool armOwnRankWithOthers = false;
+    /// Probability that leaders are killed when one sends an order to arm or to release. They start
+    /// again without memory, beside the same ranks.
+    double killsAtOrders = 0;
+    /// All leaders are killed, and the sidecar beside each rank leads in turn until the first is
+    /// back.
+    bool killsAll = false;
+    /// Longest time without work, in milliseconds; a few passes are made between two such times.
+    /// Work also comes soon after a release is executed late.
+    int maxIdleTime = 0;
+    /// Passes after which another expert is in demand.
+    std::uint64_t passesPerShift = usualPassesPerShift;
 };
 
 /// A simulated rank.
@@ -113,10 +132,11 @@
 
 /// Begins a pass at one rank.
 /// @return Whether the rank switched to another map.
-inline bool beginPass(Rank &rank, std::uint64_t pass)
+inline bool beginPass(Rank &rank, std::uint64_t pass,
+                      std::uint64_t passesPerShift = usualPassesPerShift)
 {
     rank.report.pass = pass;
-    const std::uint32_t hot = static_cast<std::uint32_t>(pass / 30) % expertCount;
+    const std::uint32_t hot = static_cast<std::uint32_t>(pass / passesPerShift) % expertCount;
     for (std::uint32_t expert = 0; expert < expertCount; ++expert)
         rank.counts[expert] = expert == hot ? 2000 : 300;
     if (rank.report.armedPass != pass || rank.report.armed == 0)
@@ -141,7 +161,7 @@
             for (std::uint32_t expert = rank; expert < expertCount; expert += rankCount)
                 ranks_[rank].experts.push_back(expert);
         }
-        leaders_.push_back({GroupSwitch{}, TimePoint::max()});
+        startLeader(0);
         leaderStartedAt_ = now_;
     }
 
@@ -178,6 +198,8 @@
     bool waitedForOldVersion() const { return waitedForOldVersion_; }
     /// Number of switches that came into force.
     std::uint32_t switches() const { return switches_; }
+    /// Number of times that leaders were killed.
+    std::uint32_t kills() const { return kills_; }
 
     /// Makes rank 1 hold the group, as ordered by a leader that no longer exists.
     void addHoldWithoutLeader() { ranks_[1].report.heldPass = ranks_[1].report.pass + 2; }
@@ -213,6 +235,8 @@
         TimePoint until;
         /// Rank beside the leader.
         std::uint32_t rank = 0;
+        /// Number of the leader's life, counted over all leaders.
+        std::uint32_t life = 0;
         TimePoint frozenFrom = TimePoint::max();
         TimePoint frozenUntil = TimePoint::max();
 
@@ -253,6 +277,41 @@
             event.run();
     }
 
+    void startLeader(std::uint32_t rank)
+    {
+        leaders_.push_back({GroupSwitch{}, TimePoint::max(), rank, ++lastLife_});
+    }
+
+    /// Kills the leaders, or the one beside a rank. It starts again after a while; meanwhile the
+    /// one beside the next rank leads.
+    void killLeaders(std::uint32_t rank)
+    {
+        ++kills_;
+        constexpr int minDownTime = 400;
+        constexpr int maxDownTime = 1500;
+        for (Leader &leader : leaders_) {
+            if (faults_.killsAll || leader.rank == rank)
+                leader.until = now_;
+        }
+        const milliseconds down = randomDelay(minDownTime, maxDownTime);
+        const std::uint32_t next = holderOf(rank, rankCount);
+        schedule(down / 2, [this, next] { startLeader(next); });
+        schedule(down, [this, rank, next] {
+            for (Leader &leader : leaders_)
+                leader.until = leader.rank == next ? now_ : leader.until;
+            startLeader(rank);
+        });
+    }
+
+    /// Whether leaders are killed when one sends this order.
+    bool killsAt(const RankOrder &order)
+    {
+        const bool wanted =
+            order.kind == RankOrderKind::Arm || order.kind == RankOrderKind::Release;
+        return wanted && faults_.killsAtOrders > 0 && now_ >= nextKillAt_
+            && occurs(faults_.killsAtOrders);
+    }
+
     void replaceLeader()
     {
         std::erase_if(leaders_, [this](const Leader &leader) { return leader.until <= now_; });
@@ -261,7 +320,7 @@
         leaderStartedAt_ = now_;
         for (Leader &leader : leaders_)
             leader.until = std::min(leader.until, now_ + faults_.overlap);
-        leaders_.push_back({GroupSwitch{}, TimePoint::max(), ++lastLeader_ % rankCount});
+        startLeader(++lastLeader_ % rankCount);
     }
 
     /// Whether the rank can't be reached because it is beside a leader whose VM is frozen.
@@ -294,9 +353,7 @@
         schedule(remaining(now_, leader.frozenUntil) - milliseconds(5),
                  [this, own = leader.rank] { allOthersArmed_ = allArmedExcept(own); });
         schedule(remaining(now_, leader.frozenFrom) + leaderTimeoutWhileHeld + milliseconds(25),
-                 [this] {
-                     leaders_.push_back({GroupSwitch{}, TimePoint::max(), holderOf(0, rankCount)});
-                 });
+                 [this] { startLeader(holderOf(0, rankCount)); });
     }
 
     void finishCopies()
@@ -312,10 +369,10 @@
             if (rank.report.heldPass == pass)
                 return;
         }
-        nextPassAt_ = now_ + randomDelay(30, 60);
+        nextPassAt_ = now_ + randomDelay(30, 60) + idleTime();
         lastPassAt_ = now_;
         for (Rank &rank : ranks_) {
-            const bool switched = wisteria::beginPass(rank, pass);
+            const bool switched = wisteria::beginPass(rank, pass, faults_.passesPerShift);
             switches_ += switched && rank.report.rank == 0 ? 1 : 0;
         }
         for (const Rank &rank : ranks_)
@@ -323,6 +380,15 @@
                 || rank.mapInForce != ranks_.front().mapInForce;
     }
 
+    /// Time without work before the next pass, mostly none.
+    milliseconds idleTime()
+    {
+        constexpr double passesPerBurst = 2;
+        if (faults_.maxIdleTime == 0 || !occurs(1 / passesPerBurst))
+            return milliseconds(0);
+        return randomDelay(0, faults_.maxIdleTime);
+    }
+
     /// Only experts that are new to the rank are copied.
     milliseconds copyTime(const Rank &rank, const std::vector<std::uint32_t> &wanted)
     {
@@ -374,23 +440,33 @@
                 continue;
             const RankStatus status = reportedStatus(rank);
             for (std::size_t leader = 0; leader < leaders_.size(); ++leader) {
-                if (occurs(faults_.lostMessages))
-                    continue;
-                const CountsReply counts{
-                    .group = "g", .epoch = 1, .ranks = 1, .passes = 1, .counts = rank.counts};
-                const RankStatus sent = withoutKnownExperts(leaders_[leader].group, status);
-                schedule(
-                    randomDelay(1, 30) + queueDelay(leader), [this, leader, status, sent, counts] {
-                        if (leader >= leaders_.size() || leaders_[leader].frozen(now_))
-                            return;
-                        applyStatus(leaders_[leader].group, sent, now_);
-                        checkView(leaders_[leader].group, status);
-                        addDemand(leaders_[leader].group, profile, SwitchTiming{}, counts, now_);
-                    });
+                if (!occurs(faults_.lostMessages))
+                    sendStatus(leaders_[leader], rank, status, queueDelay(leader));
             }
         }
     }
 
+    /// Sends a status to the leader's VM. A leader that has started there since gets it too, but
+    /// not of its own rank, whose engine each process reads itself.
+    void sendStatus(const Leader &to, const Rank &rank, const RankStatus &status,
+                    milliseconds queued)
+    {
+        const CountsReply counts{
+            .group = "g", .epoch = 1, .ranks = 1, .passes = 1, .counts = rank.counts};
+        const bool own = to.rank == rank.report.rank;
+        const auto deliver = [this, life = to.life, at = to.rank, own, status, counts,
+                              sent = withoutKnownExperts(to.group, status)] {
+            for (Leader &leader : leaders_) {
+                if (leader.rank != at || (own && leader.life != life) || leader.frozen(now_))
+                    continue;
+                applyStatus(leader.group, sent, now_);
+                checkView(leader.group, status);
+                addDemand(leader.group, profile, SwitchTiming{}, counts, now_);
+            }
+        };
+        schedule(randomDelay(1, 30) + queued, deliver);
+    }
+
     /// Compares the leader's view of a rank with that rank's whole status. A view without experts
     /// is incomplete, not wrong.
     void checkView(const GroupSwitch &leader, const RankStatus &whole)
@@ -449,11 +525,21 @@
             if (faults_.armOwnRankWithOthers && action.order.kind == RankOrderKind::Arm)
                 executeSoon(leader.rank, action.order);
             freezeLeaderAfter(leader, action.order.kind);
-            const bool late = occurs(faults_.lateOrders);
+            const bool arms = action.order.kind == RankOrderKind::Arm;
+            const bool late =
+                occurs(arms && faults_.lateArms > 0 ? faults_.lateArms : faults_.lateOrders);
             RankOrder order = action.order;
             if (order.kind == RankOrderKind::Prepare)
                 order.map = leader.group.map;
-            executeAfter(late ? randomDelay(300, 3000) : randomDelay(1, 12), action.rank, order);
+            executeAfter(late ? randomDelay(faults_.minLateness, faults_.maxLateness)
+                              : randomDelay(1, 12),
+                         action.rank, order);
+            if (killsAt(order)) {
+                constexpr milliseconds killInterval{2500};
+                nextKillAt_ = now_ + killInterval;
+                killLeaders(leader.rank);
+                return;
+            }
         }
     }
 
@@ -466,8 +552,12 @@
     void executeAfter(milliseconds delay, std::uint32_t rank, const RankOrder &order)
     {
         schedule(delay, [this, order, rank] {
-            if (!frozen(rank))
-                execute(ranks_[rank], order);
+            if (frozen(rank))
+                return;
+            execute(ranks_[rank], order);
+            constexpr int longestWait = 60;
+            if (faults_.maxIdleTime > 0 && order.kind == RankOrderKind::Release)
+                nextPassAt_ = std::min(nextPassAt_, now_ + randomDelay(0, longestWait));
         });
     }
 
@@ -490,6 +580,9 @@
     bool leaderHadWrongMap_ = false;
     bool waitedForOldVersion_ = false;
     std::uint32_t lastLeader_ = 0;
+    std::uint32_t lastLife_ = 0;
+    TimePoint nextKillAt_;
+    std::uint32_t kills_ = 0;
     bool leaderFroze_ = false;
     bool allOthersArmed_ = false;
     std::uint32_t switches_ = 0;
--- a/Tests/Version/RankSwitchTest.cpp
+++ b/Tests/Version/RankSwitchTest.cpp
@@ -30,6 +30,33 @@
     }
 }
 
+// Guards against a pass with two maps in force: a leader that is killed and starts again without
+// memory holds a group without work before the same pass again, and a release of the earlier hold,
+// executed seconds late, ends the new one.
+TEST_CASE("Leaders that start again without memory never cause a pass with two maps")
+{
+    const bool killsAll = GENERATE(false, true);
+    std::uint32_t kills = 0;
+    std::uint32_t switches = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        RankGroupWorld world(seed,
+                             {.lateOrders = 0.5,
+                              .minLateness = 1000,
+                              .lateArms = 0.9,
+                              .killsAtOrders = 0.3,
+                              .killsAll = killsAll,
+                              .maxIdleTime = 4000,
+                              .passesPerShift = 3});
+        world.run(seconds(60));
+        CAPTURE(seed, killsAll);
+        REQUIRE_FALSE(world.beganMixedPass());
+        kills += world.kills();
+        switches += world.switches();
+    }
+    REQUIRE(kills >= 200);
+    REQUIRE(switches >= 200);
+}
+
 // Guards against a group that is held forever, with all its streams stopped. The leader's VM dies
 // between hold and release, or continues beside its successor as after a freeze. A hold has no
 // timeout, so the next leader must find and recover it.
