Poison requests: crashes that nobody knows are not granted anew after a restart of all gateways

Cause: all gateways were killed while the store was away, so nobody that lived knew of the crashes, and gateways that start took what they don't know for not having happened: three crashes and three last sends anew, and first copies at all gateways at once.

Change: the gateways that know all crashes take turns to write the time to the store each 2 s. A gateway that starts reads it; unless another one that knows all answers, services with servers started since are in doubt, and for six seconds all are. A request of such a service runs one copy at a time over all gateways until a server completes it, each send counts among its three last ones from the first one on, and it gets 503 where it is spent without three known crashes, never 400.

CrashingServer states its start time in Unix milliseconds, as the platform's servers do; before it was a count from 1.

--- a/Source/Programs/Gateway/AnswerRelay.cpp
+++ b/Source/Programs/Gateway/AnswerRelay.cpp
@@ -100,6 +100,14 @@
     return head_.success() && head_.sealed && marksEnd_ && !failure();
 }
 
+bool AnswerRelay::showsCallerError() const
+{
+    constexpr int firstRedirect = 300;
+    constexpr int firstServerError = 500;
+    return head_.sealed && head_.status >= firstRedirect && head_.status < firstServerError
+        && !failure();
+}
+
 /// Whether a stream that is forwarded as a whole was cut off, which shows in its last event only if
 /// it ends with its connection.
 bool AnswerRelay::endsInsideEvent() const
--- a/Source/Programs/Gateway/AnswerRelay.h
+++ b/Source/Programs/Gateway/AnswerRelay.h
@@ -53,6 +53,9 @@
     /// request that would have crashed it a moment later. A rejection may come before the body was
     /// read, and an answer that ends with its connection may have been cut short by a crash.
     bool showsCompletedRun() const;
+    /// Whether the answer, which has ended, is a backend server's own that asks the caller for
+    /// something else, such as 304 or 404.
+    bool showsCallerError() const;
     /// Ends the stream, or sends the whole answer.
     void finish();
 
--- a/Source/Programs/Gateway/EvidenceRecords.cpp
+++ b/Source/Programs/Gateway/EvidenceRecords.cpp
@@ -12,6 +12,9 @@
 constexpr milliseconds maxReadBackoff{2000};
 /// A record that says it is older is taken for one of this age, which counts no more.
 constexpr milliseconds maxEvidenceAge = std::chrono::hours(1);
+/// Key of the record with the time until which all crashes are known, which all gateways write. No
+/// VM has this name.
+constexpr const char *knownUntilKey = "known until";
 /// Interval between two looks whether the record can be removed.
 constexpr seconds cleanupInterval{10};
 
@@ -31,13 +34,14 @@
                                  std::string self, EvidenceRecordLinks links)
     : log_(log), store_(store), self_(std::move(self)), links_(std::move(links)),
       calls_(pool, maxStoreAnswerBytes), appender_(pool, store, platform::evidenceTopic),
-      readBackoff_(storeInitialBackoff)
+      knownUntilAppender_(pool, store, platform::evidenceTopic), readBackoff_(storeInitialBackoff)
 { }
 
 void EvidenceRecords::checkTimeouts(TimePoint now)
 {
     calls_.checkTimeouts(now);
     appender_.checkTimeouts(now);
+    knownUntilAppender_.checkTimeouts(now);
     if (readAfter_) {
         // A record of an earlier life of this gateway must not be replaced before it is read.
         if (calls_.open() == 0 && now >= nextReadAt_)
@@ -50,6 +54,24 @@
     }
     if (changed_ && appender_.ready(now))
         write(now);
+    renewKnownUntil(now);
+}
+
+/// Writes the time until which all crashes are known. What this gateway has detected is written
+/// first.
+void EvidenceRecords::renewKnownUntil(TimePoint now)
+{
+    if (changed_ || !appender_.ready(now) || !knownUntilAppender_.ready(now)
+        || !links_.renewsKnownUntil(wallNow()))
+        return;
+    knownUntilAppender_.append(
+        knownUntilKey, platform::encodeEvidence({.writtenAt = wallNow(), .messages = {}}), {}, now,
+        [this](const Result<void> &appended) {
+            if (appended.has_error())
+                log_.warn("evidence.not_renewed", {{"reason", appended.error().message}});
+            else
+                knownUntilAppender_.resetBackoff();
+        });
 }
 
 void EvidenceRecords::read(TimePoint now)
@@ -74,6 +96,8 @@
         apply(record);
     const bool more = page.value().hasMore && !page.value().records.empty();
     readAfter_ = more ? std::optional(page.value().records.back().key) : std::nullopt;
+    if (!readAfter_)
+        links_.allRead(knownUntil_);
 }
 
 void EvidenceRecords::apply(const platform::KeyedRecord &record)
@@ -85,6 +109,10 @@
         log_.warn("evidence.refused", {{"key", record.key}, {"reason", decoded.error().message}});
         return;
     }
+    if (record.key == knownUntilKey) {
+        knownUntil_ = decoded.value().writtenAt;
+        return;
+    }
     const bool own = record.key == self_;
     recorded_ = recorded_ || own;
     const milliseconds passed =
--- a/Source/Programs/Gateway/EvidenceRecords.h
+++ b/Source/Programs/Gateway/EvidenceRecords.h
@@ -21,11 +21,17 @@
     /// Adds a report of a record.
     /// @param own Whether this gateway found it, before it was restarted.
     std::function<void(const GroupMessage &, bool own)> add;
+    /// Called once all records are read, with the latest time until which a gateway knew all
+    /// crashes; nothing if none ever wrote it.
+    std::function<void(const std::optional<WallTime> &)> allRead;
+    /// Whether this gateway knows all crashes and it is its turn to write so.
+    std::function<bool(WallTime)> renewsKnownUntil;
 };
 
 /// Keeps the crashes that this gateway has detected, and the last sends of requests, in the
 /// platform's store, and reads those of all gateways when it starts. Without that, a restart of all
-/// gateways would let a poison request begin anew.
+/// gateways would let a poison request begin anew. The gateways together also keep the time until
+/// which all crashes are known, since crashes in an outage of the store are in no record.
 class EvidenceRecords
 {
 public:
@@ -46,6 +52,7 @@
     void finishRead(const Result<HttpResponse> &response, TimePoint now);
     void apply(const platform::KeyedRecord &record);
     void write(TimePoint now);
+    void renewKnownUntil(TimePoint now);
 
     EventLog &log_;
     Endpoint store_;
@@ -53,6 +60,9 @@
     EvidenceRecordLinks links_;
     TimedCalls calls_;
     StoreAppender appender_;
+    StoreAppender knownUntilAppender_;
+    /// The latest time in the records that are read.
+    std::optional<WallTime> knownUntil_;
     /// Key after which the next page of records begins; nothing once all are read.
     std::optional<std::string> readAfter_ = std::string();
     TimePoint nextReadAt_;
--- a/Source/Programs/Gateway/EvidenceSharing.cpp
+++ b/Source/Programs/Gateway/EvidenceSharing.cpp
@@ -193,12 +193,26 @@
 }
 
 std::vector<GroupMessage> EvidenceSharing::latestReports(TimePoint now) const
+{
+    return reportsOfCrashes(maxGossipCrashes, gossipTime, now);
+}
+
+std::vector<GroupMessage> EvidenceSharing::allReports(TimePoint now) const
+{
+    return reportsOfCrashes(maxRecordedReports, crashLifetime, now);
+}
+
+/// Returns reports of the latest crashes that are not older, of what has been completed before
+/// each, and of the restricted requests.
+std::vector<GroupMessage> EvidenceSharing::reportsOfCrashes(std::size_t maxCount,
+                                                            milliseconds maxAge,
+                                                            TimePoint now) const
 {
     std::vector<GroupMessage> reports;
     std::size_t crashes = 0;
     for (auto crash = evidence_.crashes.rbegin();
-         crash != evidence_.crashes.rend() && crashes < maxGossipCrashes; ++crash) {
-        if (now - crash->at > gossipTime || !isOpen(evidence_, *crash, now))
+         crash != evidence_.crashes.rend() && crashes < maxCount; ++crash) {
+        if (now - crash->at > maxAge || !isOpen(evidence_, *crash, now))
             continue;
         ++crashes;
         // A gateway that knows of a crash but not of what is sound would suspect too much.
--- a/Source/Programs/Gateway/EvidenceSharing.h
+++ b/Source/Programs/Gateway/EvidenceSharing.h
@@ -48,6 +48,8 @@
     void gossip(TimePoint now);
     /// Returns reports of the latest crashes, and of what has been completed before each.
     std::vector<GroupMessage> latestReports(TimePoint now) const;
+    /// The same of all crashes that count, for a gateway that knows none.
+    std::vector<GroupMessage> allReports(TimePoint now) const;
     /// Returns reports of what this gateway has detected and still counts, the latest first.
     std::vector<GroupMessage> ownReports(TimePoint now) const;
 
@@ -61,6 +63,8 @@
         Report report;
     };
 
+    std::vector<GroupMessage> reportsOfCrashes(std::size_t maxCount, milliseconds maxAge,
+                                               TimePoint now) const;
     void addCopyReports(std::vector<GroupMessage> &reports, TimePoint now) const;
     void sendToAllTwice(const Report &report, TimePoint now);
     void sendRepeats(TimePoint now);
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -149,6 +149,11 @@
     if (suspectWaitUntil_ == TimePoint())
         suspectWaitUntil_ = std::min(deadline_ - timeNeeded(now), now + maxSuspectWait);
     waitUntil_ = suspectWaitUntil_;
+    if (suspicion_.isSpent(now)) {
+        refuse("it was running when backend servers crashed, and has no sends left",
+               {.reason = NoBackendReason::AllFull}, now);
+        return true;
+    }
     if (now >= waitUntil_) {
         refuse("another run of what it is suspect for goes on",
                {.reason = NoBackendReason::AllFull}, now);
@@ -456,7 +461,8 @@
     // risked for them, but not a second one.
     const Suspicion suspected = suspicion_.level(now);
     if (suspected == Suspicion::Quarantined
-        || (suspected == Suspicion::RepeatedSuspect && history_.mayHaveRun))
+        || (suspected == Suspicion::RepeatedSuspect && history_.mayHaveRun
+            && !suspicion_.isOnlyUnproven(now)))
         return false;
     // Another run of what it is suspect for has lasted for the whole wait.
     if (suspected == Suspicion::RepeatedSuspect
@@ -520,7 +526,10 @@
     if (isSilenceSuspected(*server, send_.begunAt(), now))
         context_.checkLiveness(send_.backendId(), isEngine_);
     const MoveCause cause = moveCauseOf(*server, route_, now, context_.registry.loadLifetime);
-    if (cause != MoveCause::None && suspicion_.level(now) == Suspicion::None)
+    // An unproven request whose answer has begun has outlived its start.
+    const bool mayMove = suspicion_.level(now) == Suspicion::None
+        || (history_.answerBegun && suspicion_.isOnlyUnproven(now));
+    if (cause != MoveCause::None && mayMove)
         moveOff(*server, cause, now);
 }
 
@@ -611,6 +620,8 @@
     if (relay_.showsCompletedRun())
         suspicion_.noteCompleted({request_.attemptId, send_.backendId(), relay_.head().status},
                                  monotonicNow());
+    else if (relay_.showsCallerError())
+        suspicion_.noteAnswered();
 }
 
 void Exchange::refuseQuarantined(TimePoint now)
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -221,6 +221,8 @@
             poisonProtection_.receive(*copies, monotonicNow());
         else if (const auto *claim = std::get_if<ClaimMessage>(&message.value()))
             poisonProtection_.receive(*claim, monotonicNow());
+        else if (const auto *complete = std::get_if<EvidenceComplete>(&message.value()))
+            poisonProtection_.receive(*complete, monotonicNow());
         else if (const auto *presence = std::get_if<GatewayPresence>(&message.value()))
             notePresence(presence->gateway, from);
     }
--- a/Source/Programs/Gateway/GatewayDirectory.cpp
+++ b/Source/Programs/Gateway/GatewayDirectory.cpp
@@ -80,6 +80,12 @@
         introduce_(address);
 }
 
+void GatewayDirectory::introduceToAll()
+{
+    for (const Endpoint &peer : peers())
+        introduce_(peer);
+}
+
 void GatewayDirectory::notePresence(const std::string &name, const Endpoint &address)
 {
     if (name != self_)
--- a/Source/Programs/Gateway/GatewayDirectory.h
+++ b/Source/Programs/Gateway/GatewayDirectory.h
@@ -32,6 +32,10 @@
     /// act as the only one.
     PeerGateways &gateways() { return isListed() ? gateways_ : noGateways_; }
     const std::string &self() const { return self_; }
+    /// Whether the list has been read and has this gateway, so that all others are known.
+    bool known() const { return isListed(); }
+    /// Asks all other gateways to tell this one what they know.
+    void introduceToAll();
     /// Where the other known gateways receive messages, whether this one is listed or not.
     std::vector<Endpoint> peers() const;
 
--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds upkeepInterval{1000};
 /// Interval between two looks for verdicts that have become due.
 constexpr milliseconds judgeInterval{100};
+/// How long an unproven request that can't be claimed waits until it is looked at again.
+constexpr milliseconds unprovenRetryInterval{100};
 /// A peer's report about a time longer ago than this is not used.
 constexpr milliseconds maxReportAge = 2 * completionPeriod;
 
@@ -69,10 +71,44 @@
     return wisteria::quarantineReason(evidence_, request, now);
 }
 
+void PoisonGuard::noteRequest(const RequestIdentity &request, const std::string &service,
+                              TimePoint now)
+{
+    if (servicesInDoubt_.contains(service))
+        noteUnproven(evidence_, request.request, now);
+}
+
+bool PoisonGuard::isOnlyUnproven(const RequestIdentity &request, TimePoint now) const
+{
+    return wisteria::isOnlyUnproven(evidence_, request.request, now);
+}
+
+bool PoisonGuard::isSpent(const RequestIdentity &request, TimePoint now) const
+{
+    return isRestricted(evidence_, request.request, now)
+        && !hasLastSend(evidence_, request.request, now) && !mayStillRun(request.request, now);
+}
+
+void PoisonGuard::setServicesInDoubt(std::set<std::string> services, TimePoint now)
+{
+    if (services == servicesInDoubt_)
+        return;
+    for (const std::string &service : services) {
+        if (!servicesInDoubt_.contains(service))
+            log_.info("service.in_doubt", {{"service", service}});
+    }
+    servicesInDoubt_ = std::move(services);
+    if (!servicesInDoubt_.empty())
+        return;
+    log_.info("service.no_doubt", {{"unproven", evidence_.unproven.requests.size()}});
+    forgetUnproven(evidence_, now);
+    links_.changed();
+}
+
 std::optional<std::uint64_t> PoisonGuard::serverHash(const RequestIdentity &request,
                                                      TimePoint now) const
 {
-    if (suspicionOf(request, now) == Suspicion::None)
+    if (suspicionOf(request, now) == Suspicion::None || isOnlyUnproven(request, now))
         return std::nullopt;
     const std::vector<Fingerprint> exclusive = exclusiveSuspects(evidence_, request, now);
     return hashOf(exclusive.empty() ? request.request : exclusive.front());
@@ -94,6 +130,12 @@
         // What else crashes servers may be found meanwhile: another poison request, mostly.
         if (isPoisonByItself(record) && !evidence_.quarantined.contains(suspect))
             at = std::max(at, verdictTime(record) + judgeInterval);
+        if (suspect == request.request && isOnlyUnproven(request, now)) {
+            // Claims that reach nobody would let each gateway send a copy.
+            if (!links_.peersKnown() || !hasLastSend(evidence_, suspect, now))
+                at = std::max(at, now + unprovenRetryInterval);
+            continue;
+        }
         if (suspect == request.request) {
             const bool isTrial = quarantineReason(request, now).has_value();
             const bool mayBeSent = isTrial || hasLastSend(evidence_, suspect, now);
@@ -113,12 +155,13 @@
 }
 
 /// Returns what has to be claimed before a request is sent: its suspects of which one run is
-/// allowed at a time, and the service if the request itself is one of them.
+/// allowed at a time, and the service if the request itself is one of them for its crashes.
 std::vector<Fingerprint> PoisonGuard::claimsOf(const RequestIdentity &request,
                                                const std::string &service, TimePoint now) const
 {
     std::vector<Fingerprint> claims = exclusiveSuspects(evidence_, request, now);
-    if (std::find(claims.begin(), claims.end(), request.request) != claims.end())
+    if (std::find(claims.begin(), claims.end(), request.request) != claims.end()
+        && !isOnlyUnproven(request, now))
         claims.push_back(fingerprintOfService(service));
     return claims;
 }
@@ -163,7 +206,9 @@
 {
     if (suspicionOf(request, now) == Suspicion::None)
         return {};
-    logSuspectSend(request, send, now);
+    const bool onlyUnproven = isOnlyUnproven(request, now);
+    if (!onlyUnproven)
+        logSuspectSend(request, send, now);
     std::vector<Fingerprint> suspects = claimsOf(request, service, now);
     for (const Fingerprint &suspect : suspects) {
         if (noteTrial(evidence_, suspect, now)) {
@@ -175,6 +220,8 @@
         suspects.push_back(request.request);
     for (const Fingerprint &suspect : suspects)
         ++running_[suspect];
+    if (onlyUnproven)
+        noteLastSend(evidence_, request.request, id, {.at = now});
     if (isRestricted(evidence_, request.request, now)) {
         noteLastSend(evidence_, request.request, id, {.at = now});
         sharing_.reportCopies(request.request, now);
@@ -200,7 +247,11 @@
 {
     const milliseconds holds = end == RunEnd::Unknown ? claimAfterRun : milliseconds(0);
     for (const Fingerprint &suspect : suspects) {
-        if (end == RunEnd::NotDelivered && withdrawLastSend(evidence_, suspect, id)) {
+        const bool wasOnlyUnproven = wisteria::isOnlyUnproven(evidence_, suspect, now);
+        if (wasOnlyUnproven && end == RunEnd::NotExecuted)
+            withdrawLastSend(evidence_, suspect, id);
+        if (end == RunEnd::NotDelivered && withdrawLastSend(evidence_, suspect, id)
+            && !wasOnlyUnproven) {
             sharing_.reportCopies(suspect, now);
             links_.evidenceChanged();
         }
@@ -226,6 +277,12 @@
     seen.seenHere = true;
     addCrash(seen, now);
     sharing_.reportCrash(crash, now);
+    // The others don't know of the sends of an unproven request yet.
+    for (const InFlightRequest &running : crash.running) {
+        const Fingerprint &request = running.identity.request;
+        if (isUnproven(evidence_, request) && lastSendsOf(evidence_, request, now) > 0)
+            sharing_.reportCopies(request, now);
+    }
     links_.evidenceChanged();
     links_.changed();
 }
@@ -269,6 +326,9 @@
         if (evidence_.quarantined.contains(request) || hasLastSend(evidence_, request, now)
             || mayStillRun(request, now))
             continue;
+        // That crashes may be unknown is no reason for a verdict.
+        if (endedCopiesOf(evidence_, request, now) < maxEndedCopies)
+            continue;
         quarantine(evidence_, request, now + quarantineTime, now);
         log_.warn("request.quarantined",
                   {{"fingerprint", toText(request)},
@@ -315,10 +375,13 @@
     std::vector<Fingerprint> cleared;
     for (const Fingerprint &suspect : suspects) {
         const bool wasQuarantined = evidence_.quarantined.contains(suspect);
+        const bool wasUnproven = isUnproven(evidence_, suspect);
         const bool counted = noteCompletion(evidence_, suspect, now, now);
-        if (!counted && !wasQuarantined)
+        if (!counted && !wasQuarantined && !wasUnproven)
             continue;
         cleared.push_back(suspect);
+        if (!counted && !wasQuarantined)
+            continue;
         log_.info("request.cleared",
                   {{"fingerprint", toText(suspect)},
                    {"id", run.requestId},
@@ -333,6 +396,11 @@
     links_.changed();
 }
 
+void PoisonGuard::noteAnswered(const RequestIdentity &request)
+{
+    wisteria::noteAnswered(evidence_, request.request);
+}
+
 void PoisonGuard::noteRefusal(const Fingerprint &reason, TimePoint now)
 {
     const auto found = evidence_.quarantined.find(reason);
@@ -437,6 +505,8 @@
     nextUpkeepAt_ = now + upkeepInterval;
     sharing_.gossip(now);
     renewClaims(now);
+    if (servicesInDoubt_.empty())
+        forgetUnproven(evidence_, now);
     std::erase_if(weighedCrashes_,
                   [this](const auto &item) { return !evidence_.crashesOf.contains(item.first); });
     for (const Fingerprint &suspect : wisteria::removeExpired(evidence_, now))
--- a/Source/Programs/Gateway/PoisonGuard.h
+++ b/Source/Programs/Gateway/PoisonGuard.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "Process/Metrics.h"
 #include "Programs/Gateway/EvidenceSharing.h"
 #include "Request/CrashRecord.h"
+#include "Request/EvidenceGap.h"
 #include "Request/RunClaims.h"
 #include "Version/GroupMessages.h"
 
@@ -49,6 +51,7 @@
 /// How a send of a request ended, as far as a suspect is concerned.
 enum class RunEnd {
     Completed, ///< A backend server ran the request to its end.
+    Answered, ///< A backend server answered otherwise, with the caller at fault.
     NotDelivered, ///< It reached no backend server.
     NotExecuted, ///< The backend server does not run it and never will.
     Unknown, ///< It may run on, or has crashed its backend server.
@@ -67,6 +70,8 @@
     std::function<void()> evidenceChanged;
     /// A quarantine has ended.
     std::function<void(const Fingerprint &)> released;
+    /// Whether the other gateways are known, so that claims reach them.
+    std::function<bool()> peersKnown;
 };
 
 /// Keeps poison requests and prompt parts, which crash each backend server that runs them, from
@@ -80,7 +85,17 @@
     PoisonGuard &operator=(const PoisonGuard &) = delete;
 
     /// Whether a request may be suspect, so that it is worth computing its fingerprints.
-    bool hasSuspects() const { return wisteria::hasSuspects(evidence_); }
+    bool hasSuspects() const
+    {
+        return wisteria::hasSuspects(evidence_) || !servicesInDoubt_.empty();
+    }
+    /// Records a request that may be sent, before it is asked how suspect it is.
+    void noteRequest(const RequestIdentity &request, const std::string &service, TimePoint now);
+    /// Whether a request is suspect only because crashes of it may be unknown; see
+    /// UnprovenRequests.
+    bool isOnlyUnproven(const RequestIdentity &request, TimePoint now) const;
+    /// Whether a request has no sends left, so that it can't be served before it is forgotten.
+    bool isSpent(const RequestIdentity &request, TimePoint now) const;
     Suspicion suspicionOf(const RequestIdentity &request, TimePoint now) const;
     /// What a request is quarantined for; see wisteria::quarantineReason().
     std::optional<Fingerprint> quarantineReason(const RequestIdentity &request,
@@ -123,6 +138,8 @@
     /// Records that a backend server of the service ran a request to its end.
     void noteCompleted(const RequestIdentity &request, const std::string &service,
                        const CompletedRun &run, TimePoint now);
+    /// Records that a backend server answered a request, with the caller at fault.
+    void noteAnswered(const RequestIdentity &request);
     /// Records that a caller sent a quarantined request again.
     void noteRefusal(const Fingerprint &reason, TimePoint now);
 
@@ -135,13 +152,13 @@
     void receive(const CompletionReport &report, TimePoint now);
     void receive(const CopyReport &report, TimePoint now);
     void receive(const ClaimMessage &message, TimePoint now);
+    /// Sets the services of which servers may have crashed before this gateway started, without its
+    /// knowing of that.
+    void setServicesInDoubt(std::set<std::string> services, TimePoint now);
     /// Reports of what this gateway has detected, for the store.
     std::vector<GroupMessage> ownReports(TimePoint now) const { return sharing_.ownReports(now); }
     /// Reports for a gateway that has just started.
-    std::vector<GroupMessage> latestReports(TimePoint now) const
-    {
-        return sharing_.latestReports(now);
-    }
+    std::vector<GroupMessage> allReports(TimePoint now) const { return sharing_.allReports(now); }
 
     /// Repeats messages, and forgets what has expired.
     void checkTimeouts(TimePoint now);
@@ -168,6 +185,7 @@
     CrashEvidence evidence_;
     EvidenceSharing sharing_;
     RunClaims claims_;
+    std::set<std::string> servicesInDoubt_;
     /// Runs of suspects for this gateway.
     std::map<Fingerprint, std::uint32_t> running_;
     TimePoint nextUpkeepAt_;
--- a/Source/Programs/Gateway/PoisonProtection.cpp
+++ b/Source/Programs/Gateway/PoisonProtection.cpp
@@ -1,5 +1,6 @@
 #include "Programs/Gateway/PoisonProtection.h"
 
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -13,15 +14,19 @@
 /// record of a quarantined request.
 constexpr milliseconds minOtherWrites{1500};
 constexpr milliseconds maxOtherWrites{3000};
+/// Interval between two questions of a gateway that may not know all crashes to the others.
+constexpr milliseconds askInterval{1000};
 
 } // namespace
 
 PoisonProtection::PoisonProtection(EventLoop &loop, EventLog &log, Metrics &metrics,
                                    const BackendRegistry &registry, std::function<void()> changed)
-    : loop_(loop), log_(log), metrics_(metrics), changed_(std::move(changed)),
+    : loop_(loop), log_(log), metrics_(metrics), changed_(std::move(changed)), registry_(registry),
       detector_(loop, registry, [this](const ServerCrash &crash) { noteCrash(crash); }),
       guard_(log, links())
-{ }
+{
+    gap_.startedAt = monotonicNow();
+}
 
 PoisonProtection::~PoisonProtection() = default;
 
@@ -40,7 +45,9 @@
         pool, log_, store, directory.self(),
         EvidenceRecordLinks{
             .ownReports = [this](TimePoint now) { return guard_.ownReports(now); },
-            .add = [this](const GroupMessage &report, bool own) { addKept(report, own); }});
+            .add = [this](const GroupMessage &report, bool own) { addKept(report, own); },
+            .allRead = [this](const auto &knownUntil) { noteRecordsRead(knownUntil); },
+            .renewsKnownUntil = [this](WallTime wall) { return renewsKnownUntil(wall); }});
 }
 
 PoisonGuardLinks PoisonProtection::links()
@@ -51,7 +58,8 @@
             .quarantined = [this](const Fingerprint &suspect, const KeptQuarantine &kept,
                                   bool foundHere) { keepQuarantine(suspect, kept, foundHere); },
             .evidenceChanged = [this] { evidenceRecords_->noteChange(); },
-            .released = [this](const Fingerprint &suspect) { records_->remove(suspect); }};
+            .released = [this](const Fingerprint &suspect) { records_->remove(suspect); },
+            .peersKnown = [this] { return directory_->known(); }};
 }
 
 void PoisonProtection::send(const Endpoint &to, const GroupMessage &message)
@@ -78,8 +86,43 @@
 
 void PoisonProtection::introduce(const Endpoint &peer, TimePoint now)
 {
-    for (const GroupMessage &report : guard_.latestReports(now))
+    for (const GroupMessage &report : guard_.allReports(now))
         send(peer, report);
+    if (gap_.closed)
+        send(peer, EvidenceComplete{});
+}
+
+void PoisonProtection::noteRecordsRead(const std::optional<WallTime> &knownUntil)
+{
+    wisteria::noteRecordsRead(gap_, knownUntil, monotonicNow());
+    log_.info("evidence.read",
+              {{"known_until_ms", knownUntil ? knownUntil->time_since_epoch().count() : 0}});
+}
+
+/// Whether this gateway writes in the present interval that it knows all crashes: the gateways take
+/// turns.
+bool PoisonProtection::renewsKnownUntil(WallTime wall)
+{
+    const PeerGateways &gateways = directory_->gateways();
+    const std::int64_t interval = wall.time_since_epoch() / knownUntilInterval;
+    if (!gap_.closed || gateways.empty() || interval == renewedInterval_)
+        return false;
+    const auto turn = static_cast<std::size_t>(interval) % gateways.size();
+    if (std::next(gateways.begin(), static_cast<std::ptrdiff_t>(turn))->first != directory_->self())
+        return false;
+    renewedInterval_ = interval;
+    return true;
+}
+
+/// Looks which services are in doubt, and asks the other gateways what they know.
+void PoisonProtection::checkGap(TimePoint now)
+{
+    closeIfExpired(gap_, crashLifetime, now);
+    guard_.setServicesInDoubt(servicesInDoubt(gap_, registry_, now), now);
+    if (gap_.closed || !gap_.recordsReadAt || now - askedAt_ < askInterval)
+        return;
+    askedAt_ = now;
+    directory_->introduceToAll();
 }
 
 void PoisonProtection::keepQuarantine(const Fingerprint &suspect, const KeptQuarantine &kept,
@@ -128,8 +171,17 @@
     guard_.receive(claim, now);
 }
 
+void PoisonProtection::receive(const EvidenceComplete &, TimePoint now)
+{
+    if (gap_.closed || !gap_.recordsReadAt)
+        return;
+    gap_.closed = true;
+    log_.info("evidence.complete", {{"after_s", secondsOf(remaining(gap_.startedAt, now))}});
+}
+
 void PoisonProtection::checkTimeouts(TimePoint now)
 {
+    checkGap(now);
     detector_.checkTimeouts(now);
     guard_.checkTimeouts(now);
     records_->checkTimeouts(now);
--- a/Source/Programs/Gateway/PoisonProtection.h
+++ b/Source/Programs/Gateway/PoisonProtection.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -38,6 +40,7 @@
     void receive(const CompletionReport &report, TimePoint now);
     void receive(const CopyReport &report, TimePoint now);
     void receive(const ClaimMessage &claim, TimePoint now);
+    void receive(const EvidenceComplete &message, TimePoint now);
     /// Tells a gateway that has just started of the latest crashes.
     void introduce(const Endpoint &peer, TimePoint now);
 
@@ -50,14 +53,23 @@
     void sendToAll(const GroupMessage &message);
     void sendToOne(const std::vector<GroupMessage> &messages);
     void addKept(const GroupMessage &report, bool own);
+    void noteRecordsRead(const std::optional<WallTime> &knownUntil);
+    bool renewsKnownUntil(WallTime wall);
+    void checkGap(TimePoint now);
     void keepQuarantine(const Fingerprint &suspect, const KeptQuarantine &kept, bool foundHere);
 
     EventLoop &loop_;
     EventLog &log_;
     Metrics &metrics_;
     std::function<void()> changed_;
+    const BackendRegistry &registry_;
     CrashDetector detector_;
     PoisonGuard guard_;
+    EvidenceGap gap_;
+    /// When the other gateways were last asked what they know.
+    TimePoint askedAt_;
+    /// The interval in which this gateway last wrote that it knows all crashes.
+    std::int64_t renewedInterval_ = 0;
     /// Null until start().
     DatagramSocket *socket_ = nullptr;
     GatewayDirectory *directory_ = nullptr;
--- a/Source/Programs/Gateway/RequestSuspicion.cpp
+++ b/Source/Programs/Gateway/RequestSuspicion.cpp
@@ -41,7 +41,20 @@
 
 Suspicion RequestSuspicion::level(TimePoint now)
 {
-    return poison_.hasSuspects() ? poison_.suspicionOf(identity(), now) : Suspicion::None;
+    if (!poison_.hasSuspects())
+        return Suspicion::None;
+    poison_.noteRequest(identity(), service_, now);
+    return poison_.suspicionOf(identity(), now);
+}
+
+bool RequestSuspicion::isOnlyUnproven(TimePoint now)
+{
+    return poison_.hasSuspects() && poison_.isOnlyUnproven(identity(), now);
+}
+
+bool RequestSuspicion::isSpent(TimePoint now)
+{
+    return poison_.hasSuspects() && poison_.isSpent(identity(), now);
 }
 
 TimePoint RequestSuspicion::mayRunAt(TimePoint openedAt, TimePoint now)
@@ -78,7 +91,7 @@
 milliseconds RequestSuspicion::timeNeeded(milliseconds targetLatency, milliseconds wholeTime,
                                           TimePoint now)
 {
-    if (level(now) != Suspicion::RepeatedSuspect)
+    if (level(now) != Suspicion::RepeatedSuspect || isOnlyUnproven(now))
         return minTimeForSend;
     return std::max(minTimeForSend, std::min(targetLatency, wholeTime / 2));
 }
@@ -140,6 +153,12 @@
     poison_.noteCompleted(identity(), service_, run, now);
 }
 
+void RequestSuspicion::noteAnswered()
+{
+    end_ = RunEnd::Answered;
+    poison_.noteAnswered(identity());
+}
+
 void RequestSuspicion::noteRefused(TimePoint now)
 {
     if (const auto reason = poison_.quarantineReason(identity(), now))
--- a/Source/Programs/Gateway/RequestSuspicion.h
+++ b/Source/Programs/Gateway/RequestSuspicion.h
@@ -30,6 +30,10 @@
     std::string fingerprintIfKnown() const;
     /// Fingerprints of the shared parts of the prompt, by the parts' ids.
     std::map<std::string, std::string> partFingerprints();
+    /// Whether the request is suspect only because crashes of it may be unknown.
+    bool isOnlyUnproven(TimePoint now);
+    /// Whether the request can't be served, as it has no sends left.
+    bool isSpent(TimePoint now);
     /// How suspect the request is. Computes its fingerprints only if any request is suspect.
     Suspicion level(TimePoint now);
     /// When the request may be sent as far as other runs of its suspects are concerned.
@@ -66,6 +70,8 @@
     void noteNotRun(RunEnd end) { end_ = end; }
     /// Records that a backend server ran the request to its end.
     void noteCompleted(const CompletedRun &run, TimePoint now);
+    /// Records that a backend server answered the request, with the caller at fault.
+    void noteAnswered();
     /// Records that the request is refused because it is quarantined.
     void noteRefused(TimePoint now);
 
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -183,6 +183,7 @@
 {
     const bool counted = countsAny(evidence, suspect, now);
     noteCompletionTime(evidence.completions, suspect, at, now);
+    evidence.unproven.requests.erase(suspect);
     const bool cleared = counted && !countsAny(evidence, suspect, now);
     const auto known = evidence.quarantined.find(suspect);
     // An old completion may become known late; it is no reason to end a quarantine.
@@ -228,7 +229,7 @@
 
 Suspicion suspicionOf(const CrashEvidence &evidence, const Fingerprint &suspect, TimePoint now)
 {
-    if (isRestricted(evidence, suspect, now))
+    if (isRestricted(evidence, suspect, now) || isOnlyUnproven(evidence, suspect, now))
         return Suspicion::RepeatedSuspect;
     if (!evidence.crashesOf.contains(suspect) || isProvenSound(evidence, suspect))
         return Suspicion::None;
@@ -344,6 +345,7 @@
 bool hasSuspects(const CrashEvidence &evidence)
 {
     return !evidence.quarantined.empty() || !evidence.accounts.empty()
+        || !evidence.unproven.requests.empty()
         || std::any_of(evidence.crashes.begin(), evidence.crashes.end(),
                        [](const ServerCrash &crash) { return !crash.running.empty(); });
 }
--- a/Source/Request/CrashEvidence.h
+++ b/Source/Request/CrashEvidence.h
@@ -13,6 +13,7 @@
 #include "Request/CompletionTimes.h"
 #include "Request/LastSends.h"
 #include "Request/ServerCrash.h"
+#include "Request/UnprovenRequests.h"
 
 namespace wisteria {
 
@@ -58,6 +59,8 @@
     std::map<Fingerprint, Quarantine> quarantined;
     /// Sends of restricted requests, and what others told of their crashes.
     std::unordered_map<Fingerprint, CopyAccount, FingerprintHash> accounts;
+    /// Requests that may have crashed servers before this gateway started.
+    UnprovenRequests unproven;
     /// Number of requests of each service that this gateway has seen completed.
     std::map<std::string, std::uint64_t> completedRequests;
 };
@@ -81,7 +84,8 @@
 enum class Suspicion {
     None,
     Suspect, ///< Was in flight at a crash.
-    RepeatedSuspect, ///< Was in flight at two crashes, or a request that is restricted.
+    /// Was in flight at two crashes, or a request that is restricted or unproven.
+    RepeatedSuspect,
     Quarantined, ///< Crashed several backend servers, and is sent to none.
 };
 
--- a/Source/Request/LastSends.cpp
+++ b/Source/Request/LastSends.cpp
@@ -42,16 +42,28 @@
     return evidence.accounts[request];
 }
 
+/// Returns from when on the sends of an unproven request count: those shortly before its first
+/// crash, or before now while there is none.
+TimePoint unprovenSendsSince(const CrashEvidence &evidence, const Fingerprint &request,
+                             TimePoint now)
+{
+    const CrashList crashes = countedCrashes(evidence, request, now);
+    return (crashes.empty() ? now : crashes.front()->at) - unprovenSendTime;
+}
+
 /// Returns when each last send was made that counts.
 std::vector<TimePoint> countedSends(const CrashEvidence &evidence, const Fingerprint &request,
                                     TimePoint now)
 {
     std::vector<TimePoint> sends;
-    if (const CopyAccount *account = findAccount(evidence, request)) {
-        for (const auto &[id, send] : account->lastSends) {
-            if (send.delivered && counts(evidence, request, send.at, now))
-                sends.push_back(send.at);
-        }
+    const CopyAccount *account = findAccount(evidence, request);
+    if (account == nullptr)
+        return sends;
+    const TimePoint since =
+        isUnproven(evidence, request) ? unprovenSendsSince(evidence, request, now) : TimePoint();
+    for (const auto &[id, send] : account->lastSends) {
+        if (send.delivered && send.at >= since && counts(evidence, request, send.at, now))
+            sends.push_back(send.at);
     }
     return sends;
 }
@@ -81,7 +93,9 @@
 
 bool isRestricted(const CrashEvidence &evidence, const Fingerprint &request, TimePoint now)
 {
-    return endedCopiesOf(evidence, request, now) >= maxEndedCopies;
+    constexpr std::uint32_t maxEndedUnproven = 1;
+    return endedCopiesOf(evidence, request, now)
+        >= (isUnproven(evidence, request) ? maxEndedUnproven : maxEndedCopies);
 }
 
 std::uint32_t lastSendsOf(const CrashEvidence &evidence, const Fingerprint &request, TimePoint now)
@@ -91,7 +105,10 @@
 
 bool hasLastSend(const CrashEvidence &evidence, const Fingerprint &request, TimePoint now)
 {
-    return lastSendsOf(evidence, request, now) < maxLastSends;
+    std::uint32_t sends = lastSendsOf(evidence, request, now);
+    if (isUnproven(evidence, request))
+        sends = std::max(sends, endedCopiesOf(evidence, request, now));
+    return sends < maxLastSends;
 }
 
 TimePoint lastSendDueAt(const CrashEvidence &evidence, const Fingerprint &request,
--- a/Source/Request/LastSends.h
+++ b/Source/Request/LastSends.h
@@ -36,7 +36,8 @@
     std::map<SendId, LastSend> lastSends{};
 };
 
-/// Copies that have to end in crashes until a request is restricted.
+/// Copies that have to end in crashes until a request is restricted. One suffices if the request is
+/// unproven, and its copies that ended are then taken off its last sends.
 constexpr std::uint32_t maxEndedCopies = 3;
 /// Sends of a restricted request until one completes.
 constexpr std::uint32_t maxLastSends = 3;
@@ -56,7 +57,7 @@
 /// Number of sends of a request since it is restricted.
 std::uint32_t lastSendsOf(const CrashEvidence &evidence, const Fingerprint &request, TimePoint now);
 
-/// Whether a restricted request may be sent once more.
+/// Whether a restricted or unproven request may be sent once more.
 bool hasLastSend(const CrashEvidence &evidence, const Fingerprint &request, TimePoint now);
 
 /// When a restricted request may be sent next, as far as its last sends are concerned.
--- /dev/null
+++ b/Source/Request/UnprovenRequests.cpp
@@ -0,0 +1,48 @@
+#include "Request/UnprovenRequests.h"
+
+#include <algorithm>
+
+#include "Request/CrashEvidence.h"
+
+namespace wisteria {
+
+void noteUnproven(CrashEvidence &evidence, const Fingerprint &request, TimePoint now)
+{
+    auto &requests = evidence.unproven.requests;
+    if (requests.contains(request) || lastCompletion(evidence.completions, request))
+        return;
+    if (requests.size() >= maxUnproven) {
+        requests.erase(
+            std::min_element(requests.begin(), requests.end(), [](const auto &a, const auto &b) {
+                return a.second.since < b.second.since;
+            }));
+    }
+    requests[request] = {.since = now};
+}
+
+void noteAnswered(CrashEvidence &evidence, const Fingerprint &request)
+{
+    const auto found = evidence.unproven.requests.find(request);
+    if (found != evidence.unproven.requests.end())
+        found->second.answered = true;
+}
+
+void forgetUnproven(CrashEvidence &evidence, TimePoint now)
+{
+    std::erase_if(evidence.unproven.requests,
+                  [&](const auto &item) { return endedCopiesOf(evidence, item.first, now) == 0; });
+}
+
+bool isUnproven(const CrashEvidence &evidence, const Fingerprint &request)
+{
+    const auto found = evidence.unproven.requests.find(request);
+    return found != evidence.unproven.requests.end() && !found->second.answered;
+}
+
+bool isOnlyUnproven(const CrashEvidence &evidence, const Fingerprint &request, TimePoint now)
+{
+    return isUnproven(evidence, request) && !evidence.quarantined.contains(request)
+        && endedCopiesOf(evidence, request, now) == 0;
+}
+
+} // namespace wisteria
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -34,7 +34,8 @@
     CompletionReport = 14,
     GatewayPresence = 15,
     Claim = 16,
-    CopyReport = 17
+    CopyReport = 17,
+    EvidenceComplete = 18
 };
 
 Json encode(const Endpoint &endpoint)
@@ -324,6 +325,11 @@
     return Json::array({MessageKind::GatewayPresence, presence.gateway});
 }
 
+Json encode(const EvidenceComplete &)
+{
+    return Json::array({MessageKind::EvidenceComplete});
+}
+
 Json encode(const CompletionReport &report)
 {
     Json json = Json::array({MessageKind::CompletionReport});
@@ -393,6 +399,8 @@
         return decodeClaim(json);
     case MessageKind::CopyReport:
         return decodeCopyReport(json);
+    case MessageKind::EvidenceComplete:
+        return EvidenceComplete{};
     }
     throw std::out_of_range("unknown kind of message");
 }
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -233,6 +233,11 @@
     std::string gateway;
 };
 
+/// Tells a gateway that asks by its GatewayPresence that the sender knows all crashes that count,
+/// so that the gateway lacks none once it has the sender's reports.
+struct EvidenceComplete
+{ };
+
 /// Returns the initial map of a group, version 0: experts are assigned to ranks round-robin. Spare
 /// slots stay empty, unlike in initialLayerMap().
 RankMap firstRankMap(const ExpertProfile &profile, std::size_t ranks);
@@ -244,10 +249,11 @@
 /// @return BadInput when a change names a set or rank that is not in the map.
 Result<RankMap> applyChanges(RankMap map, const std::vector<RankMapChange> &changes);
 
-using GroupMessage = std::variant<GatewayHello, EngineListRequest, EngineList, EngineLoad, RankPoll,
-                                  RankStatus, RankCommand, RelayedMessage, CountsPoll, CountsReply,
-                                  PermitRequestMessage, PermitReplyMessage, CrashReport,
-                                  CompletionReport, GatewayPresence, ClaimMessage, CopyReport>;
+using GroupMessage =
+    std::variant<GatewayHello, EngineListRequest, EngineList, EngineLoad, RankPoll, RankStatus,
+                 RankCommand, RelayedMessage, CountsPoll, CountsReply, PermitRequestMessage,
+                 PermitReplyMessage, CrashReport, CompletionReport, GatewayPresence, ClaimMessage,
+                 CopyReport, EvidenceComplete>;
 
 /// Returns the message as MessagePack bytes.
 std::string encodeMessage(const GroupMessage &message);
--- a/Tests/Gateway/CrashingServer.cpp
+++ b/Tests/Gateway/CrashingServer.cpp
@@ -33,6 +33,11 @@
         std::count_if(times.begin(), times.end(), [than](TimePoint at) { return at > than; }));
 }
 
+std::uint64_t unixMilliseconds()
+{
+    return static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
+}
+
 } // namespace
 
 void CrashHistory::merge(const CrashHistory &other)
@@ -76,7 +81,8 @@
 CrashingServer::CrashingServer(StoreStandIn &store, std::string id, std::uint32_t ip,
                                CrashingServerPlan plan)
     : store_(store), firstId_(std::move(id)), id_(firstId_),
-      plan_(std::move(plan)), endpoint_{ip, 0}, madeAt_(monotonicNow())
+      plan_(std::move(plan)), endpoint_{ip, 0}, madeAt_(monotonicNow()),
+      startedAt_(unixMilliseconds())
 {
     listen();
     announce();
@@ -155,7 +161,7 @@
 
 void CrashingServer::restart()
 {
-    ++startedAt_;
+    startedAt_ = std::max(startedAt_ + 1, unixMilliseconds());
     if (plan_.returnsUnderNewId) {
         store_.append("keyed.servers", id_, {});
         id_ = firstId_ + "-" + std::to_string(startedAt_);
--- a/Tests/Gateway/CrashingServer.h
+++ b/Tests/Gateway/CrashingServer.h
@@ -130,7 +130,8 @@
     int listener_ = -1;
     TimePoint madeAt_;
     TimePoint restartAt_;
-    std::uint64_t startedAt_ = 1;
+    /// Unix milliseconds of the last start.
+    std::uint64_t startedAt_;
     int requests_ = 0;
     std::map<int, Connection> connections_;
     /// Poison requests that run on without their caller.
--- a/Tests/Gateway/PoisonGuardTest.cpp
+++ b/Tests/Gateway/PoisonGuardTest.cpp
@@ -81,7 +81,8 @@
                 .changed = [] {},
                 .quarantined = [](const Fingerprint &, const KeptQuarantine &, bool) {},
                 .evidenceChanged = [] {},
-                .released = [](const Fingerprint &) {}};
+                .released = [](const Fingerprint &) {},
+                .peersKnown = [] { return true; }};
     }
 
     void receive(PoisonGuard &guard, const GroupMessage &message)
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -20,6 +20,8 @@
 
 /// Makes the generator of evacuations independent of those of neighbouring seeds.
 constexpr std::uint64_t evacuationSeedOffset = 0x9E3779B97F4A7C15;
+/// Seeds from this one on have outages in which all gateways are killed.
+constexpr std::uint64_t firstOutageSeed = 10000;
 
 int randomInt(std::mt19937_64 &random, int low, int high)
 {
@@ -33,13 +35,16 @@
     : fleet_(fleet), random_(seed), signalRandom_(~seed),
       evacuationRandom_(seed + evacuationSeedOffset), coldRandom_(seed ^ 0xC01DULL),
       leavingRandom_(seed ^ 0x1EA7E5ULL), troubleRandom_(seed ^ 0xB20CE17ULL),
-      storeMayBeAway_(seed % 4 != 3), log_(std::move(log)), stops_(fleet, seed, log_)
+      outageRandom_(seed ^ 0x0A7A6EULL), storeMayBeAway_(seed % 4 != 3), log_(std::move(log)),
+      stops_(fleet, seed, log_)
 {
     // Evacuated servers get no traffic, and faults of their links then have no effect: every second
     // seed has no evacuations, the others have seconds without any.
     nextEvacuationAt_ = seed % 2 == 0
         ? monotonicNow() + milliseconds(randomInt(evacuationRandom_, 0, 4000))
         : TimePoint::max();
+    if (seed >= firstOutageSeed)
+        nextOutageAt_ = monotonicNow() + milliseconds(randomInt(outageRandom_, 1500, 3000));
 }
 
 std::size_t SoakFaults::randomBelow(std::size_t bound)
@@ -79,6 +84,8 @@
         startLeaving(now);
     if (now >= nextTroubleAt_)
         startTrouble(now);
+    if (now >= nextOutageAt_)
+        startOutage(now);
     if (now < nextAt_)
         return;
     nextAt_ = now + randomDuration(100, 700);
@@ -289,6 +296,33 @@
     scheduleEnd(now + length, [this, server] { fleet_.setTrouble(server, 0, 0); });
 }
 
+/// Makes the store unavailable, and kills all gateways meanwhile.
+void SoakFaults::startOutage(TimePoint now)
+{
+    constexpr milliseconds restartDelay{300};
+    const milliseconds length{randomInt(outageRandom_, 800, 4000)};
+    const milliseconds killed{randomInt(outageRandom_, 50, static_cast<int>(length.count()))};
+    nextOutageAt_ = now + length + milliseconds(randomInt(outageRandom_, 5000, 9000));
+    log_("the store is unavailable for " + std::to_string(length.count())
+         + " ms; all gateways are killed after " + std::to_string(killed.count()) + " ms");
+    fleet_.setStoreUnavailable(true);
+    scheduleEnd(now + length, [this] { fleet_.setStoreUnavailable(false); });
+    scheduleEnd(now + killed, [this] {
+        for (const auto &gateway : fleet_.gateways()) {
+            if (gateway->running())
+                gateway->kill();
+        }
+    });
+    scheduleEnd(now + killed + restartDelay, [this] {
+        for (const auto &gateway : fleet_.gateways()) {
+            if (gateway->running())
+                continue;
+            fleet_.noteGatewayBegin();
+            gateway->start();
+        }
+    });
+}
+
 void SoakFaults::injectOperationalEvent(TimePoint now)
 {
     const milliseconds length = randomDuration(300, 2000);
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -45,6 +45,7 @@
     void startColdPhase(TimePoint now);
     void startLeaving(TimePoint now);
     void startTrouble(TimePoint now);
+    void startOutage(TimePoint now);
     void scheduleEnd(TimePoint at, std::function<void()> end);
 
     Fleet &fleet_;
@@ -59,6 +60,8 @@
     std::mt19937_64 leavingRandom_;
     /// The same for broken answers.
     std::mt19937_64 troubleRandom_;
+    /// The same for outages of the store in which all gateways are killed.
+    std::mt19937_64 outageRandom_;
     /// Whether the store as a whole may be away. Otherwise only single calls fail: a server that
     /// leaves while the store is away is checked only after that.
     bool storeMayBeAway_;
@@ -71,6 +74,7 @@
     TimePoint nextColdAt_;
     TimePoint nextLeavingAt_;
     TimePoint nextTroubleAt_;
+    TimePoint nextOutageAt_ = TimePoint::max();
     /// The server that leaves next.
     std::size_t nextLeaver_ = linkedServerCount;
 };
