Poison requests: a loss of power alone puts no service in doubt

Cause: each restart of all gateways put the services whose servers had started since in doubt, also where the store had answered all the time.

Change: gateways write the time until which all is known each second in place of two; a gateway that reads one that is 3.5 s old at most, with no failed call since its start, lacks nothing.

LeadingSidecar's engine makes a pass between two reads of its report: a leader holds nothing before a pass has begun in its life, and the tests check that orders come.

--- a/Source/Programs/Gateway/EvidenceRecords.cpp
+++ b/Source/Programs/Gateway/EvidenceRecords.cpp
@@ -88,6 +88,7 @@
                                            : platform::decodeNewest(response.value());
     if (page.has_error()) {
         log_.warn("evidence.not_read", {{"reason", page.error().message}});
+        readSoFar_.callFailed = true;
         nextReadAt_ = now + readBackoff_;
         readBackoff_ = std::min(maxReadBackoff, readBackoff_ * 2);
         return;
@@ -96,8 +97,10 @@
         apply(record);
     const bool more = page.value().hasMore && !page.value().records.empty();
     readAfter_ = more ? std::optional(page.value().records.back().key) : std::nullopt;
-    if (!readAfter_)
-        links_.allRead(knownUntil_);
+    if (readAfter_)
+        return;
+    readSoFar_.readAt = wallNow();
+    links_.allRead(readSoFar_);
 }
 
 void EvidenceRecords::apply(const platform::KeyedRecord &record)
@@ -110,7 +113,7 @@
         return;
     }
     if (record.key == knownUntilKey) {
-        knownUntil_ = decoded.value().writtenAt;
+        readSoFar_.knownUntil = decoded.value().writtenAt;
         return;
     }
     const bool own = record.key == self_;
--- a/Source/Programs/Gateway/EvidenceRecords.h
+++ b/Source/Programs/Gateway/EvidenceRecords.h
@@ -8,6 +8,7 @@
 #include "Connection/TimedCalls.h"
 #include "Process/EventLog.h"
 #include "Programs/Gateway/StoreAppender.h"
+#include "Request/EvidenceGap.h"
 #include "Version/GroupMessages.h"
 #include "platform/StoreCodec.h"
 
@@ -21,9 +22,8 @@
     /// Adds a report of a record.
     /// @param own Whether this gateway found it, before it was restarted.
     std::function<void(const GroupMessage &, bool own)> add;
-    /// Called once all records are read, with the latest time until which a gateway knew all
-    /// crashes; nothing if none ever wrote it.
-    std::function<void(const std::optional<WallTime> &)> allRead;
+    /// Called once all records are read.
+    std::function<void(const EvidenceRead &)> allRead;
     /// Whether this gateway knows all crashes and it is its turn to write so.
     std::function<bool(WallTime)> renewsKnownUntil;
 };
@@ -61,8 +61,8 @@
     TimedCalls calls_;
     StoreAppender appender_;
     StoreAppender knownUntilAppender_;
-    /// The latest time in the records that are read.
-    std::optional<WallTime> knownUntil_;
+    /// What has been read so far.
+    EvidenceRead readSoFar_;
     /// Key after which the next page of records begins; nothing once all are read.
     std::optional<std::string> readAfter_ = std::string();
     TimePoint nextReadAt_;
--- a/Source/Programs/Gateway/PoisonProtection.cpp
+++ b/Source/Programs/Gateway/PoisonProtection.cpp
@@ -46,7 +46,7 @@
         EvidenceRecordLinks{
             .ownReports = [this](TimePoint now) { return guard_.ownReports(now); },
             .add = [this](const GroupMessage &report, bool own) { addKept(report, own); },
-            .allRead = [this](const auto &knownUntil) { noteRecordsRead(knownUntil); },
+            .allRead = [this](const EvidenceRead &read) { noteRecordsRead(read); },
             .renewsKnownUntil = [this](WallTime wall) { return renewsKnownUntil(wall); }});
 }
 
@@ -92,11 +92,14 @@
         send(peer, EvidenceComplete{});
 }
 
-void PoisonProtection::noteRecordsRead(const std::optional<WallTime> &knownUntil)
+void PoisonProtection::noteRecordsRead(const EvidenceRead &read)
 {
-    wisteria::noteRecordsRead(gap_, knownUntil, monotonicNow());
+    wisteria::noteRecordsRead(gap_, read, monotonicNow());
+    const WallTime knownUntil = read.knownUntil.value_or(WallTime());
     log_.info("evidence.read",
-              {{"known_until_ms", knownUntil ? knownUntil->time_since_epoch().count() : 0}});
+              {{"known_until_ms", knownUntil.time_since_epoch().count()},
+               {"call_failed", read.callFailed},
+               {"complete", gap_.closed}});
 }
 
 /// Whether this gateway writes in the present interval that it knows all crashes: the gateways take
--- a/Source/Programs/Gateway/PoisonProtection.h
+++ b/Source/Programs/Gateway/PoisonProtection.h
@@ -53,7 +53,7 @@
     void sendToAll(const GroupMessage &message);
     void sendToOne(const std::vector<GroupMessage> &messages);
     void addKept(const GroupMessage &report, bool own);
-    void noteRecordsRead(const std::optional<WallTime> &knownUntil);
+    void noteRecordsRead(const EvidenceRead &read);
     bool renewsKnownUntil(WallTime wall);
     void checkGap(TimePoint now);
     void keepQuarantine(const Fingerprint &suspect, const KeptQuarantine &kept, bool foundHere);
--- a/Source/Request/EvidenceGap.cpp
+++ b/Source/Request/EvidenceGap.cpp
@@ -2,11 +2,13 @@
 
 namespace wisteria {
 
-void noteRecordsRead(EvidenceGap &gap, const std::optional<WallTime> &knownUntil, TimePoint now)
+void noteRecordsRead(EvidenceGap &gap, const EvidenceRead &read, TimePoint now)
 {
     gap.recordsReadAt = now;
-    gap.knownUntil = knownUntil;
-    gap.closed = gap.closed || !knownUntil;
+    gap.knownUntil = read.knownUntil;
+    const bool mayHaveBeenAway =
+        read.knownUntil && (read.callFailed || read.readAt - *read.knownUntil > maxRestartTime);
+    gap.closed = gap.closed || !mayHaveBeenAway;
 }
 
 void closeIfExpired(EvidenceGap &gap, milliseconds lifetime, TimePoint now)
--- a/Source/Request/EvidenceGap.h
+++ b/Source/Request/EvidenceGap.h
@@ -14,8 +14,9 @@
 ///
 /// A gateway that knows all crashes writes the time to the store again and again. So the latest
 /// such time is the one from which crashes may be unknown, and a server that was started since may
-/// have crashed then. A gateway has no gap if another one that has none is alive, or if no gateway
-/// has ever written such a time, as at the very first start.
+/// have crashed then. A gateway has no gap if another one that has none is alive, if no gateway
+/// has ever written such a time, as at the very first start, or if the latest one was written right
+/// before the start and the store has answered since: then it was not away.
 struct EvidenceGap
 {
     /// When this gateway started.
@@ -29,16 +30,29 @@
 };
 
 /// Interval between two times that the gateways write, all together.
-constexpr milliseconds knownUntilInterval{2000};
+constexpr milliseconds knownUntilInterval{1000};
+/// The latest such time is at most so long ago when a gateway reads it, if all were killed while
+/// the store answered: two intervals and a restart.
+constexpr milliseconds maxRestartTime{3500};
 /// Wall clocks of two VMs differ by less than this, as a rule.
 constexpr milliseconds startTimeTolerance{2000};
 /// A server that crashed in the gap has started again, and is listed, so long after the records
 /// were read; until then each service may have crashed servers.
 constexpr milliseconds restartVisibleTime{6000};
 
+/// What a gateway read in the store at its start.
+struct EvidenceRead
+{
+    /// The latest time that gateways wrote there; empty if there is none.
+    std::optional<WallTime> knownUntil{};
+    /// When the records were read.
+    WallTime readAt{};
+    /// A call failed before, so the store may have been away.
+    bool callFailed = false;
+};
+
 /// Records that the store's records were read.
-/// @param knownUntil The latest time that gateways wrote there; empty if there is none.
-void noteRecordsRead(EvidenceGap &gap, const std::optional<WallTime> &knownUntil, TimePoint now);
+void noteRecordsRead(EvidenceGap &gap, const EvidenceRead &read, TimePoint now);
 
 /// Closes a gap so old that a crash in it would not count any more.
 /// @param lifetime How long a crash counts.
--- a/Tests/Gateway/EvidenceGapTest.cpp
+++ b/Tests/Gateway/EvidenceGapTest.cpp
@@ -16,11 +16,11 @@
     return static_cast<std::uint64_t>((knownUntil + afterKnown).time_since_epoch().count());
 }
 
-/// A gap whose records were read at the start.
+/// A gap whose records were read at the start, long after the time written there.
 EvidenceGap gapOf(const std::optional<WallTime> &known)
 {
     EvidenceGap gap{.startedAt = start};
-    noteRecordsRead(gap, known, start);
+    noteRecordsRead(gap, {.knownUntil = known, .readAt = knownUntil + seconds(8)}, start);
     return gap;
 }
 
@@ -72,6 +72,17 @@
     CHECK(servicesInDoubt(gap, registry, start).empty());
 }
 
+TEST_CASE("Nothing is in doubt after a restart of all gateways while the store answers")
+{
+    const bool callFailed = GENERATE(false, true);
+    EvidenceGap gap{.startedAt = start};
+    noteRecordsRead(
+        gap,
+        {.knownUntil = knownUntil, .readAt = knownUntil + maxRestartTime, .callFailed = callFailed},
+        start);
+    CHECK(gap.closed != callFailed);
+}
+
 TEST_CASE("All services are in doubt until the records are read")
 {
     const EvidenceGap gap{.startedAt = start};
--- a/Tests/Gateway/LeadingSidecar.cpp
+++ b/Tests/Gateway/LeadingSidecar.cpp
@@ -16,6 +16,16 @@
 constexpr ExpertProfile usualProfile{
     .sets = 1, .expertsPerSet = 4, .expertsPerRank = 2, .copiesPerMap = 2};
 
+/// Returns the text with the usual number of the latest pass replaced by a later one.
+std::string withLaterPass(std::string text, std::size_t passes)
+{
+    static const std::string usual = R"("step":9,)";
+    constexpr std::size_t usualPass = 9;
+    if (const std::size_t at = text.find(usual); at != std::string::npos)
+        text.replace(at, usual.size(), "\"step\":" + std::to_string(usualPass + passes) + ",");
+    return text;
+}
+
 } // namespace
 
 std::string reportWith(const std::string &field, const std::string &value)
@@ -82,7 +92,7 @@
     }
     const auto answers = answers_.load();
     if (request.target() == "/report")
-        peer.send(plainResponse(200, "", answers->report));
+        peer.send(plainResponse(200, "", withLaterPass(answers->report, ++reportReads_)));
     else if (request.target() == "/picked")
         peer.send(plainResponse(200, "", answers->counts));
     else if (request.target() == "/picked?lists=1")
--- a/Tests/Gateway/LeadingSidecar.h
+++ b/Tests/Gateway/LeadingSidecar.h
@@ -79,6 +79,8 @@
 
     std::atomic<std::shared_ptr<EngineAnswers>> answers_ = std::make_shared<EngineAnswers>();
     std::atomic<std::shared_ptr<std::function<void(ScriptPeer &)>>> answer_;
+    /// The group makes a pass between two reads of the report.
+    std::atomic<std::size_t> reportReads_ = 0;
     std::optional<RankStatus> oddStatus_;
     std::optional<ExpertProfile> oddProfile_;
     std::optional<CountsReply> oddCounts_;
