Poison requests: a trial is not refused while it waits, and a silent store stops nobody

Found by reading: an unproven request without sends left is refused at once, and so was a trial of a quarantined one, and a restricted one before its verdict.

--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -20,6 +20,9 @@
 constexpr milliseconds upkeepInterval{1000};
 /// Interval between two looks for verdicts that have become due.
 constexpr milliseconds judgeInterval{100};
+/// How long unproven requests wait for the list of the other gateways, which is read with the list
+/// of servers. Without a bound, a store that answers some calls only would stop all of them.
+constexpr milliseconds maxPeersWait{1500};
 /// How long an unproven request that can't be claimed waits until it is looked at again.
 constexpr milliseconds unprovenRetryInterval{100};
 /// A peer's report about a time longer ago than this is not used.
@@ -85,14 +88,15 @@
 
 bool PoisonGuard::isSpent(const RequestIdentity &request, TimePoint now) const
 {
-    return isRestricted(evidence_, request.request, now)
-        && !hasLastSend(evidence_, request.request, now) && !mayStillRun(request.request, now);
+    return wisteria::isSpent(evidence_, request.request, now) && !mayStillRun(request.request, now);
 }
 
 void PoisonGuard::setServicesInDoubt(std::set<std::string> services, TimePoint now)
 {
     if (services == servicesInDoubt_)
         return;
+    if (servicesInDoubt_.empty())
+        inDoubtSince_ = now;
     for (const std::string &service : services) {
         if (!servicesInDoubt_.contains(service))
             log_.info("service.in_doubt", {{"service", service}});
@@ -132,7 +136,8 @@
             at = std::max(at, verdictTime(record) + judgeInterval);
         if (suspect == request.request && isOnlyUnproven(request, now)) {
             // Claims that reach nobody would let each gateway send a copy.
-            if (!links_.peersKnown() || !hasLastSend(evidence_, suspect, now))
+            const bool claimable = links_.peersKnown() || now - inDoubtSince_ > maxPeersWait;
+            if (!claimable || !hasLastSend(evidence_, suspect, now))
                 at = std::max(at, now + unprovenRetryInterval);
             continue;
         }
--- a/Source/Programs/Gateway/PoisonGuard.h
+++ b/Source/Programs/Gateway/PoisonGuard.h
@@ -186,6 +186,8 @@
     EvidenceSharing sharing_;
     RunClaims claims_;
     std::set<std::string> servicesInDoubt_;
+    /// When the first service was put in doubt.
+    TimePoint inDoubtSince_;
     /// Runs of suspects for this gateway.
     std::map<Fingerprint, std::uint32_t> running_;
     TimePoint nextUpkeepAt_;
--- a/Source/Request/UnprovenRequests.cpp
+++ b/Source/Request/UnprovenRequests.cpp
@@ -39,6 +39,13 @@
     return found != evidence.unproven.requests.end() && !found->second.answered;
 }
 
+bool isSpent(const CrashEvidence &evidence, const Fingerprint &request, TimePoint now)
+{
+    return isUnproven(evidence, request) && isRestricted(evidence, request, now)
+        && !hasLastSend(evidence, request, now) && !evidence.quarantined.contains(request)
+        && endedCopiesOf(evidence, request, now) < maxEndedCopies;
+}
+
 bool isOnlyUnproven(const CrashEvidence &evidence, const Fingerprint &request, TimePoint now)
 {
     return isUnproven(evidence, request) && !evidence.quarantined.contains(request)
--- a/Source/Request/UnprovenRequests.h
+++ b/Source/Request/UnprovenRequests.h
@@ -48,4 +48,8 @@
 /// Whether a request runs alone only because it is unproven: no crash of it is known.
 bool isOnlyUnproven(const CrashEvidence &evidence, const Fingerprint &request, TimePoint now);
 
+/// Whether an unproven request has no sends left, and too few crashes are known for a verdict: it
+/// can't be served before these are forgotten.
+bool isSpent(const CrashEvidence &evidence, const Fingerprint &request, TimePoint now);
+
 } // namespace wisteria
--- a/Tests/Gateway/EvidenceGapTest.cpp
+++ b/Tests/Gateway/EvidenceGapTest.cpp
@@ -140,6 +140,29 @@
     CHECK(suspicionOf(evidence, request, start + seconds(1)) == Suspicion::None);
 }
 
+// Guards against callers that wait for nothing, and against a trial of a quarantined request that
+// is refused while it waits for its turn.
+TEST_CASE("Only an unproven request without sends left and without a verdict is spent")
+{
+    const Fingerprint request = fingerprint(1);
+    CrashEvidence evidence;
+    noteUnproven(evidence, request, start);
+    noteCrash(evidence, crashUnder(request, "i-1", start), start);
+    for (std::uint32_t i = 0; i < maxLastSends; ++i) {
+        CHECK_FALSE(isSpent(evidence, request, start));
+        noteLastSend(evidence, request, i, {.at = start});
+    }
+    CHECK(isSpent(evidence, request, start));
+    SECTION("a trial")
+    quarantine(evidence, request, start + quarantineTime, start);
+    SECTION("three known crashes")
+    {
+        noteCrash(evidence, crashUnder(request, "i-2", start), start);
+        noteCrash(evidence, crashUnder(request, "i-3", start), start);
+    }
+    CHECK_FALSE(isSpent(evidence, request, start));
+}
+
 // Guards against crashes that are granted anew when the doubt ends, ten minutes after the start.
 TEST_CASE("A request that crashed a server while it was unproven stays restricted after the doubt")
 {
