Tests: the outage tests always send their first poison requests

Cause: in the test. Its first round of poison requests was the loop that repeats them, with an end 1 ms after the moment it sleeps to. A test process that wakes up later than that sends none. 4.39 s are the calm time, the two waits and the start of the gateways, with no request in between.

Change: one round is a function of its own, which is called once before the kill; the loop calls it too. No bound is changed.

--- a/Tests/Gateway/RestartGapTest.cpp
+++ b/Tests/Gateway/RestartGapTest.cpp
@@ -33,20 +33,27 @@
 constexpr milliseconds timeAfterOutage{14000};
 constexpr milliseconds settleTime{3000};
 
-/// Repeats the poison request until the end, from one caller for each gateway at the same moments.
+/// Sends the poison request from one caller for each gateway at the same moment, and waits for the
+/// answers.
+void sendFromAll(const GatewayFleet &gateways, std::size_t round)
+{
+    std::vector<std::future<CallResult>> calls;
+    for (std::size_t i = 0; i < std::max<std::size_t>(3, gateways.size()); ++i) {
+        const std::string id = "p" + std::to_string(round) + "-" + std::to_string(i);
+        calls.push_back(std::async(std::launch::async, [&gateways, i, id] {
+            return callServer(gateways.callers(i % gateways.size()),
+                              requestWithBody("/often/x", id, poisonMark));
+        }));
+    }
+}
+
+/// Repeats this until the end.
 void repeatFromAll(const OutageScenario &scenario, const GatewayFleet &gateways, TimePoint end)
 {
-    std::size_t round = 0;
+    std::size_t round = 1;
     for (TimePoint due = monotonicNow(); due < end; due += scenario.interval, ++round) {
         sleepUntil(due);
-        std::vector<std::future<CallResult>> calls;
-        for (std::size_t i = 0; i < std::max<std::size_t>(3, gateways.size()); ++i) {
-            const std::string id = "p" + std::to_string(round) + "-" + std::to_string(i);
-            calls.push_back(std::async(std::launch::async, [&gateways, i, id] {
-                return callServer(gateways.callers(i % gateways.size()),
-                                  requestWithBody("/often/x", id, poisonMark));
-            }));
-        }
+        sendFromAll(gateways, round);
     }
 }
 
@@ -61,7 +68,7 @@
     gateways.store.setUnavailable(true);
     const TimePoint crashesBegin = monotonicNow() + milliseconds(300);
     sleepUntil(crashesBegin);
-    repeatFromAll(scenario, gateways, crashesBegin + milliseconds(1));
+    sendFromAll(gateways, 0);
     sleepUntil(crashesBegin + scenario.killAfter);
     REQUIRE(fleet.history().crashes.size() >= 2);
     gateways.restartAll();
