Poison requests: an organisation that gets another name stays the same

Cause: the fingerprint of a request contains the name of the organisation, so evidence, account and quarantine begin anew with a new name.

Change: OrganisationIds. An organisation's id, which fingerprints use, is the name that it had first. A gateway that applies a version compares it with the one before: a new name with a key of the earlier version keeps the id of the one that had it. It is told to a gateway that starts (message kind 19) and written beside the crashes of the sender. Organisations that were never renamed keep their fingerprints, so the store's records are read as before. Not the key instead of the name: keys are added and removed as a rule.

--- a/Source/Programs/Gateway/EvidenceSharing.cpp
+++ b/Source/Programs/Gateway/EvidenceSharing.cpp
@@ -199,7 +199,9 @@
 
 std::vector<GroupMessage> EvidenceSharing::allReports(TimePoint now) const
 {
-    return reportsOfCrashes(maxRecordedReports, crashLifetime, now);
+    std::vector<GroupMessage> reports = reportsOfCrashes(maxRecordedReports, crashLifetime, now);
+    addOrganisationIds(reports);
+    return reports;
 }
 
 /// Returns reports of the latest crashes that are not older, of what has been completed before
@@ -237,9 +239,16 @@
     }
     if (!reports.empty())
         addCopyReports(reports, now);
+    addOrganisationIds(reports);
     return reports;
 }
 
+void EvidenceSharing::addOrganisationIds(std::vector<GroupMessage> &reports) const
+{
+    for (const auto &[name, id] : evidence_.organisationIds.byName)
+        reports.emplace_back(OrganisationIdReport{.name = name, .id = id});
+}
+
 void EvidenceSharing::addCopyReports(std::vector<GroupMessage> &reports, TimePoint now) const
 {
     std::vector<Fingerprint> restricted = restrictedRequests(evidence_, now);
--- a/Source/Programs/Gateway/EvidenceSharing.h
+++ b/Source/Programs/Gateway/EvidenceSharing.h
@@ -48,9 +48,11 @@
     void gossip(TimePoint now);
     /// Returns reports of the latest crashes, and of what has been completed before each.
     std::vector<GroupMessage> latestReports(TimePoint now) const;
-    /// The same of all crashes that count, for a gateway that knows none.
+    /// The same of all crashes that count, and the ids of organisations, for a gateway that knows
+    /// none.
     std::vector<GroupMessage> allReports(TimePoint now) const;
-    /// Returns reports of what this gateway has detected and still counts, the latest first.
+    /// Returns reports of what this gateway has detected and still counts, the latest first, and of
+    /// the ids of organisations.
     std::vector<GroupMessage> ownReports(TimePoint now) const;
 
 private:
@@ -66,6 +68,7 @@
     std::vector<GroupMessage> reportsOfCrashes(std::size_t maxCount, milliseconds maxAge,
                                                TimePoint now) const;
     void addCopyReports(std::vector<GroupMessage> &reports, TimePoint now) const;
+    void addOrganisationIds(std::vector<GroupMessage> &reports) const;
     void sendToAllTwice(const Report &report, TimePoint now);
     void sendRepeats(TimePoint now);
     void sendProofs(TimePoint now);
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -223,6 +223,8 @@
             poisonProtection_.receive(*claim, monotonicNow());
         else if (const auto *complete = std::get_if<EvidenceComplete>(&message.value()))
             poisonProtection_.receive(*complete, monotonicNow());
+        else if (const auto *organisation = std::get_if<OrganisationIdReport>(&message.value()))
+            poisonProtection_.receive(*organisation);
         else if (const auto *presence = std::get_if<GatewayPresence>(&message.value()))
             notePresence(presence->gateway, from);
     }
--- a/Source/Programs/Gateway/OperatorRecords.cpp
+++ b/Source/Programs/Gateway/OperatorRecords.cpp
@@ -78,8 +78,13 @@
     // restore an older version.
     if (context_.routes && version <= context_.routes->configuration().version)
         return;
-    context_.routes = std::make_shared<const RouteTable>(
-        std::make_shared<const ServiceConfiguration>(std::move(decoded.value())));
+    const auto earlier = std::exchange(
+        context_.routes,
+        std::make_shared<const RouteTable>(
+            std::make_shared<const ServiceConfiguration>(std::move(decoded.value()))));
+    if (earlier)
+        context_.poison.noteConfigurations(earlier->configuration(),
+                                           context_.routes->configuration());
     setColdServices(context_.registry.coldServers, context_.registry.limits,
                     context_.routes->configuration().services, now);
     for (const auto &[name, service] : context_.routes->configuration().services) {
--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -487,6 +487,24 @@
     links_.changed();
 }
 
+void PoisonGuard::receive(const OrganisationIdReport &report)
+{
+    if (noteOrganisationId(evidence_.organisationIds, report.name, report.id))
+        log_.info("organisation.id_told", {{"name", report.name}, {"id", report.id}});
+}
+
+void PoisonGuard::noteConfigurations(const ServiceConfiguration &earlier,
+                                     const ServiceConfiguration &later)
+{
+    if (!wisteria::noteConfigurations(evidence_.organisationIds, earlier, later))
+        return;
+    log_.info("organisation.renamed",
+              {{"version", later.version}, {"ids", evidence_.organisationIds.byName.size()}});
+    // Otherwise the next crash has it written.
+    if (wisteria::hasSuspects(evidence_))
+        links_.evidenceChanged();
+}
+
 /// Tells the other gateways of runs that go on.
 void PoisonGuard::renewClaims(TimePoint now)
 {
--- a/Source/Programs/Gateway/PoisonGuard.h
+++ b/Source/Programs/Gateway/PoisonGuard.h
@@ -152,6 +152,14 @@
     void receive(const CompletionReport &report, TimePoint now);
     void receive(const CopyReport &report, TimePoint now);
     void receive(const ClaimMessage &message, TimePoint now);
+    void receive(const OrganisationIdReport &report);
+    /// Records that a version of the configuration follows another one.
+    void noteConfigurations(const ServiceConfiguration &earlier, const ServiceConfiguration &later);
+    /// The organisation in the fingerprints of requests.
+    const std::string &organisationId(const std::string &name) const
+    {
+        return wisteria::organisationId(evidence_.organisationIds, name);
+    }
     /// Sets the services of which servers may have crashed before this gateway started, without its
     /// knowing of that.
     void setServicesInDoubt(std::set<std::string> services, TimePoint now);
--- a/Source/Programs/Gateway/PoisonProtection.cpp
+++ b/Source/Programs/Gateway/PoisonProtection.cpp
@@ -157,6 +157,8 @@
         guard_.receive(*crash, own, now);
     else if (const auto *copies = std::get_if<CopyReport>(&report))
         guard_.receive(*copies, now);
+    else if (const auto *organisation = std::get_if<OrganisationIdReport>(&report))
+        guard_.receive(*organisation);
 }
 
 void PoisonProtection::receive(const CompletionReport &report, TimePoint now)
--- a/Source/Programs/Gateway/PoisonProtection.h
+++ b/Source/Programs/Gateway/PoisonProtection.h
@@ -41,6 +41,7 @@
     void receive(const CopyReport &report, TimePoint now);
     void receive(const ClaimMessage &claim, TimePoint now);
     void receive(const EvidenceComplete &message, TimePoint now);
+    void receive(const OrganisationIdReport &report) { guard_.receive(report); }
     /// Tells a gateway that has just started of the latest crashes.
     void introduce(const Endpoint &peer, TimePoint now);
 
--- a/Source/Programs/Gateway/RequestSuspicion.cpp
+++ b/Source/Programs/Gateway/RequestSuspicion.cpp
@@ -22,7 +22,7 @@
 const RequestIdentity &RequestSuspicion::identity()
 {
     if (!identity_)
-        identity_ = identityOf(request_, organisation_, service_);
+        identity_ = identityOf(request_, poison_.organisationId(organisation_), service_);
     return *identity_;
 }
 
--- a/Source/Programs/Sidecar/Sidecar.cpp
+++ b/Source/Programs/Sidecar/Sidecar.cpp
@@ -391,6 +391,7 @@
     void apply(const Endpoint &, const ClaimMessage &) { }
     void apply(const Endpoint &, const CopyReport &) { }
     void apply(const Endpoint &, const EvidenceComplete &) { }
+    void apply(const Endpoint &, const OrganisationIdReport &) { }
 
     void apply(const Endpoint &from, const RankPoll &poll)
     {
--- a/Source/Request/CrashEvidence.h
+++ b/Source/Request/CrashEvidence.h
@@ -12,6 +12,7 @@
 #include "Request/BackendRegistry.h"
 #include "Request/CompletionTimes.h"
 #include "Request/LastSends.h"
+#include "Request/OrganisationIds.h"
 #include "Request/ServerCrash.h"
 #include "Request/UnprovenRequests.h"
 
@@ -61,6 +62,8 @@
     std::unordered_map<Fingerprint, CopyAccount, FingerprintHash> accounts;
     /// Requests that may have crashed servers before this gateway started.
     UnprovenRequests unproven;
+    /// Organisations in the fingerprints of requests.
+    OrganisationIds organisationIds;
     /// Number of requests of each service that this gateway has seen completed.
     std::map<std::string, std::uint64_t> completedRequests;
 };
--- a/Source/Request/Fingerprint.h
+++ b/Source/Request/Fingerprint.h
@@ -26,7 +26,7 @@
 ///
 /// The hash is a cryptographic one. With another one, a caller could construct a request that has
 /// the fingerprint of somebody else's.
-/// @param organisation Name of the caller's organisation; empty if the route needs no API key.
+/// @param organisation Id of the caller's organisation; empty if the route needs no API key.
 Fingerprint fingerprintOf(const GatewayRequest &request, std::string_view organisation);
 
 /// Returns the fingerprint of a prompt part: of its id and of the service, since another service
--- a/Source/Version/CrashMessages.cpp
+++ b/Source/Version/CrashMessages.cpp
@@ -82,6 +82,12 @@
     message.push_back(encodeFingerprints({claim.suspect}));
 }
 
+void appendFields(Json &message, const OrganisationIdReport &report)
+{
+    message.push_back(report.name);
+    message.push_back(report.id);
+}
+
 CrashReport decodeCrashReport(const Json &message)
 {
     CrashReport report{.server = message.at(1).get<std::string>(),
@@ -139,4 +145,9 @@
             .suspect = decodeFingerprints(message.at(3)).at(0)};
 }
 
+OrganisationIdReport decodeOrganisationId(const Json &message)
+{
+    return {.name = message.at(1).get<std::string>(), .id = message.at(2).get<std::string>()};
+}
+
 } // namespace wisteria
--- a/Source/Version/CrashMessages.h
+++ b/Source/Version/CrashMessages.h
@@ -85,15 +85,27 @@
     FingerprintBytes suspect{};
 };
 
+/// Report of a gateway to another one that the requests of an organisation have fingerprints with
+/// another id than its name. See OrganisationIds.
+struct OrganisationIdReport
+{
+    std::string name;
+    std::string id;
+
+    bool operator==(const OrganisationIdReport &) const = default;
+};
+
 /// Encode a message's fields after its kind, and decode them. Decoding throws an exception derived
 /// from std::exception for fields that are missing or have another type.
 void appendFields(nlohmann::json &message, const CrashReport &report);
 void appendFields(nlohmann::json &message, const CompletionReport &report);
 void appendFields(nlohmann::json &message, const CopyReport &report);
 void appendFields(nlohmann::json &message, const ClaimMessage &claim);
+void appendFields(nlohmann::json &message, const OrganisationIdReport &report);
 CrashReport decodeCrashReport(const nlohmann::json &message);
 CompletionReport decodeCompletionReport(const nlohmann::json &message);
 CopyReport decodeCopyReport(const nlohmann::json &message);
 ClaimMessage decodeClaim(const nlohmann::json &message);
+OrganisationIdReport decodeOrganisationId(const nlohmann::json &message);
 
 } // namespace wisteria
--- a/Source/Version/GroupMessages.cpp
+++ b/Source/Version/GroupMessages.cpp
@@ -35,7 +35,8 @@
     GatewayPresence = 15,
     Claim = 16,
     CopyReport = 17,
-    EvidenceComplete = 18
+    EvidenceComplete = 18,
+    OrganisationId = 19
 };
 
 Json encode(const Endpoint &endpoint)
@@ -330,6 +331,13 @@
     return Json::array({MessageKind::EvidenceComplete});
 }
 
+Json encode(const OrganisationIdReport &report)
+{
+    Json json = Json::array({MessageKind::OrganisationId});
+    appendFields(json, report);
+    return json;
+}
+
 Json encode(const CompletionReport &report)
 {
     Json json = Json::array({MessageKind::CompletionReport});
@@ -401,6 +409,8 @@
         return decodeCopyReport(json);
     case MessageKind::EvidenceComplete:
         return EvidenceComplete{};
+    case MessageKind::OrganisationId:
+        return decodeOrganisationId(json);
     }
     throw std::out_of_range("unknown kind of message");
 }
--- a/Source/Version/GroupMessages.h
+++ b/Source/Version/GroupMessages.h
@@ -253,7 +253,7 @@
     std::variant<GatewayHello, EngineListRequest, EngineList, EngineLoad, RankPoll, RankStatus,
                  RankCommand, RelayedMessage, CountsPoll, CountsReply, PermitRequestMessage,
                  PermitReplyMessage, CrashReport, CompletionReport, GatewayPresence, ClaimMessage,
-                 CopyReport, EvidenceComplete>;
+                 CopyReport, EvidenceComplete, OrganisationIdReport>;
 
 /// Returns the message as MessagePack bytes.
 std::string encodeMessage(const GroupMessage &message);
--- a/Tests/Gateway/GatewayFleet.cpp
+++ b/Tests/Gateway/GatewayFleet.cpp
@@ -103,9 +103,10 @@
     }
 }
 
-void GatewayFleet::changeConfiguration()
+void GatewayFleet::changeConfiguration(nlohmann::json configuration)
 {
-    store.put("keyed.op", "config", configurationOf(++configurationVersion_));
+    configuration["version"] = ++configurationVersion_;
+    store.put("keyed.op", "config", configuration);
 }
 
 void GatewayFleet::restart(std::size_t gateway)
--- a/Tests/Gateway/GatewayFleet.h
+++ b/Tests/Gateway/GatewayFleet.h
@@ -9,8 +9,7 @@
 
 #include <sys/types.h>
 
-#include "Gateway/ScriptedServer.h"
-#include "Gateway/StoreStandIn.h"
+#include "Gateway/GatewayUnderTest.h"
 
 namespace wisteria::gateway_tests {
 
@@ -39,7 +38,9 @@
     /// The process of a gateway.
     pid_t process(std::size_t gateway) const { return children_[gateway]; }
     /// Writes the next version of the configuration, with the same content.
-    void changeConfiguration();
+    void changeConfiguration() { changeConfiguration(configurationOf(1)); }
+    /// The same with another content.
+    void changeConfiguration(nlohmann::json configuration);
     /// Kills a gateway and starts it again.
     void restart(std::size_t gateway);
     /// Kills all gateways before it starts any of them again.
