Poison requests: a server that lives on clears answers without a length, 3xx and 4xx

Cause: only a success that marks its own end counted as a completed run, as a crash may cut off the others and a rejection may come before the body was read. So nothing cleared such a request, and after three last sends, all answered, it was taken for poison.

Change: a whole sealed answer of that kind to a suspect request counts if the same process of its server still listens 0.75 s later (CrashDetector::checkSurvival). Until then the run goes on for the suspects, so no verdict falls. 408, 421, 425, 429 and 5xx stay nothing. It clears only the crashes before the run began, and an answer that ended with its connection counts as unanswered until then, so a server that restarts unseen leaves its crash. A quarantine's record is removed only if the quarantine has ended. Requests that are not suspect are not probed.

--- a/Source/Programs/Gateway/AnswerRelay.cpp
+++ b/Source/Programs/Gateway/AnswerRelay.cpp
@@ -12,6 +12,17 @@
 /// Longest event of a stream in bytes.
 constexpr std::size_t maxEventBytes = 1048576;
 
+/// Whether a server that answers so may run the same request at another time.
+bool isRejectionForNow(int status)
+{
+    constexpr int requestTimeout = 408;
+    constexpr int misdirected = 421;
+    constexpr int tooEarly = 425;
+    constexpr int tooManyRequests = 429;
+    return status == requestTimeout || status == misdirected || status == tooEarly
+        || status == tooManyRequests;
+}
+
 } // namespace
 
 void AnswerRelay::beginSend(TimePoint now)
@@ -100,6 +111,13 @@
     return head_.success() && head_.sealed && marksEnd_ && !failure();
 }
 
+bool AnswerRelay::mayShowCompletedRun() const
+{
+    if (showsCallerError())
+        return !isRejectionForNow(head_.status);
+    return head_.success() && head_.sealed && !failure();
+}
+
 bool AnswerRelay::showsCallerError() const
 {
     constexpr int firstRedirect = 300;
--- a/Source/Programs/Gateway/AnswerRelay.h
+++ b/Source/Programs/Gateway/AnswerRelay.h
@@ -53,6 +53,10 @@
     /// request that would have crashed it a moment later. A rejection may come before the body was
     /// read, and an answer that ends with its connection may have been cut short by a crash.
     bool showsCompletedRun() const;
+    /// Whether the answer, which has ended, shows such a run if its server is found to live on: it
+    /// ended with its connection, or is the server's own that asks the caller for something else.
+    /// A rejection for now, such as 429, does not.
+    bool mayShowCompletedRun() const;
     /// Whether the answer, which has ended, is a backend server's own that asks the caller for
     /// something else, such as 304 or 404.
     bool showsCallerError() const;
--- a/Source/Programs/Gateway/CrashDetector.cpp
+++ b/Source/Programs/Gateway/CrashDetector.cpp
@@ -1,6 +1,7 @@
 #include "Programs/Gateway/CrashDetector.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace wisteria {
@@ -12,6 +13,9 @@
 constexpr milliseconds secondProbeAfter{50};
 /// Time from when a suspect send was given up to the probe of its server.
 constexpr milliseconds givenUpProbeAfter{250};
+/// Time from an answer to when its server has survived it: less than `refusalWindow`, so that a
+/// server that is gone then crashed under that send.
+constexpr milliseconds survivalTime{750};
 /// A refused connection shows a crash to which sends that ended at most this long before belong.
 constexpr milliseconds refusalWindow{1000};
 /// A restart shows a crash to which sends that ended at most this long before belong: some seconds
@@ -81,6 +85,69 @@
         broken->probeAgainAt = std::min(broken->probeAgainAt, now + givenUpProbeAfter);
 }
 
+void CrashDetector::checkSurvival(const UnansweredSend &send, bool marksEnd,
+                                  std::function<void(bool)> checked, TimePoint now)
+{
+    const BackendEntry *entry = stayingEntry(send.server);
+    if (entry == nullptr) {
+        checked(false);
+        return;
+    }
+    survivalChecks_.push_back({.server = send.server,
+                               .address = entry->address,
+                               .startedAt = entry->startedAt,
+                               .send = send.id,
+                               .dueAt = now + survivalTime,
+                               .checked = std::move(checked)});
+    if (!marksEnd)
+        noteConnectionEnded(send, now, [] {});
+}
+
+void CrashDetector::startSurvivalProbes(TimePoint now)
+{
+    const auto firstLater =
+        std::stable_partition(survivalChecks_.begin(), survivalChecks_.end(),
+                              [now](const SurvivalCheck &check) { return check.dueAt <= now; });
+    std::vector<SurvivalCheck> due(std::make_move_iterator(survivalChecks_.begin()),
+                                   std::make_move_iterator(firstLater));
+    survivalChecks_.erase(survivalChecks_.begin(), firstLater);
+    for (SurvivalCheck &check : due) {
+        const Endpoint address = check.address;
+        probes_.probe(
+            address,
+            [this, check = std::move(check)](ProbeResult result) {
+                finishSurvivalProbe(check, result);
+            },
+            now);
+    }
+}
+
+void CrashDetector::finishSurvivalProbe(const SurvivalCheck &check, ProbeResult result)
+{
+    finishProbe(check.server, result, false);
+    const BackendEntry *entry = stayingEntry(check.server);
+    const auto crash = knownCrashes_.find(check.server);
+    const bool crashed = crash != knownCrashes_.end() && crash->second.startedAt == check.startedAt;
+    const bool survived = result == ProbeResult::Listening && entry != nullptr
+        && entry->startedAt == check.startedAt && !crashed;
+    if (survived)
+        forgetSend(check.server, check.send);
+    check.checked(survived);
+}
+
+void CrashDetector::forgetSend(const std::string &server, SendId send)
+{
+    const auto found = broken_.find(server);
+    if (found == broken_.end())
+        return;
+    std::erase_if(found->second.sends, [send](const BrokenServer::Send &one) {
+        const auto &ids = one.request.sends;
+        return std::find(ids.begin(), ids.end(), send) != ids.end();
+    });
+    if (found->second.sends.empty())
+        broken_.erase(found);
+}
+
 void CrashDetector::finishProbe(const std::string &server, ProbeResult result, bool first)
 {
     const TimePoint now = monotonicNow();
@@ -213,6 +280,7 @@
 void CrashDetector::checkTimeouts(TimePoint now)
 {
     probes_.checkTimeouts(now);
+    startSurvivalProbes(now);
     std::erase_if(broken_, [now](const auto &item) {
         return now - item.second.sends.back().endedAt > restartWindow;
     });
--- a/Source/Programs/Gateway/CrashDetector.h
+++ b/Source/Programs/Gateway/CrashDetector.h
@@ -43,6 +43,13 @@
     /// moment and crash.
     /// @param probes Whether to find out soon if it did, though nothing else may be sent there.
     void noteGivenUp(const UnansweredSend &send, bool probes, TimePoint now);
+    /// Finds out whether a server survives a request that it has answered. A crash may look like
+    /// the end of an answer, or follow on it.
+    /// @param marksEnd Whether the answer marked its own end. Otherwise the send counts as
+    /// unanswered until its server is found to live on.
+    /// @param checked Called when that is known, within `survivalTime` and a probe.
+    void checkSurvival(const UnansweredSend &send, bool marksEnd,
+                       std::function<void(bool survived)> checked, TimePoint now);
     /// Records that nothing listens at a server's address.
     void noteRefused(const std::string &server, TimePoint now);
     /// Records a server's start time. If it has started again after its connections ended, it
@@ -79,6 +86,17 @@
         TimePoint probeAgainAt = TimePoint::max();
     };
 
+    /// A server process that has to live on for some time.
+    struct SurvivalCheck
+    {
+        std::string server;
+        Endpoint address;
+        std::uint64_t startedAt = 0;
+        SendId send = 0;
+        TimePoint dueAt;
+        std::function<void(bool)> checked;
+    };
+
     /// The last crash of a server that is known.
     struct KnownCrash
     {
@@ -89,6 +107,9 @@
 
     BrokenServer *recordUnanswered(const UnansweredSend &send, TimePoint now);
     void finishProbe(const std::string &server, ProbeResult result, bool first);
+    void startSurvivalProbes(TimePoint now);
+    void finishSurvivalProbe(const SurvivalCheck &check, ProbeResult result);
+    void forgetSend(const std::string &server, SendId send);
     void forgetSendsToSuccessor(const std::string &server, BrokenServer &broken) const;
     void confirm(const std::string &server, milliseconds within, TimePoint now);
     void report(const ServerCrash &crash, TimePoint now);
@@ -101,6 +122,7 @@
     Crashed crashed_;
     ServerProbes probes_;
     std::map<std::string, BrokenServer> broken_;
+    std::vector<SurvivalCheck> survivalChecks_;
     std::map<std::string, KnownCrash> knownCrashes_;
     TimePoint nextReturnProbeAt_;
 };
--- a/Source/Programs/Gateway/Exchange.cpp
+++ b/Source/Programs/Gateway/Exchange.cpp
@@ -617,11 +617,16 @@
 /// Records that a backend server ran the request to its end, if the answer shows that.
 void Exchange::noteCompleteAnswer()
 {
-    if (relay_.showsCompletedRun())
-        suspicion_.noteCompleted({request_.attemptId, send_.backendId(), relay_.head().status},
-                                 monotonicNow());
-    else if (relay_.showsCallerError())
+    const TimePoint now = monotonicNow();
+    const CompletedRun run{request_.attemptId, send_.backendId(), relay_.head().status};
+    if (relay_.showsCompletedRun()) {
+        suspicion_.noteCompleted(run, now);
+        return;
+    }
+    if (relay_.showsCallerError())
         suspicion_.noteAnswered();
+    if (relay_.mayShowCompletedRun())
+        suspicion_.noteCompletedIfSurvived(run, relay_.marksEnd(), now);
 }
 
 void Exchange::refuseQuarantined(TimePoint now)
--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -372,7 +372,7 @@
 }
 
 void PoisonGuard::noteCompleted(const RequestIdentity &request, const std::string &service,
-                                const CompletedRun &run, TimePoint now)
+                                const CompletedRun &run, TimePoint at, TimePoint now)
 {
     countCompletion(evidence_, service);
     std::vector<Fingerprint> suspects = request.parts;
@@ -381,7 +381,7 @@
     for (const Fingerprint &suspect : suspects) {
         const bool wasQuarantined = evidence_.quarantined.contains(suspect);
         const bool wasUnproven = isUnproven(evidence_, suspect);
-        const bool counted = noteCompletion(evidence_, suspect, now, now);
+        const bool counted = noteCompletion(evidence_, suspect, at, now);
         if (!counted && !wasQuarantined && !wasUnproven)
             continue;
         cleared.push_back(suspect);
@@ -392,7 +392,7 @@
                    {"id", run.requestId},
                    {"backend", run.backend},
                    {"status", run.status}});
-        if (wasQuarantined)
+        if (wasQuarantined && !evidence_.quarantined.contains(suspect))
             links_.released(suspect);
     }
     if (cleared.empty())
--- a/Source/Programs/Gateway/PoisonGuard.h
+++ b/Source/Programs/Gateway/PoisonGuard.h
@@ -136,8 +136,9 @@
     /// Adds a crash that this gateway detected, and reports it to the others.
     void noteCrash(const ServerCrash &crash, TimePoint now);
     /// Records that a backend server of the service ran a request to its end.
+    /// @param at Crashes before do not count any more.
     void noteCompleted(const RequestIdentity &request, const std::string &service,
-                       const CompletedRun &run, TimePoint now);
+                       const CompletedRun &run, TimePoint at, TimePoint now);
     /// Records that a backend server answered a request, with the caller at fault.
     void noteAnswered(const RequestIdentity &request);
     /// Records that a caller sent a quarantined request again.
--- a/Source/Programs/Gateway/RequestSuspicion.cpp
+++ b/Source/Programs/Gateway/RequestSuspicion.cpp
@@ -150,7 +150,25 @@
 void RequestSuspicion::noteCompleted(const CompletedRun &run, TimePoint now)
 {
     end_ = RunEnd::Completed;
-    poison_.noteCompleted(identity(), service_, run, now);
+    poison_.noteCompleted(identity(), service_, run, now, now);
+}
+
+/// The run goes on, as far as the suspects are concerned, until its server has been looked at.
+/// Only the crashes before it count no more: the server may have started again unseen.
+void RequestSuspicion::noteCompletedIfSurvived(const CompletedRun &run, bool marksEnd,
+                                               TimePoint now)
+{
+    if (level(now) == Suspicion::None)
+        return;
+    const auto checked = [&poison = poison_, identity = identity(), service = service_, run,
+                          begunAt = sentAt_, id = sendId_,
+                          suspects = std::exchange(running_, {})](bool survived) {
+        const TimePoint checkedAt = monotonicNow();
+        if (survived)
+            poison.noteCompleted(identity, service, run, begunAt, checkedAt);
+        poison.noteRunEnd(suspects, id, survived ? RunEnd::Completed : RunEnd::Unknown, checkedAt);
+    };
+    crashes_.checkSurvival({run.backend, identity(), sentAt_, sendId_}, marksEnd, checked, now);
 }
 
 void RequestSuspicion::noteAnswered()
--- a/Source/Programs/Gateway/RequestSuspicion.h
+++ b/Source/Programs/Gateway/RequestSuspicion.h
@@ -70,6 +70,9 @@
     void noteNotRun(RunEnd end) { end_ = end; }
     /// Records that a backend server ran the request to its end.
     void noteCompleted(const CompletedRun &run, TimePoint now);
+    /// Records that a backend server ran the request to its end if it is found to live on.
+    /// @param marksEnd Whether the answer marked its own end.
+    void noteCompletedIfSurvived(const CompletedRun &run, bool marksEnd, TimePoint now);
     /// Records that a backend server answered the request, with the caller at fault.
     void noteAnswered();
     /// Records that the request is refused because it is quarantined.
--- a/Tests/Gateway/CrashDetectorTest.cpp
+++ b/Tests/Gateway/CrashDetectorTest.cpp
@@ -1,3 +1,6 @@
+#include <functional>
+#include <memory>
+#include <optional>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -107,3 +110,43 @@
     watched.loop.run();
     REQUIRE(reads == (listNamesIt ? 0 : 1));
 }
+
+// Guards against a crash that is taken for the end of an answer, and so for a completed run.
+TEST_CASE("A server survives an answer only if the same process still listens a moment later")
+{
+    auto listening = std::make_unique<ScriptedServer>([](const SeenRequest &, ScriptPeer &) {});
+    WatchedServer watched;
+    BackendEntry entry = entryOf(server, 1);
+    entry.address = listening->endpoint();
+    putBackend(watched.registry, entry, start);
+    const bool marksEnd = GENERATE(true, false);
+    bool lives = false;
+    std::function<void()> event = [] {};
+    SECTION("it lives on")
+    lives = true;
+    SECTION("it ends")
+    event = [&] { listening.reset(); };
+    SECTION("it has started again")
+    event = [&] {
+        entry.startedAt = 2;
+        putBackend(watched.registry, entry, start);
+    };
+    SECTION("another gateway saw its crash")
+    event = [&] { watched.noteCrashSeenElsewhere(monotonicNow()); };
+    std::optional<bool> survived;
+    const TimePoint sentAt = monotonicNow();
+    watched.detector.checkSurvival(
+        {.server = server, .request = {}, .sentAt = sentAt, .id = 1}, marksEnd,
+        [&survived](bool result) { survived = result; }, sentAt);
+    watched.loop.runAfter(milliseconds(200), event);
+    watched.loop.runAfter(milliseconds(500),
+                          [&] { watched.detector.checkTimeouts(monotonicNow()); });
+    watched.loop.runAfter(milliseconds(700), [&] { CHECK_FALSE(survived); });
+    watched.loop.runAfter(milliseconds(800),
+                          [&] { watched.detector.checkTimeouts(monotonicNow()); });
+    watched.loop.runAfter(milliseconds(1100), [&watched] { watched.loop.stop(); });
+    watched.loop.run();
+    CHECK(survived == lives);
+    watched.detector.noteStartTime(server, 3, monotonicNow());
+    CHECK(watched.crashes.empty() == (lives || marksEnd));
+}
--- a/Tests/Gateway/CrashingServer.cpp
+++ b/Tests/Gateway/CrashingServer.cpp
@@ -226,7 +226,12 @@
     if (answerMisdirected(request, connection, now) || (plan_.group && plan_.group->closed(now)))
         return;
     if (!plan_.streams) {
-        connection.answer = sealed(request, 200, "done");
+        connection.closes = plan_.answersWithoutLength;
+        constexpr int notModified = 304;
+        const std::string body = plan_.status == notModified ? "" : "done";
+        connection.answer = connection.closes
+            ? headWithoutLength(request, plan_.status, "text/plain") + body
+            : sealed(request, plan_.status, body);
         answerAtTimeLimit(request, connection, now);
         return;
     }
@@ -315,6 +320,10 @@
             continue;
         }
         ::send(descriptor, connection.answer.data(), connection.answer.size(), MSG_NOSIGNAL);
+        if (connection.closes) {
+            drop(descriptor);
+            continue;
+        }
         connection.endsAt = TimePoint::max();
         begin(descriptor, connection, now);
     }
--- a/Tests/Gateway/CrashingServer.h
+++ b/Tests/Gateway/CrashingServer.h
@@ -38,6 +38,9 @@
     /// Answers events of a stream instead of a plain answer.
     bool streams = false;
     milliseconds workTime{30};
+    int status = 200;
+    /// Answers that are no streams have no length, and end with their connection.
+    bool answersWithoutLength = false;
     /// How long after it has begun to run a poison request the server crashes.
     milliseconds crashAfter{60};
     milliseconds downTime{2000};
@@ -102,6 +105,8 @@
         std::string answer;
         bool poison = false;
         bool resets = false;
+        /// The answer ends with the connection.
+        bool closes = false;
         std::string attemptId;
         std::string body;
     };
--- a/Tests/Gateway/PoisonGuardTest.cpp
+++ b/Tests/Gateway/PoisonGuardTest.cpp
@@ -106,7 +106,7 @@
         const auto suspects = guard.noteRunBegin(popular, service, id, {}, now_);
         const bool open = now_ >= opensAt_;
         if (open)
-            guard.noteCompleted(popular, service, {}, now_);
+            guard.noteCompleted(popular, service, {}, now_, now_);
         guard.noteRunEnd(suspects, id, open ? RunEnd::Completed : RunEnd::NotExecuted, now_);
         ++(open ? completed_ : refused_);
     }
--- a/Tests/Gateway/ScriptedAnswers.cpp
+++ b/Tests/Gateway/ScriptedAnswers.cpp
@@ -15,6 +15,13 @@
     return plainResponse(status, ownFields(request), body);
 }
 
+std::string headWithoutLength(const SeenRequest &request, int status,
+                              const std::string &contentType)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Status\r\nContent-Type: " + contentType + "\r\n"
+        + ownFields(request) + "Connection: close\r\n\r\n";
+}
+
 std::string eventText(int id)
 {
     return "id: " + std::to_string(id) + "\ndata: piece" + std::to_string(id) + "\n\n";
--- a/Tests/Gateway/ScriptedAnswers.h
+++ b/Tests/Gateway/ScriptedAnswers.h
@@ -15,6 +15,11 @@
 /// A backend server's complete answer to a request, with the seal.
 std::string sealed(const SeenRequest &request, int status, const std::string &body);
 
+/// The head of a backend server's own answer that has neither a length nor chunks, so that it ends
+/// with its connection.
+std::string headWithoutLength(const SeenRequest &request, int status,
+                              const std::string &contentType);
+
 /// One event of a stream, with its number in id and data.
 std::string eventText(int id);
 
--- a/Tests/Gateway/StreamEndTest.cpp
+++ b/Tests/Gateway/StreamEndTest.cpp
@@ -11,18 +11,11 @@
 
 namespace {
 
-/// The head of an answer that has neither a length nor chunks, so that it ends with its connection.
-std::string endingHead(const SeenRequest &request, const std::string &contentType)
-{
-    return "HTTP/1.1 200 OK\r\nContent-Type: " + contentType + "\r\n" + ownFields(request)
-        + "Connection: close\r\n\r\n";
-}
-
 /// Answers with a text that has neither a length nor chunks, then ends the connection.
 ScriptedServer::Script plainAnswer(const std::string &text, void (ScriptPeer::*end)())
 {
     return [text, end](const SeenRequest &request, ScriptPeer &peer) {
-        peer.send(endingHead(request, "text/plain") + text);
+        peer.send(headWithoutLength(request, 200, "text/plain") + text);
         (peer.*end)();
     };
 }
@@ -60,7 +53,8 @@
         eventEnds.push_back(events.size());
     }
     ScriptedServer server([&events](const SeenRequest &request, ScriptPeer &peer) {
-        peer.send(endingHead(request, "text/event-stream") + events.substr(0, lengthOf(request)));
+        peer.send(headWithoutLength(request, 200, "text/event-stream")
+                  + events.substr(0, lengthOf(request)));
         peer.close();
     });
     GatewayUnderTest gateway;
@@ -82,7 +76,8 @@
 {
     const std::string events = eventText(1) + eventText(2);
     ScriptedServer server([&events](const SeenRequest &request, ScriptPeer &peer) {
-        peer.send(endingHead(request, "text/event-stream") + events.substr(0, lengthOf(request)));
+        peer.send(headWithoutLength(request, 200, "text/event-stream")
+                  + events.substr(0, lengthOf(request)));
         peer.close();
     });
     GatewayUnderTest gateway;
