Caller connections: the limits of a request are those in force when it begins

Cause: Session copied the limits when its connection was opened. One that was opened before the first configuration had the built-in ones for good.

Change: RequestReader asks for the limits when it reads the first byte of a request (HttpLimitsSource). Timeouts are those in force or those of the last request, whichever are longer, as a caller may not know the new version yet. Tests that made a reader with fixed limits pass a function; no check changed.

--- a/Source/Connection/CallerConnection.cpp
+++ b/Source/Connection/CallerConnection.cpp
@@ -4,9 +4,9 @@
 
 namespace wisteria {
 
-CallerConnection::CallerConnection(EventLoop &loop, int descriptor, const HttpLimits &limits,
+CallerConnection::CallerConnection(EventLoop &loop, int descriptor, HttpLimitsSource limits,
                                    CallerEvents events)
-    : events_(std::move(events)), reader_(limits), waitingSince_(monotonicNow())
+    : events_(std::move(events)), reader_(std::move(limits)), waitingSince_(monotonicNow())
 {
     tcp_ = TcpConnection::adopt(loop, descriptor,
                                 {.connected = {},
--- a/Source/Connection/CallerConnection.h
+++ b/Source/Connection/CallerConnection.h
@@ -28,8 +28,8 @@
 class CallerConnection
 {
 public:
-    CallerConnection(EventLoop &loop, int descriptor, const HttpLimits &limits,
-                     CallerEvents events);
+    /// @param limits Called when the first byte of each request is read.
+    CallerConnection(EventLoop &loop, int descriptor, HttpLimitsSource limits, CallerEvents events);
 
     /// Sends a part of an answer.
     void send(std::string_view bytes) { tcp_->send(bytes); }
--- a/Source/Connection/HttpReader.cpp
+++ b/Source/Connection/HttpReader.cpp
@@ -132,7 +132,7 @@
 class RequestReader::Private
 {
 public:
-    explicit Private(const HttpLimits &limits) : limits_(limits) { resetParser(); }
+    explicit Private(HttpLimitsSource limits) : limits_(std::move(limits)) { resetParser(); }
 
     void resetParser()
     {
@@ -140,13 +140,21 @@
         body_.clear();
         continueHandled_ = false;
         parser_->onBody_ = [this](string_view bytes) { body_.append(bytes.data(), bytes.size()); };
-        parser_->header_limit(static_cast<std::uint32_t>(limits_.headerBytes));
-        parser_->body_limit(limits_.bodyBytes);
         parser_->eager(true);
     }
 
+    /// Sets the limits of a request of which nothing has been parsed yet.
+    void setLimits()
+    {
+        const HttpLimits limits = limits_();
+        parser_->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+        parser_->body_limit(limits.bodyBytes);
+    }
+
     void parse()
     {
+        if (!input_.empty() && !parser_->got_some())
+            setLimits();
         while (!input_.empty() && !parser_->is_done() && fault_ == RequestFault::None
                && mayParse(*parser_, input_)) {
             error_code error;
@@ -164,7 +172,7 @@
         }
     }
 
-    HttpLimits limits_;
+    HttpLimitsSource limits_;
     std::optional<Parser<true>> parser_;
     std::string input_;
     std::string body_;
@@ -172,7 +180,8 @@
     bool continueHandled_ = false;
 };
 
-RequestReader::RequestReader(const HttpLimits &limits) : private_(std::make_unique<Private>(limits))
+RequestReader::RequestReader(HttpLimitsSource limits)
+    : private_(std::make_unique<Private>(std::move(limits)))
 { }
 
 RequestReader::~RequestReader() = default;
--- a/Source/Connection/HttpReader.h
+++ b/Source/Connection/HttpReader.h
@@ -19,6 +19,9 @@
     std::size_t bodyBytes = 4194304;
 };
 
+/// Returns the limits of the request that begins now.
+using HttpLimitsSource = std::function<HttpLimits()>;
+
 /// Why a request can't be read. Each value other than None maps to an HTTP status.
 enum class RequestFault { None, Malformed, HeaderTooLarge, BodyTooLarge };
 
@@ -26,7 +29,8 @@
 class RequestReader
 {
 public:
-    explicit RequestReader(const HttpLimits &limits);
+    /// @param limits Called when the first byte of each request is read.
+    explicit RequestReader(HttpLimitsSource limits);
     ~RequestReader();
     RequestReader(const RequestReader &) = delete;
     RequestReader &operator=(const RequestReader &) = delete;
--- a/Source/Connection/StatusListener.cpp
+++ b/Source/Connection/StatusListener.cpp
@@ -35,8 +35,8 @@
                         .fault = [this, id](RequestFault) { end(id); },
                         .closed = [this, id] { end(id); },
                         .drained = [] {}};
-    connections_[id] =
-        std::make_unique<CallerConnection>(loop_, descriptor, HttpLimits{}, std::move(events));
+    connections_[id] = std::make_unique<CallerConnection>(
+        loop_, descriptor, [] { return HttpLimits{}; }, std::move(events));
 }
 
 void StatusListener::answer(std::uint64_t id, const HttpRequest &request)
--- a/Source/Programs/Gateway/Session.cpp
+++ b/Source/Programs/Gateway/Session.cpp
@@ -1,5 +1,6 @@
 #include "Programs/Gateway/Session.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Programs/Gateway/GatewayMetrics.h"
@@ -46,7 +47,7 @@
 
 Session::Session(GatewayContext &context, int descriptor, SessionEvents events)
     : context_(context), events_(std::move(events)), limits_(limitsOf(context)),
-      connection_(context.loop, descriptor, httpLimitsOf(limits_),
+      connection_(context.loop, descriptor, [this] { return takeLimits(); },
                   {.request = [this](HttpRequest request) { startRequest(std::move(request)); },
                    .fault = [this](RequestFault fault) { onFault(fault); },
                    .closed =
@@ -65,6 +66,23 @@
 
 Session::~Session() = default;
 
+/// Takes over the limits that are in force when a request begins: a connection may be older than
+/// the configuration.
+HttpLimits Session::takeLimits()
+{
+    limits_ = limitsOf(context_);
+    return httpLimitsOf(limits_);
+}
+
+/// Longest wait for a request or, once it has begun, for its rest. While a shorter limit comes into
+/// force, the caller may still rely on the one before.
+milliseconds Session::waitLimit(bool requestBegun) const
+{
+    const CallerLimits inForce = limitsOf(context_);
+    return requestBegun ? std::max(limits_.headerTimeout, inForce.headerTimeout)
+                        : std::max(limits_.idleTimeout, inForce.idleTimeout);
+}
+
 void Session::startRequest(HttpRequest raw)
 {
     keepAlive_ = raw.keepAlive;
@@ -245,8 +263,7 @@
         return;
     }
     const bool begun = connection_.requestStarted();
-    const milliseconds limit = begun ? limits_.headerTimeout : limits_.idleTimeout;
-    if (now - connection_.waitingSince() < limit)
+    if (now - connection_.waitingSince() < waitLimit(begun))
         return;
     if (begun) {
         keepAlive_ = false;
--- a/Source/Programs/Gateway/Session.h
+++ b/Source/Programs/Gateway/Session.h
@@ -62,6 +62,8 @@
         TimePoint waitUntil;
     };
 
+    HttpLimits takeLimits();
+    milliseconds waitLimit(bool requestBegun) const;
     void startRequest(HttpRequest request);
     void waitForConfiguration(GatewayRequest request, TimePoint now);
     void checkEarly(TimePoint now);
@@ -83,6 +85,7 @@
 
     GatewayContext &context_;
     SessionEvents events_;
+    /// Those in force when the last request began, or else when the connection was opened.
     CallerLimits limits_;
     CallerConnection connection_;
     std::unique_ptr<Exchange> exchange_;
--- a/Tests/Fuzz/PlatformFuzzer.cpp
+++ b/Tests/Fuzz/PlatformFuzzer.cpp
@@ -48,7 +48,7 @@
 /// Reads requests in two pieces, as they may arrive from the network.
 void readRequests(const std::string &text)
 {
-    RequestReader reader({.headerBytes = 2048, .bodyBytes = 2048});
+    RequestReader reader([] { return HttpLimits{.headerBytes = 2048, .bodyBytes = 2048}; });
     reader.feed(text.substr(0, text.size() / 2));
     reader.feed(text.substr(text.size() / 2));
     for (int i = 0; i < 8 && reader.complete(); ++i)
--- a/Tests/Gateway/ClosingConnectionTest.cpp
+++ b/Tests/Gateway/ClosingConnectionTest.cpp
@@ -61,7 +61,7 @@
     REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends.data()) == 0);
     constexpr std::size_t answerBytes = 8 * 1024 * 1024;
     EventLoop loop;
-    CallerConnection connection(loop, ends[0], HttpLimits{},
+    CallerConnection connection(loop, ends[0], [] { return HttpLimits{}; },
                                 {.request = [](const HttpRequest &) {},
                                  .fault = [](RequestFault) {},
                                  .closed = [] {},
--- a/Tests/Gateway/CodecTest.cpp
+++ b/Tests/Gateway/CodecTest.cpp
@@ -18,7 +18,7 @@
 
 RequestFault faultOf(const std::string &bytes)
 {
-    RequestReader reader({.headerBytes = 1024, .bodyBytes = 100});
+    RequestReader reader([] { return HttpLimits{.headerBytes = 1024, .bodyBytes = 100}; });
     reader.feed(bytes);
     return reader.fault();
 }
@@ -167,7 +167,7 @@
 
 TEST_CASE("Requests are parsed from single bytes, with a chunked body, and after an earlier one")
 {
-    RequestReader reader({});
+    RequestReader reader([] { return HttpLimits{}; });
     const std::string two = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
                             "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n";
     for (const char byte : two) {
--- a/Tests/Gateway/UnendingInputTest.cpp
+++ b/Tests/Gateway/UnendingInputTest.cpp
@@ -130,7 +130,7 @@
                                 .complete = [&complete] { complete = true; },
                                 .malformed = [](AnswerFault) {}},
                                false);
-        RequestReader requests({.headerBytes = 1024, .bodyBytes = 100});
+        RequestReader requests([] { return HttpLimits{.headerBytes = 1024, .bodyBytes = 100}; });
         const std::string answer = "HTTP/1.1 200 OK\r\n" + body;
         const std::string request = "POST / HTTP/1.1\r\nHost: h\r\n" + body;
         for (std::size_t at = 0; at < answer.size(); at += part)
