Poison requests: crashes that gateways were only told of are written too

Cause: a gateway wrote only the crashes that it had detected itself. One that ended before it could write, as the store was away, and came back was told of them by the other one, and then nobody counted them as its own. The time until which all crashes are known was written beside that, so the next life of the other gateway, which read it, took the missing records for no crashes.

Change: the record with that time holds all crashes that its writer knows, whoever detected them. The gateways write it in turn each second, as before: no call more, and no byte more without crashes.

--- a/Source/Programs/Gateway/EvidenceRecords.cpp
+++ b/Source/Programs/Gateway/EvidenceRecords.cpp
@@ -29,6 +29,14 @@
         copies->ageMilliseconds += added;
 }
 
+platform::EvidenceRecord recordOf(const std::vector<GroupMessage> &reports)
+{
+    platform::EvidenceRecord record{.writtenAt = wallNow(), .messages = {}};
+    for (const GroupMessage &report : reports)
+        record.messages.push_back(encodeMessage(report));
+    return record;
+}
+
 } // namespace
 
 EvidenceRecords::EvidenceRecords(HttpClientPool &pool, EventLog &log, const Endpoint &store,
@@ -58,15 +66,15 @@
     renewKnownUntil(now);
 }
 
-/// Writes the time until which all crashes are known. What this gateway has detected is written
-/// first.
+/// Writes the time until which all crashes are known, with these crashes. What this gateway has
+/// detected is written first.
 void EvidenceRecords::renewKnownUntil(TimePoint now)
 {
     if (changed_ || !appender_.ready(now) || !knownUntilAppender_.ready(now)
         || !links_.renewsKnownUntil(wallNow()))
         return;
     knownUntilAppender_.append(
-        knownUntilKey, platform::encodeEvidence({.writtenAt = wallNow(), .messages = {}}), {}, now,
+        knownUntilKey, platform::encodeEvidence(recordOf(links_.knownReports(now))), {}, now,
         [this](const Result<void> &appended) {
             if (appended.has_error())
                 log_.warn("evidence.not_renewed", {{"reason", appended.error().message}});
@@ -113,10 +121,8 @@
         log_.warn("evidence.refused", {{"key", record.key}, {"reason", decoded.error().message}});
         return;
     }
-    if (record.key == knownUntilKey) {
+    if (record.key == knownUntilKey)
         readSoFar_.knownUntil = decoded.value().writtenAt;
-        return;
-    }
     const bool own = record.key == self_;
     recorded_ = recorded_ || own;
     const milliseconds passed =
@@ -136,9 +142,7 @@
 void EvidenceRecords::write(TimePoint now)
 {
     changed_ = false;
-    platform::EvidenceRecord record{.writtenAt = wallNow(), .messages = {}};
-    for (const GroupMessage &report : links_.ownReports(now))
-        record.messages.push_back(encodeMessage(report));
+    const platform::EvidenceRecord record = recordOf(links_.ownReports(now));
     const bool empty = record.messages.empty();
     if (empty && !recorded_)
         return;
--- a/Source/Programs/Gateway/EvidenceRecords.h
+++ b/Source/Programs/Gateway/EvidenceRecords.h
@@ -19,6 +19,8 @@
 {
     /// Returns reports of all that this gateway has found itself and that still counts.
     std::function<std::vector<GroupMessage>(TimePoint)> ownReports;
+    /// The same of all that this gateway knows.
+    std::function<std::vector<GroupMessage>(TimePoint)> knownReports;
     /// Adds a report of a record.
     /// @param own Whether this gateway found it, before it was restarted.
     std::function<void(const GroupMessage &, bool own)> add;
@@ -31,7 +33,8 @@
 /// Keeps the crashes that this gateway has detected, and the last sends of requests, in the
 /// platform's store, and reads those of all gateways when it starts. Without that, a restart of all
 /// gateways would let a poison request begin anew. The gateways together also keep the time until
-/// which all crashes are known, since crashes in an outage of the store are in no record.
+/// which all crashes are known, since crashes in an outage of the store are in no record, and with
+/// it those that are known: the one that detected a crash may have ended before it could write.
 class EvidenceRecords
 {
 public:
--- a/Source/Programs/Gateway/EvidenceSharing.cpp
+++ b/Source/Programs/Gateway/EvidenceSharing.cpp
@@ -228,11 +228,23 @@
 }
 
 std::vector<GroupMessage> EvidenceSharing::ownReports(TimePoint now) const
+{
+    return reportsForStore(true, now);
+}
+
+std::vector<GroupMessage> EvidenceSharing::knownReports(TimePoint now) const
+{
+    return reportsForStore(false, now);
+}
+
+/// Returns reports of crashes that count, the latest first, and of what belongs to them. What was
+/// completed before is left out: it is asked of a gateway only as long as others live that tell it.
+std::vector<GroupMessage> EvidenceSharing::reportsForStore(bool ownOnly, TimePoint now) const
 {
     std::vector<GroupMessage> reports;
     for (auto crash = evidence_.crashes.rbegin();
          crash != evidence_.crashes.rend() && reports.size() < maxRecordedReports; ++crash) {
-        if (!crash->seenHere || !isOpen(evidence_, *crash, now))
+        if ((ownOnly && !crash->seenHere) || !isOpen(evidence_, *crash, now))
             continue;
         for (CrashReport &report : reportsOf(*crash, now))
             reports.emplace_back(std::move(report));
--- a/Source/Programs/Gateway/EvidenceSharing.h
+++ b/Source/Programs/Gateway/EvidenceSharing.h
@@ -54,6 +54,8 @@
     /// Returns reports of what this gateway has detected and still counts, the latest first, and of
     /// the ids of organisations.
     std::vector<GroupMessage> ownReports(TimePoint now) const;
+    /// The same of all that is known, whoever detected it.
+    std::vector<GroupMessage> knownReports(TimePoint now) const;
 
 private:
     using Report = std::variant<CrashReport, CompletionReport, CopyReport>;
@@ -67,6 +69,7 @@
 
     std::vector<GroupMessage> reportsOfCrashes(std::size_t maxCount, milliseconds maxAge,
                                                TimePoint now) const;
+    std::vector<GroupMessage> reportsForStore(bool ownOnly, TimePoint now) const;
     void addCopyReports(std::vector<GroupMessage> &reports, TimePoint now) const;
     void addOrganisationIds(std::vector<GroupMessage> &reports) const;
     void sendToAllTwice(const Report &report, TimePoint now);
--- a/Source/Programs/Gateway/PoisonGuard.h
+++ b/Source/Programs/Gateway/PoisonGuard.h
@@ -166,6 +166,11 @@
     void setServicesInDoubt(std::set<std::string> services, TimePoint now);
     /// Reports of what this gateway has detected, for the store.
     std::vector<GroupMessage> ownReports(TimePoint now) const { return sharing_.ownReports(now); }
+    /// Reports of all that this gateway knows, for the store.
+    std::vector<GroupMessage> knownReports(TimePoint now) const
+    {
+        return sharing_.knownReports(now);
+    }
     /// Reports for a gateway that has just started.
     std::vector<GroupMessage> allReports(TimePoint now) const { return sharing_.allReports(now); }
 
--- a/Source/Programs/Gateway/PoisonProtection.cpp
+++ b/Source/Programs/Gateway/PoisonProtection.cpp
@@ -45,6 +45,7 @@
         pool, log_, store, directory.self(),
         EvidenceRecordLinks{
             .ownReports = [this](TimePoint now) { return guard_.ownReports(now); },
+            .knownReports = [this](TimePoint now) { return guard_.knownReports(now); },
             .add = [this](const GroupMessage &report, bool own) { addKept(report, own); },
             .allRead = [this](const EvidenceRead &read) { noteRecordsRead(read); },
             .renewsKnownUntil = [this](WallTime wall) { return renewsKnownUntil(wall); }});
--- a/Tests/Gateway/RestartGapTest.cpp
+++ b/Tests/Gateway/RestartGapTest.cpp
@@ -124,6 +124,29 @@
         {.gateways = 10, .servers = 12, .killAfter = killAfter, .upAfter = milliseconds(500)});
 }
 
+// Guards against a poison request that begins anew, since the gateway that saw its crashes ended
+// before it could write them, and the one that was told of them wrote nothing.
+TEST_CASE("A poison request does not begin anew after those that were told of it are killed too")
+{
+    CrashingFleet fleet(2, {.downTime = milliseconds(1000)}, 6);
+    GatewayFleet &gateways = fleet.gateways();
+    sleepUntil(monotonicNow() + calmTime);
+    gateways.store.setUnavailable(true);
+    sleepUntil(monotonicNow() + milliseconds(300));
+    callServer(gateways.callers(0), requestWithBody("/again/x", "first", poisonMark));
+    REQUIRE(fleet.history().crashes.size() == 2);
+    gateways.restart(0);
+    gateways.store.setUnavailable(false);
+    // Each gateway has its turn to write what it knows.
+    sleepUntil(monotonicNow() + milliseconds(4000));
+    gateways.restart(1);
+    gateways.restartAll();
+    constexpr milliseconds interval{300};
+    repeatUntil(monotonicNow() + milliseconds(8000), interval, gateways, "/again/x", poisonMark);
+    constexpr std::size_t maxCrashes = 4;
+    CHECK(fleet.history().crashes.size() <= maxCrashes);
+}
+
 // Guards against popular requests that wait for each other for as long as crashes may be unknown.
 TEST_CASE(
     "A popular request of half a second is served after all gateways were killed in an outage")
