Poison guard: the runs of suspects and their claims are a module of their own

The start of a child process with its lines in a file stood twice in the soak and stands in LoggedChild now. No behaviour changes.

--- a/Source/Programs/Gateway/PoisonGuard.cpp
+++ b/Source/Programs/Gateway/PoisonGuard.cpp
@@ -60,7 +60,8 @@
 } // namespace
 
 PoisonGuard::PoisonGuard(EventLog &log, PoisonGuardLinks links)
-    : log_(log), links_(std::move(links)), sharing_(evidence_, links_.evidence)
+    : log_(log), links_(std::move(links)), sharing_(evidence_, links_.evidence),
+      runs_(links_.evidence.sendToAll)
 { }
 
 Suspicion PoisonGuard::suspicionOf(const RequestIdentity &request, TimePoint now) const
@@ -88,7 +89,8 @@
 
 bool PoisonGuard::isSpent(const RequestIdentity &request, TimePoint now) const
 {
-    return wisteria::isSpent(evidence_, request.request, now) && !mayStillRun(request.request, now);
+    return wisteria::isSpent(evidence_, request.request, now)
+        && !runs_.mayRun(request.request, now);
 }
 
 void PoisonGuard::setServicesInDoubt(std::set<std::string> services, TimePoint now)
@@ -124,11 +126,11 @@
     const Suspicion suspicion = suspicionOf(request, now);
     if (suspicion == Suspicion::None)
         return now;
-    if (suspicion == Suspicion::Quarantined || runsHere(request.request))
+    if (suspicion == Suspicion::Quarantined || runs_.runsHere(request.request))
         return TimePoint::max();
     TimePoint at = now;
     for (const Fingerprint &suspect : exclusiveSuspects(evidence_, request, now)) {
-        if (runsHere(suspect))
+        if (runs_.runsHere(suspect))
             return TimePoint::max();
         const CrashRecord record = crashRecordOf(evidence_, suspect, now);
         // What else crashes servers may be found meanwhile: another poison request, mostly.
@@ -144,7 +146,7 @@
         if (suspect == request.request) {
             const bool isTrial = quarantineReason(request, now).has_value();
             const bool mayBeSent = isTrial || hasLastSend(evidence_, suspect, now);
-            if (!mayBeSent || runsHere(fingerprintOfService(service)))
+            if (!mayBeSent || runs_.runsHere(fingerprintOfService(service)))
                 return TimePoint::max();
             const TimePoint lastCrashAt = lastCrashOf(evidence_, service);
             at = std::max({at, lastCrashAt + suspectPause,
@@ -174,34 +176,13 @@
 TimePoint PoisonGuard::claimRun(const RequestIdentity &request, const std::string &service,
                                 TimePoint now)
 {
-    const std::vector<Fingerprint> exclusive = claimsOf(request, service, now);
-    if (exclusive.empty())
-        return now;
-    if (const TimePoint until = claimedByOthersUntil(claims_, exclusive, now); until > now)
-        return until;
-    tellClaims(claim(claims_, exclusive, random_(), now), claimTime);
-    return claimsHoldAt(claims_, exclusive, now);
-}
-
-void PoisonGuard::tellClaims(const std::vector<Fingerprint> &suspects, milliseconds holds)
-{
-    for (const Fingerprint &suspect : suspects) {
-        links_.evidence.sendToAll(
-            ClaimMessage{.ticket = claims_.bySuspect[suspect].ticket,
-                         .holdsMilliseconds = static_cast<std::uint32_t>(holds.count()),
-                         .suspect = suspect.bytes});
-    }
+    return runs_.claim(claimsOf(request, service, now), now);
 }
 
 void PoisonGuard::receive(const ClaimMessage &message, TimePoint now)
 {
-    const Fingerprint suspect{message.suspect};
-    const bool applied =
-        applyClaim(claims_, suspect, message.ticket, milliseconds(message.holdsMilliseconds),
-                   runsHere(suspect), now);
-    if (!applied && mayObject(claims_, suspect, now))
-        tellClaims({suspect}, remaining(now, claims_.bySuspect[suspect].until));
-    noteTrial(evidence_, suspect, now);
+    runs_.receive(message, now);
+    noteTrial(evidence_, {message.suspect}, now);
     links_.changed();
 }
 
@@ -223,8 +204,7 @@
     }
     if (std::find(suspects.begin(), suspects.end(), request.request) == suspects.end())
         suspects.push_back(request.request);
-    for (const Fingerprint &suspect : suspects)
-        ++running_[suspect];
+    runs_.begin(suspects);
     if (onlyUnproven)
         noteLastSend(evidence_, request.request, id, {.at = now});
     if (isRestricted(evidence_, request.request, now)) {
@@ -260,16 +240,7 @@
             sharing_.reportCopies(suspect, now);
             links_.evidenceChanged();
         }
-        const auto found = running_.find(suspect);
-        if (found == running_.end())
-            continue;
-        if (--found->second == 0)
-            running_.erase(found);
-        const auto claim = claims_.bySuspect.find(suspect);
-        if (claim == claims_.bySuspect.end() || !claim->second.own)
-            continue;
-        endOwnClaim(claims_, suspect, holds, now);
-        tellClaims({suspect}, holds);
+        runs_.end(suspect, holds, now);
     }
     if (!suspects.empty())
         links_.changed();
@@ -317,19 +288,13 @@
     logWeighed(now);
 }
 
-/// Whether a send of a request goes on, or has just ended, at any gateway.
-bool PoisonGuard::mayStillRun(const Fingerprint &request, TimePoint now) const
-{
-    return runsHere(request) || claimsHoldUntil(claims_, {request}, now) > now;
-}
-
 /// Quarantines restricted requests whose last sends have all ended without a complete run, so that
 /// their callers are told at once.
 void PoisonGuard::quarantineWithoutLastSend(TimePoint now)
 {
     for (const Fingerprint &request : restrictedRequests(evidence_, now)) {
         if (evidence_.quarantined.contains(request) || hasLastSend(evidence_, request, now)
-            || mayStillRun(request, now))
+            || runs_.mayRun(request, now))
             continue;
         // That crashes may be unknown is no reason for a verdict.
         if (endedCopiesOf(evidence_, request, now) < maxEndedCopies)
@@ -505,19 +470,6 @@
         links_.evidenceChanged();
 }
 
-/// Tells the other gateways of runs that go on.
-void PoisonGuard::renewClaims(TimePoint now)
-{
-    for (const auto &[suspect, runs] : running_) {
-        const auto claim = claims_.bySuspect.find(suspect);
-        if (claim == claims_.bySuspect.end() || !claim->second.own)
-            continue;
-        renewOwnClaim(claims_, suspect, now);
-        tellClaims({suspect}, claimTime);
-    }
-    removeExpired(claims_, now);
-}
-
 void PoisonGuard::checkTimeouts(TimePoint now)
 {
     sharing_.checkTimeouts(now);
@@ -527,7 +479,7 @@
         return;
     nextUpkeepAt_ = now + upkeepInterval;
     sharing_.gossip(now);
-    renewClaims(now);
+    runs_.renew(now);
     if (servicesInDoubt_.empty())
         forgetUnproven(evidence_, now);
     std::erase_if(weighedCrashes_,
--- a/Source/Programs/Gateway/PoisonGuard.h
+++ b/Source/Programs/Gateway/PoisonGuard.h
@@ -11,9 +11,9 @@
 #include "Process/EventLog.h"
 #include "Process/Metrics.h"
 #include "Programs/Gateway/EvidenceSharing.h"
+#include "Programs/Gateway/SuspectRuns.h"
 #include "Request/CrashRecord.h"
 #include "Request/EvidenceGap.h"
-#include "Request/RunClaims.h"
 #include "Version/GroupMessages.h"
 
 namespace wisteria {
@@ -76,7 +76,7 @@
 
 /// Keeps poison requests and prompt parts, which crash each backend server that runs them, from
 /// taking down more than a few: exchanges crashes with the other gateways, and tells which requests
-/// are suspect or quarantined. The decisions are those of CrashEvidence and RunClaims.
+/// are suspect or quarantined. The decisions are those of CrashEvidence.
 class PoisonGuard
 {
 public:
@@ -180,30 +180,24 @@
     void updateMetrics(Metrics &metrics, TimePoint now) const;
 
 private:
-    bool runsHere(const Fingerprint &suspect) const { return running_.contains(suspect); }
     std::vector<Fingerprint> claimsOf(const RequestIdentity &request, const std::string &service,
                                       TimePoint now) const;
     void addCrash(const ServerCrash &crash, TimePoint now);
     void judge(TimePoint now);
     void quarantineWithoutLastSend(TimePoint now);
-    bool mayStillRun(const Fingerprint &request, TimePoint now) const;
     void logWeighed(TimePoint now);
     void logSuspectSend(const RequestIdentity &request, const SuspectSend &send,
                         TimePoint now) const;
     void keep(const Fingerprint &suspect, bool foundHere, TimePoint now);
-    void tellClaims(const std::vector<Fingerprint> &suspects, milliseconds holds);
-    void renewClaims(TimePoint now);
 
     EventLog &log_;
     PoisonGuardLinks links_;
     CrashEvidence evidence_;
     EvidenceSharing sharing_;
-    RunClaims claims_;
+    SuspectRuns runs_;
     std::set<std::string> servicesInDoubt_;
     /// When the first service was put in doubt.
     TimePoint inDoubtSince_;
-    /// Runs of suspects for this gateway.
-    std::map<Fingerprint, std::uint32_t> running_;
     TimePoint nextUpkeepAt_;
     /// Verdicts about the last crashes become due until then.
     TimePoint judgeUntil_;
--- a/Tests/Soak/GatewayProcess.cpp
+++ b/Tests/Soak/GatewayProcess.cpp
@@ -6,13 +6,12 @@
 #include <utility>
 
 #include <arpa/inet.h>
-#include <fcntl.h>
 #include <poll.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include "Gateway/ScriptedServer.h"
+#include "Soak/LoggedChild.h"
 
 namespace wisteria::soak {
 
@@ -65,17 +64,7 @@
 
 void GatewayProcess::start()
 {
-    const int output = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-    pid_ = ::fork();
-    if (pid_ == 0) {
-        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        ::dup2(output, STDOUT_FILENO);
-        ::dup2(output, STDERR_FILENO);
-        ::setenv("WISTERIAWIND_CONFIG", settings_.c_str(), 1);
-        ::execl(program_.c_str(), program_.c_str(), nullptr);
-        ::_exit(127);
-    }
-    ::close(output);
+    pid_ = startLogged(program_, settings_, log_);
     startedAt_ = monotonicNow();
     stopDeadline_.reset();
     suspendedAt_.reset();
--- a/Tests/Soak/RankSwitches.cpp
+++ b/Tests/Soak/RankSwitches.cpp
@@ -7,13 +7,12 @@
 #include <random>
 
 #include <arpa/inet.h>
-#include <fcntl.h>
 #include <poll.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include "Gateway/EngineVm.h"
+#include "Soak/LoggedChild.h"
 #include "Soak/RankEngines.h"
 
 namespace wisteria::soak {
@@ -54,20 +53,7 @@
     const Endpoint &messages() const { return messages_; }
     bool running() const { return pid_ > 0; }
 
-    void start()
-    {
-        const int output = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-        pid_ = ::fork();
-        if (pid_ == 0) {
-            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-            ::dup2(output, STDOUT_FILENO);
-            ::dup2(output, STDERR_FILENO);
-            ::setenv("WISTERIAWIND_CONFIG", settings_.c_str(), 1);
-            ::execl(program_.c_str(), program_.c_str(), nullptr);
-            ::_exit(127);
-        }
-        ::close(output);
-    }
+    void start() { pid_ = startLogged(program_, settings_, log_); }
 
     void kill()
     {
