Poison requests: what completes in doubt is told to gateways that start meanwhile

Cause: both gateways were in doubt. The stream had completed at the other one, which told those that lived then. The one that started later read of the stream's sends from the store, not of its completion, so none were left.

Change: gateways keep which requests were completed after they were unproven, as long as the doubt lasts, and tell the last 256 of them to a gateway that introduces itself; one in doubt does that each second.

Result: the unit test fails without what is told (spent, and a repeated suspect) and passes with it.

--- a/Source/Programs/Gateway/EvidenceSharing.cpp
+++ b/Source/Programs/Gateway/EvidenceSharing.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t sendsPerFingerprint = 3;
 /// Reports of crashes in one record of the store, which bounds its size.
 constexpr std::size_t maxRecordedReports = 48;
+/// Requests completed in doubt that are told to a gateway that may not know of them.
+constexpr std::size_t maxToldProven = 256;
 /// Restricted requests that are told to a gateway that may not know of them.
 constexpr std::size_t maxGossipAccounts = 16;
 
@@ -200,6 +202,8 @@
 std::vector<GroupMessage> EvidenceSharing::allReports(TimePoint now) const
 {
     std::vector<GroupMessage> reports = reportsOfCrashes(maxRecordedReports, crashLifetime, now);
+    for (CompletionReport &report : reportsOf(evidence_, lastProven(evidence_, maxToldProven), now))
+        reports.emplace_back(std::move(report));
     addOrganisationIds(reports);
     return reports;
 }
--- a/Source/Programs/Gateway/EvidenceSharing.h
+++ b/Source/Programs/Gateway/EvidenceSharing.h
@@ -48,8 +48,8 @@
     void gossip(TimePoint now);
     /// Returns reports of the latest crashes, and of what has been completed before each.
     std::vector<GroupMessage> latestReports(TimePoint now) const;
-    /// The same of all crashes that count, and the ids of organisations, for a gateway that knows
-    /// none.
+    /// The same of all crashes that count, of what was completed in doubt, and of the ids of
+    /// organisations, for a gateway that knows none.
     std::vector<GroupMessage> allReports(TimePoint now) const;
     /// Returns reports of what this gateway has detected and still counts, the latest first, and of
     /// the ids of organisations.
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -183,7 +183,7 @@
 {
     const bool counted = countsAny(evidence, suspect, now);
     noteCompletionTime(evidence.completions, suspect, at, now);
-    evidence.unproven.requests.erase(suspect);
+    noteProven(evidence, suspect);
     const bool cleared = counted && !countsAny(evidence, suspect, now);
     const auto known = evidence.quarantined.find(suspect);
     // An old completion may become known late; it is no reason to end a quarantine.
--- a/Source/Request/UnprovenRequests.cpp
+++ b/Source/Request/UnprovenRequests.cpp
@@ -27,8 +27,27 @@
         found->second.answered = true;
 }
 
+void noteProven(CrashEvidence &evidence, const Fingerprint &request)
+{
+    const bool wasUnproven = evidence.unproven.requests.erase(request) > 0;
+    if (wasUnproven && evidence.unproven.proven.size() < maxUnproven)
+        evidence.unproven.proven.insert(request);
+}
+
+std::vector<Fingerprint> lastProven(const CrashEvidence &evidence, std::size_t most)
+{
+    std::vector<Fingerprint> requests(evidence.unproven.proven.begin(),
+                                      evidence.unproven.proven.end());
+    std::sort(requests.begin(), requests.end(), [&](const auto &a, const auto &b) {
+        return lastCompletion(evidence.completions, a) > lastCompletion(evidence.completions, b);
+    });
+    requests.resize(std::min(requests.size(), most));
+    return requests;
+}
+
 void forgetUnproven(CrashEvidence &evidence, TimePoint now)
 {
+    evidence.unproven.proven.clear();
     std::erase_if(evidence.unproven.requests,
                   [&](const auto &item) { return endedCopiesOf(evidence, item.first, now) == 0; });
 }
--- a/Source/Request/UnprovenRequests.h
+++ b/Source/Request/UnprovenRequests.h
@@ -2,6 +2,8 @@
 
 #include <cstddef>
 #include <unordered_map>
+#include <unordered_set>
+#include <vector>
 
 #include "Process/Time.h"
 #include "Request/Fingerprint.h"
@@ -25,6 +27,9 @@
     };
 
     std::unordered_map<Fingerprint, Request, FingerprintHash> requests;
+    /// Requests that were completed after they were unproven. A gateway that starts meanwhile does
+    /// not know that, but may read of their sends.
+    std::unordered_set<Fingerprint, FingerprintHash> proven;
 };
 
 /// Bound on the memory that callers can make a gateway use.
@@ -38,6 +43,12 @@
 /// Records that a backend server answered a request, but not with a success.
 void noteAnswered(CrashEvidence &evidence, const Fingerprint &request);
 
+/// Records that a request was completed.
+void noteProven(CrashEvidence &evidence, const Fingerprint &request);
+
+/// Returns requests that were completed after they were unproven, the last completed ones first.
+std::vector<Fingerprint> lastProven(const CrashEvidence &evidence, std::size_t most);
+
 /// Forgets the requests of which no crash is known, when no service is in doubt any more. One that
 /// has crashed servers since must not begin anew.
 void forgetUnproven(CrashEvidence &evidence, TimePoint now);
--- a/Tests/Gateway/EvidenceGapTest.cpp
+++ b/Tests/Gateway/EvidenceGapTest.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "Programs/Gateway/EvidenceSharing.h"
 #include "Request/CrashEvidence.h"
 #include "Request/EvidenceGap.h"
 
@@ -140,6 +141,30 @@
     CHECK(suspicionOf(evidence, request, start + seconds(1)) == Suspicion::None);
 }
 
+// Guards against a popular request that is refused at a gateway that starts in doubt, as it reads
+// of the sends of the request but is not told that it has completed since.
+TEST_CASE("What completes in doubt is told to a gateway that starts, and is not spent there")
+{
+    const Fingerprint request = fingerprint(1);
+    const TimePoint completedAt = start + seconds(2);
+    CrashEvidence evidence;
+    noteUnproven(evidence, request, start);
+    noteCompletion(evidence, request, completedAt, completedAt);
+    const EvidenceSharing sharing(evidence, {});
+    CrashEvidence later;
+    for (const GroupMessage &message : sharing.allReports(completedAt + seconds(1))) {
+        const auto &report = std::get<CompletionReport>(message);
+        for (const FingerprintBytes &bytes : report.requests)
+            noteCompletion(later, {bytes}, completedAt, completedAt + seconds(1));
+    }
+    noteCrash(later, crashUnder(request, "i-1", start), completedAt + seconds(2));
+    for (std::uint32_t i = 0; i < maxLastSends; ++i)
+        noteLastSend(later, request, i, {.at = start});
+    noteUnproven(later, request, completedAt + seconds(2));
+    CHECK_FALSE(isSpent(later, request, completedAt + seconds(2)));
+    CHECK(suspicionOf(later, request, completedAt + seconds(2)) == Suspicion::None);
+}
+
 // Guards against callers that wait for nothing, and against a trial of a quarantined request that
 // is refused while it waits for its turn.
 TEST_CASE("Only an unproven request without sends left and without a verdict is spent")
