Planned stops: the filter before the close of the listening socket is taken back

The whole check showed what it costs: 'A stopping gateway accepts no callers in its last seconds and completes open requests' fails. A caller that connects in the last 0.1 s is refused only when its kernel tries again, a second later; here the stream beside it reached its time limit meanwhile. Each stop would cost all callers that connect in that time a second, to spare about one of 10,000 a reset of a request that was not read. That is no gain for callers, and the test is right.

A mend has to keep what is refused at once.

--- a/Source/Connection/TcpConnection.cpp
+++ b/Source/Connection/TcpConnection.cpp
@@ -9,7 +9,6 @@
 #include <ace/SOCK_Acceptor.h>
 #include <ace/SOCK_Connector.h>
 #include <ace/SOCK_Stream.h>
-#include <linux/filter.h>
 #include <netinet/tcp.h>
 
 namespace wisteria {
@@ -418,24 +417,6 @@
     private_->accept(acceptBacklog);
 }
 
-void TcpListener::ignoreNew()
-{
-    const ACE_HANDLE handle = private_->acceptor_.get_handle();
-    if (handle == ACE_INVALID_HANDLE)
-        return;
-    // For each segment that reaches the socket: drop it if of SYN and ACK only SYN is set.
-    constexpr std::uint32_t flagsOffset = 13;
-    constexpr std::uint32_t wholeSegment = 0xFFFFFFFF;
-    std::array<sock_filter, 5> code{{BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flagsOffset),
-                                     BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TH_SYN | TH_ACK),
-                                     BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TH_SYN, 0, 1),
-                                     BPF_STMT(BPF_RET | BPF_K, 0),
-                                     BPF_STMT(BPF_RET | BPF_K, wholeSegment)}};
-    const sock_fprog program{static_cast<unsigned short>(code.size()), code.data()};
-    // Without it, as in a kernel that knows no filters, connections are taken until the end.
-    ::setsockopt(handle, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
-}
-
 void TcpListener::close()
 {
     if (private_->acceptor_.get_handle() == ACE_INVALID_HANDLE)
--- a/Source/Connection/TcpConnection.h
+++ b/Source/Connection/TcpConnection.h
@@ -91,12 +91,6 @@
     /// Passes on the connections that wait to be accepted, up to the size of the backlog.
     void acceptWaiting();
 
-    /// Drops attempts to connect from now on, while those that have begun complete. The kernel of a
-    /// caller repeats its attempt after a second; by then the listener should be closed, so that it
-    /// is refused. A connection that completes while a listening socket is closed is reset instead,
-    /// with the request that it may have sent.
-    void ignoreNew();
-
     /// The bound address. For port 0 it holds the port that the kernel chose.
     Endpoint address() const;
 
--- a/Source/Programs/Gateway/CallerListener.cpp
+++ b/Source/Programs/Gateway/CallerListener.cpp
@@ -44,12 +44,6 @@
     return boost::outcome_v2::success();
 }
 
-void CallerListener::ignoreNew()
-{
-    if (listening_ && !std::exchange(ignoresNew_, true))
-        listener_.ignoreNew();
-}
-
 void CallerListener::close()
 {
     if (listening_)
@@ -109,7 +103,7 @@
 void CallerListener::updateListening(TimePoint now)
 {
     const bool wanted = open_ && shouldListen(control_, listening_, now);
-    if (wanted == listening_ || ignoresNew_)
+    if (wanted == listening_)
         return;
     if (!wanted) {
         listening_ = false;
--- a/Source/Programs/Gateway/CallerListener.h
+++ b/Source/Programs/Gateway/CallerListener.h
@@ -36,8 +36,6 @@
 
     /// @return BadSettings, naming the address, when binding or listening fails.
     Result<void> listen(const Endpoint &address);
-    /// Drops attempts to connect for the short time until close(); see TcpListener::ignoreNew().
-    void ignoreNew();
     /// Stops listening for good: later connections are refused.
     void close();
     /// Begins a measurement if one is due, and listens again if that is possible.
@@ -59,8 +57,6 @@
     /// Set between listen() and close().
     bool open_ = false;
     bool listening_ = false;
-    /// Set by ignoreNew().
-    bool ignoresNew_ = false;
     AcceptControl control_;
     /// When the log last said that there are too many connections, and that listening failed.
     TimePoint fullLoggedAt_{};
--- a/Source/Programs/Gateway/Gateway.cpp
+++ b/Source/Programs/Gateway/Gateway.cpp
@@ -367,8 +367,6 @@
     void checkStop(const PlannedStop &stop, TimePoint now)
     {
         const bool exits = now >= exitsAt(stop);
-        if (now >= ignoresNewFrom(stop))
-            callerListener_.ignoreNew();
         // If too few gateways of a failure domain are ready, the platform keeps sending callers
         // here.
         if (exits || now >= acceptsUntil(stop)) {
--- a/Source/Request/PlannedStop.cpp
+++ b/Source/Request/PlannedStop.cpp
@@ -8,8 +8,6 @@
 
 /// The platform checks readiness once a second and sends callers elsewhere after two failed checks.
 constexpr milliseconds acceptTime{2600};
-/// Time in which a connection is set up: a few round trips between failure domains.
-constexpr milliseconds connectionSetupTime{100};
 /// Time before the end of the grace period for the last answers to be sent.
 constexpr milliseconds answerMargin{500};
 /// Time before the end of the grace period for the process to exit.
@@ -22,11 +20,6 @@
     return stop.begunAt + acceptTime;
 }
 
-TimePoint ignoresNewFrom(const PlannedStop &stop)
-{
-    return std::min(acceptsUntil(stop), exitsAt(stop)) - connectionSetupTime;
-}
-
 TimePoint answersOpenAt(const PlannedStop &stop)
 {
     return stop.begunAt + std::max(milliseconds(0), stop.gracePeriod - answerMargin);
--- a/Source/Request/PlannedStop.h
+++ b/Source/Request/PlannedStop.h
@@ -18,10 +18,6 @@
 /// Returns until when a stopping gateway accepts connections.
 TimePoint acceptsUntil(const PlannedStop &stop);
 
-/// Returns from when a stopping gateway ignores attempts to connect: so long before it closes its
-/// listening socket that those made before have completed, and are accepted.
-TimePoint ignoresNewFrom(const PlannedStop &stop);
-
 /// Returns when a stopping gateway answers all requests that are still open, except streams that
 /// have begun.
 TimePoint answersOpenAt(const PlannedStop &stop);
